Take over engines that start anew while the store is away

Cause: crashed engines come back under ids that only the store tells.

Change: whoever is refused by a stranger at an engine's address asks it what it runs. If just one service of the catalogue has engines with those models and that memory, and no version of it is being moved, it is that engine started anew; the node tells the others, and it keeps its entry until the store is back and for as long as a runner has to register. The address alone proves nothing: it may be another service's by then. News of runners are asked for with a wait of 1.5 s in place of 5, so that a silent outage is known sooner.

Ruled out: recognizing it by the time of its start (a report doesn't tell it), or by how soon after the old one's last sign of life it is met (a node that was suspended can't know).

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -45,12 +45,24 @@
     pub runners: Vec<RunnerLoad>,
     /// Ids of those that have just broken a connection, not taken one or fallen silent.
     pub failed: Vec<CompactString>,
+    /// Those that were found to have started anew under another id.
+    pub restarts: Vec<Restart>,
+}
+
+/// A runner that started anew at its address, under another id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Restart {
+    /// Id of the process that has ended.
+    pub former: CompactString,
+    /// Id of the new one.
+    pub id: CompactString,
 }
 
 impl Load {
     /// Whether there is nothing to say.
     pub fn is_empty(&self) -> bool {
-        self.runners.is_empty() && self.failed.is_empty()
+        self.runners.is_empty() && self.failed.is_empty() && self.restarts.is_empty()
     }
 }
 
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -9,7 +9,7 @@
 };
 
 /// First byte of every frame; another one is refused.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Most bytes of a frame of [`Class::Control`].
 pub const CONTROL_LIMIT: usize = 256 * 1024;
 /// Most bytes of a frame of [`Class::Catalog`].
@@ -128,7 +128,9 @@
     match message {
         PeerMessage::Heartbeat(heartbeat) => heartbeat.news.len().max(heartbeat.usage.len()),
         PeerMessage::MembersPush(claims) | PeerMessage::Claims(claims) => claims.len(),
-        PeerMessage::Load(load) => load.runners.len().max(load.failed.len()),
+        PeerMessage::Load(load) => {
+            load.runners.len().max(load.failed.len()).max(load.restarts.len())
+        }
         _ => 0,
     }
 }
--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -104,6 +104,8 @@
     pub backups: bool,
     /// Time for which such a copy is kept after its last part.
     pub kept: Duration,
+    /// Names of the models that they run.
+    pub models: Vec<CompactString>,
 }
 
 /// Who calls.
@@ -174,6 +176,16 @@
         self.routes.get(host)?.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// The only service whose engines run these models with this memory, if there is just one.
+    pub fn sole_service(&self, models: &[CompactString], memory: u32) -> Option<&Arc<Service>> {
+        let fits = |engine: &Engine| {
+            engine.memory == memory && models.iter().any(|model| engine.models.contains(model))
+        };
+        let mut fitting = self.services.values().filter(|s| s.engine.as_ref().is_some_and(fits));
+        let first = fitting.next()?;
+        fitting.next().is_none().then_some(first)
+    }
+
     /// Lets a request in: its route and, unless anyone may call, the account that holds its key.
     pub fn admit(
         &self,
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -25,7 +25,10 @@
     },
     bilberryfront_decide::{
         id::Incarnation,
-        member::{PeerMessage, message::Load},
+        member::{
+            PeerMessage,
+            message::{Load, Restart},
+        },
     },
     bilberryfront_peer::Received,
     bytes::Bytes,
@@ -44,6 +47,9 @@
 /// Longest wait of a question for news of operators: a lost answer shows after this and the client's
 /// own timeout; the peers tell of a new catalogue long before.
 const ORDERS_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait of a question for news of runners. One of them reports at any moment, so an answer takes
+/// longer only when the store is away; until that is known, a restarted runner can't be taken over.
+const RUNNERS_WAIT: Duration = Duration::from_millis(1_500);
 /// Longest wait of a question for news of nodes: their heartbeats tell all that is urgent.
 const NODES_WAIT: Duration = Duration::from_secs(15);
 /// Time between two questions for news of runners. They report every second or so, and each question
@@ -110,7 +116,7 @@
         tokio::task::spawn_local(follower.run(sender.clone()));
     };
     follow(R::ORDERS, Duration::ZERO, ORDERS_WAIT);
-    follow(R::RUNNERS, RUNNERS_EVERY, ORDERS_WAIT);
+    follow(R::RUNNERS, RUNNERS_EVERY, RUNNERS_WAIT);
     follow(NODES, Duration::ZERO, NODES_WAIT);
     follow(R::STATUS, Duration::ZERO, NODES_WAIT);
     let (arrived, joined) = mpsc::channel(1);
@@ -312,6 +318,7 @@
     }
 
     fn tell(&mut self, load: Load) {
+        self.take_over(&load.restarts);
         if let Some(membership) = &mut self.membership {
             membership.spread_failures(Instant::now(), &load.failed);
             membership.tell(&PeerMessage::Load(load));
@@ -323,6 +330,7 @@
             return self.moves.hear(Instant::now(), news);
         }
         if let Received::Message { from, message: PeerMessage::Load(load) } = event {
+            self.take_over(&load.restarts);
             // The receiver goes away only when the process ends.
             _ = self.heard.send(Heard { from, load });
             return;
@@ -342,11 +350,18 @@
         }
     }
 
+    /// Lists runners that this node or another one found to have started anew.
+    fn take_over(&mut self, restarts: &[Restart]) {
+        if !restarts.is_empty() && self.listing.take_over(restarts) {
+            self.publish();
+        }
+    }
+
     /// Passes on which runners other nodes lost. Whose word it was is gone by the time it has come
     /// round; only the runners matter.
     fn pass_on(&self, failed: Vec<CompactString>) {
         if !failed.is_empty() {
-            let load = Load { runners: Vec::new(), failed };
+            let load = Load { failed, ..Load::default() };
             // The receiver goes away only when the process ends.
             _ = self.heard.send(Heard { from: CompactString::default(), load });
         }
--- a/crates/relay/src/control/listing.rs
+++ b/crates/relay/src/control/listing.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{records::Records, store::Row, view::Registration},
+    bilberryfront_decide::member::message::Restart,
     compact_str::CompactString,
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -98,6 +99,37 @@
         self.publish()
     }
 
+    /// Lets runners that started anew under other ids have their former entries, while the store can't
+    /// say so itself; says whether anything changed.
+    ///
+    /// Engines that crash in an outage are back within seconds under ids that only the store tells. Known
+    /// by their former ids alone they refuse everything, and the requests of a whole failure domain
+    /// after another pile up on the rest. The new entry counts as missing: unless the runner registers
+    /// soon after the store's return, it goes like any other.
+    pub fn take_over(&mut self, restarts: &[Restart]) -> bool {
+        if matches!(self.outage, Outage::None) {
+            return false;
+        }
+        restarts.iter().for_each(|restart| self.restart(restart));
+        self.publish()
+    }
+
+    fn restart(&mut self, restart: &Restart) {
+        let Some(former) = self.entries.get(&restart.former) else { return };
+        if self.entries.contains_key(&restart.id) {
+            return;
+        }
+        // Goes before its former life, and behind whoever registers at the address.
+        let born = former.registration.born + 1;
+        let id = restart.id.clone();
+        let former = former.registration.clone();
+        let registration = Registration { id: id.clone(), born, assumed: true, ..former };
+        log::info!(runner = id.as_str(), former = restart.former.as_str();
+            "a runner started anew while the store is away");
+        self.entries.remove(&restart.former);
+        self.entries.insert(id, Entry { registration, missing: true });
+    }
+
     fn take<R: Records>(&mut self, now: Instant, row: &Row, records: &R) {
         let Some(value) = &row.value else { return self.remove(now, &row.key) };
         match records.registration(&row.key, value) {
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -48,6 +48,9 @@
     /// The copy's name, by the answer.
     fn copied(&self, body: &[u8]) -> Option<CompactString>;
 
+    /// Who a runner is, by its answer at the report's path; `None` when it isn't an engine's.
+    fn identity(&self, body: &[u8]) -> Option<Identity>;
+
     /// Path at which a runner tells of its cache without needing a slot.
     fn cache_path(&self) -> &'static str;
 
@@ -108,6 +111,8 @@
     pub unrun: bool,
     /// Whether the address now belongs to another runner.
     pub moved: bool,
+    /// Id of the runner that answered, where it says so.
+    pub runner: Option<CompactString>,
     /// How long the connection may stay idle.
     pub idle: Option<Duration>,
 }
@@ -123,6 +128,17 @@
     Made(u32),
 }
 
+/// What a runner says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// Models that it runs.
+    pub models: Vec<CompactString>,
+    /// Memory for prompts and output, in tokens.
+    pub memory: u32,
+    /// Whether it is about to leave.
+    pub leaving: bool,
+}
+
 /// What the node itself is asked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Question {
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,13 +1,16 @@
 //! One send of a request to one runner.
 
+mod restart;
+
 use {
     crate::{
         call::Call,
-        dialect::{Answer, Dialect, Order, Progress},
+        dialect::{Answer, Dialect, Identity, Order, Progress},
         fleet::{Fleet, Place, RunnerKey},
         headers,
         network::Network,
         pool::{Line, SendError},
+        view::Published,
     },
     bytes::Bytes,
     compact_str::CompactString,
@@ -79,6 +82,8 @@
     pub network: N,
     /// The runners.
     pub fleet: Fleet,
+    /// What the control thread has published.
+    pub published: Published,
 }
 
 impl<D: Dialect, N: Network> Exchange<D, N> {
@@ -100,6 +105,9 @@
                 status = parts.status.as_u16(), copy = order.copy.is_some();
                 "a runner didn't run a request");
             self.refused(place, &answer, body, line).await;
+            if let Some(id) = answer.runner.filter(|_| answer.moved) {
+                tokio::task::spawn_local(restart::recognize(self.clone(), place.clone(), id));
+            }
             return Sent::NotRun;
         }
         // An answer to another request can come on this connection when a runner sends one too many.
@@ -188,6 +196,12 @@
         }
     }
 
+    /// Who the runner at an address says it is.
+    async fn identity(&self, place: &Place) -> Option<Identity> {
+        let body = self.ask(place, self.dialect.report_path(), PROBE_TIMEOUT).await?;
+        self.dialect.identity(&body)
+    }
+
     /// Asks a runner something that needs no slot there.
     async fn ask(&self, place: &Place, path: &'static str, limit: Duration) -> Option<Bytes> {
         self.question(place, &Method::GET, path, Bytes::new(), limit).await
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -17,6 +17,7 @@
         pool::{Line, Pool},
         view::{Registration, State},
     },
+    bilberryfront_decide::member::message::Restart,
     compact_str::CompactString,
     rand::{SeedableRng, rngs::SmallRng},
     rustc_hash::{FxHashMap, FxHashSet},
@@ -25,6 +26,10 @@
     tokio::{sync::Notify, time::Instant},
 };
 
+/// Time after which a stranger is asked again who it is: many requests meet the same one, and what came
+/// of the first answer shows within this time.
+const MEET_AGAIN: Duration = Duration::from_secs(1);
+
 new_key_type! {
     /// A runner in one of its lives.
     pub struct RunnerKey;
@@ -45,6 +50,10 @@
     services: FxHashMap<CompactString, Vec<RunnerKey>>,
     /// Ids of runners that failed since the other nodes were told.
     failures: Vec<CompactString>,
+    /// Runners that started anew, found since the other nodes were told.
+    restarts: Vec<Restart>,
+    /// Unlisted runners that were met at others' addresses, and when.
+    strangers: FxHashMap<CompactString, Instant>,
 }
 
 struct Runner {
@@ -173,6 +182,19 @@
         self.changed.notify_one();
     }
 
+    /// Whether a runner is neither listed nor was met at another's address a moment ago.
+    pub fn is_stranger(&self, id: &CompactString, now: Instant) -> bool {
+        let inner = &mut *self.inner.borrow_mut();
+        inner.strangers.retain(|_, met| now < *met + MEET_AGAIN);
+        !inner.by_id.contains_key(id) && inner.strangers.insert(id.clone(), now).is_none()
+    }
+
+    /// A runner was found to have started anew under another id.
+    pub fn restarted(&self, restart: Restart) {
+        self.inner.borrow_mut().restarts.push(restart);
+        self.changed.notify_one();
+    }
+
     /// A runner said that it has no room.
     pub fn full(&self, key: RunnerKey, now: Instant) {
         if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
@@ -180,6 +202,11 @@
         }
     }
 
+    /// The service of a runner that is listed.
+    pub fn service(&self, key: RunnerKey) -> Option<CompactString> {
+        Some(self.inner.borrow().runners.get(key)?.registration.service.clone())
+    }
+
     /// Runners of a service that take requests.
     pub fn ready(&self, service: &str) -> usize {
         let inner = self.inner.borrow();
@@ -193,8 +220,8 @@
         let key = self.by_id.get(&registration.id).copied();
         if let Some(known) = key.and_then(|k| self.runners.get_mut(k)) {
             let old = &known.registration;
-            let same = (old.born, old.address) == (registration.born, registration.address)
-                && old.service == registration.service;
+            let same = (old.assumed || old.born == registration.born)
+                && (old.address, &old.service) == (registration.address, &registration.service);
             if same {
                 known.registration = registration.clone();
                 return;
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -96,12 +96,13 @@
     pub fn news(&self) -> message::Load {
         let mut inner = self.inner.borrow_mut();
         let failed = std::mem::take(&mut inner.failures);
+        let restarts = std::mem::take(&mut inner.restarts);
         let untold = inner.runners.values_mut().filter(|r| r.untold);
         let tell = |runner: &mut Runner| {
             runner.untold = false;
             runner.told()
         };
-        message::Load { runners: untold.map(tell).collect(), failed }
+        message::Load { runners: untold.map(tell).collect(), failed, restarts }
     }
 
     /// All loads of this node.
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -90,7 +90,12 @@
         bound: Bound,
     ) -> Traffic<D, N> {
         Traffic {
-            exchange: Exchange { dialect, network, fleet: Fleet::default() },
+            exchange: Exchange {
+                dialect,
+                network,
+                fleet: Fleet::default(),
+                published: published.clone(),
+            },
             published,
             open: Rc::default(),
             metrics: Metrics::default(),
--- a/crates/relay/src/loads.rs
+++ b/crates/relay/src/loads.rs
@@ -53,7 +53,7 @@
                 sleep(GATHER).await;
                 fleet.news()
             }
-            _ = refresh.tick() => Load { runners: fleet.loads(), failed: Vec::new() },
+            _ = refresh.tick() => Load { runners: fleet.loads(), ..Load::default() },
             Some(heard) = channels.heard.recv() => {
                 fleet.take(&heard.from, &heard.load);
                 continue;
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -29,6 +29,9 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub state: State,
+    /// It has not registered itself yet: it was found in place of a runner that started anew, and its
+    /// time of birth is a guess.
+    pub assumed: bool,
 }
 
 /// Whether a runner takes new requests.
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -22,6 +22,7 @@
         version: "v1".into(),
         slots: 64,
         state: State::Ready,
+        assumed: false,
     }
 }
 
@@ -88,7 +89,7 @@
         unread: 5_000,
     };
     let runners = vec![load("r0"), load("r1")];
-    fleet.take(&"other".into(), &message::Load { runners, failed: Vec::new() });
+    fleet.take(&"other".into(), &message::Load { runners, ..message::Load::default() });
     assert_eq!(fleet.choose(&wanted(None)).unwrap().id, "r2");
     advance(Duration::from_secs(3)).await;
     let chosen: Vec<_> = (0..50).map(|_| fleet.choose(&wanted(None)).unwrap().id).collect();
@@ -170,7 +171,7 @@
     let [dead, living] = [find(&fleet, "r0"), find(&fleet, "r2")];
     fleet.alive(living, Instant::now());
     let failed = vec!["r0".into(), "r2".into()];
-    fleet.take(&"other".into(), &message::Load { runners: Vec::new(), failed });
+    fleet.take(&"other".into(), &message::Load { failed, ..message::Load::default() });
     assert!(fleet.is_avoided(dead));
     assert!(!fleet.is_avoided(living));
 }
--- a/crates/relay/tests/listing.rs
+++ b/crates/relay/tests/listing.rs
@@ -1,6 +1,7 @@
 //! Which runners count, by their entries in the store.
 
 use {
+    bilberryfront_decide::member::message::Restart,
     bilberryfront_relay::{
         catalog::Catalog,
         control::listing::Listing,
@@ -43,6 +44,7 @@
             version: "v1".into(),
             slots: 8,
             state: if state == "ready" { State::Ready } else { State::Draining },
+            assumed: false,
         })
     }
 
@@ -109,6 +111,32 @@
     assert_eq!(ids(&listing), ["a"], "who stayed away is gone");
 }
 
+/// The store is away, and engines crash and start anew under ids that only the store would tell. What a
+/// node finds out by itself counts meanwhile, before what the former life reported; after the store's return
+/// the engine must register like any other. While the store is there, it alone tells.
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_restarts_in_an_outage_keeps_its_place() {
+    let restart = |id: &str| Restart { former: "a".into(), id: id.into() };
+    let all = [row("a", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")];
+    let mut listing = listing(&all);
+    assert!(!listing.take_over(&[restart("a2")]), "the store is there");
+    listing.down();
+    assert!(listing.take_over(&[restart("a2")]));
+    assert_eq!(ids(&listing), ["a2", "b"]);
+    assert_eq!(listing.runners()[0].address, "10.0.0.1:80".parse().unwrap());
+    assert!(!listing.take_over(&[restart("a2")]), "told twice");
+    assert!(
+        !listing.update(Instant::now(), &all[..1], &Spelled),
+        "a late report of the former life"
+    );
+    listing.up(Instant::now());
+    listing.replace(Instant::now(), &all[1..], &Spelled);
+    assert_eq!(ids(&listing), ["a2", "b"], "it has time to register");
+    advance(Duration::from_secs(3)).await;
+    assert!(listing.settle(Instant::now()));
+    assert_eq!(ids(&listing), ["b"]);
+}
+
 /// Without an outage an entry's removal is a runner's leaving: it gets nothing new from then on.
 #[tokio::test(start_paused = true)]
 async fn a_removed_entry_counts_at_once() {
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -218,6 +218,31 @@
     }
 }
 
+/// Engines crash while the store is away, and start anew under ids that nobody tells. A request that is
+/// sent to the former id is refused by the new one, which names itself and says what it runs. Only if no
+/// other service has such engines is it the same: the address may have been given to anyone.
+#[tokio::test(start_paused = true)]
+async fn an_engine_that_started_anew_is_recognized_by_what_it_runs() {
+    for (model, expected) in [("m", 2), ("theirs", 0), ("both", 0), ("unknown", 0)] {
+        play(async {
+            let world = World::new(ENGINES, &["a", "b"], &EVENTS);
+            for (runner, id) in world.runners.iter().zip(["new-0", "new-1"]) {
+                *runner.restarted.borrow_mut() = Some((id, model));
+            }
+            let received = world.serve("/stream/1", &PROMPT).await;
+            assert_eq!(received.status, 503);
+            sleep(ms(10)).await;
+            let mut found = world.traffic.exchange.fleet.news().restarts;
+            found.sort_by(|a, b| a.id.cmp(&b.id));
+            assert_eq!(found.len(), expected, "{model}: {found:?}");
+            for (restart, runner) in found.iter().zip(&world.runners) {
+                assert_eq!(restart.former, runner.id);
+            }
+        })
+        .await;
+    }
+}
+
 /// A runner says nothing from the start and answers no question either: another one is asked long
 /// before the objective of 4 s.
 #[tokio::test(start_paused = true)]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -119,6 +119,8 @@
     pub(crate) dark: Cell<bool>,
     /// Whether its process is gone.
     pub(crate) down: Cell<bool>,
+    /// Id of the process that started at its address later, and the model that it says it runs.
+    pub(crate) restarted: RefCell<Option<(&'static str, &'static str)>>,
     /// Requests that it has seen; questions aside.
     pub(crate) seen: RefCell<Vec<Seen>>,
     /// Its connections.
@@ -147,6 +149,7 @@
             made: Cell::new(0),
             dark: Cell::new(false),
             down: Cell::new(false),
+            restarted: RefCell::default(),
             seen: RefCell::default(),
             lines: RefCell::default(),
         }
@@ -228,6 +231,9 @@
         }
         _ => {}
     }
+    if let Some((id, _)) = *runner.restarted.borrow() {
+        return Ok(misdirected(id));
+    }
     let (parts, body) = request.into_parts();
     body.collect().await.map_err(io::Error::other)?;
     runner.seen.borrow_mut().push(Seen { at: Instant::now(), headers: parts.headers.clone() });
@@ -266,7 +272,18 @@
 /// Its last request, with the events that it says it has made of it.
 fn report(runner: &Runner) -> String {
     let made = runner.made.get();
-    format!(r#"{{"waiting":0,"running":1,"runs":[["a1",5000,{made},5]]}}"#)
+    let model = runner.restarted.borrow().map_or("m", |(_, model)| model);
+    format!(
+        r#"{{"stage":"both","models":[{{"name":"{model}","version":1}}],"waiting":0,
+            "kv_total":55000,"running":1,"runs":[["a1",5000,{made},5]]}}"#
+    )
+}
+
+/// What a runner answers that isn't the expected one.
+fn misdirected(id: &'static str) -> Response<Body> {
+    let mut response = whole(421, "");
+    response.headers_mut().insert("x-bilberryfront-instance-id", id.parse().unwrap());
+    response
 }
 
 /// Makes a copy of its run, for whoever the request names.
@@ -375,6 +392,7 @@
             version: "v1".into(),
             slots: 8,
             state: State::Ready,
+            assumed: false,
         };
         let runners: Vec<Registration> = self.runners.iter().map(registration).collect();
         self.traffic.exchange.fleet.update(&runners);
@@ -484,7 +502,9 @@
         ],
         "services": [
             {"name": "llm", "max_conns": 100, "engine": {"slots": 8, "kv_tokens": 55000,
-             "backups": true, "handle_s": 4}},
+             "backups": true, "handle_s": 4, "models": [{"name": "m"}, {"name": "both"}]}},
+            {"name": "other", "engine": {"slots": 8, "kv_tokens": 55000,
+             "models": [{"name": "theirs"}, {"name": "both"}]}},
             {"name": "desk", "max_conns": 100}
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
