Ask anew what a silent outage swallowed, once the store answers another question

Cause: after a silent outage of the store a node's question for orders hung for another 5 s, while its question for runners was answered 0.1 s after the store's return.

Change: whichever question is answered again first gives up the others that are older than half a second; they are asked anew. The question for runners waits 1 s at most.

Ruled out: shorter waits of all questions (each costs a call a node and a wait); the connection's keep-alive (the store's machine acknowledges it).

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -1,7 +1,7 @@
 //! The one thread that owns control state: what operators want, which runners and nodes there are.
 
 mod authority;
-mod follow;
+pub mod follow;
 pub mod listing;
 mod members;
 mod moves;
@@ -35,7 +35,7 @@
     compact_str::CompactString,
     std::{sync::Arc, time::Duration},
     tokio::{
-        sync::mpsc,
+        sync::{mpsc, watch},
         time::{Instant, MissedTickBehavior, interval, sleep},
     },
 };
@@ -48,8 +48,9 @@
 /// own timeout; the peers tell of a new catalogue long before.
 const ORDERS_WAIT: Duration = Duration::from_secs(5);
 /// Longest wait of a question for news of runners. One of them reports at any moment, so an answer takes
-/// longer only when the store is away; until that is known, a restarted runner can't be taken over.
-const RUNNERS_WAIT: Duration = Duration::from_millis(1_500);
+/// longer only when the store is away; until that is known, a restarted runner can't be taken over, and
+/// when the store is back it is this question that shows it first.
+const RUNNERS_WAIT: Duration = Duration::from_secs(1);
 /// Longest wait of a question for news of nodes: their heartbeats tell all that is urgent.
 const NODES_WAIT: Duration = Duration::from_secs(15);
 /// Time between two questions for news of runners. They report every second or so, and each question
@@ -111,8 +112,10 @@
     gone: impl Future<Output = ()>,
 ) {
     let (sender, changes) = mpsc::channel(64);
+    let returns = watch::Sender::new(0);
     let follow = |table, every, wait| {
-        let follower = Follower { store: store.clone(), table, every, wait };
+        let (store, returns) = (store.clone(), returns.clone());
+        let follower = Follower { store, table, every, wait, returns };
         tokio::task::spawn_local(follower.run(sender.clone()));
     };
     follow(R::ORDERS, Duration::ZERO, ORDERS_WAIT);
--- a/crates/relay/src/control/follow.rs
+++ b/crates/relay/src/control/follow.rs
@@ -1,11 +1,11 @@
 //! Following a table of the store.
 
 use {
-    crate::store::{Revision, Rows, Store, StoreError},
+    crate::store::{Result, Revision, Rows, Store, StoreError},
     rand::Rng,
     std::time::Duration,
     tokio::{
-        sync::mpsc,
+        sync::{mpsc, watch},
         time::{Instant, sleep, sleep_until},
     },
 };
@@ -16,18 +16,23 @@
 /// back, and refused calls are cheap next to that.
 const BACKOFF_MOST: Duration = Duration::from_millis(800);
 
+/// Age from which a question is given up once the store answers another one after an outage. A store that
+/// was silent never answers what it was asked meanwhile, and the question's own timeout is longer than the
+/// time in which a catalogue must be in force.
+const STALE_QUESTION: Duration = Duration::from_millis(500);
+
 /// What a follower tells.
 #[derive(Clone, Debug)]
-pub(super) struct News {
+pub struct News {
     /// The table.
-    pub(super) table: &'static str,
+    pub table: &'static str,
     /// What happened to it.
-    pub(super) change: Change,
+    pub change: Change,
 }
 
 /// What happened to a table.
 #[derive(Clone, Debug)]
-pub(super) enum Change {
+pub enum Change {
     /// These are all its rows.
     Whole(Rows),
     /// These rows changed.
@@ -39,26 +44,32 @@
 }
 
 /// Follows one table for as long as somebody listens.
-pub(super) struct Follower<S> {
-    pub(super) store: S,
-    pub(super) table: &'static str,
+pub struct Follower<S> {
+    /// The store.
+    pub store: S,
+    /// Its table.
+    pub table: &'static str,
     /// Least time between two questions.
-    pub(super) every: Duration,
+    pub every: Duration,
     /// Longest wait of the store for a change.
-    pub(super) wait: Duration,
+    pub wait: Duration,
+    /// How often the store has come back, as seen by all followers together.
+    pub returns: watch::Sender<u32>,
 }
 
 impl<S: Store> Follower<S> {
-    pub(super) async fn run(self, sender: mpsc::Sender<News>) {
+    /// Reads the table, and tells of what changes in it until nobody listens.
+    pub async fn run(self, sender: mpsc::Sender<News>) {
         let mut revision = None;
         let mut failures = 0;
         loop {
             let asked = Instant::now();
-            let answer = self.ask(revision).await;
+            let Some(answer) = self.ask_unless_stale(revision).await else { continue };
             let mut changes = Vec::new();
             if answer.is_ok() && failures > 0 {
                 log::info!(table = self.table; "the store answers again");
                 changes.push(Change::Up);
+                self.returns.send_modify(|count| *count += 1);
             }
             match answer {
                 Ok(rows) => {
@@ -90,7 +101,23 @@
         }
     }
 
-    async fn ask(&self, revision: Option<Revision>) -> Result<Rows, StoreError> {
+    /// Asks the store; `None` when another follower found it back from an outage that may have swallowed
+    /// the question.
+    async fn ask_unless_stale(&self, revision: Option<Revision>) -> Option<Result<Rows>> {
+        let mut returns = self.returns.subscribe();
+        let stale = async {
+            sleep(STALE_QUESTION).await;
+            // The sender lives as long as this follower.
+            _ = returns.changed().await;
+        };
+        tokio::select! {
+            biased;
+            answer = self.ask(revision) => Some(answer),
+            () = stale => None,
+        }
+    }
+
+    async fn ask(&self, revision: Option<Revision>) -> Result<Rows> {
         match revision {
             Some(after) => self.store.feed(self.table, after, self.wait).await,
             None => self.store.read(self.table).await,
