Connect anew to a node that comes back, at once

Nodes that knew the newest catalogue were in touch with those that didn't for 2.3 s before one of them was answered: messages to a node that had been restarted went to its old connection, or waited for a handshake's second packet (1 s) or for a pause after failures (up to 2 s).

Change: a node's own connection to this one ends such pauses and handshakes, and replaces a connection that is older than a second.

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -268,6 +268,13 @@
         }
     }
 
+    /// Takes note that a node has connected to this one: it is there, and may be a new process.
+    fn announce(&self, name: &str) {
+        if let Some(link) = self.links().get(name) {
+            link.queue.announce();
+        }
+    }
+
     /// Forgets an idle node, unless something was queued for it in between.
     fn forget(&self, name: &str) -> bool {
         let mut links = self.links();
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -20,6 +20,7 @@
 pub(super) struct Queue {
     state: Mutex<State>,
     wake: Notify,
+    back: Notify,
 }
 
 struct State {
@@ -46,7 +47,7 @@
             catalog: None,
             closed: false,
         };
-        Queue { state: Mutex::new(state), wake: Notify::new() }
+        Queue { state: Mutex::new(state), wake: Notify::new(), back: Notify::new() }
     }
 
     /// Adds a frame and takes over the node's address; false when another frame was dropped for it.
@@ -79,6 +80,16 @@
         }
     }
 
+    /// Says that the node has connected to this one.
+    pub(super) fn announce(&self) {
+        self.back.notify_one();
+    }
+
+    /// Waits until the node connects to this one.
+    pub(super) async fn announced(&self) {
+        self.back.notified().await;
+    }
+
     pub(super) fn address(&self) -> SocketAddr {
         self.state().address
     }
--- a/crates/peer/src/receiver.rs
+++ b/crates/peer/src/receiver.rs
@@ -40,7 +40,10 @@
         return count(&shared.counters.refused);
     };
     match tls::peer_name(&connection) {
-        Some(peer) => serve(&shared, &connection, peer).await,
+        Some(peer) => {
+            shared.announce(&peer);
+            serve(&shared, &connection, peer).await;
+        }
         None => count(&shared.counters.refused),
     }
 }
--- a/crates/peer/src/sender.rs
+++ b/crates/peer/src/sender.rs
@@ -28,6 +28,11 @@
 const BACKOFF_LEAST: Duration = Duration::from_millis(100);
 /// Longest wait after a failure.
 const BACKOFF_MOST: Duration = Duration::from_secs(2);
+/// Age from which a connection is made anew when its node connects to this one. A node that was killed
+/// and started again says nothing on the old connection, which would swallow messages, a catalogue that
+/// was asked for among them, until the transport gives it up after seconds. A younger one is most likely the
+/// answer to the node's own.
+const RENEW_AGE: Duration = Duration::from_secs(1);
 /// Time without a message after which the node is forgotten.
 const IDLE: Duration = Duration::from_secs(30);
 
@@ -55,6 +60,7 @@
 /// An open connection and what was last sent over it.
 struct Open {
     connection: Connection,
+    made: Instant,
     stream: Option<SendStream>,
     catalog: Option<JoinHandle<()>>,
 }
@@ -78,6 +84,7 @@
                     Err(_) => {}
                 },
                 reason = closed => self.closed(&reason),
+                () = self.queue.announced() => self.renew(),
             }
         }
     }
@@ -93,6 +100,14 @@
         }
     }
 
+    /// The node has connected to this one: an old connection to it may lead nowhere.
+    fn renew(&mut self) {
+        self.backoff = BACKOFF_LEAST;
+        if self.link.as_ref().is_some_and(|link| link.made.elapsed() >= RENEW_AGE) {
+            self.link = None;
+        }
+    }
+
     async fn send(&mut self, frame: Frame) {
         let shared = self.shared.clone();
         let sent = match self.open().await {
@@ -112,16 +127,27 @@
     async fn open(&mut self) -> Option<&mut Open> {
         if self.link.as_ref().is_none_or(|l| l.connection.close_reason().is_some()) {
             let connection = self.connect().await?;
-            self.link = Some(Open { connection, stream: None, catalog: None });
+            let made = Instant::now();
+            self.link = Some(Open { connection, made, stream: None, catalog: None });
         }
         self.link.as_mut()
     }
 
     async fn connect(&self) -> Option<Connection> {
         let Shared { endpoint, client, counters, .. } = &*self.shared;
-        let connecting =
-            endpoint.connect_with(client.clone(), self.queue.address(), &self.name).ok()?;
-        let connection = timeout(CONNECT_TIMEOUT, connecting).await.ok()?.ok()?;
+        let connect =
+            || endpoint.connect_with(client.clone(), self.queue.address(), &self.name).ok();
+        // The first packet of a handshake is sent again only after a second: with a node that was down
+        // a moment ago a new handshake is sooner.
+        let first = tokio::select! {
+            first = timeout(CONNECT_TIMEOUT, connect()?) => Some(first),
+            () = self.queue.announced() => None,
+        };
+        let connected = match first {
+            Some(first) => first,
+            None => timeout(CONNECT_TIMEOUT, connect()?).await,
+        };
+        let connection = connected.ok()?.ok()?;
         if tls::peer_name(&connection).as_ref() != Some(&self.name) {
             count(&counters.refused);
             connection.close(VarInt::from_u32(0), b"name");
@@ -139,8 +165,12 @@
         }
         self.shared.tell(Received::Broken(self.name.clone()));
         let share = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(self.backoff.mul_f64(share)).await;
-        self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
+        tokio::select! {
+            () = tokio::time::sleep(self.backoff.mul_f64(share)) => {
+                self.backoff = (self.backoff * 2).min(BACKOFF_MOST);
+            }
+            () = self.queue.announced() => self.backoff = BACKOFF_LEAST,
+        }
     }
 
     /// Waits until the last message, often a goodbye, has arrived; the caller bounds the wait.
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -15,7 +15,10 @@
     },
     quinn::{Connection, Endpoint},
     rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair},
-    std::net::{Ipv4Addr, SocketAddr},
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        time::Duration,
+    },
     tokio::sync::mpsc::Receiver,
 };
 
@@ -67,7 +70,7 @@
 
 async fn until(net: &PeerNet, done: impl Fn(Counts) -> bool) {
     while !done(net.counts()) {
-        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
 
@@ -247,3 +250,95 @@
     config.listen = a.address().unwrap();
     assert!(matches!(PeerNet::start(&config), Err(PeerError::Listen { .. })));
 }
+
+/// A node is down for seconds, and this one has tried in vain to reach it. When it is back and says so,
+/// it must be answered at once: it may ask for what it missed, and this node may ask it in turn, while
+/// callers are refused by an old catalogue.
+#[tokio::test]
+async fn a_node_that_is_back_is_answered_at_once() {
+    let authority = authority();
+    let (a, mut at_a, to_a) = start(&authority, "a");
+    let mut later = config(&authority, "b");
+    // Bound and given up, so that the address stays free until the node starts there.
+    later.listen =
+        std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
+    let to_b = Target { name: "b".into(), address: later.listen.to_string().into() };
+    // Several messages, so that another handshake is under way when the first one has failed.
+    for _ in 0..5 {
+        a.send(std::slice::from_ref(&to_b), &PeerMessage::MembersPull).unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(2_300)).await;
+    let (b, mut at_b) = PeerNet::start(&later).unwrap();
+    b.send(&[to_a], &PeerMessage::CatalogPull(1)).unwrap();
+    while !matches!(at_a.recv().await, Some(Received::Message { .. })) {}
+    let start = tokio::time::Instant::now();
+    a.send(&[to_b], &PeerMessage::CatalogPull(2)).unwrap();
+    wait_for(&mut at_b, PeerMessage::CatalogPull(2)).await;
+    let took = start.elapsed();
+    assert!(took < Duration::from_millis(300), "took {took:?}");
+}
+
+/// A node is killed and starts again at its address, without a word on the old connections. What is sent
+/// to it after it has connected must reach the new process, not vanish on the old connection.
+#[tokio::test]
+async fn a_new_process_gets_what_is_sent_to_it() {
+    let authority = authority();
+    let (a, mut at_a, to_a) = start(&authority, "a");
+    let mut first = config(&authority, "b");
+    // Its packets go through a socket that is closed without a goodbye.
+    first.listen =
+        std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
+    let to_b = Target { name: "b".into(), address: first.listen.to_string().into() };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().unwrap();
+    let (old, mut at_old) = runtime
+        .spawn({
+            let first = PeerConfig { ..clone(&first) };
+            async move { PeerNet::start(&first).unwrap() }
+        })
+        .await
+        .unwrap();
+    a.send(std::slice::from_ref(&to_b), &PeerMessage::CatalogPull(1)).unwrap();
+    assert_eq!(at_old.recv().await, message("a", PeerMessage::CatalogPull(1)));
+    tokio::time::sleep(Duration::from_millis(1_100)).await;
+    // The runtime's end stops the process's tasks, its socket among them, at whatever point they are.
+    runtime.shutdown_background();
+    drop((old, at_old));
+    let (b, mut at_b) = restart(&first).await;
+    b.send(&[to_a], &PeerMessage::CatalogPull(2)).unwrap();
+    while !matches!(at_a.recv().await, Some(Received::Message { .. })) {}
+    let start = tokio::time::Instant::now();
+    a.send(&[to_b], &PeerMessage::CatalogPull(3)).unwrap();
+    wait_for(&mut at_b, PeerMessage::CatalogPull(3)).await;
+    let took = start.elapsed();
+    assert!(took < Duration::from_millis(300), "took {took:?}");
+}
+
+/// Waits until a message of the node `a` comes, for ten seconds at most.
+async fn wait_for(events: &mut Receiver<Received>, expected: PeerMessage) {
+    let expected = message("a", expected);
+    let come = async { while events.recv().await != expected {} };
+    tokio::time::timeout(Duration::from_secs(10), come).await.expect("the message comes");
+}
+
+fn clone(config: &PeerConfig) -> PeerConfig {
+    PeerConfig {
+        name: config.name.clone(),
+        listen: config.listen,
+        certificate: config.certificate.clone(),
+        key: config.key.clone(),
+        authority: config.authority.clone(),
+    }
+}
+
+/// Starts a node at an address that its former process may not have given up yet.
+async fn restart(config: &PeerConfig) -> (PeerNet, Receiver<Received>) {
+    loop {
+        match PeerNet::start(config) {
+            Ok(started) => return started,
+            Err(PeerError::Listen { .. }) => {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            Err(other) => panic!("{other}"),
+        }
+    }
+}
