Explain from logs what became of a request, a runner or a catalogue

Cause: on-call engineers had to search logs by hand, and a call whose answer was lost named no runner in them.

A lost answer and a refused connection are logged with their runner.

Not done of the matter: a burn report, typed events for all lines (ten of some forty are shared constants).

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -15,6 +15,7 @@
     crate::{
         catalog::Catalog,
         leaving::Leaving,
+        lines::IN_FORCE,
         loads::Heard,
         metrics::Metrics,
         moves::{Moves, Trial},
@@ -304,7 +305,7 @@
         match self.records.catalog(value) {
             Ok(catalog) if self.is_newer(&catalog) => {
                 log::info!(version = catalog.version, revision = row.revision;
-                    "a catalogue is in force");
+                    "{IN_FORCE}");
                 self.catalog = Some(Arc::new(catalog));
                 self.row = Some((row.revision, value.clone()));
                 self.publish();
--- a/crates/relay/src/control/follow.rs
+++ b/crates/relay/src/control/follow.rs
@@ -1,7 +1,10 @@
 //! Following a table of the store.
 
 use {
-    crate::store::{Result, Revision, Rows, Store, StoreError},
+    crate::{
+        lines::STORE_BACK,
+        store::{Result, Revision, Rows, Store, StoreError},
+    },
     rand::Rng,
     std::time::Duration,
     tokio::{
@@ -67,7 +70,7 @@
             let Some(answer) = self.ask_unless_stale(revision).await else { continue };
             let mut changes = Vec::new();
             if answer.is_ok() && failures > 0 {
-                log::info!(table = self.table; "the store answers again");
+                log::info!(table = self.table; "{STORE_BACK}");
                 changes.push(Change::Up);
                 self.returns.send_modify(|count| *count += 1);
             }
--- a/crates/relay/src/control/listing.rs
+++ b/crates/relay/src/control/listing.rs
@@ -1,7 +1,7 @@
 //! Which runners there are, by their own entries in the store.
 
 use {
-    crate::{records::Records, store::Row, view::Registration},
+    crate::{lines::RUNNER_GONE, records::Records, store::Row, view::Registration},
     bilberryfront_decide::member::message::Restart,
     compact_str::CompactString,
     std::{
@@ -161,7 +161,7 @@
         match self.entries.get_mut(id) {
             Some(entry) if held => entry.missing = true,
             Some(_) => {
-                log::info!(runner = id.as_str(); "a runner is gone");
+                log::info!(runner = id.as_str(); "{RUNNER_GONE}");
                 self.entries.remove(id);
             }
             None => {}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,6 +8,7 @@
         dialect::{Answer, Dialect, Identity, Order, Progress},
         fleet::{Fleet, Place, RunnerKey},
         headers,
+        lines::{ANSWER_LOST, NOT_RUN},
         network::Network,
         pool::{Line, SendError},
         view::Published,
@@ -95,15 +96,23 @@
         };
         let (response, line) = match self.carry(place, request, until).await {
             Ok(answered) => answered,
-            Err(SendError::Unsent) => return Sent::Unsent,
-            Err(error) => return Sent::Lost(error),
+            Err(SendError::Unsent) => {
+                log::info!(request = call.head.id.as_str(), runner = place.id.as_str();
+                    "a runner took no connection");
+                return Sent::Unsent;
+            }
+            Err(error) => {
+                log::warn!(request = call.head.id.as_str(), runner = place.id.as_str();
+                    "{ANSWER_LOST}{error}");
+                return Sent::Lost(error);
+            }
         };
         let (mut parts, body) = response.into_parts();
         let answer = self.dialect.answer(&parts);
         if answer.unrun {
             log::info!(request = call.head.id.as_str(), runner = place.id.as_str(),
                 status = parts.status.as_u16(), copy = order.copy.is_some();
-                "a runner didn't run a request");
+                "{NOT_RUN}");
             self.refused(place, &answer, body, line).await;
             if let Some(id) = answer.runner.filter(|_| answer.moved) {
                 tokio::task::spawn_local(restart::recognize(self.clone(), place.clone(), id));
@@ -132,14 +141,18 @@
     ) -> Result<(Parts, Bytes), SendError> {
         let Reply { parts, answer, body, line } = *reply;
         let read = Limited::new(body, ANSWER_BYTES).collect();
-        match timeout_at(until, read).await {
+        let error = match timeout_at(until, read).await {
             Ok(Ok(bytes)) => {
                 self.fleet.keep(key, line, answer.idle);
-                Ok((parts, bytes.to_bytes()))
+                return Ok((parts, bytes.to_bytes()));
             }
-            Ok(Err(_)) => Err(SendError::Broken),
-            Err(_) => Err(SendError::Silent),
-        }
+            Ok(Err(_)) => SendError::Broken,
+            Err(_) => SendError::Silent,
+        };
+        let runner = self.fleet.id(key).unwrap_or_default();
+        log::warn!(request = answer.id.as_deref().unwrap_or_default(), runner = runner.as_str();
+            "{ANSWER_LOST}{error}, within its body");
+        Err(error)
     }
 
     /// Returns when a stream whose first event is awaited is better sent elsewhere: its runner doesn't
--- a/crates/relay/src/face.rs
+++ b/crates/relay/src/face.rs
@@ -8,6 +8,7 @@
         dialect::{Dialect, Malformed, Question},
         flow::Traffic,
         leaving::Leaving,
+        lines::REFUSED,
         network::Network,
         refusal::Refusal,
         view::NodeAddress,
@@ -116,7 +117,7 @@
 
     fn refuse(&self, refusal: Refusal, id: Option<&str>) -> Response<Answer> {
         self.traffic.metrics.refused(refusal);
-        log::warn!(request = id.unwrap_or_default(), version = self.version(); "refused: {refusal:?}");
+        log::warn!(request = id.unwrap_or_default(), version = self.version(); "{REFUSED}{refusal:?}");
         refusal.answer(self.dialect(), id)
     }
 
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -13,6 +13,7 @@
         dialect::{Dialect, Order},
         exchange::Exchange,
         fleet::{Fleet, Load, Place, RunnerKey, Version, Wanted},
+        lines::REFUSED,
         metrics::{Metrics, Outcome},
         moves::{
             Trial,
@@ -203,7 +204,7 @@
         let waited = call.start.elapsed().as_millis() as u64;
         self.metrics.refused(refusal);
         log::warn!(request = call.head.id.as_str(), route = call.route.name.as_str(), waited,
-            ready = self.exchange.fleet.ready(&call.service); "refused: {refusal:?}");
+            ready = self.exchange.fleet.ready(&call.service); "{REFUSED}{refusal:?}");
         refusal.answer(&self.exchange.dialect, Some(&call.head.id))
     }
 }
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -17,6 +17,7 @@
         events::Event,
         exchange::{Sent, is_failure},
         fleet::{Load, Place, RunnerKey, Wanted},
+        lines::{RUN_BEGUN, RUN_LOST, STREAM_BROKEN, STREAM_ENDED},
         metrics::{Outcome, Resume},
         network::Network,
         pool::SendError,
@@ -213,7 +214,7 @@
         log::warn!(request = self.call.head.id.as_str(), runner = run.place().id.as_str(),
             position = self.position.unwrap_or_default(),
             holder = run.backup().map_or("", |b| b.holder().id.as_str());
-            "a run is lost: {reason:?}");
+            "{RUN_LOST}{reason:?}");
         self.mark_failed(key);
         self.failed.push(key);
         self.copy = run.backup().and_then(Backup::take);
@@ -389,20 +390,20 @@
             backup = run.backup().map_or("", |b| b.holder().id.as_str()), sends = self.sends,
             position = self.position.unwrap_or_default(), copied, waited,
             prompt = self.call.head.prompt.unwrap_or_default();
-            "a run has begun");
+            "{RUN_BEGUN}");
     }
 
     fn log_ended(&self, run: &Run) {
         let took = self.call.start.elapsed().as_millis() as u64;
         log::info!(request = self.call.head.id.as_str(), runner = run.place().id.as_str(),
             sends = self.sends, position = self.position.unwrap_or_default(), took;
-            "a stream has ended");
+            "{STREAM_ENDED}");
     }
 
     fn log_broken(&self) {
         self.traffic.metrics.ended(self.call.route.kind, Outcome::BrokenOff, None);
         log::warn!(request = self.call.head.id.as_str(), sends = self.sends, runs = self.runs,
             position = self.position.unwrap_or_default();
-            "a stream is broken off: no runner goes on with it");
+            "{STREAM_BROKEN}: no runner goes on with it");
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fleet;
 pub mod headers;
 pub mod leaving;
+pub mod lines;
 pub mod loads;
 pub mod metrics;
 pub mod moves;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -7,6 +7,7 @@
         face::{ADDRESSES_TTL, Face},
         flow::Traffic,
         leaving::Leaving,
+        lines::SERVES,
         loads::{self, Channels},
         metrics::Metrics,
         network::Tcp,
@@ -131,7 +132,7 @@
     tokio::task::spawn_local(loads::exchange(fleet, channels));
     tokio::task::spawn_local(signals(face.leaving.clone()));
     log::info!(name = settings.name.as_str(), domain = settings.domain.as_str(),
-        callers:% = settings.listen.callers; "the instance serves");
+        callers:% = settings.listen.callers; "{SERVES}");
     let at = face.leaving.ordered().await;
     drain(&face, at, &close).await;
     Ok(())
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -12,8 +12,8 @@
 const EXIT_CODES: &str = "\
 Exit codes:
   0  done
-  1  a file failed its check, `catalogue diff` found a difference, or `move start --wait` saw the
-     move taken back
+  1  a file failed its check, `catalogue diff` found a difference, `move start --wait` saw the
+     move taken back, or `explain` found nothing
   2  wrong arguments
   3  the node refused: wrong key, a conflict, or a bad catalogue
   4  no answer from the node, or the node has none from the platform
@@ -37,6 +37,7 @@
             catalogue(),
             moves::command(),
             nodes(),
+            explain(),
             completions(),
         ])
 }
@@ -143,6 +144,23 @@
         )
 }
 
+fn explain() -> Command {
+    let id = Arg::new("id")
+        .value_name("ID")
+        .required(true)
+        .help("Id of a request or of a runner, or a catalogue's version");
+    let logs = file("logs", "Log files, one an instance; `-` is standard input");
+    Command::new("explain")
+        .about("Tells from instances' logs what became of a request, and why")
+        .arg(id)
+        .arg(logs.value_name("FILE").num_args(1..).default_value("-"))
+        .arg(output())
+        .after_help(
+            "Exit code 1 when no line of the logs names the id.\n\n\
+             Example:\n  bilberryfront explain d794ef9b5a294571 front-a-1.log front-b-1.log",
+        )
+}
+
 /// Arguments of every command that asks a node.
 fn node_args() -> [Arg; 3] {
     let node = Arg::new("node")
@@ -158,13 +176,16 @@
         .value_name("FILE")
         .env("BILBERRYFRONT_KEY_FILE")
         .required(true);
-    let output = Arg::new("output")
+    [node, key, output()]
+}
+
+fn output() -> Arg {
+    Arg::new("output")
         .long("output")
         .value_name("FORMAT")
         .value_parser(["human", "json"])
         .default_value("human")
-        .help("Form of the result");
-    [node, key, output]
+        .help("Form of the result")
 }
 
 fn base_url(text: &str) -> Result<String, String> {
--- a/src/command.rs
+++ b/src/command.rs
@@ -3,6 +3,7 @@
 pub mod catalogue;
 pub mod check;
 pub mod completions;
+pub mod explain;
 pub mod moves;
 pub mod nodes;
 pub mod relay;
@@ -39,6 +40,7 @@
         Options::Serve { settings } => serve::run(&settings),
         Options::Relay { settings } => relay::run(&settings),
         Options::Check { kind, files } => Ok(check::run(kind, &files)),
+        Options::Explain(options) => explain::run(&options),
         Options::Completions(shell) => Ok(completions::run(shell)),
         Options::Catalogue { node, command } => {
             let session = Session::new(node)?;
--- /dev/null
+++ b/src/command/explain.rs
@@ -0,0 +1,57 @@
+//! `explain`: tells from logs what became of a request, a runner or a catalogue.
+
+use {
+    crate::{
+        error::{Error, Exit, Result},
+        explain::{
+            line::Logs,
+            story::{Story, Subject},
+        },
+        options::ExplainOptions,
+        output::{self, Format},
+    },
+    std::{
+        fs,
+        io::{self, Read},
+        path::Path,
+    },
+};
+
+/// Name that stands for standard input.
+const STDIN: &str = "-";
+
+/// Reads the logs and tells the story.
+pub fn run(options: &ExplainOptions) -> Result<Exit> {
+    let mut logs = Logs::default();
+    for path in &options.logs {
+        let name = path.file_stem().unwrap_or_default().to_string_lossy();
+        logs.add(&name, &read(path)?);
+    }
+    if logs.passed_over > 0 {
+        eprintln!("lines that are no log lines, passed over: {}", logs.passed_over);
+    }
+    let story = Subject::find(&logs, &options.id).map(|subject| Story::new(&logs, &subject));
+    let Some(story) = story else {
+        eprintln!(
+            "no line names `{}`: give the logs of all instances; a request's next attempt has another id",
+            options.id
+        );
+        return Ok(Exit::Failed);
+    };
+    output::print(&match options.format {
+        Format::Human => story.to_string(),
+        Format::Json => output::json::text(&story),
+    });
+    Ok(Exit::Done)
+}
+
+/// Log files may hold anything: what is no text is replaced and passed over as a line.
+fn read(path: &Path) -> Result<String> {
+    let mut bytes = Vec::new();
+    let done = match path.as_os_str() == STDIN {
+        true => io::stdin().read_to_end(&mut bytes).map(|_| ()),
+        false => fs::read(path).map(|all| bytes = all),
+    };
+    done.map_err(|source| Error::Read { path: path.into(), source })?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -123,7 +123,8 @@
 pub enum Exit {
     /// Done.
     Done = 0,
-    /// A file failed its check, `catalogue diff` found a difference, or a move was taken back.
+    /// A file failed its check, `catalogue diff` found a difference, a move was taken back, or `explain` found
+    /// nothing.
     Failed = 1,
     /// Wrong arguments.
     Usage = 2,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cli;
 pub mod command;
 pub mod control;
+pub mod explain;
 pub mod error;
 pub mod intents;
 pub mod key;
--- a/src/options.rs
+++ b/src/options.rs
@@ -48,10 +48,23 @@
         /// The node to ask.
         node: NodeOptions,
     },
+    /// Tell the story of a request, a runner or a catalogue.
+    Explain(ExplainOptions),
     /// Print shell completions.
     Completions(Shell),
 }
 
+/// What to explain, from which logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ExplainOptions {
+    /// Id of a request or a runner, or a catalogue's version.
+    pub id: String,
+    /// Log files; `-` is standard input.
+    pub logs: Vec<PathBuf>,
+    /// Form of the story.
+    pub format: Format,
+}
+
 /// A node to ask and how to show its answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeOptions {
@@ -120,6 +133,11 @@
                 command: MoveCommand::from_matches(matches),
             },
             "nodes" => Options::Nodes { node: NodeOptions::from_matches(matches) },
+            "explain" => Options::Explain(ExplainOptions {
+                id: required(matches, "id"),
+                logs: matches.get_many("logs").into_iter().flatten().cloned().collect(),
+                format: format(matches),
+            }),
             "completions" => Options::Completions(required(matches, "shell")),
             _ => unreachable!("clap accepts only known subcommands"),
         }
@@ -129,14 +147,10 @@
 impl NodeOptions {
     fn from_matches(matches: &ArgMatches) -> NodeOptions {
         let url: String = required(matches, "node");
-        let format = match required::<String>(matches, "output").as_str() {
-            "json" => Format::Json,
-            _ => Format::Human,
-        };
         NodeOptions {
             url: url.trim_end_matches('/').into(),
             key_file: required(matches, "key-file"),
-            format,
+            format: format(matches),
         }
     }
 }
@@ -163,6 +177,13 @@
     matches.subcommand().map_or(matches, |(_, inner)| inner)
 }
 
+fn format(matches: &ArgMatches) -> Format {
+    match required::<String>(matches, "output").as_str() {
+        "json" => Format::Json,
+        _ => Format::Human,
+    }
+}
+
 fn kind(matches: &ArgMatches) -> Option<FileKind> {
     let kind = matches.get_one::<String>("kind")?;
     match kind.as_str() {
--- a/src/output/json.rs
+++ b/src/output/json.rs
@@ -64,7 +64,8 @@
     }
 }
 
-fn text(value: &impl Serialize) -> String {
+/// A value as one indented document.
+pub fn text(value: &impl Serialize) -> String {
     let mut text = serde_json::to_string_pretty(value).expect("results always serialize");
     text.push('\n');
     text
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -22,7 +22,7 @@
         fs,
         io::{BufRead, BufReader},
         net::{SocketAddr, TcpListener, UdpSocket},
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         rc::Rc,
         thread,
@@ -194,17 +194,21 @@
     }
 
     async fn post(&self, path: &str, key: &str) -> Option<Received> {
-        let request = Request::post(path)
-            .header("host", "desk.example")
-            .header("x-bilberryfront-attempt-id", "a1")
-            .header("x-bilberryfront-deadline-ms", "20000")
-            .header("x-bilberryfront-token-counts", "5000,100")
-            .header("x-bilberryfront-prompt-prefix", "a1:200,b7:4800")
-            .header("authorization", format!("Bearer {key}"));
-        send(self.callers, request.body(Full::from("{}")).unwrap()).await
+        post(self.callers, path, key).await
     }
 }
 
+async fn post(callers: SocketAddr, path: &str, key: &str) -> Option<Received> {
+    let request = Request::post(path)
+        .header("host", "desk.example")
+        .header("x-bilberryfront-attempt-id", "a1")
+        .header("x-bilberryfront-deadline-ms", "20000")
+        .header("x-bilberryfront-token-counts", "5000,100")
+        .header("x-bilberryfront-prompt-prefix", "a1:200,b7:4800")
+        .header("authorization", format!("Bearer {key}"));
+    send(callers, request.body(Full::from("{}")).unwrap()).await
+}
+
 async fn get(address: SocketAddr, path: &str) -> Option<Received> {
     let request = Request::get(path).header("host", address.to_string());
     send(address, request.body(Full::default()).unwrap()).await
@@ -350,6 +354,100 @@
     .await;
 }
 
+/// Three requests fail their callers, each in its way: a stream pauses, since the holder of its copy has
+/// none when its engine dies; a call that may not be repeated loses its answer; an instance that started
+/// while the store turns it away refuses. Each instance's log and the request's id tell the cause.
+#[tokio::test]
+async fn a_failed_request_of_each_kind_is_explained() {
+    play(async {
+        let platform = Platform::new().await;
+        let [paused, lost] = [platform.start_logged("n1"), platform.start_logged("n2")];
+        until("both are ready", async || paused.ready().await && lost.ready().await).await;
+
+        for engine in &platform.runners[..2] {
+            *engine.script.borrow_mut() =
+                Script::Events { last: 12, gap: ms(30), ends: Ends::Whole };
+            *engine.from_copy.borrow_mut() = Some(Script::NotRun);
+        }
+        let crash = async {
+            until("the stream runs", async || platform.runners[..2].iter().any(|r| r.count() > 0))
+                .await;
+            sleep(ms(300)).await;
+            let (ran, rest): (Vec<_>, Vec<_>) =
+                platform.runners[..2].iter().partition(|r| r.count() > 0);
+            // As long as a prompt takes to be read, and below the silence after which it would be left.
+            *rest[0].script.borrow_mut() =
+                Script::Events { last: 12, gap: ms(380), ends: Ends::Whole };
+            ran[0].crash();
+        };
+        let (streamed, ()) = tokio::join!(paused.post("/stream/1", "k1"), crash);
+        assert_eq!(ids(&streamed.unwrap().text), (1..=12).collect::<Vec<u64>>());
+
+        *platform.runners[2].script.borrow_mut() = Script::Close;
+        assert_eq!(lost.post("/lodge/1", "k1").await.unwrap().status, 502);
+
+        platform.refuse(true);
+        let refused = platform.start_logged("n3");
+        until("it answers", async || get(refused.health, "/api/readyz").await.is_some()).await;
+        sleep(ms(500)).await;
+        assert_eq!(refused.post("/lodge/2", "k1").await.unwrap().status, 503);
+
+        for (instance, cause) in [
+            (&paused, "the holder of its copy had none, so the whole prompt was read again"),
+            (&lost, "p1 had the request, and its connection broke"),
+            (&refused, "the instance had no catalogue, since the store didn't answer it"),
+        ] {
+            let what = format!("the log of {} tells: {cause}", instance.log.display());
+            until(&what, async || explain(&instance.log).contains(cause)).await;
+        }
+    })
+    .await;
+}
+
+/// An instance whose log goes to a file.
+struct Logged {
+    callers: SocketAddr,
+    health: SocketAddr,
+    log: PathBuf,
+    /// Ends the process.
+    _child: Ending,
+}
+
+impl Platform {
+    fn start_logged(&self, name: &str) -> Logged {
+        let (path, Listen { callers, health, .. }) = self.settings(name);
+        let log = self.folder.path().join(format!("{name}.log"));
+        let child = Command::new(env!("CARGO_BIN_EXE_bilberryfront"))
+            .arg("relay")
+            .arg("--settings")
+            .arg(path)
+            .stdout(fs::File::create(&log).unwrap())
+            .spawn()
+            .unwrap();
+        Logged { callers, health, log, _child: Ending(child) }
+    }
+}
+
+impl Logged {
+    async fn ready(&self) -> bool {
+        get(self.health, "/api/readyz").await.is_some_and(|r| r.status == 200)
+    }
+
+    async fn post(&self, path: &str, key: &str) -> Option<Received> {
+        post(self.callers, path, key).await
+    }
+}
+
+/// What the program tells of the request `a1` by one log; the log may not be written to its end yet.
+fn explain(log: &Path) -> String {
+    let output = Command::new(env!("CARGO_BIN_EXE_bilberryfront"))
+        .args(["explain", "a1"])
+        .arg(log)
+        .output()
+        .unwrap();
+    String::from_utf8(output.stdout).unwrap()
+}
+
 /// Asks for what isn't there so many times on one connection; the longest wait for an answer.
 async fn refuse_many(address: SocketAddr, count: usize) -> Duration {
     let stream = TcpStream::connect(address).await.unwrap();
