--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -112,8 +112,9 @@
 
 /// The outage of the store that an instance was in.
 fn outage(logs: &Logs, at: &Line) -> Option<String> {
-    let before = logs.lines.iter().filter(|line| line.node == at.node && line.order <= at.order);
-    let last = before.filter(|line| line.fields.contains_key("table")).next_back()?;
+    let last = logs.lines.iter().rfind(|line| {
+        line.node == at.node && line.order <= at.order && line.fields.contains_key("table")
+    })?;
     (last.message != STORE_BACK).then(|| format!("the store didn't answer it ({})", last.message))
 }
 
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -12,7 +12,8 @@
 };
 
 /// A log line, `millis` after the start of a day.
-fn line(millis: i64, message: &str, fields: Value) -> String {
+fn line(millis: i64, message: &str, fields: impl Into<Value>) -> String {
+    let fields: Value = fields.into();
     let at = jiff::Timestamp::from_millisecond(1_780_000_000_000 + millis).unwrap();
     json!({"timestamp": at.to_string(), "level": "INFO", "message": message, "kvs": fields})
         .to_string()
