Refuse at once a stream that can't be finished in time

Cause: when all instances lose power, callers' connections hang, and they come back after eighteen seconds, few before their patience ends.

Change: a node learns its engines' best reading and writing speed and the mean length of streams. A stream with which a caller comes back is refused as not run when, at these speeds, reading its prompt (unless a runner holds it) and half of the usual rest take longer than its caller will wait.

Ruled out: counting the whole usual rest (lengths vary too much), and streams that this node itself goes on with.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -2,9 +2,11 @@
 
 mod generation;
 mod once;
+pub mod pace;
 mod repeat;
 
 use {
+    self::pace::Pace,
     crate::{
         body::Answer,
         budget::{Allowance, Budget},
@@ -61,6 +63,7 @@
     pub trials: Option<mpsc::UnboundedSender<Trial>>,
     budgets: Rc<RefCell<FxHashMap<CompactString, Budget>>>,
     given: Rc<RefCell<FxHashMap<CompactString, Given>>>,
+    paces: Rc<RefCell<FxHashMap<CompactString, Pace>>>,
     allowance: Allowance,
     bound: Bound,
 }
@@ -103,6 +106,7 @@
             trials: None,
             budgets: Rc::default(),
             given: Rc::default(),
+            paces: Rc::default(),
             allowance,
             bound,
         }
@@ -189,6 +193,11 @@
         self.budget(service, |b, now| b.take(now, nodes))
     }
 
+    /// What this node knows of the speed of a service's engines.
+    fn pace<T>(&self, service: &str, work: impl FnOnce(&mut Pace) -> T) -> T {
+        work(self.paces.borrow_mut().entry(service.into()).or_default())
+    }
+
     fn budget<T>(&self, service: &str, work: impl FnOnce(&mut Budget, Instant) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let new = || Budget::new(self.allowance);
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -128,6 +128,9 @@
     async fn begin(&mut self) -> Result<Begun, Stopped> {
         let end = self.call.deadline();
         let mut cached = if self.sends == 0 { self.find_cached().await } else { None };
+        if self.sends == 0 && self.is_hopeless(cached.is_some()) {
+            return Err(Stopped::Refused(self.traffic.not_run()));
+        }
         while self.may_send(end) {
             let next = cached.take().map(|place| (place, None)).or_else(|| self.next_place());
             let Some((place, copy)) = next else { break };
@@ -137,6 +140,11 @@
                 Tried::Begun(begun) => {
                     self.runs += u32::from(!copied);
                     self.began.get_or_insert_with(Instant::now);
+                    if self.sends == 1 && self.call.head.resume.is_none() {
+                        let tokens = self.size().prompt;
+                        let took = self.call.start.elapsed();
+                        self.traffic.pace(&self.call.service, |pace| pace.has_read(tokens, took));
+                    }
                     self.resumed = if copied { Resume::Copy } else { Resume::Anew };
                     self.log_begun(&begun.run, copied);
                     return Ok(*begun);
@@ -178,6 +186,7 @@
                 }
                 Err(Ended::Whole) => {
                     self.log_ended(&run);
+                    self.learn_length();
                     self.judge(run.place().key, true);
                     run.keep(&self.traffic.exchange.fleet);
                     return feed.finish();
@@ -277,6 +286,32 @@
         first || (runs && again && left && self.traffic.may_retry(&self.call.service))
     }
 
+    /// Whether a stream with which a caller comes back can't be finished before its patience ends. Reading
+    /// its prompt anew would cost a runner a second, and those who wait behind it theirs, for nothing.
+    fn is_hopeless(&self, cached: bool) -> bool {
+        let (Some(position), Some(end)) = (self.call.head.resume, self.call.patience_end()) else {
+            return false;
+        };
+        let unread = if cached { 0 } else { self.size().prompt };
+        let left = end.saturating_duration_since(Instant::now());
+        let hopeless =
+            self.traffic.pace(&self.call.service, |pace| pace.is_hopeless(unread, position, left));
+        if hopeless {
+            log::info!(request = self.call.head.id.as_str(), position, unread,
+                left = left.as_millis() as u64; "a stream can't be finished in time");
+        }
+        hopeless
+    }
+
+    /// Learns from a stream that one runner made from its first event to its last.
+    fn learn_length(&self) {
+        let (Some(began), Some(events)) = (self.began, self.position) else { return };
+        if self.sends == 1 && self.call.head.resume.is_none() {
+            let took = began.elapsed();
+            self.traffic.pace(&self.call.service, |pace| pace.has_ended(events, took));
+        }
+    }
+
     fn is_resumable(&self) -> bool {
         self.call.route.kind == Kind::Resumable
     }
