Ask the store for less news of nodes, and for runners by how many nodes ask

Change: news of nodes are asked for each 2 s at most; the wait for news of runners is 0.16 s a node, 1 to 5 s, so that all nodes together ask six times a second at rest; the time between two such questions follows the deployment's bound on leaving runners (bounds.leave_ms, from the template) in place of a fixed 0.9 s.

Ruled out for now: a few nodes that read for all. Lapsed rows that a node takes for removals right after an outage that it didn't see would reach all nodes; that needs word of outages between nodes first.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -34,7 +34,7 @@
     bilberryfront_peer::Received,
     bytes::Bytes,
     compact_str::CompactString,
-    std::{sync::Arc, time::Duration},
+    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
         time::{Instant, MissedTickBehavior, interval, sleep},
@@ -48,16 +48,25 @@
 /// Longest wait of a question for news of operators: a lost answer shows after this and the client's
 /// own timeout; the peers tell of a new catalogue long before.
 const ORDERS_WAIT: Duration = Duration::from_secs(5);
-/// Longest wait of a question for news of runners. One of them reports at any moment, so an answer takes
-/// longer only when the store is away; until that is known, a restarted runner can't be taken over, and
-/// when the store is back it is this question that shows it first.
-const RUNNERS_WAIT: Duration = Duration::from_secs(1);
+/// Shortest of the longest waits of a question for news of runners. Their rows change only when something
+/// happens to them, so at rest a question costs a call each time its wait is over. Until a swallowed one is
+/// given up, a silent outage isn't known, no restarted runner can be taken over, and its end isn't either.
+const RUNNERS_WAIT_LEAST: Duration = Duration::from_secs(1);
+/// What each node adds to that wait, so that all nodes together ask some six times a second at rest.
+const RUNNERS_WAIT_NODE: Duration = Duration::from_millis(160);
+/// Longest of those waits.
+const RUNNERS_WAIT_MOST: Duration = Duration::from_secs(5);
 /// Longest wait of a question for news of nodes: their heartbeats tell all that is urgent.
 const NODES_WAIT: Duration = Duration::from_secs(15);
-/// Time between two questions for news of runners. They report every second or so, and each question
-/// costs as much as a call that is served, so all their reports of that time are fetched at once.
-/// A leaving runner must get nothing new within two seconds.
-const RUNNERS_EVERY: Duration = Duration::from_millis(900);
+/// Time between two questions for news of nodes. When all start together each of them registers, and asked
+/// at once after each answer every node would fetch every other's row by itself: a fifth of the store's
+/// calls of 77 nodes in their first minute. Those who matter are heard of by their heartbeats sooner.
+const NODES_EVERY: Duration = Duration::from_secs(2);
+/// Part of the time in which a leaving runner must get nothing new that passes between two questions for
+/// news of runners. They report every second or so, and each question costs as much as a call that is
+/// served, so all their reports of that time are fetched at once. The rest of the time is for a question
+/// that is lost and asked again.
+const RUNNERS_SHARE: f64 = 0.45;
 /// Pause before another try to register.
 const REGISTER_RETRY: Duration = Duration::from_millis(500);
 
@@ -74,6 +83,8 @@
     /// News of nodes from before there was a membership.
     early: Vec<Change>,
     nodes: Arc<Vec<NodeAddress>>,
+    /// Longest wait of a question for news of runners.
+    runners_wait: Rc<Cell<Duration>>,
     cut_off: bool,
     metrics: Metrics,
     moves: Moves,
@@ -114,15 +125,17 @@
 ) {
     let (sender, changes) = mpsc::channel(64);
     let returns = watch::Sender::new(0);
-    let follow = |table, every, wait| {
-        let (store, returns) = (store.clone(), returns.clone());
+    let follow = |table, every, wait: &Rc<Cell<Duration>>| {
+        let (store, returns, wait) = (store.clone(), returns.clone(), wait.clone());
         let follower = Follower { store, table, every, wait, returns };
         tokio::task::spawn_local(follower.run(sender.clone()));
     };
-    follow(R::ORDERS, Duration::ZERO, ORDERS_WAIT);
-    follow(R::RUNNERS, RUNNERS_EVERY, RUNNERS_WAIT);
-    follow(NODES, Duration::ZERO, NODES_WAIT);
-    follow(R::STATUS, Duration::ZERO, NODES_WAIT);
+    let fixed = |wait| Rc::new(Cell::new(wait));
+    let runners_wait = fixed(RUNNERS_WAIT_LEAST);
+    follow(R::ORDERS, Duration::ZERO, &fixed(ORDERS_WAIT));
+    follow(R::RUNNERS, settings.bounds.leave().mul_f64(RUNNERS_SHARE), &runners_wait);
+    follow(NODES, NODES_EVERY, &fixed(NODES_WAIT));
+    follow(R::STATUS, Duration::ZERO, &fixed(NODES_WAIT));
     let (arrived, joined) = mpsc::channel(1);
     tokio::task::spawn_local(join(settings.clone(), store.clone(), arrived));
     let control = Control {
@@ -135,6 +148,7 @@
         membership: None,
         early: Vec::new(),
         nodes: Arc::default(),
+        runners_wait,
         cut_off: false,
         metrics: ends.metrics,
         moves: Moves::new(Incarnation(rand::random())),
@@ -234,6 +248,7 @@
         if *self.nodes != nodes {
             log::info!(nodes = nodes.len() as u64; "nodes in the address answers: {}", names(&nodes));
             self.nodes = Arc::new(nodes);
+            self.runners_wait.set(runners_wait(self.nodes.len()));
             self.publish();
         }
     }
@@ -384,6 +399,12 @@
     }
 }
 
+/// Longest wait of a question for news of runners, with so many nodes that ask.
+fn runners_wait(nodes: usize) -> Duration {
+    let wait = RUNNERS_WAIT_NODE.mul_f64(nodes as f64);
+    wait.clamp(RUNNERS_WAIT_LEAST, RUNNERS_WAIT_MOST)
+}
+
 fn names(nodes: &[NodeAddress]) -> String {
     nodes.iter().map(|n| n.name.as_str()).collect::<Vec<_>>().join(" ")
 }
--- a/crates/relay/src/control/follow.rs
+++ b/crates/relay/src/control/follow.rs
@@ -6,7 +6,7 @@
         store::{Result, Revision, Rows, Store, StoreError},
     },
     rand::Rng,
-    std::time::Duration,
+    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
         time::{Instant, sleep, sleep_until},
@@ -54,8 +54,8 @@
     pub table: &'static str,
     /// Least time between two questions.
     pub every: Duration,
-    /// Longest wait of the store for a change.
-    pub wait: Duration,
+    /// Longest wait of the store for a change; may change.
+    pub wait: Rc<Cell<Duration>>,
     /// How often the store has come back, as seen by all followers together.
     pub returns: watch::Sender<u32>,
 }
@@ -122,7 +122,7 @@
 
     async fn ask(&self, revision: Option<Revision>) -> Result<Rows> {
         match revision {
-            Some(after) => self.store.feed(self.table, after, self.wait).await,
+            Some(after) => self.store.feed(self.table, after, self.wait.get()).await,
             None => self.store.read(self.table).await,
         }
     }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -53,6 +53,8 @@
 pub struct Bounds {
     /// From the order to leave to the kill.
     pub grace: f64,
+    /// From a runner's word that it leaves to the last request that it may get; in milliseconds.
+    pub leave_ms: f64,
     /// Longest time for which callers keep an address answer.
     pub keep: f64,
     /// Further sends allowed for each request.
@@ -73,6 +75,7 @@
     fn default() -> Bounds {
         Bounds {
             grace: 5.0,
+            leave_ms: 2_000.0,
             keep: 2.0,
             ratio: 0.2,
             slack: 10.0,
@@ -104,6 +107,11 @@
         seconds(self.grace)
     }
 
+    /// From a runner's word that it leaves to the last request that it may get.
+    pub fn leave(&self) -> Duration {
+        seconds(self.leave_ms / 1_000.0)
+    }
+
     /// Longest time for which callers keep an address answer.
     pub fn keep(&self) -> Duration {
         seconds(self.keep)
--- a/crates/relay/tests/follow.rs
+++ b/crates/relay/tests/follow.rs
@@ -75,7 +75,7 @@
                     store: store.clone(),
                     table,
                     every: Duration::ZERO,
-                    wait: Duration::from_millis(wait),
+                    wait: Rc::new(Cell::new(Duration::from_millis(wait))),
                     returns: returns.clone(),
                 };
                 tokio::task::spawn_local(follower.run(sender.clone()));
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -24,7 +24,12 @@
         faults.push(doc.fault(&[Step::Field(field)], format!("`{field}` is empty"), help));
     }
     let bounds = &settings.bounds;
-    let times = [("grace", bounds.grace), ("keep", bounds.keep), ("window", bounds.window)];
+    let times = [
+        ("grace", bounds.grace),
+        ("leave_ms", bounds.leave_ms),
+        ("keep", bounds.keep),
+        ("window", bounds.window),
+    ];
     let shares = [("ratio", bounds.ratio), ("slack", bounds.slack)];
     let wrong = |least_open: bool, value: f64| {
         !value.is_finite() || value < 0.0 || (least_open && value == 0.0)
