Copy a run out of its domain, and refuse only what surely can't be read in time

Copies: when one failure domain after the other crashes while the store is away, the steady runners are those of the one domain that is still whole. Runs there were copied to their neighbours, and all went dark together (four of six streams of second 30 were read anew, 1.6 to 2.9 s). Now leaving the domain weighs more than that a runner was down two seconds ago, and less than that it is known to be down.

--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -33,6 +33,12 @@
 const RANK: f64 = 200.0;
 /// Added where others should be tried first; far above any load.
 const AVOIDED: f64 = 1e9;
+/// Part of that for a runner that may still be down, where a steady one is wanted.
+const UNSTEADY: f64 = 0.5;
+/// Part of that for a runner in the failure domain that another choice would be better than. It weighs more
+/// than [`UNSTEADY`]: when one domain after the other crashes, the steady runners are those that go down next,
+/// all together, and a copy kept among them is lost with the run itself.
+const NEAR: f64 = 0.75;
 /// Random part of a score, in prompt tokens: nodes that know of no load must not all choose the same.
 const NOISE: f64 = 100.0;
 
@@ -140,12 +146,13 @@
     fn score(&self, key: RunnerKey, wanted: &Wanted<'_>, now: Instant) -> f64 {
         let runner = &self.runners[key];
         let near = wanted.away == Some(runner.registration.domain.as_str());
-        let avoided = match wanted.steady {
-            true => runner.trouble.is_unsteady(now),
-            false => runner.trouble.is_avoided(now),
+        let trouble = match runner.trouble {
+            trouble if trouble.is_avoided(now) => 1.0,
+            trouble if wanted.steady && trouble.is_unsteady(now) => UNSTEADY,
+            _ => 0.0,
         };
-        runner.load(now).weight(wanted.memory)
-            + AVOIDED * (f64::from(u8::from(avoided)) + f64::from(u8::from(near)) / 2.0)
+        let near = if near { NEAR } else { 0.0 };
+        runner.load(now).weight(wanted.memory) + AVOIDED * (trouble + near)
     }
 
     pub(super) fn place(&self, key: RunnerKey) -> Place {
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -186,7 +186,6 @@
                 }
                 Err(Ended::Whole) => {
                     self.log_ended(&run);
-                    self.learn_length();
                     self.judge(run.place().key, true);
                     run.keep(&self.traffic.exchange.fleet);
                     return feed.finish();
@@ -286,32 +285,22 @@
         first || (runs && again && left && self.traffic.may_retry(&self.call.service))
     }
 
-    /// Whether a stream with which a caller comes back can't be finished before its patience ends. Reading
-    /// its prompt anew would cost a runner a second, and those who wait behind it theirs, for nothing.
+    /// Whether a stream with which a caller comes back can't go on before its patience ends. Reading its prompt
+    /// anew would cost a runner a second, and those who wait behind it theirs, for nothing.
     fn is_hopeless(&self, cached: bool) -> bool {
         let (Some(position), Some(end)) = (self.call.head.resume, self.call.patience_end()) else {
             return false;
         };
         let unread = if cached { 0 } else { self.size().prompt };
         let left = end.saturating_duration_since(Instant::now());
-        let hopeless =
-            self.traffic.pace(&self.call.service, |pace| pace.is_hopeless(unread, position, left));
+        let hopeless = self.traffic.pace(&self.call.service, |pace| pace.is_hopeless(unread, left));
         if hopeless {
             log::info!(request = self.call.head.id.as_str(), position, unread,
-                left = left.as_millis() as u64; "a stream can't be finished in time");
+                left = left.as_millis() as u64; "a prompt can't be read in time");
         }
         hopeless
     }
 
-    /// Learns from a stream that one runner made from its first event to its last.
-    fn learn_length(&self) {
-        let (Some(began), Some(events)) = (self.began, self.position) else { return };
-        if self.sends == 1 && self.call.head.resume.is_none() {
-            let took = began.elapsed();
-            self.traffic.pace(&self.call.service, |pace| pace.has_ended(events, took));
-        }
-    }
-
     fn is_resumable(&self) -> bool {
         self.call.route.kind == Kind::Resumable
     }
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -192,6 +192,22 @@
     assert!((0..50).any(|_| fleet.choose(&steady).unwrap().key == dead));
 }
 
+/// Load: one failure domain after the other crashes, and the one that is still whole is next. A run there is
+/// copied to a runner that was down a moment ago rather than to its neighbour, which goes down with it; to
+/// one that is known to be down, it isn't.
+#[tokio::test(start_paused = true)]
+async fn a_copy_leaves_its_domain_even_for_a_runner_that_was_down() {
+    let fleet = Fleet::seeded(7);
+    fleet.update(&runners(2)[..4]);
+    let copy = Wanted { away: Some("a"), steady: true, ..wanted(None) };
+    for id in ["r2", "r3"] {
+        fleet.failed(find(&fleet, id), Instant::now());
+    }
+    assert_eq!(fleet.choose(&copy).unwrap().domain, "a", "the others are down");
+    advance(Duration::from_millis(1_500)).await;
+    assert_eq!(fleet.choose(&copy).unwrap().domain, "b");
+}
+
 /// A runner starts anew under its old id: what is held against its former life, and what ran there,
 /// doesn't count.
 #[tokio::test(start_paused = true)]
