--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -2,6 +2,7 @@
 
 mod authority;
 pub mod follow;
+mod join;
 pub mod listing;
 mod members;
 mod moves;
@@ -37,7 +38,7 @@
     std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
-        time::{Instant, MissedTickBehavior, interval, sleep},
+        time::{Instant, MissedTickBehavior, interval},
     },
 };
 
@@ -137,7 +138,7 @@
     follow(NODES, NODES_EVERY, &fixed(NODES_WAIT));
     follow(R::STATUS, Duration::ZERO, &fixed(NODES_WAIT));
     let (arrived, joined) = mpsc::channel(1);
-    tokio::task::spawn_local(join(settings.clone(), store.clone(), arrived));
+    tokio::task::spawn_local(join::join(settings.clone(), store.clone(), arrived));
     let control = Control {
         records,
         published,
@@ -162,38 +163,6 @@
     _ = tokio::time::timeout(REGISTER_RETRY, store.write(&[row])).await;
 }
 
-/// Gets a certificate, listens for peers and registers this node, however long that takes.
-async fn join<S: Store>(settings: Settings, store: S, arrived: mpsc::Sender<members::Joined>) {
-    let authority = authority::get(&store).await;
-    let joined = match members::listen(&settings, &authority) {
-        Ok(joined) => joined,
-        Err(error) => return log::error!("this node can't talk to others: {error}"),
-    };
-    let address = NodeAddress {
-        name: settings.name.clone(),
-        domain: settings.domain.clone(),
-        callers: settings.listen.callers,
-        peers: settings.listen.peers,
-    };
-    // The control thread is gone only when the node has left.
-    _ = arrived.send(joined).await;
-    register(&store, &address).await;
-}
-
-async fn register<S: Store>(store: &S, address: &NodeAddress) {
-    let value = serde_json::to_vec(address).expect("plain data serializes");
-    let row = Write {
-        table: NODES.into(),
-        key: address.name.clone(),
-        value: Some(value.into()),
-        expected: None,
-    };
-    while let Err(error) = store.write(std::slice::from_ref(&row)).await {
-        log::warn!("this node can't register: {error}");
-        sleep(REGISTER_RETRY).await;
-    }
-}
-
 impl<R: Records> Control<R> {
     async fn drive<S: Store>(
         mut self,
