Tell the other nodes only of what is under way at engines

Cause: every short call changed this node's load at its runner and told all other nodes so, twice.

Change: calls to plain services count only at their own node (Fleet::call); words go out only when memory or unread tokens at an engine change.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -60,8 +60,10 @@
     registration: Registration,
     pool: Pool,
     trouble: Trouble,
-    /// What this node has under way there.
+    /// What this node has under way at its engine.
     own: Load,
+    /// Calls of this node that are under way there, where it is a plain service.
+    calls: u32,
     /// What the other nodes have.
     others: Others,
     /// Whether `own` changed since the others were told.
@@ -86,7 +88,16 @@
     fleet: Fleet,
     /// The runner.
     pub place: Place,
-    load: Load,
+    claim: Claim,
+}
+
+/// What a request takes of its runner.
+#[derive(Clone, Copy)]
+enum Claim {
+    /// A call to a plain service.
+    Call,
+    /// A part of an engine.
+    Work(Load),
 }
 
 impl Default for Fleet {
@@ -134,10 +145,28 @@
         }
     }
 
-    /// Claims a part of a runner.
+    /// Claims a part of an engine, and tells the other nodes.
     pub fn lease(&self, place: Place, load: Load) -> Lease {
         self.change(place.key, |own| *own += load);
-        Lease { fleet: self.clone(), place, load }
+        Lease { fleet: self.clone(), place, claim: Claim::Work(load) }
+    }
+
+    /// Claims a slot of a plain runner for one call.
+    ///
+    /// The others aren't told: most calls have ended before the word of them could change a choice, and two
+    /// messages a call to each node would be most of what nodes say to each other. A runner that is full
+    /// says so itself.
+    pub fn call(&self, place: Place) -> Lease {
+        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(place.key) {
+            runner.calls += 1;
+        }
+        Lease { fleet: self.clone(), place, claim: Claim::Call }
+    }
+
+    fn end_call(&self, key: RunnerKey) {
+        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
+            runner.calls -= 1;
+        }
     }
 
     fn change(&self, key: RunnerKey, change: impl FnOnce(&mut Load)) {
@@ -239,6 +268,7 @@
             pool: Pool::default(),
             trouble: Trouble::default(),
             own: Load::default(),
+            calls: 0,
             others: Others::default(),
             untold: false,
         };
@@ -277,13 +307,18 @@
 
     /// The prompt is read: the first output came.
     pub fn read(&mut self) {
-        let read = Load { unread: std::mem::take(&mut self.load.unread), ..Load::default() };
-        self.fleet.change(self.place.key, |own| *own -= read);
+        if let Claim::Work(load) = &mut self.claim {
+            let read = Load { unread: std::mem::take(&mut load.unread), ..Load::default() };
+            self.fleet.change(self.place.key, |own| *own -= read);
+        }
     }
 }
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.fleet.change(self.place.key, |own| *own -= self.load);
+        match self.claim {
+            Claim::Work(load) => self.fleet.change(self.place.key, |own| *own -= load),
+            Claim::Call => self.fleet.end_call(self.place.key),
+        }
     }
 }
--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -152,7 +152,8 @@
             _ => 0.0,
         };
         let near = if near { NEAR } else { 0.0 };
-        runner.load(now).weight(wanted.memory) + AVOIDED * (trouble + near)
+        let calls = f64::from(runner.calls) * RUNNING_WEIGHT;
+        runner.load(now).weight(wanted.memory) + calls + AVOIDED * (trouble + near)
     }
 
     pub(super) fn place(&self, key: RunnerKey) -> Place {
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -14,7 +14,7 @@
         catalog::{Engine, Kind},
         dialect::{Dialect, Order},
         exchange::Exchange,
-        fleet::{Fleet, Load, Place, RunnerKey, Version, Wanted},
+        fleet::{Fleet, Place, RunnerKey, Version, Wanted},
         lines::REFUSED,
         metrics::{Metrics, Outcome},
         moves::{
@@ -45,9 +45,6 @@
 /// The same at the latest; callers who were refused together come back spread over the time between.
 const RETRY_MOST: Duration = Duration::from_millis(600);
 
-/// What a call to a plain service takes of its runner.
-const CALL: Load = Load { running: 1, memory: 0, unread: 0 };
-
 /// What every request's flow works with. Clones share it.
 #[derive(Clone)]
 pub struct Traffic<D, N> {
--- a/crates/relay/src/flow/once.rs
+++ b/crates/relay/src/flow/once.rs
@@ -1,7 +1,7 @@
 //! Requests that may run at most once.
 
 use {
-    super::{CALL, Traffic, ended, order},
+    super::{Traffic, ended, order},
     crate::{
         body::Answer,
         call::Call,
@@ -34,7 +34,7 @@
             break;
         }
         let fleet = &traffic.exchange.fleet;
-        let _lease = fleet.lease(place.clone(), CALL);
+        let _lease = fleet.call(place.clone());
         let key = place.key;
         match traffic.exchange.send(call, &place, &order(call, &place), until).await {
             Sent::Answered(reply) => {
--- a/crates/relay/src/flow/repeat.rs
+++ b/crates/relay/src/flow/repeat.rs
@@ -1,7 +1,7 @@
 //! Requests that may run more than once.
 
 use {
-    super::{CALL, Traffic, ended, order},
+    super::{Traffic, ended, order},
     crate::{
         body::Answer,
         call::Call,
@@ -50,7 +50,7 @@
         }
         let last = progress.runs + 1 == attempts || traffic.exchange.fleet.ready(&call.service) < 2;
         let until = if last { end } else { patience(call, end) };
-        let _lease = traffic.exchange.fleet.lease(place.clone(), CALL);
+        let _lease = traffic.exchange.fleet.call(place.clone());
         progress.tried.push(place.key);
         let sent = traffic.exchange.send(call, &place, &order(call, &place), until).await;
         let answer = take(traffic, &mut progress, sent, place.key, until).await;
