Prefer a runner of the instance's own failure domain where nothing else is worse

Cause: two thirds of all requests, answers and events crossed a border between domains, whose bytes are dear to the new customer, though a runner as good stood on this side.

Change: a plain runner elsewhere counts as if half of its slots were taken, an engine elsewhere as three quarters of a running stream on top of its load.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -52,6 +52,8 @@
     failures: Vec<CompactString>,
     /// Runners that started anew, found since the other nodes were told.
     restarts: Vec<Restart>,
+    /// This node's failure domain; empty while it isn't known.
+    domain: CompactString,
     /// Unlisted runners that were met at others' addresses, and when.
     strangers: FxHashMap<CompactString, Instant>,
 }
@@ -113,6 +115,11 @@
         Fleet { inner: Rc::default(), changed: Rc::default(), random }
     }
 
+    /// Says which failure domain this node is in.
+    pub fn set_domain(&self, domain: &CompactString) {
+        self.inner.borrow_mut().domain.clone_from(domain);
+    }
+
     /// Takes over the newest registrations. A runner that has left or started anew loses its idle
     /// connections; what still runs there goes on.
     pub fn update(&self, registrations: &[Registration]) {
--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -31,6 +31,13 @@
 /// Bonus of such a runner over the next one: parts the prompts of nodes that know nothing of each
 /// other's choices, and is far below what a running stream counts for.
 const RANK: f64 = 200.0;
+/// Part of a running stream that an engine in another failure domain counts for on top. Its request and every
+/// event cross the border between the domains, which is paid by the byte; a stream less beside it is worth
+/// more to the caller.
+const FAR_STREAM: f64 = 0.75;
+/// Part of a plain runner's slots up to which calls stay in this node's failure domain: they wait for
+/// nothing there, and what comes at once still finds a slot.
+const FAR_SLOTS: f64 = 0.5;
 /// Added where others should be tried first; far above any load.
 const AVOIDED: f64 = 1e9;
 /// Part of that for a runner that may still be down, where a steady one is wanted.
@@ -153,7 +160,21 @@
         };
         let near = if near { NEAR } else { 0.0 };
         let calls = f64::from(runner.calls) * RUNNING_WEIGHT;
-        runner.load(now).weight(wanted.memory) + calls + AVOIDED * (trouble + near)
+        let load = runner.load(now).weight(wanted.memory) + calls;
+        load + self.distance(key, wanted) + AVOIDED * (trouble + near)
+    }
+
+    /// What a runner outside this node's failure domain counts for on top of its load.
+    fn distance(&self, key: RunnerKey, wanted: &Wanted<'_>) -> f64 {
+        let registration = &self.runners[key].registration;
+        if registration.domain == self.domain {
+            return 0.0;
+        }
+        let streams = match wanted.memory {
+            0 => f64::from(registration.slots) * FAR_SLOTS,
+            _ => FAR_STREAM,
+        };
+        streams * RUNNING_WEIGHT
     }
 
     pub(super) fn place(&self, key: RunnerKey) -> Place {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -97,6 +97,7 @@
         .map_err(system("start the control thread"))?;
     let bounds = &settings.bounds;
     let mut traffic = Traffic::new(dialect, Tcp, published, bounds.allowance(), bounds.exposure());
+    traffic.exchange.fleet.set_domain(&settings.domain);
     traffic.trials = Some(trials.clone());
     traffic.metrics = metrics;
     let face = Face { traffic, leaving, keep: settings.bounds.keep() };
--- a/crates/relay/tests/borders.rs
+++ b/crates/relay/tests/borders.rs
@@ -8,9 +8,29 @@
     std::net::SocketAddr,
 };
 
-/// A node that knows `count` runners in each of three domains.
+/// What one kind of engine is like.
+#[derive(Clone, Copy)]
+struct Engine {
+    /// Of them in each failure domain.
+    count: u8,
+    /// Requests that one runs at once.
+    slots: u32,
+    /// Memory of one, in tokens.
+    memory: u32,
+    /// Tokens of a prompt of its callers.
+    prompt: u32,
+}
+
+/// Few large engines, and many small ones whose callers' prompts are shorter.
+const FLEETS: [Engine; 2] = [
+    Engine { count: 2, slots: 64, memory: 400_000, prompt: 20_000 },
+    Engine { count: 30, slots: 8, memory: 30_000, prompt: 1_000 },
+];
+
+/// A node in domain `a` that knows `count` runners in each of three domains.
 fn fleet(count: u8, slots: u32) -> Fleet {
     let fleet = Fleet::seeded(7);
+    fleet.set_domain(&"a".into());
     let runner = |domain: u8, index: u8| Registration {
         id: format!("{domain}-{index}").into(),
         born: 1,
@@ -39,6 +59,22 @@
     }
 }
 
+/// Load: callers make many short calls, and their domain's runner has slots for them. Each call that
+/// crosses a border pays for its bytes and gets nothing for it. Once half of the runner's slots are
+/// taken the next calls go elsewhere, before one has to wait.
+#[tokio::test(start_paused = true)]
+async fn calls_stay_in_their_domain_while_half_of_its_slots_are_free() {
+    for slots in [6, 48] {
+        let fleet = fleet(1, slots);
+        let call = || fleet.call(fleet.choose(&wanted(0)).unwrap());
+        let calls: Vec<_> = (0..slots).map(|_| call()).collect();
+        let near = calls.iter().filter(|c| c.place.domain == "a").count() as u32;
+        assert!((slots / 2..=slots * 3 / 4).contains(&near), "{near} of {slots}");
+        drop(calls);
+        assert_eq!(call().place.domain, "a", "ended calls don't count");
+    }
+}
+
 /// Load: short calls come by the hundred. Their word to every node was most of what nodes said to each
 /// other, and it was out of date when it came. Only what is under way at engines is told.
 #[tokio::test(start_paused = true)]
@@ -56,3 +92,21 @@
     drop(lease);
     assert_eq!(fleet.news().runners[0].running, 0);
 }
+
+/// Load: streams come while some engines are idle. One in the node's own domain is taken as long as it
+/// runs no more streams than the others: its events cross no border. With a stream less beside it, an
+/// engine elsewhere is better for the caller, in a fleet of few large engines and in one of many small ones.
+#[tokio::test(start_paused = true)]
+async fn a_stream_leaves_its_domain_only_for_an_engine_with_fewer_streams() {
+    for engine in FLEETS {
+        let fleet = fleet(engine.count, engine.slots);
+        let stream = Load { running: 1, memory: engine.prompt * 6 / 5, unread: 0 };
+        let mut leases = Vec::new();
+        for place in 0..3 * engine.count {
+            let chosen = fleet.choose(&wanted(engine.memory)).unwrap();
+            assert_eq!(chosen.domain == "a", place < engine.count, "{place} of {}", engine.count);
+            leases.push(fleet.lease(chosen, stream));
+        }
+        assert_eq!(fleet.choose(&wanted(engine.memory)).unwrap().domain, "a", "a second each");
+    }
+}
