Ask the store less: longer waits for runners, one follower that looks for its return

Cause: each instance asked for news of runners every 1.3 s though nothing had changed, and during an outage all four followers looked for the store's return by themselves.

Change: the longest wait for news of runners grows by 400 ms an instance (was 160), at most 5 s as before; news of nodes and moves waits 30 s. Only the followers of orders looks for the store's return every 0.8 s, the others pause up to 3.2 s and are woken. After a failure a question doesn't wait for news: before, an outage's end showed only after a whole wait where nothing had changed (found by the new test, which was red on it and, at 55 questions, on four followers that all look).

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -9,7 +9,7 @@
 
 use {
     self::{
-        follow::{Change, Follower, News},
+        follow::{Change, Follower, News, PROBE_PAUSE, REST_PAUSE},
         listing::Listing,
         members::Membership,
     },
@@ -53,12 +53,12 @@
 /// happens to them, so at rest a question costs a call each time its wait is over. Until a swallowed one is
 /// given up, a silent outage isn't known, no restarted runner can be taken over, and its end isn't either.
 const RUNNERS_WAIT_LEAST: Duration = Duration::from_secs(1);
-/// What each node adds to that wait, so that all nodes together ask some six times a second at rest.
-const RUNNERS_WAIT_NODE: Duration = Duration::from_millis(160);
+/// What each node adds to that wait, so that all nodes together ask some three times a second at rest.
+const RUNNERS_WAIT_NODE: Duration = Duration::from_millis(400);
 /// Longest of those waits.
 const RUNNERS_WAIT_MOST: Duration = Duration::from_secs(5);
 /// Longest wait of a question for news of nodes: their heartbeats tell all that is urgent.
-const NODES_WAIT: Duration = Duration::from_secs(15);
+const NODES_WAIT: Duration = Duration::from_secs(30);
 /// Time between two questions for news of nodes. When all start together each of them registers, and asked
 /// at once after each answer every node would fetch every other's row by itself: a fifth of the store's
 /// calls of 77 nodes in their first minute. Those who matter are heard of by their heartbeats sooner.
@@ -128,7 +128,8 @@
     let returns = watch::Sender::new(0);
     let follow = |table, every, wait: &Rc<Cell<Duration>>| {
         let (store, returns, wait) = (store.clone(), returns.clone(), wait.clone());
-        let follower = Follower { store, table, every, wait, returns };
+        let pause = if table == R::ORDERS { PROBE_PAUSE } else { REST_PAUSE };
+        let follower = Follower { store, table, every, wait, pause, returns };
         tokio::task::spawn_local(follower.run(sender.clone()));
     };
     let fixed = |wait| Rc::new(Cell::new(wait));
--- a/crates/relay/src/control/follow.rs
+++ b/crates/relay/src/control/follow.rs
@@ -15,9 +15,12 @@
 
 /// Pause after the first failure; it doubles with each.
 const BACKOFF_LEAST: Duration = Duration::from_millis(100);
-/// Longest pause after a failure: what is said while the store is away must be known soon after it is
-/// back, and refused calls are cheap next to that.
-const BACKOFF_MOST: Duration = Duration::from_millis(800);
+/// Longest pause of the one follower that finds out when the store is back: what is said while it is away
+/// must be known soon after.
+pub const PROBE_PAUSE: Duration = Duration::from_millis(800);
+/// Longest pause of all others, which are told of the store's return. They still ask by themselves: the
+/// store may turn away the questions for one table only.
+pub const REST_PAUSE: Duration = Duration::from_millis(3_200);
 
 /// Age from which a question is given up once the store answers another one after an outage. A store that
 /// was silent never answers what it was asked meanwhile, and the question's own timeout is longer than the
@@ -56,6 +59,8 @@
     pub every: Duration,
     /// Longest wait of the store for a change; may change.
     pub wait: Rc<Cell<Duration>>,
+    /// Longest pause after failures.
+    pub pause: Duration,
     /// How often the store has come back, as seen by all followers together.
     pub returns: watch::Sender<u32>,
 }
@@ -67,7 +72,7 @@
         let mut failures = 0;
         loop {
             let asked = Instant::now();
-            let Some(answer) = self.ask_unless_stale(revision).await else { continue };
+            let Some(answer) = self.ask_unless_stale(revision, failures).await else { continue };
             let mut changes = Vec::new();
             if answer.is_ok() && failures > 0 {
                 log::info!(table = self.table; "{STORE_BACK}");
@@ -99,14 +104,29 @@
             }
             match failures {
                 0 => sleep_until(asked + self.every).await,
-                failures => sleep(backoff(failures)).await,
+                failures => self.rest(failures).await,
             }
         }
     }
 
+    /// Pauses after a failure, until another follower finds the store back at the most: each question that an
+    /// outage refuses costs as much as one that is answered, and one follower's are enough to see its end.
+    async fn rest(&self, failures: u32) {
+        let mut returns = self.returns.subscribe();
+        tokio::select! {
+            () = sleep(backoff(failures, self.pause)) => {}
+            // The sender lives as long as this follower.
+            _ = returns.changed() => {}
+        }
+    }
+
     /// Asks the store; `None` when another follower found it back from an outage that may have swallowed
     /// the question.
-    async fn ask_unless_stale(&self, revision: Option<Revision>) -> Option<Result<Rows>> {
+    async fn ask_unless_stale(
+        &self,
+        revision: Option<Revision>,
+        failures: u32,
+    ) -> Option<Result<Rows>> {
         let mut returns = self.returns.subscribe();
         let stale = async {
             sleep(STALE_QUESTION).await;
@@ -115,21 +135,24 @@
         };
         tokio::select! {
             biased;
-            answer = self.ask(revision) => Some(answer),
+            answer = self.ask(revision, failures) => Some(answer),
             () = stale => None,
         }
     }
 
-    async fn ask(&self, revision: Option<Revision>) -> Result<Rows> {
+    /// Asks for news. After a failure the store needn't wait for any: its return would be known only after a
+    /// whole wait, and that of the others with it.
+    async fn ask(&self, revision: Option<Revision>, failures: u32) -> Result<Rows> {
+        let wait = if failures == 0 { self.wait.get() } else { Duration::ZERO };
         match revision {
-            Some(after) => self.store.feed(self.table, after, self.wait.get()).await,
+            Some(after) => self.store.feed(self.table, after, wait).await,
             None => self.store.read(self.table).await,
         }
     }
 }
 
 /// With jitter: nodes that lost the store together mustn't ask it again all at once.
-fn backoff(failures: u32) -> Duration {
+fn backoff(failures: u32, most: Duration) -> Duration {
     let pause = BACKOFF_LEAST * 2u32.saturating_pow(failures.min(8) - 1);
-    pause.min(BACKOFF_MOST).mul_f64(rand::rng().random_range(0.5..1.0))
+    pause.min(most).mul_f64(rand::rng().random_range(0.5..1.0))
 }
--- a/crates/relay/tests/follow.rs
+++ b/crates/relay/tests/follow.rs
@@ -2,10 +2,10 @@
 
 use {
     bilberryfront_relay::{
-        control::follow::{Change, Follower, News},
+        control::follow::{Change, Follower, News, PROBE_PAUSE, REST_PAUSE},
         store::{Result, Revision, Row, Rows, Store, StoreError, Write},
     },
-    std::{cell::Cell, future::pending, rc::Rc, time::Duration},
+    std::{cell::Cell, collections::BTreeSet, future::pending, rc::Rc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
         task::LocalSet,
@@ -76,6 +76,7 @@
                     table,
                     every: Duration::ZERO,
                     wait: Rc::new(Cell::new(Duration::from_millis(wait))),
+                    pause: PROBE_PAUSE,
                     returns: returns.clone(),
                 };
                 tokio::task::spawn_local(follower.run(sender.clone()));
@@ -103,3 +104,81 @@
         })
         .await;
 }
+
+/// A store that refuses every question while it is down, and counts the questions.
+#[derive(Clone, Default)]
+struct Refusing(Rc<Refusals>);
+
+#[derive(Default)]
+struct Refusals {
+    down: Cell<bool>,
+    asked: Cell<u32>,
+}
+
+impl Refusing {
+    fn rows(&self) -> Result<Rows> {
+        self.0.asked.set(self.0.asked.get() + 1);
+        match self.0.down.get() {
+            true => Err(StoreError::Unavailable("down".into())),
+            false => Ok(Rows { rows: Vec::new(), revision: 1 }),
+        }
+    }
+}
+
+impl Store for Refusing {
+    async fn read(&self, _: &str) -> Result<Rows> {
+        self.rows()
+    }
+
+    async fn feed(&self, _: &str, _: Revision, wait: Duration) -> Result<Rows> {
+        let rows = self.rows()?;
+        sleep(wait).await;
+        Ok(rows)
+    }
+
+    async fn write(&self, _: &[Write]) -> Result<Revision> {
+        pending().await
+    }
+}
+
+/// Load: the store is down for eight seconds, and each call that it refuses is paid for. Four followers that
+/// all look for its return by themselves ask it some fifty times. One does, the others are told of the
+/// return and are back with it.
+#[tokio::test(start_paused = true)]
+async fn one_follower_finds_the_end_of_an_outage_for_all() {
+    LocalSet::new()
+        .run_until(async {
+            let store = Refusing::default();
+            let returns = watch::Sender::new(0);
+            let (sender, mut news) = mpsc::channel(64);
+            for table in ["orders", "runners", "nodes", "status"] {
+                let follower = Follower {
+                    store: store.clone(),
+                    table,
+                    every: Duration::ZERO,
+                    wait: Rc::new(Cell::new(Duration::from_secs(1))),
+                    pause: if table == "orders" { PROBE_PAUSE } else { REST_PAUSE },
+                    returns: returns.clone(),
+                };
+                tokio::task::spawn_local(follower.run(sender.clone()));
+            }
+            sleep(Duration::from_millis(100)).await;
+            store.0.down.set(true);
+            sleep(Duration::from_secs(1)).await;
+            store.0.asked.set(0);
+            sleep(Duration::from_secs(8)).await;
+            let asked = store.0.asked.get();
+            assert!((8..=36).contains(&asked), "{asked} questions");
+            store.0.down.set(false);
+            let back = Instant::now();
+            let mut up = BTreeSet::new();
+            while up.len() < 4 {
+                let News { table, change } = news.recv().await.unwrap();
+                if matches!(change, Change::Up) {
+                    up.insert(table);
+                }
+            }
+            assert!(back.elapsed() <= PROBE_PAUSE, "{:?}", back.elapsed());
+        })
+        .await;
+}
