Don't ask for another copy of a run with every event

Where every runner that could hold the copy had failed and not been heard of since, each event of the stream found its copy's holder 'lost', asked for a new copy and dropped the one that had just been made.

Change: a copy that was asked for is given half a second before another one replaces it; a copy that was made shows that its holder lives.

--- a/crates/relay/src/flow/generation/copy.rs
+++ b/crates/relay/src/flow/generation/copy.rs
@@ -14,7 +14,10 @@
     },
     compact_str::CompactString,
     std::{cell::RefCell, rc::Rc, time::Duration},
-    tokio::{sync::Notify, time::sleep},
+    tokio::{
+        sync::Notify,
+        time::{Instant, sleep},
+    },
 };
 
 /// Part of the time for which a copy is kept after which it is asked for again.
@@ -26,6 +29,8 @@
 pub(super) struct Backup {
     /// Claims the holder's memory.
     lease: Lease,
+    /// When it was asked for; `None` for one that the runner makes by itself.
+    asked: Option<Instant>,
     state: Rc<State>,
 }
 
@@ -42,7 +47,7 @@
     pub(super) fn growing(lease: Lease, id: &CompactString) -> Backup {
         let copy = Copy { address: lease.place.address, handle: id.clone() };
         let state = State { copy: RefCell::new(Some(copy)), ..State::default() };
-        Backup { lease, state: Rc::new(state) }
+        Backup { lease, asked: None, state: Rc::new(state) }
     }
 
     /// A copy that the runner at `source` is asked for, and which is kept for `kept`.
@@ -54,7 +59,7 @@
         kept: Duration,
     ) -> Backup {
         let state = Rc::<State>::default();
-        let backup = Backup { lease, state: state.clone() };
+        let backup = Backup { lease, asked: Some(Instant::now()), state: state.clone() };
         let holder = backup.holder().clone();
         tokio::task::spawn_local(async move {
             tokio::select! {
@@ -75,6 +80,13 @@
         &self.lease.place
     }
 
+    /// Whether it was asked for too short a while ago to be given up for another one. Where all holders that
+    /// could be asked were in trouble lately, each event of the stream would ask for another copy and drop
+    /// the one that was just made.
+    pub(super) fn is_new(&self) -> bool {
+        self.asked.is_some_and(|at| at.elapsed() < RETRY)
+    }
+
     /// Who holds it and how it is found there, if it is there.
     pub(super) fn take(&self) -> Option<(Place, Copy)> {
         let copy = self.state.copy.borrow_mut().take()?;
@@ -104,6 +116,8 @@
             "asked a runner for a copy of a run");
         let pause = if handle.is_some() { kept.mul_f64(RENEW) } else { RETRY };
         if let Some(handle) = handle {
+            // It took the copy, whatever it was held to be before.
+            exchange.fleet.alive(holder.key, Instant::now());
             *state.copy.borrow_mut() = Some(Copy { address: source.address, handle });
         }
         sleep(pause).await;
--- a/crates/relay/src/flow/generation/place.rs
+++ b/crates/relay/src/flow/generation/place.rs
@@ -32,8 +32,8 @@
     /// Has a run's memory copied to another runner when the holder of its copy is lost, or it has none.
     pub(super) fn renew_backup(&self, run: &mut Run) {
         let exchange = &self.traffic.exchange;
-        let sound = run.backup().is_some_and(|b| !exchange.fleet.is_lost(b.holder().key));
-        if sound {
+        let sound = |b: &Backup| b.is_new() || !exchange.fleet.is_lost(b.holder().key);
+        if run.backup().is_some_and(sound) {
             return;
         }
         let Some(holder) = self.choose_backup(run.place()) else { return };
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -114,6 +114,26 @@
     .await;
 }
 
+/// Load: all engines in the other domains failed a while ago, and nobody has heard of them since, though they
+/// are back. The stream's copy is renewed at one of them. The first copy that one takes shows that it
+/// lives; were it still held to be lost, each event of the stream would ask for another copy of a whole
+/// prompt and drop the last one.
+#[tokio::test(start_paused = true)]
+async fn a_copy_is_not_asked_for_with_every_event() {
+    play(async {
+        let world = World::new(ENGINES, &["a", "b", "c"], &EVENTS);
+        let response = world.answer("/stream/1", &PROMPT).await;
+        let (first, rest) = split(&world);
+        let fleet = &world.traffic.exchange.fleet;
+        for runner in rest {
+            fleet.failed(fleet.find(&runner.id).unwrap().key, Instant::now());
+        }
+        response.into_body().collect().await.unwrap();
+        assert_eq!(first.copies.borrow().len(), 1, "{:?}", first.copies.borrow());
+    })
+    .await;
+}
+
 /// A renewed copy that wasn't needed is dropped when the stream has ended: it would take its holder's
 /// memory for seconds.
 #[tokio::test(start_paused = true)]
