Tell loads across each border between failure domains once

Cause: each stream's beginning, first event and end, and every second all loads anew, went to every other instance by itself.

Change: an instance tells its own failure domain directly and one instance of each other domain, which passes the word on there. The relay is another one each second, apart for each instance; what a dead relay swallows is told again by the next second's repetition.

Tests: crates/relay/tests/spread.rs, 100 instances in four domains: everybody hears everything once, three crossings instead of 75, nobody relays for more than 12, a dead relay costs its domain four seconds at most.

--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -174,7 +174,8 @@
             PeerMessage::CatalogPull(_)
             | PeerMessage::CatalogPush(_)
             | PeerMessage::Move(_)
-            | PeerMessage::Load(_) => {}
+            | PeerMessage::Load(_)
+            | PeerMessage::Relayed(_) => {}
             PeerMessage::MembersPull => {
                 let table = self.claims();
                 self.send(from, PeerMessage::MembersPush(table), out);
--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -35,6 +35,20 @@
     /// What the sender has under way at runners and which of them failed it; for whoever chooses
     /// runners.
     Load(Load),
+    /// The same, by way of another node.
+    Relayed(Relayed),
+}
+
+/// What one node says of runners, passed on by another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Relayed {
+    /// Whose word it is.
+    pub origin: CompactString,
+    /// What it says.
+    pub load: Load,
+    /// Whether the receiver is to pass it on to the nodes of its own failure domain.
+    pub spread: bool,
 }
 
 /// What one node says of runners.
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{PeerError, Result},
-    bilberryfront_decide::member::{MAX_MEMBERS, PeerMessage},
+    bilberryfront_decide::member::{MAX_MEMBERS, PeerMessage, message::Relayed},
     bytes::Bytes,
     compact_str::CompactString,
 };
@@ -102,7 +102,8 @@
         return Err(PeerError::Oversized(bytes.len()));
     }
     let latest = matches!(message, PeerMessage::Heartbeat(_));
-    let datagram = latest || matches!(message, PeerMessage::Load(_));
+    let load = matches!(message, PeerMessage::Load(_) | PeerMessage::Relayed(_));
+    let datagram = latest || load;
     Ok(Frame { class, datagram, latest, bytes: bytes.into() })
 }
 
@@ -128,7 +129,7 @@
     match message {
         PeerMessage::Heartbeat(heartbeat) => heartbeat.news.len().max(heartbeat.usage.len()),
         PeerMessage::MembersPush(claims) | PeerMessage::Claims(claims) => claims.len(),
-        PeerMessage::Load(load) => {
+        PeerMessage::Load(load) | PeerMessage::Relayed(Relayed { load, .. }) => {
             load.runners.len().max(load.failed.len()).max(load.restarts.len())
         }
         _ => 0,
@@ -138,7 +139,7 @@
 fn limit(message: &PeerMessage) -> usize {
     match message {
         PeerMessage::MembersPush(_) => MAX_MEMBERS + 1,
-        PeerMessage::Load(_) => LOADS_LIMIT,
+        PeerMessage::Load(_) | PeerMessage::Relayed(_) => LOADS_LIMIT,
         _ => ITEMS_LIMIT,
     }
 }
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -310,7 +310,7 @@
         self.take_over(&load.restarts);
         if let Some(membership) = &mut self.membership {
             membership.spread_failures(Instant::now(), &load.failed);
-            membership.tell(&PeerMessage::Load(load));
+            membership.tell_load(Instant::now(), load);
         }
     }
 
@@ -318,12 +318,18 @@
         if let Received::Message { message: PeerMessage::Move(news), .. } = &event {
             return self.moves.hear(Instant::now(), news);
         }
-        if let Received::Message { from, message: PeerMessage::Load(load) } = event {
-            self.take_over(&load.restarts);
-            // The receiver goes away only when the process ends.
-            _ = self.heard.send(Heard { from, load });
-            return;
-        }
+        let event = match event {
+            Received::Message { from, message: PeerMessage::Load(load) } => {
+                return self.hear_load(from, load);
+            }
+            Received::Message { message: PeerMessage::Relayed(relayed), .. } => {
+                if let Some(membership) = &self.membership {
+                    membership.pass_on(&relayed);
+                }
+                return self.hear_load(relayed.origin, relayed.load);
+            }
+            event => event,
+        };
         if let Received::Message { message: PeerMessage::CatalogPush(push), .. } = event {
             let row = Row {
                 table: R::ORDERS.into(),
@@ -339,6 +345,12 @@
         }
     }
 
+    fn hear_load(&mut self, from: CompactString, load: Load) {
+        self.take_over(&load.restarts);
+        // The receiver goes away only when the process ends.
+        _ = self.heard.send(Heard { from, load });
+    }
+
     /// Lists runners that this node or another one found to have started anew.
     fn take_over(&mut self, restarts: &[Restart]) {
         if !restarts.is_empty() && self.listing.take_over(restarts) {
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -4,6 +4,7 @@
     super::authority::Authority,
     crate::{
         settings::Settings,
+        spread::{self, Peer, Routes},
         store::{Revision, Row, Rows},
         view::NodeAddress,
     },
@@ -11,7 +12,7 @@
         id::Incarnation,
         member::{
             Me, Members, Node, Output, PeerMessage, Target,
-            message::{CatalogPush, Hint, HintKind, Life, NodeState, Place},
+            message::{CatalogPush, Hint, HintKind, Life, Load, NodeState, Place, Relayed},
         },
     },
     bilberryfront_peer::{PeerConfig, PeerError, PeerNet, Received},
@@ -45,6 +46,7 @@
     net: PeerNet,
     me: NodeAddress,
     listed: BTreeMap<CompactString, NodeAddress>,
+    start: Instant,
     leaving: bool,
 }
 
@@ -67,8 +69,10 @@
     let (net, events) = PeerNet::start(&config)?;
     let life = Life { epoch: wall(), incarnation: Incarnation(rand::random()) };
     let named = Me { name: me.name.clone(), life, place: place(&me) };
-    let members = Members::new(rand::random(), Instant::now(), named);
-    let membership = Membership { members, net, me, listed: BTreeMap::new(), leaving: false };
+    let start = Instant::now();
+    let members = Members::new(rand::random(), start, named);
+    let listed = BTreeMap::new();
+    let membership = Membership { members, net, me, listed, start, leaving: false };
     Ok(Joined { membership, events })
 }
 
@@ -155,10 +159,36 @@
     /// one's heartbeats.
     pub(super) fn tell(&self, message: &PeerMessage) {
         let everyone = self.everyone();
-        let to = if everyone.len() <= EVERYONE { everyone } else { self.members.targets() };
+        let to = match everyone.len() {
+            ..=EVERYONE => everyone.into_iter().map(|peer| peer.target).collect(),
+            _ => self.members.targets(),
+        };
         self.send(&to, message);
     }
 
+    /// Tells the same nodes what this one has under way, across each border only once.
+    pub(super) fn tell_load(&self, now: Instant, load: Load) {
+        let everyone = self.everyone();
+        if everyone.len() > EVERYONE {
+            return self.send(&self.members.targets(), &PeerMessage::Load(load));
+        }
+        let turn = spread::turn(self.start, now);
+        let routes = Routes::new(&self.me.name, &self.me.domain, everyone, turn);
+        let relayed = Relayed { origin: self.me.name.clone(), load: load.clone(), spread: true };
+        self.send(&routes.near, &PeerMessage::Load(load));
+        self.send(&routes.relays, &PeerMessage::Relayed(relayed));
+    }
+
+    /// Passes on what a node of another domain says, if this one is its relay.
+    pub(super) fn pass_on(&self, relayed: &Relayed) {
+        if relayed.spread {
+            let near = self.everyone().into_iter().filter(|peer| peer.domain == self.me.domain);
+            let near: Vec<Target> = near.map(|peer| peer.target).collect();
+            let relayed = Relayed { spread: false, ..relayed.clone() };
+            self.send(&near, &PeerMessage::Relayed(relayed));
+        }
+    }
+
     /// Tells all nodes, in a few heartbeats, that runners failed.
     pub(super) fn spread_failures(&mut self, now: Instant, runners: &[CompactString]) {
         for runner in runners {
@@ -167,13 +197,12 @@
         }
     }
 
-    fn everyone(&self) -> Vec<Target> {
+    fn everyone(&self) -> Vec<Peer> {
         let running = |state| matches!(state, NodeState::Ready | NodeState::Draining);
         let target = |node: Node| {
-            Some(Target {
-                name: node.name,
-                address: node.place.filter(|_| running(node.state))?.peer,
-            })
+            let place = node.place.filter(|_| running(node.state))?;
+            let target = Target { name: node.name, address: place.peer };
+            Some(Peer { target, domain: place.domain })
         };
         self.members.nodes().filter_map(target).collect()
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,5 +29,6 @@
 pub mod refusal;
 pub mod server;
 pub mod settings;
+pub mod spread;
 pub mod store;
 pub mod view;
--- /dev/null
+++ b/crates/relay/tests/spread.rs
@@ -0,0 +1,95 @@
+//! How far and how often a node's word of its loads goes, at a hundred nodes.
+
+use {
+    bilberryfront_decide::member::Target,
+    bilberryfront_relay::spread::{Peer, Routes, turn},
+    compact_str::{CompactString, format_compact},
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::Instant,
+};
+
+const NODES: usize = 100;
+const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
+
+fn node(index: usize) -> Peer {
+    let name = format_compact!("node-{index}");
+    let address = format_compact!("10.0.0.{index}:7200");
+    Peer { target: Target { name, address }, domain: DOMAINS[index % DOMAINS.len()].into() }
+}
+
+fn nodes() -> Vec<Peer> {
+    (0..NODES).map(node).collect()
+}
+
+fn others(me: &Peer) -> Vec<Peer> {
+    nodes().into_iter().filter(|n| n != me).collect()
+}
+
+fn routes(me: &Peer, turn: u64) -> Routes {
+    Routes::new(&me.target.name, &me.domain, others(me), turn)
+}
+
+/// What reaches whom when `me` says one thing in `turn`, without the nodes that `dead` names.
+fn heard(me: &Peer, turn: u64, dead: &[CompactString]) -> BTreeMap<CompactString, u32> {
+    let mut heard = BTreeMap::new();
+    let mut hear = |name: &CompactString| *heard.entry(name.clone()).or_insert(0) += 1;
+    let Routes { near, relays } = routes(me, turn);
+    near.iter().for_each(|t| hear(&t.name));
+    for relay in relays.iter().filter(|r| !dead.contains(&r.name)) {
+        hear(&relay.name);
+        let relay = nodes().into_iter().find(|n| n.target == *relay).unwrap();
+        routes(&relay, turn).near.iter().for_each(|t| hear(&t.name));
+    }
+    heard
+}
+
+/// Load: a hundred nodes in four domains each tell all others of every stream that they begin and end. Told
+/// to each by itself, three quarters of the messages cross a border. Now each domain's border is crossed
+/// once, and still every node hears everything, once.
+#[test]
+fn a_word_crosses_each_border_once_and_reaches_everybody() {
+    for me in nodes() {
+        assert_eq!(routes(&me, 7).relays.len(), DOMAINS.len() - 1);
+        let heard = heard(&me, 7, &[]);
+        assert_eq!(heard.len(), NODES - 1);
+        assert!(heard.values().all(|times| *times == 1), "{heard:?}");
+    }
+}
+
+/// Load: all nodes have something to say at once. One that relayed for all of them would be behind with its
+/// own callers, so each node chooses its relays apart.
+#[test]
+fn relaying_is_shared_by_all() {
+    let mut asked = BTreeMap::<CompactString, u32>::new();
+    for me in nodes() {
+        routes(&me, 3).relays.iter().for_each(|r| *asked.entry(r.name.clone()).or_default() += 1);
+    }
+    let most = asked.values().max().unwrap();
+    assert!(*most <= 12, "{most} of {NODES} nodes chose one relay");
+}
+
+/// A node dies, and for seconds nobody knows. What was to go by way of it doesn't reach its domain, and
+/// prompts would stack there. The next second's relay is another one: within four seconds every living
+/// node has heard of every other one again, while a fixed relay would leave a domain out all the time.
+#[test]
+fn a_dead_relay_costs_its_domain_a_second() {
+    let dead: Vec<CompactString> = (0..4).map(|i| node(i).target.name).collect();
+    for me in nodes().into_iter().skip(4) {
+        let mut reached: Vec<CompactString> = Vec::new();
+        for turn in 0..4 {
+            reached.extend(heard(&me, turn, &dead).into_keys());
+        }
+        let missed = others(&me).into_iter().filter(|n| !reached.contains(&n.target.name));
+        let living = missed.filter(|n| !dead.contains(&n.target.name)).count();
+        assert_eq!(living, 0, "of {}", me.target.name);
+    }
+}
+
+/// Nodes that started apart change their relays apart, once a second.
+#[test]
+fn a_turn_is_a_second() {
+    let start = Instant::now();
+    let at = |ms| turn(start, start + Duration::from_millis(ms));
+    assert_eq!([at(0), at(999), at(1_000), at(2_500)], [0, 0, 1, 2]);
+    assert_eq!(turn(start + Duration::from_secs(1), start), 0, "never before the start");
+}
