Say when a runner's own failure decides, and when an instance stopped under a request

Change: a line for each failure of a runner's, one when the last is passed on; explain names the runners and the status, and says when the instance started anew.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -8,7 +8,7 @@
         dialect::{Answer, Dialect, Identity, Order, Progress},
         fleet::{Fleet, Place, RunnerKey},
         headers,
-        lines::{ANSWER_LOST, NOT_RUN},
+        lines::{ANSWER_LOST, NOT_RUN, RUN_FAILED},
         network::Network,
         pool::{Line, SendError},
         view::Published,
@@ -141,17 +141,22 @@
     ) -> Result<(Parts, Bytes), SendError> {
         let Reply { parts, answer, body, line } = *reply;
         let read = Limited::new(body, ANSWER_BYTES).collect();
-        let error = match timeout_at(until, read).await {
+        let read = timeout_at(until, read).await;
+        let runner = self.fleet.id(key).unwrap_or_default();
+        let request = answer.id.as_deref().unwrap_or_default();
+        let error = match read {
             Ok(Ok(bytes)) => {
+                if is_failure(parts.status) {
+                    log::info!(request, runner = runner.as_str(), status = parts.status.as_u16();
+                        "{RUN_FAILED}");
+                }
                 self.fleet.keep(key, line, answer.idle);
                 return Ok((parts, bytes.to_bytes()));
             }
             Ok(Err(_)) => SendError::Broken,
             Err(_) => SendError::Silent,
         };
-        let runner = self.fleet.id(key).unwrap_or_default();
-        log::warn!(request = answer.id.as_deref().unwrap_or_default(), runner = runner.as_str();
-            "{ANSWER_LOST}{error}, within its body");
+        log::warn!(request, runner = runner.as_str(); "{ANSWER_LOST}{error}, within its body");
         Err(error)
     }
 
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -15,7 +15,7 @@
         dialect::{Dialect, Order},
         exchange::Exchange,
         fleet::{Fleet, Place, RunnerKey, Version, Wanted},
-        lines::REFUSED,
+        lines::{FAILURE_PASSED, REFUSED},
         metrics::{Metrics, Outcome},
         moves::{
             Trial,
@@ -113,13 +113,18 @@
     pub async fn serve(&self, mut call: Call) -> Response<Answer> {
         call.version = self.choose_version(&call.service);
         self.budget(&call.service, |b, now| b.request(now));
-        let (kind, start) = (call.route.kind, call.start);
+        let (kind, start, id) = (call.route.kind, call.start, call.head.id.clone());
         let response = match kind {
             Kind::Idempotent => repeat::serve(self, &call).await,
             Kind::Once => once::serve(self, &call).await,
             Kind::Resumable | Kind::StreamOnce => generation::serve(self, call).await,
         };
         let outcome = outcome(&response, &self.exchange.dialect);
+        if outcome == Outcome::Failed {
+            let waited = start.elapsed().as_millis() as u64;
+            log::info!(request = id.as_str(), status = response.status().as_u16(), waited;
+                "{FAILURE_PASSED}");
+        }
         let latency = (outcome == Outcome::Served).then(|| start.elapsed());
         self.metrics.ended(kind, outcome, latency);
         response
--- a/crates/relay/src/lines.rs
+++ b/crates/relay/src/lines.rs
@@ -14,6 +14,10 @@
 pub const ANSWER_LOST: &str = "an answer is lost: ";
 /// A runner vouched that it didn't run a request.
 pub const NOT_RUN: &str = "a runner didn't run a request";
+/// A runner ran a request and answered with a failure; another runner may be tried.
+pub const RUN_FAILED: &str = "a runner answered with a failure";
+/// No further runner is tried, and the last one's failure is this node's answer.
+pub const FAILURE_PASSED: &str = "a runner's failure is passed on";
 /// A catalogue counts from now on.
 pub const IN_FORCE: &str = "a catalogue is in force";
 /// The process listens.
@@ -24,7 +28,7 @@
 pub const RUNNER_GONE: &str = "a runner is gone";
 
 /// All of them, for the check that the operators' page tells of each.
-pub const ALL: [&str; 11] = [
+pub const ALL: [&str; 13] = [
     REFUSED,
     RUN_BEGUN,
     RUN_LOST,
@@ -32,6 +36,8 @@
     STREAM_BROKEN,
     ANSWER_LOST,
     NOT_RUN,
+    RUN_FAILED,
+    FAILURE_PASSED,
     IN_FORCE,
     SERVES,
     STORE_BACK,
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -3,8 +3,8 @@
 use {
     super::line::{Line, Logs},
     bilberryfront_relay::lines::{
-        IN_FORCE, NOT_RUN, REFUSED, RUN_BEGUN, RUN_LOST, RUNNER_GONE, STORE_BACK, STREAM_BROKEN,
-        STREAM_ENDED,
+        FAILURE_PASSED, IN_FORCE, NOT_RUN, REFUSED, RUN_BEGUN, RUN_FAILED, RUN_LOST, RUNNER_GONE,
+        SERVES, STORE_BACK, STREAM_BROKEN, STREAM_ENDED,
     },
     jiff::SignedDuration,
 };
@@ -19,6 +19,9 @@
     if let Some(line) = refused {
         return of_refusal(logs, own, line);
     }
+    if let Some(line) = own.iter().rfind(|line| line.message == FAILURE_PASSED) {
+        return of_failure(own, line);
+    }
     let broken = own.iter().any(|line| line.message.starts_with(STREAM_BROKEN));
     let ended = own.iter().any(|line| line.message == STREAM_ENDED);
     let pauses = own.iter().enumerate().filter_map(|(i, line)| pause(own, i, line));
@@ -36,7 +39,43 @@
             "Served whole; what was lost on the way went on from a copy in good time.".into()
         }
         (false, None, true) => "Served whole by its first run.".into(),
-        _ => "The lines tell of no end: the instance was killed, the caller left, or a log is missing."
+        _ => of_silence(logs, own),
+    }
+}
+
+/// Why a request ended with a runner's own failure.
+fn of_failure(own: &[&Line], passed: &Line) -> String {
+    let failed: Vec<&str> =
+        own.iter().filter(|l| l.message == RUN_FAILED).filter_map(|l| l.text("runner")).collect();
+    let runs = match failed.as_slice() {
+        [] => "a runner".to_owned(),
+        [one] => format!("runner {one}"),
+        all => format!("each of the runners {}", all.join(", ")),
+    };
+    format!(
+        "Ended with a runner's own failure, status {}: {runs} ran it and failed, and no further one was to be \
+         tried. Ask the service's own logs for the id.",
+        passed.number("status").unwrap_or_default()
+    )
+}
+
+/// What is known of a request whose lines tell of no end. An instance that loses power writes nothing, but
+/// says so when it has started again.
+fn of_silence(logs: &Logs, own: &[&Line]) -> String {
+    let last = own[own.len() - 1];
+    let start = logs
+        .lines
+        .iter()
+        .find(|line| line.node == last.node && line.order > last.order && line.message == SERVES);
+    match start {
+        Some(start) => format!(
+            "The lines tell of no end, and {} started anew {} ms after the last of them: unless the caller \
+             left before, the request ended with the process. The caller has what came until then and may \
+             come back under another id.",
+            last.node,
+            start.order.duration_since(last.order).as_millis()
+        ),
+        None => "The lines tell of no end: the instance was killed, the caller left, or a log is missing."
             .into(),
     }
 }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -50,6 +50,19 @@
         line(5_000, "refused: Lost", json!({"request": "call", "waited": 18, "ready": 4})),
         line(6_000, "refused: NotRun { retry: 300ms }", json!({"request": "full", "ready": 0})),
         in_force(7_000, 9),
+        line(
+            7_100,
+            lines::RUN_FAILED,
+            json!({"request": "failing", "runner": "p1", "status": 500}),
+        ),
+        line(
+            7_130,
+            lines::RUN_FAILED,
+            json!({"request": "failing", "runner": "p2", "status": 500}),
+        ),
+        line(7_131, lines::FAILURE_PASSED, json!({"request": "failing", "status": 500})),
+        begun(9_000, "cut-short", false),
+        line(10_500, lines::SERVES, json!({"name": "n1"})),
     ];
     let second = [
         line(0, lines::SERVES, json!({"name": "n2"})),
@@ -82,6 +95,8 @@
         ("full", "no runner of the service was listed"),
         ("denied", "while n1 had catalogue 9 for 1000 ms: the instance was behind"),
         ("unknown-key", "the newest that any of these instances had"),
+        ("failing", "status 500: each of the runners p1, p2 ran it and failed"),
+        ("cut-short", "n1 started anew 1500 ms after"),
         ("e1", "2 were lost, 0 requests it didn't run. Its entry was removed."),
         ("9", "came into force at n1 first"),
     ] {
