Keep a request for the moment that a starting node needs

Change: an instance that has just started keeps a request until it knows the catalogue and the runners, 300 ms or an eighth of the caller's patience at most. Where the store is known to be away it says so at once, as before.

Test: a_request_at_a_node_that_starts_is_kept_until_it_knows_the_catalogue.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -374,6 +374,7 @@
         self.published.store(View {
             catalog: self.catalog.clone(),
             runners: self.listing.runners(),
+            listed: self.listing.is_known(),
             nodes: self.nodes.clone(),
             splits: self.splits.clone(),
             cut_off: self.cut_off,
--- a/crates/relay/src/face.rs
+++ b/crates/relay/src/face.rs
@@ -19,7 +19,7 @@
     hyper::body::Incoming,
     rand::Rng,
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::Instant,
+    tokio::time::{Instant, sleep},
 };
 
 /// How long callers may keep an address answer: short, since a node that is killed stands in the
@@ -29,6 +29,14 @@
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Most addresses in an answer.
 const ADDRESSES: usize = 64;
+/// Longest time for which a node that has just started keeps a request until it knows the catalogue and the
+/// runners. After all nodes were killed callers are there again with the first of them, and most have one
+/// try left: refused in the hundredths of a second until the store has answered, they are lost.
+const STARTING_WAIT: Duration = Duration::from_millis(300);
+/// Part of the caller's patience up to which that may last.
+const STARTING_SHARE: f64 = 0.125;
+/// Time between two looks meanwhile.
+const STARTING_TICK: Duration = Duration::from_millis(5);
 /// When to come back to a node that has just started: it has a catalogue within half a second.
 const STARTING_RETRY: Duration = Duration::from_millis(500);
 /// When to come back to a node that started while the store is away. An outage lasts seconds; a caller
@@ -55,6 +63,9 @@
         let start = Instant::now();
         let _open = self.traffic.opened();
         let (parts, body) = request.into_parts();
+        if !self.has_started() {
+            self.start(&parts, start).await;
+        }
         let mut response = match self.admit(&parts, start) {
             Ok(admitted) => self.take(parts, body, admitted, start).await,
             Err((refusal, id)) => self.refuse(refusal, id.as_deref()),
@@ -96,6 +107,22 @@
         self.traffic.published.load().catalog.is_some() && !self.leaving.is_leaving()
     }
 
+    /// Whether this node knows enough to judge a request, or can't learn it now.
+    fn has_started(&self) -> bool {
+        let view = self.traffic.published.load();
+        view.cut_off || (view.catalog.is_some() && self.traffic.exchange.fleet.is_known())
+    }
+
+    /// Keeps a request until this node has started, for a short while at most.
+    async fn start(&self, parts: &Parts, start: Instant) {
+        let patience = self.dialect().head(parts).ok().and_then(|head| head.patience);
+        let share = patience.map_or(STARTING_WAIT, |patience| patience.mul_f64(STARTING_SHARE));
+        let end = start + share.min(STARTING_WAIT);
+        while !self.has_started() && Instant::now() < end {
+            sleep(STARTING_TICK).await;
+        }
+    }
+
     fn addresses(&self) -> Response<Answer> {
         let view = self.traffic.published.load();
         let mut nodes: Vec<SocketAddr> = view.nodes.iter().map(address).collect();
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -45,6 +45,8 @@
 
 #[derive(Default)]
 struct Inner {
+    /// Whether registrations were ever taken over.
+    known: bool,
     runners: SlotMap<RunnerKey, Runner>,
     by_id: FxHashMap<CompactString, RunnerKey>,
     services: FxHashMap<CompactString, Vec<RunnerKey>>,
@@ -124,6 +126,7 @@
     /// connections; what still runs there goes on.
     pub fn update(&self, registrations: &[Registration]) {
         let inner = &mut *self.inner.borrow_mut();
+        inner.known = true;
         let listed: FxHashSet<&str> = registrations.iter().map(|r| r.id.as_str()).collect();
         let gone: Vec<CompactString> =
             inner.by_id.keys().filter(|id| !listed.contains(id.as_str())).cloned().collect();
@@ -140,6 +143,11 @@
         }
     }
 
+    /// Whether this node has learned which runners there are.
+    pub fn is_known(&self) -> bool {
+        self.inner.borrow().known
+    }
+
     /// An idle connection to a runner.
     pub fn idle(&self, key: RunnerKey, now: Instant) -> Option<Line> {
         self.inner.borrow_mut().runners.get_mut(key)?.pool.take(now)
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -143,7 +143,10 @@
 async fn take_runners<D: Dialect>(traffic: Traffic<D, Tcp>) {
     let mut signal = traffic.published.watch();
     loop {
-        traffic.exchange.fleet.update(&traffic.published.load().runners);
+        let view = traffic.published.load();
+        if view.listed {
+            traffic.exchange.fleet.update(&view.runners);
+        }
         if signal.changed().await.is_err() {
             return;
         }
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -89,6 +89,8 @@
     pub catalog: Option<Arc<Catalog>>,
     /// Runners by registration.
     pub runners: Arc<Vec<Registration>>,
+    /// Whether the runners were ever learned.
+    pub listed: bool,
     /// Nodes that callers may be told of, this one included.
     pub nodes: Arc<Vec<NodeAddress>>,
     /// How requests are split, for services with a version move.
--- a/tests/relay/faces.rs
+++ b/tests/relay/faces.rs
@@ -17,7 +17,10 @@
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     std::time::Duration,
-    tokio::sync::watch,
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep},
+    },
 };
 
 /// Bytes that a connection in memory holds each way.
@@ -92,6 +95,34 @@
     .await;
 }
 
+/// Load: all nodes were killed, and callers are there again as soon as one of them listens, tens of
+/// milliseconds before the store has told it the catalogue and the runners. Refused then, callers have used
+/// up their last try. Their requests are kept for that moment and served; where nothing comes they are told
+/// when to come back while there is time.
+#[tokio::test(start_paused = true)]
+async fn a_request_at_a_node_that_starts_is_kept_until_it_knows_the_catalogue() {
+    play(async {
+        let world = World::new(PLAIN, &["a"], &Script::Whole(200, "yes"));
+        let published: &Published = &world.traffic.published;
+        published.store(View::default());
+        let node = Node::new(world.traffic.clone());
+        let mut caller = node.connect(Purpose::Requests).await;
+        let learns = async {
+            sleep(ms(40)).await;
+            world.publish();
+        };
+        let asked = Instant::now();
+        let (response, ()) = tokio::join!(caller.get("/look/1"), learns);
+        assert_eq!(response.status(), 200);
+        assert!(asked.elapsed() < ms(100), "{:?}", asked.elapsed());
+        published.store(View::default());
+        let asked = Instant::now();
+        assert_eq!(caller.get("/look/1").await.status(), 503);
+        assert!(asked.elapsed() <= ms(310), "{:?}", asked.elapsed());
+    })
+    .await;
+}
+
 /// What no route begins is 404; answers echo the attempt's id.
 #[tokio::test(start_paused = true)]
 async fn refusals_say_why() {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -399,6 +399,7 @@
         self.traffic.published.store(View {
             catalog: Some(Arc::new(catalog())),
             runners: Arc::new(runners),
+            listed: true,
             nodes: Arc::new(vec![node("n1", 1), node("n2", 2)]),
             splits: Splits::default(),
             cut_off: false,
