Break the circles of imports in the decision core, move tuning stories out of comments

core and fleet shared Place, record and schedule shared Share and Millis, next, track and ask used each other: Place, the units and the question under way have files of their own now, and what a track asks of the table stands beside the track. No behaviour changes; names are the same.

--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -9,9 +9,9 @@
         fleet::Fleet,
         id::{AccountKey, EntryKey, Revision, RunnerKey, Ticket},
         limits::{Limits, Scope},
+        place::Place,
     },
     bilberryfront_wire::instance::Instance,
-    compact_str::CompactString,
     rustc_hash::FxHashMap,
     slotmap::SecondaryMap,
     std::{sync::Arc, time::Duration},
@@ -24,15 +24,6 @@
 /// Longest time between two ticks.
 pub const TICK: Duration = Duration::from_millis(50);
 
-/// Where a node stands.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Place {
-    /// Region; the instance list names none, so routing goes by the domain alone.
-    pub region: CompactString,
-    /// Failure domain, named as in the instance list.
-    pub domain: CompactString,
-}
-
 /// All control state of a node.
 #[derive(Debug)]
 pub struct Core {
--- a/crates/decide/src/fleet.rs
+++ b/crates/decide/src/fleet.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        core::Place,
         event::{Done, Verdict},
         id::{PoolKey, RunnerKey, Ticket},
+        place::Place,
         route::{Pool, Runners, View, Want, name_hash},
         runner::{Runner, RunnerChart, chart},
     },
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,12 +19,9 @@
 mod load;
 pub mod member;
 pub mod mover;
+pub mod place;
 mod queue;
 mod route;
 mod runner;
 
-pub use crate::{
-    action::Action,
-    core::{Core, Place},
-    event::Event,
-};
+pub use crate::{action::Action, core::Core, event::Event, place::Place};
--- a/crates/decide/src/mover.rs
+++ b/crates/decide/src/mover.rs
@@ -3,6 +3,8 @@
 //! One [`Mover`] at each node, without clock, socket or randomness of its own. Raising the share needs
 //! the entry's lease and a commit of the table; lowering needs neither. See `docs/design/moves.md`.
 
+mod ask;
+mod asked;
 pub mod evidence;
 pub mod lease;
 pub mod news;
@@ -13,17 +15,19 @@
 pub mod standing;
 mod status;
 mod track;
+mod units;
 pub mod verdict;
 
 pub use {
     evidence::Sample,
     news::PeerNews,
     next::{Next, Waiting},
-    record::{Millis, Move, MoveId, MoveRow, Share},
+    record::{Move, MoveId, MoveRow},
     schedule::{Late, Weights},
     split::{Choice, Split},
     standing::{Cause, Standing, Verdict},
     status::{RouteStatus, Side, Status},
+    units::{Millis, Share},
 };
 
 use {
--- a/crates/decide/src/mover/track/ask.rs
+++ b/crates/decide/src/mover/ask.rs
@@ -1,13 +1,14 @@
 //! What a track asks of the table, and what the answers mean.
 
 use {
-    super::Track,
-    crate::mover::{
+    super::{
         Output, Table,
-        lease::LeaseRow,
+        asked::{Asked, Sent},
         next::{Next, Pace, Waiting, next},
-        record::{Millis, MoveRow, lease_key, move_key},
+        record::{MoveRow, lease_key, move_key},
         standing::Standing,
+        track::Track,
+        units::Millis,
     },
     bilberryfront_wire::table::{Commit, Committed, Read, Row, Rows, Write, Written},
     compact_str::CompactString,
@@ -20,20 +21,6 @@
 const POLL: Duration = Duration::from_millis(750);
 /// Time between two reads while none is.
 const IDLE_POLL: Duration = Duration::from_secs(5);
-/// A commit of ours that is on its way.
-#[derive(Clone, Debug)]
-struct Sent {
-    row: Option<MoveRow>,
-    lease: Option<LeaseRow>,
-}
-
-/// The one question to the table that is on its way.
-#[derive(Clone, Debug)]
-pub(super) struct Asked {
-    number: u64,
-    pub(super) at: Instant,
-    sent: Option<Sent>,
-}
 
 impl Track {
     pub(super) fn ask(&mut self, now: Instant, table: &mut Table, out: &mut Vec<Output>) {
@@ -123,16 +110,11 @@
     }
 
     /// Whether the answer with this number is awaited.
-    pub(in crate::mover) fn awaits(&self, number: u64) -> bool {
+    pub(super) fn awaits(&self, number: u64) -> bool {
         self.asked.as_ref().is_some_and(|a| a.number == number)
     }
 
-    pub(in crate::mover) fn committed(
-        &mut self,
-        now: Instant,
-        wall: Millis,
-        answer: Option<&Committed>,
-    ) {
+    pub(super) fn committed(&mut self, now: Instant, wall: Millis, answer: Option<&Committed>) {
         let Some(Asked { at, sent: Some(sent), .. }) = self.asked.take() else { return };
         let done =
             answer.and_then(|a| a.results.iter().map(revision).collect::<Option<Vec<u64>>>());
@@ -156,7 +138,7 @@
 
     /// Takes the move's row from an answer that was given up on. It may hold a verdict; a table that
     /// is slow for long would else never tell one. It counts as no fresh word.
-    pub(in crate::mover) fn late_rows(&mut self, now: Instant, wall: Millis, rows: &Rows) {
+    pub(super) fn late_rows(&mut self, now: Instant, wall: Millis, rows: &Rows) {
         let key = move_key(&self.entry);
         let Some(row) = rows.rows.iter().find(|r| r.key == key) else { return };
         if let Ok(moved) = MoveRow::parse(&row.value) {
@@ -165,7 +147,7 @@
     }
 
     /// Takes the rows as read; `rows` is `None` when the answer was lost.
-    pub(in crate::mover) fn rows(&mut self, now: Instant, wall: Millis, rows: Option<&Rows>) {
+    pub(super) fn rows(&mut self, now: Instant, wall: Millis, rows: Option<&Rows>) {
         let Some(Asked { at, .. }) = self.asked.take() else { return };
         let Some(rows) = rows else { return };
         let find = |key: CompactString| rows.rows.iter().find(|r| r.key == key);
--- a/crates/decide/src/mover/next.rs
+++ b/crates/decide/src/mover/next.rs
@@ -2,10 +2,10 @@
 
 use {
     super::{
-        record::{Millis, Share},
         schedule::{MIN_HOLD, MIN_SOAK, rest},
         standing::Standing,
         track::Track,
+        units::{Millis, Share},
     },
     compact_str::CompactString,
     serde::{Deserialize, Serialize},
--- a/crates/decide/src/mover/record.rs
+++ b/crates/decide/src/mover/record.rs
@@ -4,6 +4,7 @@
     super::{
         schedule::{Step, Weights},
         standing::Standing,
+        units::{Millis, Share},
     },
     compact_str::{CompactString, format_compact},
     serde::{Deserialize, Serialize},
@@ -12,10 +13,6 @@
 /// A result whose error is a [`RowError`].
 pub type Result<T> = std::result::Result<T, RowError>;
 
-/// Wall-clock time in milliseconds since the Unix epoch. Only deadlines use it: a clock that is wrong
-/// shifts a schedule, never a lease.
-pub type Millis = u64;
-
 /// Most bytes of a row that is looked at.
 pub const ROW_BYTES: usize = 8_192;
 /// Most steps of a move.
@@ -26,28 +23,6 @@
 #[derive(Deserialize, Serialize)]
 pub struct MoveId(pub u64);
 
-/// A part of the requests, in ten-thousandths.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-#[derive(Deserialize, Serialize)]
-pub struct Share(pub u16);
-
-impl Share {
-    /// No request.
-    pub const NONE: Share = Share(0);
-    /// Every request.
-    pub const ALL: Share = Share(10_000);
-
-    /// As a fraction from 0 to 1.
-    pub fn fraction(self) -> f64 {
-        f64::from(self.0) / f64::from(Share::ALL.0)
-    }
-
-    /// Whether a request with this hash is in the share. A request in a share is in every larger one.
-    pub fn holds(self, hash: u64) -> bool {
-        hash % u64::from(Share::ALL.0) < u64::from(self.0)
-    }
-}
-
 /// A move as its operator asked for it and as it was planned at its start.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
--- a/crates/decide/src/mover/schedule.rs
+++ b/crates/decide/src/mover/schedule.rs
@@ -1,7 +1,7 @@
 //! When a move takes its steps, worked out backwards from the deadline.
 
 use {
-    super::record::{Millis, Share},
+    super::units::{Millis, Share},
     serde::{Deserialize, Serialize},
     std::time::Duration,
 };
--- a/crates/decide/src/mover/split.rs
+++ b/crates/decide/src/mover/split.rs
@@ -1,7 +1,7 @@
 //! The request path's view of a move: small, copied out, and good for a short time only.
 
 use {
-    super::record::{MoveId, Share},
+    super::{record::MoveId, units::Share},
     compact_str::CompactString,
     tokio::time::Instant,
 };
--- a/crates/decide/src/mover/status.rs
+++ b/crates/decide/src/mover/status.rs
@@ -4,9 +4,10 @@
     super::{
         evidence::{Counts, METRICS},
         next::{Next, Pace, Waiting, next},
-        record::{Millis, Move, Share},
+        record::Move,
         standing::Standing,
         track::Track,
+        units::{Millis, Share},
     },
     crate::id::Incarnation,
     compact_str::CompactString,
--- a/crates/decide/src/mover/track.rs
+++ b/crates/decide/src/mover/track.rs
@@ -1,20 +1,19 @@
 //! One entry's move as one node sees it.
 
-mod ask;
-
 use {
     super::{
         MoveError, Output, Table,
+        asked::Asked,
         evidence::{Collector, Counts, Pool, Sample},
         lease::Lease,
         news::{Freshness, PeerNews, TELL, Verdicts},
-        record::{Millis, MoveId, MoveRow, Share},
+        record::{MoveId, MoveRow},
         split::Split,
         standing::{Cause, Standing, Verdict},
+        units::{Millis, Share},
         verdict::Judge,
     },
     crate::id::Incarnation,
-    ask::Asked,
     compact_str::CompactString,
     std::{collections::BTreeMap, time::Duration},
     tokio::time::Instant,
@@ -58,8 +57,8 @@
     pub(super) routes: BTreeMap<CompactString, Counts>,
     collector: Collector,
     verdicts: Verdicts,
-    asked: Option<Asked>,
-    poll_at: Instant,
+    pub(super) asked: Option<Asked>,
+    pub(super) poll_at: Instant,
     look_at: Instant,
     tell_at: Instant,
     told: u64,
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -60,8 +60,8 @@
 /// Longest wait of a question for news of nodes: their heartbeats tell all that is urgent.
 const NODES_WAIT: Duration = Duration::from_secs(30);
 /// Time between two questions for news of nodes. When all start together each of them registers, and asked
-/// at once after each answer every node would fetch every other's row by itself: a fifth of the store's
-/// calls of 77 nodes in their first minute. Those who matter are heard of by their heartbeats sooner.
+/// at once after each answer every node would fetch every other's row by itself. Those who matter are heard
+/// of by their heartbeats sooner.
 const NODES_EVERY: Duration = Duration::from_secs(2);
 /// Part of the time in which a leaving runner must get nothing new that passes between two questions for
 /// news of runners. They report every second or so, and each question costs as much as a call that is
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -27,9 +27,8 @@
     tokio::{sync::mpsc, time::Instant},
 };
 
-/// Most nodes that are told at once what this one knows of runners. At a hundred nodes and forty streams a
-/// second each gets some hundred messages a second (computed); beyond, nodes have so
-/// few requests each that their own choices seldom meet, and word of failures goes with the heartbeats.
+/// Most nodes that are told at once what this one knows of runners. Beyond, nodes have so few requests each
+/// that their own choices seldom meet, and word of failures goes with the heartbeats.
 const EVERYONE: usize = 100;
 /// Start of the URLs under which the membership knows the callers' addresses.
 const SCHEME: &str = "http://";
--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -18,12 +18,10 @@
 /// Weight of a token of memory beyond that: at the end a run is preempted, and its prompt read again.
 const SHORT_WEIGHT: f64 = 1.0;
 /// Prompt tokens that a running request counts for. While a prompt is read, every stream of its runner
-/// slows to a fifth: with this weight instead of a twentieth of it, half of the events of a full system
-/// come 3 ms sooner (36 instead of 39 with 9 streams a second on 36 runners, one run each).
+/// slows to a fraction of its pace.
 const RUNNING_WEIGHT: f64 = 2_000.0;
-/// Runners at which a prompt is at home. Whoever looks for its cache asks them all, which costs a
-/// sixtieth of a stream that is late for want of it. After all instances were killed, 6 of 161 looks
-/// found nothing with 24 homes, and 43 of 159 with 8 and copies kept anywhere (four days each).
+/// Runners at which a prompt is at home. Whoever looks for its cache asks them all; with few of them, runs and
+/// copies often stand elsewhere, and a caller who comes back has its prompt read again.
 const HOMES: usize = 24;
 /// Bonus of such a runner over all others, in prompt tokens: what two running streams count for, so
 /// that a prompt is rarely read where nobody would look for it.
--- a/crates/relay/src/flow/generation/place.rs
+++ b/crates/relay/src/flow/generation/place.rs
@@ -52,8 +52,8 @@
     }
 
     /// Where the run's memory is copied to: another failure domain, since one mostly goes down as a
-    /// whole. A copy costs a two-hundredth of a stream that is late for want of it. Its holder is one of
-    /// the prompt's homes: a stream that went on there is found again when this node is lost too.
+    /// whole. Its holder is one of the prompt's homes: a stream that went on there is found again when this
+    /// node is lost too.
     pub(super) fn choose_backup(&self, place: &Place) -> Option<Place> {
         if !self.is_resumable() || !self.traffic.engine(&self.call)?.backups {
             return None;
--- a/crates/relay/src/loads.rs
+++ b/crates/relay/src/loads.rs
@@ -2,9 +2,8 @@
 //! hearing the same of them.
 //!
 //! Nodes that choose runners without a word choose the same one now and then, and a prompt that waits
-//! behind another's doubles the time to its first event. A message to each node, a millisecond after
-//! each choice, costs less than a thousandth of what it saves. A node that hears of a failure doesn't
-//! have to lose a request of its own to learn of it.
+//! behind another's doubles the time to its first event. A node that hears of a failure doesn't have to
+//! lose a request of its own to learn of it.
 
 use {
     crate::{fleet::Fleet, moves::Trial},
--- a/crates/scenarios/src/node.rs
+++ b/crates/scenarios/src/node.rs
@@ -23,7 +23,7 @@
         traffic::services::Services,
     },
     bilberryfront_decide::{
-        Core, Event, core,
+        Core, Event, Place,
         id::Incarnation,
         member::{Drain, Me, Members, message},
         mover::Mover,
@@ -176,8 +176,8 @@
     }
 }
 
-fn place() -> core::Place {
-    core::Place { region: "region".into(), domain: "domain-1".into() }
+fn place() -> Place {
+    Place { region: "region".into(), domain: "domain-1".into() }
 }
 
 fn me(name: &str, seed: u64) -> Me {
--- a/src/node/control_thread.rs
+++ b/src/node/control_thread.rs
@@ -12,12 +12,13 @@
         settings::Settings,
     },
     bilberryfront_decide::{
-        Core, core,
+        Core,
         member::{
             Drain, Members,
             message::{Life, Place},
         },
         mover::Mover,
+        place,
     },
     compact_str::format_compact,
     std::{
@@ -97,7 +98,7 @@
     tokio::spawn(task.run(inbox.moves));
     let membership = membership(&parts, net, address);
     tokio::spawn(membership.run(received, listed));
-    let place = core::Place { region: settings.region.clone(), domain: settings.domain.clone() };
+    let place = place::Place { region: settings.region.clone(), domain: settings.domain.clone() };
     let core = Core::new(rand::random(), place);
     control::drive(core, inbox.events, published.clone()).await;
 }
