Count bytes by what they carry and whether they cross a border, and the store's questions by what they told

Operators pay bytes between failure domains and calls to the store; neither could be seen. Three counters: bodies exchanged with runners (requests, answers, events; own domain or another), messages to other instances by what they are about, questions for news by table and by whether they told any.

Test: the real program's metrics address shows each (tests/relay_process.rs).

--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -146,7 +146,7 @@
 
 impl Peers for PeerNet {
     fn send(&self, to: &[Target], message: &PeerMessage) -> Result<()> {
-        PeerNet::send(self, to, message)
+        PeerNet::send(self, to, message).map(|_| ())
     }
 
     async fn close(&self) {
@@ -198,17 +198,18 @@
         self.shared.endpoint.local_addr()
     }
 
-    /// Queues a message for each target and returns at once. The queues are bounded; of several
-    /// heartbeats that wait for one node only the last is kept.
-    pub fn send(&self, to: &[Target], message: &PeerMessage) -> Result<()> {
+    /// Queues a message for each target and returns at once with its size in bytes. The queues are bounded;
+    /// of several heartbeats that wait for one node only the last is kept.
+    pub fn send(&self, to: &[Target], message: &PeerMessage) -> Result<usize> {
         let frame = codec::encode(&self.shared.name, message)?;
+        let bytes = frame.bytes.len();
         for target in to {
             match target.address.parse() {
                 Ok(address) => self.shared.push(target, address, message, frame.clone()),
                 Err(_) => count(&self.shared.counters.refused),
             }
         }
-        Ok(())
+        Ok(bytes)
     }
 
     /// What has been counted since the start.
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -128,8 +128,9 @@
     let returns = watch::Sender::new(0);
     let follow = |table, every, wait: &Rc<Cell<Duration>>| {
         let (store, returns, wait) = (store.clone(), returns.clone(), wait.clone());
+        let metrics = ends.metrics.clone();
         let pause = if table == R::ORDERS { PROBE_PAUSE } else { REST_PAUSE };
-        let follower = Follower { store, table, every, wait, pause, returns };
+        let follower = Follower { store, table, every, wait, pause, returns, metrics };
         tokio::task::spawn_local(follower.run(sender.clone()));
     };
     let fixed = |wait| Rc::new(Cell::new(wait));
@@ -139,7 +140,12 @@
     follow(NODES, NODES_EVERY, &fixed(NODES_WAIT));
     follow(R::STATUS, Duration::ZERO, &fixed(NODES_WAIT));
     let (arrived, joined) = mpsc::channel(1);
-    tokio::task::spawn_local(join::join(settings.clone(), store.clone(), arrived));
+    tokio::task::spawn_local(join::join(
+        settings.clone(),
+        store.clone(),
+        ends.metrics.clone(),
+        arrived,
+    ));
     let control = Control {
         records,
         published,
--- a/crates/relay/src/control/follow.rs
+++ b/crates/relay/src/control/follow.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         lines::STORE_BACK,
+        metrics::{Heard, Metrics},
         store::{Result, Revision, Rows, Store, StoreError},
     },
     rand::Rng,
@@ -63,6 +64,8 @@
     pub pause: Duration,
     /// How often the store has come back, as seen by all followers together.
     pub returns: watch::Sender<u32>,
+    /// What is counted.
+    pub metrics: Metrics,
 }
 
 impl<S: Store> Follower<S> {
@@ -73,6 +76,7 @@
         loop {
             let asked = Instant::now();
             let Some(answer) = self.ask_unless_stale(revision, failures).await else { continue };
+            self.metrics.asked(self.table, heard(&answer));
             let mut changes = Vec::new();
             if answer.is_ok() && failures > 0 {
                 log::info!(table = self.table; "{STORE_BACK}");
@@ -151,6 +155,14 @@
     }
 }
 
+fn heard(answer: &Result<Rows>) -> Heard {
+    match answer {
+        Ok(rows) if rows.rows.is_empty() => Heard::Nothing,
+        Ok(_) => Heard::News,
+        Err(_) => Heard::Failed,
+    }
+}
+
 /// With jitter: nodes that lost the store together mustn't ask it again all at once.
 fn backoff(failures: u32, most: Duration) -> Duration {
     let pause = BACKOFF_LEAST * 2u32.saturating_pow(failures.min(8) - 1);
--- a/crates/relay/src/control/join.rs
+++ b/crates/relay/src/control/join.rs
@@ -3,6 +3,7 @@
 use {
     super::{NODES, REGISTER_RETRY, authority, members},
     crate::{
+        metrics::Metrics,
         settings::Settings,
         store::{Store, Write},
         view::NodeAddress,
@@ -14,10 +15,11 @@
 pub(super) async fn join<S: Store>(
     settings: Settings,
     store: S,
+    metrics: Metrics,
     arrived: mpsc::Sender<members::Joined>,
 ) {
     let authority = authority::get(&store).await;
-    let joined = match members::listen(&settings, &authority) {
+    let joined = match members::listen(&settings, &authority, metrics) {
         Ok(joined) => joined,
         Err(error) => return log::error!("this node can't talk to others: {error}"),
     };
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -3,6 +3,7 @@
 use {
     super::authority::Authority,
     crate::{
+        metrics::Metrics,
         settings::Settings,
         spread::{self, Peer, Routes},
         store::{Revision, Row, Rows},
@@ -46,11 +47,16 @@
     me: NodeAddress,
     listed: BTreeMap<CompactString, NodeAddress>,
     start: Instant,
+    metrics: Metrics,
     leaving: bool,
 }
 
 /// Listens for other nodes with a certificate of the authority.
-pub(super) fn listen(settings: &Settings, authority: &Authority) -> Result<Joined, PeerError> {
+pub(super) fn listen(
+    settings: &Settings,
+    authority: &Authority,
+    metrics: Metrics,
+) -> Result<Joined, PeerError> {
     let me = NodeAddress {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
@@ -71,7 +77,7 @@
     let start = Instant::now();
     let members = Members::new(rand::random(), start, named);
     let listed = BTreeMap::new();
-    let membership = Membership { members, net, me, listed, start, leaving: false };
+    let membership = Membership { members, net, me, listed, start, metrics, leaving: false };
     Ok(Joined { membership, events })
 }
 
@@ -239,8 +245,9 @@
     }
 
     fn send(&self, to: &[Target], message: &PeerMessage) {
-        if let Err(error) = self.net.send(to, message) {
-            log::warn!("a message to peers can't be sent: {error}");
+        match self.net.send(to, message) {
+            Ok(bytes) => self.metrics.told(message, bytes * to.len()),
+            Err(error) => log::warn!("a message to peers can't be sent: {error}"),
         }
     }
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,9 +6,10 @@
     crate::{
         call::Call,
         dialect::{Answer, Dialect, Identity, Order, Progress},
-        fleet::{Fleet, Place, RunnerKey},
+        fleet::{Fleet, Place},
         headers,
         lines::{ANSWER_LOST, NOT_RUN, RUN_FAILED},
+        metrics::{Metrics, Part},
         network::Network,
         pool::{Line, SendError},
         view::Published,
@@ -85,6 +86,8 @@
     pub fleet: Fleet,
     /// What the control thread has published.
     pub published: Published,
+    /// What is counted.
+    pub metrics: Metrics,
 }
 
 impl<D: Dialect, N: Network> Exchange<D, N> {
@@ -107,6 +110,7 @@
                 return Sent::Lost(error);
             }
         };
+        self.carried(Part::Request, place, call.body.len());
         let (mut parts, body) = response.into_parts();
         let answer = self.dialect.answer(&parts);
         if answer.unrun {
@@ -136,30 +140,37 @@
     pub async fn whole(
         &self,
         reply: Box<Reply>,
-        key: RunnerKey,
+        place: &Place,
         until: Instant,
     ) -> Result<(Parts, Bytes), SendError> {
         let Reply { parts, answer, body, line } = *reply;
         let read = Limited::new(body, ANSWER_BYTES).collect();
         let read = timeout_at(until, read).await;
-        let runner = self.fleet.id(key).unwrap_or_default();
+        let runner = place.id.as_str();
         let request = answer.id.as_deref().unwrap_or_default();
         let error = match read {
             Ok(Ok(bytes)) => {
+                let bytes = bytes.to_bytes();
+                self.carried(Part::Answer, place, bytes.len());
                 if is_failure(parts.status) {
-                    log::info!(request, runner = runner.as_str(), status = parts.status.as_u16();
+                    log::info!(request, runner, status = parts.status.as_u16();
                         "{RUN_FAILED}");
                 }
-                self.fleet.keep(key, line, answer.idle);
-                return Ok((parts, bytes.to_bytes()));
+                self.fleet.keep(place.key, line, answer.idle);
+                return Ok((parts, bytes));
             }
             Ok(Err(_)) => SendError::Broken,
             Err(_) => SendError::Silent,
         };
-        log::warn!(request, runner = runner.as_str(); "{ANSWER_LOST}{error}, within its body");
+        log::warn!(request, runner; "{ANSWER_LOST}{error}, within its body");
         Err(error)
     }
 
+    /// Counts a body, or a part of one.
+    pub fn carried(&self, part: Part, place: &Place, bytes: usize) {
+        self.metrics.carried(part, self.fleet.is_far(&place.domain), bytes);
+    }
+
     /// Returns when a stream whose first event is awaited is better sent elsewhere: its runner doesn't
     /// answer questions, or says that it has made events which never came.
     ///
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -148,6 +148,11 @@
         self.inner.borrow().known
     }
 
+    /// Whether what goes to a failure domain crosses a border.
+    pub fn is_far(&self, domain: &CompactString) -> bool {
+        self.inner.borrow().domain != *domain
+    }
+
     /// An idle connection to a runner.
     pub fn idle(&self, key: RunnerKey, now: Instant) -> Option<Line> {
         self.inner.borrow_mut().runners.get_mut(key)?.pool.take(now)
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -90,8 +90,10 @@
         allowance: Allowance,
         bound: Bound,
     ) -> Traffic<D, N> {
+        let metrics = Metrics::default();
         Traffic {
             exchange: Exchange {
+                metrics: metrics.clone(),
                 dialect,
                 network,
                 fleet: Fleet::default(),
@@ -99,7 +101,7 @@
             },
             published,
             open: Rc::default(),
-            metrics: Metrics::default(),
+            metrics,
             trials: None,
             budgets: Rc::default(),
             given: Rc::default(),
@@ -109,6 +111,12 @@
         }
     }
 
+    /// Counts in these metrics from now on.
+    pub fn set_metrics(&mut self, metrics: &Metrics) {
+        self.exchange.metrics = metrics.clone();
+        self.metrics = metrics.clone();
+    }
+
     /// Sees a request through.
     pub async fn serve(&self, mut call: Call) -> Response<Answer> {
         call.version = self.choose_version(&call.service);
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -19,7 +19,7 @@
         exchange::{Sent, is_failure},
         fleet::{Load, Place, RunnerKey},
         lines::{RUN_BEGUN, RUN_LOST, STREAM_BROKEN, STREAM_ENDED},
-        metrics::{Outcome, Resume},
+        metrics::{Outcome, Part, Resume},
         network::Network,
         pool::SendError,
         refusal::Refusal,
@@ -178,6 +178,8 @@
         loop {
             match next {
                 Ok(event) => {
+                    let bytes = event.bytes.len();
+                    self.traffic.exchange.carried(Part::Events, run.place(), bytes);
                     if !self.pass(&feed, event).await {
                         return;
                     }
@@ -249,7 +251,7 @@
         let send = async {
             let reply = match self.traffic.exchange.send(&self.call, place, &order, end).await {
                 Sent::Answered(reply) if is_failure(reply.parts.status) => {
-                    return match self.traffic.exchange.whole(reply, place.key, end).await {
+                    return match self.traffic.exchange.whole(reply, place, end).await {
                         Ok((parts, bytes)) => Tried::Failure(parts, bytes),
                         Err(error) => Tried::Lost(error),
                     };
--- a/crates/relay/src/flow/once.rs
+++ b/crates/relay/src/flow/once.rs
@@ -38,7 +38,7 @@
         let key = place.key;
         match traffic.exchange.send(call, &place, &order(call, &place), until).await {
             Sent::Answered(reply) => {
-                return match traffic.exchange.whole(reply, key, until).await {
+                return match traffic.exchange.whole(reply, &place, until).await {
                     Ok((parts, bytes)) => {
                         traffic.judge(call, key, ended(call, !is_failure(parts.status)));
                         Response::from_parts(parts, bytes.into())
--- a/crates/relay/src/flow/repeat.rs
+++ b/crates/relay/src/flow/repeat.rs
@@ -7,7 +7,7 @@
         call::Call,
         dialect::Dialect,
         exchange::{Sent, is_failure},
-        fleet::RunnerKey,
+        fleet::{Place, RunnerKey},
         network::Network,
         pool::SendError,
         refusal::Refusal,
@@ -53,7 +53,7 @@
         let _lease = traffic.exchange.fleet.call(place.clone());
         progress.tried.push(place.key);
         let sent = traffic.exchange.send(call, &place, &order(call, &place), until).await;
-        let answer = take(traffic, &mut progress, sent, place.key, until).await;
+        let answer = take(traffic, &mut progress, sent, &place, until).await;
         if progress.tried.len() == 1 && progress.runs == 1 {
             traffic.judge(call, place.key, ended(call, answer.is_some()));
         }
@@ -79,14 +79,14 @@
     traffic: &Traffic<D, N>,
     progress: &mut Progress,
     sent: Sent,
-    key: RunnerKey,
+    place: &Place,
     until: Instant,
 ) -> Option<(Parts, Bytes)> {
-    let fleet = &traffic.exchange.fleet;
+    let (fleet, key) = (&traffic.exchange.fleet, place.key);
     match sent {
         Sent::Answered(reply) => {
             progress.runs += 1;
-            match traffic.exchange.whole(reply, key, until).await {
+            match traffic.exchange.whole(reply, place, until).await {
                 Ok((parts, bytes)) if !is_failure(parts.status) => return Some((parts, bytes)),
                 Ok(failure) => progress.failure = Some(failure),
                 Err(error) => progress.lost = Some(error),
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,13 @@
 //! Counters and latencies of an entry instance, as text in the OpenMetrics form.
 
+mod volume;
+
+pub use self::volume::{Heard, Part};
+
 use {
+    self::volume::Volume,
     crate::{catalog::Kind, refusal::Refusal},
+    bilberryfront_decide::member::PeerMessage,
     prometheus_client::{
         encoding::{EncodeLabelSet, EncodeLabelValue, text::encode},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -97,6 +103,7 @@
     resumed: Family<OfResume, Counter>,
     pause: Family<OfResume, Histogram>,
     store: Counter,
+    volume: Volume,
     version: Gauge,
     nodes: Gauge,
     runners: Gauge,
@@ -113,6 +120,7 @@
             resumed: Family::default(),
             pause: Family::new_with_constructor(histogram),
             store: Counter::default(),
+            volume: Volume::default(),
             version: Gauge::default(),
             nodes: Gauge::default(),
             runners: Gauge::default(),
@@ -138,6 +146,7 @@
             "Times that the store stopped answering",
             m.store.clone(),
         );
+        m.volume.register(&mut registry);
         registry.register("catalogue_version", "Version in force", m.version.clone());
         registry.register("nodes", "Nodes in the address answers", m.nodes.clone());
         registry.register("runners", "Runners registered", m.runners.clone());
@@ -186,6 +195,21 @@
         self.store.inc();
     }
 
+    /// A body, or a part of one, went to a runner or came from one.
+    pub fn carried(&self, part: Part, border: bool, bytes: usize) {
+        self.volume.carried(part, border, bytes);
+    }
+
+    /// A message of so many bytes in all went to other nodes.
+    pub fn told(&self, message: &PeerMessage, bytes: usize) {
+        self.volume.told(message, bytes);
+    }
+
+    /// The store was asked for news of a table.
+    pub fn asked(&self, table: &str, heard: Heard) {
+        self.volume.asked(table, heard);
+    }
+
     /// What the process believes at present.
     pub fn believe(&self, version: u64, nodes: usize, runners: usize) {
         self.version.set(version as i64);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -99,7 +99,7 @@
     let mut traffic = Traffic::new(dialect, Tcp, published, bounds.allowance(), bounds.exposure());
     traffic.exchange.fleet.set_domain(&settings.domain);
     traffic.trials = Some(trials.clone());
-    traffic.metrics = metrics;
+    traffic.set_metrics(&metrics);
     let face = Face { traffic, leaving, keep: settings.bounds.keep() };
     LocalSet::new()
         .block_on(&runtime()?, serve(settings, face, Channels { told, trials, heard }))?;
--- a/crates/relay/tests/follow.rs
+++ b/crates/relay/tests/follow.rs
@@ -3,6 +3,7 @@
 use {
     bilberryfront_relay::{
         control::follow::{Change, Follower, News, PROBE_PAUSE, REST_PAUSE},
+        metrics::Metrics,
         store::{Result, Revision, Row, Rows, Store, StoreError, Write},
     },
     std::{cell::Cell, collections::BTreeSet, future::pending, rc::Rc, time::Duration},
@@ -78,6 +79,7 @@
                     wait: Rc::new(Cell::new(Duration::from_millis(wait))),
                     pause: PROBE_PAUSE,
                     returns: returns.clone(),
+                    metrics: Metrics::default(),
                 };
                 tokio::task::spawn_local(follower.run(sender.clone()));
             }
@@ -159,6 +161,7 @@
                     wait: Rc::new(Cell::new(Duration::from_secs(1))),
                     pause: if table == "orders" { PROBE_PAUSE } else { REST_PAUSE },
                     returns: returns.clone(),
+                    metrics: Metrics::default(),
                 };
                 tokio::task::spawn_local(follower.run(sender.clone()));
             }
--- a/tests/peer_members.rs
+++ b/tests/peer_members.rs
@@ -62,7 +62,7 @@
 
     fn act(&self, output: Output) {
         match output {
-            Output::Send { to, message } => self.net.send(&to, &message).unwrap(),
+            Output::Send { to, message } => _ = self.net.send(&to, &message).unwrap(),
             Output::PushCatalog(to) => {
                 let revision = self.members.revision();
                 let push = CatalogPush { revision, doc: "{}".into() };
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -302,6 +302,9 @@
             "bilberryfront_requests_total{kind=\"Once\",outcome=\"Served\"}",
             "bilberryfront_refusals_total{cause=\"NoKey\"}",
             "bilberryfront_catalogue_version 5",
+            "bilberryfront_runner_bytes_total{part=\"Events\",border=",
+            "bilberryfront_peer_bytes_total{about=\"Heartbeat\"}",
+            "bilberryfront_store_questions_total{table=",
         ] {
             assert!(metrics.contains(name), "{name} in:\n{metrics}");
         }
