--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -6,6 +6,8 @@
 pub mod listing;
 mod members;
 mod moves;
+mod orders;
+mod talk;
 
 use {
     self::{
@@ -16,25 +18,16 @@
     crate::{
         catalog::Catalog,
         leaving::Leaving,
-        lines::IN_FORCE,
         loads::Heard,
         metrics::Metrics,
         moves::{Moves, Trial},
         records::Records,
         settings::Settings,
-        store::{Revision, Row, Store, Write},
+        store::{Revision, Store, Write},
         view::{NodeAddress, Published, Splits, View},
     },
-    bilberryfront_decide::{
-        id::Incarnation,
-        member::{
-            PeerMessage,
-            message::{Load, Restart},
-        },
-    },
-    bilberryfront_peer::Received,
+    bilberryfront_decide::{id::Incarnation, member::message::Load},
     bytes::Bytes,
-    compact_str::CompactString,
     std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
     tokio::{
         sync::{mpsc, watch},
@@ -266,114 +259,6 @@
         }
     }
 
-    fn learn_orders(&mut self, change: Change) {
-        let rows = match change {
-            Change::Whole(rows) | Change::Rows(rows) => rows,
-            Change::Down | Change::Up => {
-                self.cut_off = matches!(change, Change::Down);
-                if self.cut_off {
-                    self.metrics.store_failed();
-                }
-                return self.publish();
-            }
-        };
-        for row in &rows.rows {
-            if row.key == R::CATALOG {
-                self.put_in_force(row);
-            } else {
-                self.learn_order(row);
-            }
-        }
-    }
-
-    /// Takes a catalogue, from the store or from a peer. Only a newer one counts: answers of the
-    /// store and of peers can overtake each other, and what is in force must never revert.
-    fn put_in_force(&mut self, row: &Row) {
-        let Some(value) = &row.value else { return };
-        if self.row.as_ref().is_some_and(|(held, _)| row.revision <= *held) {
-            return;
-        }
-        match self.records.catalog(value) {
-            Ok(catalog) if self.is_newer(&catalog) => {
-                log::info!(version = catalog.version, revision = row.revision;
-                    "{IN_FORCE}");
-                self.catalog = Some(Arc::new(catalog));
-                self.row = Some((row.revision, value.clone()));
-                self.publish();
-            }
-            Ok(catalog) => {
-                log::warn!(version = catalog.version; "an older catalogue is ignored");
-            }
-            Err(error) => log::warn!(revision = row.revision; "a catalogue can't be used: {error}"),
-        }
-    }
-
-    fn is_newer(&self, catalog: &Catalog) -> bool {
-        self.catalog.as_ref().is_none_or(|held| catalog.version > held.version)
-    }
-
-    fn tell(&mut self, load: Load) {
-        self.take_over(&load.restarts);
-        if let Some(membership) = &mut self.membership {
-            membership.spread_failures(Instant::now(), &load.failed);
-            membership.tell_load(Instant::now(), load);
-        }
-    }
-
-    fn hear(&mut self, event: Received) {
-        if let Received::Message { message: PeerMessage::Move(news), .. } = &event {
-            return self.moves.hear(Instant::now(), news);
-        }
-        let event = match event {
-            Received::Message { from, message: PeerMessage::Load(load) } => {
-                return self.hear_load(from, load);
-            }
-            Received::Message { message: PeerMessage::Relayed(relayed), .. } => {
-                if let Some(membership) = &self.membership {
-                    membership.pass_on(&relayed);
-                }
-                return self.hear_load(relayed.origin, relayed.load);
-            }
-            event => event,
-        };
-        if let Received::Message { message: PeerMessage::CatalogPush(push), .. } = event {
-            let row = Row {
-                table: R::ORDERS.into(),
-                key: R::CATALOG.into(),
-                value: Some(push.doc.into()),
-                revision: push.revision,
-            };
-            return self.put_in_force(&row);
-        }
-        if let Some(membership) = &mut self.membership {
-            let lost = membership.hear(Instant::now(), event, self.row.as_ref());
-            self.pass_on(lost);
-        }
-    }
-
-    fn hear_load(&mut self, from: CompactString, load: Load) {
-        self.take_over(&load.restarts);
-        // The receiver goes away only when the process ends.
-        _ = self.heard.send(Heard { from, load });
-    }
-
-    /// Lists runners that this node or another one found to have started anew.
-    fn take_over(&mut self, restarts: &[Restart]) {
-        if !restarts.is_empty() && self.listing.take_over(restarts) {
-            self.publish();
-        }
-    }
-
-    /// Passes on which runners other nodes lost. Whose word it was is gone by the time it has come
-    /// round; only the runners matter.
-    fn pass_on(&self, failed: Vec<CompactString>) {
-        if !failed.is_empty() {
-            let load = Load { failed, ..Load::default() };
-            // The receiver goes away only when the process ends.
-            _ = self.heard.send(Heard { from: CompactString::default(), load });
-        }
-    }
-
     fn publish(&self) {
         let version = self.catalog.as_ref().map_or(0, |c| c.version);
         self.metrics.believe(version, self.nodes.len(), self.listing.runners().len());
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -3,6 +3,7 @@
 mod copy;
 mod place;
 mod run;
+mod told;
 
 use {
     self::{
@@ -18,8 +19,8 @@
         events::Event,
         exchange::{Sent, is_failure},
         fleet::{Load, Place, RunnerKey},
-        lines::{RUN_BEGUN, RUN_LOST, STREAM_BROKEN, STREAM_ENDED},
-        metrics::{Outcome, Part, Resume},
+        lines::RUN_LOST,
+        metrics::{Part, Resume},
         network::Network,
         pool::SendError,
         refusal::Refusal,
@@ -322,27 +323,4 @@
             (None, Some(_)) => Stopped::Refused(Refusal::Lost),
         }
     }
-
-    fn log_begun(&self, run: &Run, copied: bool) {
-        let waited = self.call.start.elapsed().as_millis() as u64;
-        log::info!(request = self.call.head.id.as_str(), runner = run.place().id.as_str(),
-            backup = run.backup().map_or("", |b| b.holder().id.as_str()), sends = self.sends,
-            position = self.position.unwrap_or_default(), copied, waited,
-            prompt = self.call.head.prompt.unwrap_or_default();
-            "{RUN_BEGUN}");
-    }
-
-    fn log_ended(&self, run: &Run) {
-        let took = self.call.start.elapsed().as_millis() as u64;
-        log::info!(request = self.call.head.id.as_str(), runner = run.place().id.as_str(),
-            sends = self.sends, position = self.position.unwrap_or_default(), took;
-            "{STREAM_ENDED}");
-    }
-
-    fn log_broken(&self) {
-        self.traffic.metrics.ended(self.call.route.kind, Outcome::BrokenOff, None);
-        log::warn!(request = self.call.head.id.as_str(), sends = self.sends, runs = self.runs,
-            position = self.position.unwrap_or_default();
-            "{STREAM_BROKEN}: no runner goes on with it");
-    }
 }
