Remove the rank of a prompt's homes, and heed a return that a failing question overlapped

Rank: it parted the prompts of nodes that know nothing of each other's choices; the random part of a score does that too.

Follower: the store's return, told while another follower's question was failing, was missed and cost it a pause of up to 3.2 s (found by reading; no test shows it).

Fleet::id had no caller left.

--- a/crates/relay/src/control/follow.rs
+++ b/crates/relay/src/control/follow.rs
@@ -73,7 +73,9 @@
     pub async fn run(self, sender: mpsc::Sender<News>) {
         let mut revision = None;
         let mut failures = 0;
+        let mut returns = self.returns.subscribe();
         loop {
+            returns.mark_unchanged();
             let asked = Instant::now();
             let Some(answer) = self.ask_unless_stale(revision, failures).await else { continue };
             self.metrics.asked(self.table, heard(&answer));
@@ -108,15 +110,15 @@
             }
             match failures {
                 0 => sleep_until(asked + self.every).await,
-                failures => self.rest(failures).await,
+                failures => self.rest(failures, &mut returns).await,
             }
         }
     }
 
-    /// Pauses after a failure, until another follower finds the store back at the most: each question that an
-    /// outage refuses costs as much as one that is answered, and one follower's are enough to see its end.
-    async fn rest(&self, failures: u32) {
-        let mut returns = self.returns.subscribe();
+    /// Pauses after a failure, at most until another follower has found the store back since this one asked:
+    /// each question that an outage refuses costs as much as one that is answered, and one follower's are
+    /// enough to see its end.
+    async fn rest(&self, failures: u32, returns: &mut watch::Receiver<u32>) {
         tokio::select! {
             () = sleep(backoff(failures, self.pause)) => {}
             // The sender lives as long as this follower.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -264,11 +264,6 @@
         }
     }
 
-    /// The id of a runner that is listed.
-    pub fn id(&self, key: RunnerKey) -> Option<CompactString> {
-        Some(self.inner.borrow().runners.get(key)?.registration.id.clone())
-    }
-
     /// The service of a runner that is listed.
     pub fn service(&self, key: RunnerKey) -> Option<CompactString> {
         Some(self.inner.borrow().runners.get(key)?.registration.service.clone())
--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -26,9 +26,6 @@
 /// Bonus of such a runner over all others, in prompt tokens: what two running streams count for, so
 /// that a prompt is rarely read where nobody would look for it.
 const HOME: f64 = 4_000.0;
-/// Bonus of such a runner over the next one: parts the prompts of nodes that know nothing of each
-/// other's choices, and is far below what a running stream counts for.
-const RANK: f64 = 200.0;
 /// Part of a running stream that an engine in another failure domain counts for on top. Its request and every
 /// event cross the border between the domains, which is paid by the byte; a stream less beside it is worth
 /// more to the caller.
@@ -94,8 +91,7 @@
         let open = keys.filter(|k| inner.is_open(*k, wanted));
         let homes = inner.homes(wanted);
         let mut score = |k| {
-            let rank = homes.iter().position(|home| *home == k);
-            let bonus = rank.map_or(0.0, |rank| HOME + RANK * (HOMES - rank) as f64);
+            let bonus = if homes.contains(&k) { HOME } else { 0.0 };
             inner.score(k, wanted, now) - bonus + random.random_range(0.0..NOISE)
         };
         let scored = open.map(|k| (k, score(k)));
@@ -127,8 +123,8 @@
 }
 
 impl Inner {
-    /// The runners at which a prompt is at home, the first one first: every node finds the same ones,
-    /// whatever it has seen, as long as the runners are the same.
+    /// The runners at which a prompt is at home: every node finds the same ones, whatever it has seen, as long
+    /// as the runners are the same.
     fn homes(&self, wanted: &Wanted<'_>) -> Vec<RunnerKey> {
         let Some(prompt) = wanted.prompt else { return Vec::new() };
         let keys = self.services.get(wanted.service).into_iter().flatten();
