--- a/crates/decide/examples/gossip.rs
+++ b/crates/decide/examples/gossip.rs
@@ -10,7 +10,7 @@
         id::Incarnation,
         member::{
             Me, Members, Output, PeerMessage,
-            message::{CatalogPush, Life, Place, Usage},
+            message::{CatalogPush, Life, NodeLocation, Usage},
         },
     },
     bilberryfront_wire::instance::{Instance, InstanceList},
@@ -43,8 +43,9 @@
         let start = |(i, node): (usize, &Instance)| {
             let life = Life { epoch: 1_764_720_000_000, incarnation: Incarnation(i as u64 + 1) };
             let peer = node.peer.clone().unwrap_or_default();
-            let place = Place { domain: node.domain.clone(), url: node.url.clone(), peer };
-            let me = Me { name: node.name.clone(), life, place };
+            let location =
+                NodeLocation { domain: node.domain.clone(), url: node.url.clone(), peer };
+            let me = Me { name: node.name.clone(), life, location };
             let mut members = Members::new(i as u64, now, me);
             members.list(now, &list);
             members.ready();
--- a/crates/decide/src/cache.rs
+++ b/crates/decide/src/cache.rs
@@ -51,7 +51,7 @@
 pub(crate) struct Belief {
     /// Number of the newest event taken.
     last: Option<u64>,
-    /// Prefixes in the order in which they were heard of, the oldest first.
+    /// Prefixes in order of arrival.
     order: VecDeque<u64>,
 }
 
--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -114,13 +114,13 @@
         self.fleet.iter()
     }
 
-    /// Runners whose load this node should ask for: those that it may send to, and those that have
-    /// told it that they leave, as only they can take that back.
+    /// Runners to poll for load: eligible ones, and draining ones, as only their own report can end
+    /// the draining state.
     pub fn watched(&self) -> impl Iterator<Item = (RunnerKey, &Instance)> {
         self.fleet.watched()
     }
 
-    /// Requests admitted at this node by entry and account, to be told to its peers.
+    /// Requests admitted by this node, per entry and account.
     pub fn usage(&self) -> Vec<(EntryKey, AccountKey, u32)> {
         self.limits.usage()
     }
--- a/crates/decide/src/core/admit.rs
+++ b/crates/decide/src/core/admit.rs
@@ -24,7 +24,7 @@
 /// Shortest bound on the wait of a request that lost its runner: the bound of a new one may be short,
 /// but here an answer that is half delivered would be thrown away.
 const AGAIN_LEAST: Duration = Duration::from_secs(3);
-/// What a caller is told before anything is known of the time that requests take.
+/// `Retry-After` before any request duration is known.
 const RETRY_UNKNOWN: Duration = Duration::from_secs(1);
 
 impl Core {
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -1,4 +1,4 @@
-//! What the core is told.
+//! Input events of the core.
 
 use {
     crate::{
@@ -30,7 +30,7 @@
     Load {
         /// Whose report it is.
         runner: RunnerKey,
-        /// What it said.
+        /// Report.
         report: LoadReport,
     },
     /// A runner's load report could not be had.
@@ -117,7 +117,7 @@
     Broken,
     /// Silence longer than the bound.
     Stalled,
-    /// The runner said that it can't: an error status.
+    /// Error status.
     Rejected,
     /// The runner's stream broke its rules: a skipped index, an end without a finish.
     Garbled,
--- a/crates/decide/src/fleet.rs
+++ b/crates/decide/src/fleet.rs
@@ -111,11 +111,11 @@
         let Some(runner) = self.runners.get_mut(key) else { return };
         let state = runner.state();
         let present = runner.present();
-        let told = !report.version.is_empty();
-        runner.spoke |= told;
+        let reported = !report.version.is_empty();
+        runner.spoke |= reported;
         runner.load.report(report);
-        runner.heard(report.leaving, &self.chart);
-        let moved = told && runner.instance.version != report.version;
+        runner.on_report(report.leaving, &self.chart);
+        let moved = reported && runner.instance.version != report.version;
         let (stated, placed) = (runner.state() != state, runner.present() != present);
         let pool = runner.pool;
         if moved {
@@ -127,7 +127,7 @@
         } else if stated || self.runners[key].audible() {
             self.sort(pool);
         }
-        self.believe(key, report);
+        self.apply_load(key, report);
     }
 
     /// A load report could not be had.
@@ -283,7 +283,7 @@
         }
     }
 
-    fn believe(&mut self, key: RunnerKey, report: &LoadReport) {
+    fn apply_load(&mut self, key: RunnerKey, report: &LoadReport) {
         let most = PREFIXES_ALL / self.runners.len().max(1);
         let runner = &mut self.runners[key];
         let pool = &mut self.pools[runner.pool];
--- a/crates/decide/src/intent.rs
+++ b/crates/decide/src/intent.rs
@@ -113,7 +113,7 @@
     &CHART
 }
 
-/// What a request is told.
+/// Result of a claim.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     /// Claim the call: insert first.
@@ -211,7 +211,7 @@
     created: u64,
     born: Instant,
     /// A write of ours may still take effect: its reply was lost.
-    doubt: bool,
+    uncertain: bool,
     /// The row last written or read.
     row: Option<Found>,
 }
@@ -221,7 +221,7 @@
     /// first step; `created` is the same time in seconds since the Unix epoch.
     pub fn new(owner: Owner, digest: CompactString, born: Instant, created: u64) -> Life {
         let state = chart().initial();
-        Life { state, owner, digest, created, born, doubt: false, row: None }
+        Life { state, owner, digest, created, born, uncertain: false, row: None }
     }
 
     /// Where the request is.
@@ -248,7 +248,7 @@
         let label = self.label(&event, shelf);
         let Some(state) = chart().next(self.state, label) else { return Action::Ignore };
         let before = std::mem::replace(&mut self.state, state);
-        self.doubt |= label == Label::Lost && before != State::Looking;
+        self.uncertain |= label == Label::Lost && before != State::Looking;
         self.keep(event, shelf);
         self.act(before, shelf)
     }
@@ -261,7 +261,7 @@
             Event::Written(Written::Conflict(_)) => Label::Conflict,
             Event::Written(Written::Aborted) | Event::Failed(Fault::Down) => Label::Down,
             Event::Failed(Fault::Lost) => Label::Lost,
-            Event::Row(None) if self.doubt => Label::Absent,
+            Event::Row(None) if self.uncertain => Label::Absent,
             Event::Row(None) => Label::Vanished,
             Event::Row(Some(found)) => self.read(&found.intent, shelf),
             Event::Send(_) => Label::Send,
@@ -280,7 +280,7 @@
             // meet at a node; were the life enough, both would read the row as theirs and send.
             None if intent.owner == self.owner || shelf.has(intent.owner) => Label::Mine,
             None => Label::Taken,
-            Some(Outcome::NotRun) if self.doubt => Label::Absent,
+            Some(Outcome::NotRun) if self.uncertain => Label::Absent,
             Some(Outcome::NotRun) => Label::Vacant,
             Some(_) => Label::Outcome,
         }
@@ -352,7 +352,7 @@
     /// Ends without sending. A write whose reply was lost may still take effect; its claim goes to
     /// the shelf, or the row would answer "unknown" for as long as it lives though nothing ran.
     fn leave(&self, verdict: Verdict, shelf: &mut Shelf) -> Action {
-        if self.doubt {
+        if self.uncertain {
             shelf.put(self.owner, self.born);
         }
         Action::Say(verdict)
--- a/crates/decide/src/limits.rs
+++ b/crates/decide/src/limits.rs
@@ -1,9 +1,8 @@
-//! A node's share of the limits that hold for the whole system.
+//! A node's share of global limits.
 //!
-//! A node may run what it runs already plus its part of the room that all nodes leave, in equal
-//! parts. Summed over `n` nodes that is the limit, plus what the others have begun since they last
-//! told (each node hears of it an exchange late), plus at most `n - 1` by rounding up. Shares follow
-//! demand: a node that uses its part has more after each exchange, an idle one's part is lent.
+//! A node may run its current requests plus an equal part of the global headroom. Over `n` nodes
+//! the sum is the limit, plus requests started since the last exchange, plus at most `n - 1` by
+//! rounding. Shares follow demand: idle nodes lend theirs.
 
 use {
     crate::{
@@ -38,9 +37,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Use {
     running: u32,
-    /// `running` when the share was first reckoned after the exchange `told`.
+    /// `running` when the share was first reckoned after the exchange `reported`.
     before: u32,
-    told: u64,
+    reported: u64,
     share: u32,
     limit: u32,
     /// State of knowledge for which the share was reckoned; 0 for never.
@@ -129,7 +128,7 @@
         }
     }
 
-    /// What this node runs, to be told to its peers.
+    /// Running requests, for peers.
     pub(crate) fn usage(&self) -> Vec<(EntryKey, AccountKey, u32)> {
         let used = self.uses.iter().filter(|(_, u)| u.running > 0);
         let mut usage =
@@ -159,8 +158,8 @@
         if used.epoch == epoch && used.limit == limit {
             return used.share;
         }
-        // What this node has begun since the last exchange the others may have begun as well, not
-        // yet told: without this a burst that hits all nodes at once would be let in twice.
+        // Peers may have started as many requests since the last exchange; ignoring them would
+        // admit a simultaneous burst twice.
         let unseen = used.running.saturating_sub(used.before).saturating_mul(nodes - 1);
         let taken = used.running.saturating_add(others).saturating_add(unseen);
         let free = limit.saturating_sub(taken);
@@ -169,8 +168,8 @@
             true => share.min(used.share),
             false => share,
         };
-        if used.told != exchange {
-            (used.before, used.told) = (used.running, exchange);
+        if used.reported != exchange {
+            (used.before, used.reported) = (used.running, exchange);
         }
         (used.limit, used.epoch) = (limit, epoch);
         used.share
--- a/crates/decide/src/load.rs
+++ b/crates/decide/src/load.rs
@@ -19,7 +19,7 @@
     /// Requests of this node now at the runner.
     own: u32,
     /// `own` when the last report came.
-    told: u32,
+    reported: u32,
     /// Requests of all other nodes, by the last report.
     others: u32,
     /// Requests that run at once without slowing down; 0 when unknown.
@@ -40,8 +40,8 @@
     /// Takes the runner's report.
     pub(crate) fn report(&mut self, report: &LoadReport) {
         let total = report.running.saturating_add(report.waiting);
-        self.others = total.saturating_sub(self.told);
-        self.told = self.own;
+        self.others = total.saturating_sub(self.reported);
+        self.reported = self.own;
         self.slots = report.slots;
     }
 
--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -1,13 +1,13 @@
-//! Membership: who the other nodes are and which of them take requests.
+//! Membership and failure detection.
 //!
-//! Evidence is the platform's lagging list, heartbeats, broken connections, goodbyes, and what
-//! other nodes pass on. Heard from a node itself goes before the list. The state of each node
-//! follows `charts/node.json`; nothing here sends or waits, see `docs/design/membership.md`.
+//! Inputs are the platform's lagging instance list, heartbeats, connection errors, leave messages
+//! and gossip. Direct heartbeats take precedence over the list. The state of each node follows
+//! `charts/node.json`; see `docs/design/membership.md`.
 
 pub mod drain;
 pub mod message;
-mod learn;
-mod news;
+mod merge;
+mod updates;
 mod record;
 mod ring;
 mod rounds;
@@ -21,11 +21,11 @@
 
 use {
     self::{
-        learn::Spread,
-        message::{Claim, Heartbeat, Hint, Life, Moment, News, NodeState, Place, Usage},
-        news::Queue,
+        merge::Gossip,
+        message::{Claim, Heartbeat, Hint, Life, Moment, NodeLocation, NodeState, Update, Usage},
         record::Record,
         ring::Ring,
+        updates::UpdateQueue,
     },
     crate::id::Revision,
     bilberryfront_wire::instance::{InstanceKind, InstanceList, InstanceState},
@@ -35,75 +35,74 @@
     tokio::time::Instant,
 };
 
-/// Time between heartbeats while every node sends to every other.
+/// Heartbeat interval in a full mesh.
 pub const MESH_INTERVAL: Duration = Duration::from_millis(400);
-/// Time between heartbeats of more nodes.
+/// Heartbeat interval on rings.
 pub const RING_INTERVAL: Duration = Duration::from_millis(500);
-/// Silence of a watched node after which it is suspect: four heartbeats of the slower interval.
+/// Silence after which a watched node becomes suspect.
 pub const SILENCE: Duration = Duration::from_secs(2);
-/// Time that a suspect has to be heard of before callers are no longer sent to it.
+/// Time after which a suspect that is not refuted is removed from address responses.
 pub const CONFIRM: Duration = Duration::from_millis(1_000);
-/// Time that others have to contradict this node's suspicion before it is told to all.
+/// Time for which a suspicion is checked with others before it is gossiped.
 pub const ANSWER: Duration = Duration::from_millis(300);
-/// How long a node that is gone and not listed is remembered, so that stale news can't revive it.
+/// Retention of unlisted dead nodes, so that stale gossip cannot revive them.
 pub const TOMBSTONE: Duration = Duration::from_secs(600);
-/// Most other nodes remembered; bounds memory against made-up names.
+/// Maximum number of known nodes.
 pub const MAX_MEMBERS: usize = 2_048;
 
-/// When to ask the next node for a catalogue that didn't come.
+/// Timeout of a catalogue pull.
 const PULL_RETRY: Duration = Duration::from_secs(1);
-/// Time between two requests for whole tables while each still teaches much, after a start or a
-/// partition; it doubles with each up to the regular time.
+/// Initial interval of anti-entropy; doubles up to the regular interval while little is learned.
 const SYNC_HURRY: Duration = Duration::from_secs(5);
-/// Changes learned from one table that are much.
+/// Changes per exchange that reset the interval.
 const SYNC_MUCH: usize = 4;
 
-/// This node, as the others see it.
+/// Identity of this node.
 #[derive(Clone, Debug)]
 pub struct Me {
-    /// Name, as in the instance list and in the certificate.
+    /// Name, as in the instance list and the certificate.
     pub name: CompactString,
-    /// This life: the wall clock in milliseconds at start and a random number.
+    /// Incarnation: start time in milliseconds and a random number.
     pub life: Life,
-    /// Where it is reached.
-    pub place: Place,
+    /// Addresses.
+    pub location: NodeLocation,
 }
 
-/// A node to send to.
+/// A message target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
-    /// Its name, which its certificate must show.
+    /// Node name; must match its certificate.
     pub name: CompactString,
-    /// Its peer face, `IP:PORT`.
+    /// Peer address, `IP:PORT`.
     pub address: CompactString,
 }
 
-/// What is to be done.
+/// A side effect.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    /// Send a message to each of these.
+    /// Send a message.
     Send {
-        /// To whom.
+        /// Targets.
         to: Vec<Target>,
-        /// What.
+        /// Message.
         message: PeerMessage,
     },
-    /// Send the catalogue in force, as [`PeerMessage::CatalogPush`].
+    /// Send the current catalogue as [`PeerMessage::CatalogPush`].
     PushCatalog(Target),
-    /// A node's state changed; worth a log line.
+    /// A node's state changed.
     Changed {
-        /// The node.
+        /// Node.
         name: CompactString,
-        /// State before.
+        /// Old state.
         from: NodeState,
-        /// State now.
+        /// New state.
         to: NodeState,
     },
-    /// Another node saw something of a runner.
+    /// A peer's hint about a runner.
     Hint(Hint),
 }
 
-/// All that this node knows of the others.
+/// Membership state.
 #[derive(Clone, Debug)]
 pub struct Members {
     me: Me,
@@ -114,7 +113,7 @@
     records: BTreeMap<CompactString, Record>,
     ring: Ring,
     stale_ring: bool,
-    news: Queue,
+    updates: UpdateQueue,
     list: u64,
     last: Instant,
     sweep: Instant,
@@ -128,7 +127,7 @@
 }
 
 impl Members {
-    /// A node that has just started and knows nobody. Equal seeds act equally.
+    /// A new node without members; equal seeds behave equally.
     pub fn new(seed: u64, now: Instant, me: Me) -> Members {
         let mut rng = SmallRng::seed_from_u64(seed);
         let due = now + RING_INTERVAL.mul_f64(rng.random());
@@ -141,7 +140,7 @@
             records: BTreeMap::new(),
             ring: Ring::default(),
             stale_ring: false,
-            news: Queue::default(),
+            updates: UpdateQueue::default(),
             list: 0,
             last: now,
             sweep: now,
@@ -155,9 +154,8 @@
         }
     }
 
-    /// Takes a message of `from`, whose certificate has been checked. A
-    /// [`PeerMessage::CatalogPush`] is for the catalogue's owner, who then calls
-    /// [`Members::set_revision`].
+    /// Handles a message from an authenticated node. [`PeerMessage::CatalogPush`] is handled by the
+    /// catalogue's owner, who then calls [`Members::set_revision`].
     pub fn receive(
         &mut self,
         now: Instant,
@@ -166,7 +164,7 @@
         out: &mut Vec<Output>,
     ) {
         match message {
-            PeerMessage::Heartbeat(heartbeat) => self.heard(now, from, heartbeat, out),
+            PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, from, heartbeat, out),
             PeerMessage::Revision(revision) => self.newer(now, from, *revision, out),
             PeerMessage::CatalogPull(after) if self.revision > *after => {
                 out.extend(self.target(from).map(Output::PushCatalog));
@@ -175,30 +173,30 @@
             | PeerMessage::CatalogPush(_)
             | PeerMessage::Move(_)
             | PeerMessage::Load(_)
-            | PeerMessage::Relayed(_) => {}
+            | PeerMessage::RelayedLoad(_) => {}
             PeerMessage::MembersPull => {
                 let table = self.claims();
                 self.send(from, PeerMessage::MembersPush(table), out);
             }
             PeerMessage::MembersPush(claims) => {
                 let before = out.len();
-                claims.iter().for_each(|c| _ = self.learn(now, c, Spread::No, out));
+                claims.iter().for_each(|c| _ = self.merge(now, c, Gossip::No, out));
                 if out.len() - before >= SYNC_MUCH {
                     self.pace = SYNC_HURRY;
                     self.sync = self.sync.min(now + SYNC_HURRY);
                 }
             }
             PeerMessage::Claims(claims) => self.check(now, from, claims, out),
-            PeerMessage::Goodbye(moment) => {
+            PeerMessage::Leave(moment) => {
                 let (moment, state) = (*moment, NodeState::Gone);
-                let claim = Claim { name: from.into(), moment, state, place: None };
-                self.learn(now, &claim, Spread::Yes, out);
+                let claim = Claim { name: from.into(), moment, state, location: None };
+                self.merge(now, &claim, Gossip::Yes, out);
             }
         }
     }
 
-    /// Takes a heartbeat that came from the node itself.
-    pub fn heard(
+    /// Handles a heartbeat received directly from its node.
+    pub fn on_heartbeat(
         &mut self,
         now: Instant,
         from: &str,
@@ -211,39 +209,40 @@
         let name = CompactString::from(from);
         let Some(record) = self.record(now, &name) else { return };
         if heartbeat.moment.life < record.moment.life {
-            // An older life, or a restarted node whose clock was set back: tell it, so that it
-            // raises its epoch; otherwise everyone would ignore it until it is restarted again.
+            // An older incarnation, or a restart with a clock that was set back: the reply makes
+            // the node raise its epoch, otherwise it would be ignored for good.
             let claim = record.claim(&name, false);
             self.send(from, PeerMessage::Claims(vec![claim]), out);
             return;
         }
-        record.heard = Some(now);
+        record.last_heartbeat = Some(now);
         record.usage.clone_from(&heartbeat.usage);
         record.revision = heartbeat.revision;
         let lost = matches!(record.state, NodeState::Unknown | NodeState::Gone);
-        let (moment, state, place) = (heartbeat.moment, heartbeat.state, heartbeat.place.clone());
-        self.learn(now, &Claim { name, moment, state, place }, Spread::Yes, out);
+        let (moment, state, location) =
+            (heartbeat.moment, heartbeat.state, heartbeat.location.clone());
+        self.merge(now, &Claim { name, moment, state, location }, Gossip::Yes, out);
         if lost && now >= self.sync {
             self.sync = now + SYNC_HURRY;
             self.send(from, PeerMessage::MembersPull, out);
         }
         self.newer(now, from, heartbeat.revision, out);
-        let claims = heartbeat.news.iter().filter_map(|news| match news {
-            News::Node(claim) => Some(claim),
-            News::Runner(_) => None,
+        let claims = heartbeat.updates.iter().filter_map(|updates| match updates {
+            Update::Node(claim) => Some(claim),
+            Update::Runner(_) => None,
         });
         self.check(now, from, claims, out);
-        for news in &heartbeat.news {
-            if let News::Runner(hint) = news
-                && self.news.hint(now, hint)
+        for updates in &heartbeat.updates {
+            if let Update::Runner(hint) = updates
+                && self.updates.hint(now, hint)
             {
                 out.push(Output::Hint(hint.clone()));
             }
         }
     }
 
-    /// Takes the platform's list; one that is older than the last is ignored. A node that is absent
-    /// from it but heard of stays; a node that is listed but never heard of isn't in the addresses.
+    /// Applies the platform's list unless it is outdated. Unlisted nodes with heartbeats are kept;
+    /// listed nodes without heartbeats are not in address responses.
     pub fn list(&mut self, now: Instant, list: &InstanceList) {
         if list.revision < self.list {
             return;
@@ -256,15 +255,16 @@
             let Some(record) = self.record(now, &node.name) else { continue };
             record.listed = true;
             record.leaving = node.state == InstanceState::Leaving;
-            let place = Place { domain: node.domain.clone(), url: node.url.clone(), peer };
-            if record.place.is_none() || record.state == NodeState::Unknown {
-                record.place = Some(place);
+            let location =
+                NodeLocation { domain: node.domain.clone(), url: node.url.clone(), peer };
+            if record.location.is_none() || record.state == NodeState::Unknown {
+                record.location = Some(location);
             }
         }
         self.records.retain(|_, r| r.listed || r.state != NodeState::Unknown);
     }
 
-    /// Takes the news that the connection to a node broke or can't be made.
+    /// Handles a failed connection to a node.
     pub fn broken(&mut self, now: Instant, name: &str, out: &mut Vec<Output>) {
         let Some((name, record)) = self.records.get_key_value(name) else { return };
         if record.running() {
@@ -272,27 +272,27 @@
         }
     }
 
-    /// Says that this node has a catalogue and takes requests.
+    /// Marks this node as ready.
     pub fn ready(&mut self) {
         if self.state == NodeState::Starting {
             self.state = NodeState::Ready;
         }
     }
 
-    /// Says that this node is leaving; tells the others at once.
+    /// Marks this node as draining and announces it.
     pub fn drain(&mut self, now: Instant) {
         self.state = NodeState::Draining;
         self.hurry(now);
     }
 
-    /// Says that the process exits now.
-    pub fn goodbye(&mut self, out: &mut Vec<Output>) {
+    /// Announces the exit of this process.
+    pub fn send_leave(&mut self, out: &mut Vec<Output>) {
         self.beat += 1;
-        let message = PeerMessage::Goodbye(self.moment());
+        let message = PeerMessage::Leave(self.moment());
         out.push(Output::Send { to: self.targets(), message });
     }
 
-    /// Puts a catalogue revision in force here and tells the targets at once.
+    /// Sets the current catalogue revision and announces it.
     pub fn set_revision(&mut self, revision: Revision, out: &mut Vec<Output>) {
         if revision > self.revision {
             self.revision = revision;
@@ -301,15 +301,15 @@
         }
     }
 
-    /// Replaces what this node says of its use of limits.
+    /// Sets this node's usage of limits.
     pub fn set_usage(&mut self, mut usage: Vec<Usage>) {
         usage.sort_by_key(|u| std::cmp::Reverse(u.running));
         self.usage = usage;
     }
 
-    /// Tells the others what was seen of a runner.
+    /// Gossips a hint about a runner.
     pub fn hint(&mut self, now: Instant, hint: &Hint) {
-        self.news.hint(now, hint);
+        self.updates.hint(now, hint);
     }
 
     fn newer(&mut self, now: Instant, from: &str, revision: Revision, out: &mut Vec<Output>) {
@@ -327,11 +327,11 @@
     }
 
     fn target(&self, name: &str) -> Option<Target> {
-        let place = self.records.get(name)?.place.as_ref()?;
-        Some(Target { name: name.into(), address: place.peer.clone() })
+        let location = self.records.get(name)?.location.as_ref()?;
+        Some(Target { name: name.into(), address: location.peer.clone() })
     }
 
-    /// The nodes that get this one's heartbeats: all others while they are few.
+    /// Heartbeat targets of this node; all others in a full mesh.
     pub fn targets(&self) -> Vec<Target> {
         self.ring.targets.iter().filter_map(|n| self.target(n)).collect()
     }
--- a/crates/decide/src/member/drain.rs
+++ b/crates/decide/src/member/drain.rs
@@ -1,4 +1,4 @@
-//! How a node leaves: `charts/drain.json`.
+//! Drain state of a node: `charts/drain.json`.
 
 use {
     crate::chart::Chart,
@@ -11,18 +11,18 @@
     Chart::parse(include_str!("../../../../charts/drain.json")).expect("charts/drain.json is whole")
 });
 
-/// Where a node is in its leaving.
+/// Drain state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DrainState {
-    /// Not leaving.
+    /// Serving.
     Serving,
-    /// Out of the address answers; still serves callers that hold an older answer.
+    /// Not in address responses; still serves callers with older ones.
     Leaving,
-    /// Refuses new requests with `not_run`; open streams go on.
+    /// Rejects new requests with `not_run`; open streams continue.
     Refusing,
-    /// The last stream has ended: the process may exit.
+    /// Idle: the process may exit.
     Gone,
 }
 
@@ -35,7 +35,7 @@
     Idle,
 }
 
-/// A node's own leaving.
+/// Drain state machine.
 #[derive(Clone, Debug)]
 pub struct Drain {
     state: DrainState,
@@ -44,19 +44,18 @@
 }
 
 impl Drain {
-    /// A node in service whose address answers may be kept for `ttl`.
+    /// A serving node with address responses of time to live `ttl`.
     pub fn new(ttl: Duration) -> Drain {
         Drain { state: CHART.initial(), ttl, left: None }
     }
 
-    /// Starts to leave; a second call changes nothing.
+    /// Starts draining; idempotent.
     pub fn leave(&mut self, now: Instant) {
         self.left.get_or_insert(now);
         self.take(DrainEvent::Leave);
     }
 
-    /// Whether new requests are served. A leaving node goes on serving for the time to live of its
-    /// last address answer: a refusal before that would hit callers who did as they were told.
+    /// Whether new requests are accepted. They are until the last address response has expired.
     pub fn accepts(&mut self, now: Instant) -> bool {
         if self.left.is_some_and(|left| now >= left + self.ttl) {
             self.take(DrainEvent::Lapsed);
@@ -64,13 +63,13 @@
         matches!(self.state, DrainState::Serving | DrainState::Leaving)
     }
 
-    /// Whether the node stands in its own address answers.
+    /// Whether the node is in its own address responses.
     pub fn listed(&self) -> bool {
         self.state == DrainState::Serving
     }
 
-    /// Whether the process may exit, given the number of requests and streams still open. There is
-    /// no upper bound: a shutdown cuts no stream, however long it runs.
+    /// Whether the process may exit with `open` requests and streams. There is no upper bound, so
+    /// that no stream is cut.
     pub fn finished(&mut self, now: Instant, open: usize) -> bool {
         if !self.accepts(now) && open == 0 {
             self.take(DrainEvent::Idle);
@@ -78,7 +77,7 @@
         self.state == DrainState::Gone
     }
 
-    /// Where the node is.
+    /// Current state.
     pub fn state(&self) -> DrainState {
         self.state
     }
--- a/crates/decide/src/member/merge.rs
+++ b/crates/decide/src/member/merge.rs
@@ -1,24 +1,24 @@
-//! What becomes of the things that nodes say of each other.
+//! Merges claims of other nodes.
 
 use {
     super::{
         CONFIRM, Members, Output,
-        message::{Claim, News, NodeState, PeerMessage},
-        record::Learned,
+        message::{Claim, NodeState, PeerMessage, Update},
+        record::Merged,
     },
     tokio::time::Instant,
 };
 
-/// Whether what was learned goes into the next heartbeats.
+/// Whether a merged claim is gossiped.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub(super) enum Spread {
+pub(super) enum Gossip {
     Yes,
     No,
 }
 
 impl Members {
-    /// Takes claims and answers those that are out of date. Heartbeats only go round the rings in one
-    /// direction: without an answer, who spreads a false suspicion would be the last to hear so.
+    /// Merges claims and refutes outdated ones. Heartbeats travel in one direction around the
+    /// rings, so the sender of a false suspicion would otherwise learn last.
     pub(super) fn check<'a>(
         &mut self,
         now: Instant,
@@ -28,28 +28,28 @@
     ) {
         let claims = claims.into_iter();
         let answer: Vec<Claim> =
-            claims.filter_map(|c| self.learn(now, c, Spread::Yes, out)).collect();
+            claims.filter_map(|c| self.merge(now, c, Gossip::Yes, out)).collect();
         if !answer.is_empty() {
             self.send(from, PeerMessage::Claims(answer), out);
         }
     }
 
-    /// Takes a claim; returns what to hold against it if it is out of date.
-    pub(super) fn learn(
+    /// Merges a claim; returns a refutation if it is outdated.
+    pub(super) fn merge(
         &mut self,
         now: Instant,
         claim: &Claim,
-        spread: Spread,
+        spread: Gossip,
         out: &mut Vec<Output>,
     ) -> Option<Claim> {
         if claim.name == self.me.name {
-            return self.learn_self(now, claim);
+            return self.merge_self(now, claim);
         }
         let record = self.record(now, &claim.name)?;
         let (from, counted) = (record.state, record.counts());
-        let learned = record.learn(now, claim.moment, claim.state);
-        if learned != Learned::Outdated && claim.place.is_some() {
-            record.place.clone_from(&claim.place);
+        let learned = record.merge(now, claim.moment, claim.state);
+        if learned != Merged::Outdated && claim.location.is_some() {
+            record.location.clone_from(&claim.location);
         }
         let (to, counts) = (record.state, record.counts());
         let held = record.claim(&claim.name, !record.listed);
@@ -60,14 +60,14 @@
         if from != to {
             out.push(Output::Changed { name: claim.name.clone(), from, to });
         }
-        if (learned, spread) == (Learned::Changed, Spread::Yes) {
-            self.news.push(News::Node(held.clone()));
+        if (learned, spread) == (Merged::Changed, Gossip::Yes) {
+            self.updates.push(Update::Node(held.clone()));
         }
-        (learned == Learned::Outdated).then_some(held)
+        (learned == Merged::Outdated).then_some(held)
     }
 
-    /// Others may think this node dead, or think another life of it newer; both are set right.
-    fn learn_self(&mut self, now: Instant, claim: &Claim) -> Option<Claim> {
+    /// Refutes claims that this node is dead or has a newer incarnation.
+    fn merge_self(&mut self, now: Instant, claim: &Claim) -> Option<Claim> {
         let newer = claim.moment.life > self.me.life;
         if newer {
             self.me.life.epoch = claim.moment.life.epoch.saturating_add(1);
@@ -82,9 +82,9 @@
         }
         self.beat += 1;
         let (name, moment) = (self.me.name.clone(), self.moment());
-        let place = Some(self.me.place.clone());
-        let held = Claim { name, moment, state: self.state, place };
-        self.news.push(News::Node(held.clone()));
+        let location = Some(self.me.location.clone());
+        let held = Claim { name, moment, state: self.state, location };
+        self.updates.push(Update::Node(held.clone()));
         self.hurry(now);
         Some(held)
     }
--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -1,4 +1,4 @@
-//! What nodes say to each other.
+//! Messages between nodes.
 
 use {
     crate::{
@@ -9,229 +9,227 @@
     serde::{Deserialize, Serialize},
 };
 
-/// A message between nodes. New variants go to the end, so that the encoding of the others stays.
+/// A message. New variants are appended, so that the encoding of the others is stable.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub enum PeerMessage {
-    /// Regular sign of life.
+    /// Heartbeat.
     Heartbeat(Heartbeat),
-    /// The sender has just put this catalogue in force.
+    /// The sender has applied this catalogue revision.
     Revision(Revision),
-    /// Asks for the catalogue, if its revision is higher than this.
+    /// Requests the catalogue if it is newer than this revision.
     CatalogPull(Revision),
-    /// Answer to [`PeerMessage::CatalogPull`].
+    /// Response to [`PeerMessage::CatalogPull`].
     CatalogPush(CatalogPush),
-    /// Asks for all that the receiver knows of the nodes.
+    /// Requests the membership table.
     MembersPull,
-    /// Answer to [`PeerMessage::MembersPull`].
+    /// Response to [`PeerMessage::MembersPull`].
     MembersPush(Vec<Claim>),
-    /// The sender exits; this is its last message.
-    Goodbye(Moment),
-    /// What the sender holds of some nodes, to be checked: claims that are out of date are answered
-    /// in kind. A node asks so before it tells all that another is silent.
+    /// The sender exits.
+    Leave(Moment),
+    /// Claims to be checked; the receiver refutes outdated ones. Sent before a suspicion is
+    /// gossiped.
     Claims(Vec<Claim>),
-    /// What the sender knows of a version move; for the mover.
+    /// State of a rollout.
     Move(PeerNews),
-    /// What the sender has under way at runners and which of them failed it; for whoever chooses
-    /// runners.
+    /// Load and failures of runners.
     Load(Load),
-    /// The same, by way of another node.
-    Relayed(Relayed),
+    /// A relayed [`PeerMessage::Load`].
+    RelayedLoad(RelayedLoad),
 }
 
-/// What one node says of runners, passed on by another one.
+/// A load update relayed by another node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
-pub struct Relayed {
-    /// Whose word it is.
+pub struct RelayedLoad {
+    /// Originating node.
     pub origin: CompactString,
-    /// What it says.
+    /// Update.
     pub load: Load,
-    /// Whether the receiver is to pass it on to the nodes of its own failure domain.
-    pub spread: bool,
+    /// Whether the receiver forwards it within its failure domain.
+    pub forward: bool,
 }
 
-/// What one node says of runners.
+/// Load and failures of runners, as seen by one node.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Load {
-    /// What it has under way, at some of them.
+    /// Load per runner.
     pub runners: Vec<RunnerLoad>,
-    /// Ids of those that have just broken a connection, not taken one or fallen silent.
+    /// Ids of runners with connection errors or timeouts.
     pub failed: Vec<CompactString>,
-    /// Those that were found to have started anew under another id.
+    /// Runners that restarted under a new id.
     pub restarts: Vec<Restart>,
 }
 
-/// A runner that started anew at its address, under another id.
+/// A runner that restarted at its address under a new id.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Restart {
-    /// Id of the process that has ended.
+    /// Former id.
     pub former: CompactString,
-    /// Id of the new one.
+    /// New id.
     pub id: CompactString,
 }
 
 impl Load {
-    /// Whether there is nothing to say.
+    /// Whether the update is empty.
     pub fn is_empty(&self) -> bool {
         self.runners.is_empty() && self.failed.is_empty() && self.restarts.is_empty()
     }
 }
 
-/// What one node has under way at one runner. Whole amounts, so that a lost message is made up for by
-/// the next one.
+/// Load of one node on one runner. Values are absolute, so a lost update is repaired by the next
+/// one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct RunnerLoad {
-    /// The runner's id.
+    /// Runner id.
     pub runner: CompactString,
-    /// Requests.
+    /// Running requests.
     pub running: u32,
-    /// Tokens of memory that they take in the end, copies of other requests included.
+    /// KV memory reserved by them and by replicas, in tokens.
     pub memory: u32,
-    /// Prompt tokens that aren't known to be read yet.
+    /// Prompt tokens not yet prefilled.
     pub unread: u32,
 }
 
-/// A whole catalogue.
+/// A catalogue.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct CatalogPush {
-    /// Its number.
+    /// Revision.
     pub revision: Revision,
     /// The [`crate::catalog::CatalogDoc`] as JSON.
     pub doc: String,
 }
 
-/// One life of a node. Of two lives of one name the greater is the newer.
+/// Incarnation of a node, ordered by epoch.
 ///
-/// The incarnation alone tells lives apart but doesn't order them. The epoch orders them: the
-/// node's wall clock at start, in milliseconds. A clock that was set back can't hide a node: it
-/// raises its epoch when it hears of another life of its name that passes for newer.
+/// The epoch is the wall clock at start in milliseconds. A node whose clock was set back raises its
+/// epoch when it sees a newer one under its name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Deserialize, Serialize)]
 pub struct Life {
-    /// Grows from life to life.
+    /// Start time; increases with each restart.
     pub epoch: u64,
-    /// Random at start.
+    /// Random number.
     pub incarnation: Incarnation,
 }
 
-/// A point of a node's life: what is known of a later one replaces what is known of an earlier one.
+/// A point in a node's life; later claims replace earlier ones.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Deserialize, Serialize)]
 pub struct Moment {
-    /// Which life.
+    /// Incarnation.
     pub life: Life,
-    /// Number of the node's last heartbeat in that life.
+    /// Heartbeat sequence number.
     pub beat: u64,
 }
 
-/// How a node stands, in the order in which one claim overrides another of the same [`Moment`].
+/// Node state, in order of precedence for claims with the same [`Moment`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum NodeState {
-    /// Named by the instance list, never heard of otherwise.
+    /// Listed, but without a heartbeat.
     Unknown,
-    /// Has no catalogue yet.
+    /// Starting; no catalogue yet.
     Starting,
-    /// Takes requests.
+    /// Accepts requests.
     Ready,
-    /// Leaving.
+    /// Draining.
     Draining,
-    /// Silent, or its connection broke; out of the addresses unless it is heard of soon.
+    /// Suspected by a timeout or a connection error.
     Suspect,
-    /// Has said goodbye, or stayed silent.
+    /// Left or dead.
     Gone,
-    /// Gone and no longer listed.
+    /// Dead and no longer listed.
     Forgotten,
 }
 
-/// Where a node is reached.
+/// Addresses of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
-pub struct Place {
+pub struct NodeLocation {
     /// Failure domain.
     pub domain: CompactString,
     /// Base URL for callers.
     pub url: CompactString,
-    /// Peer face, `IP:PORT`.
+    /// Peer address, `IP:PORT`.
     pub peer: CompactString,
 }
 
-/// Regular sign of life.
+/// Heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Heartbeat {
-    /// When in the sender's life.
+    /// Sender's moment.
     pub moment: Moment,
-    /// How the sender stands: starting, ready or draining.
+    /// Sender's state: starting, ready or draining.
     pub state: NodeState,
-    /// Where the sender is; left out of most heartbeats to save bytes.
-    pub place: Option<Place>,
-    /// Catalogue in force at the sender; 0 for none.
+    /// Sender's addresses; omitted from most heartbeats.
+    pub location: Option<NodeLocation>,
+    /// Sender's catalogue revision; 0 for none.
     pub revision: Revision,
-    /// The sender's greatest uses of limits.
+    /// Sender's highest uses of limits.
     pub usage: Vec<Usage>,
-    /// What the sender has heard lately.
-    pub news: Vec<News>,
+    /// Gossip.
+    pub updates: Vec<Update>,
 }
 
-/// Requests of one account running for one entry at one node.
+/// Running requests of one account for one entry on one node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Usage {
-    /// Name of the entry.
+    /// Entry.
     pub entry: CompactString,
-    /// Name of the account.
+    /// Account.
     pub account: CompactString,
-    /// How many.
+    /// Count.
     pub running: u32,
 }
 
-/// Something that every node should hear.
+/// A gossiped update.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
-pub enum News {
-    /// How a node stands.
+pub enum Update {
+    /// State of a node.
     Node(Claim),
-    /// How a runner seems to stand.
+    /// Hint about a runner.
     Runner(Hint),
 }
 
-/// What somebody holds of a node.
+/// A claim about a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Claim {
-    /// The node's name.
+    /// Node.
     pub name: CompactString,
-    /// Up to when in its life.
+    /// Moment of the claim.
     pub moment: Moment,
-    /// How it stands.
+    /// State.
     pub state: NodeState,
-    /// Where it is, where the receivers may not know.
-    pub place: Option<Place>,
+    /// Addresses, if the receivers may not know them.
+    pub location: Option<NodeLocation>,
 }
 
-/// Evidence about a runner, for others to check; never taken for the truth.
+/// A hint about a runner, to be verified by the receiver.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Hint {
-    /// The runner's name.
+    /// Runner.
     pub runner: CompactString,
-    /// What was seen.
+    /// Observation.
     pub kind: HintKind,
 }
 
-/// What was seen of a runner.
+/// Observation of a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub enum HintKind {
-    /// Its connections broke or it stalled.
+    /// Connection errors or a stall.
     Lost,
-    /// It said that it is leaving.
+    /// It is draining.
     Leaving,
 }
--- a/crates/decide/src/member/record.rs
+++ b/crates/decide/src/member/record.rs
@@ -1,9 +1,9 @@
-//! What is known of one other node, by `charts/node.json`.
+//! State of one other node: `charts/node.json`.
 
 use {
     super::{
         ANSWER, CONFIRM, SILENCE, TOMBSTONE,
-        message::{Claim, Life, Moment, NodeState, Place, Usage},
+        message::{Claim, Life, Moment, NodeLocation, NodeState, Usage},
     },
     crate::{
         chart::Chart,
@@ -19,7 +19,7 @@
     Chart::parse(include_str!("../../../../charts/node.json")).expect("charts/node.json is whole")
 });
 
-/// Before anything was heard of a node.
+/// State before the first message.
 const NEVER: Moment = Moment { life: Life { epoch: 0, incarnation: Incarnation(0) }, beat: 0 };
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -34,27 +34,27 @@
     Unlisted,
 }
 
-/// What happens by itself when nothing is heard in time.
+/// Event raised by a timeout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Overdue {
-    /// Silent for too long: becomes suspect, and others who should hear it are asked.
+    /// Silent: becomes suspect, and its other watchers are asked.
     Suspect,
-    /// They didn't contradict: all nodes are told.
+    /// Not refuted: the suspicion is gossiped.
     Publish,
-    /// Nobody did: it is gone.
+    /// Not refuted: the node is dead.
     Gone,
-    /// Gone long enough to be forgotten.
+    /// Retention expired.
     Forget,
 }
 
-/// What came of a claim.
+/// Result of merging a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Learned {
-    /// It replaced another state.
+pub(super) enum Merged {
+    /// Changed the state.
     Changed,
-    /// Nothing new.
+    /// Known already.
     Same,
-    /// It is out of date, and says something else than what is known.
+    /// Outdated and contradictory.
     Outdated,
 }
 
@@ -62,24 +62,24 @@
 pub(super) struct Record {
     pub(super) moment: Moment,
     pub(super) state: NodeState,
-    /// Whether it was ready when last heard of; a suspect is served as it was before.
+    /// Whether it was ready before it became suspect.
     pub(super) ready: bool,
-    /// A suspect by this node's own evidence, of which only some others were asked.
+    /// Suspected by this node; only some others were asked so far.
     pub(super) asked: bool,
-    /// Since when in this state.
+    /// Start of the current state.
     pub(super) since: Instant,
-    /// When a later moment was last heard of, from whomever.
+    /// Time of the last newer claim.
     pub(super) fresh: Instant,
-    /// Last heartbeat that came from the node itself.
-    pub(super) heard: Option<Instant>,
-    /// Since when the node should be sending us heartbeats; `None` when it needn't.
+    /// Time of the last direct heartbeat.
+    pub(super) last_heartbeat: Option<Instant>,
+    /// Start of the watch; `None` if this node does not watch it.
     pub(super) watched: Option<Instant>,
-    pub(super) place: Option<Place>,
+    pub(super) location: Option<NodeLocation>,
     pub(super) usage: Vec<Usage>,
-    /// Catalogue in force there when it last sent a heartbeat to this node; 0 if it never did.
+    /// Catalogue revision in its last heartbeat; 0 if none.
     pub(super) revision: Revision,
     pub(super) listed: bool,
-    /// The list says that it is leaving.
+    /// Listed as draining.
     pub(super) leaving: bool,
 }
 
@@ -92,9 +92,9 @@
             asked: false,
             since: now,
             fresh: now,
-            heard: None,
+            last_heartbeat: None,
             watched: None,
-            place: None,
+            location: None,
             usage: Vec::new(),
             revision: 0,
             listed: false,
@@ -102,17 +102,16 @@
         }
     }
 
-    /// Takes over what is said of a later moment; never goes back to an earlier one, so a late
-    /// heartbeat of an older life can't override the newer.
-    pub(super) fn learn(&mut self, now: Instant, moment: Moment, state: NodeState) -> Learned {
+    /// Merges a claim. Claims of an older moment are ignored.
+    pub(super) fn merge(&mut self, now: Instant, moment: Moment, state: NodeState) -> Merged {
         if self.stale(now) && state == NodeState::Suspect && moment.life == self.moment.life {
             self.moment = self.moment.max(moment);
             self.take(now, NodeEvent::Silent);
-            return Learned::Changed;
+            return Merged::Changed;
         }
         if (moment, state) <= (self.moment, self.state) {
             let same = state == self.state && moment.life == self.moment.life;
-            return if same { Learned::Same } else { Learned::Outdated };
+            return if same { Merged::Same } else { Merged::Outdated };
         }
         let before = self.state;
         let reborn = moment.life != self.moment.life;
@@ -127,27 +126,25 @@
         self.moment = moment;
         let changed = event(state).is_some_and(|e| self.take(now, e));
         if changed || reborn || (lost(before) && lost(state)) {
-            // Lost before and lost now, but of a later moment: others may hold that moment as the
-            // last good word, and go on sending callers there until they are told.
-            Learned::Changed
+            // Gossips the newer moment: others may still hold it as alive.
+            Merged::Changed
         } else {
-            Learned::Same
+            Merged::Same
         }
     }
 
-    /// Whether nothing was heard for so long that another's suspicion weighs more, also one of an
-    /// earlier moment. Two who last heard of a node long ago heard of different moments; were the
-    /// later to contradict the earlier, neither would ever believe that the node is lost.
+    /// Whether this node was silent for so long that a suspicion of an older moment is accepted.
+    /// Otherwise two watchers with different moments would refute each other forever.
     fn stale(&self, now: Instant) -> bool {
         self.running() && now >= self.fresh + SILENCE
     }
 
-    /// Whether the last word is that the node runs.
+    /// Whether it counts as running.
     pub(super) fn running(&self) -> bool {
         matches!(self.state, NodeState::Starting | NodeState::Ready | NodeState::Draining)
     }
 
-    /// Follows the chart; says whether the state changed.
+    /// Applies an event; returns whether the state changed.
     pub(super) fn take(&mut self, now: Instant, event: NodeEvent) -> bool {
         let Some(next) = CHART.next(self.state, event) else { return false };
         if next != NodeState::Suspect {
@@ -159,12 +156,12 @@
         true
     }
 
-    /// What happens by itself unless something is heard, and when.
+    /// Next timeout and its event.
     pub(super) fn deadline(&self) -> Option<(Instant, Overdue)> {
         match self.state {
             NodeState::Starting | NodeState::Ready | NodeState::Draining => {
                 let watched = self.watched?;
-                let last = self.heard.unwrap_or(watched).max(watched).max(self.since);
+                let last = self.last_heartbeat.unwrap_or(watched).max(watched).max(self.since);
                 Some((last + SILENCE, Overdue::Suspect))
             }
             NodeState::Suspect if self.asked => Some((self.since + ANSWER, Overdue::Publish)),
@@ -174,7 +171,7 @@
         }
     }
 
-    /// Starts the running deadline anew.
+    /// Restarts the current timeout.
     pub(super) fn forgive(&mut self, now: Instant) {
         self.watched = self.watched.map(|_| now);
         if self.state == NodeState::Suspect {
@@ -182,28 +179,28 @@
         }
     }
 
-    /// Whether the node is thought to run, so that heartbeats go to it and are expected of it.
+    /// Whether it takes part in heartbeats.
     pub(super) fn counts(&self) -> bool {
-        self.place.is_some() && !matches!(self.state, NodeState::Gone | NodeState::Forgotten)
+        self.location.is_some() && !matches!(self.state, NodeState::Gone | NodeState::Forgotten)
     }
 
-    /// Whether callers may be sent there.
+    /// Whether it may be in address responses.
     pub(super) fn serves(&self) -> bool {
         matches!(self.state, NodeState::Ready | NodeState::Suspect)
             && self.ready
-            && self.place.is_some()
+            && self.location.is_some()
             && !self.leaving
     }
 
-    /// Whether silence alone took it out, while the list still has it.
+    /// Whether it was removed by a timeout while still listed.
     pub(super) fn lost_but_listed(&self) -> bool {
         self.state == NodeState::Gone && self.listed
     }
 
-    /// What to tell others; `place` says whether they may not know where it is.
-    pub(super) fn claim(&self, name: &CompactString, place: bool) -> Claim {
-        let place = self.place.clone().filter(|_| place);
-        Claim { name: name.clone(), moment: self.moment, state: self.state, place }
+    /// Claim about the node; `location` includes its addresses.
+    pub(super) fn claim(&self, name: &CompactString, location: bool) -> Claim {
+        let location = self.location.clone().filter(|_| location);
+        Claim { name: name.clone(), moment: self.moment, state: self.state, location }
     }
 }
 
--- a/crates/decide/src/member/ring.rs
+++ b/crates/decide/src/member/ring.rs
@@ -1,26 +1,25 @@
-//! Who sends heartbeats to whom.
+//! Heartbeat topology.
 
 use {compact_str::CompactString, std::cmp::Reverse, xxhash_rust::xxh64::xxh64};
 
-/// Up to this many nodes, everyone sends to everyone.
+/// Maximum size of a full mesh.
 pub(super) const MESH: usize = 8;
 
-/// A node's place in the heartbeat graph.
+/// Heartbeat neighbours of a node.
 ///
-/// Several rings are laid over the same nodes, each ordered by another hash of the names; a node
-/// sends to its successor on each ring. All nodes that know the same names agree on the graph
-/// without a word; each has as many that watch it as it watches; and a few random rings together
-/// are an expander, so what one node says reaches all in O(log n) rounds.
+/// The nodes form several rings, each ordered by a different hash of the names; a node sends to its
+/// successor on each ring. The topology needs no coordination, has balanced degrees, and spreads
+/// gossip in O(log n) rounds.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Ring {
-    /// Whom this node sends heartbeats to.
+    /// Heartbeat targets.
     pub(super) targets: Vec<CompactString>,
-    /// Whose heartbeats this node should get.
+    /// Nodes whose heartbeats this node expects.
     pub(super) watched: Vec<CompactString>,
 }
 
 impl Ring {
-    /// The graph around `me`; `others` are all other nodes that count, each once.
+    /// The neighbours of `me`; `others` are all other nodes, each once.
     pub(super) fn new(me: &str, others: &[&CompactString]) -> Ring {
         let size = others.len() + 1;
         if size <= MESH {
@@ -38,7 +37,7 @@
     }
 }
 
-/// Rings laid over `size` nodes: half of log2, and one to spare for a lost neighbour.
+/// Number of rings: half of log2, plus one for a lost neighbour.
 fn rings(size: usize) -> u64 {
     u64::from(size.next_power_of_two().ilog2()).div_ceil(2) + 1
 }
--- a/crates/decide/src/member/rounds.rs
+++ b/crates/decide/src/member/rounds.rs
@@ -1,9 +1,9 @@
-//! What a node does by itself as time passes: heartbeats, suspicion, probes, exchanges of tables.
+//! Periodic work: heartbeats, timeouts, probes and anti-entropy.
 
 use {
     super::{
         ANSWER, MESH_INTERVAL, Members, Output, RING_INTERVAL, SILENCE, Target,
-        message::{Heartbeat, News, NodeState, PeerMessage},
+        message::{Heartbeat, NodeState, PeerMessage, Update},
         record::{NodeEvent, Overdue, Record},
         ring::{MESH, Ring},
     },
@@ -13,23 +13,23 @@
     tokio::time::Instant,
 };
 
-/// Time between two ticks that only a pause of this process explains.
+/// Gap between ticks that indicates a suspended process.
 const PAUSE: Duration = Duration::from_millis(500);
-/// Least time between two heartbeats, however much there is to tell.
+/// Minimum heartbeat interval.
 const LEAST_INTERVAL: Duration = Duration::from_millis(100);
-/// Time between two sends to a node that is gone: what rejoins the sides of a healed partition.
+/// Interval of probes to dead nodes, which heal partitions.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time between exchanges of whole tables; makes up for news that was lost.
+/// Anti-entropy interval.
 const SYNC_INTERVAL: Duration = Duration::from_secs(60);
-/// Usage lines of a heartbeat while every node sends to every other.
+/// Usage lines per heartbeat in a full mesh.
 const MESH_USAGE: usize = 64;
-/// Usage lines of a heartbeat of more nodes.
+/// Usage lines per heartbeat on rings.
 const RING_USAGE: usize = 4;
-/// The place goes into this many first heartbeats, and into each of this number after them.
+/// Addresses are in the first heartbeats and in every n-th one after that.
 const PLACE_EVERY: u64 = 8;
 
 impl Members {
-    /// Does what is due; call at least every [`crate::core::TICK`].
+    /// Performs due work; called at least every [`crate::core::TICK`].
     pub fn tick(&mut self, now: Instant, out: &mut Vec<Output>) {
         self.forgive_pause(now);
         if now >= self.sweep {
@@ -50,8 +50,8 @@
         self.due = now + self.interval().mul_f64(self.rng.random_range(0.9..1.1));
     }
 
-    /// A process that was paused finds every heartbeat overdue when it wakes, and would drop all
-    /// nodes from its addresses for its own fault: the time asleep isn't counted as their silence.
+    /// Discounts the time for which this process was suspended, which would otherwise look like
+    /// silence of all nodes.
     fn forgive_pause(&mut self, now: Instant) {
         if now > self.last + PAUSE {
             self.records.values_mut().for_each(|r| r.forgive(now));
@@ -59,7 +59,7 @@
         self.last = now;
     }
 
-    /// Takes the deadlines that have passed, and finds when the next can pass.
+    /// Handles expired timeouts and computes the next one.
     fn sweep(&mut self, now: Instant, out: &mut Vec<Output>) {
         let overdue = |(name, record): (&CompactString, &Record)| {
             let (at, overdue) = record.deadline()?;
@@ -81,9 +81,8 @@
         self.sweep = deadlines.fold(now + SILENCE, Instant::min);
     }
 
-    /// Suspects a node and asks those who should hear from it too. Only the way from there to here
-    /// may be broken: were all told at once, nodes with nothing newer to hold against it would drop
-    /// a node that works, and word that it does would trail behind.
+    /// Suspects a node and asks its other watchers. The link may be broken in one direction only,
+    /// so the suspicion is gossiped after they had time to refute it.
     pub(super) fn suspect(&mut self, now: Instant, name: &CompactString, out: &mut Vec<Output>) {
         self.follow(now, name, NodeEvent::Silent, out);
         let to = self.watchers(name);
@@ -97,7 +96,7 @@
     fn publish(&mut self, name: &CompactString) {
         if let Some(record) = self.records.get_mut(name) {
             record.asked = false;
-            self.news.push(News::Node(record.claim(name, false)));
+            self.updates.push(Update::Node(record.claim(name, false)));
         }
     }
 
@@ -116,7 +115,7 @@
         self.stale_ring |= counted != record.counts();
     }
 
-    /// The other nodes that should get heartbeats of this one.
+    /// Nodes that should receive heartbeats of `name`.
     fn watchers(&self, name: &CompactString) -> Vec<Target> {
         let counting = self.records.iter().filter(|(_, r)| r.counts()).map(|(n, _)| n);
         let others: Vec<&CompactString> =
@@ -137,9 +136,8 @@
         self.sweep = self.sweep.min(now + SILENCE);
     }
 
-    /// A node that is gone still gets a heartbeat now and then, and is asked whether it is gone: after
-    /// a partition each side believes the other gone, and who alone missed that a suspicion was
-    /// contradicted would hear no more of it. Without a try neither would ever be set right.
+    /// Probes a dead node with a heartbeat and a claim; both sides of a healed partition would
+    /// otherwise consider each other dead.
     fn probe(&mut self, now: Instant, out: &mut Vec<Output>) -> Option<Target> {
         if now < self.probe {
             return None;
@@ -156,7 +154,7 @@
         if now < self.sync {
             return;
         }
-        // With jitter: nodes that started together mustn't exchange their tables all at once for ever.
+        // Jitter, so that nodes started together spread out.
         self.sync = now + self.pace.mul_f64(self.rng.random_range(0.75..1.25));
         self.pace = (self.pace * 2).min(SYNC_INTERVAL);
         if let Some(name) = self.ring.targets.iter().choose(&mut self.rng).cloned() {
@@ -164,7 +162,7 @@
         }
     }
 
-    /// Sends the next heartbeat early.
+    /// Schedules the next heartbeat early.
     pub(super) fn hurry(&mut self, now: Instant) {
         self.due = self.due.min(now.max(self.beaten + LEAST_INTERVAL));
     }
@@ -176,10 +174,10 @@
         Heartbeat {
             moment: self.moment(),
             state: self.state,
-            place: placed.then(|| self.me.place.clone()),
+            location: placed.then(|| self.me.location.clone()),
             revision: self.revision,
             usage: self.usage.iter().take(lines).cloned().collect(),
-            news: self.news.next(),
+            updates: self.updates.next(),
         }
     }
 
--- a/crates/decide/src/member/table.rs
+++ b/crates/decide/src/member/table.rs
@@ -1,9 +1,9 @@
-//! What is read off the membership: addresses, use of limits, the whole table.
+//! Queries on the membership.
 
 use {
     super::{
         Members, SILENCE,
-        message::{Claim, NodeState, Place, Usage},
+        message::{Claim, NodeLocation, NodeState, Usage},
     },
     crate::id::{Incarnation, Revision},
     compact_str::CompactString,
@@ -12,7 +12,7 @@
     xxhash_rust::xxh64::xxh64,
 };
 
-/// A node that takes requests.
+/// A node that accepts requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Address {
     /// Base URL for callers.
@@ -21,54 +21,54 @@
     pub domain: CompactString,
 }
 
-/// Another node, for the operators.
+/// Another node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Node {
     /// Name in the instance list.
     pub name: CompactString,
-    /// Its present life; 0 before it was heard of.
+    /// Incarnation; 0 if unknown.
     pub incarnation: Incarnation,
-    /// How it stands.
+    /// State.
     pub state: NodeState,
-    /// Where it is, as far as known.
-    pub place: Option<Place>,
-    /// Catalogue in force there when it last sent a heartbeat to this node; 0 if it never did.
+    /// Addresses, if known.
+    pub location: Option<NodeLocation>,
+    /// Catalogue revision in its last heartbeat; 0 if none.
     pub revision: Revision,
 }
 
-/// What the other nodes use of the limits, as far as known here.
+/// Usage of limits by the other nodes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PeerUsage {
-    /// Other nodes that take requests. Those that fell silent but are still listed count too: they
-    /// may be serving on the other side of a partition, and their shares mustn't be given out twice.
+    /// Other ready nodes. Silent ones that are still listed count too: they may serve on the other
+    /// side of a partition.
     pub nodes: u32,
-    /// Requests running at them. Where only some of them send heartbeats to this node, theirs are
-    /// scaled up to all.
+    /// Requests running on them, extrapolated if only some send heartbeats here.
     pub running: Vec<Usage>,
 }
 
 impl Members {
-    /// Nodes to send callers to, this one's own domain first; within each part the order differs
-    /// from node to node, so that callers who take the first spread out.
+    /// Addresses of ready nodes, own failure domain first, shuffled per node.
     pub fn addresses(&self) -> Vec<Address> {
-        let own = &self.me.place.domain;
+        let own = &self.me.location.domain;
         let seed = xxh64(self.me.name.as_bytes(), 0);
-        let me = (self.state == NodeState::Ready).then_some((&self.me.name, &self.me.place));
+        let me = (self.state == NodeState::Ready).then_some((&self.me.name, &self.me.location));
         let others = self.records.iter().filter(|(_, r)| r.serves());
-        let others = others.filter_map(|(n, r)| Some((n, r.place.as_ref()?)));
+        let others = others.filter_map(|(n, r)| Some((n, r.location.as_ref()?)));
         let mut nodes: Vec<_> = me.into_iter().chain(others).collect();
         nodes.sort_by_cached_key(|(n, p)| (p.domain != *own, xxh64(n.as_bytes(), seed)));
-        let address = |p: &super::Place| Address { url: p.url.clone(), domain: p.domain.clone() };
+        let address =
+            |p: &super::NodeLocation| Address { url: p.url.clone(), domain: p.domain.clone() };
         nodes.into_iter().map(|(_, p)| address(p)).collect()
     }
 
-    /// Use of the limits by the other nodes.
+    /// Usage of limits by the other nodes.
     pub fn usage(&self, now: Instant) -> PeerUsage {
         let nodes = self.records.values().filter(|r| r.serves() || r.lost_but_listed()).count();
-        let heard = |r: &&super::Record| r.heard.is_some_and(|h| now < h + SILENCE);
+        let last_heartbeat =
+            |r: &&super::Record| r.last_heartbeat.is_some_and(|h| now < h + SILENCE);
         let mut sums = BTreeMap::<(&str, &str), u64>::new();
         let mut count = 0;
-        for record in self.records.values().filter(heard) {
+        for record in self.records.values().filter(last_heartbeat) {
             count += 1;
             for line in &record.usage {
                 *sums.entry((&line.entry, &line.account)).or_default() += u64::from(line.running);
@@ -83,38 +83,38 @@
         PeerUsage { nodes: nodes as u32, running: sums.into_iter().map(line).collect() }
     }
 
-    /// Catalogue revision in force here.
+    /// Current catalogue revision.
     pub fn revision(&self) -> Revision {
         self.revision
     }
 
-    /// States of all other nodes, for the operators.
+    /// States of all other nodes.
     pub fn states(&self) -> impl Iterator<Item = (&CompactString, NodeState)> {
         self.records.iter().map(|(n, r)| (n, r.state))
     }
 
-    /// All other nodes, for the operators.
+    /// All other nodes.
     pub fn nodes(&self) -> impl Iterator<Item = Node> {
         self.records.iter().map(|(name, r)| Node {
             name: name.clone(),
             incarnation: r.moment.life.incarnation,
             state: r.state,
-            place: r.place.clone(),
+            location: r.location.clone(),
             revision: r.revision,
         })
     }
 
-    /// All that is known, for a node that knows less.
+    /// All claims, for anti-entropy.
     pub(super) fn claims(&self) -> Vec<Claim> {
         let known = self.records.iter().filter(|(_, r)| r.state != NodeState::Unknown);
         let others = known.map(|(name, r)| r.claim(name, !r.listed));
         let (name, moment) = (self.me.name.clone(), self.moment());
-        let place = Some(self.me.place.clone());
-        let me = Claim { name, moment, state: self.state, place };
+        let location = Some(self.me.location.clone());
+        let me = Claim { name, moment, state: self.state, location };
         others.chain([me]).collect()
     }
 
-    /// Nodes thought to run, this one among them.
+    /// Number of running nodes, this one included.
     pub(super) fn counting(&self) -> usize {
         1 + self.records.values().filter(|r| r.counts()).count()
     }
--- a/crates/decide/src/member/updates.rs
+++ b/crates/decide/src/member/updates.rs
@@ -1,65 +1,63 @@
-//! News on its way through the nodes.
+//! Queue of gossip updates.
 
 use {
-    super::message::{Hint, News},
+    super::message::{Hint, Update},
     compact_str::CompactString,
     std::{cmp::Reverse, collections::VecDeque, time::Duration},
     tokio::time::Instant,
 };
 
-/// Most items in one heartbeat; with names of 12 bytes they fill one datagram.
+/// Maximum updates per heartbeat; fits one datagram.
 pub(super) const PER_HEARTBEAT: usize = 32;
-/// Rounds for which an item is sent, each time to every target. With three or more targets and one
-/// heartbeat lost in ten, all copies of one sender are lost once in 10^9 times.
+/// Transmissions of each update to every target.
 const REPEATS: u8 = 3;
-/// Most items that wait; past it the oldest goes, and the regular exchange of tables makes up.
+/// Capacity; the oldest update is dropped and left to anti-entropy.
 const CAPACITY: usize = 512;
-/// How long a runner hint that comes again isn't news.
+/// Time for which a repeated hint is suppressed.
 const HINT_AGE: Duration = Duration::from_secs(5);
 
-/// Items to pass on, oldest first.
+/// Pending updates, oldest first.
 #[derive(Clone, Debug, Default)]
-pub(super) struct Queue {
-    items: VecDeque<(News, u8)>,
+pub(super) struct UpdateQueue {
+    items: VecDeque<(Update, u8)>,
     hints: VecDeque<(Hint, Instant)>,
 }
 
-impl Queue {
-    /// Takes an item in place of an older one of the same subject.
-    pub(super) fn push(&mut self, news: News) {
-        self.items.retain(|(n, _)| subject(n) != subject(&news));
+impl UpdateQueue {
+    /// Queues an update; replaces an older one about the same subject.
+    pub(super) fn push(&mut self, updates: Update) {
+        self.items.retain(|(n, _)| subject(n) != subject(&updates));
         if self.items.len() == CAPACITY {
             self.items.pop_front();
         }
-        self.items.push_back((news, REPEATS));
+        self.items.push_back((updates, REPEATS));
     }
 
-    /// Takes a hint; says whether it is new.
+    /// Queues a hint; returns whether it is new.
     pub(super) fn hint(&mut self, now: Instant, hint: &Hint) -> bool {
         self.hints.retain(|(_, at)| now < *at + HINT_AGE);
         if self.hints.len() == CAPACITY || self.hints.iter().any(|(h, _)| h == hint) {
             return false;
         }
         self.hints.push_back((hint.clone(), now));
-        self.push(News::Runner(hint.clone()));
+        self.push(Update::Runner(hint.clone()));
         true
     }
 
-    /// The items of the next heartbeat: those sent least often first, so that repeats don't hold up
-    /// what nobody has heard yet when a whole domain is lost at once.
-    pub(super) fn next(&mut self) -> Vec<News> {
+    /// Updates for the next heartbeat, least transmitted first.
+    pub(super) fn next(&mut self) -> Vec<Update> {
         self.items.make_contiguous().sort_by_key(|(_, left)| Reverse(*left));
         let count = self.items.len().min(PER_HEARTBEAT);
-        let batch: Vec<(News, u8)> = self.items.drain(..count).collect();
+        let batch: Vec<(Update, u8)> = self.items.drain(..count).collect();
         let again = batch.iter().filter(|(_, left)| *left > 1);
-        self.items.extend(again.map(|(news, left)| (news.clone(), left - 1)));
-        batch.into_iter().map(|(news, _)| news).collect()
+        self.items.extend(again.map(|(updates, left)| (updates.clone(), left - 1)));
+        batch.into_iter().map(|(updates, _)| updates).collect()
     }
 }
 
-fn subject(news: &News) -> (bool, &CompactString) {
-    match news {
-        News::Node(claim) => (true, &claim.name),
-        News::Runner(hint) => (false, &hint.runner),
+fn subject(updates: &Update) -> (bool, &CompactString) {
+    match updates {
+        Update::Node(claim) => (true, &claim.name),
+        Update::Runner(hint) => (false, &hint.runner),
     }
 }
--- a/crates/decide/src/mover.rs
+++ b/crates/decide/src/mover.rs
@@ -61,7 +61,7 @@
     pub force: bool,
 }
 
-/// Why an operator's wish isn't followed.
+/// Why an operator's request is rejected.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum MoveError {
@@ -243,8 +243,8 @@
         };
         let revision = track.revision.ok_or(MoveError::Table)?;
         let wanted = track.wanted.as_ref().map(|w| &w.row);
-        // The table's word counts: over a move that was taken back only here, the new row would
-        // wipe out the verdict before the table had it.
+        // The stored row takes precedence: a new row would overwrite a local verdict before it is
+        // stored.
         let known = track.row.as_ref().filter(|r| !r.standing.is_final());
         if let Some(row) = known.or(wanted) {
             return Err(MoveError::Other(row.moved.id));
@@ -273,7 +273,7 @@
         Ok(id)
     }
 
-    /// Takes the entry's move back on an operator's word: here at once, everywhere within seconds.
+    /// Rolls the entry's move back: immediately on this node, within seconds everywhere.
     pub fn undo(&mut self, now: Instant, entry: &str) -> Result<MoveId> {
         let me = self.table.me;
         let track = self.tracks.get_mut(entry).ok_or_else(|| MoveError::NoEntry(entry.into()))?;
--- a/crates/decide/src/mover/ask.rs
+++ b/crates/decide/src/mover/ask.rs
@@ -120,7 +120,7 @@
             answer.and_then(|a| a.results.iter().map(revision).collect::<Option<Vec<u64>>>());
         // Refused, or the answer was lost: what the rows are now says what came of it.
         let Some(done) = done else { return self.poll_at = now };
-        let told = sent.row.is_some();
+        let reported = sent.row.is_some();
         let mut done = done.into_iter();
         if let (Some(lease), Some(revision)) = (sent.lease, sent.lease.and_then(|_| done.next())) {
             self.lease.see(now, revision, Some(lease));
@@ -131,13 +131,13 @@
         // The lease's row alone says nothing of the move's. A node that had been cut off got its
         // lease again and with it a fresh share of a version that was taken back meanwhile, until
         // its next read. Reads come three times in the life of a share.
-        if told {
+        if reported {
             self.fresh.table(at);
         }
     }
 
-    /// Takes the move's row from an answer that was given up on. It may hold a verdict; a table that
-    /// is slow for long would else never tell one. It counts as no fresh word.
+    /// Applies a row from a response that arrived after its timeout; it may hold a verdict, but
+    /// does not refresh the share.
     pub(super) fn late_rows(&mut self, now: Instant, wall: Millis, rows: &Rows) {
         let key = move_key(&self.entry);
         let Some(row) = rows.rows.iter().find(|r| r.key == key) else { return };
--- a/crates/decide/src/mover/evidence.rs
+++ b/crates/decide/src/mover/evidence.rs
@@ -19,7 +19,7 @@
 pub const RATIOS: [f64; 4] = [4.0, 12.0, 40.0, 150.0];
 /// How many times as frequent bad events may be before a version counts as worse.
 pub const TOLERANCE: f64 = 1.5;
-/// Most routes told apart; further ones are counted as [`OTHER`].
+/// Maximum distinct routes; further ones are counted as [`OTHER`].
 pub const ROUTES: usize = 8;
 /// Name of the routes past [`ROUTES`].
 pub const OTHER: &str = "other";
--- a/crates/decide/src/mover/news.rs
+++ b/crates/decide/src/mover/news.rs
@@ -12,7 +12,7 @@
     tokio::time::Instant,
 };
 
-/// How long a share holds after the last word of the table, or of all peers.
+/// Time for which a share is valid after the last update from the table or from all peers.
 pub const FRESH: Duration = Duration::from_millis(2_500);
 /// Time between two messages.
 pub const TELL: Duration = Duration::from_millis(500);
@@ -41,26 +41,26 @@
     pub evidence: Option<Evidence>,
 }
 
-/// Which news is how old.
+/// Age of the information a share is based on.
 ///
-/// A message that waited in a buffer while this node was paused would look new on arrival. So a
-/// peer's word is as old as the last of *our* messages that it acknowledges, on our own clock.
+/// A message may have been buffered while this node was suspended. A peer's message is therefore as
+/// old as the last of our own messages that it acknowledges, by our clock.
 #[derive(Clone, Debug, Default)]
 pub struct Freshness {
     table: Option<Instant>,
     sent: VecDeque<(u64, Instant)>,
     next: u64,
-    peers: BTreeMap<Incarnation, Heard>,
+    peers: BTreeMap<Incarnation, PeerAck>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct Heard {
+struct PeerAck {
     sequence: u64,
     acked: Option<Instant>,
 }
 
 impl Freshness {
-    /// The peers that have to be heard when the table can't be.
+    /// Sets the peers that must be reachable while the table is not.
     pub fn set_peers(&mut self, peers: &[Incarnation]) {
         self.peers.retain(|peer, _| peers.contains(peer));
         for peer in peers {
@@ -85,29 +85,29 @@
         if self.sent.len() > SENT {
             self.sent.pop_front();
         }
-        let heard = self.peers.iter().filter(|(_, h)| h.sequence > 0);
-        (self.next, heard.map(|(peer, h)| (*peer, h.sequence)).take(ACKS).collect())
+        let acked_peer = self.peers.iter().filter(|(_, h)| h.sequence > 0);
+        (self.next, acked_peer.map(|(peer, h)| (*peer, h.sequence)).take(ACKS).collect())
     }
 
     /// A peer's message came.
     pub fn hear(&mut self, me: Incarnation, news: &PeerNews) {
-        let Some(heard) = self.peers.get_mut(&news.from) else { return };
-        heard.sequence = heard.sequence.max(news.sequence);
+        let Some(acked_peer) = self.peers.get_mut(&news.from) else { return };
+        acked_peer.sequence = acked_peer.sequence.max(news.sequence);
         let ack = news.acks.iter().find(|(peer, _)| *peer == me);
         let sent = ack.and_then(|(_, ack)| self.sent.iter().find(|(number, _)| number == ack));
         if let Some((_, at)) = sent {
-            heard.acked = heard.acked.max(Some(*at));
+            acked_peer.acked = acked_peer.acked.max(Some(*at));
         }
     }
 
-    /// Until when what is known may be acted on; `None` while nothing was heard.
+    /// Time until which the information is valid; `None` if there is none.
     pub fn until(&self) -> Option<Instant> {
         let oldest = self.peers.values().map(|h| h.acked).min().flatten();
         self.table.max(oldest).map(|at| at + FRESH)
     }
 }
 
-/// Verdicts heard, also of moves whose row wasn't read yet.
+/// Received verdicts, including those of unknown moves.
 #[derive(Clone, Debug, Default)]
 pub struct Verdicts(VecDeque<(MoveId, Verdict)>);
 
--- a/crates/decide/src/mover/split.rs
+++ b/crates/decide/src/mover/split.rs
@@ -17,10 +17,9 @@
     pub to: CompactString,
     /// Share of the new version.
     pub share: Share,
-    /// Until when the share holds; `None` for ever. Past it the new version gets nothing.
+    /// Expiry of the share; `None` for no expiry. Afterwards the new version gets nothing.
     ///
-    /// A node cut off from the table and its peers, or paused, would go on with a version that the
-    /// others have taken back. It can't know, so it stops when it has heard nothing for a while.
+    /// A node that is cut off or suspended cannot see a rollback, so its share expires.
     pub until: Option<Instant>,
 }
 
--- a/crates/decide/src/mover/status.rs
+++ b/crates/decide/src/mover/status.rs
@@ -51,7 +51,7 @@
     pub old: Side,
     /// The new version's requests.
     pub new: Side,
-    /// Accounts that the new version served; at most 64 are told apart.
+    /// Accounts that the new version served; at most 64 are distinguished.
     pub accounts: u32,
 }
 
--- a/crates/decide/src/mover/track.rs
+++ b/crates/decide/src/mover/track.rs
@@ -61,7 +61,7 @@
     pub(super) poll_at: Instant,
     look_at: Instant,
     tell_at: Instant,
-    told: u64,
+    reported: u64,
     counted: (Instant, u32, f64),
 }
 
@@ -90,7 +90,7 @@
             poll_at: now,
             look_at: now,
             tell_at: now,
-            told: 0,
+            reported: 0,
             counted: (now, 0, 0.0),
         }
     }
@@ -158,7 +158,7 @@
         if !same {
             self.pool = Pool::default();
             self.collector.renew();
-            self.told = 0;
+            self.reported = 0;
             self.judge = Judge::new(now, millis(row.moved.by.saturating_sub(wall)));
             self.routes.clear();
             self.standing = Standing::Moving(0);
@@ -183,7 +183,7 @@
         raced.then_some(Err(MoveError::Other(row.moved.id)))
     }
 
-    /// The wish that the catalogue names the new version, if this node has the lease.
+    /// Adoption of the new version by the catalogue, if this node holds the lease.
     pub(super) fn adoption(&self, now: Instant, me: Incarnation) -> Option<Output> {
         let row = self.row.as_ref().filter(|_| self.standing == Standing::Settled)?;
         let due = self.version != row.moved.to && self.lease.held(now, me).is_some();
@@ -278,8 +278,8 @@
         self.tell_at = now + TELL;
         let (sequence, acks) = self.fresh.send(now);
         let mine = self.collector.evidence();
-        let changed = mine.sequence > self.told;
-        self.told = mine.sequence;
+        let changed = mine.sequence > self.reported;
+        self.reported = mine.sequence;
         out.push(Output::Tell(PeerNews {
             from: me,
             sequence,
--- a/crates/decide/src/route.rs
+++ b/crates/decide/src/route.rs
@@ -109,8 +109,8 @@
         !self.subset.is_empty()
     }
 
-    /// Runners whose load this node asks for: those that it may send to, and those that told it that
-    /// they leave. Only their own report can undo that, so it must go on being heard.
+    /// Runners to poll for load: eligible ones, and draining ones, as only their own report can end
+    /// the draining state.
     pub(crate) fn watched(&self, runners: &Runners) -> impl Iterator<Item = RunnerKey> {
         let leaving =
             self.members.iter().filter(|k| runners.get(**k).is_some_and(Runner::withdrawn));
--- a/crates/decide/src/runner.rs
+++ b/crates/decide/src/runner.rs
@@ -202,7 +202,7 @@
 
     /// Its load report came. That answers a suspicion by silence, but not one by a failed request:
     /// a bad version may report well and fail every request.
-    pub(crate) fn heard(&mut self, leaving: bool, chart: &RunnerChart) {
+    pub(crate) fn on_report(&mut self, leaving: bool, chart: &RunnerChart) {
         self.silent = 0;
         self.leaving = leaving;
         if self.cause == Cause::Silence {
@@ -216,8 +216,7 @@
         self.signal(Signal::Remove, chart);
     }
 
-    /// Goes into or out of leaving. What the runner says of itself is undone only by itself: the
-    /// list lags, and a newer one may still call a runner live that has said that it leaves.
+    /// Updates the draining state. A runner's own report takes precedence over the lagging list.
     pub(crate) fn settle(&mut self, chart: &RunnerChart) {
         let leaving = self.leaving || self.instance.state == InstanceState::Leaving;
         match (leaving, self.state) {
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -7,7 +7,8 @@
             Address, CONFIRM, MESH_INTERVAL, Me, Members, Output, PeerMessage, SILENCE, TOMBSTONE,
             Target,
             message::{
-                Claim, Heartbeat, Hint, HintKind, Life, Moment, News, NodeState, Place, Usage,
+                Claim, Heartbeat, Hint, HintKind, Life, Moment, NodeLocation, NodeState, Update,
+                Usage,
             },
         },
     },
@@ -19,9 +20,13 @@
 
 const STEP: Duration = Duration::from_millis(50);
 
-fn place(name: &str) -> Place {
+fn location(name: &str) -> NodeLocation {
     let domain = format_compact!("domain-{}", &name[..1]);
-    Place { domain, url: format_compact!("http://{name}"), peer: format_compact!("{name}:1") }
+    NodeLocation {
+        domain,
+        url: format_compact!("http://{name}"),
+        peer: format_compact!("{name}:1"),
+    }
 }
 
 fn life(epoch: u64, incarnation: u64) -> Life {
@@ -29,7 +34,7 @@
 }
 
 fn member(now: Instant, name: &str) -> Members {
-    let me = Me { name: name.into(), life: life(1, 1), place: place(name) };
+    let me = Me { name: name.into(), life: life(1, 1), location: location(name) };
     let mut member = Members::new(7, now, me);
     member.ready();
     member
@@ -39,13 +44,13 @@
     let instance = |name: &&str| Instance {
         name: (*name).into(),
         kind: InstanceKind::Node,
-        url: place(name).url,
-        domain: place(name).domain,
+        url: location(name).url,
+        domain: location(name).domain,
         entry: "".into(),
         version: "".into(),
         state: InstanceState::Live,
         fenced: false,
-        peer: Some(place(name).peer),
+        peer: Some(location(name).peer),
     };
     InstanceList { revision, instances: names.iter().map(instance).collect() }
 }
@@ -54,10 +59,10 @@
     Heartbeat {
         moment: Moment { life, beat },
         state,
-        place: None,
+        location: None,
         revision: 0,
         usage: Vec::new(),
-        news: Vec::new(),
+        updates: Vec::new(),
     }
 }
 
@@ -75,7 +80,7 @@
 fn pair(now: Instant) -> Members {
     let mut a = member(now, "a");
     a.list(now, &list(1, &["a", "b"]));
-    a.heard(now, "b", &heartbeat(life(1, 1), 1, NodeState::Ready), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(1, 1), 1, NodeState::Ready), &mut Vec::new());
     a.tick(now + MESH_INTERVAL * 2, &mut Vec::new());
     a
 }
@@ -160,9 +165,9 @@
     a.list(now, &list(1, &["a", "b"]));
     assert_eq!(state(&a, "b"), Some(NodeState::Unknown));
     assert_eq!(urls(&a), ["http://a"]);
-    a.heard(now, "b", &heartbeat(life(1, 1), 1, NodeState::Starting), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(1, 1), 1, NodeState::Starting), &mut Vec::new());
     assert_eq!(urls(&a), ["http://a"]);
-    a.heard(now, "b", &heartbeat(life(1, 1), 2, NodeState::Ready), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(1, 1), 2, NodeState::Ready), &mut Vec::new());
     assert_eq!(urls(&a), ["http://a", "http://b"]);
 }
 
@@ -173,7 +178,7 @@
     let names = ["a1", "a2", "b1", "b2", "a3"];
     a.list(now, &list(1, &names));
     for name in &names[1..] {
-        a.heard(now, name, &heartbeat(life(1, 1), 1, NodeState::Ready), &mut Vec::new());
+        a.on_heartbeat(now, name, &heartbeat(life(1, 1), 1, NodeState::Ready), &mut Vec::new());
     }
     let domains: Vec<_> = a.addresses().into_iter().map(|x| x.domain).collect();
     assert_eq!(domains, ["domain-a", "domain-a", "domain-a", "domain-b", "domain-b"]);
@@ -201,7 +206,7 @@
     let now = Instant::now();
     let mut a = pair(now);
     a.list(now, &list(2, &["a"]));
-    a.heard(now, "b", &heartbeat(life(1, 1), 2, NodeState::Ready), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(1, 1), 2, NodeState::Ready), &mut Vec::new());
     assert_eq!(urls(&a), ["http://a", "http://b"]);
 }
 
@@ -246,7 +251,7 @@
     a.broken(now, "b", &mut Vec::new());
     assert_eq!(state(&a, "b"), Some(NodeState::Suspect));
     assert_eq!(urls(&a), ["http://a", "http://b"]);
-    a.heard(now, "b", &heartbeat(life(1, 1), 2, NodeState::Ready), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(1, 1), 2, NodeState::Ready), &mut Vec::new());
     assert_eq!(state(&a, "b"), Some(NodeState::Ready));
 }
 
@@ -256,10 +261,10 @@
 fn a_late_heartbeat_of_an_older_life_is_ignored() {
     let now = Instant::now();
     let mut a = pair(now);
-    a.heard(now, "b", &heartbeat(life(2, 9), 1, NodeState::Starting), &mut Vec::new());
-    a.heard(now, "b", &heartbeat(life(1, 1), 50, NodeState::Ready), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(2, 9), 1, NodeState::Starting), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(1, 1), 50, NodeState::Ready), &mut Vec::new());
     assert_eq!(state(&a, "b"), Some(NodeState::Starting));
-    a.heard(now, "b", &heartbeat(life(2, 9), 2, NodeState::Ready), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(2, 9), 2, NodeState::Ready), &mut Vec::new());
     assert_eq!(state(&a, "b"), Some(NodeState::Ready));
 }
 
@@ -271,10 +276,10 @@
     let mut a = pair(now);
     let mut b = member(now, "b");
     b.list(now, &list(1, &["a", "b"]));
-    a.heard(now, "b", &heartbeat(life(5, 5), 1, NodeState::Ready), &mut Vec::new());
-    a.heard(now, "b", &heartbeat(life(5, 5), 2, NodeState::Draining), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(5, 5), 1, NodeState::Ready), &mut Vec::new());
+    a.on_heartbeat(now, "b", &heartbeat(life(5, 5), 2, NodeState::Draining), &mut Vec::new());
     let mut out = Vec::new();
-    a.heard(now, "b", &heartbeat(life(1, 1), 1, NodeState::Ready), &mut out);
+    a.on_heartbeat(now, "b", &heartbeat(life(1, 1), 1, NodeState::Ready), &mut out);
     assert_eq!(state(&a, "b"), Some(NodeState::Draining));
     let [Output::Send { to, message }] = &out[..] else { panic!("{out:?}") };
     assert_eq!(to[0], Target { name: "b".into(), address: "b:1".into() });
@@ -292,18 +297,18 @@
 fn a_node_that_is_called_gone_contradicts() {
     let now = Instant::now();
     let mut a = pair(now);
-    let claim = |moment, state| Claim { name: "a".into(), moment, state, place: None };
+    let claim = |moment, state| Claim { name: "a".into(), moment, state, location: None };
     let before = Moment { life: life(1, 1), beat: 1 };
     let mut rumour = heartbeat(life(1, 1), 2, NodeState::Ready);
-    rumour.news = vec![News::Node(claim(before, NodeState::Gone))];
-    a.heard(now, "b", &rumour, &mut Vec::new());
+    rumour.updates = vec![Update::Node(claim(before, NodeState::Gone))];
+    a.on_heartbeat(now, "b", &rumour, &mut Vec::new());
     let mut out = Vec::new();
     run(&mut a, now + MESH_INTERVAL * 2, Duration::from_secs(1), &mut out);
     let said = out.iter().any(|o| {
         let Output::Send { message: PeerMessage::Heartbeat(h), .. } = o else { return false };
-        h.news.iter().any(|n| match n {
-            News::Node(c) => c.name == "a" && c.state == NodeState::Ready && c.moment > before,
-            News::Runner(_) => false,
+        h.updates.iter().any(|n| match n {
+            Update::Node(c) => c.name == "a" && c.state == NodeState::Ready && c.moment > before,
+            Update::Runner(_) => false,
         })
     });
     assert!(said, "{out:?}");
@@ -372,7 +377,7 @@
         let start = Instant::now();
         let mut a = member(start, "a");
         a.list(start, &list(1, &["a", "b"]));
-        a.heard(start, "b", &heartbeat(life(1, 1), 1, before), &mut Vec::new());
+        a.on_heartbeat(start, "b", &heartbeat(life(1, 1), 1, before), &mut Vec::new());
         run(&mut a, start, MESH_INTERVAL * 2 + SILENCE, &mut Vec::new());
         assert_eq!(state(&a, "b"), Some(NodeState::Suspect));
         assert_eq!(urls(&a), ["http://a"]);
@@ -422,19 +427,19 @@
     let mut a = pair(now);
     let claim = |beat, state| {
         let moment = Moment { life: life(1, 1), beat };
-        News::Node(Claim { name: "c".into(), moment, state, place: None })
+        Update::Node(Claim { name: "c".into(), moment, state, location: None })
     };
     let mut beat = heartbeat(life(1, 1), 2, NodeState::Ready);
-    beat.news = vec![claim(1, NodeState::Gone)];
-    a.heard(now, "b", &beat, &mut Vec::new());
+    beat.updates = vec![claim(1, NodeState::Gone)];
+    a.on_heartbeat(now, "b", &beat, &mut Vec::new());
     let later = run(&mut a, now + MESH_INTERVAL * 2, SILENCE, &mut Vec::new());
-    (beat.moment.beat, beat.news) = (3, vec![claim(5, NodeState::Suspect)]);
-    a.heard(later, "b", &beat, &mut Vec::new());
+    (beat.moment.beat, beat.updates) = (3, vec![claim(5, NodeState::Suspect)]);
+    a.on_heartbeat(later, "b", &beat, &mut Vec::new());
     let mut out = Vec::new();
     run(&mut a, later, MESH_INTERVAL * 2, &mut out);
     let said = out.iter().any(|o| {
         let Output::Send { message: PeerMessage::Heartbeat(h), .. } = o else { return false };
-        h.news.contains(&claim(5, NodeState::Gone))
+        h.updates.contains(&claim(5, NodeState::Gone))
     });
     assert!(said, "{out:?}");
 }
@@ -448,7 +453,7 @@
     let mut b = member(now, "b");
     b.list(now, &list(1, &["a", "b"]));
     let moment = Moment { life: life(1, 1), beat: 1 };
-    a.receive(now, "b", &PeerMessage::Goodbye(moment), &mut Vec::new());
+    a.receive(now, "b", &PeerMessage::Leave(moment), &mut Vec::new());
     assert_eq!(state(&a, "b"), Some(NodeState::Gone));
     let (mut asked, mut answer) = (Vec::new(), Vec::new());
     let later = run(&mut a, now + MESH_INTERVAL * 2, Duration::from_secs(2), &mut asked);
@@ -472,7 +477,7 @@
     net.run(STEP * 3);
     assert_eq!(net.counts(), [5; 6]);
     let mut out = Vec::new();
-    net.members[0].goodbye(&mut out);
+    net.members[0].send_leave(&mut out);
     net.post(0, out);
     net.step();
     assert!(net.members[1..].iter().all(|m| state(m, "0") == Some(NodeState::Gone)));
@@ -517,7 +522,7 @@
     let mut a = pair(start);
     let mut beat = heartbeat(life(1, 1), 2, NodeState::Ready);
     beat.usage = vec![Usage { entry: "e".into(), account: "c".into(), running: 3 }];
-    a.heard(start, "b", &beat, &mut Vec::new());
+    a.on_heartbeat(start, "b", &beat, &mut Vec::new());
     assert_eq!(a.usage(start).nodes, 1);
     assert_eq!(a.usage(start).running, beat.usage);
     let now = run(&mut a, start + MESH_INTERVAL * 2, SILENCE * 2, &mut Vec::new());
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -1,50 +1,49 @@
-//! Bytes of a message: a version, a class that bounds its size, the sender's name and the message
-//! in postcard.
+//! Frame codec: version, size class, sender's name and message in postcard.
 
 use {
     crate::{PeerError, Result},
-    bilberryfront_decide::member::{MAX_MEMBERS, PeerMessage, message::Relayed},
+    bilberryfront_decide::member::{MAX_MEMBERS, PeerMessage, message::RelayedLoad},
     bytes::Bytes,
     compact_str::CompactString,
 };
 
-/// First byte of every frame; another one is refused.
+/// Protocol version.
 pub const VERSION: u8 = 2;
-/// Most bytes of a frame of [`Class::Control`].
+/// Maximum size of a [`Class::Control`] frame.
 pub const CONTROL_LIMIT: usize = 256 * 1024;
-/// Most bytes of a frame of [`Class::Catalog`].
+/// Maximum size of a [`Class::Catalog`] frame.
 pub const CATALOG_LIMIT: usize = 16 * 1024 * 1024;
-/// Bytes before the postcard part: version and class.
+/// Header size: version and class.
 pub const HEADER: usize = 2;
-/// Most usage lines or news items of a heartbeat.
+/// Maximum usage lines or updates per heartbeat.
 const ITEMS_LIMIT: usize = 64;
-/// Most runners of one message about loads.
+/// Maximum runners per load update.
 pub const LOADS_LIMIT: usize = 1_024;
 
-/// Bytes of one message, with their class.
+/// An encoded message.
 #[derive(Clone, Debug)]
 pub struct Frame {
-    /// The class, also the second byte.
+    /// Size class.
     pub class: Class,
-    /// Whether it may go as a datagram and be lost.
+    /// Whether it may be sent as a datagram.
     pub datagram: bool,
-    /// Whether only the newest of its kind is worth sending.
+    /// Whether it supersedes earlier frames of its kind.
     pub latest: bool,
-    /// All bytes.
+    /// Encoded bytes.
     pub bytes: Bytes,
 }
 
-/// What bounds a frame. A reader knows the class, and so the bound, before it keeps any more.
+/// Size class; known from the header before the body is buffered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
-    /// Everything small.
+    /// Control messages.
     Control,
-    /// A whole catalogue, taken only from a node that was asked for it.
+    /// A catalogue; accepted only from a node it was requested from.
     Catalog,
 }
 
 impl Class {
-    /// The class of a message.
+    /// Class of a message.
     pub fn of(message: &PeerMessage) -> Class {
         match message {
             PeerMessage::CatalogPush(_) => Class::Catalog,
@@ -52,7 +51,7 @@
         }
     }
 
-    /// Most bytes of a frame.
+    /// Maximum frame size.
     pub fn limit(self) -> usize {
         match self {
             Class::Control => CONTROL_LIMIT,
@@ -60,7 +59,7 @@
         }
     }
 
-    /// Reads the two bytes that every frame starts with.
+    /// Parses a header.
     pub fn read(header: [u8; HEADER]) -> Option<Class> {
         match header {
             [VERSION, 0] => Some(Class::Control),
@@ -77,22 +76,22 @@
     }
 }
 
-/// Why bytes are no message.
+/// Why a frame is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum DecodeError {
-    /// Another version, an unknown class, or less than a header.
+    /// Unknown version or class, or truncated.
     #[error("no frame of this version")]
     Header,
-    /// More bytes or items than its class allows.
+    /// Exceeds a limit.
     #[error("too large")]
     Oversized,
-    /// Not the postcard form of a message, or bytes left over.
+    /// Invalid postcard or trailing bytes.
     #[error("not a message")]
     Garbled,
 }
 
-/// The bytes of `message` from the node `name`.
+/// Encodes a message of the node `name`.
 pub fn encode(name: &CompactString, message: &PeerMessage) -> Result<Frame> {
     let class = Class::of(message);
     let header = vec![VERSION, class.byte()];
@@ -102,12 +101,12 @@
         return Err(PeerError::Oversized(bytes.len()));
     }
     let latest = matches!(message, PeerMessage::Heartbeat(_));
-    let load = matches!(message, PeerMessage::Load(_) | PeerMessage::Relayed(_));
+    let load = matches!(message, PeerMessage::Load(_) | PeerMessage::RelayedLoad(_));
     let datagram = latest || load;
     Ok(Frame { class, datagram, latest, bytes: bytes.into() })
 }
 
-/// Reads a whole frame: the sender's name and the message.
+/// Decodes a frame into the sender's name and the message.
 pub fn decode(bytes: &[u8]) -> std::result::Result<(CompactString, PeerMessage), DecodeError> {
     let (header, body) = bytes.split_first_chunk().ok_or(DecodeError::Header)?;
     let class = Class::read(*header).ok_or(DecodeError::Header)?;
@@ -127,9 +126,9 @@
 
 fn items(message: &PeerMessage) -> usize {
     match message {
-        PeerMessage::Heartbeat(heartbeat) => heartbeat.news.len().max(heartbeat.usage.len()),
+        PeerMessage::Heartbeat(heartbeat) => heartbeat.updates.len().max(heartbeat.usage.len()),
         PeerMessage::MembersPush(claims) | PeerMessage::Claims(claims) => claims.len(),
-        PeerMessage::Load(load) | PeerMessage::Relayed(Relayed { load, .. }) => {
+        PeerMessage::Load(load) | PeerMessage::RelayedLoad(RelayedLoad { load, .. }) => {
             load.runners.len().max(load.failed.len()).max(load.restarts.len())
         }
         _ => 0,
@@ -139,7 +138,7 @@
 fn limit(message: &PeerMessage) -> usize {
     match message {
         PeerMessage::MembersPush(_) => MAX_MEMBERS + 1,
-        PeerMessage::Load(_) | PeerMessage::Relayed(_) => LOADS_LIMIT,
+        PeerMessage::Load(_) | PeerMessage::RelayedLoad(_) => LOADS_LIMIT,
         _ => ITEMS_LIMIT,
     }
 }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,8 +1,7 @@
-//! Talking to other nodes: QUIC with mutual TLS 1.3.
+//! Peer transport: QUIC with mutual TLS 1.3.
 //!
-//! Each node dials the nodes it sends to and only listens on the connections that it accepts, so a
-//! pair never has to agree on one connection. Delivery is at most once: what can't be sent soon is
-//! dropped and counted, since every message is repeated or asked for again by its owner.
+//! Each node dials the nodes it sends to. Delivery is at most once: frames that cannot be sent soon
+//! are dropped and counted, as every message is repeated or requested again.
 
 pub mod codec;
 mod queue;
@@ -35,90 +34,90 @@
 /// A result whose error is a [`PeerError`].
 pub type Result<T> = std::result::Result<T, PeerError>;
 
-/// Events that wait for the control thread; past it they are dropped and counted.
+/// Capacity of the event queue; further events are dropped and counted.
 const EVENTS: usize = 1_024;
-/// How long a leaving process waits for its last messages to be acknowledged.
+/// Timeout for flushing on close.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Why the peer face can't start.
+/// Why the transport cannot start.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
 pub enum PeerError {
-    /// A PEM file without what it should hold.
+    /// Incomplete PEM file.
     #[error("{part}: {cause}")]
     Pem {
-        /// Which file: `certificate`, `key` or `authority`.
+        /// `certificate`, `key` or `authority`.
         part: &'static str,
-        /// What is wrong with it.
+        /// Cause.
         cause: String,
     },
-    /// The certificate and the key don't belong together, or the authority can't be used.
+    /// Certificate and key do not match, or the authority is unusable.
     #[error("the peer certificate can't be used: {0}")]
     Tls(String),
-    /// The certificate is another node's.
+    /// Certificate of another node.
     #[error("the peer certificate is for {found:?}, but this node is {name:?}")]
     Name {
-        /// The node's name in the settings.
+        /// Node name in the settings.
         name: CompactString,
-        /// First DNS name of the certificate.
+        /// First DNS name in the certificate.
         found: CompactString,
     },
-    /// The address can't be bound.
+    /// Cannot bind the address.
     #[error("can't listen for peers on {address}: {cause}")]
     Listen {
-        /// The address.
+        /// Address.
         address: SocketAddr,
-        /// Why.
+        /// Cause.
         cause: io::Error,
     },
-    /// The message is larger than any node would take.
+    /// Message exceeds the frame limit.
     #[error("the message has {0} bytes")]
     Oversized(usize),
 }
 
-/// What the peer face is told at start.
+/// Configuration.
 #[derive(Clone, Debug)]
 pub struct PeerConfig {
-    /// This node's name; must be the certificate's first DNS name.
+    /// Node name; must be the certificate's first DNS name.
     pub name: CompactString,
-    /// UDP address; port 0 takes a free one.
+    /// UDP address; port 0 selects a free one.
     pub listen: SocketAddr,
     /// Certificate chain, PEM.
     pub certificate: Vec<u8>,
     /// Private key, PEM.
     pub key: Vec<u8>,
-    /// Certificates of the authority that signs all nodes' certificates, PEM.
+    /// CA certificates, PEM.
     pub authority: Vec<u8>,
 }
 
-/// What the peer face tells the control thread.
+/// Events for the control thread.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Received {
-    /// A message; the sender's name has been checked against its certificate.
+    /// A message from an authenticated node.
     Message {
-        /// Whose message it is.
+        /// Sender.
         from: CompactString,
-        /// What it says.
+        /// Message.
         message: PeerMessage,
     },
-    /// The connection to this node broke or couldn't be made.
+    /// The connection to this node failed.
     Broken(CompactString),
 }
 
-/// What has been counted since the start.
+/// Counters since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
-    /// Messages given to the network.
+    /// Messages sent.
     pub sent: u64,
-    /// Messages taken.
+    /// Messages received.
     pub received: u64,
-    /// Messages dropped because a queue was full or a connection broke.
+    /// Messages dropped by a full queue or a failed connection.
     pub dropped: u64,
-    /// Messages and connections refused: foreign certificate, another's name, bad or too many bytes.
+    /// Rejected messages and connections.
     pub refused: u64,
 }
 
-/// The peer face of this node. Clones share it.
+/// Peer transport. Clones share it.
 #[derive(Clone)]
 pub struct PeerNet {
     shared: Arc<Shared>,
@@ -129,18 +128,18 @@
     endpoint: Endpoint,
     client: quinn::ClientConfig,
     links: Mutex<FxHashMap<CompactString, Link>>,
-    /// Nodes that were asked for their catalogue and haven't sent it.
+    /// Nodes with an outstanding catalogue request.
     pulled: Mutex<FxHashSet<CompactString>>,
     events: mpsc::Sender<Received>,
     counters: Counters,
 }
 
-/// What the membership needs of the peer face; tests put a fake in its place.
+/// Transport interface of the membership.
 pub trait Peers: Send + Sync + 'static {
-    /// Queues a message for each target and returns at once.
+    /// Queues a message for each target; does not block.
     fn send(&self, to: &[Target], message: &PeerMessage) -> Result<()>;
 
-    /// Sends what is queued and ends all connections.
+    /// Flushes the queues and closes all connections.
     fn close(&self) -> impl Future<Output = ()> + Send;
 }
 
@@ -154,7 +153,7 @@
     }
 }
 
-/// The way to one other node.
+/// Outgoing link to one node.
 struct Link {
     queue: Arc<Queue>,
     task: JoinHandle<()>,
@@ -173,8 +172,7 @@
 }
 
 impl PeerNet {
-    /// Listens for other nodes. Must be called within a runtime, which then carries all peer
-    /// traffic.
+    /// Starts the transport on the current runtime.
     pub fn start(config: &PeerConfig) -> Result<(PeerNet, mpsc::Receiver<Received>)> {
         let Identity { server, client } = tls::identity(config)?;
         let endpoint = Endpoint::server(server, config.listen)
@@ -193,13 +191,13 @@
         Ok((PeerNet { shared }, receiver))
     }
 
-    /// The address that other nodes reach.
+    /// Local address.
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.shared.endpoint.local_addr()
     }
 
-    /// Queues a message for each target and returns at once with its size in bytes. The queues are bounded;
-    /// of several heartbeats that wait for one node only the last is kept.
+    /// Queues a message for each target and returns its size. Queues are bounded; only the latest
+    /// heartbeat is kept.
     pub fn send(&self, to: &[Target], message: &PeerMessage) -> Result<usize> {
         let frame = codec::encode(&self.shared.name, message)?;
         let bytes = frame.bytes.len();
@@ -212,7 +210,7 @@
         Ok(bytes)
     }
 
-    /// What has been counted since the start.
+    /// Current counters.
     pub fn counts(&self) -> Counts {
         let counters = &self.shared.counters;
         let read = |c: &AtomicU64| c.load(Ordering::Relaxed);
@@ -224,7 +222,7 @@
         }
     }
 
-    /// Sends what is queued, waits a short while for it to arrive, and ends all connections.
+    /// Flushes the queues for a short time and closes all connections.
     pub async fn close(&self) {
         let links = std::mem::take(&mut *self.shared.links());
         links.values().for_each(|l| l.queue.close());
@@ -269,14 +267,14 @@
         }
     }
 
-    /// Takes note that a node has connected to this one: it is there, and may be a new process.
+    /// Records an incoming connection; its node may have restarted.
     fn announce(&self, name: &str) {
         if let Some(link) = self.links().get(name) {
             link.queue.announce();
         }
     }
 
-    /// Forgets an idle node, unless something was queued for it in between.
+    /// Removes an idle link unless a frame was queued meanwhile.
     fn forget(&self, name: &str) -> bool {
         let mut links = self.links();
         let idle = links.get(name).is_none_or(|l| l.queue.is_empty());
@@ -292,7 +290,7 @@
         }
     }
 
-    /// Takes a whole frame from the node whose certificate shows `peer`.
+    /// Handles a frame from the node named in the peer's certificate.
     async fn take(&self, peer: &CompactString, class: Class, bytes: &[u8]) {
         let message = match codec::decode(bytes) {
             Ok((name, message)) if name == *peer && Class::of(&message) == class => message,
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -1,4 +1,4 @@
-//! What waits to be sent to one node.
+//! Send queue of one node.
 
 use {
     crate::codec::{Class, Frame},
@@ -10,13 +10,10 @@
     tokio::sync::Notify,
 };
 
-/// Most control messages that wait; past it the oldest is dropped.
+/// Capacity for control messages; the oldest is dropped.
 const CONTROL: usize = 32;
 
-/// A bounded queue: control messages, the last heartbeat and the last catalogue.
-///
-/// A node that doesn't read must cost neither memory nor time here: pushing never waits, and a
-/// heartbeat that wasn't sent is worthless once the next one is there.
+/// Bounded queue with separate slots for the latest heartbeat and catalogue. Pushing never blocks.
 pub(super) struct Queue {
     state: Mutex<State>,
     wake: Notify,
@@ -50,7 +47,7 @@
         Queue { state: Mutex::new(state), wake: Notify::new(), back: Notify::new() }
     }
 
-    /// Adds a frame and takes over the node's address; false when another frame was dropped for it.
+    /// Pushes a frame and updates the address; false if another frame was dropped.
     pub(super) fn push(&self, address: SocketAddr, frame: Frame) -> bool {
         let mut state = self.state();
         state.address = address;
@@ -66,7 +63,7 @@
         dropped.is_none()
     }
 
-    /// Waits for the next frame; `None` when the queue is closed and empty.
+    /// Waits for a frame; `None` once closed and empty.
     pub(super) async fn next(&self) -> Option<Frame> {
         loop {
             {
@@ -80,12 +77,12 @@
         }
     }
 
-    /// Says that the node has connected to this one.
+    /// Signals an incoming connection from the node.
     pub(super) fn announce(&self) {
         self.back.notify_one();
     }
 
-    /// Waits until the node connects to this one.
+    /// Waits for an incoming connection from the node.
     pub(super) async fn announced(&self) {
         self.back.notified().await;
     }
--- a/crates/peer/src/receiver.rs
+++ b/crates/peer/src/receiver.rs
@@ -1,4 +1,4 @@
-//! Connections that other nodes make to this one.
+//! Incoming connections.
 
 use {
     crate::{
@@ -12,15 +12,14 @@
     tokio::time::timeout,
 };
 
-/// Most connections, in and out; past it new ones are refused, which bounds memory and is several
-/// times what the heartbeat graph of the largest system needs.
+/// Maximum connections, in and out.
 const CONNECTIONS: usize = 512;
-/// Longest handshake.
+/// Handshake timeout.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest wait for the whole of a message once its stream is open.
+/// Timeout for reading a message.
 const READ_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Why a stream gave no message.
+/// Why reading a message failed.
 struct Unread;
 
 pub(super) async fn run(shared: Arc<Shared>) {
@@ -34,7 +33,7 @@
     }
 }
 
-/// Each connection has its own task: a node that is silent in its handshake holds up no other.
+/// One task per connection, so that a stalled handshake blocks no other.
 async fn accept(shared: Arc<Shared>, incoming: Incoming) {
     let Ok(Ok(connection)) = timeout(HANDSHAKE_TIMEOUT, incoming).await else {
         return count(&shared.counters.refused);
@@ -63,7 +62,7 @@
     }
 }
 
-/// Reads one message from its stream. The transport's limit of open streams bounds these tasks.
+/// Reads a message. The transport limits the number of open streams.
 async fn take(shared: Arc<Shared>, peer: CompactString, mut stream: RecvStream) {
     match timeout(READ_TIMEOUT, read(&shared, &peer, &mut stream)).await {
         Ok(Ok((class, bytes))) => shared.take(&peer, class, &bytes).await,
@@ -82,7 +81,7 @@
     let mut header = [0; HEADER];
     stream.read_exact(&mut header).await.map_err(|_| Unread)?;
     let class = Class::read(header).ok_or(Unread)?;
-    // Unasked-for catalogues would let one broken node fill this one's memory, 16 MiB at a time.
+    // Bounds the memory that one node can claim with unsolicited catalogues.
     if class == Class::Catalog && !shared.pulled().remove(peer) {
         return Err(Unread);
     }
--- a/crates/peer/src/sender.rs
+++ b/crates/peer/src/sender.rs
@@ -1,4 +1,4 @@
-//! The task that sends to one node.
+//! Sending task of one node.
 
 use {
     crate::{
@@ -18,25 +18,23 @@
     },
 };
 
-/// Longest handshake.
+/// Handshake timeout.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest wait until a control message is written.
+/// Write timeout of a control message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Longest wait until a catalogue is written.
+/// Write timeout of a catalogue.
 const CATALOG_TIMEOUT: Duration = Duration::from_secs(10);
-/// Wait after the first failure; it doubles with each.
+/// Initial backoff; doubles with each failure.
 const BACKOFF_LEAST: Duration = Duration::from_millis(100);
-/// Longest wait after a failure.
+/// Maximum backoff.
 const BACKOFF_MOST: Duration = Duration::from_secs(2);
-/// Age from which a connection is made anew when its node connects to this one. A node that was killed
-/// and started again says nothing on the old connection, which would swallow messages, a catalogue that
-/// was asked for among them, until the transport gives it up after seconds. A younger one is most likely the
-/// answer to the node's own.
+/// Minimum age at which an outgoing connection is replaced when its node connects to this one.
+/// After a restart of the node the old connection would swallow messages until it times out.
 const RENEW_AGE: Duration = Duration::from_secs(1);
-/// Time without a message after which the node is forgotten.
+/// Idle time after which the link is removed.
 const IDLE: Duration = Duration::from_secs(30);
 
-/// Why nothing more can be sent over a connection.
+/// Why a connection is unusable.
 struct Unsent;
 
 pub(super) async fn run(shared: Arc<Shared>, name: CompactString, queue: Arc<Queue>) {
@@ -57,7 +55,7 @@
     used: Instant,
 }
 
-/// An open connection and what was last sent over it.
+/// An open connection.
 struct Open {
     connection: Connection,
     made: Instant,
@@ -66,8 +64,7 @@
 }
 
 impl Sender {
-    /// The next frame to send; `None` when there won't be any. Notices meanwhile that the
-    /// connection ends.
+    /// Waits for the next frame while watching the connection; `None` once the queue is closed.
     async fn next(&mut self) -> Option<Frame> {
         loop {
             let link = self.link.as_ref().map(|l| l.connection.clone());
@@ -89,8 +86,7 @@
         }
     }
 
-    /// An idle connection ends by the transport's own timeout, which says nothing about the node;
-    /// any other end is evidence against it.
+    /// An idle timeout is not evidence against the node; any other error is.
     fn closed(&mut self, reason: &ConnectionError) {
         self.link = None;
         let idle =
@@ -100,7 +96,7 @@
         }
     }
 
-    /// The node has connected to this one: an old connection to it may lead nowhere.
+    /// Handles an incoming connection of the node.
     fn renew(&mut self) {
         self.backoff = BACKOFF_LEAST;
         if self.link.as_ref().is_some_and(|link| link.made.elapsed() >= RENEW_AGE) {
@@ -137,8 +133,7 @@
         let Shared { endpoint, client, counters, .. } = &*self.shared;
         let connect =
             || endpoint.connect_with(client.clone(), self.queue.address(), &self.name).ok();
-        // The first packet of a handshake is sent again only after a second: with a node that was down
-        // a moment ago a new handshake is sooner.
+        // The initial packet is retransmitted only after a second, so a new handshake is faster.
         let first = tokio::select! {
             first = timeout(CONNECT_TIMEOUT, connect()?) => Some(first),
             () = self.queue.announced() => None,
@@ -156,8 +151,7 @@
         Some(connection)
     }
 
-    /// Waits before the next try, with jitter: nodes that lost the same node mustn't come back to it
-    /// all at once.
+    /// Waits for the backoff, with jitter.
     async fn failed(&mut self) {
         count(&self.shared.counters.dropped);
         if let Some(link) = self.link.take() {
@@ -173,7 +167,7 @@
         }
     }
 
-    /// Waits until the last message, often a goodbye, has arrived; the caller bounds the wait.
+    /// Waits until the last message is acknowledged; the caller sets the timeout.
     async fn finish(self) {
         let Some(link) = self.link else { return };
         if let Some(stream) = link.stream {
@@ -186,9 +180,8 @@
 }
 
 impl Open {
-    /// Sends a small frame as a datagram where it fits: a lost heartbeat is better replaced by the
-    /// next one than sent again. All else goes on a stream of its own, so that no message waits for
-    /// the retransmission of another.
+    /// Sends small supersedable frames as datagrams and all others on their own streams, which
+    /// avoids head-of-line blocking.
     async fn send(&mut self, shared: &Shared, frame: Frame) -> Result<(), Unsent> {
         match frame {
             Frame { class: Class::Catalog, .. } => self.send_catalog(shared, frame),
@@ -203,8 +196,7 @@
         Ok(())
     }
 
-    /// A catalogue is written by a task of its own, so that heartbeats go on meanwhile. While one is
-    /// being written the next is dropped: the node asks again.
+    /// Writes a catalogue in the background; a second one is dropped meanwhile and requested again.
     fn send_catalog(&mut self, shared: &Shared, frame: Frame) {
         if self.catalog.as_ref().is_some_and(|task| !task.is_finished()) {
             return count(&shared.counters.dropped);
--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -1,4 +1,4 @@
-//! Certificates and the transport's settings.
+//! TLS and transport configuration.
 
 use {
     crate::{PeerConfig, PeerError, Result},
@@ -15,26 +15,26 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Time without traffic after which a connection ends.
+/// Idle timeout of a connection.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Protocol name in the handshake; nodes of another major version don't talk.
+/// ALPN protocol.
 const ALPN: &[u8] = b"bilberryfront/1";
-/// Streams that one node may have open to this one, each carrying one message.
+/// Incoming streams per connection, one message each.
 const STREAMS: u32 = 16;
-/// Bytes that one node may have in flight to this one on all streams, and on one.
+/// Receive window per connection and per stream.
 const WINDOW: u32 = 2 * 1024 * 1024;
-/// Bytes of datagrams that wait, each way; past it the oldest goes.
+/// Datagram buffer size.
 const DATAGRAMS: usize = 64 * 1024;
 
-/// Both sides of a node's TLS.
+/// TLS configuration for both roles.
 pub struct Identity {
-    /// To accept connections; asks for the other's certificate.
+    /// Server side; requires a client certificate.
     pub server: quinn::ServerConfig,
-    /// To make connections; shows this node's certificate.
+    /// Client side.
     pub client: quinn::ClientConfig,
 }
 
-/// Reads the certificates. Fails unless they fit together and are this node's.
+/// Loads and checks the certificates.
 pub fn identity(config: &PeerConfig) -> Result<Identity> {
     let chain = certificates("certificate", &config.certificate)?;
     let key = PrivateKeyDer::from_pem_slice(&config.key).map_err(|e| pem("key", &e))?;
@@ -55,7 +55,7 @@
     Ok(Identity { server, client })
 }
 
-/// The other side's name: the first DNS name of the certificate that it showed.
+/// First DNS name of the peer's certificate.
 pub fn peer_name(connection: &Connection) -> Option<CompactString> {
     let chain = connection.peer_identity()?.downcast::<Vec<CertificateDer<'static>>>().ok()?;
     first_name(chain.first()?)
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -1,4 +1,4 @@
-//! Bodies of this node's answers.
+//! Response bodies.
 
 use {
     bytes::Bytes,
@@ -14,18 +14,18 @@
     tokio::{sync::mpsc, task::AbortHandle},
 };
 
-/// Events that wait for a caller who reads slowly; the runner's own window holds the rest.
+/// Buffered events for a slow caller; beyond it, back-pressure reaches the runner.
 const EVENTS: usize = 16;
 
-/// The body of an answer.
+/// A response body.
 pub enum Answer {
-    /// Known in whole.
+    /// Buffered.
     Whole(Option<Bytes>),
-    /// Events as they come.
+    /// Streamed.
     Stream(Stream),
 }
 
-/// The reading end of a stream; dropping it ends the task that fills it, and with it the run.
+/// Reading end of a stream; dropping it aborts the task that fills it.
 pub struct Stream {
     events: mpsc::Receiver<Bytes>,
     ended: bool,
@@ -33,32 +33,32 @@
     state: Rc<Cell<bool>>,
 }
 
-/// The filling end of a stream.
+/// Writing end of a stream.
 pub struct Feed {
     events: mpsc::Sender<Bytes>,
     complete: Rc<Cell<bool>>,
 }
 
-/// A stream broke off. Ends the connection without the mark of a complete body, so that the caller
-/// can't take the part for the whole.
+/// An aborted stream. Closes the connection without the final chunk, so that a truncated body does
+/// not look complete.
 #[derive(Clone, Copy, Debug)]
-pub struct BrokenOff;
+pub struct Aborted;
 
-impl fmt::Display for BrokenOff {
+impl fmt::Display for Aborted {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("the stream broke off")
     }
 }
 
-impl std::error::Error for BrokenOff {}
+impl std::error::Error for Aborted {}
 
-impl From<Infallible> for BrokenOff {
-    fn from(never: Infallible) -> BrokenOff {
+impl From<Infallible> for Aborted {
+    fn from(never: Infallible) -> Aborted {
         match never {}
     }
 }
 
-/// A body that `fill` writes to as long as somebody reads it.
+/// A body filled by `fill` while it is being read.
 pub fn stream<F, W>(fill: F) -> Answer
 where
     F: FnOnce(Feed) -> W,
@@ -72,19 +72,19 @@
 }
 
 impl Feed {
-    /// Adds an event; false when nobody reads any more.
+    /// Sends an event; false if the reader is gone.
     pub async fn push(&self, bytes: Bytes) -> bool {
         self.events.send(bytes).await.is_ok()
     }
 
-    /// Ends the body as complete. Dropping the feed without this breaks it off.
+    /// Ends the body as complete; dropping the feed aborts it.
     pub fn finish(self) {
         self.complete.set(true);
     }
 }
 
 impl Answer {
-    /// No bytes.
+    /// Empty body.
     pub fn empty() -> Answer {
         Answer::Whole(None)
     }
@@ -98,12 +98,12 @@
 
 impl Body for Answer {
     type Data = Bytes;
-    type Error = BrokenOff;
+    type Error = Aborted;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match &mut *self {
             Answer::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Answer::Stream(stream) => stream.poll(context),
@@ -128,7 +128,7 @@
 }
 
 impl Stream {
-    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         if self.ended {
             return Poll::Ready(None);
         }
@@ -138,7 +138,7 @@
             Poll::Ready(None) => {
                 self.ended = true;
                 let complete = self.state.get();
-                Poll::Ready((!complete).then_some(Err(BrokenOff)))
+                Poll::Ready((!complete).then_some(Err(Aborted)))
             }
         }
     }
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -1,32 +1,32 @@
-//! How many further sends of requests a node may make.
+//! Retry budget.
 //!
-//! The bound is the whole system's: in any window, the sends beyond the first of each request stay
-//! below a ratio of the requests and a fixed slack. A node knows its own requests, so its part is the
-//! ratio of those and an equal share of the slack; the parts add up to the whole without any talk.
+//! The bound is global: in any window, retries stay below a ratio of the requests plus a fixed
+//! slack. Each node uses the ratio of its own requests and an equal share of the slack, so no
+//! coordination is needed.
 
 use {
     std::{collections::VecDeque, time::Duration},
     tokio::time::Instant,
 };
 
-/// Part of what is allowed that is used: the rest covers sends that arrive in a later window than
-/// they left in, and nodes that have just joined and take a share that others still use.
+/// Share of the budget in use; the rest covers retries that arrive in a later window and nodes that
+/// have just joined.
 const MARGIN: f64 = 0.7;
-/// Parts in which a window is counted.
+/// Buckets per window.
 const PARTS: u32 = 20;
 
-/// The bound, as the platform sets it.
+/// Global bound.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowance {
-    /// Further sends for each request.
+    /// Retries per request.
     pub ratio: f64,
-    /// Further sends of the whole system besides.
+    /// Additional retries of the whole system.
     pub slack: f64,
-    /// Length of a window.
+    /// Window length.
     pub window: Duration,
 }
 
-/// One service's budget at this node.
+/// Retry budget of one service on this node.
 #[derive(Clone, Debug)]
 pub struct Budget {
     allowance: Allowance,
@@ -41,17 +41,17 @@
 }
 
 impl Budget {
-    /// A budget of which nothing is used.
+    /// An unused budget.
     pub fn new(allowance: Allowance) -> Budget {
         Budget { allowance, parts: VecDeque::new() }
     }
 
-    /// A request came.
+    /// Counts a request.
     pub fn request(&mut self, now: Instant) {
         self.part(now).requests += 1;
     }
 
-    /// Takes a further send from the budget of one of `nodes` nodes; false when it is used up.
+    /// Takes one retry as one of `nodes` nodes; false if the budget is exhausted.
     pub fn take(&mut self, now: Instant, nodes: usize) -> bool {
         self.part(now);
         let sum = |count: fn(&Part) -> u32| self.parts.iter().map(count).sum::<u32>();
@@ -64,7 +64,7 @@
         free
     }
 
-    /// The part that is being counted, after forgetting those that left the window.
+    /// The current bucket; drops expired ones.
     fn part(&mut self, now: Instant) -> &mut Part {
         let window = self.allowance.window;
         while self.parts.front().is_some_and(|p| now >= p.start + window) {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -1,4 +1,4 @@
-//! A caller's request, decoded once.
+//! A decoded request.
 
 use {
     crate::catalog::{Account, Route},
@@ -10,75 +10,75 @@
     tokio::time::Instant,
 };
 
-/// What the head of a request says.
+/// Decoded request head.
 #[derive(Clone, Debug)]
 pub struct Head {
-    /// The caller's id of this attempt; answers echo it.
+    /// Attempt id, echoed in the response.
     pub id: CompactString,
-    /// The host that the caller named, without a port.
+    /// Host without port.
     pub host: CompactString,
-    /// Time that the caller will wait, from the arrival of the head.
-    pub patience: Option<Duration>,
-    /// The caller's key.
+    /// Caller's timeout, counted from the arrival of the head.
+    pub timeout: Option<Duration>,
+    /// API key.
     pub key: Option<CompactString>,
-    /// Id of the last event that the caller holds of an earlier answer.
+    /// Last event id of an earlier response, for resumption.
     pub resume: Option<u64>,
-    /// Size of a generation; `None` for calls to plain services.
+    /// Generation size; `None` for plain services.
     pub size: Option<Size>,
-    /// Equal for equal prompts, which a runner needn't read twice; `None` where nothing is known.
+    /// Hash of the prompt, for cache affinity.
     pub prompt: Option<u64>,
-    /// Headers that a runner is given as they came.
+    /// Headers forwarded unchanged.
     pub headers: HeaderMap,
 }
 
-/// Size of a generation, in tokens.
+/// Generation size in tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
-    /// Tokens of the prompt.
+    /// Prompt tokens.
     pub prompt: u32,
-    /// Most tokens of the output.
+    /// Maximum output tokens.
     pub output: u32,
 }
 
 impl Size {
-    /// Memory that the generation takes in the end.
+    /// KV memory needed at the end of the generation, in tokens.
     pub fn total(self) -> u32 {
         self.prompt.saturating_add(self.output)
     }
 }
 
-/// A request that was let in.
+/// An admitted request.
 #[derive(Clone, Debug)]
 pub struct Call {
-    /// What its head says.
+    /// Head.
     pub head: Head,
-    /// Its method.
+    /// Method.
     pub method: Method,
-    /// Path and query, as they came.
+    /// Path and query.
     pub path: PathAndQuery,
-    /// The whole body.
+    /// Body.
     pub body: Bytes,
-    /// Its route.
+    /// Matched route.
     pub route: Arc<Route>,
-    /// The account that holds its key.
+    /// Account of the API key.
     pub account: Option<Arc<Account>>,
-    /// When its head had arrived.
+    /// Arrival of the head.
     pub start: Instant,
-    /// The service that its route's weights chose.
+    /// Service selected by the route's weights.
     pub service: CompactString,
-    /// How its version was chosen, where the service's is being moved.
+    /// Version assignment during a rollout.
     pub version: Option<Choice>,
 }
 
 impl Call {
-    /// When the caller stops waiting.
-    pub fn patience_end(&self) -> Option<Instant> {
-        self.head.patience.map(|p| self.start + p)
+    /// The caller's deadline.
+    pub fn caller_deadline(&self) -> Option<Instant> {
+        self.head.timeout.map(|p| self.start + p)
     }
 
-    /// When the final answer is due: the caller's or the route's limit, whichever is earlier.
+    /// Deadline of the final response: the caller's or the route's, whichever is earlier.
     pub fn deadline(&self) -> Instant {
         let timeout = self.start + self.route.timeout;
-        self.patience_end().map_or(timeout, |end| end.min(timeout))
+        self.caller_deadline().map_or(timeout, |end| end.min(timeout))
     }
 }
--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -1,4 +1,4 @@
-//! What operators have put in force: routes, services, accounts and limits.
+//! The catalogue: routes, services, accounts and limits.
 
 use {
     compact_str::CompactString,
@@ -6,132 +6,132 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// One version of everything that operators decide.
+/// One version of the catalogue.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
-    /// Only ever goes up.
+    /// Increases with each change.
     pub version: u64,
-    /// Routes of each host, the longest prefix first.
+    /// Routes by host, longest prefix first.
     routes: FxHashMap<CompactString, Vec<Arc<Route>>>,
     /// Services by name.
     pub services: FxHashMap<CompactString, Arc<Service>>,
-    /// Accounts by key; `None` when callers need no key.
+    /// Accounts by API key; `None` if no key is required.
     accounts: Option<FxHashMap<CompactString, Arc<Account>>>,
-    /// Bounds on what callers may send.
+    /// Limits on callers.
     pub limits: Limits,
 }
 
-/// How requests below one prefix of one host are served.
+/// A route: requests under one prefix of one host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Route {
     /// Unique name.
     pub name: CompactString,
-    /// Host that callers name.
+    /// Host.
     pub host: CompactString,
-    /// Start of the path; begins and ends with a slash.
+    /// Path prefix, with leading and trailing slash.
     pub prefix: CompactString,
-    /// Services with the weight of each; at least one.
+    /// Weighted targets; at least one.
     pub targets: Vec<Target>,
-    /// What may be repeated.
+    /// Semantics.
     pub kind: Kind,
-    /// Longest time to a final answer.
+    /// Timeout of the final response.
     pub timeout: Duration,
-    /// Time within which an answer is on time; for streams, to the first event.
+    /// Latency objective; for streams, of the first event.
     pub objective: Duration,
-    /// Longest pause between two events of a stream that is still on time.
+    /// Maximum gap between events of a stream.
     pub gap: Option<Duration>,
-    /// Most runners that may run one request.
+    /// Maximum runners that may run a request.
     pub attempts: u32,
-    /// Rank; 0 is the most urgent.
+    /// Priority; 0 is the highest.
     pub priority: u8,
-    /// Whether callers need no key.
+    /// Whether no API key is required.
     pub public: bool,
 }
 
-/// A service that a route sends to.
+/// A weighted target of a route.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
-    /// The service.
+    /// Service.
     pub service: CompactString,
-    /// Part of the route's requests, relative to the other targets'.
+    /// Weight relative to the other targets.
     pub weight: u32,
 }
 
-/// What may be repeated of a request.
+/// Retry semantics of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// May run more than once.
     Idempotent,
     /// Runs at most once.
     Once,
-    /// A stream of events that another runner can go on with.
+    /// Stream that can be resumed on another runner.
     Resumable,
-    /// A stream of events that runs at most once.
+    /// Stream that runs at most once.
     StreamOnce,
 }
 
 impl Kind {
-    /// Whether the answer is a stream of events.
+    /// Whether the response is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Kind::Resumable | Kind::StreamOnce)
     }
 
-    /// Whether a second run does no harm.
+    /// Whether it may be run again.
     pub fn is_repeatable(self) -> bool {
         matches!(self, Kind::Idempotent | Kind::Resumable)
     }
 }
 
-/// A kind of runner.
+/// A service.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Service {
     /// Unique name.
     pub name: CompactString,
-    /// Connections that one runner takes from all nodes together.
+    /// Connections per runner, over all nodes.
     pub connections: u32,
-    /// What its engines are like; `None` for plain services.
+    /// Engine parameters; `None` for plain services.
     pub engine: Option<Engine>,
 }
 
-/// What the model engines of a service can do.
+/// Parameters of a service's model engines.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Engine {
-    /// Requests that run at once.
+    /// Batch size.
     pub slots: u32,
-    /// Memory for prompts and output, in tokens.
+    /// KV memory in tokens.
     pub memory: u32,
-    /// Whether a run's memory can be copied to another runner while it grows.
-    pub backups: bool,
-    /// Time for which such a copy is kept after its last part.
-    pub kept: Duration,
-    /// Names of the models that they run.
+    /// Whether runs can be replicated while they grow.
+    pub replication: bool,
+    /// Time to live of a replica after its last update.
+    pub replica_ttl: Duration,
+    /// Served models.
     pub models: Vec<CompactString>,
 }
 
-/// Who calls.
+/// A client account.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Account {
     /// Unique name.
     pub name: CompactString,
-    /// Rank that goes before the route's; 0 is the most urgent.
+    /// Priority that overrides the route's; 0 is the highest.
     pub priority: Option<u8>,
 }
 
-/// Bounds on what callers may send.
+/// Limits on callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Bytes of a request's head.
+    /// Maximum bytes of a request head.
     pub head: usize,
-    /// Bytes of a request's body.
+    /// Maximum bytes of a request body.
     pub body: usize,
-    /// Time for a request's head to arrive.
+    /// Timeout for reading a head.
     pub reading: Duration,
-    /// Time for which a connection may stay idle.
+    /// Idle timeout of a connection.
     pub idle: Duration,
 }
 
 impl Default for Limits {
-    /// In force until the first catalogue is there: what a browser-facing server commonly takes.
+    /// Limits before the first catalogue is loaded.
     fn default() -> Limits {
         Limits {
             head: 16 << 10,
@@ -142,17 +142,17 @@
     }
 }
 
-/// Why a request isn't let in.
+/// Why a request is not admitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Denied {
-    /// No route begins the path at this host.
+    /// No matching route.
     Route,
-    /// The key is missing or no account holds it.
+    /// Missing or unknown API key.
     Key,
 }
 
 impl Catalog {
-    /// Builds the look-up tables.
+    /// Builds the lookup tables.
     pub fn new(
         version: u64,
         routes: Vec<Route>,
@@ -171,12 +171,12 @@
         Catalog { version, routes: by_host, services, accounts: accounts.map(by_key), limits }
     }
 
-    /// The route with the longest prefix that begins `path`.
+    /// The route with the longest matching prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         self.routes.get(host)?.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
-    /// The only service whose engines run these models with this memory, if there is just one.
+    /// The only service with these models and this memory, if unique.
     pub fn sole_service(&self, models: &[CompactString], memory: u32) -> Option<&Arc<Service>> {
         let fits = |engine: &Engine| {
             engine.memory == memory && models.iter().any(|model| engine.models.contains(model))
@@ -186,7 +186,7 @@
         fitting.next().is_none().then_some(first)
     }
 
-    /// Lets a request in: its route and, unless anyone may call, the account that holds its key.
+    /// Admits a request: its route and the account of its key.
     pub fn admit(
         &self,
         host: &str,
@@ -216,7 +216,7 @@
 }
 
 impl Route {
-    /// The service for a request; `draw` is uniform in 0..1.
+    /// Selects the service; `draw` is uniform in 0..1.
     pub fn target(&self, draw: f64) -> &CompactString {
         let total: f64 = self.targets.iter().map(|t| f64::from(t.weight)).sum();
         let mut left = draw * total;
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -1,27 +1,28 @@
-//! The one thread that owns control state: what operators want, which runners and nodes there are.
+//! The control thread: owns the catalogue, the registry of runners, the membership and the
+//! rollouts.
 
 mod authority;
-pub mod follow;
+pub mod feed;
 mod join;
-pub mod listing;
+pub mod registry;
 mod members;
-mod moves;
-mod orders;
-mod talk;
+mod rollouts;
+mod catalog;
+mod gossip;
 
 use {
     self::{
-        follow::{Change, Follower, News, PROBE_PAUSE, REST_PAUSE},
-        listing::Listing,
+        feed::{Change, FeedEvent, FeedWatcher, PROBE_PAUSE, REST_PAUSE},
         members::Membership,
+        registry::RunnerRegistry,
     },
     crate::{
         catalog::Catalog,
-        leaving::Leaving,
-        loads::Heard,
+        drain::Drain,
+        load_sync::PeerReport,
         metrics::Metrics,
-        moves::{Moves, Trial},
         records::Records,
+        rollouts::{Rollouts, Trial},
         settings::Settings,
         store::{Revision, Store, Write},
         view::{NodeAddress, Published, Splits, View},
@@ -35,87 +36,81 @@
     },
 };
 
-/// Table in which nodes register themselves; each row's key is a node's name.
+/// Table of node registrations, by node name.
 const NODES: &str = "bilberryfront-nodes";
-/// Time between two looks at what is due; the membership asks for no less.
+/// Interval of periodic work.
 const TICK: Duration = Duration::from_millis(50);
-/// Longest wait of a question for news of operators: a lost answer shows after this and the client's
-/// own timeout; the peers tell of a new catalogue long before.
+/// Long-poll wait for operators' rows; bounds the detection of a lost response.
 const ORDERS_WAIT: Duration = Duration::from_secs(5);
-/// Shortest of the longest waits of a question for news of runners. Their rows change only when something
-/// happens to them, so at rest a question costs a call each time its wait is over. Until a swallowed one is
-/// given up, a silent outage isn't known, no restarted runner can be taken over, and its end isn't either.
+/// Minimum long-poll wait for runner registrations; bounds the detection of a silent outage.
 const RUNNERS_WAIT_LEAST: Duration = Duration::from_secs(1);
-/// What each node adds to that wait, so that all nodes together ask some three times a second at rest.
+/// Added to that wait per node, so that the total poll rate is independent of the number of nodes.
 const RUNNERS_WAIT_NODE: Duration = Duration::from_millis(400);
-/// Longest of those waits.
+/// Maximum long-poll wait for runner registrations.
 const RUNNERS_WAIT_MOST: Duration = Duration::from_secs(5);
-/// Longest wait of a question for news of nodes: their heartbeats tell all that is urgent.
+/// Long-poll wait for node registrations; heartbeats carry everything urgent.
 const NODES_WAIT: Duration = Duration::from_secs(30);
-/// Time between two questions for news of nodes. When all start together each of them registers, and asked
-/// at once after each answer every node would fetch every other's row by itself. Those who matter are heard
-/// of by their heartbeats sooner.
+/// Minimum interval of polls for node registrations, so that nodes starting together do not fetch
+/// each other's rows one by one.
 const NODES_EVERY: Duration = Duration::from_secs(2);
-/// Part of the time in which a leaving runner must get nothing new that passes between two questions for
-/// news of runners. They report every second or so, and each question costs as much as a call that is
-/// served, so all their reports of that time are fetched at once. The rest of the time is for a question
-/// that is lost and asked again.
+/// Interval of polls for runner registrations, as a share of the time in which a draining runner
+/// must get no new requests. The rest is for a poll that has to be repeated.
 const RUNNERS_SHARE: f64 = 0.45;
-/// Pause before another try to register.
+/// Delay before a failed registration is retried.
 const REGISTER_RETRY: Duration = Duration::from_millis(500);
 
-/// The control thread's state.
+/// State of the control thread.
 struct Control<R> {
     records: R,
     published: Published,
-    leaving: Leaving,
+    drain: Drain,
     catalog: Option<Arc<Catalog>>,
-    /// Version of the catalogue's row, and the row as it came, for peers.
+    /// The catalogue's row and its revision, for peers.
     row: Option<(Revision, Bytes)>,
-    listing: Listing,
+    registry: RunnerRegistry,
     membership: Option<Membership>,
-    /// News of nodes from before there was a membership.
-    early: Vec<Change>,
+    /// Node registrations received before the membership exists.
+    pending_nodes: Vec<Change>,
     nodes: Arc<Vec<NodeAddress>>,
-    /// Longest wait of a question for news of runners.
+    /// Long-poll wait for runner registrations.
     runners_wait: Rc<Cell<Duration>>,
     cut_off: bool,
     metrics: Metrics,
-    moves: Moves,
+    rollouts: Rollouts,
     splits: Splits,
-    /// What other nodes say of runners goes to the traffic thread.
-    heard: mpsc::UnboundedSender<Heard>,
+    /// Load updates of peers, for the traffic thread.
+    peer_reports: mpsc::UnboundedSender<PeerReport>,
 }
 
-/// What the control thread is told.
+/// Inputs of the event loop.
 struct Inputs {
-    changes: mpsc::Receiver<News>,
+    changes: mpsc::Receiver<FeedEvent>,
     joined: mpsc::Receiver<members::Joined>,
-    told: mpsc::UnboundedReceiver<Load>,
+    updates: mpsc::UnboundedReceiver<Load>,
     trials: mpsc::UnboundedReceiver<Trial>,
 }
 
-/// The control thread's ends of the way to the traffic thread.
-pub struct Ends {
-    /// What this node has to say of runners.
-    pub told: mpsc::UnboundedReceiver<Load>,
-    /// How requests ended whose version was chosen.
+/// Channels to the traffic thread.
+pub struct Channels {
+    /// Load updates of this node.
+    pub updates: mpsc::UnboundedReceiver<Load>,
+    /// Outcomes of requests during a rollout.
     pub trials: mpsc::UnboundedReceiver<Trial>,
-    /// What others said.
-    pub heard: mpsc::UnboundedSender<Heard>,
-    /// What is counted.
+    /// Load updates of peers.
+    pub peer_reports: mpsc::UnboundedSender<PeerReport>,
+    /// Metrics.
     pub metrics: Metrics,
 }
 
-/// Runs the control thread's tasks until the node has left.
+/// Runs the control thread until the node has drained.
 pub async fn run<R: Records, S: Store>(
     settings: Settings,
     records: R,
     store: S,
     published: Published,
-    leaving: Leaving,
-    ends: Ends,
-    gone: impl Future<Output = ()>,
+    drain: Drain,
+    ends: Channels,
+    shutdown: impl Future<Output = ()>,
 ) {
     let (sender, changes) = mpsc::channel(64);
     let returns = watch::Sender::new(0);
@@ -123,7 +118,7 @@
         let (store, returns, wait) = (store.clone(), returns.clone(), wait.clone());
         let metrics = ends.metrics.clone();
         let pause = if table == R::ORDERS { PROBE_PAUSE } else { REST_PAUSE };
-        let follower = Follower { store, table, every, wait, pause, returns, metrics };
+        let follower = FeedWatcher { store, table, every, wait, pause, returns, metrics };
         tokio::task::spawn_local(follower.run(sender.clone()));
     };
     let fixed = |wait| Rc::new(Cell::new(wait));
@@ -142,115 +137,115 @@
     let control = Control {
         records,
         published,
-        leaving,
+        drain,
         catalog: None,
         row: None,
-        listing: Listing::default(),
+        registry: RunnerRegistry::default(),
         membership: None,
-        early: Vec::new(),
+        pending_nodes: Vec::new(),
         nodes: Arc::default(),
         runners_wait,
         cut_off: false,
         metrics: ends.metrics,
-        moves: Moves::new(Incarnation(rand::random())),
+        rollouts: Rollouts::new(Incarnation(rand::random())),
         splits: Splits::default(),
-        heard: ends.heard,
+        peer_reports: ends.peer_reports,
     };
-    let inputs = Inputs { changes, joined, told: ends.told, trials: ends.trials };
-    control.drive(inputs, &store, gone).await;
-    // Others learn of the end from peers; the row only keeps a later start from asking in vain.
+    let inputs = Inputs { changes, joined, updates: ends.updates, trials: ends.trials };
+    control.run_loop(inputs, &store, shutdown).await;
+    // Peers get a leave message; deleting the row saves later nodes a failed connection.
     let row = Write { table: NODES.into(), key: settings.name, value: None, expected: None };
     _ = tokio::time::timeout(REGISTER_RETRY, store.write(&[row])).await;
 }
 
 impl<R: Records> Control<R> {
-    async fn drive<S: Store>(
+    async fn run_loop<S: Store>(
         mut self,
         mut inputs: Inputs,
         store: &S,
-        gone: impl Future<Output = ()>,
+        shutdown: impl Future<Output = ()>,
     ) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let (none, mut received) = mpsc::channel(1);
         let mut none = Some(none);
-        tokio::pin!(gone);
+        tokio::pin!(shutdown);
         loop {
             tokio::select! {
-                Some(news) = inputs.changes.recv() => self.learn(news),
+                Some(news) = inputs.changes.recv() => self.apply_event(news),
                 Some(members::Joined { membership, events }) = inputs.joined.recv() => {
                     self.membership = Some(membership);
-                    std::mem::take(&mut self.early).into_iter().for_each(|c| self.learn_nodes(c));
+                    std::mem::take(&mut self.pending_nodes).into_iter().for_each(|c| self.apply_nodes(c));
                     received = events;
                     none = None;
                 }
-                Some(event) = received.recv(), if none.is_none() => self.hear(event),
-                Some(load) = inputs.told.recv() => self.tell(load),
-                Some(trial) = inputs.trials.recv() => self.moves.observe(&trial),
+                Some(event) = received.recv(), if none.is_none() => self.handle_peer_event(event),
+                Some(load) = inputs.updates.recv() => self.publish_load(load),
+                Some(trial) = inputs.trials.recv() => self.rollouts.observe(&trial),
                 _ = ticks.tick() => {
                     self.tick();
                     self.step_moves(store);
                 }
-                () = &mut gone => break,
+                () = &mut shutdown => break,
             }
         }
         if let Some(membership) = self.membership {
-            membership.goodbye().await;
+            membership.send_leave().await;
         }
     }
 
     fn tick(&mut self) {
         let now = Instant::now();
-        if self.listing.settle(now) {
+        if self.registry.settle(now) {
             self.publish();
         }
         let Some(membership) = &mut self.membership else { return };
-        if self.catalog.is_some() && self.listing.is_known() {
+        if self.catalog.is_some() && self.registry.is_known() {
             membership.ready();
         }
-        if self.leaving.is_leaving() {
+        if self.drain.is_draining() {
             membership.leave(now);
         }
         let lost = membership.tick(now, self.row.as_ref());
         let nodes = membership.nodes();
-        self.pass_on(lost);
+        self.forward_failures(lost);
         if *self.nodes != nodes {
-            log::info!(nodes = nodes.len() as u64; "nodes in the address answers: {}", names(&nodes));
+            log::info!(nodes = nodes.len() as u64; "nodes in address responses: {}", names(&nodes));
             self.nodes = Arc::new(nodes);
             self.runners_wait.set(runners_wait(self.nodes.len()));
             self.publish();
         }
     }
 
-    fn learn(&mut self, News { table, change }: News) {
+    fn apply_event(&mut self, FeedEvent { table, change }: FeedEvent) {
         match table {
-            NODES => self.learn_nodes(change),
-            table if table == R::RUNNERS => self.learn_runners(change),
-            table if table == R::STATUS => self.learn_status(change),
-            _ => self.learn_orders(change),
+            NODES => self.apply_nodes(change),
+            table if table == R::RUNNERS => self.apply_runners(change),
+            table if table == R::STATUS => self.apply_status(change),
+            _ => self.apply_operator_rows(change),
         }
     }
 
-    /// Takes news of the nodes' table. What comes before this node can talk to others is kept: the whole
-    /// table is told only once, and without it this node would know only those who come to it.
-    fn learn_nodes(&mut self, change: Change) {
-        let Some(membership) = &mut self.membership else { return self.early.push(change) };
+    /// Applies node registrations. Those received before the membership exists are queued, since
+    /// the table is read in full only once.
+    fn apply_nodes(&mut self, change: Change) {
+        let Some(membership) = &mut self.membership else { return self.pending_nodes.push(change) };
         if let Change::Whole(rows) | Change::Rows(rows) = &change {
             membership.list(rows, matches!(change, Change::Whole(_)));
         }
     }
 
-    fn learn_runners(&mut self, change: Change) {
+    fn apply_runners(&mut self, change: Change) {
         let now = Instant::now();
         let changed = match change {
-            Change::Whole(rows) => self.listing.replace(now, &rows.rows, &self.records),
-            Change::Rows(rows) => self.listing.update(now, &rows.rows, &self.records),
+            Change::Whole(rows) => self.registry.replace(now, &rows.rows, &self.records),
+            Change::Rows(rows) => self.registry.update(now, &rows.rows, &self.records),
             Change::Down => {
-                self.listing.down();
+                self.registry.down();
                 false
             }
             Change::Up => {
-                self.listing.up(now);
+                self.registry.up(now);
                 false
             }
         };
@@ -261,11 +256,11 @@
 
     fn publish(&self) {
         let version = self.catalog.as_ref().map_or(0, |c| c.version);
-        self.metrics.believe(version, self.nodes.len(), self.listing.runners().len());
+        self.metrics.set_view(version, self.nodes.len(), self.registry.runners().len());
         self.published.store(View {
             catalog: self.catalog.clone(),
-            runners: self.listing.runners(),
-            listed: self.listing.is_known(),
+            runners: self.registry.runners(),
+            listed: self.registry.is_known(),
             nodes: self.nodes.clone(),
             splits: self.splits.clone(),
             cut_off: self.cut_off,
@@ -273,7 +268,7 @@
     }
 }
 
-/// Longest wait of a question for news of runners, with so many nodes that ask.
+/// Long-poll wait for runner registrations with this number of nodes.
 fn runners_wait(nodes: usize) -> Duration {
     let wait = RUNNERS_WAIT_NODE.mul_f64(nodes as f64);
     wait.clamp(RUNNERS_WAIT_LEAST, RUNNERS_WAIT_MOST)
--- a/crates/relay/src/control/authority.rs
+++ b/crates/relay/src/control/authority.rs
@@ -1,8 +1,7 @@
-//! The authority that signs the certificates with which nodes know each other.
+//! The certificate authority of the nodes.
 //!
-//! It stands in the store, which only this system, its operators and the runners can reach; the first
-//! node to start makes it. Whoever can read that row can already write what every node obeys, so the
-//! certificates protect against others on the network, not against the store's users.
+//! It is kept in the store and created by the first node. Certificates authenticate nodes on the
+//! network; they do not protect against users of the store.
 
 use {
     crate::store::{Store, StoreError, Write},
@@ -15,16 +14,16 @@
     tokio::time::sleep,
 };
 
-/// A result whose error is the certificate library's.
+/// A result with a certificate error.
 pub(super) type Result<T> = std::result::Result<T, rcgen::Error>;
 
-/// Table and key of the authority's row.
+/// Table and key of the authority.
 const TABLE: &str = "bilberryfront-keys";
 const KEY: &str = "authority";
-/// Pause before another try.
+/// Retry delay.
 const RETRY: Duration = Duration::from_millis(400);
 
-/// The authority's certificate and private key, PEM.
+/// Certificate and private key of the authority, PEM.
 #[derive(Clone)]
 #[derive(Deserialize, Serialize)]
 pub(super) struct Authority {
@@ -32,20 +31,20 @@
     key: String,
 }
 
-/// A node's certificate and private key, PEM.
+/// Certificate and private key of a node, PEM.
 pub(super) struct Identity {
     pub(super) certificate: String,
     pub(super) key: String,
 }
 
-/// Reads the authority, or makes it if there is none; takes as long as the store is away.
+/// Reads the authority, or creates it; retries until the store is available.
 pub(super) async fn get<S: Store>(store: &S) -> Authority {
     loop {
         match get_once(store).await {
             Ok(authority) => return authority,
             Err(StoreError::Conflict) => {}
             Err(error) => {
-                log::warn!("the authority can't be had: {error}");
+                log::warn!("cannot read the certificate authority: {error}");
                 sleep(RETRY).await;
             }
         }
@@ -98,7 +97,7 @@
     }
 }
 
-/// What an authority's certificate says; only its key is its own.
+/// Parameters of the authority's certificate.
 fn params() -> CertificateParams {
     let mut params = CertificateParams::default();
     params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
--- a/crates/relay/src/control/catalog.rs
+++ b/crates/relay/src/control/catalog.rs
@@ -1,13 +1,13 @@
-//! What operators want: the catalogue in force.
+//! Applies the operators' rows.
 
 use {
-    super::{Control, follow::Change},
-    crate::{catalog::Catalog, lines::IN_FORCE, records::Records, store::Row},
+    super::{Control, feed::Change},
+    crate::{catalog::Catalog, log_messages::IN_FORCE, records::Records, store::Row},
     std::sync::Arc,
 };
 
 impl<R: Records> Control<R> {
-    pub(super) fn learn_orders(&mut self, change: Change) {
+    pub(super) fn apply_operator_rows(&mut self, change: Change) {
         let rows = match change {
             Change::Whole(rows) | Change::Rows(rows) => rows,
             Change::Down | Change::Up => {
@@ -22,13 +22,13 @@
             if row.key == R::CATALOG {
                 self.put_in_force(row);
             } else {
-                self.learn_order(row);
+                self.apply_rollout_order(row);
             }
         }
     }
 
-    /// Takes a catalogue, from the store or from a peer. Only a newer one counts: answers of the
-    /// store and of peers can overtake each other, and what is in force must never revert.
+    /// Applies a catalogue from the store or a peer. Only a newer one is applied, because responses
+    /// may be reordered.
     pub(super) fn put_in_force(&mut self, row: &Row) {
         let Some(value) = &row.value else { return };
         if self.row.as_ref().is_some_and(|(held, _)| row.revision <= *held) {
@@ -43,9 +43,9 @@
                 self.publish();
             }
             Ok(catalog) => {
-                log::warn!(version = catalog.version; "an older catalogue is ignored");
+                log::warn!(version = catalog.version; "outdated catalogue ignored");
             }
-            Err(error) => log::warn!(revision = row.revision; "a catalogue can't be used: {error}"),
+            Err(error) => log::warn!(revision = row.revision; "invalid catalogue: {error}"),
         }
     }
 
--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -1,9 +1,9 @@
-//! Following a table of the store.
+//! Watches tables of the store.
 
 use {
     crate::{
-        lines::STORE_BACK,
-        metrics::{Heard, Metrics},
+        log_messages::STORE_BACK,
+        metrics::{Metrics, PollOutcome},
         store::{Result, Revision, Rows, Store, StoreError},
     },
     rand::Rng,
@@ -14,71 +14,69 @@
     },
 };
 
-/// Pause after the first failure; it doubles with each.
+/// Initial backoff; doubles with each failure.
 const BACKOFF_LEAST: Duration = Duration::from_millis(100);
-/// Longest pause of the one follower that finds out when the store is back: what is said while it is away
-/// must be known soon after.
+/// Maximum backoff of the watcher that detects the store's return.
 pub const PROBE_PAUSE: Duration = Duration::from_millis(800);
-/// Longest pause of all others, which are told of the store's return. They still ask by themselves: the
-/// store may turn away the questions for one table only.
+/// Maximum backoff of all others, which are notified of it. They keep polling, because the store
+/// may reject a single table only.
 pub const REST_PAUSE: Duration = Duration::from_millis(3_200);
 
-/// Age from which a question is given up once the store answers another one after an outage. A store that
-/// was silent never answers what it was asked meanwhile, and the question's own timeout is longer than the
-/// time in which a catalogue must be in force.
+/// Age from which a pending poll is abandoned once another poll succeeds after an outage. A silent
+/// store never responds to it, and its timeout is long.
 const STALE_QUESTION: Duration = Duration::from_millis(500);
 
-/// What a follower tells.
+/// An event of a table.
 #[derive(Clone, Debug)]
-pub struct News {
-    /// The table.
+pub struct FeedEvent {
+    /// Table.
     pub table: &'static str,
-    /// What happened to it.
+    /// Change.
     pub change: Change,
 }
 
-/// What happened to a table.
+/// Change of a table.
 #[derive(Clone, Debug)]
 pub enum Change {
-    /// These are all its rows.
+    /// Complete contents.
     Whole(Rows),
-    /// These rows changed.
+    /// Changed rows.
     Rows(Rows),
-    /// The store stopped answering.
+    /// The store became unavailable.
     Down,
-    /// The store answers again.
+    /// The store became available.
     Up,
 }
 
-/// Follows one table for as long as somebody listens.
-pub struct Follower<S> {
-    /// The store.
+/// Watches one table.
+pub struct FeedWatcher<S> {
+    /// Store.
     pub store: S,
-    /// Its table.
+    /// Table.
     pub table: &'static str,
-    /// Least time between two questions.
+    /// Minimum interval of polls.
     pub every: Duration,
-    /// Longest wait of the store for a change; may change.
+    /// Long-poll wait; may change.
     pub wait: Rc<Cell<Duration>>,
-    /// Longest pause after failures.
+    /// Maximum backoff.
     pub pause: Duration,
-    /// How often the store has come back, as seen by all followers together.
+    /// Counts the store's returns, as seen by any watcher.
     pub returns: watch::Sender<u32>,
-    /// What is counted.
+    /// Metrics.
     pub metrics: Metrics,
 }
 
-impl<S: Store> Follower<S> {
-    /// Reads the table, and tells of what changes in it until nobody listens.
-    pub async fn run(self, sender: mpsc::Sender<News>) {
+impl<S: Store> FeedWatcher<S> {
+    /// Sends events until the receiver is dropped.
+    pub async fn run(self, sender: mpsc::Sender<FeedEvent>) {
         let mut revision = None;
         let mut failures = 0;
         let mut returns = self.returns.subscribe();
         loop {
             returns.mark_unchanged();
-            let asked = Instant::now();
+            let store_polled = Instant::now();
             let Some(answer) = self.ask_unless_stale(revision, failures).await else { continue };
-            self.metrics.asked(self.table, heard(&answer));
+            self.metrics.store_polled(self.table, peer_reports(&answer));
             let mut changes = Vec::new();
             if answer.is_ok() && failures > 0 {
                 log::info!(table = self.table; "{STORE_BACK}");
@@ -92,7 +90,7 @@
                     changes.push(if whole { Change::Whole(rows) } else { Change::Rows(rows) });
                 }
                 Err(StoreError::Compacted) => {
-                    log::info!(table = self.table; "the store's history is gone: reading anew");
+                    log::info!(table = self.table; "store history compacted: reading the whole table");
                     revision = None;
                 }
                 Err(error) => {
@@ -104,30 +102,28 @@
                 }
             }
             for change in changes {
-                if sender.send(News { table: self.table, change }).await.is_err() {
+                if sender.send(FeedEvent { table: self.table, change }).await.is_err() {
                     return;
                 }
             }
             match failures {
-                0 => sleep_until(asked + self.every).await,
+                0 => sleep_until(store_polled + self.every).await,
                 failures => self.rest(failures, &mut returns).await,
             }
         }
     }
 
-    /// Pauses after a failure, at most until another follower has found the store back since this one asked:
-    /// each question that an outage refuses costs as much as one that is answered, and one follower's are
-    /// enough to see its end.
+    /// Backs off after a failure, or until another watcher has found the store available.
     async fn rest(&self, failures: u32, returns: &mut watch::Receiver<u32>) {
         tokio::select! {
             () = sleep(backoff(failures, self.pause)) => {}
-            // The sender lives as long as this follower.
+            // The sender lives as long as `self`.
             _ = returns.changed() => {}
         }
     }
 
-    /// Asks the store; `None` when another follower found it back from an outage that may have swallowed
-    /// the question.
+    /// Polls the store; `None` if another watcher found it back from an outage that may have
+    /// swallowed the poll.
     async fn ask_unless_stale(
         &self,
         revision: Option<Revision>,
@@ -136,7 +132,7 @@
         let mut returns = self.returns.subscribe();
         let stale = async {
             sleep(STALE_QUESTION).await;
-            // The sender lives as long as this follower.
+            // The sender lives as long as `self`.
             _ = returns.changed().await;
         };
         tokio::select! {
@@ -146,8 +142,7 @@
         }
     }
 
-    /// Asks for news. After a failure the store needn't wait for any: its return would be known only after a
-    /// whole wait, and that of the others with it.
+    /// Polls the store, without waiting for changes after a failure.
     async fn ask(&self, revision: Option<Revision>, failures: u32) -> Result<Rows> {
         let wait = if failures == 0 { self.wait.get() } else { Duration::ZERO };
         match revision {
@@ -157,15 +152,15 @@
     }
 }
 
-fn heard(answer: &Result<Rows>) -> Heard {
+fn peer_reports(answer: &Result<Rows>) -> PollOutcome {
     match answer {
-        Ok(rows) if rows.rows.is_empty() => Heard::Nothing,
-        Ok(_) => Heard::News,
-        Err(_) => Heard::Failed,
+        Ok(rows) if rows.rows.is_empty() => PollOutcome::Unchanged,
+        Ok(_) => PollOutcome::Changed,
+        Err(_) => PollOutcome::Failed,
     }
 }
 
-/// With jitter: nodes that lost the store together mustn't ask it again all at once.
+/// Jitter, so that nodes do not return all at once.
 fn backoff(failures: u32, most: Duration) -> Duration {
     let pause = BACKOFF_LEAST * 2u32.saturating_pow(failures.min(8) - 1);
     pause.min(most).mul_f64(rand::rng().random_range(0.5..1.0))
--- a/crates/relay/src/control/gossip.rs
+++ b/crates/relay/src/control/gossip.rs
@@ -1,8 +1,8 @@
-//! What this node tells the others, and what they tell it.
+//! Messages from and to peers.
 
 use {
     super::Control,
-    crate::{loads::Heard, records::Records, store::Row},
+    crate::{load_sync::PeerReport, records::Records, store::Row},
     bilberryfront_decide::member::{
         PeerMessage,
         message::{Load, Restart},
@@ -13,27 +13,27 @@
 };
 
 impl<R: Records> Control<R> {
-    pub(super) fn tell(&mut self, load: Load) {
-        self.take_over(&load.restarts);
+    pub(super) fn publish_load(&mut self, load: Load) {
+        self.adopt_restarts(&load.restarts);
         if let Some(membership) = &mut self.membership {
-            membership.spread_failures(Instant::now(), &load.failed);
-            membership.tell_load(Instant::now(), load);
+            membership.gossip_failures(Instant::now(), &load.failed);
+            membership.send_load(Instant::now(), load);
         }
     }
 
-    pub(super) fn hear(&mut self, event: Received) {
+    pub(super) fn handle_peer_event(&mut self, event: Received) {
         if let Received::Message { message: PeerMessage::Move(news), .. } = &event {
-            return self.moves.hear(Instant::now(), news);
+            return self.rollouts.handle_peer_update(Instant::now(), news);
         }
         let event = match event {
             Received::Message { from, message: PeerMessage::Load(load) } => {
-                return self.hear_load(from, load);
+                return self.forward_load(from, load);
             }
-            Received::Message { message: PeerMessage::Relayed(relayed), .. } => {
+            Received::Message { message: PeerMessage::RelayedLoad(relayed), .. } => {
                 if let Some(membership) = &self.membership {
-                    membership.pass_on(&relayed);
+                    membership.relay_load(&relayed);
                 }
-                return self.hear_load(relayed.origin, relayed.load);
+                return self.forward_load(relayed.origin, relayed.load);
             }
             event => event,
         };
@@ -47,31 +47,30 @@
             return self.put_in_force(&row);
         }
         if let Some(membership) = &mut self.membership {
-            let lost = membership.hear(Instant::now(), event, self.row.as_ref());
-            self.pass_on(lost);
+            let lost = membership.receive(Instant::now(), event, self.row.as_ref());
+            self.forward_failures(lost);
         }
     }
 
-    fn hear_load(&mut self, from: CompactString, load: Load) {
-        self.take_over(&load.restarts);
-        // The receiver goes away only when the process ends.
-        _ = self.heard.send(Heard { from, load });
+    fn forward_load(&mut self, from: CompactString, load: Load) {
+        self.adopt_restarts(&load.restarts);
+        // The receiver lives as long as the process.
+        _ = self.peer_reports.send(PeerReport { from, load });
     }
 
-    /// Lists runners that this node or another one found to have started anew.
-    fn take_over(&mut self, restarts: &[Restart]) {
-        if !restarts.is_empty() && self.listing.take_over(restarts) {
+    /// Applies restarts found by this node or a peer.
+    fn adopt_restarts(&mut self, restarts: &[Restart]) {
+        if !restarts.is_empty() && self.registry.adopt_restarts(restarts) {
             self.publish();
         }
     }
 
-    /// Passes on which runners other nodes lost. Whose word it was is gone by the time it has come
-    /// round; only the runners matter.
-    pub(super) fn pass_on(&self, failed: Vec<CompactString>) {
+    /// Forwards failures reported by gossip, which does not name the reporter.
+    pub(super) fn forward_failures(&self, failed: Vec<CompactString>) {
         if !failed.is_empty() {
             let load = Load { failed, ..Load::default() };
-            // The receiver goes away only when the process ends.
-            _ = self.heard.send(Heard { from: CompactString::default(), load });
+            // The receiver lives as long as the process.
+            _ = self.peer_reports.send(PeerReport { from: CompactString::default(), load });
         }
     }
 }
--- a/crates/relay/src/control/join.rs
+++ b/crates/relay/src/control/join.rs
@@ -21,7 +21,7 @@
     let authority = authority::get(&store).await;
     let joined = match members::listen(&settings, &authority, metrics) {
         Ok(joined) => joined,
-        Err(error) => return log::error!("this node can't talk to others: {error}"),
+        Err(error) => return log::error!("cannot start the peer transport: {error}"),
     };
     let address = NodeAddress {
         name: settings.name.clone(),
@@ -43,7 +43,7 @@
         expected: None,
     };
     while let Err(error) = store.write(std::slice::from_ref(&row)).await {
-        log::warn!("this node can't register: {error}");
+        log::warn!("cannot register this node: {error}");
         sleep(REGISTER_RETRY).await;
     }
 }
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -1,11 +1,11 @@
-//! The other nodes: who they are, which of them take requests, and what they say.
+//! Membership: the other nodes and the messages exchanged with them.
 
 use {
     super::authority::Authority,
     crate::{
+        fanout::{self, Fanout, Peer},
         metrics::Metrics,
         settings::Settings,
-        spread::{self, Peer, Routes},
         store::{Revision, Row, Rows},
         view::NodeAddress,
     },
@@ -13,7 +13,9 @@
         id::Incarnation,
         member::{
             Me, Members, Node, Output, PeerMessage, Target,
-            message::{CatalogPush, Hint, HintKind, Life, Load, NodeState, Place, Relayed},
+            message::{
+                CatalogPush, Hint, HintKind, Life, Load, NodeLocation, NodeState, RelayedLoad,
+            },
         },
     },
     bilberryfront_peer::{PeerConfig, PeerError, PeerNet, Received},
@@ -28,19 +30,19 @@
     tokio::{sync::mpsc, time::Instant},
 };
 
-/// Most nodes that are told at once what this one knows of runners. Beyond, nodes have so few requests each
-/// that their own choices seldom meet, and word of failures goes with the heartbeats.
-const EVERYONE: usize = 100;
-/// Start of the URLs under which the membership knows the callers' addresses.
+/// Maximum number of nodes for which load updates are sent to all; above it only to heartbeat
+/// targets.
+const FULL_MESH_LIMIT: usize = 100;
+/// Scheme of callers' addresses in the membership.
 const SCHEME: &str = "http://";
 
-/// A node that can talk to others.
+/// A started transport with its membership.
 pub(super) struct Joined {
     pub(super) membership: Membership,
     pub(super) events: mpsc::Receiver<Received>,
 }
 
-/// This node's membership and its way to the others.
+/// Membership and transport of this node.
 pub(super) struct Membership {
     members: Members,
     net: PeerNet,
@@ -48,10 +50,10 @@
     listed: BTreeMap<CompactString, NodeAddress>,
     start: Instant,
     metrics: Metrics,
-    leaving: bool,
+    drain: bool,
 }
 
-/// Listens for other nodes with a certificate of the authority.
+/// Starts the transport with a certificate of the authority.
 pub(super) fn listen(
     settings: &Settings,
     authority: &Authority,
@@ -73,30 +75,30 @@
     };
     let (net, events) = PeerNet::start(&config)?;
     let life = Life { epoch: wall(), incarnation: Incarnation(rand::random()) };
-    let named = Me { name: me.name.clone(), life, place: place(&me) };
+    let named = Me { name: me.name.clone(), life, location: location(&me) };
     let start = Instant::now();
     let members = Members::new(rand::random(), start, named);
     let listed = BTreeMap::new();
-    let membership = Membership { members, net, me, listed, start, metrics, leaving: false };
+    let membership = Membership { members, net, me, listed, start, metrics, drain: false };
     Ok(Joined { membership, events })
 }
 
 impl Membership {
-    /// Says that this node takes requests.
+    /// Marks this node as ready.
     pub(super) fn ready(&mut self) {
-        if !self.leaving {
+        if !self.drain {
             self.members.ready();
         }
     }
 
-    /// Says that this node is leaving.
+    /// Marks this node as draining.
     pub(super) fn leave(&mut self, now: Instant) {
-        if !std::mem::replace(&mut self.leaving, true) {
+        if !std::mem::replace(&mut self.drain, true) {
             self.members.drain(now);
         }
     }
 
-    /// Takes rows of the nodes' table.
+    /// Applies rows of the node table.
     pub(super) fn list(&mut self, rows: &Rows, whole: bool) {
         if whole {
             self.listed.clear();
@@ -112,7 +114,7 @@
         self.members.list(Instant::now(), &list);
     }
 
-    /// Does what is due, and tells of the catalogue in force; runners that other nodes lost.
+    /// Performs periodic work; returns runners reported as failed.
     pub(super) fn tick(
         &mut self,
         now: Instant,
@@ -126,8 +128,8 @@
         self.carry_out(out, row)
     }
 
-    /// Takes what another node said; runners that nodes lost.
-    pub(super) fn hear(
+    /// Handles a peer event; returns runners reported as failed.
+    pub(super) fn receive(
         &mut self,
         now: Instant,
         event: Received,
@@ -143,7 +145,7 @@
         self.carry_out(out, row)
     }
 
-    /// Nodes that callers may be told of.
+    /// Nodes for address responses.
     pub(super) fn nodes(&self) -> Vec<NodeAddress> {
         let addresses = self.members.addresses().into_iter();
         let node = |a: bilberryfront_decide::member::Address| {
@@ -160,67 +162,68 @@
         addresses.filter_map(node).collect()
     }
 
-    /// Tells the other nodes at once: all of them while they are few enough, else those that get this
-    /// one's heartbeats.
-    pub(super) fn tell(&self, message: &PeerMessage) {
-        let everyone = self.everyone();
-        let to = match everyone.len() {
-            ..=EVERYONE => everyone.into_iter().map(|peer| peer.target).collect(),
+    /// Sends a message to all nodes, or to the heartbeat targets above [`FULL_MESH_LIMIT`].
+    pub(super) fn broadcast(&self, message: &PeerMessage) {
+        let running_peers = self.running_peers();
+        let to = match running_peers.len() {
+            ..=FULL_MESH_LIMIT => running_peers.into_iter().map(|peer| peer.target).collect(),
             _ => self.members.targets(),
         };
         self.send(&to, message);
     }
 
-    /// Tells the same nodes what this one has under way, across each border only once.
-    pub(super) fn tell_load(&self, now: Instant, load: Load) {
-        let everyone = self.everyone();
-        if everyone.len() > EVERYONE {
+    /// Sends a load update, through relays to other domains.
+    pub(super) fn send_load(&self, now: Instant, load: Load) {
+        let running_peers = self.running_peers();
+        if running_peers.len() > FULL_MESH_LIMIT {
             return self.send(&self.members.targets(), &PeerMessage::Load(load));
         }
-        let turn = spread::turn(self.start, now);
-        let routes = Routes::new(&self.me.name, &self.me.domain, everyone, turn);
-        let relayed = Relayed { origin: self.me.name.clone(), load: load.clone(), spread: true };
-        self.send(&routes.near, &PeerMessage::Load(load));
-        self.send(&routes.relays, &PeerMessage::Relayed(relayed));
+        let epoch = fanout::epoch(self.start, now);
+        let routes = Fanout::new(&self.me.name, &self.me.domain, running_peers, epoch);
+        let relayed =
+            RelayedLoad { origin: self.me.name.clone(), load: load.clone(), forward: true };
+        self.send(&routes.local, &PeerMessage::Load(load));
+        self.send(&routes.relays, &PeerMessage::RelayedLoad(relayed));
     }
 
-    /// Passes on what a node of another domain says, if this one is its relay.
-    pub(super) fn pass_on(&self, relayed: &Relayed) {
-        if relayed.spread {
-            let near = self.everyone().into_iter().filter(|peer| peer.domain == self.me.domain);
-            let near: Vec<Target> = near.map(|peer| peer.target).collect();
-            let relayed = Relayed { spread: false, ..relayed.clone() };
-            self.send(&near, &PeerMessage::Relayed(relayed));
+    /// Forwards a relayed update within this failure domain.
+    pub(super) fn relay_load(&self, relayed: &RelayedLoad) {
+        if relayed.forward {
+            let local =
+                self.running_peers().into_iter().filter(|peer| peer.domain == self.me.domain);
+            let local: Vec<Target> = local.map(|peer| peer.target).collect();
+            let relayed = RelayedLoad { forward: false, ..relayed.clone() };
+            self.send(&local, &PeerMessage::RelayedLoad(relayed));
         }
     }
 
-    /// Tells all nodes, in a few heartbeats, that runners failed.
-    pub(super) fn spread_failures(&mut self, now: Instant, runners: &[CompactString]) {
+    /// Gossips failures of runners.
+    pub(super) fn gossip_failures(&mut self, now: Instant, runners: &[CompactString]) {
         for runner in runners {
             let hint = Hint { runner: runner.clone(), kind: HintKind::Lost };
             self.members.hint(now, &hint);
         }
     }
 
-    fn everyone(&self) -> Vec<Peer> {
+    fn running_peers(&self) -> Vec<Peer> {
         let running = |state| matches!(state, NodeState::Ready | NodeState::Draining);
         let target = |node: Node| {
-            let place = node.place.filter(|_| running(node.state))?;
-            let target = Target { name: node.name, address: place.peer };
-            Some(Peer { target, domain: place.domain })
+            let location = node.location.filter(|_| running(node.state))?;
+            let target = Target { name: node.name, address: location.peer };
+            Some(Peer { target, domain: location.domain })
         };
         self.members.nodes().filter_map(target).collect()
     }
 
-    /// This node's name.
+    /// Name of this node.
     pub(super) fn name(&self) -> &CompactString {
         &self.me.name
     }
 
-    /// Says goodbye and ends all connections.
-    pub(super) async fn goodbye(mut self) {
+    /// Sends a leave message and closes all connections.
+    pub(super) async fn send_leave(mut self) {
         let mut out = Vec::new();
-        self.members.goodbye(&mut out);
+        self.members.send_leave(&mut out);
         self.carry_out(out, None);
         self.net.close().await;
     }
@@ -236,7 +239,7 @@
                     }
                 }
                 Output::Changed { name, from, to } => {
-                    log::info!(node = name.as_str(); "a node went from {from:?} to {to:?}");
+                    log::info!(node = name.as_str(); "node state changed from {from:?} to {to:?}");
                 }
                 Output::Hint(hint) => lost.push(hint.runner),
             }
@@ -246,8 +249,8 @@
 
     fn send(&self, to: &[Target], message: &PeerMessage) {
         match self.net.send(to, message) {
-            Ok(bytes) => self.metrics.told(message, bytes * to.len()),
-            Err(error) => log::warn!("a message to peers can't be sent: {error}"),
+            Ok(bytes) => self.metrics.peer_sent(message, bytes * to.len()),
+            Err(error) => log::warn!("cannot encode a peer message: {error}"),
         }
     }
 }
@@ -262,7 +265,7 @@
 }
 
 fn instance(node: &NodeAddress) -> Instance {
-    let Place { domain, url, peer } = place(node);
+    let NodeLocation { domain, url, peer } = location(node);
     Instance {
         name: node.name.clone(),
         kind: InstanceKind::Node,
@@ -276,16 +279,16 @@
     }
 }
 
-fn place(node: &NodeAddress) -> Place {
-    Place {
+fn location(node: &NodeAddress) -> NodeLocation {
+    NodeLocation {
         domain: node.domain.clone(),
         url: format_compact!("{SCHEME}{}", node.callers),
         peer: format_compact!("{}", node.peers),
     }
 }
 
-/// Milliseconds since the Unix epoch. It only tells an earlier life of a node from a later one; a
-/// clock that was set back is made up for by the membership.
+/// Milliseconds since the Unix epoch. Orders incarnations only; the membership repairs a clock that
+/// was set back.
 fn wall() -> u64 {
     let time = SystemTime::now().duration_since(UNIX_EPOCH);
     time.unwrap_or_default().as_millis() as u64
--- a/crates/relay/src/control/registry.rs
+++ b/crates/relay/src/control/registry.rs
@@ -1,7 +1,7 @@
-//! Which runners there are, by their own entries in the store.
+//! Registry of runners, built from their registrations in the store.
 
 use {
-    crate::{lines::RUNNER_GONE, records::Records, store::Row, view::Registration},
+    crate::{log_messages::RUNNER_GONE, records::Records, store::Row, view::Registration},
     bilberryfront_decide::member::message::Restart,
     compact_str::CompactString,
     std::{
@@ -12,17 +12,16 @@
     tokio::time::Instant,
 };
 
-/// Time after the store's return by which living runners are listed again (2 s, by its operators),
-/// and a report's way here.
+/// Time after an outage within which live runners re-register: 2 s by the platform's guarantee,
+/// plus propagation.
 const RELIST: Duration = Duration::from_millis(2_500);
 
 /// All registrations.
 ///
-/// Entries lapse while the store can't take the runners' reports, though the runners are well. Taken
-/// at its word, the store's first answer after an outage would leave requests without any runner; so
-/// an entry that is missing around an outage is kept until its runner has had the time to report.
+/// Registrations expire while the store is unavailable, although the runners are up. Entries that
+/// disappear around an outage are therefore kept until the runners had time to re-register.
 #[derive(Debug, Default)]
-pub struct Listing {
+pub struct RunnerRegistry {
     entries: BTreeMap<CompactString, Entry>,
     published: Option<Arc<Vec<Registration>>>,
     outage: Outage,
@@ -34,56 +33,56 @@
     missing: bool,
 }
 
-/// Whether missing entries mean that their runners are gone.
+/// Whether a missing entry means a removed runner.
 #[derive(Clone, Copy, Debug, Default)]
 enum Outage {
-    /// They do.
+    /// It does.
     #[default]
     None,
-    /// The store doesn't answer.
+    /// The store is unavailable.
     Down,
-    /// It answers again; they do from this time on.
+    /// The store is available again; it does from this time on.
     Until(Instant),
 }
 
-impl Listing {
-    /// The registrations that count.
+impl RunnerRegistry {
+    /// Current registrations.
     pub fn runners(&self) -> Arc<Vec<Registration>> {
         self.published.clone().unwrap_or_default()
     }
 
-    /// Whether a list was ever had.
+    /// Whether a list was ever loaded.
     pub fn is_known(&self) -> bool {
         self.published.is_some()
     }
 
-    /// The store stopped answering.
+    /// The store became unavailable.
     pub fn down(&mut self) {
         self.outage = Outage::Down;
     }
 
-    /// The store answers again.
+    /// The store became available.
     pub fn up(&mut self, now: Instant) {
         self.outage = Outage::Until(now + RELIST);
     }
 
-    /// Takes all rows of the table; says whether anything changed.
+    /// Replaces the table; returns whether anything changed.
     pub fn replace<R: Records>(&mut self, now: Instant, rows: &[Row], records: &R) -> bool {
         let listed: BTreeSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
-        let gone: Vec<CompactString> =
+        let shutdown: Vec<CompactString> =
             self.entries.keys().filter(|id| !listed.contains(id.as_str())).cloned().collect();
-        gone.iter().for_each(|id| self.remove(now, id));
+        shutdown.iter().for_each(|id| self.remove(now, id));
         rows.iter().for_each(|row| self.take(now, row, records));
         self.publish()
     }
 
-    /// Takes changed rows; says whether anything changed.
+    /// Applies changed rows; returns whether anything changed.
     pub fn update<R: Records>(&mut self, now: Instant, rows: &[Row], records: &R) -> bool {
         rows.iter().for_each(|row| self.take(now, row, records));
         self.publish()
     }
 
-    /// Drops entries that stayed away after an outage; says whether there were any.
+    /// Removes entries that did not return after an outage; returns whether there were any.
     pub fn settle(&mut self, now: Instant) -> bool {
         let Outage::Until(until) = self.outage else { return false };
         if now < until {
@@ -92,21 +91,19 @@
         self.outage = Outage::None;
         self.entries.retain(|id, entry| {
             if entry.missing {
-                log::info!(runner = id.as_str(); "a runner stayed away after the outage");
+                log::info!(runner = id.as_str(); "runner did not return after the outage");
             }
             !entry.missing
         });
         self.publish()
     }
 
-    /// Lets runners that started anew under other ids have their former entries, while the store can't
-    /// say so itself; says whether anything changed.
+    /// Replaces entries of runners that restarted under new ids during an outage; returns whether
+    /// anything changed.
     ///
-    /// Engines that crash in an outage are back within seconds under ids that only the store tells. Known
-    /// by their former ids alone they refuse everything, and the requests of a whole failure domain
-    /// after another pile up on the rest. The new entry counts as missing: unless the runner registers
-    /// soon after the store's return, it goes like any other.
-    pub fn take_over(&mut self, restarts: &[Restart]) -> bool {
+    /// The store cannot report the new ids meanwhile, and the runners reject requests for the old
+    /// ones. A new entry counts as missing until the runner re-registers.
+    pub fn adopt_restarts(&mut self, restarts: &[Restart]) -> bool {
         if matches!(self.outage, Outage::None) {
             return false;
         }
@@ -119,13 +116,13 @@
         if self.entries.contains_key(&restart.id) {
             return;
         }
-        // Goes before its former life, and behind whoever registers at the address.
+        // Ranks before the former incarnation, and after whatever registers at the address.
         let born = former.registration.born + 1;
         let id = restart.id.clone();
         let former = former.registration.clone();
         let registration = Registration { id: id.clone(), born, assumed: true, ..former };
         log::info!(runner = id.as_str(), former = restart.former.as_str();
-            "a runner started anew while the store is away");
+            "runner restarted during a store outage");
         self.entries.remove(&restart.former);
         self.entries.insert(id, Entry { registration, missing: true });
     }
@@ -135,8 +132,8 @@
         match records.registration(&row.key, value) {
             Ok(registration) => self.register(registration),
             Err(error) => {
-                // Written by somebody else than a runner: it names none, and the others hold.
-                log::warn!(runner = row.key.as_str(); "an entry names no runner: {error}");
+                // Not written by a runner.
+                log::warn!(runner = row.key.as_str(); "invalid registration: {error}");
                 self.entries.remove(&row.key);
             }
         }
@@ -146,7 +143,7 @@
         let known = self.entries.get(&registration.id).map(|e| &e.registration);
         if known.is_none_or(|k| k.state != registration.state || k.born != registration.born) {
             log::info!(runner = registration.id.as_str(), service = registration.service.as_str(),
-                born = registration.born; "a runner is {:?}", registration.state);
+                born = registration.born; "runner is {:?}", registration.state);
         }
         let id = registration.id.clone();
         self.entries.insert(id, Entry { registration, missing: false });
@@ -178,11 +175,8 @@
     }
 }
 
-/// Leaves out a runner whose address belongs to one that was born later.
-///
-/// A runner that starts anew mostly takes a new id, and its old entry stays until it lapses, for
-/// seconds: whatever is sent to the old one meanwhile, copies of running requests among it, is refused
-/// or can't be found again.
+/// Drops runners whose address belongs to a newer registration. The entry of a restarted runner
+/// stays until it expires, and requests for the old id would be rejected.
 fn living<'a>(entries: impl Iterator<Item = &'a Registration> + Clone) -> Vec<Registration> {
     let mut newest = BTreeMap::<_, u64>::new();
     for entry in entries.clone() {
--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -1,11 +1,11 @@
-//! Version moves: what the store and the other nodes say of them, and what they want done.
+//! Drives the rollouts.
 
 use {
-    super::{Control, follow::Change},
+    super::{Control, feed::Change},
     crate::{
         control::members::Membership,
-        moves::Wish,
         records::Records,
+        rollouts::Action,
         store::{Row, Store, Write},
         view::State,
     },
@@ -15,23 +15,23 @@
 };
 
 impl<R: Records> Control<R> {
-    /// Does what the version moves want.
+    /// Advances the rollouts and carries out their actions.
     pub(super) fn step_moves<S: Store>(&mut self, store: &S) {
-        for (service, to) in self.moves.wanted() {
-            let runners = self.listing.runners();
+        for (service, to) in self.rollouts.pending_versions() {
+            let runners = self.registry.runners();
             let new = runners.iter().filter(|r| r.service == service && r.version == to);
             let ready = new.filter(|r| r.state == State::Ready).count();
-            self.moves.runners(&service, ready);
+            self.rollouts.runners(&service, ready);
         }
         let name = self.membership.as_ref().map(Membership::name);
         let mut names: Vec<&CompactString> = self.nodes.iter().map(|n| &n.name).collect();
         names.sort_unstable();
         let rank = names.iter().position(|n| Some(*n) == name).unwrap_or(names.len());
-        for wish in self.moves.tick(Instant::now(), rank, names.len()) {
-            match wish {
-                Wish::Tell(news) => self.tell_move(news),
-                Wish::Write { record, expected } => {
-                    let (key, value) = self.records.tell(&record);
+        for action in self.rollouts.tick(Instant::now(), rank, names.len()) {
+            match action {
+                Action::Tell(news) => self.broadcast_rollout(news),
+                Action::Write { record, expected } => {
+                    let (key, value) = self.records.encode_status(&record);
                     let table = R::STATUS.into();
                     let expected = Some(expected);
                     let row = Write { table, key, value: Some(value), expected };
@@ -39,47 +39,50 @@
                 }
             }
         }
-        let splits = self.moves.splits();
+        let splits = self.rollouts.splits();
         if splits != self.splits {
             self.splits = splits;
             self.publish();
         }
     }
 
-    fn tell_move(&self, news: PeerNews) {
+    fn broadcast_rollout(&self, news: PeerNews) {
         if let Some(membership) = &self.membership {
-            membership.tell(&PeerMessage::Move(news));
+            membership.broadcast(&PeerMessage::Move(news));
         }
     }
 
-    /// Takes a row of the operators' table that may order a move.
-    pub(super) fn learn_order(&mut self, row: &Row) {
+    /// Applies a rollout order.
+    pub(super) fn apply_rollout_order(&mut self, row: &Row) {
         let Some(value) = &row.value else { return };
         match self.records.order(&row.key, value) {
-            Some(Ok(order)) => self.moves.order(Instant::now(), row.revision, order),
-            Some(Err(error)) => log::warn!(key = row.key.as_str(); "a bad order: {error}"),
+            Some(Ok(order)) => self.rollouts.order(Instant::now(), row.revision, order),
+            Some(Err(error)) => {
+                log::warn!(key = row.key.as_str(); "invalid rollout order: {error}");
+            }
             None => {}
         }
     }
 
-    pub(super) fn learn_status(&mut self, change: Change) {
+    pub(super) fn apply_status(&mut self, change: Change) {
         let (Change::Whole(rows) | Change::Rows(rows)) = change else { return };
         for row in &rows.rows {
             let value = row.value.as_deref().unwrap_or_default();
-            match self.records.told(&row.key, value) {
-                Some(Ok(record)) => self.moves.record(row.revision, record),
-                Some(Err(error)) => log::warn!(key = row.key.as_str(); "a bad record: {error}"),
+            match self.records.parse_status(&row.key, value) {
+                Some(Ok(record)) => self.rollouts.record(row.revision, record),
+                Some(Err(error)) => {
+                    log::warn!(key = row.key.as_str(); "invalid rollout status: {error}");
+                }
                 None => {}
             }
         }
     }
 }
 
-/// Writes what is to be told of a move. A write that fails is wanted again by the move itself, at a node
-/// whose turn it is.
+/// Writes a status. The rollout retries a failed write.
 async fn write_record<S: Store>(store: S, row: Write) {
     match store.write(std::slice::from_ref(&row)).await {
-        Ok(_) => log::info!(key = row.key.as_str(); "told how a version move stands"),
-        Err(error) => log::warn!(key = row.key.as_str(); "a move's record isn't written: {error}"),
+        Ok(_) => log::info!(key = row.key.as_str(); "rollout status written"),
+        Err(error) => log::warn!(key = row.key.as_str(); "cannot write a rollout status: {error}"),
     }
 }
