--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,4 +1,4 @@
-//! How callers and runners spell what the request path means.
+//! Wire format of requests and responses.
 
 use {
     crate::call::{Call, Head},
@@ -7,155 +7,155 @@
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Translates heads of requests and answers.
+/// Encodes and decodes message heads.
 pub trait Dialect: Clone + 'static {
-    /// Decodes a caller's request.
+    /// Decodes a request head.
     fn head(&self, parts: &request::Parts) -> Result<Head, Malformed>;
 
-    /// Headers of a send to a runner.
-    fn send(&self, call: &Call, order: &Order) -> HeaderMap;
+    /// Headers of a request to a runner.
+    fn send(&self, call: &Call, options: &SendOptions) -> HeaderMap;
 
-    /// What the head of a runner's answer says.
+    /// Decodes a response head.
     fn answer(&self, parts: &response::Parts) -> Answer;
 
-    /// Whether a runner made an answer with these headers.
+    /// Whether the headers carry a runner's signature.
     fn is_signed(&self, headers: &HeaderMap) -> bool;
 
-    /// Headers of a refusal of this node's own.
+    /// Headers of a rejection by this node.
     fn refusal(&self, id: Option<&str>, retry: Option<Duration>) -> HeaderMap;
 
-    /// Which of the node's own questions a path asks; `query` is empty without one.
+    /// Decodes a query about this node; `query` is empty if absent.
     fn question(&self, path: &str, query: &str) -> Option<Question>;
 
-    /// The answer to [`Question::Addresses`]: content type and body.
+    /// Content type and body of the response to [`Question::Addresses`].
     fn addresses(&self, nodes: &[SocketAddr], ttl: Duration) -> (&'static str, Vec<u8>);
 
-    /// Path at which a runner reports its load without needing a slot.
+    /// Path of a runner's load report.
     fn report_path(&self) -> &'static str;
 
-    /// What a runner says of the request `id`, by the answer at that path.
+    /// Progress of request `id` in a load report.
     fn progress(&self, body: &[u8], id: &str) -> Progress;
 
-    /// Path at which a runner is asked to copy a run's memory.
-    fn copy_path(&self) -> &'static str;
+    /// Path of the replication request.
+    fn replicate_path(&self) -> &'static str;
 
-    /// Body of that question, for the run `id` and the runner at `to`.
-    fn copy_order(&self, id: &str, to: SocketAddr) -> Vec<u8>;
+    /// Body of the replication request for run `id` to the runner at `to`.
+    fn replicate_body(&self, id: &str, to: SocketAddr) -> Vec<u8>;
 
-    /// Path at which a runner is told to drop the copy `handle`, at both ends.
-    fn forget_path(&self, handle: &str) -> String;
+    /// Path that drops the replica `handle` at both ends.
+    fn drop_replica_path(&self, handle: &str) -> String;
 
-    /// The copy's name, by the answer.
-    fn copied(&self, body: &[u8]) -> Option<CompactString>;
+    /// The handle in a replication response.
+    fn replicated_handle(&self, body: &[u8]) -> Option<CompactString>;
 
-    /// Who a runner is, by its answer at the report's path; `None` when it isn't an engine's.
+    /// The runner's identity in a load report; `None` if it is not an engine.
     fn identity(&self, body: &[u8]) -> Option<Identity>;
 
-    /// Path at which a runner tells of its cache without needing a slot.
+    /// Path of a runner's cache events.
     fn cache_path(&self) -> &'static str;
 
-    /// Tokens of a prompt's own part that a runner's cache holds, by the answer at that path.
-    fn cached(&self, body: &[u8], prompt: u64) -> u32;
+    /// Cached tokens of a prompt according to the cache events.
+    fn cached_tokens(&self, body: &[u8], prompt: u64) -> u32;
 }
 
-/// Why a head can't be served.
+/// Why a request head is malformed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum Malformed {
-    /// No id of the attempt, or one that can't be echoed.
+    /// Missing attempt id.
     #[error("the request has no usable id")]
     Id,
-    /// No host.
+    /// Missing host.
     #[error("the request names no host")]
     Host,
-    /// A number that isn't one.
+    /// Invalid number.
     #[error("a header that must be a number is none")]
     Number,
-    /// Length and chunks both claim to bound the body.
+    /// Both a length and chunked encoding.
     #[error("the body's framing is ambiguous")]
     Framing,
 }
 
-/// What one send adds to a request.
+/// Options of one send.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Order {
-    /// The runner's id; any other that took over its address refuses.
+pub struct SendOptions {
+    /// Expected runner id; any other runner rejects the request.
     pub runner: CompactString,
-    /// Time left for the caller.
+    /// Time left until the caller's deadline.
     pub left: Option<Duration>,
-    /// Id of the last event that the caller has.
+    /// Id of the last delivered event.
     pub resume: Option<u64>,
-    /// Runner to which the run's memory is copied as it grows.
-    pub backup: Option<SocketAddr>,
-    /// Such a copy, at the runner that the request is sent to.
-    pub copy: Option<Copy>,
+    /// Runner to which the run is replicated.
+    pub replica_to: Option<SocketAddr>,
+    /// Replica to resume from, on the runner that gets the request.
+    pub from_replica: Option<ReplicaRef>,
 }
 
-/// How a runner finds a copy of a run's memory that it holds.
+/// Reference to a replica of a run's KV cache.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Copy {
-    /// The holder's address where the copy grew with the run, the source's where it was asked for.
+pub struct ReplicaRef {
+    /// The holder's address for a streamed replica, the source's for a snapshot.
     pub address: SocketAddr,
-    /// The attempt's id in the first case, the source's name for the copy in the second.
+    /// The attempt id for a streamed replica, the source's handle for a snapshot.
     pub handle: CompactString,
 }
 
-/// What the head of a runner's answer says.
+/// Decoded response head.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answer {
-    /// The id of the request that it answers.
+    /// Attempt id.
     pub id: Option<CompactString>,
-    /// Whether a runner made it.
+    /// Whether it carries a runner's signature.
     pub signed: bool,
-    /// Whether the runner vouches that the request has not run and never will.
+    /// Whether the request was not run and never will be.
     pub unrun: bool,
-    /// Whether the address now belongs to another runner.
+    /// Whether the address belongs to another runner now.
     pub moved: bool,
-    /// Id of the runner that answered, where it says so.
+    /// Id of the responding runner, if stated.
     pub runner: Option<CompactString>,
-    /// How long the connection may stay idle.
+    /// Idle timeout of the connection.
     pub idle: Option<Duration>,
 }
 
-/// What a runner says of a request that it was sent.
+/// Progress of a request according to its runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Progress {
-    /// It doesn't say.
+    /// Not reported.
     Unknown,
-    /// It waits, or its prompt is being read.
+    /// Queued or in prefill.
     Waiting,
-    /// It has made this many events.
+    /// Generated events.
     Made(u32),
 }
 
-/// What a runner says of itself.
+/// Identity of an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
-    /// Models that it runs.
+    /// Served models.
     pub models: Vec<CompactString>,
-    /// Memory for prompts and output, in tokens.
+    /// KV memory in tokens.
     pub memory: u32,
-    /// Whether it is about to leave.
-    pub leaving: bool,
+    /// Whether it is draining.
+    pub draining: bool,
 }
 
-/// What the node itself is asked.
+/// A query about this node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Question {
-    /// Whether it takes requests.
+    /// Readiness.
     Ready,
-    /// Which nodes callers may connect to; holds the caller's failure domain.
+    /// Addresses of ready nodes; holds the caller's failure domain.
     Addresses(CompactString),
 }
 
 impl Answer {
-    /// Whether the answer may be a success of the request `id`.
+    /// Whether the response belongs to request `id`.
     pub fn fits(&self, id: &str) -> bool {
         self.id.as_deref() == Some(id)
     }
 }
 
-/// Whether a status promises that the request has not run and never will.
+/// Whether a status guarantees that the request has not run and never will.
 pub fn is_promise(status: StatusCode) -> bool {
     matches!(
         status,
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -1,73 +1,71 @@
-//! How a node leaves without cutting an answer.
+//! Graceful shutdown of a node.
 //!
-//! On the order to leave it is out of the address answers and not ready at once. It goes on serving
-//! callers who hold an older answer, closes each connection with the answer on it, and ends when
-//! nothing is under way and the answers that name it have lapsed, or shortly before it would be killed.
+//! A draining node is not ready and not in address responses. It keeps serving callers with older
+//! address responses, closes each connection after its response, and exits once it is idle and
+//! those responses have expired, or shortly before the kill.
 
 use {
     std::{sync::Arc, time::Duration},
     tokio::{sync::watch, time::Instant},
 };
 
-/// Time kept back from the grace, to write out the last answers and say goodbye before the kill, also on
-/// a slow instance.
+/// Reserve before the kill for final responses and the leave message.
 const RESERVE: Duration = Duration::from_millis(800);
-/// Callers may keep an address answer for this many times its time to live.
+/// Callers may keep an address response for this multiple of its time to live.
 const KEPT: u32 = 3;
-/// Part of the grace after which streams are no longer begun: most last longer than what is left, and
-/// a refusal sends the caller to a node that can finish.
+/// Share of the grace period after which new streams are rejected, since most would not finish.
 const LAST_STREAM: f64 = 0.25;
 
-/// A node's own leaving. Clones share it.
+/// Drain state of this node. Clones share it.
 #[derive(Clone)]
-pub struct Leaving {
+pub struct Drain {
     grace: Duration,
-    ordered: Arc<watch::Sender<Option<Instant>>>,
+    started: Arc<watch::Sender<Option<Instant>>>,
 }
 
-impl Leaving {
-    /// A node in service that is killed `grace` after the order to leave.
-    pub fn new(grace: Duration) -> Leaving {
-        Leaving { grace, ordered: Arc::new(watch::Sender::new(None)) }
+impl Drain {
+    /// A serving node that is killed `grace` after the drain starts.
+    pub fn new(grace: Duration) -> Drain {
+        Drain { grace, started: Arc::new(watch::Sender::new(None)) }
     }
 
-    /// Starts to leave; a second order changes nothing.
-    pub fn order(&self) {
+    /// Starts draining; idempotent.
+    pub fn start(&self) {
         let first =
             |at: &mut Option<Instant>| at.replace(at.unwrap_or_else(Instant::now)).is_none();
-        if self.ordered.send_if_modified(first) {
+        if self.started.send_if_modified(first) {
             log::info!(grace = self.grace.as_millis() as u64;
-                "leaving: out of the address answers, still serving");
+                "draining: removed from address responses, still serving");
         }
     }
 
-    /// Whether the node is leaving.
-    pub fn is_leaving(&self) -> bool {
-        self.ordered.borrow().is_some()
+    /// Whether the node is draining.
+    pub fn is_draining(&self) -> bool {
+        self.started.borrow().is_some()
     }
 
-    /// Waits for the order to leave.
-    pub async fn ordered(&self) -> Instant {
-        let mut watch = self.ordered.subscribe();
-        let order = watch.wait_for(Option::is_some).await;
-        // The sender lives in this very struct.
-        order.ok().and_then(|at| *at).unwrap_or_else(Instant::now)
+    /// Resolves when the drain starts.
+    pub async fn started(&self) -> Instant {
+        let mut watch = self.started.subscribe();
+        let start = watch.wait_for(Option::is_some).await;
+        // The sender lives in `self`.
+        start.ok().and_then(|at| *at).unwrap_or_else(Instant::now)
     }
 
-    /// Whether a stream that may last until `deadline` shouldn't be begun here any more.
-    pub fn outlasts_grace(&self, deadline: Instant) -> bool {
-        let Some(at) = *self.ordered.borrow() else { return false };
+    /// Whether a stream with this deadline should be rejected.
+    pub fn outlives_grace(&self, deadline: Instant) -> bool {
+        let Some(at) = *self.started.borrow() else { return false };
         let now = Instant::now();
         deadline > at + self.grace && now > at + self.grace.mul_f64(LAST_STREAM)
     }
 
-    /// When the answers that name this node have lapsed, given their time to live.
-    pub fn forgotten(at: Instant, ttl: Duration) -> Instant {
+    /// Time at which address responses naming this node have expired.
+    pub fn addresses_expire(at: Instant, ttl: Duration) -> Instant {
         at + ttl * KEPT
     }
 
-    /// When the process must end whatever is under way.
-    pub fn end(&self, at: Instant) -> Instant {
+    /// Time at which the process must exit.
+    pub fn kill_deadline(&self, at: Instant) -> Instant {
         at + self.grace.saturating_sub(RESERVE)
     }
 }
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -1,18 +1,18 @@
-//! Cutting a stream of server-sent events into whole events.
+//! Parser for server-sent events.
 
 use bytes::{Buf, Bytes, BytesMut};
 
-/// Most bytes of one event; a runner that sends more without an end isn't sending events.
+/// Maximum size of an event.
 pub const EVENT_BYTES: usize = 1 << 20;
-/// Field that holds an event's id.
+/// Prefix of the id field.
 const ID: &[u8] = b"id:";
 
-/// A whole event, with the blank line that ends it.
+/// A complete event, including its final blank line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
-    /// Its id; ids go up by one.
+    /// Id; ids are consecutive.
     pub id: Option<u64>,
-    /// Its bytes, as they came.
+    /// Raw bytes.
     pub bytes: Bytes,
 }
 
@@ -22,24 +22,24 @@
 #[error("an event is longer than {EVENT_BYTES} bytes")]
 pub struct TooLong;
 
-/// Collects bytes and gives whole events.
+/// Splits a byte stream into events.
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
-    /// Start of the part that was not searched yet.
+    /// Start of the unsearched part.
     searched: usize,
 }
 
 impl Splitter {
-    /// Adds what was received.
+    /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Takes the first whole event, if it is there.
+    /// Takes the next complete event.
     pub fn take(&mut self) -> Result<Option<Event>, TooLong> {
         let Some(end) = self.end() else {
-            // The end may be split: a blank line is at most four bytes.
+            // The blank line may be split; it has at most four bytes.
             self.searched = self.buffer.len().saturating_sub(3);
             return if self.buffer.len() > EVENT_BYTES { Err(TooLong) } else { Ok(None) };
         };
@@ -48,12 +48,12 @@
         Ok(Some(Event { id: id(&bytes), bytes }))
     }
 
-    /// Whether an event has begun and not ended.
+    /// Whether the buffer ends within an event.
     pub fn is_partial(&self) -> bool {
         self.buffer.has_remaining()
     }
 
-    /// Length of the first whole event: a line end followed by an empty line.
+    /// Length of the first complete event.
     fn end(&self) -> Option<usize> {
         let buffer = &self.buffer[..];
         (self.searched..buffer.len()).filter(|&i| buffer[i] == b'\n').find_map(|i| {
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -1,20 +1,19 @@
-//! The runners, as one traffic thread sees them: what they say of themselves, what this node has them
-//! do, and how they have behaved.
+//! The runners as the traffic thread sees them: registrations, load and health.
 
 mod choose;
 mod load;
-mod trouble;
+mod health;
 
 pub use self::{
-    choose::{Version, Wanted},
+    choose::{Criteria, Version},
+    health::Health,
     load::Load,
-    trouble::Trouble,
 };
 
 use {
-    self::load::Others,
+    self::load::PeerLoads,
     crate::{
-        pool::{Line, Pool},
+        pool::{Connection, Pool},
         view::{Registration, State},
     },
     bilberryfront_decide::member::message::Restart,
@@ -26,16 +25,15 @@
     tokio::{sync::Notify, time::Instant},
 };
 
-/// Time after which a stranger is asked again who it is: many requests meet the same one, and what came
-/// of the first answer shows within this time.
+/// Minimum time between two identity checks of the same unlisted runner.
 const MEET_AGAIN: Duration = Duration::from_secs(1);
 
 new_key_type! {
-    /// A runner in one of its lives.
+    /// A runner in one incarnation.
     pub struct RunnerKey;
 }
 
-/// All runners. Clones share them.
+/// All runners. Clones share state.
 #[derive(Clone)]
 pub struct Fleet {
     inner: Rc<RefCell<Inner>>,
@@ -46,62 +44,62 @@
 
 #[derive(Default)]
 struct Inner {
-    /// Whether registrations were ever taken over.
+    /// Whether a registration list was ever applied.
     known: bool,
     runners: SlotMap<RunnerKey, Runner>,
     by_id: FxHashMap<CompactString, RunnerKey>,
     services: FxHashMap<CompactString, Vec<RunnerKey>>,
-    /// Ids of runners that failed since the other nodes were told.
+    /// Ids of runners that failed since the last update to peers.
     failures: Vec<CompactString>,
-    /// Runners that started anew, found since the other nodes were told.
+    /// Restarted runners found since the last update to peers.
     restarts: Vec<Restart>,
-    /// This node's failure domain; empty while it isn't known.
+    /// This node's failure domain; empty until it is set.
     domain: CompactString,
-    /// Unlisted runners that were met at others' addresses, and when.
+    /// Unlisted runners seen at known addresses, with the time of the last identity check.
     strangers: FxHashMap<CompactString, Instant>,
 }
 
 struct Runner {
     registration: Registration,
     pool: Pool,
-    trouble: Trouble,
-    /// What this node has under way at its engine.
+    health: Health,
+    /// Load of this node's streams.
     own: Load,
-    /// Calls of this node that are under way there, where it is a plain service.
+    /// Calls of this node in flight, for plain services.
     calls: u32,
-    /// What the other nodes have.
-    others: Others,
-    /// Whether `own` changed since the others were told.
-    untold: bool,
+    /// Load reported by peers.
+    peer_loads: PeerLoads,
+    /// Whether `own` changed since the last update to peers.
+    dirty: bool,
 }
 
-/// Where to send, and what to expect there.
+/// A runner's address and identity.
 #[derive(Clone, Debug)]
-pub struct Place {
-    /// The runner.
+pub struct Endpoint {
+    /// Arena key.
     pub key: RunnerKey,
-    /// Its id.
+    /// Runner id.
     pub id: CompactString,
-    /// Its address.
+    /// Address.
     pub address: SocketAddr,
-    /// Its failure domain.
+    /// Failure domain.
     pub domain: CompactString,
 }
 
-/// A request's claim on a runner; dropping it gives back what it took.
+/// A request's share of a runner; released on drop.
 pub struct Lease {
     fleet: Fleet,
     /// The runner.
-    pub place: Place,
+    pub endpoint: Endpoint,
     claim: Claim,
 }
 
-/// What a request takes of its runner.
+/// What a lease accounts for.
 #[derive(Clone, Copy)]
 enum Claim {
-    /// A call to a plain service.
+    /// One call to a plain service.
     Call,
-    /// A part of an engine.
+    /// Load on an engine.
     Work(Load),
 }
 
@@ -112,19 +110,19 @@
 }
 
 impl Fleet {
-    /// A fleet without runners whose choices repeat for the same seed.
+    /// An empty fleet with seeded tie-breaking.
     pub fn seeded(seed: u64) -> Fleet {
         let random = Rc::new(RefCell::new(SmallRng::seed_from_u64(seed)));
         Fleet { inner: Rc::default(), changed: Rc::default(), lost: Rc::default(), random }
     }
 
-    /// Says which failure domain this node is in.
+    /// Sets this node's failure domain.
     pub fn set_domain(&self, domain: &CompactString) {
         self.inner.borrow_mut().domain.clone_from(domain);
     }
 
-    /// Takes over the newest registrations. A runner that has left or started anew loses its idle
-    /// connections; what still runs there goes on.
+    /// Applies the latest registrations. Idle connections of removed or restarted runners are
+    /// closed; requests in flight continue.
     pub fn update(&self, registrations: &[Registration]) {
         let inner = &mut *self.inner.borrow_mut();
         inner.known = true;
@@ -144,44 +142,41 @@
         }
     }
 
-    /// Whether this node has learned which runners there are.
+    /// Whether a registration list was ever applied.
     pub fn is_known(&self) -> bool {
         self.inner.borrow().known
     }
 
-    /// Whether what goes to a failure domain crosses a border.
+    /// Whether a failure domain differs from this node's.
     pub fn is_far(&self, domain: &CompactString) -> bool {
         self.inner.borrow().domain != *domain
     }
 
-    /// An idle connection to a runner.
-    pub fn idle(&self, key: RunnerKey, now: Instant) -> Option<Line> {
+    /// Takes an idle connection to a runner.
+    pub fn idle(&self, key: RunnerKey, now: Instant) -> Option<Connection> {
         self.inner.borrow_mut().runners.get_mut(key)?.pool.take(now)
     }
 
-    /// Keeps a connection to a runner.
-    pub fn keep(&self, key: RunnerKey, line: Line, limit: Option<Duration>) {
+    /// Returns a connection to the runner's pool.
+    pub fn keep(&self, key: RunnerKey, line: Connection, limit: Option<Duration>) {
         if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
             runner.pool.put(Instant::now(), line, limit);
         }
     }
 
-    /// Claims a part of an engine, and tells the other nodes.
-    pub fn lease(&self, place: Place, load: Load) -> Lease {
-        self.change(place.key, |own| *own += load);
-        Lease { fleet: self.clone(), place, claim: Claim::Work(load) }
+    /// Leases part of an engine; the change goes into the next update to peers.
+    pub fn lease(&self, endpoint: Endpoint, load: Load) -> Lease {
+        self.change(endpoint.key, |own| *own += load);
+        Lease { fleet: self.clone(), endpoint, claim: Claim::Work(load) }
     }
 
-    /// Claims a slot of a plain runner for one call.
-    ///
-    /// The others aren't told: most calls have ended before the word of them could change a choice, and two
-    /// messages a call to each node would be most of what nodes say to each other. A runner that is full
-    /// says so itself.
-    pub fn call(&self, place: Place) -> Lease {
-        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(place.key) {
+    /// Leases a slot of a plain runner for one call. Calls are not reported to peers: most end
+    /// before the report would arrive, and a full runner rejects the next one itself.
+    pub fn call(&self, endpoint: Endpoint) -> Lease {
+        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(endpoint.key) {
             runner.calls += 1;
         }
-        Lease { fleet: self.clone(), place, claim: Claim::Call }
+        Lease { fleet: self.clone(), endpoint, claim: Claim::Call }
     }
 
     fn end_call(&self, key: RunnerKey) {
@@ -193,47 +188,46 @@
     fn change(&self, key: RunnerKey, change: impl FnOnce(&mut Load)) {
         if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
             change(&mut runner.own);
-            runner.untold = true;
+            runner.dirty = true;
             self.changed.notify_one();
         }
     }
 
-    /// The runner that has this place's address now, in whatever life.
-    pub fn at(&self, place: &Place) -> Option<Place> {
+    /// The runner that currently owns this endpoint's address, in any incarnation.
+    pub fn at(&self, endpoint: &Endpoint) -> Option<Endpoint> {
         let inner = self.inner.borrow();
-        if inner.runners.contains_key(place.key) {
-            return Some(place.clone());
+        if inner.runners.contains_key(endpoint.key) {
+            return Some(endpoint.clone());
         }
-        let here = |(_, r): &(RunnerKey, &Runner)| r.registration.address == place.address;
-        inner.runners.iter().find(here).map(|(key, _)| inner.place(key))
+        let here = |(_, r): &(RunnerKey, &Runner)| r.registration.address == endpoint.address;
+        inner.runners.iter().find(here).map(|(key, _)| inner.endpoint(key))
     }
 
-    /// Whether what a runner held is gone: it has left, started anew, or failed and not been heard of
-    /// since.
+    /// Whether the runner is gone, restarted, or failed with no success since.
     pub fn is_lost(&self, key: RunnerKey) -> bool {
-        self.inner.borrow().runners.get(key).is_none_or(|r| r.trouble.has_failed())
+        self.inner.borrow().runners.get(key).is_none_or(|r| r.health.has_failed())
     }
 
-    /// A sign of life of a runner.
+    /// Records a response from a runner.
     pub fn alive(&self, key: RunnerKey, now: Instant) {
         if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
-            runner.trouble.alive(now);
+            runner.health.alive(now);
         }
     }
 
-    /// When a runner last gave a sign of life to this node.
-    pub fn heard(&self, key: RunnerKey) -> Option<Instant> {
-        self.inner.borrow().runners.get(key)?.trouble.heard()
+    /// Time of the runner's last response to this node.
+    pub fn last_seen(&self, key: RunnerKey) -> Option<Instant> {
+        self.inner.borrow().runners.get(key)?.health.last_seen()
     }
 
-    /// A runner broke a connection, didn't take one or fell silent.
+    /// Records a connection error or a timeout.
     pub fn failed(&self, key: RunnerKey, now: Instant) {
         self.inner.borrow_mut().failed(key, now);
         self.changed.notify_one();
         self.lost.notify_waiters();
     }
 
-    /// Returns once a runner is held to be lost.
+    /// Resolves once a runner counts as lost.
     pub async fn until_lost(&self, key: RunnerKey) {
         loop {
             let changed = self.lost.notified();
@@ -244,32 +238,32 @@
         }
     }
 
-    /// Whether a runner is neither listed nor was met at another's address a moment ago.
+    /// Whether an id is unlisted and not checked recently; marks it as checked.
     pub fn is_stranger(&self, id: &CompactString, now: Instant) -> bool {
         let inner = &mut *self.inner.borrow_mut();
         inner.strangers.retain(|_, met| now < *met + MEET_AGAIN);
         !inner.by_id.contains_key(id) && inner.strangers.insert(id.clone(), now).is_none()
     }
 
-    /// A runner was found to have started anew under another id.
+    /// Records that a runner restarted under a new id.
     pub fn restarted(&self, restart: Restart) {
         self.inner.borrow_mut().restarts.push(restart);
         self.changed.notify_one();
     }
 
-    /// A runner said that it has no room.
+    /// Records that a runner rejected a request for lack of capacity.
     pub fn full(&self, key: RunnerKey, now: Instant) {
         if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
-            runner.trouble.full(now);
+            runner.health.full(now);
         }
     }
 
-    /// The service of a runner that is listed.
+    /// The service of a listed runner.
     pub fn service(&self, key: RunnerKey) -> Option<CompactString> {
         Some(self.inner.borrow().runners.get(key)?.registration.service.clone())
     }
 
-    /// Runners of a service that take requests.
+    /// Number of runners of a service that accept requests.
     pub fn ready(&self, service: &str) -> usize {
         let inner = self.inner.borrow();
         let keys = inner.services.get(service).into_iter().flatten();
@@ -288,17 +282,17 @@
                 known.registration = registration.clone();
                 return;
             }
-            // Another life: its connections, load and faults are those of a process that has ended.
+            // A new incarnation starts with no connections, load or failures.
             key.map(|k| self.runners.remove(k));
         }
         let runner = Runner {
             registration: registration.clone(),
             pool: Pool::default(),
-            trouble: Trouble::default(),
+            health: Health::default(),
             own: Load::default(),
             calls: 0,
-            others: Others::default(),
-            untold: false,
+            peer_loads: PeerLoads::default(),
+            dirty: false,
         };
         let key = self.runners.insert(runner);
         self.by_id.insert(registration.id.clone(), key);
@@ -306,38 +300,37 @@
 
     fn failed(&mut self, key: RunnerKey, now: Instant) {
         let Some(runner) = self.runners.get_mut(key) else { return };
-        runner.trouble.failed(now);
+        runner.health.failed(now);
         runner.pool.clear();
         self.failures.push(runner.registration.id.clone());
-        self.doubt_neighbours(key, now);
+        self.suspect_neighbours(key, now);
     }
 
-    /// Doubts a runner's neighbours when it isn't the only one that failed: a failure domain mostly goes
-    /// down as a whole, and each neighbour tried in vain would cost a request its time. One that is
-    /// heard of after all is trusted again at once.
-    fn doubt_neighbours(&mut self, key: RunnerKey, now: Instant) {
+    /// Marks a whole failure domain as suspect once several of its runners have failed, since
+    /// domains mostly fail as a unit. Any response from a runner clears its mark.
+    fn suspect_neighbours(&mut self, key: RunnerKey, now: Instant) {
         let Registration { service, domain, .. } = &self.runners[key].registration;
         let all = self.services.get(service).into_iter().flatten().copied();
         let near = all.filter(|k| self.runners[*k].registration.domain == *domain);
         let near: Vec<RunnerKey> = near.collect();
-        let failed = near.iter().filter(|k| self.runners[**k].trouble.failed_lately(now));
-        if failed.count() >= trouble::DOMAIN_FAILURES {
-            near.iter().for_each(|k| self.runners[*k].trouble.doubt(now));
+        let failed = near.iter().filter(|k| self.runners[**k].health.failed_recently(now));
+        if failed.count() >= health::DOMAIN_FAILURES {
+            near.iter().for_each(|k| self.runners[*k].health.suspect(now));
         }
     }
 }
 
 impl Lease {
-    /// A sign of life of the runner.
+    /// Records a response from the runner.
     pub fn alive(&self) {
-        self.fleet.alive(self.place.key, Instant::now());
+        self.fleet.alive(self.endpoint.key, Instant::now());
     }
 
-    /// The prompt is read: the first output came.
+    /// Marks the prompt as prefilled after the first output.
     pub fn read(&mut self) {
         if let Claim::Work(load) = &mut self.claim {
             let read = Load { unread: std::mem::take(&mut load.unread), ..Load::default() };
-            self.fleet.change(self.place.key, |own| *own -= read);
+            self.fleet.change(self.endpoint.key, |own| *own -= read);
         }
     }
 }
@@ -345,8 +338,8 @@
 impl Drop for Lease {
     fn drop(&mut self) {
         match self.claim {
-            Claim::Work(load) => self.fleet.change(self.place.key, |own| *own -= load),
-            Claim::Call => self.fleet.end_call(self.place.key),
+            Claim::Work(load) => self.fleet.change(self.endpoint.key, |own| *own -= load),
+            Claim::Call => self.fleet.end_call(self.endpoint.key),
         }
     }
 }
--- a/crates/relay/src/fleet/health.rs
+++ b/crates/relay/src/fleet/health.rs
@@ -1,92 +1,92 @@
-//! How a runner has behaved towards this node.
+//! Runner health: passive outlier ejection.
 
 use {std::time::Duration, tokio::time::Instant};
 
-/// Failures in one failure domain, within [`LATELY`], that cast doubt on all its runners.
+/// Failures within one failure domain, inside [`FAILURE_WINDOW`], that make all its runners
+/// suspect.
 pub(super) const DOMAIN_FAILURES: usize = 2;
-/// Time in which failures belong together. Streams notice a dead runner within half a second.
-const LATELY: Duration = Duration::from_millis(800);
-/// Age up to which a sign of life outweighs what others say: streams give one every 50 ms or so.
-const FRESH: Duration = Duration::from_millis(200);
-/// Time for which a runner is left alone after a failure; it doubles with each further one.
-const REST_LEAST: Duration = Duration::from_millis(800);
-/// Longest rest: a runner that is back should be found within seconds.
-const REST_MOST: Duration = Duration::from_secs(4);
-/// Time for which a doubted runner is tried only if there is no other.
-const DOUBT: Duration = Duration::from_millis(1_200);
-/// Time after a rest or a doubt in which a runner that wasn't heard of since may still be down. A copy
-/// that is sent there meanwhile is lost without a word.
-const SETTLE: Duration = Duration::from_secs(2);
-/// Time for which a runner without room is tried only if there is no other.
-const FULL: Duration = Duration::from_millis(300);
+/// Window in which failures are correlated.
+const FAILURE_WINDOW: Duration = Duration::from_millis(800);
+/// Age up to which an own response outweighs a peer's failure report.
+const RECENT: Duration = Duration::from_millis(200);
+/// Cool-down after the first failure; doubles with each further one.
+const COOLDOWN_MIN: Duration = Duration::from_millis(800);
+/// Longest cool-down.
+const COOLDOWN_MAX: Duration = Duration::from_secs(4);
+/// Cool-down of a suspect runner.
+const SUSPECT_COOLDOWN: Duration = Duration::from_millis(1_200);
+/// Time after a cool-down during which a runner without a response still counts as unstable.
+const UNSTABLE_PERIOD: Duration = Duration::from_secs(2);
+/// Cool-down after a rejection for lack of capacity.
+const OVERLOAD_COOLDOWN: Duration = Duration::from_millis(300);
 
-/// What a node holds against one runner.
+/// Health of one runner, as observed by this node.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Trouble {
-    heard: Option<Instant>,
+pub struct Health {
+    last_seen: Option<Instant>,
     failed: Option<Instant>,
-    rest: Duration,
-    avoid: Option<Instant>,
+    cooldown: Duration,
+    ejected_until: Option<Instant>,
 }
 
-impl Trouble {
-    /// It answered.
+impl Health {
+    /// The runner responded.
     pub fn alive(&mut self, now: Instant) {
-        *self = Trouble { heard: Some(now), ..Trouble::default() };
+        *self = Health { last_seen: Some(now), ..Health::default() };
     }
 
-    /// When it last answered.
-    pub fn heard(&self) -> Option<Instant> {
-        self.heard
+    /// Time of the last response.
+    pub fn last_seen(&self) -> Option<Instant> {
+        self.last_seen
     }
 
-    /// It failed.
+    /// The runner failed.
     pub fn failed(&mut self, now: Instant) {
-        self.rest = (self.rest * 2).clamp(REST_LEAST, REST_MOST);
+        self.cooldown = (self.cooldown * 2).clamp(COOLDOWN_MIN, COOLDOWN_MAX);
         self.failed = Some(now);
-        self.avoid_until(now + self.rest);
+        self.eject_until(now + self.cooldown);
     }
 
-    /// It has no room.
+    /// The runner had no capacity.
     pub fn full(&mut self, now: Instant) {
-        self.avoid_until(now + FULL);
+        self.eject_until(now + OVERLOAD_COOLDOWN);
     }
 
-    /// Another node says that it failed; it counts only if it wasn't heard of here just now.
-    pub fn failed_elsewhere(&mut self, now: Instant) {
-        if self.heard.is_none_or(|heard| now >= heard + FRESH) {
+    /// A peer reported a failure; ignored after a recent response.
+    pub fn on_peer_failure(&mut self, now: Instant) {
+        if self.last_seen.is_none_or(|last_seen| now >= last_seen + RECENT) {
             self.failed(now);
         }
     }
 
-    /// Others of its failure domain failed; it counts only if it wasn't heard of since.
-    pub fn doubt(&mut self, now: Instant) {
-        if self.heard.is_none_or(|heard| now >= heard + FRESH) {
-            self.avoid_until(now + DOUBT);
+    /// Other runners of the failure domain failed; ignored after a recent response.
+    pub fn suspect(&mut self, now: Instant) {
+        if self.last_seen.is_none_or(|last_seen| now >= last_seen + RECENT) {
+            self.eject_until(now + SUSPECT_COOLDOWN);
         }
     }
 
-    /// Whether it failed and wasn't heard of since.
+    /// Whether it failed and has not responded since.
     pub fn has_failed(&self) -> bool {
         self.failed.is_some()
     }
 
-    /// Whether it failed a moment ago.
-    pub fn failed_lately(&self, now: Instant) -> bool {
-        self.failed.is_some_and(|at| now < at + LATELY)
+    /// Whether it failed within [`FAILURE_WINDOW`].
+    pub fn failed_recently(&self, now: Instant) -> bool {
+        self.failed.is_some_and(|at| now < at + FAILURE_WINDOW)
     }
 
-    /// Whether others should be tried first.
-    pub fn is_avoided(&self, now: Instant) -> bool {
-        self.avoid.is_some_and(|until| now < until)
+    /// Whether it is in a cool-down.
+    pub fn is_ejected(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until)
     }
 
-    /// Whether it may still be down.
-    pub fn is_unsteady(&self, now: Instant) -> bool {
-        self.avoid.is_some_and(|until| now < until + SETTLE)
+    /// Whether it is in a cool-down or shortly after one.
+    pub fn is_unstable(&self, now: Instant) -> bool {
+        self.ejected_until.is_some_and(|until| now < until + UNSTABLE_PERIOD)
     }
 
-    fn avoid_until(&mut self, until: Instant) {
-        self.avoid = Some(self.avoid.map_or(until, |old| old.max(until)));
+    fn eject_until(&mut self, until: Instant) {
+        self.ejected_until = Some(self.ejected_until.map_or(until, |old| old.max(until)));
     }
 }
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -1,4 +1,4 @@
-//! What nodes have under way at a runner.
+//! Load accounting per runner, own and reported by peers.
 
 use {
     super::{Fleet, Runner},
@@ -12,17 +12,17 @@
     tokio::{sync::Notify, time::Instant},
 };
 
-/// Age at which a node's word is dropped: it repeats it every second while there is something to say.
+/// Age at which a peer's report expires; peers refresh theirs every second.
 const STALE: Duration = Duration::from_millis(2_500);
 
-/// Amounts of work at a runner.
+/// Load on an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
-    /// Requests.
+    /// Running requests.
     pub running: u32,
-    /// Tokens of memory that they take in the end, copies of other requests included.
+    /// KV memory reserved by them and by replicas, in tokens.
     pub memory: u32,
-    /// Prompt tokens that aren't known to be read yet.
+    /// Prompt tokens not yet prefilled.
     pub unread: u32,
 }
 
@@ -42,93 +42,93 @@
     }
 }
 
-/// What other nodes said of one runner.
+/// Latest report of each peer about one runner.
 #[derive(Debug, Default)]
-pub(super) struct Others {
-    said: Vec<Said>,
+pub(super) struct PeerLoads {
+    update: Vec<PeerLoad>,
 }
 
 #[derive(Debug)]
-struct Said {
+struct PeerLoad {
     from: CompactString,
     load: Load,
     at: Instant,
 }
 
-impl Others {
-    fn take(&mut self, from: &CompactString, load: Load, at: Instant) {
-        self.said.retain(|s| s.from != *from && at < s.at + STALE);
+impl PeerLoads {
+    fn apply_peer_load(&mut self, from: &CompactString, load: Load, at: Instant) {
+        self.update.retain(|s| s.from != *from && at < s.at + STALE);
         if load != Load::default() {
-            self.said.push(Said { from: from.clone(), load, at });
+            self.update.push(PeerLoad { from: from.clone(), load, at });
         }
     }
 
     fn sum(&self, now: Instant) -> Load {
-        let fresh = self.said.iter().filter(|s| now < s.at + STALE);
-        fresh.fold(Load::default(), |mut sum, said| {
-            sum += said.load;
+        let fresh = self.update.iter().filter(|s| now < s.at + STALE);
+        fresh.fold(Load::default(), |mut sum, update| {
+            sum += update.load;
             sum
         })
     }
 }
 
 impl Runner {
-    /// What all nodes together have under way.
+    /// Total load of all nodes.
     pub(super) fn load(&self, now: Instant) -> Load {
-        let mut sum = self.others.sum(now);
+        let mut sum = self.peer_loads.sum(now);
         sum += self.own;
         sum
     }
 
-    fn told(&self) -> RunnerLoad {
+    fn report(&self) -> RunnerLoad {
         let Load { running, memory, unread } = self.own;
         RunnerLoad { runner: self.registration.id.clone(), running, memory, unread }
     }
 }
 
 impl Fleet {
-    /// Tells of changes of this node's loads.
+    /// Signals changes of this node's load.
     pub fn changes(&self) -> Rc<Notify> {
         self.changed.clone()
     }
 
-    /// What this node has to say since it last did.
-    pub fn news(&self) -> message::Load {
+    /// Changes since the last call, for peers.
+    pub fn take_update(&self) -> message::Load {
         let mut inner = self.inner.borrow_mut();
         let failed = std::mem::take(&mut inner.failures);
         let restarts = std::mem::take(&mut inner.restarts);
-        let untold = inner.runners.values_mut().filter(|r| r.untold);
+        let dirty = inner.runners.values_mut().filter(|r| r.dirty);
         let tell = |runner: &mut Runner| {
-            runner.untold = false;
-            runner.told()
+            runner.dirty = false;
+            runner.report()
         };
-        message::Load { runners: untold.map(tell).collect(), failed, restarts }
+        message::Load { runners: dirty.map(tell).collect(), failed, restarts }
     }
 
-    /// All loads of this node.
-    pub fn loads(&self) -> Vec<RunnerLoad> {
+    /// This node's load on every runner in use.
+    pub fn snapshot(&self) -> Vec<RunnerLoad> {
         let inner = self.inner.borrow();
         let loaded = inner.runners.values().filter(|r| r.own != Load::default());
-        loaded.map(Runner::told).collect()
+        loaded.map(Runner::report).collect()
     }
 
-    /// Takes what another node says.
-    pub fn take(&self, from: &CompactString, said: &message::Load) {
+    /// Applies a peer's report.
+    pub fn apply_peer_load(&self, from: &CompactString, update: &message::Load) {
         let inner = &mut *self.inner.borrow_mut();
         let now = Instant::now();
-        for &RunnerLoad { ref runner, running, memory, unread } in &said.runners {
+        for &RunnerLoad { ref runner, running, memory, unread } in &update.runners {
             let known = inner.by_id.get(runner).and_then(|key| inner.runners.get_mut(*key));
             if let Some(known) = known {
-                known.others.take(from, Load { running, memory, unread }, now);
+                known.peer_loads.apply_peer_load(from, Load { running, memory, unread }, now);
             }
         }
-        for runner in &said.failed {
+        for runner in &update.failed {
             if let Some(key) = inner.by_id.get(runner).copied() {
-                inner.runners[key].trouble.failed_elsewhere(now);
-                inner.doubt_neighbours(key, now);
+                inner.runners[key].health.on_peer_failure(now);
+                inner.suspect_neighbours(key, now);
             }
         }
-        if !said.failed.is_empty() {
+        if !update.failed.is_empty() {
             self.lost.notify_waiters();
         }
     }
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -1,28 +1,28 @@
-//! How requests of each kind are seen through to their answers.
+//! Request flows, one per route kind.
 
 mod generation;
-mod once;
-pub mod pace;
-mod repeat;
+mod at_most_once;
+pub mod prefill_rate;
+mod idempotent;
 
 use {
-    self::pace::Pace,
+    self::prefill_rate::PrefillRate,
     crate::{
         body::Answer,
         budget::{Allowance, Budget},
         call::Call,
         catalog::{Engine, Kind},
-        dialect::{Dialect, Order},
-        exchange::Exchange,
-        fleet::{Fleet, Place, RunnerKey, Version, Wanted},
-        lines::{FAILURE_PASSED, REFUSED},
+        dialect::{Dialect, SendOptions},
+        fleet::{Criteria, Endpoint, Fleet, RunnerKey, Version},
+        log_messages::{FAILURE_PASSED, REFUSED},
         metrics::{Metrics, Outcome},
-        moves::{
-            Trial,
-            exposure::{Bound, Given},
-        },
         network::Network,
         refusal::Refusal,
+        rollouts::{
+            Trial,
+            exposure::{Bound, Exposure},
+        },
+        runner_client::RunnerClient,
         view::{Published, Rule, View},
     },
     bilberryfront_decide::mover::Choice,
@@ -39,33 +39,32 @@
     tokio::{sync::mpsc, time::Instant},
 };
 
-/// When a caller should come back whose request no runner had room for: by then some of what runs has
-/// ended, and a runner that was down for a moment is back.
+/// Shortest `Retry-After` of a rejected request.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
-/// The same at the latest; callers who were refused together come back spread over the time between.
+/// Longest `Retry-After`; the value is random in between, so that rejected callers spread out.
 const RETRY_MOST: Duration = Duration::from_millis(600);
 
-/// What every request's flow works with. Clones share it.
+/// Shared state of all flows. Clones share it.
 #[derive(Clone)]
 pub struct Traffic<D, N> {
-    /// Sends to runners.
-    pub exchange: Exchange<D, N>,
-    /// What the control thread has published.
+    /// Client for the runners.
+    pub client: RunnerClient<D, N>,
+    /// View published by the control thread.
     pub published: Published,
-    /// Requests and streams under way.
+    /// Requests and streams in flight.
     pub open: Rc<Cell<usize>>,
-    /// What is counted.
+    /// Metrics.
     pub metrics: Metrics,
-    /// Where trials of versions under move are told.
+    /// Outcomes of requests during a rollout, for the control thread.
     pub trials: Option<mpsc::UnboundedSender<Trial>>,
     budgets: Rc<RefCell<FxHashMap<CompactString, Budget>>>,
-    given: Rc<RefCell<FxHashMap<CompactString, Given>>>,
-    paces: Rc<RefCell<FxHashMap<CompactString, Pace>>>,
+    given: Rc<RefCell<FxHashMap<CompactString, Exposure>>>,
+    prefill_rates: Rc<RefCell<FxHashMap<CompactString, PrefillRate>>>,
     allowance: Allowance,
     bound: Bound,
 }
 
-/// Counts a request as under way until it is dropped.
+/// Counts a request as in flight until dropped.
 pub struct Open(Rc<Cell<usize>>);
 
 impl Open {
@@ -82,7 +81,7 @@
 }
 
 impl<D: Dialect, N: Network> Traffic<D, N> {
-    /// Traffic that knows no runner yet.
+    /// Creates the state with an empty fleet.
     pub fn new(
         dialect: D,
         network: N,
@@ -92,7 +91,7 @@
     ) -> Traffic<D, N> {
         let metrics = Metrics::default();
         Traffic {
-            exchange: Exchange {
+            client: RunnerClient {
                 metrics: metrics.clone(),
                 dialect,
                 network,
@@ -105,29 +104,29 @@
             trials: None,
             budgets: Rc::default(),
             given: Rc::default(),
-            paces: Rc::default(),
+            prefill_rates: Rc::default(),
             allowance,
             bound,
         }
     }
 
-    /// Counts in these metrics from now on.
+    /// Replaces the metrics.
     pub fn set_metrics(&mut self, metrics: &Metrics) {
-        self.exchange.metrics = metrics.clone();
+        self.client.metrics = metrics.clone();
         self.metrics = metrics.clone();
     }
 
-    /// Sees a request through.
+    /// Runs a request to its response.
     pub async fn serve(&self, mut call: Call) -> Response<Answer> {
         call.version = self.choose_version(&call.service);
         self.budget(&call.service, |b, now| b.request(now));
         let (kind, start, id) = (call.route.kind, call.start, call.head.id.clone());
         let response = match kind {
-            Kind::Idempotent => repeat::serve(self, &call).await,
-            Kind::Once => once::serve(self, &call).await,
+            Kind::Idempotent => idempotent::serve(self, &call).await,
+            Kind::Once => at_most_once::serve(self, &call).await,
             Kind::Resumable | Kind::StreamOnce => generation::serve(self, call).await,
         };
-        let outcome = outcome(&response, &self.exchange.dialect);
+        let outcome = outcome(&response, &self.client.dialect);
         if outcome == Outcome::Failed {
             let waited = start.elapsed().as_millis() as u64;
             log::info!(request = id.as_str(), status = response.status().as_u16(), waited;
@@ -138,28 +137,28 @@
         response
     }
 
-    /// Counts a request as under way.
+    /// Counts a request as in flight.
     pub fn opened(&self) -> Open {
         Open::new(&self.open)
     }
 
-    /// Chooses a runner.
-    fn choose(&self, call: &Call, except: &[RunnerKey]) -> Option<Place> {
+    /// Selects a runner.
+    fn choose(&self, call: &Call, except: &[RunnerKey]) -> Option<Endpoint> {
         let view = self.published.load();
         let version = version(&view, call);
-        let fleet = &self.exchange.fleet;
-        let place = fleet.choose(&Wanted { version, ..self.wanted(call, except) });
-        match (place, version) {
-            // The new version has no runner left: the old one still serves.
+        let fleet = &self.client.fleet;
+        let endpoint = fleet.choose(&Criteria { version, ..self.criteria(call, except) });
+        match (endpoint, version) {
+            // Falls back to the old version when no runner of the new one is left.
             (None, Some(Version::Only(to))) => {
                 let version = Some(Version::Except(to));
-                fleet.choose(&Wanted { version, ..self.wanted(call, except) })
+                fleet.choose(&Criteria { version, ..self.criteria(call, except) })
             }
-            (place, _) => place,
+            (endpoint, _) => endpoint,
         }
     }
 
-    /// Gives a request to one of two versions, where a move is under way.
+    /// Assigns a request to a version during a rollout.
     fn choose_version(&self, service: &CompactString) -> Option<Choice> {
         let view = self.published.load();
         let split = view.splits.get(service)?;
@@ -168,8 +167,8 @@
         Some(given.choose(split, &self.bound, view.nodes.len(), rand::rng().random()))
     }
 
-    /// Tells how a request's first run ended, where its version was chosen.
-    fn judge(&self, call: &Call, runner: RunnerKey, ended: Ended) {
+    /// Reports the outcome of a first attempt during a rollout.
+    fn record_trial(&self, call: &Call, runner: RunnerKey, ended: RunEnd) {
         let (Some(choice), Some(trials)) = (call.version, &self.trials) else { return };
         let trial = Trial {
             service: call.service.clone(),
@@ -180,32 +179,32 @@
             pace: ended.pace,
             runner: runner.data().as_ffi(),
         };
-        // The receiver goes away only when the process ends.
+        // The receiver lives as long as the process.
         _ = trials.send(trial);
     }
 
-    /// What a request needs of a runner.
-    fn wanted<'a>(&self, call: &'a Call, except: &'a [RunnerKey]) -> Wanted<'a> {
+    /// Selection criteria for a request.
+    fn criteria<'a>(&self, call: &'a Call, except: &'a [RunnerKey]) -> Criteria<'a> {
         let (service, prompt) = (call.service.as_str(), call.head.prompt);
         let memory = self.engine(call).map_or(0, |engine| engine.memory);
-        Wanted { service, except, prompt, memory, away: None, version: None, steady: false }
+        Criteria { service, except, prompt, memory, away: None, version: None, stable: false }
     }
 
-    /// What the engines of a request's service can do.
+    /// Engine parameters of the request's service.
     fn engine(&self, call: &Call) -> Option<Engine> {
         let view = self.published.load();
         view.catalog.as_ref()?.services.get(&call.service)?.engine.clone()
     }
 
-    /// Whether the retry budget lets a request be sent once more.
+    /// Takes one retry from the retry budget.
     fn may_retry(&self, service: &str) -> bool {
         let nodes = self.published.load().nodes.len();
         self.budget(service, |b, now| b.take(now, nodes))
     }
 
-    /// What this node knows of the speed of a service's engines.
-    fn pace<T>(&self, service: &str, work: impl FnOnce(&mut Pace) -> T) -> T {
-        work(self.paces.borrow_mut().entry(service.into()).or_default())
+    /// Accesses the prefill rate of a service.
+    fn prefill_rate<T>(&self, service: &str, work: impl FnOnce(&mut PrefillRate) -> T) -> T {
+        work(self.prefill_rates.borrow_mut().entry(service.into()).or_default())
     }
 
     fn budget<T>(&self, service: &str, work: impl FnOnce(&mut Budget, Instant) -> T) -> T {
@@ -214,7 +213,7 @@
         work(budgets.entry(service.into()).or_insert_with(new), Instant::now())
     }
 
-    /// A refusal that says when to come back.
+    /// A rejection with a randomized `Retry-After`.
     fn not_run(&self) -> Refusal {
         Refusal::NotRun { retry: rand::rng().random_range(RETRY_LEAST..RETRY_MOST) }
     }
@@ -223,23 +222,23 @@
         let waited = call.start.elapsed().as_millis() as u64;
         self.metrics.refused(refusal);
         log::warn!(request = call.head.id.as_str(), route = call.route.name.as_str(), waited,
-            ready = self.exchange.fleet.ready(&call.service); "{REFUSED}{refusal:?}");
-        refusal.answer(&self.exchange.dialect, Some(&call.head.id))
+            ready = self.client.fleet.ready(&call.service); "{REFUSED}{refusal:?}");
+        refusal.answer(&self.client.dialect, Some(&call.head.id))
     }
 }
 
-/// How a request's first run ended.
+/// Outcome of a first attempt.
 #[derive(Clone, Copy, Debug, Default)]
-struct Ended {
-    /// Whether it ended well.
+struct RunEnd {
+    /// Whether it succeeded.
     ok: bool,
-    /// Time to the first event or the answer.
+    /// Time to the first event or the response.
     first: Option<Duration>,
     /// Mean time between events.
     pace: Option<Duration>,
 }
 
-/// How a request ended, by its answer's head.
+/// Classifies a response by its head.
 fn outcome<D: Dialect>(response: &Response<Answer>, dialect: &D) -> Outcome {
     match response.status() {
         status if status.is_success() => Outcome::Served,
@@ -248,13 +247,13 @@
     }
 }
 
-/// The end of a call that was answered, or never will be, at this moment.
-fn ended(call: &Call, ok: bool) -> Ended {
-    Ended { ok, first: ok.then(|| call.start.elapsed()), pace: None }
+/// Outcome of a call that ended just now.
+fn ended(call: &Call, ok: bool) -> RunEnd {
+    RunEnd { ok, first: ok.then(|| call.start.elapsed()), pace: None }
 }
 
-/// Which versions may run a request. A version that was taken back gets nothing, whatever was chosen
-/// when the request came.
+/// Version constraint of a request. A rolled-back version gets nothing, even if the request was
+/// assigned to it earlier.
 fn version<'a>(view: &'a View, call: &Call) -> Option<Version<'a>> {
     let split = view.splits.get(&call.service)?;
     let new = call.version.is_some_and(|choice| choice.new);
@@ -265,9 +264,15 @@
     }
 }
 
-/// What a plain send adds to a request.
-fn order(call: &Call, place: &Place) -> Order {
+/// Send options of a plain attempt.
+fn options(call: &Call, endpoint: &Endpoint) -> SendOptions {
     let now = Instant::now();
-    let left = call.patience_end().map(|end| end.saturating_duration_since(now));
-    Order { runner: place.id.clone(), left, resume: call.head.resume, backup: None, copy: None }
+    let left = call.caller_deadline().map(|end| end.saturating_duration_since(now));
+    SendOptions {
+        runner: endpoint.id.clone(),
+        left,
+        resume: call.head.resume,
+        replica_to: None,
+        from_replica: None,
+    }
 }
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -1,27 +1,25 @@
-//! Requests that may run at most once.
+//! Requests that must not run more than once.
 
 use {
-    super::{Traffic, ended, order},
+    super::{Traffic, ended, options},
     crate::{
         body::Answer,
         call::Call,
         dialect::Dialect,
-        exchange::{Sent, is_failure},
         network::Network,
         pool::SendError,
         refusal::Refusal,
+        runner_client::{SendOutcome, is_failure},
     },
     http::Response,
     tokio::time::Instant,
 };
 
-/// Most runners that are asked while none takes the request.
+/// Maximum runners tried while each rejects the request.
 const RUNNERS: usize = 4;
 
-/// Sends a request until a runner may have begun with it, and never after that.
-///
-/// The caller's next attempt has an id of its own and is a request of its own, so nothing has to be
-/// remembered here: it is enough that this send isn't repeated.
+/// Tries runners until the request may have started on one, and never again after that. Caller
+/// retries carry a new attempt id, so no state has to be kept.
 pub(super) async fn serve<D: Dialect, N: Network>(
     traffic: &Traffic<D, N>,
     call: &Call,
@@ -29,33 +27,33 @@
     let until = call.deadline();
     let mut tried = Vec::new();
     while tried.len() < RUNNERS && Instant::now() < until {
-        let Some(place) = traffic.choose(call, &tried) else { break };
+        let Some(endpoint) = traffic.choose(call, &tried) else { break };
         if !tried.is_empty() && !traffic.may_retry(&call.service) {
             break;
         }
-        let fleet = &traffic.exchange.fleet;
-        let _lease = fleet.call(place.clone());
-        let key = place.key;
-        match traffic.exchange.send(call, &place, &order(call, &place), until).await {
-            Sent::Answered(reply) => {
-                return match traffic.exchange.whole(reply, &place, until).await {
+        let fleet = &traffic.client.fleet;
+        let _lease = fleet.call(endpoint.clone());
+        let key = endpoint.key;
+        match traffic.client.send(call, &endpoint, &options(call, &endpoint), until).await {
+            SendOutcome::Answered(reply) => {
+                return match traffic.client.whole(reply, &endpoint, until).await {
                     Ok((parts, bytes)) => {
-                        traffic.judge(call, key, ended(call, !is_failure(parts.status)));
+                        traffic.record_trial(call, key, ended(call, !is_failure(parts.status)));
                         Response::from_parts(parts, bytes.into())
                     }
                     Err(error) => {
-                        traffic.judge(call, key, ended(call, false));
+                        traffic.record_trial(call, key, ended(call, false));
                         traffic.refuse(call, lost(error))
                     }
                 };
             }
-            Sent::NotRun => {}
-            Sent::Unsent => fleet.failed(key, Instant::now()),
-            Sent::Lost(error) => {
+            SendOutcome::NotRun => {}
+            SendOutcome::Unsent => fleet.failed(key, Instant::now()),
+            SendOutcome::Lost(error) => {
                 if error == SendError::Broken {
                     fleet.failed(key, Instant::now());
                 }
-                traffic.judge(call, key, ended(call, false));
+                traffic.record_trial(call, key, ended(call, false));
                 return traffic.refuse(call, lost(error));
             }
         }
@@ -64,7 +62,7 @@
     traffic.refuse(call, traffic.not_run())
 }
 
-/// What to say when it may have run.
+/// Response to a request that may have run.
 fn lost(error: SendError) -> Refusal {
     match error {
         SendError::Silent => Refusal::Timeout,
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -1,29 +1,29 @@
-//! Streams of events, which another runner goes on with when the first is lost.
+//! Generation streams, resumed on another runner after a failure.
 
-mod copy;
-mod place;
+mod replica;
+mod placement;
 mod run;
-mod told;
+mod logging;
 
 use {
     self::{
-        copy::Backup,
-        run::{Ended, Run},
+        replica::Replica,
+        run::{Run, RunEnd},
     },
     super::Traffic,
     crate::{
         body::{self, Answer, Feed},
         call::{Call, Size},
         catalog::Kind,
-        dialect::{Copy, Dialect, Order},
+        dialect::{Dialect, ReplicaRef, SendOptions},
         events::Event,
-        exchange::{Sent, is_failure},
-        fleet::{Load, Place, RunnerKey},
-        lines::RUN_LOST,
+        fleet::{Endpoint, Load, RunnerKey},
+        log_messages::RUN_LOST,
         metrics::{Part, Resume},
         network::Network,
         pool::SendError,
         refusal::Refusal,
+        runner_client::{SendOutcome, is_failure},
     },
     bytes::Bytes,
     http::{Response, response::Parts},
@@ -31,71 +31,71 @@
     tokio::time::Instant,
 };
 
-/// Part of the longest pause on time after which a silent runner is left: what remains is the time
-/// for another runner to go on from a copy.
+/// Share of the route's maximum gap after which a silent runner is abandoned; the rest is for
+/// resuming from a replica.
 const STALL_SHARE: f64 = 0.6;
-/// Silence after which a runner is left where the route sets no longest pause.
+/// Stall timeout where the route sets no maximum gap.
 const STALL_DEFAULT: Duration = Duration::from_secs(2);
-/// Most sends of one stream, whatever comes of them.
+/// Maximum sends of one stream.
 const SENDS: u32 = 12;
 
-/// A stream on its way.
+/// State of one stream.
 struct Generation<D, N> {
     traffic: Traffic<D, N>,
     call: Call,
-    /// Id of the last event that the caller has.
+    /// Id of the last event delivered to the caller.
     position: Option<u64>,
-    /// Runners that failed it; tried again only when there is no other.
+    /// Runners that failed this stream; tried again only as a last resort.
     failed: Vec<RunnerKey>,
-    /// Runners that began it anew.
+    /// Runs that started from the prompt.
     runs: u32,
     /// Sends so far.
     sends: u32,
-    /// When the first event came.
+    /// Time of the first event.
     began: Option<Instant>,
-    /// From what the last run went on.
+    /// How the current run was resumed.
     resumed: Resume,
-    /// A copy of the last run's memory, and who holds it.
-    copy: Option<(Place, Copy)>,
-    /// A runner's own failure, passed on if no other does better.
+    /// Replica of the last run and its holder.
+    from_replica: Option<(Endpoint, ReplicaRef)>,
+    /// A runner's own error response, returned if no runner succeeds.
     failure: Option<(Parts, Bytes)>,
-    /// Why the last run that may have begun brought nothing.
+    /// Error of the last run that may have started.
     lost: Option<SendError>,
 }
 
-/// A run that has begun.
-struct Begun {
+/// A run that has started.
+struct StartedRun {
     parts: Parts,
     run: Run,
-    /// Its first event; `None` when it ended without one.
+    /// Its first event; `None` if it ended without one.
     first: Option<Event>,
 }
 
-/// Why no runner goes on with a stream.
-enum Stopped {
-    /// A runner's own failure, to be passed on.
+/// Final result of a stream that no runner can start or resume.
+enum FinalFailure {
+    /// A runner's own error response.
     Failure(Parts, Bytes),
-    /// This node's refusal.
+    /// A rejection by this node.
     Refused(Refusal),
 }
 
-/// What came of one send.
-enum Tried {
-    Begun(Box<Begun>),
+/// Outcome of one send.
+enum AttemptOutcome {
+    Started(Box<StartedRun>),
     Failure(Parts, Bytes),
     NotRun,
     Unsent,
     Lost(SendError),
 }
 
-/// Opens a stream; the answer starts with its first event.
+/// Opens a stream; the response starts with its first event.
 pub(super) async fn serve<D: Dialect, N: Network>(
     traffic: &Traffic<D, N>,
     call: Call,
 ) -> Response<Answer> {
     let mut generation = Generation::new(traffic.clone(), call);
     match generation.begin().await {
-        Ok(Begun { parts, run, first }) => {
+        Ok(StartedRun { parts, run, first }) => {
             let open = traffic.opened();
             let fill = |feed| async move {
                 generation.pump(feed, run, first).await;
@@ -103,8 +103,8 @@
             };
             Response::from_parts(parts, body::stream(fill))
         }
-        Err(Stopped::Failure(parts, bytes)) => Response::from_parts(parts, bytes.into()),
-        Err(Stopped::Refused(refusal)) => traffic.refuse(&generation.call, refusal),
+        Err(FinalFailure::Failure(parts, bytes)) => Response::from_parts(parts, bytes.into()),
+        Err(FinalFailure::Refused(refusal)) => traffic.refuse(&generation.call, refusal),
     }
 }
 
@@ -119,78 +119,79 @@
             sends: 0,
             began: None,
             resumed: Resume::Anew,
-            copy: None,
+            from_replica: None,
             failure: None,
             lost: None,
         }
     }
 
-    /// Sends until a run begins.
-    async fn begin(&mut self) -> Result<Begun, Stopped> {
+    /// Sends until a run starts.
+    async fn begin(&mut self) -> Result<StartedRun, FinalFailure> {
         let end = self.call.deadline();
         let mut cached = if self.sends == 0 { self.find_cached().await } else { None };
-        if self.sends == 0 && self.is_hopeless(cached.is_some()) {
-            return Err(Stopped::Refused(self.traffic.not_run()));
+        if self.sends == 0 && self.misses_deadline(cached.is_some()) {
+            return Err(FinalFailure::Refused(self.traffic.not_run()));
         }
         while self.may_send(end) {
-            let next = cached.take().map(|place| (place, None)).or_else(|| self.next_place());
-            let Some((place, copy)) = next else { break };
-            let copied = copy.is_some();
+            let next =
+                cached.take().map(|endpoint| (endpoint, None)).or_else(|| self.next_endpoint());
+            let Some((endpoint, replica)) = next else { break };
+            let from_replica = replica.is_some();
             self.sends += 1;
-            match self.attempt(&place, copy, end).await {
-                Tried::Begun(begun) => {
-                    self.runs += u32::from(!copied);
+            match self.attempt(&endpoint, replica, end).await {
+                AttemptOutcome::Started(started) => {
+                    self.runs += u32::from(!from_replica);
                     self.began.get_or_insert_with(Instant::now);
                     if self.sends == 1 && self.call.head.resume.is_none() {
                         let tokens = self.size().prompt;
                         let took = self.call.start.elapsed();
-                        self.traffic.pace(&self.call.service, |pace| pace.has_read(tokens, took));
+                        self.traffic
+                            .prefill_rate(&self.call.service, |rate| rate.observe(tokens, took));
                     }
-                    self.resumed = if copied { Resume::Copy } else { Resume::Anew };
-                    self.log_begun(&begun.run, copied);
-                    return Ok(*begun);
+                    self.resumed = if from_replica { Resume::Replica } else { Resume::Anew };
+                    self.log_started(&started.run, from_replica);
+                    return Ok(*started);
                 }
-                Tried::Failure(parts, bytes) => {
-                    self.judge(place.key, false);
+                AttemptOutcome::Failure(parts, bytes) => {
+                    self.record_trial(endpoint.key, false);
                     self.runs += 1;
                     self.failure = Some((parts, bytes));
                 }
-                Tried::NotRun => {}
-                Tried::Unsent => self.mark_failed(place.key),
-                Tried::Lost(error) => {
-                    self.judge(place.key, false);
-                    self.runs += u32::from(!copied);
+                AttemptOutcome::NotRun => {}
+                AttemptOutcome::Unsent => self.mark_failed(endpoint.key),
+                AttemptOutcome::Lost(error) => {
+                    self.record_trial(endpoint.key, false);
+                    self.runs += u32::from(!from_replica);
                     self.lost = Some(error);
-                    self.mark_failed(place.key);
+                    self.mark_failed(endpoint.key);
                 }
             }
-            // A copy that isn't there, or whose holder had no room for it, says nothing against
-            // reading the whole prompt at the same runner.
-            if !copied {
-                self.failed.push(place.key);
+            // A missing replica says nothing about the runner's ability to prefill the prompt.
+            if !from_replica {
+                self.failed.push(endpoint.key);
             }
         }
-        Err(self.stopped())
+        Err(self.final_failure())
     }
 
-    /// Passes events on until the stream has ended or nobody can go on with it.
+    /// Forwards events until the stream ends or cannot be resumed.
     async fn pump(&mut self, feed: Feed, mut run: Run, first: Option<Event>) {
-        let mut next = first.ok_or(Ended::Whole);
+        let mut next = first.ok_or(RunEnd::Whole);
         loop {
             match next {
                 Ok(event) => {
                     let bytes = event.bytes.len();
-                    self.traffic.exchange.carried(Part::Events, run.place(), bytes);
+                    self.traffic.client.count_bytes(Part::Events, run.endpoint(), bytes);
                     if !self.pass(&feed, event).await {
                         return;
                     }
-                    self.renew_backup(&mut run);
-                    next = run.next(self.stall(), self.position).await;
+                    self.renew_replica(&mut run);
+                    next = run.next(self.stall_timeout(), self.position).await;
                 }
-                Err(Ended::Whole) => {
+                Err(RunEnd::Whole) => {
                     self.log_ended(&run);
-                    self.judge(run.place().key, true);
-                    run.keep(&self.traffic.exchange.fleet);
+                    self.record_trial(run.endpoint().key, true);
+                    run.keep(&self.traffic.client.fleet);
                     return feed.finish();
                 }
                 Err(reason) => {
@@ -200,10 +201,10 @@
                         return self.log_broken();
                     }
                     match self.begin().await {
-                        Ok(begun) => {
+                        Ok(started) => {
                             self.traffic.metrics.resumed(self.resumed, lost.elapsed());
-                            run = begun.run;
-                            next = begun.first.ok_or(Ended::Whole);
+                            run = started.run;
+                            next = started.first.ok_or(RunEnd::Whole);
                         }
                         Err(_) => return self.log_broken(),
                     }
@@ -217,66 +218,72 @@
         feed.push(event.bytes).await
     }
 
-    /// Gives a run up. Its connection closes with it, so that its runner stops before another one
-    /// goes on.
-    fn leave(&mut self, run: Run, reason: Ended) {
-        let key = run.place().key;
-        self.judge(key, false);
-        log::warn!(request = self.call.head.id.as_str(), runner = run.place().id.as_str(),
+    /// Abandons a run. Its connection is closed before another runner resumes the stream.
+    fn leave(&mut self, run: Run, reason: RunEnd) {
+        let key = run.endpoint().key;
+        self.record_trial(key, false);
+        log::warn!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
             position = self.position.unwrap_or_default(),
-            holder = run.backup().map_or("", |b| b.holder().id.as_str());
+            holder = run.replica().map_or("", |b| b.holder().id.as_str());
             "{RUN_LOST}{reason:?}");
         self.mark_failed(key);
         self.failed.push(key);
-        self.copy = run.backup().and_then(Backup::take);
+        self.from_replica = run.replica().and_then(Replica::take);
         drop(run);
     }
 
-    async fn attempt(&mut self, place: &Place, copy: Option<Copy>, end: Instant) -> Tried {
-        let backup = self.choose_backup(place);
+    async fn attempt(
+        &mut self,
+        endpoint: &Endpoint,
+        from_replica: Option<ReplicaRef>,
+        end: Instant,
+    ) -> AttemptOutcome {
+        let replica = self.choose_replica_endpoint(endpoint);
         let now = Instant::now();
-        let order = Order {
-            runner: place.id.clone(),
-            left: self.call.patience_end().map(|e| e.saturating_duration_since(now)),
+        let options = SendOptions {
+            runner: endpoint.id.clone(),
+            left: self.call.caller_deadline().map(|e| e.saturating_duration_since(now)),
             resume: self.position,
-            backup: backup.as_ref().map(|p| p.address),
-            copy: copy.clone(),
+            replica_to: replica.as_ref().map(|p| p.address),
+            from_replica: from_replica.clone(),
         };
-        let fleet = &self.traffic.exchange.fleet;
+        let fleet = &self.traffic.client.fleet;
         let memory = self.size().total();
-        let unread = if copy.is_some() { 0 } else { self.size().prompt };
-        let lease = fleet.lease(place.clone(), Load { running: 1, memory, unread });
-        let copied = Load { memory, ..Load::default() };
+        let unread = if from_replica.is_some() { 0 } else { self.size().prompt };
+        let lease = fleet.lease(endpoint.clone(), Load { running: 1, memory, unread });
+        let from_replica = Load { memory, ..Load::default() };
         let id = &self.call.head.id;
-        let backup = backup.map(|p| Backup::growing(fleet.lease(p, copied), id));
+        let replica = replica.map(|p| Replica::growing(fleet.lease(p, from_replica), id));
         let send = async {
-            let reply = match self.traffic.exchange.send(&self.call, place, &order, end).await {
-                Sent::Answered(reply) if is_failure(reply.parts.status) => {
-                    return match self.traffic.exchange.whole(reply, place, end).await {
-                        Ok((parts, bytes)) => Tried::Failure(parts, bytes),
-                        Err(error) => Tried::Lost(error),
+            let reply = match self.traffic.client.send(&self.call, endpoint, &options, end).await {
+                SendOutcome::Answered(reply) if is_failure(reply.parts.status) => {
+                    return match self.traffic.client.whole(reply, endpoint, end).await {
+                        Ok((parts, bytes)) => AttemptOutcome::Failure(parts, bytes),
+                        Err(error) => AttemptOutcome::Lost(error),
                     };
                 }
-                Sent::Answered(reply) => reply,
-                Sent::NotRun => return Tried::NotRun,
-                Sent::Unsent => return Tried::Unsent,
-                Sent::Lost(error) => return Tried::Lost(error),
+                SendOutcome::Answered(reply) => reply,
+                SendOutcome::NotRun => return AttemptOutcome::NotRun,
+                SendOutcome::Unsent => return AttemptOutcome::Unsent,
+                SendOutcome::Lost(error) => return AttemptOutcome::Lost(error),
             };
-            let (parts, mut run) = Run::new(*reply, lease, backup);
-            let patience = end.saturating_duration_since(Instant::now());
-            match run.next(patience, self.position).await {
+            let (parts, mut run) = Run::new(*reply, lease, replica);
+            let timeout = end.saturating_duration_since(Instant::now());
+            match run.next(timeout, self.position).await {
                 Ok(first) => {
-                    run.has_begun();
-                    Tried::Begun(Box::new(Begun { parts, run, first: Some(first) }))
+                    run.mark_started();
+                    AttemptOutcome::Started(Box::new(StartedRun { parts, run, first: Some(first) }))
                 }
-                Err(Ended::Whole) => Tried::Begun(Box::new(Begun { parts, run, first: None })),
-                Err(Ended::Silent) => Tried::Lost(SendError::Silent),
-                Err(_) => Tried::Lost(SendError::Broken),
+                Err(RunEnd::Whole) => {
+                    AttemptOutcome::Started(Box::new(StartedRun { parts, run, first: None }))
+                }
+                Err(RunEnd::Silent) => AttemptOutcome::Lost(SendError::Silent),
+                Err(_) => AttemptOutcome::Lost(SendError::Broken),
             }
         };
         tokio::select! {
             tried = send => tried,
-            () = self.traffic.exchange.until_lost(&self.call, place) => Tried::Lost(SendError::Silent),
+            () = self.traffic.client.until_lost(&self.call, endpoint) => AttemptOutcome::Lost(SendError::Silent),
         }
     }
 
@@ -292,35 +299,35 @@
         self.call.route.kind == Kind::Resumable
     }
 
-    /// Tells how the first send ended, where a version is being judged.
-    fn judge(&self, key: RunnerKey, ok: bool) {
+    /// Reports the outcome of the first send during a rollout.
+    fn record_trial(&self, key: RunnerKey, ok: bool) {
         if self.sends > 1 {
             return;
         }
         let events = self.position.unwrap_or_default() - self.call.head.resume.unwrap_or_default();
         let pace = self.began.map(|at| at.elapsed().div_f64(events.max(1) as f64));
         let first = self.began.map(|at| at - self.call.start);
-        self.traffic.judge(&self.call, key, super::Ended { ok, first, pace });
+        self.traffic.record_trial(&self.call, key, super::RunEnd { ok, first, pace });
     }
 
     fn size(&self) -> Size {
         self.call.head.size.unwrap_or(Size { prompt: 0, output: 0 })
     }
 
-    fn stall(&self) -> Duration {
+    fn stall_timeout(&self) -> Duration {
         self.call.route.gap.map_or(STALL_DEFAULT, |gap| gap.mul_f64(STALL_SHARE))
     }
 
     fn mark_failed(&self, key: RunnerKey) {
-        self.traffic.exchange.fleet.failed(key, Instant::now());
+        self.traffic.client.fleet.failed(key, Instant::now());
     }
 
-    fn stopped(&mut self) -> Stopped {
+    fn final_failure(&mut self) -> FinalFailure {
         match (self.failure.take(), self.lost) {
-            (Some((parts, bytes)), _) => Stopped::Failure(parts, bytes),
-            (None, None) => Stopped::Refused(self.traffic.not_run()),
-            (None, Some(SendError::Silent)) => Stopped::Refused(Refusal::Timeout),
-            (None, Some(_)) => Stopped::Refused(Refusal::Lost),
+            (Some((parts, bytes)), _) => FinalFailure::Failure(parts, bytes),
+            (None, None) => FinalFailure::Refused(self.traffic.not_run()),
+            (None, Some(SendError::Silent)) => FinalFailure::Refused(Refusal::Timeout),
+            (None, Some(_)) => FinalFailure::Refused(Refusal::Lost),
         }
     }
 }
--- a/crates/relay/src/flow/generation/logging.rs
+++ b/crates/relay/src/flow/generation/logging.rs
@@ -1,36 +1,36 @@
-//! What the log is told of a stream.
+//! Log messages of a stream.
 
 use {
     super::{Generation, run::Run},
     crate::{
         dialect::Dialect,
-        lines::{RUN_BEGUN, STREAM_BROKEN, STREAM_ENDED},
+        log_messages::{RUN_BEGUN, STREAM_BROKEN, STREAM_ENDED},
         metrics::Outcome,
         network::Network,
     },
 };
 
 impl<D: Dialect, N: Network> Generation<D, N> {
-    pub(super) fn log_begun(&self, run: &Run, copied: bool) {
+    pub(super) fn log_started(&self, run: &Run, from_replica: bool) {
         let waited = self.call.start.elapsed().as_millis() as u64;
-        log::info!(request = self.call.head.id.as_str(), runner = run.place().id.as_str(),
-            backup = run.backup().map_or("", |b| b.holder().id.as_str()), sends = self.sends,
-            position = self.position.unwrap_or_default(), copied, waited,
+        log::info!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
+            replica = run.replica().map_or("", |b| b.holder().id.as_str()), sends = self.sends,
+            position = self.position.unwrap_or_default(), from_replica, waited,
             prompt = self.call.head.prompt.unwrap_or_default();
             "{RUN_BEGUN}");
     }
 
     pub(super) fn log_ended(&self, run: &Run) {
         let took = self.call.start.elapsed().as_millis() as u64;
-        log::info!(request = self.call.head.id.as_str(), runner = run.place().id.as_str(),
+        log::info!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
             sends = self.sends, position = self.position.unwrap_or_default(), took;
             "{STREAM_ENDED}");
     }
 
     pub(super) fn log_broken(&self) {
-        self.traffic.metrics.ended(self.call.route.kind, Outcome::BrokenOff, None);
+        self.traffic.metrics.ended(self.call.route.kind, Outcome::Aborted, None);
         log::warn!(request = self.call.head.id.as_str(), sends = self.sends, runs = self.runs,
             position = self.position.unwrap_or_default();
-            "{STREAM_BROKEN}: no runner goes on with it");
+            "{STREAM_BROKEN}: no runner can resume it");
     }
 }
--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -1,10 +1,10 @@
-//! Where a stream goes next, and where its copy is kept.
+//! Placement of streams and of their replicas.
 
 use {
-    super::{Generation, copy::Backup, run::Run},
+    super::{Generation, replica::Replica, run::Run},
     crate::{
-        dialect::{Copy, Dialect},
-        fleet::{Load, Place, Wanted},
+        dialect::{Dialect, ReplicaRef},
+        fleet::{Criteria, Endpoint, Load},
         flow::version,
         network::Network,
     },
@@ -13,89 +13,89 @@
 };
 
 impl<D: Dialect, N: Network> Generation<D, N> {
-    /// The holder of the last run's copy, or else the best runner.
-    ///
-    /// Copies go to addresses: one that was sent to a runner that had just started anew is there under
-    /// its new id. If it isn't, the runner says so at once.
-    pub(super) fn next_place(&mut self) -> Option<(Place, Option<Copy>)> {
-        let fleet = &self.traffic.exchange.fleet;
-        if let Some((place, copy)) = self.copy.take() {
-            match fleet.at(&place).filter(|holder| !fleet.is_avoided(holder.key)) {
-                Some(holder) => return Some((holder, Some(copy))),
+    /// The replica's holder if it is available, else the best runner. Replicas are addressed by
+    /// endpoint, so one may survive under the holder's new id; the runner rejects the request
+    /// otherwise.
+    pub(super) fn next_endpoint(&mut self) -> Option<(Endpoint, Option<ReplicaRef>)> {
+        let fleet = &self.traffic.client.fleet;
+        if let Some((endpoint, from_replica)) = self.from_replica.take() {
+            match fleet.at(&endpoint).filter(|holder| !fleet.is_ejected(holder.key)) {
+                Some(holder) => return Some((holder, Some(from_replica))),
                 None => log::info!(request = self.call.head.id.as_str(),
-                    runner = place.id.as_str(); "the holder of a copy is gone or in trouble"),
+                    runner = endpoint.id.as_str(); "replica holder gone or ejected"),
             }
         }
         Some((self.choose()?, None))
     }
 
-    /// Has a run's memory copied to another runner when the holder of its copy is lost, or it has none.
-    pub(super) fn renew_backup(&self, run: &mut Run) {
-        let exchange = &self.traffic.exchange;
-        let sound = |b: &Backup| b.is_new() || !exchange.fleet.is_lost(b.holder().key);
-        if run.backup().is_some_and(sound) {
+    /// Replaces the replica if its holder is lost or none exists.
+    pub(super) fn renew_replica(&self, run: &mut Run) {
+        let client = &self.traffic.client;
+        let sound = |b: &Replica| b.is_new() || !client.fleet.is_lost(b.holder().key);
+        if run.replica().is_some_and(sound) {
             return;
         }
-        let Some(holder) = self.choose_backup(run.place()) else { return };
-        let Some(kept) = self.traffic.engine(&self.call).map(|e| e.kept) else { return };
+        let Some(holder) = self.choose_replica_endpoint(run.endpoint()) else { return };
+        let Some(replica_ttl) = self.traffic.engine(&self.call).map(|e| e.replica_ttl) else {
+            return;
+        };
         let memory = self.size().total();
-        let lease = exchange.fleet.lease(holder, Load { memory, ..Load::default() });
-        let (id, source) = (self.call.head.id.clone(), run.place().clone());
-        run.set_backup(Some(Backup::asked(exchange.clone(), lease, id, source, kept)));
+        let lease = client.fleet.lease(holder, Load { memory, ..Load::default() });
+        let (id, source) = (self.call.head.id.clone(), run.endpoint().clone());
+        run.set_replica(Some(Replica::asked(client.clone(), lease, id, source, replica_ttl)));
     }
 
-    /// A runner that hasn't failed this stream, or else any.
-    fn choose(&self) -> Option<Place> {
+    /// A runner that has not failed this stream, else any.
+    fn choose(&self) -> Option<Endpoint> {
         self.traffic
             .choose(&self.call, &self.failed)
             .or_else(|| self.traffic.choose(&self.call, &[]))
     }
 
-    /// Where the run's memory is copied to: another failure domain, since one mostly goes down as a
-    /// whole. Its holder is one of the prompt's homes: a stream that went on there is found again when this
-    /// node is lost too.
-    pub(super) fn choose_backup(&self, place: &Place) -> Option<Place> {
-        if !self.is_resumable() || !self.traffic.engine(&self.call)?.backups {
+    /// Selects the replica's holder: in another failure domain, and preferably one of the prompt's
+    /// preferred runners, where other nodes look for it.
+    pub(super) fn choose_replica_endpoint(&self, endpoint: &Endpoint) -> Option<Endpoint> {
+        if !self.is_resumable() || !self.traffic.engine(&self.call)?.replication {
             return None;
         }
         let mut except = self.failed.clone();
-        except.push(place.key);
-        let wanted = self.traffic.wanted(&self.call, &except);
-        let away = Some(place.domain.as_str());
+        except.push(endpoint.key);
+        let criteria = self.traffic.criteria(&self.call, &except);
+        let away = Some(endpoint.domain.as_str());
         let view = self.traffic.published.load();
         let version = version(&view, &self.call);
-        let wanted = Wanted { away, version, steady: true, ..wanted };
-        self.traffic.exchange.fleet.choose(&wanted)
+        let criteria = Criteria { away, version, stable: true, ..criteria };
+        self.traffic.client.fleet.choose(&criteria)
     }
 
-    /// The runner that has this prompt in its cache, if a caller comes back with a stream that another
-    /// node has begun: there it goes on within some 50 ms, anywhere else the prompt is read again.
-    pub(super) async fn find_cached(&self) -> Option<Place> {
+    /// Finds the preferred runner that has the prompt of a resumed stream in its cache.
+    pub(super) async fn find_cached(&self) -> Option<Endpoint> {
         let (Some(prompt), Some(_)) = (self.call.head.prompt, self.call.head.resume) else {
             return None;
         };
-        let exchange = &self.traffic.exchange;
-        let homes = exchange.fleet.homes(&self.traffic.wanted(&self.call, &[]));
-        let asked = homes.iter().map(|place| exchange.cached(place, prompt));
-        let held = join_all(asked).await.into_iter().zip(homes);
-        let (tokens, place) = held.max_by_key(|(tokens, _)| *tokens)?;
-        log::info!(request = self.call.head.id.as_str(), prompt, runner = place.id.as_str(), tokens;
-            "looked for a prompt's cache");
-        (tokens > 0).then_some(place)
+        let client = &self.traffic.client;
+        let preferred = client.fleet.preferred(&self.traffic.criteria(&self.call, &[]));
+        let asked = preferred.iter().map(|endpoint| client.cached_tokens(endpoint, prompt));
+        let held = join_all(asked).await.into_iter().zip(preferred);
+        let (tokens, endpoint) = held.max_by_key(|(tokens, _)| *tokens)?;
+        log::info!(request = self.call.head.id.as_str(), prompt, runner = endpoint.id.as_str(), tokens;
+            "prompt cache lookup");
+        (tokens > 0).then_some(endpoint)
     }
 
-    /// Whether a stream with which a caller comes back can't go on before its patience ends. Reading its prompt
-    /// anew would cost a runner a second, and those who wait behind it theirs, for nothing.
-    pub(super) fn is_hopeless(&self, cached: bool) -> bool {
-        let (Some(position), Some(end)) = (self.call.head.resume, self.call.patience_end()) else {
+    /// Whether a resumed stream cannot produce an event before the caller's deadline.
+    pub(super) fn misses_deadline(&self, cached_tokens: bool) -> bool {
+        let (Some(position), Some(end)) = (self.call.head.resume, self.call.caller_deadline())
+        else {
             return false;
         };
-        let unread = if cached { 0 } else { self.size().prompt };
+        let unread = if cached_tokens { 0 } else { self.size().prompt };
         let left = end.saturating_duration_since(Instant::now());
-        let hopeless = self.traffic.pace(&self.call.service, |pace| pace.is_hopeless(unread, left));
+        let hopeless =
+            self.traffic.prefill_rate(&self.call.service, |rate| rate.exceeds(unread, left));
         if hopeless {
             log::info!(request = self.call.head.id.as_str(), position, unread,
-                left = left.as_millis() as u64; "a prompt can't be read in time");
+                left = left.as_millis() as u64; "the prompt cannot be prefilled before the deadline");
         }
         hopeless
     }
--- a/crates/relay/src/flow/generation/replica.rs
+++ b/crates/relay/src/flow/generation/replica.rs
@@ -1,16 +1,15 @@
-//! A copy of a run's memory at another runner, from which the stream goes on when its runner is lost.
+//! Replicas of a run's KV cache, from which a stream is resumed.
 //!
-//! The runner itself copies as it goes, to the holder that it was given with the request. When that
-//! holder is lost first, which in crashes of one failure domain after another hits the longest streams,
-//! the runner is asked for a copy at another one. Such a copy doesn't grow by itself and is kept for a
-//! while only, so it is asked for again until the stream has ended.
+//! The runner streams its cache to the first holder by itself. After a holder is lost, further
+//! replicas are requested explicitly; these are snapshots with a time to live, so they are
+//! refreshed until the stream ends.
 
 use {
     crate::{
-        dialect::{Copy, Dialect},
-        exchange::Exchange,
-        fleet::{Lease, Place},
+        dialect::{Dialect, ReplicaRef},
+        fleet::{Endpoint, Lease},
         network::Network,
+        runner_client::RunnerClient,
     },
     compact_str::CompactString,
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -20,105 +19,104 @@
     },
 };
 
-/// Part of the time for which a copy is kept after which it is asked for again.
+/// Share of the time to live after which a snapshot is refreshed.
 const RENEW: f64 = 0.75;
-/// Pause before another try when a copy can't be had.
+/// Delay before a failed request is retried.
 const RETRY: Duration = Duration::from_millis(500);
 
-/// The copy of one run.
-pub(super) struct Backup {
-    /// Claims the holder's memory.
+/// The replica of one run.
+pub(super) struct Replica {
+    /// Reserves the holder's memory.
     lease: Lease,
-    /// When it was asked for; `None` for one that the runner makes by itself.
+    /// Time of the request; `None` for a streamed replica.
     asked: Option<Instant>,
     state: Rc<State>,
 }
 
 #[derive(Default)]
 struct State {
-    /// How the holder finds the copy; `None` while there is none.
-    copy: RefCell<Option<Copy>>,
-    /// The run has ended.
+    /// Reference under which the holder knows it; `None` until it is complete.
+    from_replica: RefCell<Option<ReplicaRef>>,
+    /// Signals that the run has ended.
     ended: Notify,
 }
 
-impl Backup {
-    /// A copy that the runner makes by itself of the attempt `id`.
-    pub(super) fn growing(lease: Lease, id: &CompactString) -> Backup {
-        let copy = Copy { address: lease.place.address, handle: id.clone() };
-        let state = State { copy: RefCell::new(Some(copy)), ..State::default() };
-        Backup { lease, asked: None, state: Rc::new(state) }
+impl Replica {
+    /// A replica that the runner streams for the attempt `id`.
+    pub(super) fn growing(lease: Lease, id: &CompactString) -> Replica {
+        let from_replica = ReplicaRef { address: lease.endpoint.address, handle: id.clone() };
+        let state = State { from_replica: RefCell::new(Some(from_replica)), ..State::default() };
+        Replica { lease, asked: None, state: Rc::new(state) }
     }
 
-    /// A copy that the runner at `source` is asked for, and which is kept for `kept`.
+    /// A replica requested from the runner at `source`, with time to live `replica_ttl`.
     pub(super) fn asked<D: Dialect, N: Network>(
-        exchange: Exchange<D, N>,
+        client: RunnerClient<D, N>,
         lease: Lease,
         id: CompactString,
-        source: Place,
-        kept: Duration,
-    ) -> Backup {
+        source: Endpoint,
+        replica_ttl: Duration,
+    ) -> Replica {
         let state = Rc::<State>::default();
-        let backup = Backup { lease, asked: Some(Instant::now()), state: state.clone() };
-        let holder = backup.holder().clone();
+        let replica = Replica { lease, asked: Some(Instant::now()), state: state.clone() };
+        let holder = replica.holder().clone();
         tokio::task::spawn_local(async move {
             tokio::select! {
-                () = ask(&exchange, &state, &id, &source, &holder, kept) => {}
+                () = ask(&client, &state, &id, &source, &holder, replica_ttl) => {}
                 () = state.ended.notified() => {}
             }
-            // A copy that nobody went on from takes its holder's memory until it lapses.
-            let left = state.copy.borrow_mut().take();
-            if let Some(copy) = left {
-                exchange.forget(&source, &copy.handle).await;
+            // An unused replica occupies the holder's memory until it expires.
+            let left = state.from_replica.borrow_mut().take();
+            if let Some(from_replica) = left {
+                client.drop_replica(&source, &from_replica.handle).await;
             }
         });
-        backup
+        replica
     }
 
-    /// Who holds it.
-    pub(super) fn holder(&self) -> &Place {
-        &self.lease.place
+    /// The holder.
+    pub(super) fn holder(&self) -> &Endpoint {
+        &self.lease.endpoint
     }
 
-    /// Whether it was asked for too short a while ago to be given up for another one. Where all holders that
-    /// could be asked were in trouble lately, each event of the stream would ask for another copy and drop
-    /// the one that was just made.
+    /// Whether it was requested too recently to be replaced. Without this bound each event would
+    /// request another one while all candidates are unstable.
     pub(super) fn is_new(&self) -> bool {
         self.asked.is_some_and(|at| at.elapsed() < RETRY)
     }
 
-    /// Who holds it and how it is found there, if it is there.
-    pub(super) fn take(&self) -> Option<(Place, Copy)> {
-        let copy = self.state.copy.borrow_mut().take()?;
-        Some((self.lease.place.clone(), copy))
+    /// Takes the holder and the reference, if it is complete.
+    pub(super) fn take(&self) -> Option<(Endpoint, ReplicaRef)> {
+        let from_replica = self.state.from_replica.borrow_mut().take()?;
+        Some((self.lease.endpoint.clone(), from_replica))
     }
 }
 
-impl Drop for Backup {
+impl Drop for Replica {
     fn drop(&mut self) {
         self.state.ended.notify_one();
     }
 }
 
-/// Asks for copies without an end.
+/// Requests snapshots until cancelled.
 async fn ask<D: Dialect, N: Network>(
-    exchange: &Exchange<D, N>,
+    client: &RunnerClient<D, N>,
     state: &State,
     id: &CompactString,
-    source: &Place,
-    holder: &Place,
-    kept: Duration,
+    source: &Endpoint,
+    holder: &Endpoint,
+    replica_ttl: Duration,
 ) {
     loop {
-        let handle = exchange.copy(source, holder, id).await;
+        let handle = client.replicate(source, holder, id).await;
         log::info!(request = id.as_str(), runner = source.id.as_str(),
             holder = holder.id.as_str(), made = handle.is_some();
-            "asked a runner for a copy of a run");
-        let pause = if handle.is_some() { kept.mul_f64(RENEW) } else { RETRY };
+            "replica requested");
+        let pause = if handle.is_some() { replica_ttl.mul_f64(RENEW) } else { RETRY };
         if let Some(handle) = handle {
-            // It took the copy, whatever it was held to be before.
-            exchange.fleet.alive(holder.key, Instant::now());
-            *state.copy.borrow_mut() = Some(Copy { address: source.address, handle });
+            // A completed transfer proves that the holder is up.
+            client.fleet.alive(holder.key, Instant::now());
+            *state.from_replica.borrow_mut() = Some(ReplicaRef { address: source.address, handle });
         }
         sleep(pause).await;
     }
--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -1,12 +1,12 @@
-//! One runner's part of a stream.
+//! One run of a stream on one runner.
 
 use {
-    super::copy::Backup,
+    super::replica::Replica,
     crate::{
         events::{Event, Splitter},
-        exchange::Reply,
-        fleet::{Fleet, Lease, Place},
-        pool::Line,
+        fleet::{Endpoint, Fleet, Lease},
+        pool::Connection,
+        runner_client::Reply,
     },
     http::{header, response::Parts},
     http_body_util::BodyExt,
@@ -15,89 +15,89 @@
     tokio::time::{Instant, timeout_at},
 };
 
-/// A run and its connection. Dropping it closes the connection, which ends the run.
+/// A run and its connection; dropping it closes the connection and cancels the run.
 pub(super) struct Run {
-    line: Line,
+    line: Connection,
     body: Incoming,
     splitter: Splitter,
     lease: Lease,
-    backup: Option<Backup>,
+    replica: Option<Replica>,
     idle: Option<Duration>,
 }
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Ended {
-    /// With the end of the stream.
+pub(super) enum RunEnd {
+    /// Complete.
     Whole,
-    /// Its connection broke, or ended within an event.
+    /// Connection error, or end of stream within an event.
     Cut,
-    /// Nothing came for too long.
+    /// Timeout.
     Silent,
-    /// It left out an event, or sent something that isn't one.
+    /// Missing event or malformed data.
     Disorder,
 }
 
 impl Run {
-    /// Starts to read a runner's answer.
-    pub(super) fn new(reply: Reply, lease: Lease, backup: Option<Backup>) -> (Parts, Run) {
+    /// Starts reading a response.
+    pub(super) fn new(reply: Reply, lease: Lease, replica: Option<Replica>) -> (Parts, Run) {
         let Reply { mut parts, answer, body, line } = reply;
-        // What other runners add has another length.
+        // Events of further runs change the length.
         parts.headers.remove(header::CONTENT_LENGTH);
         let splitter = Splitter::default();
-        (parts, Run { line, body, splitter, lease, backup, idle: answer.idle })
+        (parts, Run { line, body, splitter, lease, replica, idle: answer.idle })
     }
 
-    /// The next event after `position`; waits `patience` for it.
+    /// The next event after `position`, within `timeout`.
     pub(super) async fn next(
         &mut self,
-        patience: Duration,
+        timeout: Duration,
         position: Option<u64>,
-    ) -> Result<Event, Ended> {
-        let until = Instant::now() + patience;
+    ) -> Result<Event, RunEnd> {
+        let until = Instant::now() + timeout;
         loop {
             match self.splitter.take() {
-                Ok(Some(event)) => match order(&event, position) {
-                    Order::Next => return Ok(event),
-                    Order::Known => continue,
-                    Order::Gap => return Err(Ended::Disorder),
+                Ok(Some(event)) => match options(&event, position) {
+                    SendOptions::Next => return Ok(event),
+                    SendOptions::Known => continue,
+                    SendOptions::Gap => return Err(RunEnd::Disorder),
                 },
                 Ok(None) => {}
-                Err(_) => return Err(Ended::Disorder),
+                Err(_) => return Err(RunEnd::Disorder),
             }
-            let frame = timeout_at(until, self.body.frame()).await.map_err(|_| Ended::Silent)?;
+            let frame = timeout_at(until, self.body.frame()).await.map_err(|_| RunEnd::Silent)?;
             match frame {
                 Some(Ok(frame)) => self.take(&frame),
-                Some(Err(_)) => return Err(Ended::Cut),
-                None if self.splitter.is_partial() => return Err(Ended::Cut),
-                None => return Err(Ended::Whole),
+                Some(Err(_)) => return Err(RunEnd::Cut),
+                None if self.splitter.is_partial() => return Err(RunEnd::Cut),
+                None => return Err(RunEnd::Whole),
             }
         }
     }
 
-    /// The prompt is read: later requests don't wait for it any more.
-    pub(super) fn has_begun(&mut self) {
+    /// Marks the prompt as prefilled.
+    pub(super) fn mark_started(&mut self) {
         self.lease.read();
     }
 
-    /// Where it runs.
-    pub(super) fn place(&self) -> &Place {
-        &self.lease.place
+    /// The runner.
+    pub(super) fn endpoint(&self) -> &Endpoint {
+        &self.lease.endpoint
     }
 
-    /// The copy of its memory.
-    pub(super) fn backup(&self) -> Option<&Backup> {
-        self.backup.as_ref()
+    /// The replica.
+    pub(super) fn replica(&self) -> Option<&Replica> {
+        self.replica.as_ref()
     }
 
-    /// Replaces the copy of its memory, whose holder is lost.
-    pub(super) fn set_backup(&mut self, backup: Option<Backup>) {
-        self.backup = backup;
+    /// Replaces the replica.
+    pub(super) fn set_replica(&mut self, replica: Option<Replica>) {
+        self.replica = replica;
     }
 
-    /// Keeps the connection of a run that has ended well.
+    /// Returns the connection of a completed run to the pool.
     pub(super) fn keep(self, fleet: &Fleet) {
-        fleet.keep(self.lease.place.key, self.line, self.idle);
+        fleet.keep(self.lease.endpoint.key, self.line, self.idle);
     }
 
     fn take(&mut self, frame: &hyper::body::Frame<bytes::Bytes>) {
@@ -108,18 +108,18 @@
     }
 }
 
-enum Order {
+enum SendOptions {
     Next,
     Known,
     Gap,
 }
 
-/// Whether an event follows `position`. A runner that goes on may repeat what the caller has; one that
-/// leaves something out has lost it, and another one must go on instead.
-fn order(event: &Event, position: Option<u64>) -> Order {
+/// Compares an event's id with `position`. A resumed run may repeat events; a gap cannot be
+/// repaired.
+fn options(event: &Event, position: Option<u64>) -> SendOptions {
     match (event.id, position) {
-        (Some(id), Some(last)) if id <= last => Order::Known,
-        (Some(id), Some(last)) if id > last + 1 => Order::Gap,
-        _ => Order::Next,
+        (Some(id), Some(last)) if id <= last => SendOptions::Known,
+        (Some(id), Some(last)) if id > last + 1 => SendOptions::Gap,
+        _ => SendOptions::Next,
     }
 }
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -1,41 +1,40 @@
-//! Requests that may run more than once.
+//! Idempotent requests.
 
 use {
-    super::{Traffic, ended, order},
+    super::{Traffic, ended, options},
     crate::{
         body::Answer,
         call::Call,
         dialect::Dialect,
-        exchange::{Sent, is_failure},
-        fleet::{Place, RunnerKey},
+        fleet::{Endpoint, RunnerKey},
         network::Network,
         pool::SendError,
         refusal::Refusal,
+        runner_client::{SendOutcome, is_failure},
     },
     bytes::Bytes,
     http::{Response, response::Parts},
     tokio::time::Instant,
 };
 
-/// Part of the route's objective after which a runner that doesn't answer is left for another one.
-/// The rest is enough for the other's answer to be on time.
-const PATIENCE: f64 = 0.6;
-/// Most runners that are asked while none takes the request.
+/// Share of the latency objective after which a slow runner is abandoned for another one.
+const HEDGE_SHARE: f64 = 0.6;
+/// Maximum runners tried while each rejects the request.
 const RUNNERS: usize = 5;
 
-/// How a request stands between two sends.
+/// State between two attempts.
 #[derive(Default)]
 struct Progress {
     tried: Vec<RunnerKey>,
-    /// Runners that may have run it.
+    /// Attempts that may have run.
     runs: u32,
-    /// The answer to give when no runner does better.
+    /// Response to return if no runner succeeds.
     failure: Option<(Parts, Bytes)>,
-    /// Why the last send brought none.
+    /// Error of the last attempt.
     lost: Option<SendError>,
 }
 
-/// Sends a request to one runner after another until one answers it well.
+/// Tries one runner after another until one succeeds.
 pub(super) async fn serve<D: Dialect, N: Network>(
     traffic: &Traffic<D, N>,
     call: &Call,
@@ -44,18 +43,18 @@
     let end = call.deadline();
     let attempts = call.route.attempts.max(1);
     while progress.runs < attempts && progress.tried.len() < RUNNERS && Instant::now() < end {
-        let Some(place) = traffic.choose(call, &progress.tried) else { break };
+        let Some(endpoint) = traffic.choose(call, &progress.tried) else { break };
         if !progress.tried.is_empty() && !traffic.may_retry(&call.service) {
             break;
         }
-        let last = progress.runs + 1 == attempts || traffic.exchange.fleet.ready(&call.service) < 2;
-        let until = if last { end } else { patience(call, end) };
-        let _lease = traffic.exchange.fleet.call(place.clone());
-        progress.tried.push(place.key);
-        let sent = traffic.exchange.send(call, &place, &order(call, &place), until).await;
-        let answer = take(traffic, &mut progress, sent, &place, until).await;
+        let last = progress.runs + 1 == attempts || traffic.client.fleet.ready(&call.service) < 2;
+        let until = if last { end } else { hedge_deadline(call, end) };
+        let _lease = traffic.client.fleet.call(endpoint.clone());
+        progress.tried.push(endpoint.key);
+        let sent = traffic.client.send(call, &endpoint, &options(call, &endpoint), until).await;
+        let answer = take(traffic, &mut progress, sent, &endpoint, until).await;
         if progress.tried.len() == 1 && progress.runs == 1 {
-            traffic.judge(call, place.key, ended(call, answer.is_some()));
+            traffic.record_trial(call, endpoint.key, ended(call, answer.is_some()));
         }
         if let Some((parts, bytes)) = answer {
             return Response::from_parts(parts, bytes.into());
@@ -67,34 +66,34 @@
     }
 }
 
-/// The end of a send that isn't the last.
-fn patience(call: &Call, end: Instant) -> Instant {
+/// Deadline of an attempt that is not the last.
+fn hedge_deadline(call: &Call, end: Instant) -> Instant {
     let now = Instant::now();
-    let share = call.route.objective.mul_f64(PATIENCE);
+    let share = call.route.objective.mul_f64(HEDGE_SHARE);
     (now + share).min(now + end.saturating_duration_since(now) / 2)
 }
 
-/// Takes what came of a send; the answer, if it is a good one.
+/// Evaluates an attempt; returns the response if it is final.
 async fn take<D: Dialect, N: Network>(
     traffic: &Traffic<D, N>,
     progress: &mut Progress,
-    sent: Sent,
-    place: &Place,
+    sent: SendOutcome,
+    endpoint: &Endpoint,
     until: Instant,
 ) -> Option<(Parts, Bytes)> {
-    let (fleet, key) = (&traffic.exchange.fleet, place.key);
+    let (fleet, key) = (&traffic.client.fleet, endpoint.key);
     match sent {
-        Sent::Answered(reply) => {
+        SendOutcome::Answered(reply) => {
             progress.runs += 1;
-            match traffic.exchange.whole(reply, place, until).await {
+            match traffic.client.whole(reply, endpoint, until).await {
                 Ok((parts, bytes)) if !is_failure(parts.status) => return Some((parts, bytes)),
                 Ok(failure) => progress.failure = Some(failure),
                 Err(error) => progress.lost = Some(error),
             }
         }
-        Sent::NotRun => {}
-        Sent::Unsent => fleet.failed(key, Instant::now()),
-        Sent::Lost(error) => {
+        SendOutcome::NotRun => {}
+        SendOutcome::Unsent => fleet.failed(key, Instant::now()),
+        SendOutcome::Lost(error) => {
             progress.runs += 1;
             progress.lost = Some(error);
             match error {
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -1,4 +1,4 @@
-//! What happens to a caller's request from its head to its flow.
+//! Request handling: decoding, admission and dispatch.
 
 use {
     crate::{
@@ -6,9 +6,9 @@
         call::{Call, Head},
         catalog::{Account, Catalog, Denied, Route},
         dialect::{Dialect, Malformed, Question},
+        drain::Drain,
         flow::Traffic,
-        leaving::Leaving,
-        lines::REFUSED,
+        log_messages::REFUSED,
         network::Network,
         refusal::Refusal,
         view::NodeAddress,
@@ -22,43 +22,41 @@
     tokio::time::{Instant, sleep},
 };
 
-/// How long callers may keep an address answer: short, since a node that is killed stands in the
-/// answers that are out there until they lapse; each renewal costs a caller one short call.
+/// Time to live of an address response; short, because callers keep using the address of a crashed
+/// node until it expires.
 pub const ADDRESSES_TTL: Duration = Duration::from_secs(1);
-/// Type of the metrics' text.
+/// Content type of the metrics.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-/// Most addresses in an answer.
+/// Maximum addresses in a response.
 const ADDRESSES: usize = 64;
-/// Longest time for which a node that has just started keeps a request until it knows the catalogue and the
-/// runners. After all nodes were killed callers are there again with the first of them, and most have one
-/// try left: refused in the hundredths of a second until the store has answered, they are lost.
+/// Maximum time a request is held while the node loads the catalogue and the runners. After a full
+/// outage most callers have a single retry left, which would otherwise be rejected.
 const STARTING_WAIT: Duration = Duration::from_millis(300);
-/// Part of the caller's patience up to which that may last.
+/// Upper bound of that time as a share of the caller's timeout.
 const STARTING_SHARE: f64 = 0.125;
-/// Time between two looks meanwhile.
+/// Poll interval meanwhile.
 const STARTING_TICK: Duration = Duration::from_millis(5);
-/// When to come back to a node that has just started: it has a catalogue within half a second.
+/// `Retry-After` while the node is starting.
 const STARTING_RETRY: Duration = Duration::from_millis(500);
-/// When to come back to a node that started while the store is away. An outage lasts seconds; a caller
-/// who comes back sooner has used up its tries before the system can serve it. Callers wait a third of
-/// the time that they have left at most.
+/// `Retry-After` while the store is unavailable at start; long enough for a caller's few retries to
+/// outlast a short outage.
 const CUT_OFF_RETRY: Duration = Duration::from_secs(2);
-/// When to come back if this node is leaving; the caller finds another one at once.
+/// `Retry-After` while draining: other nodes are available.
 const LEAVING_RETRY: Duration = Duration::from_millis(20);
 
-/// The faces of a node towards callers. Clones share it.
+/// Handler for callers' requests and queries. Clones share it.
 #[derive(Clone)]
-pub struct Face<D, N> {
-    /// The flows of requests.
+pub struct Handler<D, N> {
+    /// Request flows.
     pub traffic: Traffic<D, N>,
-    /// This node's own leaving.
-    pub leaving: Leaving,
-    /// Longest time for which callers may keep an address answer.
+    /// Drain state.
+    pub drain: Drain,
+    /// Maximum time to live of an address response.
     pub keep: Duration,
 }
 
-impl<D: Dialect, N: Network> Face<D, N> {
-    /// Answers a request of a caller's.
+impl<D: Dialect, N: Network> Handler<D, N> {
+    /// Handles a request.
     pub async fn request(&self, request: Request<Incoming>) -> Response<Answer> {
         let start = Instant::now();
         let _open = self.traffic.opened();
@@ -70,14 +68,14 @@
             Ok(admitted) => self.take(parts, body, admitted, start).await,
             Err((refusal, id)) => self.refuse(refusal, id.as_deref()),
         };
-        if self.leaving.is_leaving() {
+        if self.drain.is_draining() {
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
         response
     }
 
-    /// Answers a question about this node or the others.
+    /// Handles a query about this node.
     pub fn question(&self, request: &Request<Incoming>) -> Response<Answer> {
         let uri = request.uri();
         match self.dialect().question(uri.path(), uri.query().unwrap_or_default()) {
@@ -90,7 +88,7 @@
         }
     }
 
-    /// The metrics as text.
+    /// Handles a metrics scrape.
     pub fn metrics(&self) -> Response<Answer> {
         let text = self.traffic.metrics.text(self.traffic.open.get());
         let mut response = Response::new(Answer::from(Bytes::from(text)));
@@ -100,23 +98,23 @@
     }
 
     fn dialect(&self) -> &D {
-        &self.traffic.exchange.dialect
+        &self.traffic.client.dialect
     }
 
     fn is_ready(&self) -> bool {
-        self.traffic.published.load().catalog.is_some() && !self.leaving.is_leaving()
+        self.traffic.published.load().catalog.is_some() && !self.drain.is_draining()
     }
 
-    /// Whether this node knows enough to judge a request, or can't learn it now.
+    /// Whether the node has loaded its state, or cannot load it now.
     fn has_started(&self) -> bool {
         let view = self.traffic.published.load();
-        view.cut_off || (view.catalog.is_some() && self.traffic.exchange.fleet.is_known())
+        view.cut_off || (view.catalog.is_some() && self.traffic.client.fleet.is_known())
     }
 
-    /// Keeps a request until this node has started, for a short while at most.
+    /// Waits until the node has loaded its state, within limits.
     async fn start(&self, parts: &Parts, start: Instant) {
-        let patience = self.dialect().head(parts).ok().and_then(|head| head.patience);
-        let share = patience.map_or(STARTING_WAIT, |patience| patience.mul_f64(STARTING_SHARE));
+        let timeout = self.dialect().head(parts).ok().and_then(|head| head.timeout);
+        let share = timeout.map_or(STARTING_WAIT, |timeout| timeout.mul_f64(STARTING_SHARE));
         let end = start + share.min(STARTING_WAIT);
         while !self.has_started() && Instant::now() < end {
             sleep(STARTING_TICK).await;
@@ -152,7 +150,7 @@
         self.traffic.published.load().catalog.as_ref().map_or(0, |c| c.version)
     }
 
-    /// Judges a head by the newest catalogue.
+    /// Admits a request by the current catalogue.
     fn admit(&self, parts: &Parts, start: Instant) -> Result<Admitted, (Refusal, Option<String>)> {
         let head = self.dialect().head(parts).map_err(|e| (malformed(e), None))?;
         let id = || Some(head.id.to_string());
@@ -164,7 +162,7 @@
         let admitted = catalog.admit(&head.host, parts.uri.path(), head.key.as_deref());
         let (route, account) = admitted.map_err(|denied| (denied_as(denied), id()))?;
         let deadline = start + route.timeout;
-        if route.kind.is_stream() && self.leaving.outlasts_grace(deadline) {
+        if route.kind.is_stream() && self.drain.outlives_grace(deadline) {
             return Err((Refusal::NotRun { retry: LEAVING_RETRY }, id()));
         }
         Ok(Admitted { head, route, account, catalog })
@@ -203,7 +201,7 @@
     }
 }
 
-/// A request that may be served.
+/// An admitted request.
 struct Admitted {
     head: Head,
     route: Arc<Route>,
@@ -216,7 +214,7 @@
 }
 
 fn malformed(error: Malformed) -> Refusal {
-    log::info!("a request can't be read: {error}");
+    log::info!("malformed request: {error}");
     Refusal::Malformed
 }
 
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -1,4 +1,4 @@
-//! Headers that concern one connection only (RFC 9110, 7.6.1).
+//! Hop-by-hop headers (RFC 9110, 7.6.1).
 
 use http::{HeaderMap, HeaderName, header};
 
@@ -10,10 +10,10 @@
     header::TRANSFER_ENCODING,
     header::UPGRADE,
 ];
-/// The same, for which the library has no constants.
+/// Those without a constant in `http`.
 const HOP_BY_HOP_OTHERS: [&str; 2] = ["keep-alive", "proxy-connection"];
 
-/// Removes what must not be passed on: the standard names, and those that `Connection` lists.
+/// Removes hop-by-hop headers, including those listed in `Connection`.
 pub fn strip(headers: &mut HeaderMap) {
     let listed: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,9 +1,7 @@
-//! The request path of bilberryfront: it takes requests that it doesn't look into, finds a runner for
-//! each, and carries the answer back.
+//! The request path of bilberryfront: admits requests, selects runners and forwards the responses.
 //!
-//! What a request may suffer follows from its route: a call that isn't idempotent is sent once, one
-//! that is may be tried again, and a stream that may be resumed goes on at another runner. How callers,
-//! runners and the store spell things is behind the traits in [`dialect`] and [`store`].
+//! Routes define the retry semantics. Wire formats of callers, runners and the store are behind the
+//! traits in [`dialect`], [`records`] and [`store`].
 
 pub mod body;
 pub mod budget;
@@ -12,16 +10,16 @@
 pub mod control;
 pub mod dialect;
 pub mod events;
-pub mod exchange;
-pub mod face;
+pub mod runner_client;
+pub mod handler;
 pub mod flow;
 pub mod fleet;
 pub mod headers;
-pub mod leaving;
-pub mod lines;
-pub mod loads;
+pub mod drain;
+pub mod log_messages;
+pub mod load_sync;
 pub mod metrics;
-pub mod moves;
+pub mod rollouts;
 pub mod network;
 pub mod node;
 pub mod pool;
@@ -29,6 +27,6 @@
 pub mod refusal;
 pub mod server;
 pub mod settings;
-pub mod spread;
+pub mod fanout;
 pub mod store;
 pub mod view;
--- a/crates/relay/src/load_sync.rs
+++ b/crates/relay/src/load_sync.rs
@@ -1,12 +1,7 @@
-//! Telling the other nodes what this one has under way at runners and which of them failed it, and
-//! hearing the same of them.
-//!
-//! Nodes that choose runners without a word choose the same one now and then, and a prompt that waits
-//! behind another's doubles the time to its first event. A node that hears of a failure doesn't have to
-//! lose a request of its own to learn of it.
+//! Exchange of load updates between the traffic thread and peers.
 
 use {
-    crate::{fleet::Fleet, moves::Trial},
+    crate::{fleet::Fleet, rollouts::Trial},
     bilberryfront_decide::member::message::Load,
     compact_str::CompactString,
     std::time::Duration,
@@ -16,33 +11,32 @@
     },
 };
 
-/// Pause in which changes are gathered into one message.
+/// Delay in which changes are batched.
 const GATHER: Duration = Duration::from_millis(2);
-/// Time between two messages about everything: makes up for lost ones.
+/// Interval of full updates, which repair lost ones.
 const REFRESH: Duration = Duration::from_secs(1);
 
-/// What another node said.
+/// A peer's update.
 #[derive(Clone, Debug)]
-pub struct Heard {
-    /// The node.
+pub struct PeerReport {
+    /// Peer.
     pub from: CompactString,
-    /// What it says.
+    /// Update.
     pub load: Load,
 }
 
-/// The way between the traffic thread, which knows the loads, and the control thread, which talks to
-/// the other nodes.
+/// Channels between the traffic thread and the control thread.
 pub struct Channels {
-    /// What this node has to say.
-    pub told: mpsc::UnboundedSender<Load>,
-    /// How requests ended whose version was chosen.
+    /// Updates of this node.
+    pub updates: mpsc::UnboundedSender<Load>,
+    /// Outcomes of requests during a rollout.
     pub trials: mpsc::UnboundedSender<Trial>,
-    /// What others said.
-    pub heard: mpsc::UnboundedReceiver<Heard>,
+    /// Updates of peers.
+    pub peer_reports: mpsc::UnboundedReceiver<PeerReport>,
 }
 
-/// Tells the control thread of every change of the fleet's loads, and takes over those of others.
-pub async fn exchange(fleet: Fleet, mut channels: Channels) {
+/// Sends changes of the fleet's load and applies those of peers.
+pub async fn sync(fleet: Fleet, mut channels: Channels) {
     let changed = fleet.changes();
     let mut refresh = interval(REFRESH);
     refresh.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -50,15 +44,15 @@
         let load = tokio::select! {
             () = changed.notified() => {
                 sleep(GATHER).await;
-                fleet.news()
+                fleet.take_update()
             }
-            _ = refresh.tick() => Load { runners: fleet.loads(), ..Load::default() },
-            Some(heard) = channels.heard.recv() => {
-                fleet.take(&heard.from, &heard.load);
+            _ = refresh.tick() => Load { runners: fleet.snapshot(), ..Load::default() },
+            Some(peer_reports) = channels.peer_reports.recv() => {
+                fleet.apply_peer_load(&peer_reports.from, &peer_reports.load);
                 continue;
             }
         };
-        if !load.is_empty() && channels.told.send(load).is_err() {
+        if !load.is_empty() && channels.updates.send(load).is_err() {
             return;
         }
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,8 @@
-//! Counters and latencies of an entry instance, as text in the OpenMetrics form.
+//! Metrics of an entry instance in OpenMetrics text format.
 
 mod volume;
 
-pub use self::volume::{Heard, Part};
+pub use self::volume::{Part, PollOutcome};
 
 use {
     self::volume::Volume,
@@ -16,12 +16,11 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Upper bounds of the latency histograms, in seconds: the objectives of short calls and of first events
-/// lie in the middle.
+/// Bucket bounds of the latency histograms, in seconds.
 const BOUNDS: [f64; 14] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 0.7, 1.0, 2.0, 4.5, 10.0, 25.0];
 
-/// A kind of request.
+/// Route kind.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelValue)]
 enum KindLabel {
@@ -31,21 +30,21 @@
     StreamOnce,
 }
 
-/// How a request ended.
+/// Outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelValue)]
 pub enum Outcome {
-    /// A runner's success.
+    /// Success of a runner.
     Served,
-    /// A runner's own failure.
+    /// Error response of a runner.
     Failed,
-    /// This node's refusal.
+    /// Rejected by this node.
     Refused,
-    /// A stream that was begun and broken off.
-    BrokenOff,
+    /// Stream aborted after its first event.
+    Aborted,
 }
 
-/// Why a request was refused.
+/// Reason of a rejection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelValue)]
 enum Cause {
@@ -58,13 +57,13 @@
     Timeout,
 }
 
-/// How a lost stream goes on.
+/// How a lost stream was resumed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelValue)]
 pub enum Resume {
-    /// From a copy of its run's memory.
-    Copy,
-    /// Its prompt is read anew.
+    /// From a replica of its KV cache.
+    Replica,
+    /// From its prompt.
     Anew,
 }
 
@@ -161,7 +160,7 @@
 }
 
 impl Metrics {
-    /// A request ended; `latency` is the time to its answer or first event, where it had one.
+    /// Counts a finished request; `latency` is the time to the response or first event.
     pub fn ended(&self, kind: Kind, outcome: Outcome, latency: Option<Duration>) {
         let kind = label(kind);
         self.ended.get_or_create(&Ended { kind, outcome }).inc();
@@ -170,7 +169,7 @@
         }
     }
 
-    /// A request was refused by this node.
+    /// Counts a rejection.
     pub fn refused(&self, refusal: Refusal) {
         let cause = match refusal {
             Refusal::Malformed => Cause::Malformed,
@@ -184,40 +183,40 @@
         self.refused.get_or_create(&OfCause { cause }).inc();
     }
 
-    /// A lost run went on at another runner after `pause`.
+    /// Counts a stream resumed after `pause`.
     pub fn resumed(&self, from: Resume, pause: Duration) {
         self.resumed.get_or_create(&OfResume { from }).inc();
         self.pause.get_or_create(&OfResume { from }).observe(pause.as_secs_f64());
     }
 
-    /// The store stopped answering.
+    /// Counts a store outage.
     pub fn store_failed(&self) {
         self.store.inc();
     }
 
-    /// A body, or a part of one, went to a runner or came from one.
-    pub fn carried(&self, part: Part, border: bool, bytes: usize) {
-        self.volume.carried(part, border, bytes);
+    /// Counts bytes exchanged with a runner.
+    pub fn count_runner_bytes(&self, part: Part, border: bool, bytes: usize) {
+        self.volume.count_runner_bytes(part, border, bytes);
     }
 
-    /// A message of so many bytes in all went to other nodes.
-    pub fn told(&self, message: &PeerMessage, bytes: usize) {
-        self.volume.told(message, bytes);
+    /// Counts bytes sent to peers.
+    pub fn peer_sent(&self, message: &PeerMessage, bytes: usize) {
+        self.volume.peer_sent(message, bytes);
     }
 
-    /// The store was asked for news of a table.
-    pub fn asked(&self, table: &str, heard: Heard) {
-        self.volume.asked(table, heard);
+    /// Counts a poll of the store.
+    pub fn store_polled(&self, table: &str, outcome: PollOutcome) {
+        self.volume.store_polled(table, outcome);
     }
 
-    /// What the process believes at present.
-    pub fn believe(&self, version: u64, nodes: usize, runners: usize) {
+    /// Sets the gauges of the current view.
+    pub fn set_view(&self, version: u64, nodes: usize, runners: usize) {
         self.version.set(version as i64);
         self.nodes.set(nodes as i64);
         self.runners.set(runners as i64);
     }
 
-    /// All metrics as text; `open` requests are under way.
+    /// Encodes all metrics; `open` is the number of requests in flight.
     pub fn text(&self, open: usize) -> String {
         self.open.set(open as i64);
         let mut text = String::new();
--- a/crates/relay/src/metrics/volume.rs
+++ b/crates/relay/src/metrics/volume.rs
@@ -1,5 +1,4 @@
-//! How much this node says to whom: what crosses the borders between failure domains is dear, and so is each
-//! question to the store.
+//! Traffic counters: bytes to runners and peers, polls of the store.
 
 use {
     bilberryfront_decide::member::PeerMessage,
@@ -10,22 +9,22 @@
     },
 };
 
-/// A part of what is exchanged with runners.
+/// Kind of bytes exchanged with a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelValue)]
 pub enum Part {
-    /// Bodies of requests.
+    /// Request bodies.
     Request,
-    /// Bodies of whole answers.
+    /// Response bodies.
     Answer,
-    /// Events of streams.
+    /// Stream events.
     Events,
 }
 
-/// What a message to other nodes is about.
+/// Kind of peer message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelValue)]
-enum About {
+enum MessageKind {
     Heartbeat,
     Load,
     Catalogue,
@@ -33,81 +32,81 @@
     Move,
 }
 
-/// What came of a question to the store.
+/// Outcome of a poll.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelValue)]
-pub enum Heard {
-    /// Rows.
-    News,
-    /// That nothing has changed.
-    Nothing,
-    /// No answer, or a refusal.
+pub enum PollOutcome {
+    /// New rows.
+    Changed,
+    /// No changes.
+    Unchanged,
+    /// Error or rejection.
     Failed,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
-struct Carried {
+struct RunnerBytes {
     part: Part,
-    /// Whether it crossed the border of this node's failure domain.
+    /// Whether it crossed this node's failure domain.
     border: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
-struct Told {
-    about: About,
+struct PeerSent {
+    kind: MessageKind,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
-struct Asked {
+struct StorePolled {
     table: String,
-    heard: Heard,
+    outcome: PollOutcome,
 }
 
-/// The counters.
+/// Counters.
 #[derive(Clone, Default)]
 pub(super) struct Volume {
-    carried: Family<Carried, Counter>,
-    told: Family<Told, Counter>,
-    asked: Family<Asked, Counter>,
+    count_runner_bytes: Family<RunnerBytes, Counter>,
+    peer_sent: Family<PeerSent, Counter>,
+    store_polled: Family<StorePolled, Counter>,
 }
 
 impl Volume {
     pub(super) fn register(&self, registry: &mut Registry) {
-        let carried = "Bytes of bodies exchanged with runners";
-        registry.register("runner_bytes", carried, self.carried.clone());
-        let told = "Bytes of messages to other nodes, each counted for each receiver";
-        registry.register("peer_bytes", told, self.told.clone());
-        registry.register("store_questions", "Questions for news", self.asked.clone());
+        let count_runner_bytes = "Bytes of bodies exchanged with runners";
+        registry.register("runner_bytes", count_runner_bytes, self.count_runner_bytes.clone());
+        let peer_sent = "Bytes of messages to other nodes, each counted for each receiver";
+        registry.register("peer_bytes", peer_sent, self.peer_sent.clone());
+        registry.register("store_polls", "Polls of the store", self.store_polled.clone());
     }
 
-    pub(super) fn carried(&self, part: Part, border: bool, bytes: usize) {
-        self.carried.get_or_create(&Carried { part, border }).inc_by(bytes as u64);
+    pub(super) fn count_runner_bytes(&self, part: Part, border: bool, bytes: usize) {
+        self.count_runner_bytes.get_or_create(&RunnerBytes { part, border }).inc_by(bytes as u64);
     }
 
-    pub(super) fn told(&self, message: &PeerMessage, bytes: usize) {
-        let about = about(message);
-        self.told.get_or_create(&Told { about }).inc_by(bytes as u64);
+    pub(super) fn peer_sent(&self, message: &PeerMessage, bytes: usize) {
+        let kind = kind(message);
+        self.peer_sent.get_or_create(&PeerSent { kind }).inc_by(bytes as u64);
     }
 
-    pub(super) fn asked(&self, table: &str, heard: Heard) {
-        self.asked.get_or_create(&Asked { table: table.into(), heard }).inc();
+    pub(super) fn store_polled(&self, table: &str, outcome: PollOutcome) {
+        self.store_polled.get_or_create(&StorePolled { table: table.into(), outcome }).inc();
     }
 }
 
-fn about(message: &PeerMessage) -> About {
+fn kind(message: &PeerMessage) -> MessageKind {
     match message {
-        PeerMessage::Heartbeat(_) => About::Heartbeat,
-        PeerMessage::Load(_) | PeerMessage::Relayed(_) => About::Load,
+        PeerMessage::Heartbeat(_) => MessageKind::Heartbeat,
+        PeerMessage::Load(_) | PeerMessage::RelayedLoad(_) => MessageKind::Load,
         PeerMessage::Revision(_) | PeerMessage::CatalogPull(_) | PeerMessage::CatalogPush(_) => {
-            About::Catalogue
+            MessageKind::Catalogue
         }
         PeerMessage::MembersPull
         | PeerMessage::MembersPush(_)
         | PeerMessage::Claims(_)
-        | PeerMessage::Goodbye(_) => About::Membership,
-        PeerMessage::Move(_) => About::Move,
+        | PeerMessage::Leave(_) => MessageKind::Membership,
+        PeerMessage::Move(_) => MessageKind::Move,
     }
 }
--- a/crates/relay/src/network.rs
+++ b/crates/relay/src/network.rs
@@ -1,4 +1,4 @@
-//! How this process connects to others.
+//! Outgoing connections.
 
 use {
     socket2::{SockRef, TcpKeepalive},
@@ -10,20 +10,19 @@
     },
 };
 
-/// Time without an acknowledgement after which the system gives up a connection. A peer that lost
-/// power or is behind a partition never answers: without this its connections would hang for minutes.
+/// `TCP_USER_TIMEOUT`: detects a peer that is powered off or partitioned.
 const DEAD_AFTER: Duration = Duration::from_secs(3);
-/// Silence after which the system asks whether the other side is still there.
+/// Keep-alive idle time and interval.
 const ASK_AFTER: Duration = Duration::from_secs(1);
-/// Questions without an answer after which it isn't.
+/// Unanswered keep-alive probes before the connection is closed.
 const ASK_TIMES: u32 = 2;
 
-/// Makes connections; tests put one in memory in its place.
+/// Opens connections; tests substitute an in-memory transport.
 pub trait Network: Clone + 'static {
-    /// A connection.
+    /// Connection type.
     type Stream: AsyncRead + AsyncWrite + Unpin + 'static;
 
-    /// Connects to an address, or fails after `limit`.
+    /// Connects within `limit`.
     fn connect(
         &self,
         address: SocketAddr,
@@ -31,7 +30,7 @@
     ) -> impl Future<Output = io::Result<Self::Stream>>;
 }
 
-/// The system's TCP, with connections that notice when the other side is gone for good.
+/// TCP with dead-peer detection.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tcp;
 
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -2,13 +2,13 @@
 
 use {
     crate::{
-        control::{self, Ends},
+        control,
         dialect::Dialect,
-        face::{ADDRESSES_TTL, Face},
+        drain::Drain,
         flow::Traffic,
-        leaving::Leaving,
-        lines::SERVES,
-        loads::{self, Channels},
+        handler::{ADDRESSES_TTL, Handler},
+        load_sync::{self, Channels},
+        log_messages::SERVES,
         metrics::Metrics,
         network::Tcp,
         records::Records,
@@ -28,38 +28,37 @@
     },
 };
 
-/// A result whose error is a [`NodeError`].
+/// A result with a [`NodeError`].
 pub type Result<T> = std::result::Result<T, NodeError>;
 
-/// Time between two looks at whether the last answer has ended.
+/// Poll interval while waiting for requests in flight.
 const DRAIN_TICK: Duration = Duration::from_millis(50);
-/// Longest wait for the control thread to say goodbye.
-const GOODBYE: Duration = Duration::from_millis(250);
+/// Timeout for sending the leave message.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Why an instance can't run.
+/// Why an instance cannot run.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
 pub enum NodeError {
-    /// An address can't be listened on.
+    /// Cannot bind an address.
     #[error("cannot listen on {address}")]
     Listen {
-        /// The address.
+        /// Address.
         address: SocketAddr,
-        /// The system's answer.
+        /// Cause.
         source: io::Error,
     },
-    /// A system call failed that seldom does.
+    /// A system call failed.
     #[error("cannot {attempt}")]
     System {
-        /// What was tried.
+        /// Operation.
         attempt: &'static str,
-        /// The system's answer.
+        /// Cause.
         source: io::Error,
     },
 }
 
-/// Runs an instance until it has left. `store` makes a client of the platform's store, on the control
-/// thread.
+/// Runs an instance until it has drained. `store` creates the store client on the control thread.
 pub fn run<D, R, S>(
     settings: &Settings,
     dialect: D,
@@ -72,21 +71,27 @@
     S: Store,
 {
     let published = Published::default();
-    let leaving = Leaving::new(settings.bounds.grace());
+    let drain = Drain::new(settings.bounds.grace());
     let (end, ended) = oneshot::channel::<()>();
     let (done, finished) = mpsc::channel::<()>();
-    let (told, telling) = unbounded_channel();
-    let (trials, tried) = unbounded_channel();
-    let (hearing, heard) = unbounded_channel();
+    let (load_sender, load_receiver) = unbounded_channel();
+    let (trial_sender, trial_receiver) = unbounded_channel();
+    let (report_sender, report_receiver) = unbounded_channel();
     let metrics = Metrics::default();
     let work = {
         let metrics = metrics.clone();
-        let (settings, published, leaving) = (settings.clone(), published.clone(), leaving.clone());
+        let (settings, published, drain) = (settings.clone(), published.clone(), drain.clone());
         let runtime = runtime()?;
         move || {
             let gone = async move { _ = ended.await };
-            let ends = Ends { told: telling, trials: tried, heard: hearing, metrics };
-            let control = control::run(settings, records, store(), published, leaving, ends, gone);
+            let channels = control::Channels {
+                updates: load_receiver,
+                trials: trial_receiver,
+                peer_reports: report_sender,
+                metrics,
+            };
+            let control =
+                control::run(settings, records, store(), published, drain, channels, gone);
             LocalSet::new().block_on(&runtime, control);
             drop(done);
         }
@@ -97,28 +102,34 @@
         .map_err(system("start the control thread"))?;
     let bounds = &settings.bounds;
     let mut traffic = Traffic::new(dialect, Tcp, published, bounds.allowance(), bounds.exposure());
-    traffic.exchange.fleet.set_domain(&settings.domain);
-    traffic.trials = Some(trials.clone());
+    traffic.client.fleet.set_domain(&settings.domain);
+    traffic.trials = Some(trial_sender.clone());
     traffic.set_metrics(&metrics);
-    let face = Face { traffic, leaving, keep: settings.bounds.keep() };
-    LocalSet::new()
-        .block_on(&runtime()?, serve(settings, face, Channels { told, trials, heard }))?;
+    let handler = Handler { traffic, drain, keep: settings.bounds.keep() };
+    LocalSet::new().block_on(
+        &runtime()?,
+        serve(
+            settings,
+            handler,
+            Channels { updates: load_sender, trials: trial_sender, peer_reports: report_receiver },
+        ),
+    )?;
     _ = end.send(());
-    // Ends with an error in any case: nothing is ever sent.
-    _ = finished.recv_timeout(GOODBYE);
-    log::info!("the instance has left");
+    // Always disconnects; nothing is sent.
+    _ = finished.recv_timeout(LEAVE_TIMEOUT);
+    log::info!("stopped");
     Ok(())
 }
 
 async fn serve<D: Dialect>(
     settings: &Settings,
-    face: Face<D, Tcp>,
+    handler: Handler<D, Tcp>,
     channels: Channels,
 ) -> Result<()> {
     let (close, closed) = watch::channel(false);
     let start = |address, purpose| {
         let listener = listen(address)?;
-        let serve = server::serve(listener, purpose, face.clone(), closed.clone());
+        let serve = server::serve(listener, purpose, handler.clone(), closed.clone());
         _ = tokio::task::spawn_local(serve);
         Ok(())
     };
@@ -128,24 +139,24 @@
     if let Some(address) = settings.listen.metrics {
         start(address, Purpose::Metrics)?;
     }
-    tokio::task::spawn_local(take_runners(face.traffic.clone()));
-    let fleet = face.traffic.exchange.fleet.clone();
-    tokio::task::spawn_local(loads::exchange(fleet, channels));
-    tokio::task::spawn_local(signals(face.leaving.clone()));
+    tokio::task::spawn_local(take_runners(handler.traffic.clone()));
+    let fleet = handler.traffic.client.fleet.clone();
+    tokio::task::spawn_local(load_sync::sync(fleet, channels));
+    tokio::task::spawn_local(signals(handler.drain.clone()));
     log::info!(name = settings.name.as_str(), domain = settings.domain.as_str(),
         callers:% = settings.listen.callers; "{SERVES}");
-    let at = face.leaving.ordered().await;
-    drain(&face, at, &close).await;
+    let at = handler.drain.started().await;
+    wait_drained(&handler, at, &close).await;
     Ok(())
 }
 
-/// Keeps the fleet as the control thread has published it.
+/// Applies published views to the fleet.
 async fn take_runners<D: Dialect>(traffic: Traffic<D, Tcp>) {
     let mut signal = traffic.published.watch();
     loop {
         let view = traffic.published.load();
         if view.listed {
-            traffic.exchange.fleet.update(&view.runners);
+            traffic.client.fleet.update(&view.runners);
         }
         if signal.changed().await.is_err() {
             return;
@@ -153,31 +164,35 @@
     }
 }
 
-async fn signals(leaving: Leaving) {
+async fn signals(drain: Drain) {
     let handlers = (signal(SignalKind::terminate()), signal(SignalKind::hangup()));
     let (Ok(mut terminate), Ok(mut hangup)) = handlers else {
-        return log::error!("signals can't be taken: the instance can't leave in order");
+        return log::error!("cannot install signal handlers: graceful shutdown is unavailable");
     };
     loop {
         tokio::select! {
-            _ = terminate.recv() => leaving.order(),
+            _ = terminate.recv() => drain.start(),
             _ = hangup.recv() => log::info!("SIGHUP: the settings are read at the next start"),
         }
     }
 }
 
-/// Waits until callers have forgotten this node and the last answer has ended, or the grace is over.
-async fn drain<D: Dialect>(face: &Face<D, Tcp>, at: Instant, close: &watch::Sender<bool>) {
-    let end = face.leaving.end(at);
-    let forgotten = Leaving::forgotten(at, ADDRESSES_TTL.min(face.keep)).min(end);
+/// Waits until address responses have expired and the node is idle, or until the kill deadline.
+async fn wait_drained<D: Dialect>(
+    handler: &Handler<D, Tcp>,
+    at: Instant,
+    close: &watch::Sender<bool>,
+) {
+    let end = handler.drain.kill_deadline(at);
+    let forgotten = Drain::addresses_expire(at, ADDRESSES_TTL.min(handler.keep)).min(end);
     sleep_until(forgotten).await;
     close.send_replace(true);
-    while face.traffic.open.get() > 0 && Instant::now() < end {
+    while handler.traffic.open.get() > 0 && Instant::now() < end {
         sleep(DRAIN_TICK).await;
     }
-    // The last answers are written out.
+    // Leaves time to flush the last responses.
     sleep(DRAIN_TICK).await;
-    let open = face.traffic.open.get();
+    let open = handler.traffic.open.get();
     log::info!(open = open as u64, after = at.elapsed().as_millis() as u64; "drained");
 }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -14,60 +14,56 @@
     tokio::{task::AbortHandle, time::Instant},
 };
 
-/// A result whose error is a [`SendError`].
+/// A result with a [`SendError`].
 pub type Result<T> = std::result::Result<T, SendError>;
 
-/// Longest wait for a connection. Within a region a connection takes a few milliseconds; a first
-/// packet that was lost would be sent again only after a second, when another runner has long
-/// answered.
+/// Connect timeout; shorter than the retransmission of a lost SYN.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Idle time that is allowed to a connection whose runner doesn't say how long it keeps it.
+/// Idle timeout assumed for runners that state none.
 const IDLE_DEFAULT: Duration = Duration::from_millis(900);
-/// Part of a runner's own limit for which an idle connection is used. The rest covers the way of a
-/// request that leaves just before the runner closes: it would be lost, and can't be sent again if it
-/// isn't idempotent.
+/// Share of the runner's idle timeout after which a connection is no longer reused; a request sent
+/// while the runner closes it would be lost.
 const IDLE_SHARE: f64 = 0.6;
-/// Most idle connections kept to one runner.
+/// Maximum idle connections per runner.
 const IDLE_MOST: usize = 16;
 
-/// Why a send brought no answer.
+/// Why a send got no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum SendError {
-    /// No byte of the request has left.
+    /// Nothing was sent.
     #[error("no connection could be made")]
     Unsent,
-    /// The runner may have the request.
+    /// Connection error after sending.
     #[error("the connection broke before the answer")]
     Broken,
-    /// No answer in time; the runner may have the request.
+    /// Timeout after sending.
     #[error("no answer in time")]
     Silent,
 }
 
-/// A connection to a runner that carries one request at a time. Dropping it closes it, which ends the
-/// request that it carries at the runner.
+/// A connection carrying one request at a time; dropping it closes it and cancels the request.
 #[derive(Debug)]
-pub struct Line {
+pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
 
-impl Line {
+impl Connection {
     /// Connects to a runner.
-    pub async fn connect<N: Network>(network: &N, address: SocketAddr) -> Result<Line> {
+    pub async fn connect<N: Network>(network: &N, address: SocketAddr) -> Result<Connection> {
         let connecting = network.connect(address, CONNECT_TIMEOUT).await;
         let stream = connecting.map_err(|_| SendError::Unsent)?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| SendError::Unsent)?;
         let run = async move {
-            // Its end shows at the request that it carries, or at the next look at the idle line.
+            // Errors surface on the request or on the next use.
             _ = connection.await;
         };
-        Ok(Line { sender, task: tokio::task::spawn_local(run).abort_handle() })
+        Ok(Connection { sender, task: tokio::task::spawn_local(run).abort_handle() })
     }
 
-    /// Sends a request and waits until `until` for the head of its answer.
+    /// Sends a request and waits until `until` for the response head.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -88,9 +84,8 @@
     }
 }
 
-impl Drop for Line {
-    /// The library closes a connection that nobody waits for by itself, but not while it still writes to
-    /// a runner that doesn't read.
+impl Drop for Connection {
+    /// Aborts the task: hyper would otherwise finish writing to a runner that does not read.
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -104,13 +99,13 @@
 
 #[derive(Debug)]
 struct Idle {
-    line: Line,
+    line: Connection,
     until: Instant,
 }
 
 impl Pool {
-    /// The connection that was used last, if one is still sound. The oldest ones end by themselves.
-    pub fn take(&mut self, now: Instant) -> Option<Line> {
+    /// Takes the most recently used connection that is still usable.
+    pub fn take(&mut self, now: Instant) -> Option<Connection> {
         while let Some(idle) = self.idle.pop() {
             if now < idle.until && idle.line.is_usable() {
                 return Some(idle.line);
@@ -119,8 +114,8 @@
         None
     }
 
-    /// Keeps a connection whose last answer is complete; the runner keeps it idle for `limit`.
-    pub fn put(&mut self, now: Instant, line: Line, limit: Option<Duration>) {
+    /// Returns a connection; `limit` is the runner's idle timeout.
+    pub fn put(&mut self, now: Instant, line: Connection, limit: Option<Duration>) {
         self.idle.retain(|i| now < i.until);
         if self.idle.len() < IDLE_MOST {
             let until = now + limit.map_or(IDLE_DEFAULT, |l| l.mul_f64(IDLE_SHARE));
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -1,44 +1,44 @@
-//! How the store's rows spell what operators and runners say.
+//! Decoding of rows written by operators and runners.
 
 use {
     crate::{
         catalog::Catalog,
-        moves::{Order, Record},
+        rollouts::{Record, RolloutOrder},
         view::Registration,
     },
     bytes::Bytes,
     compact_str::CompactString,
 };
 
-/// Reads rows that others than this system write.
+/// Decodes and encodes rows.
 pub trait Records: Clone + 'static {
-    /// Table of what operators write.
+    /// Table of the operators' rows.
     const ORDERS: &'static str;
-    /// Key of the catalogue in that table.
+    /// Key of the catalogue.
     const CATALOG: &'static str;
-    /// Table in which runners register themselves; each row's key is a runner's id.
+    /// Table of runner registrations, by runner id.
     const RUNNERS: &'static str;
 
-    /// Table in which the system tells of its moves.
+    /// Table of rollout statuses.
     const STATUS: &'static str;
 
-    /// Reads a catalogue.
+    /// Decodes a catalogue.
     fn catalog(&self, value: &[u8]) -> Result<Catalog, BadRecord>;
 
-    /// Reads a runner's registration.
+    /// Decodes a registration.
     fn registration(&self, id: &str, value: &[u8]) -> Result<Registration, BadRecord>;
 
-    /// Reads an order for a version move; `None` when the key is another's.
-    fn order(&self, key: &str, value: &[u8]) -> Option<Result<Order, BadRecord>>;
+    /// Decodes a rollout order; `None` if the key is not one.
+    fn order(&self, key: &str, value: &[u8]) -> Option<Result<RolloutOrder, BadRecord>>;
 
-    /// Reads what was told of a move; `None` when the key is another's.
-    fn told(&self, key: &str, value: &[u8]) -> Option<Result<Record, BadRecord>>;
+    /// Decodes a rollout status; `None` if the key is not one.
+    fn parse_status(&self, key: &str, value: &[u8]) -> Option<Result<Record, BadRecord>>;
 
-    /// Key and value that tell of a move.
-    fn tell(&self, record: &Record) -> (CompactString, Bytes);
+    /// Encodes a rollout status as key and value.
+    fn encode_status(&self, record: &Record) -> (CompactString, Bytes);
 }
 
-/// A row that can't be used.
+/// An invalid row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 #[error("{0}")]
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -1,17 +1,14 @@
-//! Version moves that an operator orders for a service: its requests go over to runners of another
-//! version by a deadline, or are taken back.
+//! Rollouts: an operator orders a service to move to another version by a deadline.
 //!
-//! A pure machine for each node; [`crate::control`] carries its wishes to the store and to peers.
-//! Until the end, the new version gets a bounded part of the requests ([`exposure`]); nodes pool what
-//! they see of both versions and judge it by a sequential test. Lowering the part needs nobody: a node
-//! that sees badness, or hears of it, stops at once. Only completing needs the store, since the old
-//! runners stop then: the first final word written there counts for all, and any node may write it, so
-//! that a move outlives whoever steps it.
+//! A state machine per node and service. During the rollout the new version gets a bounded share of
+//! the requests ([`exposure`]); nodes pool their evidence and compare both versions with a
+//! sequential test. Any node may reduce the share on its own. Only completion needs the store,
+//! because the old runners stop then: the first final status written there is authoritative.
 
 pub mod exposure;
 mod track;
 
-pub use self::track::{Phase, Wish};
+pub use self::track::{Action, Phase};
 
 use {
     self::track::Track,
@@ -25,68 +22,68 @@
     tokio::time::Instant,
 };
 
-/// An operator's order.
+/// A rollout order.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Order {
-    /// The service.
+pub struct RolloutOrder {
+    /// Service.
     pub service: CompactString,
-    /// The version that is to have its requests.
+    /// Target version.
     pub to: CompactString,
-    /// Time from the order to its deadline.
+    /// Time from the order to the deadline.
     pub time: Duration,
 }
 
-/// What the store says of a service's move.
+/// Rollout status as stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
-    /// The service.
+    /// Service.
     pub service: CompactString,
-    /// The version.
+    /// Target version.
     pub to: CompactString,
-    /// How far it has come.
+    /// Phase.
     pub phase: Phase,
 }
 
-/// How a request ended that was given to a version while a move was under way.
+/// Outcome of a request during a rollout.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Trial {
-    /// The service.
+    /// Service.
     pub service: CompactString,
-    /// The route; one may fail alone.
+    /// Route.
     pub route: CompactString,
-    /// How the version was chosen.
+    /// Version assignment.
     pub choice: Choice,
-    /// Whether it ended well.
+    /// Whether it succeeded.
     pub ok: bool,
-    /// Time to the first event or the answer.
+    /// Time to the first event or the response.
     pub first: Option<Duration>,
     /// Mean time between events.
     pub pace: Option<Duration>,
-    /// Any number that tells runners apart.
+    /// Distinguishes runners.
     pub runner: u64,
 }
 
-/// All moves, as one node sees them.
-pub struct Moves {
+/// All rollouts.
+pub struct Rollouts {
     me: Incarnation,
     tracks: BTreeMap<CompactString, Track>,
     records: BTreeMap<CompactString, (u64, Record)>,
 }
 
-impl Moves {
-    /// No move yet.
-    pub fn new(me: Incarnation) -> Moves {
-        Moves { me, tracks: BTreeMap::new(), records: BTreeMap::new() }
+impl Rollouts {
+    /// No rollouts.
+    pub fn new(me: Incarnation) -> Rollouts {
+        Rollouts { me, tracks: BTreeMap::new(), records: BTreeMap::new() }
     }
 
-    /// Takes an order, written at this version of the store.
-    pub fn order(&mut self, now: Instant, revision: u64, order: Order) {
+    /// Applies an order with its store revision.
+    pub fn order(&mut self, now: Instant, revision: u64, order: RolloutOrder) {
         let known = self.tracks.get(&order.service).is_some_and(|t| t.revision() >= revision);
         if known {
             return;
         }
         log::info!(service = order.service.as_str(), to = order.to.as_str(), revision,
-            time = order.time.as_millis() as u64; "a version move is ordered");
+            time = order.time.as_millis() as u64; "rollout ordered");
         let service = order.service.clone();
         let mut track = Track::new(now, self.me, revision, order);
         if let Some((written, record)) = self.records.get(&service) {
@@ -95,7 +92,7 @@
         self.tracks.insert(service, track);
     }
 
-    /// Takes what the store says of a move, written at this version.
+    /// Applies a stored status with its store revision.
     pub fn record(&mut self, revision: u64, record: Record) {
         if let Some(track) = self.tracks.get_mut(&record.service) {
             track.record(revision, &record);
@@ -103,7 +100,7 @@
         self.records.insert(record.service.clone(), (revision, record));
     }
 
-    /// A request ended.
+    /// Records an outcome.
     pub fn observe(&mut self, trial: &Trial) {
         if let Some(track) = self.tracks.get_mut(&trial.service) {
             track.observe(&Sample {
@@ -118,33 +115,33 @@
         }
     }
 
-    /// A peer's message came.
-    pub fn hear(&mut self, now: Instant, news: &PeerNews) {
+    /// Applies a peer's message.
+    pub fn handle_peer_update(&mut self, now: Instant, news: &PeerNews) {
         if let Some(track) = self.tracks.get_mut(&news.entry) {
-            track.hear(now, news);
+            track.handle_peer_update(now, news);
         }
     }
 
-    /// Ready runners of a service's new version.
+    /// Sets the number of ready runners of the new version.
     pub fn runners(&mut self, service: &str, new: usize) {
         if let Some(track) = self.tracks.get_mut(service) {
             track.runners(new);
         }
     }
 
-    /// Versions under move, by service.
-    pub fn wanted(&self) -> Vec<(CompactString, CompactString)> {
+    /// Target versions by service.
+    pub fn pending_versions(&self) -> Vec<(CompactString, CompactString)> {
         let each = self.tracks.iter().map(|(service, track)| (service.clone(), track.to().clone()));
         each.collect()
     }
 
-    /// Time has passed: what is to be done. `rank` is this node's place among `nodes`; the first one
-    /// writes, and each further one only if those before it haven't.
-    pub fn tick(&mut self, now: Instant, rank: usize, nodes: usize) -> Vec<Wish> {
+    /// Advances time. `rank` is this node's position among `nodes`: the first one writes, the next
+    /// ones only if it has not.
+    pub fn tick(&mut self, now: Instant, rank: usize, nodes: usize) -> Vec<Action> {
         self.tracks.values_mut().flat_map(|track| track.tick(now, rank, nodes)).collect()
     }
 
-    /// How requests are split.
+    /// Current request splits.
     pub fn splits(&self) -> Splits {
         let each = self.tracks.iter().map(|(service, track)| (service.clone(), track.split()));
         Arc::new(each.collect())
--- a/crates/relay/src/rollouts/exposure.rs
+++ b/crates/relay/src/rollouts/exposure.rs
@@ -1,43 +1,41 @@
-//! How much of a service's requests an unproved version gets.
+//! Exposure of a version that is being rolled out.
 //!
-//! The platform bounds the requests of a bad version by a part of all that come between the order and
-//! its deadline, and a fixed slack besides. Each node keeps to its part of both by counting its own, so
-//! that the sum holds without any talk, also while nodes are cut off from each other.
+//! The bound is global: a share of the requests during the rollout plus a fixed slack. Each node
+//! uses its part of both, so the bound holds without coordination.
 
 use {
     crate::view::{Rule, Split},
     bilberryfront_decide::mover::{Choice, MoveId, Share},
 };
 
-/// Part of the bound that is used: the rest covers requests that are on their way when a version is
-/// found bad, and nodes that join and take a part that others still use.
+/// Share of the bound in use; the rest covers requests in flight at a rollback and nodes that have
+/// just joined.
 const MARGIN: f64 = 0.6;
-/// Part of the requests that go to the new version while the bound allows any: enough to tell a
-/// failing version within some twenty requests, and few enough that most callers aren't touched.
+/// Share of the requests sent to the new version while the bound allows.
 pub(super) const SHARE: Share = Share(2_500);
 
-/// The bound, as the platform sets it.
+/// Global bound.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
-    /// Part of all requests.
+    /// Share of all requests.
     pub share: f64,
-    /// Requests of the whole system besides.
+    /// Additional requests of the whole system.
     pub slack: f64,
 }
 
-/// What one node has given to a version under move.
+/// Requests assigned by this node during one rollout.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Given {
+pub struct Exposure {
     id: Option<MoveId>,
     all: u32,
     new: u32,
 }
 
-impl Given {
-    /// Gives a request to a version, as one of `nodes` nodes; `hash` is evenly spread.
+impl Exposure {
+    /// Assigns a request as one of `nodes` nodes; `hash` is uniform.
     pub fn choose(&mut self, split: &Split, bound: &Bound, nodes: usize, hash: u64) -> Choice {
         if self.id != Some(split.id) {
-            *self = Given { id: Some(split.id), ..Given::default() };
+            *self = Exposure { id: Some(split.id), ..Exposure::default() };
         }
         self.all += 1;
         let share = match split.rule {
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -1,7 +1,7 @@
-//! One service's move as one node sees it.
+//! State machine of one rollout.
 
 use {
-    super::{Order, Record, exposure::SHARE},
+    super::{Record, RolloutOrder, exposure::SHARE},
     crate::view::{Rule, Split},
     bilberryfront_decide::{
         chart::Chart,
@@ -24,88 +24,88 @@
         .expect("charts/rollout.json is whole")
 });
 
-/// Part of the time after which a version that looks well is completed: what is left is for the write,
-/// also when the first node to try it has just died.
+/// Share of the time after which a healthy version is completed; the rest covers the write and a
+/// fail-over of the writer.
 const DECIDE: f64 = 0.85;
-/// Part of the time after which it is completed with less evidence, or taken back.
+/// Share of the time after which it is completed with little evidence, or rolled back.
 const LAST_CALL: f64 = 0.94;
-/// Requests of the new version that have ended before it is completed at [`DECIDE`].
+/// Finished requests of the new version required at [`DECIDE`].
 const NEED: u32 = 12;
-/// Bad events beyond its part that a version may have by chance.
+/// Bad events beyond its share that are attributed to chance.
 const CHANCE: f64 = 2.0;
-/// Shortest time between two looks at the evidence.
-const LOOK: Duration = Duration::from_millis(200);
-/// Time between two messages to peers while there is something new.
-const TELL: Duration = Duration::from_millis(400);
-/// Time for which the next node waits for the one before it to write.
-const TURN: Duration = Duration::from_millis(300);
-/// Time between two tries of the same write.
+/// Evaluation interval.
+const EVALUATE_EVERY: Duration = Duration::from_millis(200);
+/// Interval of messages to peers.
+const REPORT_EVERY: Duration = Duration::from_millis(400);
+/// Delay between the writers' turns.
+const WRITER_STAGGER: Duration = Duration::from_millis(300);
+/// Delay before a write is retried.
 const RETRY: Duration = Duration::from_millis(700);
 
-/// How far a move has come; see `charts/rollout.json`.
+/// Phase; see `charts/rollout.json`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
-    /// The new version gets a bounded part.
-    Trying,
-    /// It gets every request; the old runners stop.
+    /// The new version gets a bounded share.
+    Canary,
+    /// The new version gets everything; the old runners stop.
     Completed,
-    /// It gets none any more.
-    TakenBack,
+    /// The new version gets nothing.
+    RolledBack,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 enum Signal {
-    /// The store says that it is completed.
+    /// Stored as completed.
     Proved,
-    /// A node found it bad, or the store says that it was taken back.
+    /// Found bad, or stored as rolled back.
     Judged,
-    /// The store says that it was completed before this node found it bad.
+    /// Stored as completed before this node found it bad.
     RecordedCompleted,
 }
 
-/// Something to be done for a move.
+/// A side effect of a rollout.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Wish {
-    /// Write this record, if the one that is there still has this version (0: none).
+pub enum Action {
+    /// Write this status if the stored one has revision `expected` (0: none).
     Write {
-        /// What to write.
+        /// Status.
         record: Record,
-        /// Version that must be there.
+        /// Expected revision.
         expected: u64,
     },
-    /// Tell all peers.
+    /// Send to all peers.
     Tell(PeerNews),
 }
 
 pub(super) struct Track {
     me: Incarnation,
     revision: u64,
-    order: Order,
+    order: RolloutOrder,
     start: Instant,
     phase: Phase,
-    /// Version of the newest record of the service, and whether it is of this move.
+    /// Revision of the stored status, and its phase if it belongs to this rollout.
     recorded: (u64, Option<Phase>),
     collector: Collector,
     pool: Pool,
     routes: BTreeMap<CompactString, Counts>,
     judge: Judge,
     verdict: Option<Verdict>,
-    /// When the verdict was known here.
-    judged: Instant,
+    /// Time of the verdict.
+    decided_at: Instant,
     runners: usize,
-    look_at: Instant,
-    tell_at: Instant,
+    evaluate_at: Instant,
+    report_at: Instant,
     write_at: Instant,
-    told: u64,
+    reported: u64,
     sequence: u64,
 }
 
 impl Track {
-    pub(super) fn new(now: Instant, me: Incarnation, revision: u64, order: Order) -> Track {
+    pub(super) fn new(now: Instant, me: Incarnation, revision: u64, order: RolloutOrder) -> Track {
         Track {
             me,
             revision,
@@ -117,12 +117,12 @@
             routes: BTreeMap::new(),
             judge: Judge::new(now, order.time),
             verdict: None,
-            judged: now,
+            decided_at: now,
             runners: 0,
-            look_at: now,
-            tell_at: now,
+            evaluate_at: now,
+            report_at: now,
             write_at: now,
-            told: 0,
+            reported: 0,
             sequence: 0,
             order,
         }
@@ -140,16 +140,16 @@
         self.runners = new;
     }
 
-    /// Takes what the store says. A record that is older than the order tells of an earlier move.
+    /// Applies a stored status; one older than the order belongs to an earlier rollout.
     pub(super) fn record(&mut self, revision: u64, record: &Record) {
         let mine = revision > self.revision && record.to == self.order.to;
         self.recorded = (revision, mine.then_some(record.phase));
         match record.phase {
-            Phase::Completed if mine && self.phase == Phase::TakenBack => {
-                self.follow(Signal::RecordedCompleted);
+            Phase::Completed if mine && self.phase == Phase::RolledBack => {
+                self.transition(Signal::RecordedCompleted);
             }
-            Phase::Completed if mine => self.follow(Signal::Proved),
-            Phase::TakenBack if mine => self.follow(Signal::Judged),
+            Phase::Completed if mine => self.transition(Signal::Proved),
+            Phase::RolledBack if mine => self.transition(Signal::Judged),
             _ => {}
         }
     }
@@ -160,7 +160,7 @@
         }
     }
 
-    pub(super) fn hear(&mut self, now: Instant, news: &PeerNews) {
+    pub(super) fn handle_peer_update(&mut self, now: Instant, news: &PeerNews) {
         if news.id != self.id() {
             return;
         }
@@ -168,53 +168,53 @@
             self.pool.absorb(news.from, evidence);
         }
         if let Some(verdict) = &news.verdict {
-            self.take_back(now, verdict.clone());
+            self.roll_back(now, verdict.clone());
         }
     }
 
     pub(super) fn split(&self) -> Split {
         let rule = match self.phase {
-            Phase::Trying => Rule::Trial,
+            Phase::Canary => Rule::Trial,
             Phase::Completed => Rule::New,
-            Phase::TakenBack => Rule::Old,
+            Phase::RolledBack => Rule::Old,
         };
         Split { id: self.id(), to: self.order.to.clone(), rule }
     }
 
-    pub(super) fn tick(&mut self, now: Instant, rank: usize, nodes: usize) -> Vec<Wish> {
-        self.look(now, nodes);
-        let tell = self.tell(now).map(Wish::Tell);
+    pub(super) fn tick(&mut self, now: Instant, rank: usize, nodes: usize) -> Vec<Action> {
+        self.evaluate(now, nodes);
+        let report = self.report(now).map(Action::Tell);
         let write = self.write(now, rank);
-        tell.into_iter().chain(write).collect()
+        report.into_iter().chain(write).collect()
     }
 
     fn id(&self) -> MoveId {
         MoveId(self.revision)
     }
 
-    fn follow(&mut self, signal: Signal) {
+    fn transition(&mut self, signal: Signal) {
         let Some(next) = CHART.next(self.phase, signal) else { return };
         log::info!(service = self.order.service.as_str(), to = self.order.to.as_str(),
-            served = self.served(); "a version move went from {:?} to {next:?}", self.phase);
+            served = self.served(); "rollout phase changed from {:?} to {next:?}", self.phase);
         self.phase = next;
     }
 
-    fn take_back(&mut self, now: Instant, verdict: Verdict) {
-        if self.phase == Phase::Trying {
+    fn roll_back(&mut self, now: Instant, verdict: Verdict) {
+        if self.phase == Phase::Canary {
             log::warn!(service = self.order.service.as_str(), to = self.order.to.as_str(),
-                route = verdict.route.as_str(); "a version is taken back: {:?}", verdict.cause);
-            self.follow(Signal::Judged);
+                route = verdict.route.as_str(); "rollout rolled back: {:?}", verdict.cause);
+            self.transition(Signal::Judged);
             self.verdict = Some(verdict);
-            self.judged = now;
-            self.tell_at = now;
+            self.decided_at = now;
+            self.report_at = now;
         }
     }
 
-    fn look(&mut self, now: Instant, nodes: usize) {
-        if now < self.look_at || self.phase != Phase::Trying {
+    fn evaluate(&mut self, now: Instant, nodes: usize) {
+        if now < self.evaluate_at || self.phase != Phase::Canary {
             return;
         }
-        self.look_at = now + LOOK;
+        self.evaluate_at = now + EVALUATE_EVERY;
         self.pool.absorb(self.me, self.collector.evidence());
         if let Some(routes) = self.pool.news() {
             self.routes = routes;
@@ -222,29 +222,29 @@
         let found = self.judge.look(now, &self.routes, nodes);
         if let Some(found) = found {
             let verdict = Verdict { cause: found.cause, route: found.route, node: self.me };
-            return self.take_back(now, verdict);
+            return self.roll_back(now, verdict);
         }
-        if now >= self.at(LAST_CALL) && !self.is_sound(now, 1) {
+        if now >= self.at(LAST_CALL) && !self.is_healthy(now, 1) {
             let route = CompactString::default();
-            self.take_back(now, Verdict { cause: Cause::Deadline, route, node: self.me });
+            self.roll_back(now, Verdict { cause: Cause::Deadline, route, node: self.me });
         }
     }
 
-    /// Whether the new version looks well, on at least `need` requests.
-    fn is_sound(&self, now: Instant, need: u32) -> bool {
+    /// Whether the new version is healthy on at least `need` requests.
+    fn is_healthy(&self, now: Instant, need: u32) -> bool {
         let suspect = self.judge.suspects(now) && self.is_worse();
         self.runners > 0 && !suspect && self.served() >= need
     }
 
-    /// Whether the new version has more than its part of the bad events, though that isn't proved. An
-    /// outage behind the runners makes requests of both versions fail, each by its part.
+    /// Whether the new version has more than its share of bad events; a shared outage affects both
+    /// versions alike.
     fn is_worse(&self) -> bool {
         let part = SHARE.fraction() * TOLERANCE;
         let excess = |t: &Tally| f64::from(t.new) > f64::from(t.old + t.new) * part + CHANCE;
         self.routes.values().any(|counts| counts.bad.iter().any(excess))
     }
 
-    /// Requests that the new version has ended, at all nodes.
+    /// Finished requests of the new version on all nodes.
     fn served(&self) -> u32 {
         self.routes.values().map(|c| c.new).sum()
     }
@@ -253,14 +253,14 @@
         self.start + self.order.time.mul_f64(part)
     }
 
-    fn tell(&mut self, now: Instant) -> Option<PeerNews> {
+    fn report(&mut self, now: Instant) -> Option<PeerNews> {
         let sequence = self.collector.evidence().sequence;
-        let open = self.phase == Phase::Trying || !self.is_over();
-        if now < self.tell_at || !open || (sequence == self.told && self.verdict.is_none()) {
+        let open = self.phase == Phase::Canary || !self.is_over();
+        if now < self.report_at || !open || (sequence == self.reported && self.verdict.is_none()) {
             return None;
         }
-        self.tell_at = now + TELL;
-        self.told = sequence;
+        self.report_at = now + REPORT_EVERY;
+        self.reported = sequence;
         self.sequence += 1;
         Some(PeerNews {
             from: self.me,
@@ -273,36 +273,36 @@
         })
     }
 
-    /// Whether the store has a final word on this move.
+    /// Whether a final status is stored.
     fn is_over(&self) -> bool {
-        matches!(self.recorded.1, Some(Phase::Completed | Phase::TakenBack))
+        matches!(self.recorded.1, Some(Phase::Completed | Phase::RolledBack))
     }
 
-    /// The record to be written now, if it is this node's turn.
-    fn write(&mut self, now: Instant, rank: usize) -> Option<Wish> {
+    /// The status to be written, if it is this node's turn.
+    fn write(&mut self, now: Instant, rank: usize) -> Option<Action> {
         let (phase, due) = self.due(now)?;
-        if self.is_over() || now < due + TURN * rank as u32 || now < self.write_at {
+        if self.is_over() || now < due + WRITER_STAGGER * rank as u32 || now < self.write_at {
             return None;
         }
         self.write_at = now + RETRY;
-        let Order { service, to, .. } = self.order.clone();
+        let RolloutOrder { service, to, .. } = self.order.clone();
         let record = Record { service, to, phase };
-        Some(Wish::Write { record, expected: self.recorded.0 })
+        Some(Action::Write { record, expected: self.recorded.0 })
     }
 
-    /// What the store should say, and since when.
+    /// The status that should be stored, and since when.
     fn due(&self, now: Instant) -> Option<(Phase, Instant)> {
         match self.phase {
             Phase::Completed => None,
-            Phase::TakenBack => Some((Phase::TakenBack, self.judged)),
-            Phase::Trying if now >= self.at(LAST_CALL) && self.is_sound(now, 1) => {
+            Phase::RolledBack => Some((Phase::RolledBack, self.decided_at)),
+            Phase::Canary if now >= self.at(LAST_CALL) && self.is_healthy(now, 1) => {
                 Some((Phase::Completed, self.at(LAST_CALL)))
             }
-            Phase::Trying if now >= self.at(DECIDE) && self.is_sound(now, NEED) => {
+            Phase::Canary if now >= self.at(DECIDE) && self.is_healthy(now, NEED) => {
                 Some((Phase::Completed, self.at(DECIDE)))
             }
-            Phase::Trying if self.recorded.1.is_none() => Some((Phase::Trying, self.start)),
-            Phase::Trying => None,
+            Phase::Canary if self.recorded.1.is_none() => Some((Phase::Canary, self.start)),
+            Phase::Canary => None,
         }
     }
 }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -1,17 +1,17 @@
-//! One send of a request to one runner.
+//! HTTP client for runners.
 
 mod restart;
 
 use {
     crate::{
         call::Call,
-        dialect::{Answer, Dialect, Identity, Order, Progress},
-        fleet::{Fleet, Place},
+        dialect::{Answer, Dialect, Identity, Progress, SendOptions},
+        fleet::{Endpoint, Fleet},
         headers,
-        lines::{ANSWER_LOST, NOT_RUN, RUN_FAILED},
+        log_messages::{ANSWER_LOST, NOT_RUN, RUN_FAILED},
         metrics::{Metrics, Part},
         network::Network,
-        pool::{Line, SendError},
+        pool::{Connection, SendError},
         view::Published,
     },
     bytes::Bytes,
@@ -25,170 +25,169 @@
     tokio::time::{Instant, sleep, timeout, timeout_at},
 };
 
-/// Most bytes of an answer that is held whole before it is passed on.
+/// Maximum size of a buffered response.
 pub const ANSWER_BYTES: usize = 4 << 20;
-/// Most bytes of a runner's "not run" that are read so that its connection can be used again.
+/// Maximum size of a rejection's body that is read to reuse its connection.
 const REFUSAL_BYTES: usize = 16 << 10;
-/// Longest wait for them.
+/// Timeout for reading it.
 const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
-/// Part of the objective after which a runner that has sent nothing is asked. Later questions cost less;
-/// what is left of the objective must do for another runner to read the prompt.
+/// Share of the latency objective after which a runner without a first event is probed.
 const PROBE_AFTER: f64 = 0.3;
-/// Time between two questions.
+/// Probe interval.
 const PROBE_EVERY: Duration = Duration::from_millis(400);
-/// Events that a runner says it made, and that didn't come, after which its answer is taken for lost:
-/// fewer may be on their way, or be sent before the report that tells of them is made.
+/// Generated but undelivered events after which a response counts as lost; a smaller difference may
+/// be in transit.
 const LOST_EVENTS: u32 = 8;
-/// Longest wait for the answer to such a question, which needs no slot at the runner.
+/// Probe timeout.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-/// Longest wait for a runner's word on its cache: several times its way there and back, and a small part
-/// of a pause that is on time.
+/// Timeout of a cache lookup.
 const CACHE_TIMEOUT: Duration = Duration::from_millis(60);
-/// Longest wait for a copy of a run's memory: at tens of gigabits a second one takes a fraction of a
-/// second, and waits behind others.
-const COPY_TIMEOUT: Duration = Duration::from_secs(2);
-/// Questions in a row without an answer after which a runner is taken for dead: one packet in thirty
-/// may be lost on a bad link, and leaving a living runner throws away what it has read.
+/// Timeout of a replication request.
+const REPLICATE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Consecutive failed probes after which a runner counts as dead.
 const PROBES: u32 = 2;
 
-/// What came of a send.
-pub enum Sent {
-    /// A runner answered.
+/// Outcome of a send.
+pub enum SendOutcome {
+    /// Response head received.
     Answered(Box<Reply>),
-    /// The runner vouches that the request hasn't run there.
+    /// Rejected without being run.
     NotRun,
-    /// No byte left.
+    /// Nothing was sent.
     Unsent,
-    /// It may have run, and there is no answer.
+    /// Sent without a response; it may have run.
     Lost(SendError),
 }
 
-/// A runner's answer whose body is still to come.
+/// A response whose body is still to be read.
 pub struct Reply {
-    /// Its head.
+    /// Head.
     pub parts: Parts,
-    /// What the head says.
+    /// Decoded headers.
     pub answer: Answer,
-    /// Its body.
+    /// Body.
     pub body: Incoming,
-    /// The connection, to be kept once the body has ended.
-    pub line: Line,
+    /// Connection, reusable after the body.
+    pub line: Connection,
 }
 
-/// How requests get to runners.
+/// Client for all runners.
 #[derive(Clone)]
-pub struct Exchange<D, N> {
-    /// How runners spell things.
+pub struct RunnerClient<D, N> {
+    /// Wire format.
     pub dialect: D,
-    /// How they are connected to.
+    /// Transport.
     pub network: N,
-    /// The runners.
+    /// Known runners.
     pub fleet: Fleet,
-    /// What the control thread has published.
+    /// View published by the control thread.
     pub published: Published,
-    /// What is counted.
+    /// Metrics.
     pub metrics: Metrics,
 }
 
-impl<D: Dialect, N: Network> Exchange<D, N> {
-    /// Sends a request and waits for the head of the answer.
-    pub async fn send(&self, call: &Call, place: &Place, order: &Order, until: Instant) -> Sent {
+impl<D: Dialect, N: Network> RunnerClient<D, N> {
+    /// Sends a request and waits for the response head.
+    pub async fn send(
+        &self,
+        call: &Call,
+        endpoint: &Endpoint,
+        options: &SendOptions,
+        until: Instant,
+    ) -> SendOutcome {
         let request = || {
-            let headers = self.dialect.send(call, order);
-            request(&call.method, &call.path, place.address, headers, call.body.clone())
+            let headers = self.dialect.send(call, options);
+            request(&call.method, &call.path, endpoint.address, headers, call.body.clone())
         };
-        let (response, line) = match self.carry(place, request, until).await {
+        let (response, line) = match self.exchange(endpoint, request, until).await {
             Ok(answered) => answered,
             Err(SendError::Unsent) => {
-                log::info!(request = call.head.id.as_str(), runner = place.id.as_str();
-                    "a runner took no connection");
-                return Sent::Unsent;
+                log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
+                    "cannot connect to the runner");
+                return SendOutcome::Unsent;
             }
             Err(error) => {
-                log::warn!(request = call.head.id.as_str(), runner = place.id.as_str();
+                log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
                     "{ANSWER_LOST}{error}");
-                return Sent::Lost(error);
+                return SendOutcome::Lost(error);
             }
         };
-        self.carried(Part::Request, place, call.body.len());
+        self.count_bytes(Part::Request, endpoint, call.body.len());
         let (mut parts, body) = response.into_parts();
         let answer = self.dialect.answer(&parts);
         if answer.unrun {
-            log::info!(request = call.head.id.as_str(), runner = place.id.as_str(),
-                status = parts.status.as_u16(), copy = order.copy.is_some();
+            log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
+                status = parts.status.as_u16(), from_replica = options.from_replica.is_some();
                 "{NOT_RUN}");
-            self.refused(place, &answer, body, line).await;
+            self.finish_rejected(endpoint, &answer, body, line).await;
             if let Some(id) = answer.runner.filter(|_| answer.moved) {
-                tokio::task::spawn_local(restart::recognize(self.clone(), place.clone(), id));
+                tokio::task::spawn_local(restart::recognize(self.clone(), endpoint.clone(), id));
             }
-            return Sent::NotRun;
+            return SendOutcome::NotRun;
         }
-        // An answer to another request can come on this connection when a runner sends one too many.
-        // Whose it is only its id tells; passed on, it would be somebody else's data.
+        // A runner may send a surplus response, which would be read as the answer to the next
+        // request on the connection.
         if !answer.signed || !answer.fits(&call.head.id) {
             let status = parts.status.as_u16();
-            log::warn!(request = call.head.id.as_str(), runner = place.id.as_str(), status;
-                "an answer isn't signed or isn't this request's: dropped with its connection");
-            return Sent::Lost(SendError::Broken);
+            log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), status;
+                "response unsigned or for another request: connection closed");
+            return SendOutcome::Lost(SendError::Broken);
         }
         headers::strip(&mut parts.headers);
-        self.fleet.alive(place.key, Instant::now());
-        Sent::Answered(Box::new(Reply { parts, answer, body, line }))
+        self.fleet.alive(endpoint.key, Instant::now());
+        SendOutcome::Answered(Box::new(Reply { parts, answer, body, line }))
     }
 
-    /// Reads the whole of an answer and keeps its connection.
+    /// Reads the response body and returns the connection to the pool.
     pub async fn whole(
         &self,
         reply: Box<Reply>,
-        place: &Place,
+        endpoint: &Endpoint,
         until: Instant,
     ) -> Result<(Parts, Bytes), SendError> {
         let Reply { parts, answer, body, line } = *reply;
         let read = Limited::new(body, ANSWER_BYTES).collect();
         let read = timeout_at(until, read).await;
-        let runner = place.id.as_str();
+        let runner = endpoint.id.as_str();
         let request = answer.id.as_deref().unwrap_or_default();
         let error = match read {
             Ok(Ok(bytes)) => {
                 let bytes = bytes.to_bytes();
-                self.carried(Part::Answer, place, bytes.len());
+                self.count_bytes(Part::Answer, endpoint, bytes.len());
                 if is_failure(parts.status) {
                     log::info!(request, runner, status = parts.status.as_u16();
                         "{RUN_FAILED}");
                 }
-                self.fleet.keep(place.key, line, answer.idle);
+                self.fleet.keep(endpoint.key, line, answer.idle);
                 return Ok((parts, bytes));
             }
             Ok(Err(_)) => SendError::Broken,
             Err(_) => SendError::Silent,
         };
-        log::warn!(request, runner; "{ANSWER_LOST}{error}, within its body");
+        log::warn!(request, runner; "{ANSWER_LOST}{error}, while reading the body");
         Err(error)
     }
 
-    /// Counts a body, or a part of one.
-    pub fn carried(&self, part: Part, place: &Place, bytes: usize) {
-        self.metrics.carried(part, self.fleet.is_far(&place.domain), bytes);
+    /// Counts bytes exchanged with a runner.
+    pub fn count_bytes(&self, part: Part, endpoint: &Endpoint, bytes: usize) {
+        self.metrics.count_runner_bytes(part, self.fleet.is_far(&endpoint.domain), bytes);
     }
 
-    /// Returns when a stream whose first event is awaited is better sent elsewhere: its runner doesn't
-    /// answer questions, or says that it has made events which never came.
-    ///
-    /// A dead runner and a lost answer look alike from here, as silence, and so does a long prompt. The
-    /// question tells them apart; without it the caller would wait until its patience ends. It is asked at once
-    /// when somebody else has just lost that runner.
-    pub async fn until_lost(&self, call: &Call, place: &Place) {
+    /// Resolves when a stream without a first event should move to another runner: the runner fails
+    /// its probes, or has generated events that never arrived. Probes start early if another stream
+    /// has lost the runner.
+    pub async fn until_lost(&self, call: &Call, endpoint: &Endpoint) {
         tokio::select! {
             () = sleep(call.route.objective.mul_f64(PROBE_AFTER)) => {}
-            () = self.fleet.until_lost(place.key) => {}
+            () = self.fleet.until_lost(endpoint.key) => {}
         }
         let mut missed = 0;
         while missed < PROBES {
-            match self.progress(call, place).await {
+            match self.progress(call, endpoint).await {
                 None => missed += 1,
                 Some(Progress::Made(events)) if events >= LOST_EVENTS => {
-                    log::info!(request = call.head.id.as_str(), runner = place.id.as_str(), events;
-                        "a runner's answer is lost");
+                    log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), events;
+                        "response lost, the runner has generated events");
                     return;
                 }
                 Some(_) => {
@@ -199,104 +198,115 @@
         }
     }
 
-    /// What a runner says of a request; `None` when it doesn't answer.
-    async fn progress(&self, call: &Call, place: &Place) -> Option<Progress> {
-        let body = self.ask(place, self.dialect.report_path(), PROBE_TIMEOUT).await?;
+    /// Progress of a request as reported by the runner; `None` on failure.
+    async fn progress(&self, call: &Call, endpoint: &Endpoint) -> Option<Progress> {
+        let body = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await?;
         Some(self.dialect.progress(&body, &call.head.id))
     }
 
-    /// Tokens of a prompt's own part in the runner's cache; 0 when it doesn't answer in time.
-    pub async fn cached(&self, place: &Place, prompt: u64) -> u32 {
-        let answer = self.ask(place, self.dialect.cache_path(), CACHE_TIMEOUT).await;
-        answer.map_or(0, |body| self.dialect.cached(&body, prompt))
+    /// Tokens of the prompt in the runner's cache; 0 on failure.
+    pub async fn cached_tokens(&self, endpoint: &Endpoint, prompt: u64) -> u32 {
+        let answer = self.get(endpoint, self.dialect.cache_path(), CACHE_TIMEOUT).await;
+        answer.map_or(0, |body| self.dialect.cached_tokens(&body, prompt))
     }
 
-    /// Asks a runner to copy a run's memory to another one; the copy's name, when it is complete.
-    pub async fn copy(&self, source: &Place, to: &Place, id: &str) -> Option<CompactString> {
-        let order = self.dialect.copy_order(id, to.address).into();
-        let path = self.dialect.copy_path();
-        let answer = self.question(source, &Method::POST, path, order, COPY_TIMEOUT).await?;
-        self.dialect.copied(&answer)
+    /// Replicates a run to another runner; returns the handle when complete.
+    pub async fn replicate(
+        &self,
+        source: &Endpoint,
+        to: &Endpoint,
+        id: &str,
+    ) -> Option<CompactString> {
+        let options = self.dialect.replicate_body(id, to.address).into();
+        let path = self.dialect.replicate_path();
+        let answer = self.query(source, &Method::POST, path, options, REPLICATE_TIMEOUT).await?;
+        self.dialect.replicated_handle(&answer)
     }
 
-    /// Tells a runner to drop a copy that it made, at both ends.
-    pub async fn forget(&self, source: &Place, handle: &str) {
-        let path = self.dialect.forget_path(handle);
+    /// Drops a replica at both ends.
+    pub async fn drop_replica(&self, source: &Endpoint, handle: &str) {
+        let path = self.dialect.drop_replica_path(handle);
         let forgotten =
-            self.question(source, &Method::DELETE, &path, Bytes::new(), PROBE_TIMEOUT).await;
+            self.query(source, &Method::DELETE, &path, Bytes::new(), PROBE_TIMEOUT).await;
         if forgotten.is_none() {
-            log::debug!("a copy wasn't dropped; it lapses by itself");
+            log::debug!("a replica was not dropped and will expire");
         }
     }
 
-    /// Who the runner at an address says it is.
-    async fn identity(&self, place: &Place) -> Option<Identity> {
-        let body = self.ask(place, self.dialect.report_path(), PROBE_TIMEOUT).await?;
+    /// Identity of the runner at an address.
+    async fn identity(&self, endpoint: &Endpoint) -> Option<Identity> {
+        let body = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await?;
         self.dialect.identity(&body)
     }
 
-    /// Asks a runner something that needs no slot there.
-    async fn ask(&self, place: &Place, path: &'static str, limit: Duration) -> Option<Bytes> {
-        self.question(place, &Method::GET, path, Bytes::new(), limit).await
+    /// Sends a control request, which needs no slot.
+    async fn get(&self, endpoint: &Endpoint, path: &'static str, limit: Duration) -> Option<Bytes> {
+        self.query(endpoint, &Method::GET, path, Bytes::new(), limit).await
     }
 
-    async fn question(
+    async fn query(
         &self,
-        place: &Place,
+        endpoint: &Endpoint,
         method: &Method,
         path: &str,
         body: Bytes,
         limit: Duration,
     ) -> Option<Bytes> {
         let path = PathAndQuery::from_str(path).ok()?;
-        let request = || request(method, &path, place.address, HeaderMap::new(), body.clone());
+        let request = || request(method, &path, endpoint.address, HeaderMap::new(), body.clone());
         let asked = async {
             let until = Instant::now() + limit;
-            let (response, line) = self.carry(place, request, until).await.ok()?;
+            let (response, line) = self.exchange(endpoint, request, until).await.ok()?;
             let (parts, body) = response.into_parts();
             let body = Limited::new(body, ANSWER_BYTES).collect().await.ok()?.to_bytes();
-            self.fleet.alive(place.key, Instant::now());
-            self.fleet.keep(place.key, line, self.dialect.answer(&parts).idle);
+            self.fleet.alive(endpoint.key, Instant::now());
+            self.fleet.keep(endpoint.key, line, self.dialect.answer(&parts).idle);
             parts.status.is_success().then_some(body)
         };
         timeout(limit, asked).await.ok()?
     }
 
-    /// Sends over an idle connection, or over a new one if that has just been closed: as long as no
-    /// byte has left, a second try can't make the request run twice.
-    async fn carry(
+    /// Sends on an idle connection, or on a new one if the idle one was closed before any byte was
+    /// sent.
+    async fn exchange(
         &self,
-        place: &Place,
+        endpoint: &Endpoint,
         request: impl Fn() -> Request<Full<Bytes>>,
         until: Instant,
-    ) -> Result<(http::Response<Incoming>, Line), SendError> {
-        if let Some(mut line) = self.fleet.idle(place.key, Instant::now()) {
+    ) -> Result<(http::Response<Incoming>, Connection), SendError> {
+        if let Some(mut line) = self.fleet.idle(endpoint.key, Instant::now()) {
             match line.send(request(), until).await {
                 Ok(response) => return Ok((response, line)),
                 Err(SendError::Unsent) => {}
                 Err(error) => return Err(error),
             }
         }
-        let mut line = Line::connect(&self.network, place.address).await?;
+        let mut line = Connection::connect(&self.network, endpoint.address).await?;
         let response = line.send(request(), until).await?;
         Ok((response, line))
     }
 
-    /// Reads the rest of a "not run", so that its connection can be used again.
-    async fn refused(&self, place: &Place, answer: &Answer, body: Incoming, line: Line) {
+    /// Drains a rejection so that its connection can be reused.
+    async fn finish_rejected(
+        &self,
+        endpoint: &Endpoint,
+        answer: &Answer,
+        body: Incoming,
+        line: Connection,
+    ) {
         let now = Instant::now();
         match answer.moved {
-            true => self.fleet.failed(place.key, now),
-            false => self.fleet.full(place.key, now),
+            true => self.fleet.failed(endpoint.key, now),
+            false => self.fleet.full(endpoint.key, now),
         }
         let read = Limited::new(body, REFUSAL_BYTES).collect();
         if let Ok(Ok(_)) = timeout(REFUSAL_TIMEOUT, read).await {
-            self.fleet.keep(place.key, line, answer.idle);
+            self.fleet.keep(endpoint.key, line, answer.idle);
         }
     }
 }
 
-/// Whether an answer is one that another runner may better.
+/// Whether another runner may do better.
 pub fn is_failure(status: StatusCode) -> bool {
     status.is_server_error()
 }
