--- a/crates/relay/src/runner_client/restart.rs
+++ b/crates/relay/src/runner_client/restart.rs
@@ -1,13 +1,13 @@
-//! Recognizing an engine that started anew under another id.
+//! Detection of engines that restarted under a new id.
 //!
-//! Its address alone proves nothing: addresses of runners that are gone are given to other services. What
-//! it says of itself does, where only one service of the catalogue has engines like that.
+//! Addresses are reused by other services, so the runner is asked for its models; they identify it
+//! if only one service has such engines.
 
 use {
-    super::Exchange,
+    super::RunnerClient,
     crate::{
         dialect::{Dialect, Identity},
-        fleet::Place,
+        fleet::Endpoint,
         network::Network,
         view::View,
     },
@@ -16,37 +16,37 @@
     tokio::time::Instant,
 };
 
-/// Asks the runner `id`, which answered in place of the one at `place`, whether it is the same engine
-/// started anew, and tells of it if it is.
+/// Checks whether runner `id`, found at the address of `endpoint`, is the same engine after a
+/// restart.
 pub(super) async fn recognize<D: Dialect, N: Network>(
-    exchange: Exchange<D, N>,
-    place: Place,
+    client: RunnerClient<D, N>,
+    endpoint: Endpoint,
     id: CompactString,
 ) {
-    if !exchange.fleet.is_stranger(&id, Instant::now()) {
+    if !client.fleet.is_stranger(&id, Instant::now()) {
         return;
     }
-    let identity = exchange.identity(&place).await;
-    let service = exchange.fleet.service(place.key);
+    let identity = client.identity(&endpoint).await;
+    let service = client.fleet.service(endpoint.key);
     let (Some(identity), Some(service)) = (identity, service) else {
-        log::info!(runner = id.as_str(), former = place.id.as_str();
-            "a stranger at a runner's address doesn't say what it runs");
+        log::info!(runner = id.as_str(), former = endpoint.id.as_str();
+            "unlisted runner at a known address, identity unknown");
         return;
     };
-    if is_same(&exchange.published.load(), &service, &identity) {
-        exchange.fleet.restarted(Restart { former: place.id, id });
+    if is_same(&client.published.load(), &service, &identity) {
+        client.fleet.restarted(Restart { former: endpoint.id, id });
     } else {
-        log::info!(runner = id.as_str(), former = place.id.as_str();
-            "a stranger at a runner's address may be another service's");
+        log::info!(runner = id.as_str(), former = endpoint.id.as_str();
+            "unlisted runner at a known address, service ambiguous");
     }
 }
 
-/// Whether who says this of itself is an engine of `service`. While versions of the service are being
-/// moved, its version can't be known, so it isn't.
+/// Whether the identity matches `service`. Inconclusive during a rollout, since the version is
+/// unknown.
 fn is_same(view: &View, service: &CompactString, identity: &Identity) -> bool {
     let Some(catalog) = &view.catalog else { return false };
     let sole = catalog.sole_service(&identity.models, identity.memory);
-    !identity.leaving
+    !identity.draining
         && !view.splits.contains_key(service)
         && sole.is_some_and(|sole| sole.name == *service)
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,8 +1,8 @@
-//! Listeners and the connections that callers make.
+//! Listeners and caller connections.
 
 use {
     crate::{
-        body::Answer, catalog::Limits, dialect::Dialect, face::Face, network::Network,
+        body::Answer, catalog::Limits, dialect::Dialect, handler::Handler, network::Network,
         view::Published,
     },
     http::{Request, Response},
@@ -17,28 +17,27 @@
     },
 };
 
-/// Connections that wait to be taken. When more callers connect at once, the system drops the first
-/// packets of the others, which come again only after a second.
+/// Listen backlog; beyond it SYN packets are dropped and retransmitted after a second.
 const BACKLOG: i32 = 1_024;
-/// Time without an acknowledgement after which a caller's connection is given up.
+/// `TCP_USER_TIMEOUT` and keep-alive time of caller connections.
 const DEAD_AFTER: Duration = Duration::from_secs(5);
-/// Pause after a connection that could not be taken, mostly for want of descriptors.
+/// Delay after a failed accept, mostly for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Bytes of a connection's buffer at least; the library asks for no less.
+/// Minimum buffer size accepted by hyper.
 const BUFFER: usize = 8 << 10;
 
-/// What a listener is for.
+/// What a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Purpose {
     /// Callers' requests.
     Requests,
-    /// Questions about this node or the others.
+    /// Queries about this node.
     Questions,
-    /// Questions for the metrics.
+    /// Metrics scrapes.
     Metrics,
 }
 
-/// Listens on an address.
+/// Opens a listening socket.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
@@ -48,53 +47,51 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Takes connections until the task is ended. `close` tells idle ones to end.
+/// Accepts connections until cancelled; `close` closes idle ones.
 pub async fn serve<D: Dialect, N: Network>(
     listener: TcpListener,
     purpose: Purpose,
-    face: Face<D, N>,
+    handler: Handler<D, N>,
     close: watch::Receiver<bool>,
 ) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => match prepare(&stream) {
                 Ok(()) => {
-                    let serving = connection(stream, purpose, face.clone(), close.clone());
+                    let serving = connection(stream, purpose, handler.clone(), close.clone());
                     _ = tokio::task::spawn_local(serving);
                 }
-                // The caller has left already: nothing can be said to it.
-                Err(error) => log::debug!("a connection can't be set up: {error}"),
+                // The caller is gone already.
+                Err(error) => log::debug!("cannot configure a connection: {error}"),
             },
             Err(error) => {
-                log::warn!("a connection can't be taken: {error}");
+                log::warn!("cannot accept a connection: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
-/// Serves one caller's connection to its end. `close` tells it to end once it is idle.
+/// Serves a connection; `close` closes it once it is idle.
 pub async fn connection<D: Dialect, N: Network>(
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
     purpose: Purpose,
-    face: Face<D, N>,
+    handler: Handler<D, N>,
     mut close: watch::Receiver<bool>,
 ) {
-    let limits = limits(&face.traffic.published);
-    let service = service_fn(|request| answer(&face, purpose, request));
+    let limits = limits(&handler.traffic.published);
+    let service = service_fn(|request| answer(&handler, purpose, request));
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
-        // The library starts this clock when a connection turns idle, so it must bound both the time
-        // to send a head and the time between requests: the longer one, or callers would find
-        // connections closed that they may still use.
+        // hyper applies this timeout to idle connections as well as to reading a head.
         .header_read_timeout(limits.idle.max(limits.reading))
         .max_buf_size(limits.head.max(BUFFER));
     let serving = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(serving);
     loop {
         tokio::select! {
-            // An error here is the caller's: it left, or sent what isn't HTTP.
+            // Errors are the caller's.
             _ = serving.as_mut() => return,
             changed = close.changed() => match changed {
                 Ok(()) => serving.as_mut().graceful_shutdown(),
@@ -108,14 +105,14 @@
 }
 
 async fn answer<D: Dialect, N: Network>(
-    face: &Face<D, N>,
+    handler: &Handler<D, N>,
     purpose: Purpose,
     request: Request<Incoming>,
 ) -> Result<Response<Answer>, Infallible> {
     Ok(match purpose {
-        Purpose::Requests => face.request(request).await,
-        Purpose::Questions => face.question(&request),
-        Purpose::Metrics => face.metrics(),
+        Purpose::Requests => handler.request(request).await,
+        Purpose::Questions => handler.question(&request),
+        Purpose::Metrics => handler.metrics(),
     })
 }
 
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -1,77 +1,76 @@
-//! What an entry instance is told at start.
+//! Settings of an entry instance.
 
 use {
-    crate::{budget::Allowance, moves::exposure::Bound},
+    crate::{budget::Allowance, rollouts::exposure::Bound},
     compact_str::CompactString,
     serde::Deserialize,
     std::{net::SocketAddr, time::Duration},
 };
 
-/// Everything an entry instance is told at start.
+/// All settings.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Unique name of the instance.
     pub name: CompactString,
-    /// Its failure domain.
+    /// Failure domain.
     pub domain: CompactString,
-    /// Addresses to listen on.
+    /// Listen addresses.
     pub listen: Listen,
-    /// The platform's store.
+    /// Address of the platform's store.
     pub store: SocketAddr,
-    /// What the platform lets the system do.
+    /// Limits set by the platform.
     #[serde(default)]
     pub bounds: Bounds,
-    /// What to log.
+    /// Logging.
     #[serde(default)]
     pub log: Log,
 }
 
-/// Addresses to listen on; the last is UDP, the others are TCP.
+/// Listen addresses; `peers` is UDP, the others are TCP.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Listen {
     /// Callers' requests.
     pub callers: SocketAddr,
-    /// The question whether this instance is ready.
+    /// Readiness checks.
     pub health: SocketAddr,
-    /// Callers' question where to connect.
+    /// Address queries.
     pub addresses: SocketAddr,
-    /// Other instances.
+    /// Other nodes.
     pub peers: SocketAddr,
-    /// Metrics as text; nowhere when absent.
+    /// Metrics; disabled if absent.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
 }
 
-/// What the platform lets the system do. Times are in seconds; an absent one takes its default.
+/// Limits set by the platform; times in seconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
-    /// From the order to leave to the kill.
+    /// Grace period from SIGTERM to the kill.
     pub grace: f64,
-    /// From a runner's word that it leaves to the last request that it may get; in milliseconds.
+    /// Time within which a draining runner must get no new requests, in milliseconds.
     pub leave_ms: f64,
-    /// Longest time for which callers keep an address answer.
+    /// Maximum time to live of an address response.
     pub keep: f64,
-    /// Further sends allowed for each request.
+    /// Retries per request.
     pub ratio: f64,
-    /// Further sends of the whole system allowed besides.
+    /// Additional retries of the whole system.
     pub slack: f64,
-    /// Time over which further sends are counted.
+    /// Window of the retry budget.
     pub window: f64,
-    /// Part of a service's requests that an unproved version may get during a move.
+    /// Share of requests for a version during its rollout.
     pub exposure: f64,
-    /// Requests of the whole system that it may get besides.
+    /// Additional requests for it.
     pub trials: f64,
 }
 
 impl Default for Bounds {
-    /// Bounds that are safe on a platform that doesn't tell its own: a short grace, short-lived
-    /// answers and few further sends.
+    /// Conservative values for a platform without limits of its own.
     fn default() -> Bounds {
         Bounds {
             grace: 5.0,
@@ -86,12 +85,12 @@
     }
 }
 
-/// What to log.
+/// Logging.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Log {
-    /// Least severe level that is written: `error`, `warn`, `info` or `debug`.
+    /// Minimum level: `error`, `warn`, `info` or `debug`.
     pub level: CompactString,
 }
 
@@ -102,27 +101,27 @@
 }
 
 impl Bounds {
-    /// From the order to leave to the kill.
+    /// Grace period from SIGTERM to the kill.
     pub fn grace(&self) -> Duration {
         seconds(self.grace)
     }
 
-    /// From a runner's word that it leaves to the last request that it may get.
+    /// Time within which a draining runner must get no new requests.
     pub fn leave(&self) -> Duration {
         seconds(self.leave_ms / 1_000.0)
     }
 
-    /// Longest time for which callers keep an address answer.
+    /// Maximum time to live of an address response.
     pub fn keep(&self) -> Duration {
         seconds(self.keep)
     }
 
-    /// The bound on an unproved version.
+    /// Bound on a version during its rollout.
     pub fn exposure(&self) -> Bound {
         Bound { share: self.exposure, slack: self.trials }
     }
 
-    /// The bound on further sends.
+    /// Retry budget.
     pub fn allowance(&self) -> Allowance {
         Allowance { ratio: self.ratio, slack: self.slack, window: seconds(self.window) }
     }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -1,72 +1,72 @@
-//! What the product needs of the platform's store: rows with versions, and a feed of their changes.
+//! Interface of the platform's store: versioned rows and a change feed.
 
 use {bytes::Bytes, compact_str::CompactString, std::time::Duration};
 
-/// A result whose error is a [`StoreError`].
+/// A result with a [`StoreError`].
 pub type Result<T> = std::result::Result<T, StoreError>;
 
-/// Version of a row, or of the newest transaction that an answer reflects.
+/// Revision of a row or of the newest transaction seen by a response.
 pub type Revision = u64;
 
-/// A row, or the news that it was removed.
+/// A row or a tombstone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
-    /// Its table.
+    /// Table.
     pub table: CompactString,
-    /// Its key.
+    /// Key.
     pub key: CompactString,
-    /// Its content; `None` when it was removed.
+    /// Content; `None` for a tombstone.
     pub value: Option<Bytes>,
-    /// When it was written.
+    /// Revision of the last write.
     pub revision: Revision,
 }
 
-/// Rows and the version up to which they are complete.
+/// Rows and the revision up to which they are complete.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Rows {
-    /// In the order of keys for a read, of versions for a feed.
+    /// By key for a read, by revision for a feed.
     pub rows: Vec<Row>,
-    /// Nothing older is missing.
+    /// Revision of the snapshot.
     pub revision: Revision,
 }
 
-/// Why the store gave no answer.
+/// Why a store call failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum StoreError {
-    /// Nothing was done.
+    /// Rejected; nothing was done.
     #[error("the store is unavailable: {0}")]
     Unavailable(CompactString),
-    /// The answer was lost; a write may have been done or may be done later.
-    #[error("the store's answer was lost: {0}")]
+    /// No response; a write may have been applied or may be applied later.
+    #[error("the store's response was lost: {0}")]
     Lost(CompactString),
-    /// The feed no longer reaches back that far.
+    /// The requested history is no longer available.
     #[error("the store has dropped that part of its history")]
     Compacted,
-    /// A condition of a write doesn't hold.
+    /// A precondition failed.
     #[error("another write came first")]
     Conflict,
 }
 
-/// A row to write, with the version that it must have now: 0 when it must not exist, `None` for any.
+/// A conditional write; `expected` is the current revision, 0 for none, `None` for any.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Write {
-    /// Its table.
+    /// Table.
     pub table: CompactString,
-    /// Its key.
+    /// Key.
     pub key: CompactString,
-    /// New content; `None` removes the row.
+    /// New content; `None` deletes the row.
     pub value: Option<Bytes>,
-    /// Version that it must have.
+    /// Expected revision.
     pub expected: Option<Revision>,
 }
 
-/// The store. Every call has an end: an answer, or an error after a timeout of the client's.
+/// The store. Every call ends within the client's timeout.
 pub trait Store: Clone + 'static {
-    /// All rows of a table.
+    /// Reads a table.
     fn read(&self, table: &str) -> impl Future<Output = Result<Rows>>;
 
-    /// Rows changed after `after`, as soon as there is one or when `wait` is over.
+    /// Long-polls for rows changed after `after`.
     fn feed(
         &self,
         table: &str,
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -1,4 +1,4 @@
-//! What the control thread publishes for the threads that carry traffic.
+//! The view published by the control thread.
 
 use {
     crate::catalog::Catalog,
@@ -10,96 +10,95 @@
     tokio::sync::watch,
 };
 
-/// A runner, as it registered itself.
+/// A registered runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
-    /// Id of the runner; a restart may keep it.
+    /// Runner id; a restart may keep it.
     pub id: CompactString,
-    /// Milliseconds since the Unix epoch at its start, where it tells: with the id, one life of it.
+    /// Start time in milliseconds since the Unix epoch; identifies the incarnation.
     pub born: u64,
-    /// Its service.
+    /// Service.
     pub service: CompactString,
-    /// Where it listens.
+    /// Address.
     pub address: SocketAddr,
-    /// Its failure domain.
+    /// Failure domain.
     pub domain: CompactString,
-    /// Version of its software.
+    /// Software version.
     pub version: CompactString,
-    /// Requests that it runs at once.
+    /// Concurrent requests.
     pub slots: u32,
-    /// Whether it takes new requests.
+    /// State.
     pub state: State,
-    /// It has not registered itself yet: it was found in place of a runner that started anew, and its
-    /// time of birth is a guess.
+    /// Inferred from a restart rather than registered; `born` is a guess.
     pub assumed: bool,
 }
 
-/// Whether a runner takes new requests.
+/// State of a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum State {
-    /// It does.
+    /// Accepts requests.
     Ready,
-    /// It is about to leave.
+    /// Draining.
     Draining,
 }
 
-/// A node that callers can connect to.
+/// Addresses of a node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Deserialize, serde::Serialize)]
 pub struct NodeAddress {
-    /// Unique name of the instance.
+    /// Node name.
     pub name: CompactString,
-    /// Its failure domain.
+    /// Failure domain.
     pub domain: CompactString,
-    /// Callers' address.
+    /// Address for callers.
     pub callers: SocketAddr,
-    /// Address for other nodes.
+    /// Address for peers.
     pub peers: SocketAddr,
 }
 
-/// How a service's requests are split between versions while one is moved in.
+/// Split of a service's requests during a rollout.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Split {
-    /// The move.
+    /// Rollout.
     pub id: MoveId,
-    /// The new version.
+    /// New version.
     pub to: CompactString,
-    /// What it gets.
+    /// Rule.
     pub rule: Rule,
 }
 
-/// What a new version gets of a service's requests.
+/// Share of the new version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rule {
-    /// A bounded part.
+    /// Bounded.
     Trial,
-    /// All.
+    /// Everything.
     New,
-    /// None.
+    /// Nothing.
     Old,
 }
 
 /// Splits by service.
 pub type Splits = Arc<FxHashMap<CompactString, Split>>;
 
-/// All that traffic needs to know of the rest of the system, at one moment.
+/// Immutable snapshot of the control state.
 #[derive(Clone, Debug, Default)]
 pub struct View {
-    /// The newest catalogue; `None` until the first one is there.
+    /// Catalogue; `None` before the first one.
     pub catalog: Option<Arc<Catalog>>,
-    /// Runners by registration.
+    /// Registered runners.
     pub runners: Arc<Vec<Registration>>,
-    /// Whether the runners were ever learned.
+    /// Whether a runner list was ever loaded.
     pub listed: bool,
-    /// Nodes that callers may be told of, this one included.
+    /// Nodes for address responses, this one included.
     pub nodes: Arc<Vec<NodeAddress>>,
-    /// How requests are split, for services with a version move.
+    /// Splits of services with a rollout.
     pub splits: Splits,
-    /// Whether the store didn't answer when it was last asked.
+    /// Whether the last poll of the store failed.
     pub cut_off: bool,
 }
 
-/// The newest view, and a signal that there is one.
+/// The current view with change notification.
 #[derive(Clone)]
 pub struct Published {
     view: Arc<ArcSwap<View>>,
@@ -113,7 +112,7 @@
 }
 
 impl Published {
-    /// The newest view.
+    /// The current view.
     pub fn load(&self) -> Arc<View> {
         self.view.load_full()
     }
@@ -124,7 +123,7 @@
         self.signal.send_replace(());
     }
 
-    /// Tells of each later view, the latest one at least.
+    /// Subscribes to later views.
     pub fn watch(&self) -> watch::Receiver<()> {
         self.signal.subscribe()
     }
--- a/crates/relay/tests/domains.rs
+++ b/crates/relay/tests/domains.rs
@@ -2,7 +2,7 @@
 
 use {
     bilberryfront_relay::{
-        fleet::{Fleet, Load, Place, Wanted},
+        fleet::{Criteria, Endpoint, Fleet, Load},
         view::{Registration, State},
     },
     std::net::SocketAddr,
@@ -47,15 +47,15 @@
     fleet
 }
 
-fn wanted(memory: u32) -> Wanted<'static> {
-    Wanted {
+fn criteria(memory: u32) -> Criteria<'static> {
+    Criteria {
         service: "service",
         except: &[],
         prompt: None,
         memory,
         away: None,
         version: None,
-        steady: false,
+        stable: false,
     }
 }
 
@@ -66,12 +66,12 @@
 async fn calls_stay_in_their_domain_while_half_of_its_slots_are_free() {
     for slots in [6, 48] {
         let fleet = fleet(1, slots);
-        let call = || fleet.call(fleet.choose(&wanted(0)).unwrap());
+        let call = || fleet.call(fleet.choose(&criteria(0)).unwrap());
         let calls: Vec<_> = (0..slots).map(|_| call()).collect();
-        let near = calls.iter().filter(|c| c.place.domain == "a").count() as u32;
+        let near = calls.iter().filter(|c| c.endpoint.domain == "a").count() as u32;
         assert!((slots / 2..=slots * 3 / 4).contains(&near), "{near} of {slots}");
         drop(calls);
-        assert_eq!(call().place.domain, "a", "ended calls don't count");
+        assert_eq!(call().endpoint.domain, "a", "ended calls don't count");
     }
 }
 
@@ -80,17 +80,17 @@
 #[tokio::test(start_paused = true)]
 async fn calls_are_not_told_to_other_nodes() {
     let fleet = fleet(1, 6);
-    let place: Place = fleet.choose(&wanted(0)).unwrap();
+    let place: Endpoint = fleet.choose(&criteria(0)).unwrap();
     let call = fleet.call(place.clone());
-    assert!(fleet.news().is_empty() && fleet.loads().is_empty());
+    assert!(fleet.take_update().is_empty() && fleet.snapshot().is_empty());
     drop(call);
-    assert!(fleet.news().is_empty());
+    assert!(fleet.take_update().is_empty());
     let work = Load { running: 1, memory: 5_600, unread: 5_000 };
     let lease = fleet.lease(place, work);
-    assert_eq!(fleet.news().runners.len(), 1);
-    assert_eq!(fleet.loads().len(), 1);
+    assert_eq!(fleet.take_update().runners.len(), 1);
+    assert_eq!(fleet.snapshot().len(), 1);
     drop(lease);
-    assert_eq!(fleet.news().runners[0].running, 0);
+    assert_eq!(fleet.take_update().runners[0].running, 0);
 }
 
 /// Load: streams come while some engines are idle. One in the node's own domain is taken as long as it
@@ -103,10 +103,10 @@
         let stream = Load { running: 1, memory: engine.prompt * 6 / 5, unread: 0 };
         let mut leases = Vec::new();
         for place in 0..3 * engine.count {
-            let chosen = fleet.choose(&wanted(engine.memory)).unwrap();
+            let chosen = fleet.choose(&criteria(engine.memory)).unwrap();
             assert_eq!(chosen.domain == "a", place < engine.count, "{place} of {}", engine.count);
             leases.push(fleet.lease(chosen, stream));
         }
-        assert_eq!(fleet.choose(&wanted(engine.memory)).unwrap().domain, "a", "a second each");
+        assert_eq!(fleet.choose(&criteria(engine.memory)).unwrap().domain, "a", "a second each");
     }
 }
--- a/crates/relay/tests/fanout.rs
+++ b/crates/relay/tests/fanout.rs
@@ -2,7 +2,7 @@
 
 use {
     bilberryfront_decide::member::Target,
-    bilberryfront_relay::spread::{Peer, Routes, turn},
+    bilberryfront_relay::fanout::{Fanout, Peer, epoch},
     compact_str::{CompactString, format_compact},
     std::{collections::BTreeMap, time::Duration},
     tokio::time::Instant,
@@ -25,20 +25,20 @@
     nodes().into_iter().filter(|n| n != me).collect()
 }
 
-fn routes(me: &Peer, turn: u64) -> Routes {
-    Routes::new(&me.target.name, &me.domain, others(me), turn)
+fn routes(me: &Peer, epoch: u64) -> Fanout {
+    Fanout::new(&me.target.name, &me.domain, others(me), epoch)
 }
 
-/// What reaches whom when `me` says one thing in `turn`, without the nodes that `dead` names.
-fn heard(me: &Peer, turn: u64, dead: &[CompactString]) -> BTreeMap<CompactString, u32> {
+/// What reaches whom when `me` says one thing in `epoch`, without the nodes that `dead` names.
+fn heard(me: &Peer, epoch: u64, dead: &[CompactString]) -> BTreeMap<CompactString, u32> {
     let mut heard = BTreeMap::new();
     let mut hear = |name: &CompactString| *heard.entry(name.clone()).or_insert(0) += 1;
-    let Routes { near, relays } = routes(me, turn);
-    near.iter().for_each(|t| hear(&t.name));
+    let Fanout { local, relays } = routes(me, epoch);
+    local.iter().for_each(|t| hear(&t.name));
     for relay in relays.iter().filter(|r| !dead.contains(&r.name)) {
         hear(&relay.name);
         let relay = nodes().into_iter().find(|n| n.target == *relay).unwrap();
-        routes(&relay, turn).near.iter().for_each(|t| hear(&t.name));
+        routes(&relay, epoch).local.iter().for_each(|t| hear(&t.name));
     }
     heard
 }
@@ -76,8 +76,8 @@
     let dead: Vec<CompactString> = (0..4).map(|i| node(i).target.name).collect();
     for me in nodes().into_iter().skip(4) {
         let mut reached: Vec<CompactString> = Vec::new();
-        for turn in 0..4 {
-            reached.extend(heard(&me, turn, &dead).into_keys());
+        for epoch in 0..4 {
+            reached.extend(heard(&me, epoch, &dead).into_keys());
         }
         let missed = others(&me).into_iter().filter(|n| !reached.contains(&n.target.name));
         let living = missed.filter(|n| !dead.contains(&n.target.name)).count();
@@ -89,7 +89,7 @@
 #[test]
 fn a_turn_is_a_second() {
     let start = Instant::now();
-    let at = |ms| turn(start, start + Duration::from_millis(ms));
+    let at = |ms| epoch(start, start + Duration::from_millis(ms));
     assert_eq!([at(0), at(999), at(1_000), at(2_500)], [0, 0, 1, 2]);
-    assert_eq!(turn(start + Duration::from_secs(1), start), 0, "never before the start");
+    assert_eq!(epoch(start + Duration::from_secs(1), start), 0, "never before the start");
 }
--- a/crates/relay/tests/feed.rs
+++ b/crates/relay/tests/feed.rs
@@ -2,7 +2,7 @@
 
 use {
     bilberryfront_relay::{
-        control::follow::{Change, Follower, News, PROBE_PAUSE, REST_PAUSE},
+        control::feed::{Change, FeedEvent, FeedWatcher, PROBE_PAUSE, REST_PAUSE},
         metrics::Metrics,
         store::{Result, Revision, Row, Rows, Store, StoreError, Write},
     },
@@ -70,9 +70,9 @@
         .run_until(async {
             let store = Silent::default();
             let returns = watch::Sender::new(0);
-            let (sender, mut news) = mpsc::channel(64);
+            let (sender, mut events) = mpsc::channel(64);
             for (table, wait) in [("orders", 5_000), ("runners", 1_000)] {
-                let follower = Follower {
+                let follower = FeedWatcher {
                     store: store.clone(),
                     table,
                     every: Duration::ZERO,
@@ -91,8 +91,8 @@
             let back = Instant::now();
             let orders = async {
                 loop {
-                    match news.recv().await.unwrap() {
-                        News { table: "orders", change: Change::Rows(rows) }
+                    match events.recv().await.unwrap() {
+                        FeedEvent { table: "orders", change: Change::Rows(rows) }
                             if rows.revision == 7 =>
                         {
                             return;
@@ -152,9 +152,9 @@
         .run_until(async {
             let store = Refusing::default();
             let returns = watch::Sender::new(0);
-            let (sender, mut news) = mpsc::channel(64);
+            let (sender, mut events) = mpsc::channel(64);
             for table in ["orders", "runners", "nodes", "status"] {
-                let follower = Follower {
+                let follower = FeedWatcher {
                     store: store.clone(),
                     table,
                     every: Duration::ZERO,
@@ -176,7 +176,7 @@
             let back = Instant::now();
             let mut up = BTreeSet::new();
             while up.len() < 4 {
-                let News { table, change } = news.recv().await.unwrap();
+                let FeedEvent { table, change } = events.recv().await.unwrap();
                 if matches!(change, Change::Up) {
                     up.insert(table);
                 }
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -3,7 +3,7 @@
 use {
     bilberryfront_decide::member::message::{self, RunnerLoad},
     bilberryfront_relay::{
-        fleet::{Fleet, Load, Place, RunnerKey, Wanted},
+        fleet::{Criteria, Endpoint, Fleet, Load, RunnerKey},
         view::{Registration, State},
     },
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
@@ -42,15 +42,15 @@
     fleet
 }
 
-fn wanted(prompt: Option<u64>) -> Wanted<'static> {
-    Wanted {
+fn criteria(prompt: Option<u64>) -> Criteria<'static> {
+    Criteria {
         service: "llm",
         except: &[],
         prompt,
         memory: MEMORY,
         away: None,
         version: None,
-        steady: false,
+        stable: false,
     }
 }
 
@@ -68,12 +68,15 @@
     let mut leases = Vec::new();
     for prompt in 0..18 {
         let node = &nodes[prompt as usize % 6];
-        let place = node.choose(&wanted(Some(prompt))).unwrap();
+        let place = node.choose(&criteria(Some(prompt))).unwrap();
         *taken.entry(place.id.clone()).or_default() += 1;
         leases.push(node.lease(place, PROMPT));
-        let news = node.news();
+        let take_update = node.take_update();
         let from = format!("node{}", prompt % 6).into();
-        nodes.iter().filter(|n| !std::ptr::eq(*n, node)).for_each(|n| n.take(&from, &news));
+        nodes
+            .iter()
+            .filter(|n| !std::ptr::eq(*n, node))
+            .for_each(|n| n.apply_peer_load(&from, &take_update));
     }
     assert_eq!(taken.len(), 18, "{taken:?}");
 }
@@ -89,10 +92,10 @@
         unread: 5_000,
     };
     let runners = vec![load("r0"), load("r1")];
-    fleet.take(&"other".into(), &message::Load { runners, ..message::Load::default() });
-    assert_eq!(fleet.choose(&wanted(None)).unwrap().id, "r2");
+    fleet.apply_peer_load(&"other".into(), &message::Load { runners, ..message::Load::default() });
+    assert_eq!(fleet.choose(&criteria(None)).unwrap().id, "r2");
     advance(Duration::from_secs(3)).await;
-    let chosen: Vec<_> = (0..50).map(|_| fleet.choose(&wanted(None)).unwrap().id).collect();
+    let chosen: Vec<_> = (0..50).map(|_| fleet.choose(&criteria(None)).unwrap().id).collect();
     assert!(chosen.iter().any(|id| id != "r2"));
 }
 
@@ -103,20 +106,20 @@
 async fn a_prompt_has_the_same_homes_everywhere() {
     let nodes = [Fleet::seeded(7), Fleet::seeded(8)];
     nodes.iter().for_each(|n| n.update(&runners(20)));
-    let mut homes = BTreeMap::<_, u32>::new();
+    let mut preferred = BTreeMap::<_, u32>::new();
     for prompt in 0..180 {
-        let asked = |n: &Fleet| n.homes(&wanted(Some(prompt))).into_iter().map(|p| p.id);
+        let asked = |n: &Fleet| n.preferred(&criteria(Some(prompt))).into_iter().map(|p| p.id);
         let [one, other] = nodes.each_ref().map(|n| asked(n).collect::<Vec<_>>());
         assert_eq!(one, other);
         assert!(one.len() < 30, "{} of 60 are asked", one.len());
         for node in &nodes {
-            let chosen = node.choose(&wanted(Some(prompt))).unwrap().id;
+            let chosen = node.choose(&criteria(Some(prompt))).unwrap().id;
             assert!(one.contains(&chosen), "{chosen} is none of {one:?}");
         }
-        one.into_iter().for_each(|id| *homes.entry(id).or_default() += 1);
+        one.into_iter().for_each(|id| *preferred.entry(id).or_default() += 1);
     }
-    assert_eq!(homes.len(), 60);
-    assert!(homes.values().all(|n| (40..=104).contains(n)), "{homes:?}");
+    assert_eq!(preferred.len(), 60);
+    assert!(preferred.values().all(|n| (40..=104).contains(n)), "{preferred:?}");
 }
 
 /// Load: a runner's memory fills with copies of others' requests. Beyond it, runs are preempted and their
@@ -124,17 +127,17 @@
 #[tokio::test(start_paused = true)]
 async fn a_home_whose_memory_is_short_is_passed_over() {
     let fleet = fleet(10);
-    let homes = fleet.homes(&wanted(Some(7)));
-    let is_home = |place: &Place| homes.iter().any(|home| home.id == place.id);
+    let preferred = fleet.preferred(&criteria(Some(7)));
+    let is_home = |place: &Endpoint| preferred.iter().any(|home| home.id == place.id);
     let copy = Load { running: 0, memory: 5_600, unread: 0 };
     let mut leases = Vec::new();
     for _ in 0..7 {
-        let copies = homes.iter().map(|home| fleet.lease(home.clone(), copy));
+        let copies = preferred.iter().map(|home| fleet.lease(home.clone(), copy));
         leases.push(copies.collect::<Vec<_>>());
     }
-    assert!((0..50).all(|_| !is_home(&fleet.choose(&wanted(Some(7))).unwrap())));
+    assert!((0..50).all(|_| !is_home(&fleet.choose(&criteria(Some(7))).unwrap())));
     leases.truncate(1);
-    assert!((0..50).all(|_| is_home(&fleet.choose(&wanted(Some(7))).unwrap())));
+    assert!((0..50).all(|_| is_home(&fleet.choose(&criteria(Some(7))).unwrap())));
 }
 
 /// Load: streams run at some of a prompt's home runners. Reading a prompt slows them to a fifth for a
@@ -144,15 +147,15 @@
     let fleet = fleet(6);
     let stream = Load { running: 1, memory: 5_600, unread: 0 };
     let mut leases = Vec::new();
-    let mut homes = Vec::new();
+    let mut preferred = Vec::new();
     for _ in 0..4 {
-        let place = fleet.choose(&wanted(Some(7))).unwrap();
-        assert!(!homes.contains(&place.id), "{homes:?}");
-        homes.push(place.id.clone());
+        let place = fleet.choose(&criteria(Some(7))).unwrap();
+        assert!(!preferred.contains(&place.id), "{preferred:?}");
+        preferred.push(place.id.clone());
         leases.push(fleet.lease(place, stream));
     }
-    let asked: Vec<_> = fleet.homes(&wanted(Some(7))).into_iter().map(|p| p.id).collect();
-    assert!(homes.iter().all(|id| asked.contains(id)), "{homes:?} of {asked:?}");
+    let asked: Vec<_> = fleet.preferred(&criteria(Some(7))).into_iter().map(|p| p.id).collect();
+    assert!(preferred.iter().all(|id| asked.contains(id)), "{preferred:?} of {asked:?}");
 }
 
 /// A failure domain goes down. Two of its runners fail; the others haven't been tried, and each try
@@ -162,13 +165,13 @@
     let fleet = fleet(4);
     let keys: Vec<_> = (0..4).map(|i| find(&fleet, &format!("r{i}"))).collect();
     fleet.failed(keys[0], Instant::now());
-    assert!(!fleet.is_avoided(keys[2]), "one failure is one runner's");
+    assert!(!fleet.is_ejected(keys[2]), "one failure is one runner's");
     fleet.failed(keys[1], Instant::now());
-    assert!(fleet.is_avoided(keys[2]) && fleet.is_avoided(keys[3]));
+    assert!(fleet.is_ejected(keys[2]) && fleet.is_ejected(keys[3]));
     fleet.alive(keys[3], Instant::now());
-    assert!(!fleet.is_avoided(keys[3]));
+    assert!(!fleet.is_ejected(keys[3]));
     for _ in 0..50 {
-        let place = fleet.choose(&wanted(None)).unwrap();
+        let place = fleet.choose(&criteria(None)).unwrap();
         assert!(place.domain != "a" || place.key == keys[3]);
     }
 }
@@ -181,9 +184,9 @@
     let [dead, living] = [find(&fleet, "r0"), find(&fleet, "r2")];
     fleet.alive(living, Instant::now());
     let failed = vec!["r0".into(), "r2".into()];
-    fleet.take(&"other".into(), &message::Load { failed, ..message::Load::default() });
-    assert!(fleet.is_avoided(dead));
-    assert!(!fleet.is_avoided(living));
+    fleet.apply_peer_load(&"other".into(), &message::Load { failed, ..message::Load::default() });
+    assert!(fleet.is_ejected(dead));
+    assert!(!fleet.is_ejected(living));
 }
 
 /// A copy of a running request's memory is sent without a word back: at a runner that is still down it
@@ -195,11 +198,11 @@
     let dead = find(&fleet, "r1");
     fleet.failed(dead, Instant::now());
     advance(Duration::from_millis(1_500)).await;
-    assert!(!fleet.is_avoided(dead));
-    let steady = Wanted { steady: true, ..wanted(None) };
-    assert!((0..50).all(|_| fleet.choose(&steady).unwrap().key != dead));
+    assert!(!fleet.is_ejected(dead));
+    let stable = Criteria { stable: true, ..criteria(None) };
+    assert!((0..50).all(|_| fleet.choose(&stable).unwrap().key != dead));
     advance(Duration::from_secs(2)).await;
-    assert!((0..50).any(|_| fleet.choose(&steady).unwrap().key == dead));
+    assert!((0..50).any(|_| fleet.choose(&stable).unwrap().key == dead));
 }
 
 /// Load: one failure domain after the other crashes, and the one that is still whole is next. A run there is
@@ -209,7 +212,7 @@
 async fn a_copy_leaves_its_domain_even_for_a_runner_that_was_down() {
     let fleet = Fleet::seeded(7);
     fleet.update(&runners(2)[..4]);
-    let copy = Wanted { away: Some("a"), steady: true, ..wanted(None) };
+    let copy = Criteria { away: Some("a"), stable: true, ..criteria(None) };
     for id in ["r2", "r3"] {
         fleet.failed(find(&fleet, id), Instant::now());
     }
@@ -231,9 +234,9 @@
     fleet.update(&registrations);
     let new = find(&fleet, "r0");
     assert_ne!(old, new);
-    assert!(!fleet.is_avoided(new));
+    assert!(!fleet.is_ejected(new));
     drop(lease);
-    assert!(fleet.loads().is_empty());
+    assert!(fleet.snapshot().is_empty());
 }
 
 fn find(fleet: &Fleet, id: &str) -> RunnerKey {
--- a/crates/relay/tests/parts.rs
+++ b/crates/relay/tests/parts.rs
@@ -4,8 +4,8 @@
     bilberryfront_relay::{
         budget::{Allowance, Budget},
         catalog::{Account, Catalog, Denied, Kind, Limits, Route, Target},
+        drain::Drain,
         events::{Event, Splitter},
-        leaving::Leaving,
     },
     quickcheck::{Gen, QuickCheck},
     std::time::Duration,
@@ -151,16 +151,16 @@
 /// begun once a quarter of it is over.
 #[tokio::test(start_paused = true)]
 async fn a_leaving_node_takes_no_stream_that_it_would_cut() {
-    let leaving = Leaving::new(Duration::from_secs(8));
+    let drain = Drain::new(Duration::from_secs(8));
     let long = Duration::from_secs(20);
-    assert!(!leaving.outlasts_grace(Instant::now() + long));
-    leaving.order();
-    let at = leaving.ordered().await;
-    assert!(!leaving.outlasts_grace(Instant::now() + long), "callers may not know yet");
+    assert!(!drain.outlives_grace(Instant::now() + long));
+    drain.start();
+    let at = drain.started().await;
+    assert!(!drain.outlives_grace(Instant::now() + long), "callers may not know yet");
     advance(Duration::from_secs(3)).await;
-    leaving.order();
-    assert_eq!(leaving.ordered().await, at);
-    assert!(leaving.outlasts_grace(Instant::now() + long));
-    assert!(!leaving.outlasts_grace(Instant::now() + Duration::from_secs(1)));
-    assert!(leaving.end(at) < at + Duration::from_secs(8));
+    drain.start();
+    assert_eq!(drain.started().await, at);
+    assert!(drain.outlives_grace(Instant::now() + long));
+    assert!(!drain.outlives_grace(Instant::now() + Duration::from_secs(1)));
+    assert!(drain.kill_deadline(at) < at + Duration::from_secs(8));
 }
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -4,9 +4,9 @@
     bilberryfront_decide::member::message::Restart,
     bilberryfront_relay::{
         catalog::Catalog,
-        control::listing::Listing,
-        moves::{Order, Record},
+        control::registry::RunnerRegistry,
         records::{BadRecord, Records},
+        rollouts::{Record, RolloutOrder},
         store::Row,
         view::{Registration, State},
     },
@@ -48,15 +48,15 @@
         })
     }
 
-    fn order(&self, _: &str, _: &[u8]) -> Option<Result<Order, BadRecord>> {
+    fn order(&self, _: &str, _: &[u8]) -> Option<Result<RolloutOrder, BadRecord>> {
         None
     }
 
-    fn told(&self, _: &str, _: &[u8]) -> Option<Result<Record, BadRecord>> {
+    fn parse_status(&self, _: &str, _: &[u8]) -> Option<Result<Record, BadRecord>> {
         None
     }
 
-    fn tell(&self, record: &Record) -> (CompactString, Bytes) {
+    fn encode_status(&self, record: &Record) -> (CompactString, Bytes) {
         (record.service.clone(), Bytes::new())
     }
 }
@@ -66,14 +66,14 @@
     Row { table: "runners".into(), key: id.into(), value, revision: 1 }
 }
 
-fn ids(listing: &Listing) -> Vec<String> {
-    listing.runners().iter().map(|r| r.id.to_string()).collect()
+fn ids(registry: &RunnerRegistry) -> Vec<String> {
+    registry.runners().iter().map(|r| r.id.to_string()).collect()
 }
 
-fn listing(rows: &[Row]) -> Listing {
-    let mut listing = Listing::default();
-    assert!(listing.replace(Instant::now(), rows, &Spelled));
-    listing
+fn registry(rows: &[Row]) -> RunnerRegistry {
+    let mut registry = RunnerRegistry::default();
+    assert!(registry.replace(Instant::now(), rows, &Spelled));
+    registry
 }
 
 /// A runner dies and its process starts anew at the same address under a new id, while the old entry
@@ -81,14 +81,14 @@
 /// running request's memory, which goes to the address, couldn't be found again.
 #[tokio::test(start_paused = true)]
 async fn a_runner_born_later_takes_over_the_address() {
-    let mut listing =
-        listing(&[row("old", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")]);
+    let mut registry =
+        registry(&[row("old", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")]);
     let now = Instant::now();
-    assert!(listing.update(now, &[row("new", "10.0.0.1:80 9 ready")], &Spelled));
-    assert_eq!(ids(&listing), ["b", "new"]);
+    assert!(registry.update(now, &[row("new", "10.0.0.1:80 9 ready")], &Spelled));
+    assert_eq!(ids(&registry), ["b", "new"]);
     // A late report of the old life changes nothing.
-    assert!(!listing.update(now, &[row("old", "10.0.0.1:80 5 ready")], &Spelled));
-    assert_eq!(ids(&listing), ["b", "new"]);
+    assert!(!registry.update(now, &[row("old", "10.0.0.1:80 5 ready")], &Spelled));
+    assert_eq!(ids(&registry), ["b", "new"]);
 }
 
 /// The store is away, and entries lapse because runners can't report. Its first answer lacks them,
@@ -96,19 +96,19 @@
 #[tokio::test(start_paused = true)]
 async fn entries_that_lapsed_in_an_outage_are_kept_until_runners_could_report() {
     let all = [row("a", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")];
-    let mut listing = listing(&all);
-    listing.down();
+    let mut registry = registry(&all);
+    registry.down();
     advance(Duration::from_secs(5)).await;
-    listing.up(Instant::now());
-    listing.replace(Instant::now(), &[], &Spelled);
-    assert_eq!(ids(&listing), ["a", "b"]);
+    registry.up(Instant::now());
+    registry.replace(Instant::now(), &[], &Spelled);
+    assert_eq!(ids(&registry), ["a", "b"]);
     advance(Duration::from_millis(500)).await;
-    listing.update(Instant::now(), &all[..1], &Spelled);
+    registry.update(Instant::now(), &all[..1], &Spelled);
     advance(Duration::from_secs(1)).await;
-    assert!(!listing.settle(Instant::now()));
+    assert!(!registry.settle(Instant::now()));
     advance(Duration::from_secs(1)).await;
-    assert!(listing.settle(Instant::now()));
-    assert_eq!(ids(&listing), ["a"], "who stayed away is gone");
+    assert!(registry.settle(Instant::now()));
+    assert_eq!(ids(&registry), ["a"], "who stayed away is gone");
 }
 
 /// The store is away, and engines crash and start anew under ids that only the store would tell. What a
@@ -118,31 +118,32 @@
 async fn a_runner_that_restarts_in_an_outage_keeps_its_place() {
     let restart = |id: &str| Restart { former: "a".into(), id: id.into() };
     let all = [row("a", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")];
-    let mut listing = listing(&all);
-    assert!(!listing.take_over(&[restart("a2")]), "the store is there");
-    listing.down();
-    assert!(listing.take_over(&[restart("a2")]));
-    assert_eq!(ids(&listing), ["a2", "b"]);
-    assert_eq!(listing.runners()[0].address, "10.0.0.1:80".parse().unwrap());
-    assert!(!listing.take_over(&[restart("a2")]), "told twice");
+    let mut registry = registry(&all);
+    assert!(!registry.adopt_restarts(&[restart("a2")]), "the store is there");
+    registry.down();
+    assert!(registry.adopt_restarts(&[restart("a2")]));
+    assert_eq!(ids(&registry), ["a2", "b"]);
+    assert_eq!(registry.runners()[0].address, "10.0.0.1:80".parse().unwrap());
+    assert!(!registry.adopt_restarts(&[restart("a2")]), "told twice");
     assert!(
-        !listing.update(Instant::now(), &all[..1], &Spelled),
+        !registry.update(Instant::now(), &all[..1], &Spelled),
         "a late report of the former life"
     );
-    listing.up(Instant::now());
-    listing.replace(Instant::now(), &all[1..], &Spelled);
-    assert_eq!(ids(&listing), ["a2", "b"], "it has time to register");
+    registry.up(Instant::now());
+    registry.replace(Instant::now(), &all[1..], &Spelled);
+    assert_eq!(ids(&registry), ["a2", "b"], "it has time to register");
     advance(Duration::from_secs(3)).await;
-    assert!(listing.settle(Instant::now()));
-    assert_eq!(ids(&listing), ["b"]);
+    assert!(registry.settle(Instant::now()));
+    assert_eq!(ids(&registry), ["b"]);
 }
 
 /// Without an outage an entry's removal is a runner's leaving: it gets nothing new from then on.
 #[tokio::test(start_paused = true)]
 async fn a_removed_entry_counts_at_once() {
-    let mut listing = listing(&[row("a", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")]);
-    assert!(listing.update(Instant::now(), &[row("a", "")], &Spelled));
-    assert_eq!(ids(&listing), ["b"]);
+    let mut registry =
+        registry(&[row("a", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")]);
+    assert!(registry.update(Instant::now(), &[row("a", "")], &Spelled));
+    assert_eq!(ids(&registry), ["b"]);
 }
 
 /// Somebody else than a runner writes an entry that can't be read: it names no runner, and the others
@@ -150,8 +151,8 @@
 #[tokio::test(start_paused = true)]
 async fn an_unreadable_entry_hurts_no_other() {
     let rows = [row("a", "10.0.0.1:80 5 ready"), row("b", "\u{1}"), row("c", "x")];
-    let mut listing = listing(&rows);
-    assert_eq!(ids(&listing), ["a"]);
-    assert!(listing.update(Instant::now(), &[row("a", "nonsense")], &Spelled));
-    assert!(ids(&listing).is_empty());
+    let mut registry = registry(&rows);
+    assert_eq!(ids(&registry), ["a"]);
+    assert!(registry.update(Instant::now(), &[row("a", "nonsense")], &Spelled));
+    assert!(ids(&registry).is_empty());
 }
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -6,9 +6,9 @@
         mover::{Cause, MoveId, PeerNews, Verdict},
     },
     bilberryfront_relay::{
-        moves::{
-            Moves, Order, Phase, Record, Trial, Wish,
-            exposure::{Bound, Given},
+        rollouts::{
+            Action, Phase, Record, RolloutOrder, Rollouts, Trial,
+            exposure::{Bound, Exposure},
         },
         view::{Rule, Split},
     },
@@ -25,8 +25,8 @@
 
 /// One node: its moves, and what its traffic has given.
 struct Node {
-    moves: Moves,
-    given: Given,
+    rollouts: Rollouts,
+    given: Exposure,
     /// Neither the store nor peers are reached.
     cut: bool,
     dead: bool,
@@ -61,17 +61,17 @@
     new: u32,
 }
 
-fn order() -> Order {
-    Order { service: "llm".into(), to: "v2".into(), time: TIME }
+fn order() -> RolloutOrder {
+    RolloutOrder { service: "llm".into(), to: "v2".into(), time: TIME }
 }
 
 impl World {
     fn new(seed: u64, failing: Failing) -> World {
         let now = Instant::now();
         let node = |i: u64| {
-            let mut moves = Moves::new(Incarnation(i + 1));
-            moves.order(now, 10, order());
-            Node { moves, given: Given::default(), cut: false, dead: false }
+            let mut rollouts = Rollouts::new(Incarnation(i + 1));
+            rollouts.order(now, 10, order());
+            Node { rollouts, given: Exposure::default(), cut: false, dead: false }
         };
         World {
             nodes: (0..6).map(node).collect(),
@@ -101,18 +101,18 @@
         let count = self.nodes.len();
         for (from, news) in std::mem::take(&mut self.news) {
             let others = self.nodes.iter_mut().enumerate().filter(|(i, n)| *i != from && !n.cut);
-            others.for_each(|(_, node)| node.moves.hear(now, &news));
+            others.for_each(|(_, node)| node.rollouts.handle_peer_update(now, &news));
         }
         for i in 0..count {
             if self.nodes[i].dead {
                 continue;
             }
             self.traffic(i, now);
-            self.nodes[i].moves.runners("llm", 4);
-            for wish in self.nodes[i].moves.tick(now, i, count) {
+            self.nodes[i].rollouts.runners("llm", 4);
+            for wish in self.nodes[i].rollouts.tick(now, i, count) {
                 match wish {
-                    Wish::Tell(news) if !self.nodes[i].cut => self.news.push((i, news)),
-                    Wish::Write { record, expected } if !self.nodes[i].cut => {
+                    Action::Tell(news) if !self.nodes[i].cut => self.news.push((i, news)),
+                    Action::Write { record, expected } if !self.nodes[i].cut => {
                         self.write(&record, expected);
                     }
                     _ => {}
@@ -126,11 +126,11 @@
         if self.store_down || held != expected {
             return;
         }
-        self.finals += u32::from(record.phase != Phase::Trying);
+        self.finals += u32::from(record.phase != Phase::Canary);
         self.revision += 1;
         self.store = Some((self.revision, record.clone()));
         let reached = self.nodes.iter_mut().filter(|n| !n.cut && !n.dead);
-        reached.for_each(|node| node.moves.record(self.revision, record.clone()));
+        reached.for_each(|node| node.rollouts.record(self.revision, record.clone()));
     }
 
     fn traffic(&mut self, i: usize, now: Instant) {
@@ -156,11 +156,11 @@
             pace: None,
             runner: self.rng.random_range(0..4),
         };
-        self.nodes[i].moves.observe(&trial);
+        self.nodes[i].rollouts.observe(&trial);
     }
 
     fn split(&self, i: usize) -> Split {
-        self.nodes[i].moves.splits()["llm"].clone()
+        self.nodes[i].rollouts.splits()["llm"].clone()
     }
 
     fn rules(&self) -> Vec<Rule> {
@@ -199,7 +199,7 @@
         for seed in 0..10 {
             let mut world = World::new(seed, failing);
             world.run(TIME).await;
-            assert_eq!(world.phase(), Some(Phase::TakenBack), "{name}, seed {seed}");
+            assert_eq!(world.phase(), Some(Phase::RolledBack), "{name}, seed {seed}");
             assert!(world.rules().iter().all(|r| *r == Rule::Old));
             assert!(world.within_bound(), "{} of {}", world.new, world.all);
         }
@@ -242,7 +242,7 @@
     assert_eq!(world.phase(), None);
     world.store_down = false;
     world.run(Duration::from_secs(3)).await;
-    assert_eq!((world.phase(), world.finals), (Some(Phase::TakenBack), 1));
+    assert_eq!((world.phase(), world.finals), (Some(Phase::RolledBack), 1));
 }
 
 /// A node is cut off from the store and its peers, and hears neither evidence nor verdict. It keeps to
@@ -259,7 +259,7 @@
 /// the store's word counts.
 #[tokio::test(start_paused = true)]
 async fn the_stores_first_final_word_counts() {
-    let mut node = Moves::new(Incarnation(9));
+    let mut node = Rollouts::new(Incarnation(9));
     node.order(Instant::now(), 10, order());
     let news = PeerNews {
         from: Incarnation(1),
@@ -274,7 +274,7 @@
         }),
         evidence: None,
     };
-    node.hear(Instant::now(), &news);
+    node.handle_peer_update(Instant::now(), &news);
     assert_eq!(node.splits()["llm"].rule, Rule::Old);
     let record = Record { service: "llm".into(), to: "v2".into(), phase: Phase::Completed };
     node.record(12, record);
@@ -288,13 +288,13 @@
     let record = |phase| Record { service: "llm".into(), to: "v2".into(), phase };
     for (revision, phase, rule) in [
         (12, Phase::Completed, Rule::New),
-        (12, Phase::TakenBack, Rule::Old),
-        (12, Phase::Trying, Rule::Trial),
+        (12, Phase::RolledBack, Rule::Old),
+        (12, Phase::Canary, Rule::Trial),
         (9, Phase::Completed, Rule::Trial),
-        (9, Phase::TakenBack, Rule::Trial),
+        (9, Phase::RolledBack, Rule::Trial),
     ] {
         for first in [true, false] {
-            let mut node = Moves::new(Incarnation(1));
+            let mut node = Rollouts::new(Incarnation(1));
             if first {
                 node.record(revision, record(phase));
             }
@@ -311,18 +311,18 @@
 /// ones.
 #[tokio::test(start_paused = true)]
 async fn a_version_without_runners_is_not_completed() {
-    let mut node = Moves::new(Incarnation(1));
+    let mut node = Rollouts::new(Incarnation(1));
     node.order(Instant::now(), 10, order());
     let mut records = BTreeMap::new();
     let end = Instant::now() + TIME;
     while Instant::now() < end {
         for wish in node.tick(Instant::now(), 0, 1) {
-            if let Wish::Write { record, .. } = wish {
+            if let Action::Write { record, .. } = wish {
                 records.insert(record.phase as u8, record.phase);
             }
         }
         advance(STEP).await;
     }
     assert!(records.values().all(|p| *p != Phase::Completed));
-    assert!(records.values().any(|p| *p == Phase::TakenBack));
+    assert!(records.values().any(|p| *p == Phase::RolledBack));
 }
--- a/crates/scenarios/src/node.rs
+++ b/crates/scenarios/src/node.rs
@@ -84,7 +84,7 @@
         let link =
             Link { name: name.into(), service, net, gate: gate.clone(), cut: Arc::default() };
         let wire = Wire { name: name.into(), gate: gate.clone(), fleet, net: site.net.clone() };
-        let core = Core::new(seed, place());
+        let core = Core::new(seed, location());
         let leaving = Leaving::default();
         let (face, inbox) = site.net.face(name, &gate);
         let mover = Mover::new(Incarnation(seed), seed, Instant::now(), site.wall.now());
@@ -176,7 +176,7 @@
     }
 }
 
-fn place() -> Place {
+fn location() -> Place {
     Place { region: "region".into(), domain: "domain-1".into() }
 }
 
@@ -184,7 +184,7 @@
     let Instance { url, domain, peer, .. } = listed(name);
     let peer = peer.unwrap_or_default();
     let life = message::Life { epoch: seed, incarnation: Incarnation(seed) };
-    Me { name: name.into(), life, place: message::Place { domain, url, peer } }
+    Me { name: name.into(), life, location: message::NodeLocation { domain, url, peer } }
 }
 
 /// The node as the platform lists it.
--- a/crates/scenarios/src/runner.rs
+++ b/crates/scenarios/src/runner.rs
@@ -8,7 +8,7 @@
     },
     bilberryfront::traffic::{
         send::{Outgoing, Reply},
-        upstream::{Failure, Result, Said},
+        upstream::{Failure, Result, RunnerEvent},
     },
     bilberryfront_decide::event::Verdict,
     bilberryfront_wire::{
@@ -84,7 +84,7 @@
     left: Option<Instant>,
     running: u32,
     work: Vec<AbortHandle>,
-    open: Vec<mpsc::UnboundedSender<Result<Said>>>,
+    open: Vec<mpsc::UnboundedSender<Result<RunnerEvent>>>,
 }
 
 /// How a runner is made.
@@ -189,7 +189,7 @@
         &self,
         node: &str,
         generate: &Generate,
-    ) -> Result<mpsc::UnboundedReceiver<Result<Said>>> {
+    ) -> Result<mpsc::UnboundedReceiver<Result<RunnerEvent>>> {
         if self.gate.life() == Life::Dead {
             return Err(Failure::Lost(Verdict::Broken));
         }
@@ -279,13 +279,13 @@
         _ = answer.send(Reply { status, headers: Default::default(), body: body.into() });
     }
 
-    pub(crate) fn begun(&self, stream: &mpsc::UnboundedSender<Result<Said>>) {
+    pub(crate) fn begun(&self, stream: &mpsc::UnboundedSender<Result<RunnerEvent>>) {
         let mut state = self.state.lock().unwrap();
         state.running += 1;
         state.open.push(stream.clone());
     }
 
-    pub(crate) fn ended(&self, stream: &mpsc::UnboundedSender<Result<Said>>) {
+    pub(crate) fn ended(&self, stream: &mpsc::UnboundedSender<Result<RunnerEvent>>) {
         let mut state = self.state.lock().unwrap();
         state.running = state.running.saturating_sub(1);
         state.open.retain(|s| !s.same_channel(stream));
--- a/crates/scenarios/src/wire.rs
+++ b/crates/scenarios/src/wire.rs
@@ -9,7 +9,7 @@
     },
     bilberryfront::traffic::{
         send::{Exchange, Outgoing, Sent},
-        upstream::{Engines, Failure, Result, Said, Source},
+        upstream::{Engines, Failure, Result, RunnerEvent, Source},
     },
     bilberryfront_decide::event::Verdict,
     bilberryfront_wire::runner::{Generate, LoadReport},
@@ -34,7 +34,7 @@
 pub(crate) struct Stream {
     wire: Wire,
     runner: CompactString,
-    said: mpsc::UnboundedReceiver<Result<Said>>,
+    said: mpsc::UnboundedReceiver<Result<RunnerEvent>>,
 }
 
 impl Wire {
@@ -74,7 +74,7 @@
 }
 
 impl Source for Stream {
-    async fn next(&mut self, wait: Duration) -> Result<Said> {
+    async fn next(&mut self, wait: Duration) -> Result<RunnerEvent> {
         let Stream { wire, runner, said } = self;
         let next = async {
             wire.net.joined(&wire.name, runner).await;
@@ -89,7 +89,7 @@
         }
     }
 
-    fn try_next(&mut self) -> Option<Result<Said>> {
+    fn try_next(&mut self) -> Option<Result<RunnerEvent>> {
         let joins = self.wire.net.joins(&self.wire.name, &self.runner);
         if joins { self.said.try_recv().ok() } else { None }
     }
--- a/crates/scenarios/src/writer.rs
+++ b/crates/scenarios/src/writer.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{language::RunnerAct, runner::Runner},
-    bilberryfront::traffic::upstream::{Failure, Result, Said},
+    bilberryfront::traffic::upstream::{Failure, Result, RunnerEvent},
     bilberryfront_decide::event::Verdict,
     bilberryfront_wire::{
         completion::FinishReason,
@@ -29,7 +29,7 @@
     pub(crate) runner: Runner,
     pub(crate) generate: Generate,
     pub(crate) salt: u64,
-    pub(crate) sender: mpsc::UnboundedSender<Result<Said>>,
+    pub(crate) sender: mpsc::UnboundedSender<Result<RunnerEvent>>,
 }
 
 impl Writer {
@@ -53,7 +53,7 @@
                     return self.say(Err(Failure::Lost(Verdict::Broken)));
                 }
                 Some(RunnerAct::StallAt(_)) => std::future::pending().await,
-                Some(RunnerAct::EndAt(_)) => return self.say(Ok(Said::Done)),
+                Some(RunnerAct::EndAt(_)) => return self.say(Ok(RunnerEvent::Done)),
                 Some(RunnerAct::FinishAt(_)) => return self.finish(end),
                 Some(RunnerAct::SkipAt(_)) => {
                     text.push_str(&token);
@@ -67,7 +67,7 @@
                 _ => {}
             }
             if at > end {
-                return self.say(Ok(Said::Done));
+                return self.say(Ok(RunnerEvent::Done));
             }
             if at == end {
                 self.finish(end);
@@ -98,7 +98,7 @@
     }
 
     fn token(&self, attempt: u32, index: u32, text: CompactString) {
-        self.say(Ok(Said::Token(attempt, Token { index, text })));
+        self.say(Ok(RunnerEvent::Token(attempt, Token { index, text })));
     }
 
     fn finish(&self, tokens: u32) {
@@ -106,10 +106,10 @@
             true => FinishReason::Length,
             false => FinishReason::Stop,
         };
-        self.say(Ok(Said::Finish(Finish { tokens, reason })));
+        self.say(Ok(RunnerEvent::Finish(Finish { tokens, reason })));
     }
 
-    fn say(&self, said: Result<Said>) {
+    fn say(&self, said: Result<RunnerEvent>) {
         // The node may have gone.
         _ = self.sender.send(said);
     }
--- a/examples/intents.rs
+++ b/examples/intents.rs
@@ -58,7 +58,7 @@
     println!("\n{DESIGN_RATE} calls/s over n nodes that write");
     head();
     for nodes in [6, 25, 50, 100, 1100] {
-        let limits = Limits { gap: share(nodes), patience: LENGTH, ..Limits::default() };
+        let limits = Limits { gap: share(nodes), timeout: LENGTH, ..Limits::default() };
         let rate = DESIGN_RATE / nodes;
         line(&format!("{nodes} writers"), rate, &run(rate, limits, Duration::ZERO));
     }
--- a/examples/measure/control/peers.rs
+++ b/examples/measure/control/peers.rs
@@ -6,7 +6,7 @@
     bilberryfront::peer::{PeerConfig, PeerNet, Received},
     bilberryfront_decide::member::{
         PeerMessage, Target,
-        message::{CatalogPush, Place},
+        message::{CatalogPush, NodeLocation},
     },
     bilberryfront_harness::certificates::Authority,
     compact_str::{CompactString, format_compact},
@@ -47,12 +47,12 @@
 async fn messages(authority: &Authority, folder: &Path) -> io::Result<()> {
     let (from, mut asked, back) = face(authority, folder, "a")?;
     let (to, mut events, target) = face(authority, folder, "b")?;
-    let place = Place {
+    let location = NodeLocation {
         domain: "east-mids-1".into(),
         url: "http://10.1.0.1:8080".into(),
         peer: "10.1.0.1:7000".into(),
     };
-    let heartbeat = PeerMessage::Heartbeat(heartbeat(1, place));
+    let heartbeat = PeerMessage::Heartbeat(heartbeat(1, location));
     let bytes =
         bilberryfront::peer::codec::encode(&"a".into(), &heartbeat).map_err(io::Error::other)?;
     let push = PeerMessage::CatalogPush(CatalogPush { revision: 2, doc: "x".repeat(150 << 10) });
--- a/examples/measure/control/state.rs
+++ b/examples/measure/control/state.rs
@@ -133,8 +133,8 @@
 }
 
 fn core(list: &InstanceList) -> Core {
-    let place = Place { region: "region-0".into(), domain: "east-mids-0".into() };
-    let mut core = Core::new(1, place);
+    let location = Place { region: "region-0".into(), domain: "east-mids-0".into() };
+    let mut core = Core::new(1, location);
     let (now, doc) = (Instant::now(), Arc::new(doc(750)));
     core.step(now, Event::Catalog { revision: 1, doc }, &mut Vec::new());
     core.step(now, Event::Instances(list.clone()), &mut Vec::new());
@@ -145,9 +145,9 @@
 fn members(list: &InstanceList) -> Members {
     let now = Instant::now();
     let nodes = list.instances.iter().filter(|i| i.kind == InstanceKind::Node);
-    let place = |i: &bilberryfront_wire::instance::Instance| {
+    let location = |i: &bilberryfront_wire::instance::Instance| {
         let peer = i.peer.clone().unwrap_or_default();
-        bilberryfront_decide::member::message::Place {
+        bilberryfront_decide::member::message::NodeLocation {
             domain: i.domain.clone(),
             url: i.url.clone(),
             peer,
@@ -157,18 +157,18 @@
         name: i.name.clone(),
         moment: Moment { life: life(n), beat: 1 },
         state: NodeState::Ready,
-        place: Some(place(i)),
+        location: Some(location(i)),
     });
     let claims = claims.collect::<Vec<_>>();
     let first = nodes.clone().next().expect("each size has nodes");
-    let me = Me { name: first.name.clone(), life: life(0), place: place(first) };
+    let me = Me { name: first.name.clone(), life: life(0), location: location(first) };
     let mut members = Members::new(1, now, me);
     members.list(now, list);
     members.ready();
     let from = claims[0].name.clone();
     members.receive(now, &from, &PeerMessage::MembersPush(claims), &mut Vec::new());
     for (n, node) in nodes.enumerate().skip(1).take(7) {
-        let heartbeat = heartbeat(n, place(node));
+        let heartbeat = heartbeat(n, location(node));
         members.receive(now, &node.name, &PeerMessage::Heartbeat(heartbeat), &mut Vec::new());
     }
     members
@@ -177,7 +177,7 @@
 /// A heartbeat as it is at rest.
 pub(super) fn heartbeat(
     n: usize,
-    place: bilberryfront_decide::member::message::Place,
+    location: bilberryfront_decide::member::message::NodeLocation,
 ) -> Heartbeat {
     let usage = (0..4).map(|i| Usage {
         entry: "model-0".into(),
@@ -187,10 +187,10 @@
     Heartbeat {
         moment: Moment { life: life(n), beat: 2 },
         state: NodeState::Ready,
-        place: Some(place),
+        location: Some(location),
         revision: 1,
         usage: usage.collect(),
-        news: Vec::new(),
+        updates: Vec::new(),
     }
 }
 
--- a/src/catalogue/store.rs
+++ b/src/catalogue/store.rs
@@ -145,10 +145,9 @@
 
     /// Makes `doc` the revision after `expected`, unless there is one already.
     ///
-    /// A reply of the table service can be lost after the commit took effect, and the operator would
-    /// then be told of a failure or, after a second try, of a conflict with the own change. So a
-    /// commit with a lost reply is sent again with the same apply id. It is conditional on the same
-    /// head, so at most one send takes effect, and the row of the revision tells whose it was.
+    /// The table's response may be lost after the commit. The commit is then retried with the same
+    /// apply id: it is conditional on the same head, so it takes effect at most once, and the
+    /// revision's row identifies its author.
     pub async fn apply(
         &self,
         doc: &CatalogDoc,
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -45,7 +45,7 @@
 fn serve() -> Command {
     let settings = file("settings", "The node's settings, JSON with comments");
     Command::new("serve")
-        .about("Runs a node until it is told to leave by SIGTERM")
+        .about("Runs a node until it is stopped by SIGTERM")
         .arg(settings.long("settings").value_name("FILE").required(true))
         .after_help("Example:\n  bilberryfront serve --settings node.jsonc")
 }
@@ -53,7 +53,7 @@
 fn relay() -> Command {
     let settings = file("settings", "The instance's settings, JSON with comments");
     Command::new("relay")
-        .about("Runs an entry instance on the users' platform until it is told to leave by SIGTERM")
+        .about("Runs an entry instance on the users' platform until it is stopped by SIGTERM")
         .arg(
             settings.long("settings").value_name("FILE").env("BILBERRYFRONT_CONFIG").required(true),
         )
@@ -65,7 +65,7 @@
         .long("kind")
         .value_name("KIND")
         .value_parser(["settings", "relay", "catalogue"])
-        .help("What the files are; by default told from their content");
+        .help("What the files are; detected from their content by default");
     let files = file("files", "Settings or catalogue files");
     Command::new("check")
         .about("Checks settings and catalogue files without a node")
--- a/src/command/moves.rs
+++ b/src/command/moves.rs
@@ -15,7 +15,7 @@
 /// Time between two looks at a move that is waited for.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 /// How long a node may give no answer while a move is waited for.
-const PATIENCE: Duration = Duration::from_secs(30);
+const RETRY_WINDOW: Duration = Duration::from_secs(30);
 
 /// Does one of `start`, `status`, `list` and `undo`.
 pub async fn run(session: &Session, command: &MoveCommand) -> Result<Exit> {
@@ -56,7 +56,7 @@
 /// A settled move isn't at its end: a late verdict still takes it back.
 async fn follow(session: &Session, entry: &str, id: &str) -> Result<MoveReport> {
     let mut answered = Instant::now();
-    let mut told = String::new();
+    let mut printed = String::new();
     loop {
         match session.node.move_of(entry).await {
             Ok(report) if report.id != id => return Err(replaced(&report)),
@@ -64,13 +64,15 @@
             Ok(report) => {
                 answered = Instant::now();
                 let line = human::moves::progress(&report);
-                if line != told {
+                if line != printed {
                     session.tell(&line);
-                    told = line;
+                    printed = line;
                 }
             }
             // A node that is busy or starts anew answers again soon; the move goes on without it.
-            Err(error) if is_lasting(&error) || answered.elapsed() > PATIENCE => return Err(error),
+            Err(error) if is_lasting(&error) || answered.elapsed() > RETRY_WINDOW => {
+                return Err(error);
+            }
             Err(_) => {}
         }
         sleep(LOOK_EVERY).await;
--- a/src/control.rs
+++ b/src/control.rs
@@ -202,8 +202,8 @@
 
 type Asks = FxHashMap<Ticket, oneshot::Sender<Result<Grant>>>;
 
-/// Hands an action to whoever waits for it. Where nobody does any more, a grant is given back: its
-/// caller left at the moment it was made, and the runner's slot would stay taken for ever.
+/// Delivers an action to its waiter. If the waiter is gone, a grant is returned, or the runner's
+/// slot would leak.
 fn carry_out(action: Action, asks: &mut Asks) -> Option<Done> {
     match action {
         Action::Grant(grant) => {
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -46,7 +46,7 @@
 pub struct Leaving {
     /// Set to make the node leave.
     pub wanted: watch::Sender<bool>,
-    /// Set when the last request has ended and the others were told.
+    /// Set when the node is idle and has announced its exit.
     pub gone: watch::Sender<bool>,
     /// Requests and streams under way.
     pub open: Arc<AtomicUsize>,
@@ -111,7 +111,7 @@
             self.carry_out(out);
         }
         let mut out = Vec::new();
-        self.members.goodbye(&mut out);
+        self.members.send_leave(&mut out);
         self.carry_out(out);
         self.net.close().await;
         self.leaving.gone.send_replace(true);
@@ -152,10 +152,10 @@
         let now = Instant::now();
         self.members.list(now, list);
         self.published.listed();
-        let told = list.instances.iter().any(|i| {
+        let listed_leaving = list.instances.iter().any(|i| {
             i.kind == InstanceKind::Node && i.name == self.name && i.state == InstanceState::Leaving
         });
-        if told && self.drain.listed() {
+        if listed_leaving && self.drain.listed() {
             self.leave(now);
         }
     }
@@ -165,8 +165,8 @@
         match received {
             Received::Broken(name) => self.members.broken(now, &name, out),
             Received::Message { message: PeerMessage::CatalogPush(push), .. } => self.take(push),
-            Received::Message { message: PeerMessage::Move(news), .. } => {
-                self.control.moves().hear(news);
+            Received::Message { message: PeerMessage::Move(updates), .. } => {
+                self.control.moves().hear(updates);
             }
             Received::Message { from, message } => self.members.receive(now, &from, &message, out),
         }
--- a/src/control/moves.rs
+++ b/src/control/moves.rs
@@ -15,7 +15,7 @@
 /// A result whose error is a [`MoveError`].
 pub type Result<T> = std::result::Result<T, MoveError>;
 
-/// What the task is told.
+/// Messages to the task.
 pub enum Message {
     /// A request ended on its first attempt.
     Ended(Trial, Ended),
--- a/src/control/moves/task.rs
+++ b/src/control/moves/task.rs
@@ -205,7 +205,7 @@
     fn tell(&self, view: &View, news: PeerNews) {
         let nodes = view.nodes.iter().filter(|n| n.state != NodeState::Forgotten);
         let target = |n: &Node| {
-            let address = n.place.as_ref()?.peer.clone();
+            let address = n.location.as_ref()?.peer.clone();
             Some(Target { name: n.name.clone(), address })
         };
         let targets: Vec<Target> = nodes.filter_map(target).collect();
--- a/src/explain.rs
+++ b/src/explain.rs
@@ -1,4 +1,5 @@
-//! What became of a request, a runner or a catalogue, told from the log lines of any number of instances.
+//! Reconstructs the history of a request, runner or catalogue from the logs of any number of
+//! instances.
 
 mod cause;
 pub mod line;
--- a/src/explain/line.rs
+++ b/src/explain/line.rs
@@ -1,7 +1,7 @@
 //! Log lines, as entry instances write them.
 
 use {
-    bilberryfront_relay::lines::SERVES,
+    bilberryfront_relay::log_messages::SERVES,
     compact_str::CompactString,
     jiff::Timestamp,
     serde::Deserialize,
--- a/src/explain/story.rs
+++ b/src/explain/story.rs
@@ -5,7 +5,7 @@
         cause,
         line::{Line, Logs},
     },
-    bilberryfront_relay::lines::{IN_FORCE, SERVES},
+    bilberryfront_relay::log_messages::{IN_FORCE, SERVES},
     compact_str::CompactString,
     jiff::{SignedDuration, Timestamp},
     serde::Serialize,
@@ -15,7 +15,7 @@
 /// Field that names a request.
 const REQUEST: &str = "request";
 /// Fields that name a runner.
-const RUNNERS: [&str; 4] = ["runner", "holder", "backup", "former"];
+const RUNNERS: [&str; 4] = ["runner", "holder", "replica", "former"];
 /// How long before a request's first line something may have happened that explains it: an outage
 /// shows in an instance's log at its start only, and lasts seconds.
 const BEFORE: SignedDuration = SignedDuration::from_secs(10);
@@ -93,14 +93,14 @@
             Subject::Catalogue(version) => cause::of_catalogue(logs, *version, &own),
         };
         let around = Around::new(&own);
-        let told = logs.lines.iter().filter(|line| subject.is_named(line) || around.has(line));
+        let shown = logs.lines.iter().filter(|line| subject.is_named(line) || around.has(line));
         let event = |line: &Line| Event {
             at: line.at,
             node: line.node.clone(),
             text: sentence(line),
             own: subject.is_named(line),
         };
-        Story { subject: subject.clone(), cause, events: told.map(event).collect() }
+        Story { subject: subject.clone(), cause, events: shown.map(event).collect() }
     }
 }
 
--- a/src/intents.rs
+++ b/src/intents.rs
@@ -1,7 +1,7 @@
-//! Non-idempotent calls, at most once: the core's decisions carried to the table.
+//! Non-idempotent calls, at most once, backed by the table.
 //!
-//! [`Intents::claim`] asks for a call. Whoever gets a [`Permit`] sends the call once and gives the
-//! permit back with [`Intents::settle`]; everyone else gets what the table knows.
+//! [`Intents::claim`] claims a call. The holder of a [`Permit`] sends the call once and returns the
+//! permit with [`Intents::settle`]; all others get the recorded outcome.
 
 pub mod answer;
 pub mod batch;
@@ -126,12 +126,12 @@
     }
 
     /// Looks again, with growing jittered pauses, until a busy call has an outcome or may be
-    /// claimed, or `patience` is over.
+    /// claimed, or `timeout` is over.
     ///
-    /// `patience` is the longest time that a call takes. An owner whose claim is older will hardly
+    /// `timeout` is the longest time that a call takes. An owner whose claim is older will hardly
     /// say any more what came of it, and its call is not waited for.
-    pub async fn wait(&self, call: &Call, patience: Duration) -> Claim {
-        let deadline = Instant::now() + patience;
+    pub async fn wait(&self, call: &Call, timeout: Duration) -> Claim {
+        let deadline = Instant::now() + timeout;
         let mut pause = PAUSES.0;
         loop {
             sleep(jitter(pause)).await;
@@ -139,7 +139,7 @@
             let claim = self.enter(call.clone(), Event::Look).await;
             let open = match &claim {
                 Claim::Busy(holder) => {
-                    unix_now() <= holder.created.saturating_add(patience.as_secs())
+                    unix_now() <= holder.created.saturating_add(timeout.as_secs())
                 }
                 Claim::Unclear => true,
                 _ => false,
@@ -219,12 +219,12 @@
         let mut why = None;
         let mut action = step(&mut held.life, first, &self.shelf);
         for _ in 0..ROUNDS {
-            let heard = match action {
+            let outcome = match action {
                 Action::Write(found) => self.write(&held.row, &found).await.map(Event::Written),
                 Action::Read => self.read(&held.row).await.map(Event::Row),
                 end => return self.claim(end, held, why),
             };
-            let event = heard.unwrap_or_else(|error| failed(error, &mut why));
+            let event = outcome.unwrap_or_else(|error| failed(error, &mut why));
             action = step(&mut held.life, event, &self.shelf);
         }
         self.claim(action, held, why)
@@ -270,8 +270,8 @@
         let end = Event::End(outcome, Instant::now());
         let mut action = step(&mut held.life, end, &self.shelf);
         while let Action::Write(found) = action {
-            let heard = self.write(&held.row, &found).await.map(Event::Written);
-            let event = heard.unwrap_or_else(|error| failed(error, &mut None));
+            let outcome = self.write(&held.row, &found).await.map(Event::Written);
+            let event = outcome.unwrap_or_else(|error| failed(error, &mut None));
             action = step(&mut held.life, event, &self.shelf);
             if action == Action::Rest {
                 return true;
--- a/src/intents/batch.rs
+++ b/src/intents/batch.rs
@@ -39,7 +39,7 @@
     /// Age at which a write that still waits for its commit is refused. Its caller wouldn't wait
     /// longer; and only a process that was paused has writes that are hours old, whose rows may have
     /// been swept meanwhile, so that the revisions they expect belong to other rows.
-    pub patience: Duration,
+    pub timeout: Duration,
     /// Longest wait for a commit or a read; its reply then counts as lost.
     pub slow: Duration,
     /// Time between two probes while the table fails.
@@ -55,7 +55,7 @@
             flights: 2,
             gap: Duration::from_millis(20),
             queue: 4096,
-            patience: Duration::from_secs(2),
+            timeout: Duration::from_secs(2),
             slow: Duration::from_millis(500),
             probe: Duration::from_secs(1),
         }
@@ -67,7 +67,7 @@
     /// wait in vain.
     fn room(&self) -> usize {
         let gap = self.gap.as_secs_f64().max(f64::MIN_POSITIVE);
-        let commits = (self.patience.as_secs_f64() / gap) as usize;
+        let commits = (self.timeout.as_secs_f64() / gap) as usize;
         self.queue.min(commits.max(1).saturating_mul(self.rows))
     }
 }
@@ -114,7 +114,7 @@
         self.write.key.len() + self.write.value.as_ref().map_or(0, String::len)
     }
 
-    /// Whoever asked may have gone.
+    /// The receiver may be gone.
     fn answer(self, result: Result<Written>) {
         _ = self.reply.send(result);
     }
@@ -185,7 +185,7 @@
     /// The writes that have waited too long; the oldest stand in front.
     fn take_late(&self) -> Vec<Item> {
         let mut state = self.lock();
-        let late = |item: &&Item| item.born.elapsed() >= self.limits.patience;
+        let late = |item: &&Item| item.born.elapsed() >= self.limits.timeout;
         let count = state.waiting.iter().take_while(late).count();
         state.stats.refused += count as u64;
         state.waiting.drain(..count).collect()
--- a/src/node/control_thread.rs
+++ b/src/node/control_thread.rs
@@ -15,7 +15,7 @@
         Core,
         member::{
             Drain, Members,
-            message::{Life, Place},
+            message::{Life, NodeLocation},
         },
         mover::Mover,
         place,
@@ -98,8 +98,9 @@
     tokio::spawn(task.run(inbox.moves));
     let membership = membership(&parts, net, address);
     tokio::spawn(membership.run(received, listed));
-    let place = place::Place { region: settings.region.clone(), domain: settings.domain.clone() };
-    let core = Core::new(rand::random(), place);
+    let location =
+        place::Place { region: settings.region.clone(), domain: settings.domain.clone() };
+    let core = Core::new(rand::random(), location);
     control::drive(core, inbox.events, published.clone()).await;
 }
 
@@ -113,13 +114,13 @@
 
 fn membership(parts: &Parts, net: PeerNet, address: SocketAddr) -> Membership<PeerNet> {
     let settings = &parts.settings;
-    let place = Place {
+    let location = NodeLocation {
         domain: settings.domain.clone(),
         url: parts.url.clone(),
         peer: format_compact!("{address}"),
     };
     let life = Life { epoch: wall(), incarnation: parts.incarnation };
-    let me = bilberryfront_decide::member::Me { name: settings.name.clone(), life, place };
+    let me = bilberryfront_decide::member::Me { name: settings.name.clone(), life, location };
     Membership {
         members: Members::new(rand::random(), Instant::now(), me),
         net,
--- a/src/node/serve.rs
+++ b/src/node/serve.rs
@@ -10,7 +10,7 @@
         operator::{self, Face, control::Asked, key::Keys, moves::MovesFace},
         traffic::{self, Traffic, send::Sender, services::Services, upstream::HttpEngines},
     },
-    bilberryfront_decide::member::message::Place,
+    bilberryfront_decide::member::message::NodeLocation,
     compact_str::CompactString,
     std::{io, net::TcpListener, sync::atomic::Ordering, time::Duration},
     volo::net::incoming::DefaultIncoming,
@@ -81,7 +81,7 @@
 
 fn face(parts: &Parts) -> Face<crate::platform::table::HttpTable, Asked> {
     let settings = &parts.settings;
-    let place = Place {
+    let location = NodeLocation {
         domain: settings.domain.clone(),
         url: parts.url.clone(),
         peer: CompactString::default(),
@@ -93,7 +93,7 @@
             control: parts.control.clone(),
             name: settings.name.clone(),
             incarnation: parts.incarnation,
-            place,
+            location,
         },
     }
 }
--- a/src/operator/client.rs
+++ b/src/operator/client.rs
@@ -65,25 +65,25 @@
     /// Asks for a new catalogue to be in force.
     ///
     /// An answer can be lost when the node goes away after the change was accepted. Sending the same
-    /// proposal again is safe: its apply id makes the store tell the first outcome. Once an answer
+    /// proposal again is safe: its apply id makes the store return the first outcome. Once an answer
     /// was lost, "nothing was done" is true of the later send only and would mislead the operator,
-    /// so the first doubt stands until a send is accepted or tells a conflict.
+    /// so the first error is kept until a send is accepted or reports a conflict.
     pub async fn propose(&self, proposal: &Proposal) -> Result<Accepted> {
         let body = serde_json::to_string(proposal).expect("proposals always serialize");
-        let mut doubt = None;
+        let mut first_error = None;
         for send in 1..=SENDS {
             match self.call(Method::PUT, "/v1/catalogue", Some(&body)).await {
                 Ok(accepted) => return Ok(accepted),
                 Err(error @ Error::Conflict { .. }) => return Err(error),
                 Err(error @ (Error::Lost { .. } | Error::Unknown { .. })) => {
-                    doubt.get_or_insert(error);
+                    first_error.get_or_insert(error);
                 }
-                Err(error) if doubt.is_none() => return Err(error),
+                Err(error) if first_error.is_none() => return Err(error),
                 Err(_) => {}
             }
             tokio::time::sleep(PAUSE * send).await;
         }
-        Err(doubt.expect("every other send returns"))
+        Err(first_error.expect("every other send returns"))
     }
 
     /// How the latest moves of all entries stand.
@@ -96,8 +96,8 @@
         self.call(Method::GET, &format!("/v1/moves/{entry}"), None).await
     }
 
-    /// Starts a move. Not sent again when the answer is lost: had the first taken effect, the
-    /// second would be refused as another operator's, and the doubt would look like a conflict.
+    /// Starts a move. Not retried after a lost response: the second request would conflict with the
+    /// first.
     pub async fn start_move(&self, request: &MoveRequest) -> Result<MoveAccepted> {
         let body = serde_json::to_string(request).expect("requests always serialize");
         self.call(Method::POST, "/v1/moves", Some(&body)).await
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -13,7 +13,7 @@
         id::Incarnation,
         member::{
             DrainState, Node,
-            message::{NodeState, Place},
+            message::{NodeLocation, NodeState},
         },
     },
     compact_str::CompactString,
@@ -29,7 +29,7 @@
     /// Its present life.
     pub incarnation: Incarnation,
     /// Where it is.
-    pub place: Place,
+    pub location: NodeLocation,
 }
 
 impl server::Control for Asked {
@@ -63,22 +63,22 @@
             DrainState::Leaving | DrainState::Refusing => NodeState::Draining,
             DrainState::Gone => NodeState::Gone,
         };
-        let place = Some(self.place.clone());
+        let location = Some(self.location.clone());
         let revision = view.catalog.revision;
         let (name, incarnation) = (self.name.clone(), self.incarnation);
-        row(&Node { name, incarnation, state, place, revision })
+        row(&Node { name, incarnation, state, location, revision })
     }
 }
 
 fn row(node: &Node) -> NodeRow {
     let (domain, url) =
-        node.place.as_ref().map(|p| (p.domain.clone(), p.url.clone())).unwrap_or_default();
-    let state = CompactString::const_new(word(node.state));
+        node.location.as_ref().map(|p| (p.domain.clone(), p.url.clone())).unwrap_or_default();
+    let state = CompactString::const_new(state_name(node.state));
     let revision = (node.revision > 0).then_some(node.revision);
     NodeRow { name: node.name.clone(), domain, url, state, revision }
 }
 
-fn word(state: NodeState) -> &'static str {
+fn state_name(state: NodeState) -> &'static str {
     match state {
         NodeState::Unknown => "unknown",
         NodeState::Starting => "starting",
--- a/src/operator/refusal.rs
+++ b/src/operator/refusal.rs
@@ -103,7 +103,7 @@
 impl Refusal {
     /// The deadline is too close at `now` for evidence that takes so long.
     pub fn late(now: Timestamp, takes: Duration) -> Refusal {
-        // Up to a whole second, so that giving back what is told isn't too early by its fraction.
+        // Rounds up, so that echoing the reported time is accepted.
         let earliest = now.checked_add(takes + Duration::from_secs(1)).unwrap_or(Timestamp::MAX);
         let earliest = earliest.round(Unit::Second).unwrap_or(earliest);
         Refusal::Late { takes, earliest }
--- a/src/operator/report.rs
+++ b/src/operator/report.rs
@@ -1,4 +1,4 @@
-//! From a move's status in the core to what operators are told.
+//! Reports of a move's status to operators.
 
 use {
     super::{
--- a/src/options.rs
+++ b/src/options.rs
@@ -24,7 +24,7 @@
     },
     /// Check files.
     Check {
-        /// What the files are; told from their content when absent.
+        /// Kind of the files; detected from their content if absent.
         kind: Option<FileKind>,
         /// The files.
         files: Vec<PathBuf>,
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
 pub enum PlatformError {
-    /// The call had no effect: no connection, or the service said so.
+    /// The call had no effect.
     #[error("the platform is down: {0}")]
     Down(String),
     /// The call may have had its effect, but its answer was lost.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -26,7 +26,7 @@
     Ok(settings)
 }
 
-/// Everything a node is told at start.
+/// Settings of a node.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/traffic/auth.rs
+++ b/src/traffic/auth.rs
@@ -19,9 +19,8 @@
 ///
 /// Digests and not keys are looked up, so the time of the look-up tells nothing about a key.
 ///
-/// A node that starts during an outage of the table has no catalogue. It would tell a caller who
-/// holds its address that the key is unknown, and a caller that is told so doesn't come back; so it
-/// says that it isn't serving yet.
+/// A node that starts during an outage of the table has no catalogue. It reports that it is not
+/// serving yet instead of rejecting the key, since callers do not retry after that.
 pub fn account(catalog: &Catalog, headers: &HeaderMap) -> Result<AccountKey> {
     if catalog.revision == 0 {
         let problem = not_run(Kind::NotServing, "the node has no catalogue yet");
--- a/src/traffic/problem.rs
+++ b/src/traffic/problem.rs
@@ -153,7 +153,7 @@
     builder.body(Body::from(body)).expect("statuses and headers are constants")
 }
 
-/// What a caller is told of the core's refusal.
+/// Problem document for a rejection by the core.
 pub fn refusal(refuse: &Refuse) -> Problem {
     let (kind, detail) = match refuse.reason {
         Reason::NoEntry => (Kind::UnknownEntry, "the entry was just taken out of the catalogue"),
--- a/src/traffic/services/once.rs
+++ b/src/traffic/services/once.rs
@@ -126,8 +126,8 @@
     call: &Call,
     chooser: &mut Chooser,
 ) -> std::result::Result<(Lease, Permit), Result<Reply>> {
-    let patience = Duration::from_millis(job.limits.call_ms.into());
-    let permit = match services.intents.wait(call, patience).await {
+    let timeout = Duration::from_millis(job.limits.call_ms.into());
+    let permit = match services.intents.wait(call, timeout).await {
         Claim::Mine(permit) => permit,
         known => return Err(settled(known)),
     };
@@ -141,7 +141,7 @@
 }
 
 enum Attempt {
-    /// The runner may have run it: this is the last word.
+    /// The runner may have run it; final.
     Answered(Result<Reply>),
     /// Provably not run, and recorded as such.
     Unsent(RunnerKey),
--- a/src/traffic/stream.rs
+++ b/src/traffic/stream.rs
@@ -10,7 +10,7 @@
         chooser::Chooser,
         lease::Lease,
         problem::{self, Kind, not_run},
-        upstream::{Engines, Failure, Said, Source},
+        upstream::{Engines, Failure, RunnerEvent, Source},
     },
     crate::{
         control::Control,
@@ -147,7 +147,7 @@
         self.sent |= !matches!(opened, Err(Failure::Unsent));
         match opened {
             Ok(upstream) => {
-                self.open = Some(Open { upstream, lease, said: None });
+                self.open = Some(Open { upstream, lease, event: None });
                 None
             }
             Err(failure) => self.failed(failure, lease),
@@ -172,33 +172,35 @@
     /// Reads until there is something to hand on, or the runner is lost.
     async fn read(&mut self, mut open: Open<E::Stream>) -> Option<Piece> {
         let mut batch = Vec::new();
-        let mut said = open.wait(&self.job.limits).await;
+        let mut event = open.wait(&self.job.limits).await;
         loop {
-            match said {
-                Ok(Said::Token(attempt, token)) => match self.generation.token(attempt, &token) {
-                    Take::Deliver => batch.push(self.deliver(&mut open, token)),
-                    Take::Drop => self.control.metrics().add(Counter::DroppedTokens, 1),
-                    Take::Garbled => return self.stop(open, batch, Verdict::Garbled),
-                },
-                Ok(Said::Finish(finish)) => {
+            match event {
+                Ok(RunnerEvent::Token(attempt, token)) => {
+                    match self.generation.token(attempt, &token) {
+                        Take::Deliver => batch.push(self.deliver(&mut open, token)),
+                        Take::Drop => self.control.metrics().add(Counter::DroppedTokens, 1),
+                        Take::Garbled => return self.stop(open, batch, Verdict::Garbled),
+                    }
+                }
+                Ok(RunnerEvent::Finish(finish)) => {
                     if batch.is_empty() {
                         return self.finish(open, finish);
                     }
-                    open.said = Some(Ok(Said::Finish(finish)));
+                    open.event = Some(Ok(RunnerEvent::Finish(finish)));
                     return self.hand_on(open, batch);
                 }
-                Ok(Said::Done) => return self.stop(open, batch, Verdict::Garbled),
+                Ok(RunnerEvent::Done) => return self.stop(open, batch, Verdict::Garbled),
                 Err(failure) if batch.is_empty() => return self.failed(failure, open.lease),
                 Err(failure) => {
-                    open.said = Some(Err(failure));
+                    open.event = Some(Err(failure));
                     return self.hand_on(open, batch);
                 }
             }
             if batch.len() >= BATCH {
                 return self.hand_on(open, batch);
             }
-            said = match open.upstream.try_next() {
-                Some(said) => said,
+            event = match open.upstream.try_next() {
+                Some(event) => event,
                 None if batch.is_empty() => open.wait(&self.job.limits).await,
                 None => return self.hand_on(open, batch),
             };
@@ -229,7 +231,7 @@
         if batch.is_empty() {
             return self.failed(failure, open.lease);
         }
-        open.said = Some(Err(failure));
+        open.event = Some(Err(failure));
         self.hand_on(open, batch)
     }
 
--- a/src/traffic/upstream.rs
+++ b/src/traffic/upstream.rs
@@ -37,9 +37,9 @@
     Refused(StatusCode),
 }
 
-/// What a runner's stream says.
+/// An event of a runner's stream.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Said {
+pub enum RunnerEvent {
     /// A token, under this attempt.
     Token(Attempt, Token),
     /// All tokens have come.
@@ -65,10 +65,10 @@
 /// A runner's open stream. Dropping it cancels the generation there.
 pub trait Source: Send + 'static {
     /// Waits at most `wait` for what the runner says next.
-    fn next(&mut self, wait: Duration) -> impl Future<Output = Result<Said>> + Send;
+    fn next(&mut self, wait: Duration) -> impl Future<Output = Result<RunnerEvent>> + Send;
 
-    /// What the runner has said already, without waiting.
-    fn try_next(&mut self) -> Option<Result<Said>>;
+    /// The next event if it has arrived.
+    fn try_next(&mut self) -> Option<Result<RunnerEvent>>;
 }
 
 /// Engines over HTTP.
@@ -121,19 +121,19 @@
 }
 
 impl Source for Upstream {
-    async fn next(&mut self, wait: Duration) -> Result<Said> {
+    async fn next(&mut self, wait: Duration) -> Result<RunnerEvent> {
         match timeout(wait, self.reader.read()).await {
-            Ok(read) => said(read),
+            Ok(read) => event(read),
             Err(_) => Err(Failure::Lost(Verdict::Stalled)),
         }
     }
 
-    fn try_next(&mut self) -> Option<Result<Said>> {
-        self.reader.read().now_or_never().map(said)
+    fn try_next(&mut self) -> Option<Result<RunnerEvent>> {
+        self.reader.read().now_or_never().map(event)
     }
 }
 
-fn said(read: std::result::Result<Option<SseEvent>, BoxError>) -> Result<Said> {
+fn event(read: std::result::Result<Option<SseEvent>, BoxError>) -> Result<RunnerEvent> {
     match read {
         Ok(Some(event)) => parse(&event),
         Ok(None) => Err(garbled()),
@@ -150,13 +150,13 @@
     }
 }
 
-fn parse(event: &SseEvent) -> Result<Said> {
+fn parse(event: &SseEvent) -> Result<RunnerEvent> {
     let data = event.data().unwrap_or_default();
     if data == DONE {
-        return Ok(Said::Done);
+        return Ok(RunnerEvent::Done);
     }
     if event.event() == FINISH {
-        return serde_json::from_str(data).map(Said::Finish).map_err(|_| garbled());
+        return serde_json::from_str(data).map(RunnerEvent::Finish).map_err(|_| garbled());
     }
     let attempt = event
         .id()
@@ -164,7 +164,7 @@
         .and_then(|(attempt, _)| attempt.parse().ok())
         .ok_or_else(garbled)?;
     let token = serde_json::from_str(data).map_err(|_| garbled())?;
-    Ok(Said::Token(attempt, token))
+    Ok(RunnerEvent::Token(attempt, token))
 }
 
 fn garbled() -> Failure {
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -9,7 +9,7 @@
         settings::{self, Settings, locate::Document},
         traffic::{
             body, completions,
-            upstream::{Failure, Said, Source, Upstream},
+            upstream::{Failure, RunnerEvent, Source, Upstream},
         },
     },
     bilberryfront_decide::{event::Verdict, generation::event_id::EventId},
@@ -182,7 +182,7 @@
 }
 
 /// Reads a runner's stream to its first failure.
-async fn read(frames: Vec<Bytes>) -> (Vec<Said>, Failure) {
+async fn read(frames: Vec<Bytes>) -> (Vec<RunnerEvent>, Failure) {
     let mut upstream = Upstream::new(answer(frames)).unwrap();
     let mut said = Vec::new();
     loop {
@@ -213,7 +213,12 @@
 async fn runner_events_in_any_frames() {
     let [zero, one] = tokens();
     let finish = Finish { tokens: 2, reason: FinishReason::Stop };
-    let expected = [Said::Token(1, zero), Said::Token(1, one), Said::Finish(finish), Said::Done];
+    let expected = [
+        RunnerEvent::Token(1, zero),
+        RunnerEvent::Token(1, one),
+        RunnerEvent::Finish(finish),
+        RunnerEvent::Done,
+    ];
     for text in [STREAM.to_owned(), STREAM.replace('\n', "\r\n")] {
         for most in (1..40).chain([text.len()]) {
             let (said, failure) = read(frames(text.as_bytes(), most)).await;
@@ -233,7 +238,11 @@
         for most in [1, 7, 1_000] {
             let all = [frames(zero, most), frames(&one, most)].concat();
             let (said, failure) = read(all).await;
-            assert_eq!(said, [Said::Token(1, Token { index: 0, text: "a".into() })], "{bad:?}");
+            assert_eq!(
+                said,
+                [RunnerEvent::Token(1, Token { index: 0, text: "a".into() })],
+                "{bad:?}"
+            );
             assert_eq!(failure, Failure::Lost(Verdict::Garbled));
         }
     }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -1,7 +1,7 @@
 //! `explain`, through the real program, on logs of two instances.
 
 use {
-    bilberryfront_relay::lines,
+    bilberryfront_relay::log_messages,
     serde_json::{Value, json},
     std::{
         fs,
@@ -20,57 +20,58 @@
 }
 
 fn in_force(millis: i64, version: u64) -> String {
-    line(millis, lines::IN_FORCE, json!({"version": version, "revision": version}))
+    line(millis, log_messages::IN_FORCE, json!({"version": version, "revision": version}))
 }
 
 fn lost(millis: i64, request: &str) -> String {
     let fields = json!({"request": request, "runner": "e1", "holder": "e2", "position": 38});
-    line(millis, "a run is lost: Silent", fields)
+    line(millis, &format!("{}Silent", log_messages::RUN_LOST), fields)
 }
 
 fn begun(millis: i64, request: &str, copied: bool) -> String {
-    let fields = json!({"request": request, "runner": "e2", "copied": copied, "position": 38});
-    line(millis, lines::RUN_BEGUN, fields)
+    let fields =
+        json!({"request": request, "runner": "e2", "from_replica": copied, "position": 38});
+    line(millis, log_messages::RUN_BEGUN, fields)
 }
 
 /// Logs of the instances `n1` and `n2`; the second one's catalogue is behind for two seconds.
 fn logs() -> TempDir {
     let folder = tempfile::tempdir().unwrap();
     let first = [
-        line(0, lines::SERVES, json!({"name": "n1"})),
+        line(0, log_messages::SERVES, json!({"name": "n1"})),
         in_force(1_000, 7),
         lost(2_000, "copied"),
         begun(2_010, "copied", true),
         lost(2_000, "read-again"),
         begun(3_200, "read-again", false),
-        line(3_300, "a runner is gone", json!({"runner": "e1"})),
-        line(4_000, lines::STREAM_ENDED, json!({"request": "copied"})),
-        line(4_000, lines::STREAM_ENDED, json!({"request": "read-again"})),
+        line(3_300, log_messages::RUNNER_GONE, json!({"runner": "e1"})),
+        line(4_000, log_messages::STREAM_ENDED, json!({"request": "copied"})),
+        line(4_000, log_messages::STREAM_ENDED, json!({"request": "read-again"})),
         "no log line".into(),
-        line(5_000, "refused: Lost", json!({"request": "call", "waited": 18, "ready": 4})),
-        line(6_000, "refused: NotRun { retry: 300ms }", json!({"request": "full", "ready": 0})),
+        line(5_000, "rejected: Lost", json!({"request": "call", "waited": 18, "ready": 4})),
+        line(6_000, "rejected: NotRun { retry: 300ms }", json!({"request": "full", "ready": 0})),
         in_force(7_000, 9),
         line(
             7_100,
-            lines::RUN_FAILED,
+            log_messages::RUN_FAILED,
             json!({"request": "failing", "runner": "p1", "status": 500}),
         ),
         line(
             7_130,
-            lines::RUN_FAILED,
+            log_messages::RUN_FAILED,
             json!({"request": "failing", "runner": "p2", "status": 500}),
         ),
-        line(7_131, lines::FAILURE_PASSED, json!({"request": "failing", "status": 500})),
+        line(7_131, log_messages::FAILURE_PASSED, json!({"request": "failing", "status": 500})),
         begun(9_000, "cut-short", false),
-        line(10_500, lines::SERVES, json!({"name": "n1"})),
+        line(10_500, log_messages::SERVES, json!({"name": "n1"})),
     ];
     let second = [
-        line(0, lines::SERVES, json!({"name": "n2"})),
+        line(0, log_messages::SERVES, json!({"name": "n2"})),
         in_force(1_000, 7),
-        line(8_000, "refused: NoKey", json!({"request": "denied", "version": 7})),
+        line(8_000, "rejected: NoKey", json!({"request": "denied", "version": 7})),
         // The clock is set back: what comes later in the file happened later all the same.
-        line(7_000, lines::IN_FORCE, json!({"version": 9, "revision": 9})),
-        line(9_500, "refused: NoKey", json!({"request": "unknown-key", "version": 9})),
+        line(7_000, log_messages::IN_FORCE, json!({"version": 9, "revision": 9})),
+        line(9_500, "rejected: NoKey", json!({"request": "unknown-key", "version": 9})),
     ];
     fs::write(folder.path().join("one.log"), first.join("\n")).unwrap();
     fs::write(folder.path().join("two.log"), second.join("\n")).unwrap();
@@ -89,15 +90,15 @@
 fn every_kind_of_end_is_told_with_its_cause() {
     let folder = logs();
     for (id, cause) in [
-        ("copied", "went on from a copy in good time"),
-        ("read-again", "the holder of its copy was gone too, so the whole prompt was read again"),
+        ("copied", "resumed from a replica in time"),
+        ("read-again", "the replica's holder was lost too, so the prompt was prefilled again"),
         ("call", "It may have run"),
         ("full", "no runner of the service was listed"),
         ("denied", "while n1 had catalogue 9 for 1000 ms: the instance was behind"),
         ("unknown-key", "the newest that any of these instances had"),
         ("failing", "status 500: each of the runners p1, p2 ran it and failed"),
-        ("cut-short", "n1 started anew 1500 ms after"),
-        ("e1", "2 were lost, 0 requests it didn't run. Its entry was removed."),
+        ("cut-short", "n1 restarted 1500 ms after"),
+        ("e1", "2 were lost, 0 requests were rejected. Its entry was removed."),
         ("9", "came into force at n1 first"),
     ] {
         let output = explain(&folder, id, &[]);
@@ -116,9 +117,12 @@
     assert_eq!(story["subject"], json!({"request": "read-again"}));
     let events = story["events"].as_array().unwrap();
     let told: Vec<_> = events.iter().map(|e| (e["text"].as_str().unwrap(), &e["own"])).collect();
-    assert!(told.iter().any(|(text, own)| text.starts_with("a runner is gone") && **own == false));
+    assert!(
+        told.iter()
+            .any(|(text, own)| text.starts_with(log_messages::RUNNER_GONE) && **own == false)
+    );
     assert!(events.iter().all(|e| e["node"] == "n1"));
-    assert_eq!(told.iter().filter(|(text, _)| text.starts_with("a run is lost")).count(), 1);
+    assert_eq!(told.iter().filter(|(text, _)| text.starts_with(log_messages::RUN_LOST)).count(), 1);
 }
 
 /// A clock that was set back doesn't change the order of one instance's lines.
@@ -167,7 +171,9 @@
 fn the_operators_page_lists_the_lines() {
     let page =
         fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/docs/OPERATIONS.md")).unwrap();
-    let missing: Vec<_> =
-        lines::ALL.into_iter().filter(|line| !page.contains(line.trim_end_matches(": "))).collect();
+    let missing: Vec<_> = log_messages::ALL
+        .into_iter()
+        .filter(|line| !page.contains(line.trim_end_matches(": ")))
+        .collect();
     assert!(missing.is_empty(), "{missing:?}");
 }
--- a/tests/once_intents.rs
+++ b/tests/once_intents.rs
@@ -278,7 +278,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_call_that_would_wait_in_vain_is_refused_at_once() {
     let table = FakeTable::new(LATENCY);
-    let limits = Limits { rows: 1, patience: Duration::from_millis(200), ..Limits::default() };
+    let limits = Limits { rows: 1, timeout: Duration::from_millis(200), ..Limits::default() };
     let a = Intents::start(table.clone(), Incarnation(1), limits);
     let keys: Vec<String> = (0..30).map(|n| n.to_string()).collect();
     let asked = Instant::now();
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -94,10 +94,10 @@
     let (a, _at_a, _) = start(&authority, "a");
     let (_b, mut at_b, to_b) = start(&authority, "b");
     let life = Life { epoch: 1, incarnation: Incarnation(2) };
-    let goodbye = PeerMessage::Goodbye(Moment { life, beat: 3 });
-    a.send(&[to_b], &goodbye).unwrap();
+    let send_leave = PeerMessage::Leave(Moment { life, beat: 3 });
+    a.send(&[to_b], &send_leave).unwrap();
     a.close().await;
-    assert_eq!(at_b.recv().await, message("a", goodbye));
+    assert_eq!(at_b.recv().await, message("a", send_leave));
 }
 
 // A process that got hold of the addresses, but of no certificate of the authority, dials a node.
@@ -198,7 +198,7 @@
     let (a, mut at_a, _) = start(&authority, "a");
     let (_b, mut at_b, to_b) = start(&authority, "b");
     let moment = Moment { life: Life { epoch: 1, incarnation: Incarnation(2) }, beat: 3 };
-    let claim = Claim { name: "n".into(), moment, state: NodeState::Ready, place: None };
+    let claim = Claim { name: "n".into(), moment, state: NodeState::Ready, location: None };
     let large = PeerMessage::MembersPush(vec![claim; 2_000]);
     for _ in 0..200 {
         a.send(std::slice::from_ref(&to_stuck), &large).unwrap();
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -9,8 +9,8 @@
         member::{
             PeerMessage,
             message::{
-                CatalogPush, Claim, Heartbeat, Hint, HintKind, Life, Moment, News, NodeState,
-                Place, Usage,
+                CatalogPush, Claim, Heartbeat, Hint, HintKind, Life, Moment, NodeLocation,
+                NodeState, Update, Usage,
             },
         },
     },
@@ -26,8 +26,9 @@
 }
 
 fn claim() -> Claim {
-    let place = Place { domain: "x-a".into(), url: "http://h:1".into(), peer: "10.0.0.1:2".into() };
-    Claim { name: "b".into(), moment: moment(), state: NodeState::Gone, place: Some(place) }
+    let location =
+        NodeLocation { domain: "x-a".into(), url: "http://h:1".into(), peer: "10.0.0.1:2".into() };
+    Claim { name: "b".into(), moment: moment(), state: NodeState::Gone, location: Some(location) }
 }
 
 fn messages() -> Vec<PeerMessage> {
@@ -36,17 +37,17 @@
         PeerMessage::Heartbeat(Heartbeat {
             moment: moment(),
             state: NodeState::Ready,
-            place: claim().place,
+            location: claim().location,
             revision: 3,
             usage: vec![Usage { entry: "e".into(), account: "c".into(), running: 300 }],
-            news: vec![News::Node(claim()), News::Runner(hint)],
+            updates: vec![Update::Node(claim()), Update::Runner(hint)],
         }),
         PeerMessage::Revision(4),
         PeerMessage::CatalogPull(u64::MAX),
         PeerMessage::CatalogPush(CatalogPush { revision: 5, doc: "{\"accounts\":[]}".into() }),
         PeerMessage::MembersPull,
         PeerMessage::MembersPush(vec![claim(), claim()]),
-        PeerMessage::Goodbye(moment()),
+        PeerMessage::Leave(moment()),
         PeerMessage::Claims(vec![claim()]),
     ]
 }
@@ -121,9 +122,10 @@
 
 #[test]
 fn too_many_items_are_refused() {
-    let news = vec![News::Node(claim()); 65];
+    let updates = vec![Update::Node(claim()); 65];
     let (moment, state) = (moment(), NodeState::Ready);
-    let heartbeat = Heartbeat { moment, state, place: None, revision: 0, usage: Vec::new(), news };
+    let heartbeat =
+        Heartbeat { moment, state, location: None, revision: 0, usage: Vec::new(), updates };
     let bytes = encode(&name(), &PeerMessage::Heartbeat(heartbeat)).unwrap().bytes;
     assert_eq!(decode(&bytes), Err(DecodeError::Oversized));
 }
--- a/tests/peer_members.rs
+++ b/tests/peer_members.rs
@@ -7,7 +7,7 @@
         id::Incarnation,
         member::{
             Me, Members, Output, PeerMessage,
-            message::{CatalogPush, Life, Place},
+            message::{CatalogPush, Life, NodeLocation},
         },
     },
     bilberryfront_wire::instance::{Instance, InstanceKind, InstanceList, InstanceState},
@@ -77,22 +77,22 @@
     format_compact!("entry-{i}")
 }
 
-fn place(net: &PeerNet) -> Place {
+fn location(net: &PeerNet) -> NodeLocation {
     let peer = net.address().unwrap().to_string();
-    Place { domain: "a".into(), url: format_compact!("http://{peer}"), peer: peer.into() }
+    NodeLocation { domain: "a".into(), url: format_compact!("http://{peer}"), peer: peer.into() }
 }
 
-fn instance(name: &CompactString, place: &Place) -> Instance {
+fn instance(name: &CompactString, location: &NodeLocation) -> Instance {
     Instance {
         name: name.clone(),
         kind: InstanceKind::Node,
-        url: place.url.clone(),
-        domain: place.domain.clone(),
+        url: location.url.clone(),
+        domain: location.domain.clone(),
         entry: "".into(),
         version: "".into(),
         state: InstanceState::Live,
         fenced: false,
-        peer: Some(place.peer.clone()),
+        peer: Some(location.peer.clone()),
     }
 }
 
@@ -114,13 +114,13 @@
         PeerNet::start(&config).unwrap()
     };
     let nets: Vec<_> = (0..n).map(net).collect();
-    let instances = nets.iter().enumerate().map(|(i, (net, _))| instance(&name(i), &place(net)));
+    let instances = nets.iter().enumerate().map(|(i, (net, _))| instance(&name(i), &location(net)));
     let list = InstanceList { revision: 1, instances: instances.collect() };
     let start = |(i, (net, events)): (usize, (PeerNet, _))| {
         let life = Life { epoch: 1, incarnation: Incarnation(i as u64) };
         let now = Instant::now();
         let mut members =
-            Members::new(i as u64, now, Me { name: name(i), life, place: place(&net) });
+            Members::new(i as u64, now, Me { name: name(i), life, location: location(&net) });
         members.list(now, &list);
         members.ready();
         if i == 0 {
--- a/tests/relay/faces.rs
+++ b/tests/relay/faces.rs
@@ -4,9 +4,9 @@
     super::support::{PLAIN, Script, World, ms, play},
     bilberryfront_platform::Http,
     bilberryfront_relay::{
-        face::Face,
+        drain::Drain,
         flow::Traffic,
-        leaving::Leaving,
+        handler::Handler,
         network::Network,
         server::{self, Purpose},
         view::{Published, View},
@@ -27,21 +27,22 @@
 const WINDOW: usize = 64 << 10;
 
 struct Node<N: Network> {
-    face: Face<Http, N>,
+    handler: Handler<Http, N>,
     close: watch::Sender<bool>,
 }
 
 impl<N: Network> Node<N> {
     fn new(traffic: Traffic<Http, N>) -> Node<N> {
-        let leaving = Leaving::new(Duration::from_secs(8));
-        let face = Face { traffic, leaving, keep: Duration::from_secs(5) };
-        Node { face, close: watch::Sender::new(false) }
+        let drain = Drain::new(Duration::from_secs(8));
+        let handler = Handler { traffic, drain, keep: Duration::from_secs(5) };
+        Node { handler, close: watch::Sender::new(false) }
     }
 
     /// A caller's connection.
     async fn connect(&self, purpose: Purpose) -> Caller {
         let (near, far) = tokio::io::duplex(WINDOW);
-        let serving = server::connection(far, purpose, self.face.clone(), self.close.subscribe());
+        let serving =
+            server::connection(far, purpose, self.handler.clone(), self.close.subscribe());
         tokio::task::spawn_local(serving);
         let (sender, connection) = http1::handshake(TokioIo::new(near)).await.unwrap();
         tokio::task::spawn_local(async move {
@@ -163,7 +164,7 @@
         let node = Node::new(world.traffic.clone());
         let mut caller = node.connect(Purpose::Requests).await;
         assert_eq!(header(&caller.get("/look/1").await, "connection"), None);
-        node.face.leaving.order();
+        node.handler.drain.start();
         let mut asker = node.connect(Purpose::Questions).await;
         assert_eq!(asker.get("/api/readyz").await.status(), 503);
         let response = caller.get("/look/2").await;
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -98,8 +98,8 @@
             rest.into_iter().partition(|r| r.address.to_string() == backup);
         let crashes = async {
             holder[0].crash();
-            let place = world.traffic.exchange.fleet.find(&holder[0].id).unwrap();
-            world.traffic.exchange.fleet.failed(place.key, Instant::now());
+            let place = world.traffic.client.fleet.find(&holder[0].id).unwrap();
+            world.traffic.client.fleet.failed(place.key, Instant::now());
             sleep(ms(200)).await;
             assert_eq!(*first.copies.borrow(), [third[0].address.to_string()]);
             first.crash();
@@ -124,7 +124,7 @@
         let world = World::new(ENGINES, &["a", "b", "c"], &EVENTS);
         let response = world.answer("/stream/1", &PROMPT).await;
         let (first, rest) = split(&world);
-        let fleet = &world.traffic.exchange.fleet;
+        let fleet = &world.traffic.client.fleet;
         for runner in rest {
             fleet.failed(fleet.find(&runner.id).unwrap().key, Instant::now());
         }
@@ -144,8 +144,8 @@
         let (first, rest) = split(&world);
         let backup = first.header("x-bilberryfront-kv-backup").unwrap();
         let holder = rest.iter().find(|r| r.address.to_string() == backup).unwrap();
-        let place = world.traffic.exchange.fleet.find(&holder.id).unwrap();
-        world.traffic.exchange.fleet.failed(place.key, Instant::now());
+        let place = world.traffic.client.fleet.find(&holder.id).unwrap();
+        world.traffic.client.fleet.failed(place.key, Instant::now());
         response.into_body().collect().await.unwrap();
         sleep(ms(10)).await;
         assert_eq!((first.copies.borrow().len(), first.forgotten.get()), (1, 1));
@@ -231,7 +231,7 @@
             let (first, rest) = split(&world);
             let backup = first.header("x-bilberryfront-kv-backup").unwrap();
             let holder = rest.iter().find(|r| r.address.to_string() == backup).unwrap();
-            let asked = world.homes(u64::from_str_radix(&prompt[7..9], 16).unwrap());
+            let asked = world.preferred(u64::from_str_radix(&prompt[7..9], 16).unwrap());
             assert!(asked.contains(&holder.id), "{} is none of {asked:?}", holder.id);
         })
         .await;
@@ -252,7 +252,7 @@
             let received = world.serve("/stream/1", &PROMPT).await;
             assert_eq!(received.status, 503);
             sleep(ms(10)).await;
-            let mut found = world.traffic.exchange.fleet.news().restarts;
+            let mut found = world.traffic.client.fleet.take_update().restarts;
             found.sort_by(|a, b| a.id.cmp(&b.id));
             assert_eq!(found.len(), expected, "{model}: {found:?}");
             for (restart, runner) in found.iter().zip(&world.runners) {
@@ -267,7 +267,7 @@
 /// can't be read by then, and no runner reads it for nothing; with more time it is served.
 #[tokio::test(start_paused = true)]
 async fn a_prompt_that_cannot_be_read_in_time_is_refused_at_once() {
-    for (patience, status) in [("30", 503), ("2000", 200)] {
+    for (timeout, status) in [("30", 503), ("2000", 200)] {
         play(async {
             let world = World::new(ENGINES, &["a", "b"], &EVENTS);
             world.serve("/stream/1", &PROMPT).await;
@@ -277,10 +277,10 @@
                 PROMPT[0],
                 PROMPT[1],
                 ("last-event-id", "2"),
-                ("x-bilberryfront-deadline-ms", patience),
+                ("x-bilberryfront-deadline-ms", timeout),
             ];
             let received = world.serve("/stream/1", &headers).await;
-            assert_eq!(received.status, status, "{patience} ms left");
+            assert_eq!(received.status, status, "{timeout} ms left");
             if status == 503 {
                 assert!(received.headers.contains_key("retry-after"));
                 assert!(start.elapsed() < ms(20) && world.sends() == before);
@@ -323,8 +323,8 @@
             *rest[0].script.borrow_mut() = EVENTS;
             first.dark.set(true);
             sleep(ms(100)).await;
-            let place = world.traffic.exchange.fleet.find(&first.id).unwrap();
-            world.traffic.exchange.fleet.failed(place.key, Instant::now());
+            let place = world.traffic.client.fleet.find(&first.id).unwrap();
+            world.traffic.client.fleet.failed(place.key, Instant::now());
         };
         let begun = async {
             let response = world.answer("/stream/1", &PROMPT).await;
@@ -346,8 +346,8 @@
         let word = async {
             sleep(ms(1)).await;
             let (first, rest) = split(&world);
-            let place = world.traffic.exchange.fleet.find(&first.id).unwrap();
-            world.traffic.exchange.fleet.failed(place.key, Instant::now());
+            let place = world.traffic.client.fleet.find(&first.id).unwrap();
+            world.traffic.client.fleet.failed(place.key, Instant::now());
             sleep(ms(2_000)).await;
             assert_eq!(rest[0].count(), 0, "left though it may be reading");
             *rest[0].script.borrow_mut() = EVENTS;
@@ -392,7 +392,7 @@
         let world = World::new(ENGINES, &["a", "b"], &slow);
         let mut body = world.answer("/stream/1", &PROMPT).await.into_body();
         body.frame().await.unwrap().unwrap();
-        let line = split(&world).0.lines.borrow()[0].clone();
+        let line = split(&world).0.log_messages.borrow()[0].clone();
         assert!(!line.is_finished());
         drop(body);
         sleep(ms(10)).await;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -9,11 +9,11 @@
         call::Call,
         catalog::Catalog,
         dialect::Dialect,
-        fleet::{Fleet, Wanted},
+        fleet::{Criteria, Fleet},
         flow::Traffic,
-        moves::exposure::Bound,
         network::Network,
         records::Records,
+        rollouts::exposure::Bound,
         view::{NodeAddress, Published, Registration, Splits, State, View},
     },
     bytes::Bytes,
@@ -124,7 +124,7 @@
     /// Requests that it has seen; questions aside.
     pub(crate) seen: RefCell<Vec<Seen>>,
     /// Its connections.
-    pub(crate) lines: RefCell<Vec<AbortHandle>>,
+    pub(crate) log_messages: RefCell<Vec<AbortHandle>>,
 }
 
 impl Runner {
@@ -151,14 +151,14 @@
             down: Cell::new(false),
             restarted: RefCell::default(),
             seen: RefCell::default(),
-            lines: RefCell::default(),
+            log_messages: RefCell::default(),
         }
     }
 
     /// Ends its process: connections break, new ones are refused.
     pub(crate) fn crash(&self) {
         self.down.set(true);
-        self.lines.borrow_mut().drain(..).for_each(|line| line.abort());
+        self.log_messages.borrow_mut().drain(..).for_each(|line| line.abort());
     }
 
     /// A header of its last request.
@@ -212,7 +212,7 @@
         // Ends with the caller or with the runner.
         _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
     });
-    serving.lines.borrow_mut().push(task.abort_handle());
+    serving.log_messages.borrow_mut().push(task.abort_handle());
 }
 
 type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
@@ -364,7 +364,7 @@
         let allowance = Allowance { ratio: 0.8, slack: 100.0, window: Duration::from_secs(10) };
         let bound = Bound { share: 0.1, slack: 50.0 };
         let mut traffic = Traffic::new(Http, net.clone(), published, allowance, bound);
-        traffic.exchange.fleet = Fleet::seeded(7);
+        traffic.client.fleet = Fleet::seeded(7);
         let mut world = World { traffic, runners: Vec::new(), net };
         for (index, domain) in domains.iter().enumerate() {
             world.add(index as u8, service, domain, script);
@@ -395,7 +395,7 @@
             assumed: false,
         };
         let runners: Vec<Registration> = self.runners.iter().map(registration).collect();
-        self.traffic.exchange.fleet.update(&runners);
+        self.traffic.client.fleet.update(&runners);
         self.traffic.published.store(View {
             catalog: Some(Arc::new(catalog())),
             runners: Arc::new(runners),
@@ -437,18 +437,18 @@
     }
 
     /// Ids of the runners that are asked for a prompt's cache.
-    pub(crate) fn homes(&self, prompt: u64) -> Vec<String> {
-        let wanted = Wanted {
+    pub(crate) fn preferred(&self, prompt: u64) -> Vec<String> {
+        let criteria = Criteria {
             service: ENGINES,
             except: &[],
             prompt: Some(prompt),
             memory: 55_000,
             away: None,
             version: None,
-            steady: false,
+            stable: false,
         };
-        let homes = self.traffic.exchange.fleet.homes(&wanted).into_iter();
-        homes.map(|place| place.id.to_string()).collect()
+        let preferred = self.traffic.client.fleet.preferred(&criteria).into_iter();
+        preferred.map(|place| place.id.to_string()).collect()
     }
 
     /// All requests that runners have seen.
@@ -478,8 +478,8 @@
 impl Received {
     /// Ids of its events, in order.
     pub(crate) fn ids(&self) -> Vec<u64> {
-        let lines = self.text.lines().filter_map(|line| line.strip_prefix("id: "));
-        lines.map(|id| id.parse().unwrap()).collect()
+        let log_messages = self.text.lines().filter_map(|line| line.strip_prefix("id: "));
+        log_messages.map(|id| id.parse().unwrap()).collect()
     }
 }
 
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -303,8 +303,8 @@
             "bilberryfront_refusals_total{cause=\"NoKey\"}",
             "bilberryfront_catalogue_version 5",
             "bilberryfront_runner_bytes_total{part=\"Events\",border=",
-            "bilberryfront_peer_bytes_total{about=\"Heartbeat\"}",
-            "bilberryfront_store_questions_total{table=",
+            "bilberryfront_peer_bytes_total{kind=\"Heartbeat\"}",
+            "bilberryfront_store_polls_total{table=",
         ] {
             assert!(metrics.contains(name), "{name} in:\n{metrics}");
         }
@@ -396,9 +396,9 @@
         assert_eq!(refused.post("/lodge/2", "k1").await.unwrap().status, 503);
 
         for (instance, cause) in [
-            (&paused, "the holder of its copy had none, so the whole prompt was read again"),
-            (&lost, "p1 had the request, and its connection broke"),
-            (&refused, "the instance had no catalogue, since the store didn't answer it"),
+            (&paused, "the holder had no replica, so the prompt was prefilled again"),
+            (&lost, "p1 had the request, and its connection failed"),
+            (&refused, "the instance had no catalogue, since the store did not respond"),
         ] {
             let what = format!("the log of {} tells: {cause}", instance.log.display());
             until(&what, async || explain(&instance.log).contains(cause)).await;
