--- /dev/null
+++ b/crates/relay/src/control/feeds.rs
@@ -0,0 +1,130 @@
+//! The watchers of all tables.
+
+use {
+    super::{
+        feed::{FeedEvent, FeedWatcher, PROBE_PAUSE, REST_PAUSE},
+        join,
+    },
+    crate::{
+        metrics::Metrics,
+        records::Records,
+        settings::Settings,
+        store::{Revision, Store},
+        table_sync::TableSync,
+    },
+    bilberryfront_decide::member::message::TableId,
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::sync::{mpsc, watch},
+};
+
+/// Long-poll wait for operators' rows; bounds the detection of a lost response.
+const OPERATORS_WAIT: Duration = Duration::from_secs(5);
+/// Minimum long-poll wait for runner registrations; bounds the detection of a silent outage.
+const RUNNERS_WAIT_MIN: Duration = Duration::from_secs(1);
+/// Added to that wait per reader, so that the total poll rate is independent of their number.
+const RUNNERS_WAIT_READER: Duration = Duration::from_millis(400);
+/// Maximum long-poll wait for runner registrations.
+const RUNNERS_WAIT_MAX: Duration = Duration::from_secs(5);
+/// Long-poll wait for rows that gossip carries too, or that change rarely.
+const RARE_WAIT: Duration = Duration::from_secs(30);
+/// Minimum interval of polls for node registrations, so that nodes starting together do not fetch
+/// each other's rows one by one.
+const NODES_EVERY: Duration = Duration::from_secs(2);
+/// Interval of polls for runner registrations, as a share of the time in which a draining runner
+/// must get no new requests. The rest is for a poll that has to be repeated.
+const RUNNERS_SHARE: f64 = 0.45;
+/// Capacity of the event channel.
+const EVENTS: usize = 64;
+
+/// A watched table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Watched {
+    /// Replicated within the failure domain.
+    Replicated(TableId),
+    /// Registrations of nodes; gossip replicates them.
+    Nodes,
+}
+
+/// Control of the watchers.
+pub(super) struct Feeds {
+    active: watch::Sender<bool>,
+    revisions: [Rc<Cell<Option<Revision>>>; TableId::ALL.len()],
+    nodes_revision: Rc<Cell<Option<Revision>>>,
+    runners_wait: Rc<Cell<Duration>>,
+}
+
+impl Feeds {
+    /// Starts the watchers, which are inactive at first.
+    pub(super) fn start<R: Records, S: Store>(
+        settings: &Settings,
+        store: &S,
+        metrics: &Metrics,
+    ) -> (Feeds, mpsc::Receiver<FeedEvent<Watched>>) {
+        let (sender, events) = mpsc::channel(EVENTS);
+        let feeds = Feeds {
+            active: watch::Sender::new(false),
+            revisions: Default::default(),
+            nodes_revision: Rc::default(),
+            runners_wait: Rc::new(Cell::new(RUNNERS_WAIT_MIN)),
+        };
+        let returns = watch::Sender::new(0);
+        let watch = |name, table, every, wait: &Rc<Cell<Duration>>| {
+            let (revision, pause) = match table {
+                Watched::Replicated(TableId::Operators) => (feeds.revision(TableId::Operators), PROBE_PAUSE),
+                Watched::Replicated(id) => (feeds.revision(id), REST_PAUSE),
+                Watched::Nodes => (feeds.nodes_revision.clone(), REST_PAUSE),
+            };
+            let watcher = FeedWatcher {
+                store: store.clone(),
+                name,
+                table,
+                every,
+                wait: wait.clone(),
+                pause,
+                active: feeds.active.subscribe(),
+                revision,
+                returns: returns.clone(),
+                metrics: metrics.clone(),
+            };
+            tokio::task::spawn_local(watcher.run(sender.clone()));
+        };
+        let fixed = |wait| Rc::new(Cell::new(wait));
+        let replicated = Watched::Replicated;
+        let runners_every = settings.bounds.leave().mul_f64(RUNNERS_SHARE);
+        watch(R::ORDERS, replicated(TableId::Operators), Duration::ZERO, &fixed(OPERATORS_WAIT));
+        watch(R::RUNNERS, replicated(TableId::Runners), runners_every, &feeds.runners_wait);
+        watch(R::STATUS, replicated(TableId::Statuses), Duration::ZERO, &fixed(RARE_WAIT));
+        watch(join::TABLE, Watched::Nodes, NODES_EVERY, &fixed(RARE_WAIT));
+        (feeds, events)
+    }
+
+    /// Starts or stops polling. Feeds continue where the replicated tables are known.
+    pub(super) fn set_active(&self, sync: &TableSync) {
+        let active = sync.is_polling();
+        if *self.active.borrow() == active {
+            return;
+        }
+        if active {
+            for table in TableId::ALL {
+                self.revision(table).set(sync.revision(table));
+            }
+        }
+        log::info!(active; "polling of the store switched");
+        self.active.send_replace(active);
+    }
+
+    /// Sets where the feed of node registrations continues.
+    pub(super) fn set_nodes_revision(&self, revision: Revision) {
+        self.nodes_revision.set(Some(revision));
+    }
+
+    /// Adapts the poll rate to the number of readers of the whole system.
+    pub(super) fn set_readers(&self, readers: usize) {
+        let wait = RUNNERS_WAIT_READER.mul_f64(readers as f64);
+        self.runners_wait.set(wait.clamp(RUNNERS_WAIT_MIN, RUNNERS_WAIT_MAX));
+    }
+
+    fn revision(&self, table: TableId) -> Rc<Cell<Option<Revision>>> {
+        self.revisions[table as usize].clone()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/mirror.rs
@@ -0,0 +1,120 @@
+//! Local copy of a table of the store, merged from the store and from peers.
+
+use {
+    crate::store::{Revision, Row, Rows},
+    bytes::Bytes,
+    compact_str::CompactString,
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::Duration,
+    },
+    tokio::time::Instant,
+    xxhash_rust::xxh64::xxh64,
+};
+
+/// Retention of tombstones; longer than any message is delayed.
+const TOMBSTONE: Duration = Duration::from_secs(60);
+
+/// A table that is read by some nodes and forwarded to the others.
+///
+/// Of two versions of a row the one with the higher revision wins, so updates of several readers
+/// may arrive in any order and more than once.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    rows: BTreeMap<CompactString, Version>,
+    removed: VecDeque<(Instant, CompactString)>,
+    /// Sum of the hashes of all rows.
+    hash: u64,
+    revision: Option<Revision>,
+}
+
+#[derive(Clone, Debug)]
+struct Version {
+    revision: Revision,
+    /// `None` for a tombstone.
+    value: Option<Bytes>,
+}
+
+impl Mirror {
+    /// Revision up to which the copy is complete; `None` until the whole table was read once.
+    pub fn revision(&self) -> Option<Revision> {
+        self.revision
+    }
+
+    /// Hash over keys and revisions of all rows; equal for equal copies.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+
+    /// Marks the copy as complete up to a revision.
+    pub fn confirm(&mut self, revision: Revision) {
+        self.revision = self.revision.map(|known| known.max(revision));
+    }
+
+    /// Merges some rows; returns those that changed. Nothing is returned before the first
+    /// [`Mirror::replace`], which returns everything.
+    pub fn merge(&mut self, now: Instant, rows: Vec<Row>) -> Vec<Row> {
+        let changed: Vec<Row> = rows.into_iter().filter(|row| self.put(now, row)).collect();
+        if self.revision.is_some() { changed } else { Vec::new() }
+    }
+
+    /// Merges a snapshot of the whole table; returns the rows that changed, removed ones included.
+    pub fn replace(&mut self, now: Instant, snapshot: Rows) -> Vec<Row> {
+        let Rows { rows, revision } = snapshot;
+        let first = self.revision.is_none();
+        let listed: std::collections::BTreeSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
+        let gone = |(key, version): (&CompactString, &Version)| {
+            let gone = version.value.is_some()
+                && version.revision <= revision
+                && !listed.contains(key.as_str());
+            gone.then(|| Row { key: key.clone(), value: None, revision })
+        };
+        let gone: Vec<Row> = self.rows.iter().filter_map(gone).collect();
+        let changed = gone.into_iter().chain(rows).filter(|row| self.put(now, row)).collect();
+        self.revision = Some(self.revision.unwrap_or_default().max(revision));
+        if first { self.rows() } else { changed }
+    }
+
+    /// All rows.
+    pub fn rows(&self) -> Vec<Row> {
+        let live = |(key, version): (&CompactString, &Version)| {
+            let value = Some(version.value.clone()?);
+            Some(Row { key: key.clone(), value, revision: version.revision })
+        };
+        self.rows.iter().filter_map(live).collect()
+    }
+
+    fn put(&mut self, now: Instant, row: &Row) -> bool {
+        let known = self.rows.get(&row.key);
+        if known.is_some_and(|known| known.revision >= row.revision) {
+            return false;
+        }
+        if let Some(Version { revision, value: Some(_) }) = known {
+            self.hash = self.hash.wrapping_sub(hash(&row.key, *revision));
+        }
+        match &row.value {
+            Some(_) => self.hash = self.hash.wrapping_add(hash(&row.key, row.revision)),
+            None => self.removed.push_back((now, row.key.clone())),
+        }
+        let version = Version { revision: row.revision, value: row.value.clone() };
+        self.rows.insert(row.key.clone(), version);
+        self.prune(now);
+        true
+    }
+
+    fn prune(&mut self, now: Instant) {
+        while let Some((at, key)) = self.removed.front() {
+            if now < *at + TOMBSTONE {
+                return;
+            }
+            if self.rows.get(key).is_some_and(|version| version.value.is_none()) {
+                self.rows.remove(key);
+            }
+            self.removed.pop_front();
+        }
+    }
+}
+
+fn hash(key: &str, revision: Revision) -> u64 {
+    xxh64(key.as_bytes(), revision)
+}
--- /dev/null
+++ b/crates/relay/src/readers.rs
@@ -0,0 +1,175 @@
+//! Election of the nodes that read the store for their failure domain.
+//!
+//! The nodes of a domain are ranked by a hash of their names. The first [`READERS`] read the store
+//! and forward what changes; the others read it themselves only while no reader reports that the
+//! store is available to it. Their attempts are spread over the domain, so that the rate of calls
+//! does not grow with its size, in an outage either.
+
+use {
+    compact_str::CompactString,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::Instant,
+    xxhash_rust::xxh64::xxh64,
+};
+
+/// Readers per failure domain.
+pub const READERS: usize = 2;
+/// Interval of the readers' reports.
+pub const REPORT_EVERY: Duration = Duration::from_millis(400);
+/// Age at which a report expires.
+const LATE: Duration = Duration::from_millis(1_200);
+/// Time after the start for which the readers' first report is awaited.
+const START: Duration = Duration::from_millis(150);
+/// Deputies that take over one after the other; beyond them, attempts are random.
+const DEPUTIES: usize = 4;
+/// Delay between the deputies' attempts.
+const STEP: Duration = Duration::from_millis(100);
+/// Mean time between attempts in a domain while the store is unavailable.
+const ATTEMPT_EVERY: Duration = Duration::from_millis(500);
+
+/// Nodes of one failure domain by rank.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ranking(Vec<CompactString>);
+
+impl Ranking {
+    /// Ranks the nodes of a domain.
+    pub fn new(names: impl IntoIterator<Item = CompactString>) -> Ranking {
+        let mut names: Vec<CompactString> = names.into_iter().collect();
+        names.sort_unstable_by_key(|name| (xxh64(name.as_bytes(), 0), name.clone()));
+        names.dedup();
+        Ranking(names)
+    }
+
+    /// Rank of a node; the last one if it is unknown.
+    pub fn rank(&self, name: &str) -> usize {
+        self.0.iter().position(|n| n == name).unwrap_or(self.0.len())
+    }
+
+    /// Number of nodes.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// Whether there are no nodes.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// The nodes that should read the store.
+    pub fn readers(&self) -> &[CompactString] {
+        &self.0[..self.0.len().min(READERS)]
+    }
+}
+
+/// Whether this node reads the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Role {
+    /// It relies on the readers' updates.
+    Standby,
+    /// It tries whether the store is available to it.
+    Attempt,
+    /// It reads for the domain.
+    Reader,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    at: Instant,
+    rank: usize,
+    available: bool,
+}
+
+/// This node's part in the election.
+#[derive(Debug)]
+pub struct Election {
+    role: Role,
+    reports: BTreeMap<CompactString, Report>,
+    start: Instant,
+    attempt: Option<Instant>,
+    rng: SmallRng,
+}
+
+impl Election {
+    /// A node that has just started.
+    pub fn new(now: Instant, seed: u64) -> Election {
+        let rng = SmallRng::seed_from_u64(seed);
+        Election {
+            role: Role::Standby,
+            reports: BTreeMap::new(),
+            start: now,
+            attempt: None,
+            rng,
+        }
+    }
+
+    /// Takes a reader's report.
+    pub fn report(&mut self, now: Instant, from: &CompactString, rank: usize, available: bool) {
+        self.reports.retain(|_, report| now < report.at + LATE);
+        self.reports.insert(from.clone(), Report { at: now, rank, available });
+    }
+
+    /// Takes the outcome of an own poll.
+    pub fn polled(&mut self, now: Instant, ok: bool, ranking: &Ranking) {
+        match (self.role, ok) {
+            (Role::Attempt, true) => self.role = Role::Reader,
+            (Role::Attempt | Role::Reader, false) => {
+                self.role = Role::Standby;
+                let pause = ATTEMPT_EVERY.mul_f64(ranking.len() as f64);
+                self.attempt = Some(now + pause.mul_f64(self.rng.random_range(0.5..1.5)));
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether some other node reports that the store is available to it.
+    pub fn has_reader(&self, now: Instant) -> bool {
+        self.reports.values().any(|report| report.is_available(now))
+    }
+
+    /// Whether this node should poll the store.
+    pub fn step(&mut self, now: Instant, me: &str, ranking: &Ranking) -> bool {
+        let rank = ranking.rank(me);
+        if rank < READERS {
+            self.role = Role::Reader;
+            return true;
+        }
+        match self.role {
+            Role::Attempt => {}
+            Role::Reader if self.is_relieved(now, rank) => self.role = Role::Standby,
+            Role::Reader => {}
+            Role::Standby if self.has_reader(now) => self.attempt = None,
+            Role::Standby => self.schedule(now, rank, ranking.len()),
+        }
+        self.role != Role::Standby
+    }
+
+    /// Whether a node of a lower rank reads the store.
+    fn is_relieved(&self, now: Instant, rank: usize) -> bool {
+        self.reports.values().any(|report| report.rank < rank && report.is_available(now))
+    }
+
+    fn schedule(&mut self, now: Instant, rank: usize, size: usize) {
+        let at = match self.attempt {
+            Some(at) => at,
+            None => {
+                let first = now.max(self.start + START);
+                let delay = match rank - READERS {
+                    deputy if deputy < DEPUTIES => STEP * deputy as u32,
+                    _ => ATTEMPT_EVERY.mul_f64(size as f64).mul_f64(self.rng.random()),
+                };
+                *self.attempt.insert(first + delay)
+            }
+        };
+        if now >= at {
+            self.role = Role::Attempt;
+            self.attempt = None;
+        }
+    }
+}
+
+impl Report {
+    fn is_available(&self, now: Instant) -> bool {
+        self.available && now < self.at + LATE
+    }
+}
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -62,7 +62,7 @@
     /// Stored as completed.
     Proved,
     /// Found bad, or stored as rolled back.
-    Judged,
+    Rejected,
     /// Stored as completed before this node found it bad.
     RecordedCompleted,
 }
@@ -149,7 +149,7 @@
                 self.transition(Signal::RecordedCompleted);
             }
             Phase::Completed if mine => self.transition(Signal::Proved),
-            Phase::RolledBack if mine => self.transition(Signal::Judged),
+            Phase::RolledBack if mine => self.transition(Signal::Rejected),
             _ => {}
         }
     }
@@ -203,7 +203,7 @@
         if self.phase == Phase::Canary {
             log::warn!(service = self.order.service.as_str(), to = self.order.to.as_str(),
                 route = verdict.route.as_str(); "rollout rolled back: {:?}", verdict.cause);
-            self.transition(Signal::Judged);
+            self.transition(Signal::Rejected);
             self.verdict = Some(verdict);
             self.decided_at = now;
             self.report_at = now;
--- /dev/null
+++ b/crates/relay/src/table_sync.rs
@@ -0,0 +1,351 @@
+//! Replication of the store's tables within a failure domain.
+//!
+//! A pure state machine: events in, actions out. Readers ([`crate::readers`]) poll the store, forward
+//! changed rows and report digests of what they have; the other nodes request a whole table when
+//! theirs differs.
+
+use {
+    crate::{
+        control::feed::Change,
+        mirror::Mirror,
+        readers::{Election, REPORT_EVERY, Ranking},
+        store::{Row, Rows},
+    },
+    bilberryfront_decide::member::{
+        PeerMessage,
+        message::{StoreReport, TableDigest, TableId, TableRow, TableUpdate},
+    },
+    compact_str::CompactString,
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+/// Time after an outage within which live runners re-register: 2 s by the platform's guarantee, plus
+/// propagation.
+const RELIST: Duration = Duration::from_millis(2_500);
+/// Shortest time without the store after which registrations may have expired.
+const LAPSE: Duration = Duration::from_secs(2);
+/// Minimum interval of requests for a table.
+const PULL_EVERY: Duration = Duration::from_millis(250);
+/// Consecutive reports with another digest after which a table is requested; a single one may have
+/// overtaken an update.
+const MISMATCHES: u32 = 2;
+
+/// Side effect of the replication.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send to all nodes of the own failure domain.
+    Broadcast(PeerMessage),
+    /// Send to one node.
+    Send(CompactString, PeerMessage),
+    /// Apply changed rows.
+    Apply {
+        /// Table.
+        table: TableId,
+        /// Rows.
+        rows: Vec<Row>,
+        /// Time for which a removed row may still return.
+        grace: Duration,
+    },
+}
+
+/// State of one table.
+#[derive(Debug, Default)]
+struct Table {
+    mirror: Mirror,
+    /// Whether the last own poll failed.
+    failed: bool,
+    mismatches: u32,
+    pulled: Option<Instant>,
+}
+
+/// Replicated tables of one node.
+#[derive(Debug)]
+pub struct TableSync {
+    me: CompactString,
+    ranking: Ranking,
+    election: Election,
+    tables: [Table; TableId::ALL.len()],
+    polling: bool,
+    reported: Option<Instant>,
+    /// Last sign that the store is available, own or reported.
+    seen: Option<Instant>,
+    /// Whether the store is unavailable to this node and to all readers.
+    outage: bool,
+    /// Whether it is known to reject requests, rather than not known to be available.
+    refused: bool,
+    /// End of the time in which removed runners may return.
+    grace: Option<Instant>,
+}
+
+impl TableSync {
+    /// A node without any rows.
+    pub fn new(now: Instant, seed: u64, me: CompactString) -> TableSync {
+        TableSync {
+            ranking: Ranking::new([me.clone()]),
+            me,
+            election: Election::new(now, seed),
+            tables: Default::default(),
+            polling: false,
+            reported: None,
+            seen: None,
+            outage: false,
+            refused: false,
+            grace: None,
+        }
+    }
+
+    /// Sets the nodes of the own failure domain.
+    pub fn set_ranking(&mut self, ranking: Ranking) {
+        self.ranking = ranking;
+    }
+
+    /// Whether the store should be polled.
+    pub fn is_polling(&self) -> bool {
+        self.polling
+    }
+
+    /// Whether the store rejects requests of this node and of all readers.
+    pub fn is_cut_off(&self) -> bool {
+        self.outage && self.refused
+    }
+
+    /// Whether registrations of live runners may be missing.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        !self.outage && self.grace.is_none_or(|end| now >= end)
+    }
+
+    /// Whether this node is the first one that should read the store.
+    pub fn is_first_reader(&self) -> bool {
+        self.ranking.rank(&self.me) == 0
+    }
+
+    /// Revision up to which a table is known, to continue its feed from.
+    pub fn revision(&self, table: TableId) -> Option<u64> {
+        self.tables[index(table)].mirror.revision()
+    }
+
+    /// Performs due work.
+    pub fn step(&mut self, now: Instant, out: &mut Vec<Action>) {
+        self.polling = self.election.step(now, &self.me, &self.ranking);
+        if !self.polling {
+            self.tables.iter_mut().for_each(|table| table.failed = false);
+        }
+        self.update_outage(now);
+        if self.polling && self.is_loaded() && self.is_report_due(now) {
+            self.reported = Some(now);
+            out.push(Action::Broadcast(PeerMessage::StoreReport(self.store_report())));
+        }
+        if !self.polling && !self.is_loaded() {
+            self.pull_missing(now, out);
+        }
+    }
+
+    /// Takes the result of an own poll.
+    pub fn polled(&mut self, now: Instant, table: TableId, change: Change, out: &mut Vec<Action>) {
+        let failed = matches!(change, Change::Down);
+        self.tables[index(table)].failed = failed;
+        self.refused |= failed;
+        // Rollouts are rare: their statuses alone do not tell whether the store is available.
+        if table != TableId::Statuses {
+            self.election.polled(now, !self.has_failed(), &self.ranking);
+            let before = self.outage;
+            self.update_outage(now);
+            if before != self.outage {
+                self.reported = None;
+            }
+        }
+        if !failed {
+            self.seen = Some(now);
+        }
+        let mirror = &mut self.tables[index(table)].mirror;
+        let loaded = mirror.revision().is_some();
+        let (rows, revision) = match change {
+            Change::Down | Change::Up => return,
+            Change::Whole(snapshot) => {
+                let revision = snapshot.revision;
+                (mirror.replace(now, snapshot), revision)
+            }
+            Change::Rows(Rows { rows, revision }) => {
+                let rows = mirror.merge(now, rows);
+                mirror.confirm(revision);
+                (rows, revision)
+            }
+        };
+        if rows.is_empty() && loaded {
+            return;
+        }
+        let grace = self.grace_left(now);
+        // The first read is no change: nodes that lack rows request them after the next report.
+        match loaded {
+            true => out.push(Action::Broadcast(update(table, revision, false, grace, &rows))),
+            false => self.reported = None,
+        }
+        out.push(Action::Apply { table, rows, grace });
+    }
+
+    /// Takes a row of the operators' table that gossip has brought.
+    pub fn gossiped(&mut self, now: Instant, row: Row) {
+        self.tables[index(TableId::Operators)].mirror.merge(now, vec![row]);
+    }
+
+    /// Takes a peer's message.
+    pub fn received(
+        &mut self,
+        now: Instant,
+        from: &CompactString,
+        message: PeerMessage,
+        out: &mut Vec<Action>,
+    ) {
+        match message {
+            PeerMessage::Table(update) => self.apply(now, update, out),
+            PeerMessage::TablePull(table) => out.extend(self.answer(now, from, table)),
+            PeerMessage::StoreReport(report) => self.compare(now, from, &report, out),
+            _ => {}
+        }
+    }
+
+    fn apply(&mut self, now: Instant, update: TableUpdate, out: &mut Vec<Action>) {
+        let TableUpdate { table, revision, whole, grace_ms, rows } = update;
+        let rows: Vec<Row> = rows.into_iter().map(row).collect();
+        let mirror = &mut self.tables[index(table)].mirror;
+        let rows = match whole {
+            true => mirror.replace(now, Rows { rows, revision }),
+            false => mirror.merge(now, rows),
+        };
+        let grace = Duration::from_millis(grace_ms.into());
+        if !rows.is_empty() || whole {
+            out.push(Action::Apply { table, rows, grace });
+        }
+    }
+
+    /// Answers a request for a table, as far as this node is a reader.
+    fn answer(&self, now: Instant, from: &CompactString, table: TableId) -> Option<Action> {
+        let mirror = &self.tables[index(table)].mirror;
+        let revision = mirror.revision().filter(|_| self.polling && !self.has_failed())?;
+        let message = update(table, revision, true, self.grace_left(now), &mirror.rows());
+        Some(Action::Send(from.clone(), message))
+    }
+
+    fn compare(
+        &mut self,
+        now: Instant,
+        from: &CompactString,
+        report: &StoreReport,
+        out: &mut Vec<Action>,
+    ) {
+        let rank = self.ranking.rank(from);
+        self.election.report(now, from, rank, report.available);
+        self.refused |= !report.available;
+        self.update_outage(now);
+        if !report.available {
+            return;
+        }
+        self.seen = Some(now);
+        for digest in &report.digests {
+            let table = &mut self.tables[index(digest.table)];
+            if table.mirror.revision().is_some() && table.mirror.hash() == digest.hash {
+                table.mirror.confirm(digest.revision);
+                table.mismatches = 0;
+                continue;
+            }
+            table.mismatches += 1;
+            let due = table.mirror.revision().is_none() || table.mismatches >= MISMATCHES;
+            if due && table.may_pull(now) {
+                let message = PeerMessage::TablePull(digest.table);
+                out.push(Action::Send(from.clone(), message));
+            }
+        }
+    }
+
+    /// Requests tables from the nodes that should be readers, without waiting for a report.
+    fn pull_missing(&mut self, now: Instant, out: &mut Vec<Action>) {
+        for id in TableId::ALL {
+            let table = &mut self.tables[index(id)];
+            if table.mirror.revision().is_none() && table.may_pull(now) {
+                let readers = self.ranking.readers().iter().filter(|name| **name != self.me);
+                let pull = |name: &CompactString| {
+                    Action::Send(name.clone(), PeerMessage::TablePull(id))
+                };
+                out.extend(readers.map(pull));
+            }
+        }
+    }
+
+    fn store_report(&self) -> StoreReport {
+        let digest = |table| {
+            let mirror = &self.tables[index(table)].mirror;
+            Some(TableDigest { table, revision: mirror.revision()?, hash: mirror.hash() })
+        };
+        let digests = TableId::ALL.into_iter().filter_map(digest).collect();
+        StoreReport { available: !self.has_failed(), digests }
+    }
+
+    fn is_report_due(&self, now: Instant) -> bool {
+        self.reported.is_none_or(|at| now >= at + REPORT_EVERY)
+    }
+
+    fn is_loaded(&self) -> bool {
+        self.tables.iter().all(|table| table.mirror.revision().is_some())
+    }
+
+    fn has_failed(&self) -> bool {
+        self.tables[index(TableId::Operators)].failed || self.tables[index(TableId::Runners)].failed
+    }
+
+    /// Tracks outages. Registrations expire in a long one, and return some time after it.
+    fn update_outage(&mut self, now: Instant) {
+        let reads = self.polling && !self.has_failed() && self.is_loaded();
+        let available = reads || self.election.has_reader(now);
+        if available && self.outage {
+            let lapsed = self.seen.is_some_and(|seen| now >= seen + LAPSE);
+            self.grace = lapsed.then_some(now + RELIST);
+        }
+        self.outage = !available;
+        self.refused &= self.outage;
+    }
+
+    fn grace_left(&self, now: Instant) -> Duration {
+        self.grace.map_or(Duration::ZERO, |end| end.saturating_duration_since(now))
+    }
+}
+
+impl Table {
+    fn may_pull(&mut self, now: Instant) -> bool {
+        let due = self.pulled.is_none_or(|at| now >= at + PULL_EVERY);
+        if due {
+            self.pulled = Some(now);
+            self.mismatches = 0;
+        }
+        due
+    }
+}
+
+fn index(table: TableId) -> usize {
+    table as usize
+}
+
+fn update(
+    table: TableId,
+    revision: u64,
+    whole: bool,
+    grace: Duration,
+    rows: &[Row],
+) -> PeerMessage {
+    let row = |row: &Row| TableRow {
+        key: row.key.clone(),
+        revision: row.revision,
+        value: row.value.as_ref().map(|value| value.to_vec()),
+    };
+    PeerMessage::Table(TableUpdate {
+        table,
+        revision,
+        whole,
+        grace_ms: grace.as_millis() as u32,
+        rows: rows.iter().map(row).collect(),
+    })
+}
+
+fn row(TableRow { key, revision, value }: TableRow) -> Row {
+    Row { key, value: value.map(Into::into), revision }
+}
