--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -173,7 +173,10 @@
             | PeerMessage::CatalogPush(_)
             | PeerMessage::Move(_)
             | PeerMessage::Load(_)
-            | PeerMessage::RelayedLoad(_) => {}
+            | PeerMessage::RelayedLoad(_)
+            | PeerMessage::Table(_)
+            | PeerMessage::TablePull(_)
+            | PeerMessage::StoreReport(_) => {}
             PeerMessage::MembersPull => {
                 let table = self.claims();
                 self.send(from, PeerMessage::MembersPush(table), out);
@@ -326,7 +329,8 @@
         }
     }
 
-    fn target(&self, name: &str) -> Option<Target> {
+    /// Address of a node.
+    pub fn target(&self, name: &str) -> Option<Target> {
         let location = self.records.get(name)?.location.as_ref()?;
         Some(Target { name: name.into(), address: location.peer.clone() })
     }
--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -36,6 +36,79 @@
     Load(Load),
     /// A relayed [`PeerMessage::Load`].
     RelayedLoad(RelayedLoad),
+    /// Rows of a table of the store.
+    Table(TableUpdate),
+    /// Requests a whole table; answered with [`PeerMessage::Table`].
+    TablePull(TableId),
+    /// What a reader of the store has.
+    StoreReport(StoreReport),
+}
+
+/// A replicated table of the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Deserialize, Serialize)]
+pub enum TableId {
+    /// Catalogue and orders of the operators.
+    Operators,
+    /// Registrations of runners.
+    Runners,
+    /// Statuses of rollouts.
+    Statuses,
+}
+
+impl TableId {
+    /// All tables.
+    pub const ALL: [TableId; 3] = [TableId::Operators, TableId::Runners, TableId::Statuses];
+}
+
+/// Rows of a table, forwarded by a reader of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct TableUpdate {
+    /// Table.
+    pub table: TableId,
+    /// Revision of the store up to which the sender has read the table.
+    pub revision: u64,
+    /// Whether these are all rows.
+    pub whole: bool,
+    /// Milliseconds for which a removed row may still return, after an outage of the store; 0 if none.
+    pub grace_ms: u32,
+    /// Rows.
+    pub rows: Vec<TableRow>,
+}
+
+/// A row of a table of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct TableRow {
+    /// Key.
+    pub key: CompactString,
+    /// Revision of the last write.
+    pub revision: u64,
+    /// Content; `None` for a removed row.
+    pub value: Option<Vec<u8>>,
+}
+
+/// State of a reader of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct StoreReport {
+    /// Whether the store responds to it.
+    pub available: bool,
+    /// What it has of each table; empty before the first read.
+    pub digests: Vec<TableDigest>,
+}
+
+/// Digest of a replicated table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct TableDigest {
+    /// Table.
+    pub table: TableId,
+    /// Revision of the store up to which the table was read.
+    pub revision: u64,
+    /// Hash over keys and revisions of all rows.
+    pub hash: u64,
 }
 
 /// A load update relayed by another node.
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -5,16 +5,25 @@
     bilberryfront_decide::member::{MAX_MEMBERS, PeerMessage, message::RelayedLoad},
     bytes::Bytes,
     compact_str::CompactString,
+    std::borrow::Cow,
 };
 
 /// Protocol version.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Maximum size of a [`Class::Control`] frame.
 pub const CONTROL_LIMIT: usize = 256 * 1024;
 /// Maximum size of a [`Class::Catalog`] frame.
 pub const CATALOG_LIMIT: usize = 16 * 1024 * 1024;
+/// Maximum size of a [`Class::Table`] frame.
+pub const TABLE_LIMIT: usize = 4 * 1024 * 1024;
 /// Header size: version and class.
 pub const HEADER: usize = 2;
+/// Flag in the class byte of a compressed frame.
+const COMPRESSED: u8 = 0x80;
+/// Minimum size of a compressed frame.
+const COMPRESS_FROM: usize = 512;
+/// Size prefix of compressed data.
+const SIZE: usize = size_of::<u32>();
 /// Maximum usage lines or updates per heartbeat.
 const ITEMS_LIMIT: usize = 64;
 /// Maximum runners per load update.
@@ -40,6 +49,8 @@
     Control,
     /// A catalogue; accepted only from a node it was requested from.
     Catalog,
+    /// Rows of a table.
+    Table,
 }
 
 impl Class {
@@ -47,6 +58,7 @@
     pub fn of(message: &PeerMessage) -> Class {
         match message {
             PeerMessage::CatalogPush(_) => Class::Catalog,
+            PeerMessage::Table(_) => Class::Table,
             _ => Class::Control,
         }
     }
@@ -56,14 +68,16 @@
         match self {
             Class::Control => CONTROL_LIMIT,
             Class::Catalog => CATALOG_LIMIT,
+            Class::Table => TABLE_LIMIT,
         }
     }
 
     /// Parses a header.
     pub fn read(header: [u8; HEADER]) -> Option<Class> {
-        match header {
+        match [header[0], header[1] & !COMPRESSED] {
             [VERSION, 0] => Some(Class::Control),
             [VERSION, 1] => Some(Class::Catalog),
+            [VERSION, 2] => Some(Class::Table),
             _ => None,
         }
     }
@@ -72,6 +86,7 @@
         match self {
             Class::Control => 0,
             Class::Catalog => 1,
+            Class::Table => 2,
         }
     }
 }
@@ -100,6 +115,7 @@
     if bytes.len() > class.limit() {
         return Err(PeerError::Oversized(bytes.len()));
     }
+    let bytes = if bytes.len() < COMPRESS_FROM { bytes } else { compress(&bytes) };
     let latest = matches!(message, PeerMessage::Heartbeat(_));
     let load = matches!(message, PeerMessage::Load(_) | PeerMessage::RelayedLoad(_));
     let datagram = latest || load;
@@ -113,8 +129,12 @@
     if bytes.len() > class.limit() {
         return Err(DecodeError::Oversized);
     }
+    let body = match header[1] & COMPRESSED {
+        0 => Cow::Borrowed(body),
+        _ => Cow::Owned(decompress(body, class)?),
+    };
     let ((name, message), rest) =
-        postcard::take_from_bytes(body).map_err(|_| DecodeError::Garbled)?;
+        postcard::take_from_bytes(&body).map_err(|_| DecodeError::Garbled)?;
     if !rest.is_empty() || Class::of(&message) != class {
         return Err(DecodeError::Garbled);
     }
@@ -124,6 +144,22 @@
     Ok((name, message))
 }
 
+fn compress(frame: &[u8]) -> Vec<u8> {
+    let (header, body) = frame.split_at(HEADER);
+    let mut bytes = vec![header[0], header[1] | COMPRESSED];
+    bytes.extend(lz4_flex::compress_prepend_size(body));
+    bytes
+}
+
+/// Checks the declared size first: a few bytes could expand to gigabytes.
+fn decompress(body: &[u8], class: Class) -> std::result::Result<Vec<u8>, DecodeError> {
+    let size: &[u8; SIZE] = body.first_chunk().ok_or(DecodeError::Garbled)?;
+    if u32::from_le_bytes(*size) as usize > class.limit() {
+        return Err(DecodeError::Oversized);
+    }
+    lz4_flex::decompress_size_prepended(body).map_err(|_| DecodeError::Garbled)
+}
+
 fn items(message: &PeerMessage) -> usize {
     match message {
         PeerMessage::Heartbeat(heartbeat) => heartbeat.updates.len().max(heartbeat.usage.len()),
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -300,7 +300,7 @@
         let event = Received::Message { from: peer.clone(), message };
         match class {
             Class::Control => self.tell(event),
-            Class::Catalog => _ = self.events.send(event).await,
+            Class::Catalog | Class::Table => _ = self.events.send(event).await,
         }
     }
 }
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -54,7 +54,7 @@
         let dropped = match frame.class {
             Class::Catalog => state.catalog.replace(frame),
             Class::Control if frame.latest => state.heartbeat.replace(frame),
-            Class::Control => {
+            Class::Control | Class::Table => {
                 state.control.push_back(frame);
                 if state.control.len() > CONTROL { state.control.pop_front() } else { None }
             }
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -2,18 +2,21 @@
 //! rollouts.
 
 mod authority;
+mod catalog;
 pub mod feed;
+mod feeds;
+mod gossip;
 mod join;
-pub mod registry;
 mod members;
+pub mod registry;
 mod rollouts;
-mod catalog;
-mod gossip;
+mod tables;
 
 use {
     self::{
-        feed::{Change, FeedEvent, FeedWatcher, PROBE_PAUSE, REST_PAUSE},
-        members::Membership,
+        feed::FeedEvent,
+        feeds::{Feeds, Loaded, Watched},
+        members::{Membership, Nodes},
         registry::RunnerRegistry,
     },
     crate::{
@@ -21,71 +24,58 @@
         drain::Drain,
         load_sync::PeerReport,
         metrics::Metrics,
+        readers::READERS,
         records::Records,
         rollouts::{Rollouts, Trial},
         settings::Settings,
-        store::{Revision, Store, Write},
+        store::{Revision, Rows, Store},
+        table_sync::TableSync,
         view::{NodeAddress, Published, Splits, View},
     },
     bilberryfront_decide::{id::Incarnation, member::message::Load},
     bytes::Bytes,
-    std::{cell::Cell, rc::Rc, sync::Arc, time::Duration},
+    std::{sync::Arc, time::Duration},
     tokio::{
-        sync::{mpsc, watch},
+        sync::{Notify, mpsc},
         time::{Instant, MissedTickBehavior, interval},
     },
 };
 
-/// Table of node registrations, by node name.
-const NODES: &str = "bilberryfront-nodes";
 /// Interval of periodic work.
 const TICK: Duration = Duration::from_millis(50);
-/// Long-poll wait for operators' rows; bounds the detection of a lost response.
-const ORDERS_WAIT: Duration = Duration::from_secs(5);
-/// Minimum long-poll wait for runner registrations; bounds the detection of a silent outage.
-const RUNNERS_WAIT_LEAST: Duration = Duration::from_secs(1);
-/// Added to that wait per node, so that the total poll rate is independent of the number of nodes.
-const RUNNERS_WAIT_NODE: Duration = Duration::from_millis(400);
-/// Maximum long-poll wait for runner registrations.
-const RUNNERS_WAIT_MOST: Duration = Duration::from_secs(5);
-/// Long-poll wait for node registrations; heartbeats carry everything urgent.
-const NODES_WAIT: Duration = Duration::from_secs(30);
-/// Minimum interval of polls for node registrations, so that nodes starting together do not fetch
-/// each other's rows one by one.
-const NODES_EVERY: Duration = Duration::from_secs(2);
-/// Interval of polls for runner registrations, as a share of the time in which a draining runner
-/// must get no new requests. The rest is for a poll that has to be repeated.
-const RUNNERS_SHARE: f64 = 0.45;
-/// Delay before a failed registration is retried.
-const REGISTER_RETRY: Duration = Duration::from_millis(500);
+/// Interval at which registrations of dead nodes are looked for.
+const CLEANUP_EVERY: Duration = Duration::from_secs(60);
 
 /// State of the control thread.
-struct Control<R> {
+struct Control<R, S> {
     records: R,
+    store: S,
     published: Published,
     drain: Drain,
     catalog: Option<Arc<Catalog>>,
     /// The catalogue's row and its revision, for peers.
     row: Option<(Revision, Bytes)>,
     registry: RunnerRegistry,
+    /// Present once this node has joined.
     membership: Option<Membership>,
-    /// Node registrations received before the membership exists.
-    pending_nodes: Vec<Change>,
+    sync: TableSync,
+    feeds: Feeds,
     nodes: Arc<Vec<NodeAddress>>,
-    /// Long-poll wait for runner registrations.
-    runners_wait: Rc<Cell<Duration>>,
     cut_off: bool,
     metrics: Metrics,
     rollouts: Rollouts,
     splits: Splits,
     /// Load updates of peers, for the traffic thread.
     peer_reports: mpsc::UnboundedSender<PeerReport>,
+    cleaned: Instant,
 }
 
 /// Inputs of the event loop.
 struct Inputs {
-    changes: mpsc::Receiver<FeedEvent>,
-    joined: mpsc::Receiver<members::Joined>,
+    changes: mpsc::Receiver<FeedEvent<Watched>>,
+    loaded: mpsc::Receiver<Loaded>,
+    joining: mpsc::Receiver<join::Progress>,
+    demand: Arc<Notify>,
     updates: mpsc::UnboundedReceiver<Load>,
     trials: mpsc::UnboundedReceiver<Trial>,
 }
@@ -98,6 +88,8 @@
     pub trials: mpsc::UnboundedReceiver<Trial>,
     /// Load updates of peers.
     pub peer_reports: mpsc::UnboundedSender<PeerReport>,
+    /// Signals a request that waits for the catalogue or the runners.
+    pub demand: Arc<Notify>,
     /// Metrics.
     pub metrics: Metrics,
 }
@@ -109,62 +101,40 @@
     store: S,
     published: Published,
     drain: Drain,
-    ends: Channels,
+    channels: Channels,
     shutdown: impl Future<Output = ()>,
 ) {
-    let (sender, changes) = mpsc::channel(64);
-    let returns = watch::Sender::new(0);
-    let follow = |table, every, wait: &Rc<Cell<Duration>>| {
-        let (store, returns, wait) = (store.clone(), returns.clone(), wait.clone());
-        let metrics = ends.metrics.clone();
-        let pause = if table == R::ORDERS { PROBE_PAUSE } else { REST_PAUSE };
-        let follower = FeedWatcher { store, table, every, wait, pause, returns, metrics };
-        tokio::task::spawn_local(follower.run(sender.clone()));
-    };
-    let fixed = |wait| Rc::new(Cell::new(wait));
-    let runners_wait = fixed(RUNNERS_WAIT_LEAST);
-    follow(R::ORDERS, Duration::ZERO, &fixed(ORDERS_WAIT));
-    follow(R::RUNNERS, settings.bounds.leave().mul_f64(RUNNERS_SHARE), &runners_wait);
-    follow(NODES, NODES_EVERY, &fixed(NODES_WAIT));
-    follow(R::STATUS, Duration::ZERO, &fixed(NODES_WAIT));
-    let (arrived, joined) = mpsc::channel(1);
-    tokio::task::spawn_local(join::join(
-        settings.clone(),
-        store.clone(),
-        ends.metrics.clone(),
-        arrived,
-    ));
+    let Channels { updates, trials, peer_reports, demand, metrics } = channels;
+    let (feeds, changes, loaded) = Feeds::start::<R, S>(&settings, &store, &metrics);
+    let (progress, joining) = mpsc::channel(1);
+    let join = join::join(settings.clone(), store.clone(), metrics.clone(), progress);
+    tokio::task::spawn_local(join);
+    let sync = TableSync::new(Instant::now(), rand::random(), settings.name.clone());
     let control = Control {
         records,
+        store,
         published,
         drain,
         catalog: None,
         row: None,
         registry: RunnerRegistry::default(),
         membership: None,
-        pending_nodes: Vec::new(),
+        sync,
+        feeds,
         nodes: Arc::default(),
-        runners_wait,
         cut_off: false,
-        metrics: ends.metrics,
+        metrics,
         rollouts: Rollouts::new(Incarnation(rand::random())),
         splits: Splits::default(),
-        peer_reports: ends.peer_reports,
+        peer_reports,
+        cleaned: Instant::now(),
     };
-    let inputs = Inputs { changes, joined, updates: ends.updates, trials: ends.trials };
-    control.run_loop(inputs, &store, shutdown).await;
-    // Peers get a leave message; deleting the row saves later nodes a failed connection.
-    let row = Write { table: NODES.into(), key: settings.name, value: None, expected: None };
-    _ = tokio::time::timeout(REGISTER_RETRY, store.write(&[row])).await;
+    let inputs = Inputs { changes, loaded, joining, demand, updates, trials };
+    control.run_loop(inputs, shutdown).await;
 }
 
-impl<R: Records> Control<R> {
-    async fn run_loop<S: Store>(
-        mut self,
-        mut inputs: Inputs,
-        store: &S,
-        shutdown: impl Future<Output = ()>,
-    ) {
+impl<R: Records, S: Store> Control<R, S> {
+    async fn run_loop(mut self, mut inputs: Inputs, shutdown: impl Future<Output = ()>) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let (none, mut received) = mpsc::channel(1);
@@ -172,19 +142,23 @@
         tokio::pin!(shutdown);
         loop {
             tokio::select! {
-                Some(news) = inputs.changes.recv() => self.apply_event(news),
-                Some(members::Joined { membership, events }) = inputs.joined.recv() => {
-                    self.membership = Some(membership);
-                    std::mem::take(&mut self.pending_nodes).into_iter().for_each(|c| self.apply_nodes(c));
-                    received = events;
-                    none = None;
-                }
+                Some(event) = inputs.changes.recv() => self.apply_event(event),
+                Some(loaded) = inputs.loaded.recv() => self.apply_loaded(loaded),
+                Some(progress) = inputs.joining.recv() => match progress {
+                    join::Progress::Unavailable => self.set_cut_off(true),
+                    join::Progress::Joined(joined, rows) => {
+                        received = joined.events;
+                        none = None;
+                        self.join(joined.membership, &rows);
+                    }
+                },
+                () = inputs.demand.notified() => self.load_now(),
                 Some(event) = received.recv(), if none.is_none() => self.handle_peer_event(event),
                 Some(load) = inputs.updates.recv() => self.publish_load(load),
                 Some(trial) = inputs.trials.recv() => self.rollouts.observe(&trial),
                 _ = ticks.tick() => {
                     self.tick();
-                    self.step_moves(store);
+                    self.step_rollouts();
                 }
                 () = &mut shutdown => break,
             }
@@ -194,63 +168,76 @@
         }
     }
 
+    fn join(&mut self, mut membership: Membership, rows: &Rows) {
+        membership.list(rows, true);
+        self.feeds.set_nodes_revision(rows.revision);
+        self.membership = Some(membership);
+        self.sync.start(Instant::now());
+        self.tick();
+    }
+
+    /// Reads the tables directly: a request waits for them, so the readers' updates come too late.
+    fn load_now(&mut self) {
+        if self.catalog.is_none() || !self.registry.is_known() {
+            self.feeds.load_once();
+        }
+    }
+
     fn tick(&mut self) {
         let now = Instant::now();
-        if self.registry.settle(now) {
+        if self.registry.settle(now, self.sync.is_settled(now)) {
             self.publish();
         }
+        let ready = self.catalog.is_some() && self.registry.is_known();
         let Some(membership) = &mut self.membership else { return };
-        if self.catalog.is_some() && self.registry.is_known() {
+        if ready {
             membership.ready();
         }
         if self.drain.is_draining() {
             membership.leave(now);
         }
         let lost = membership.tick(now, self.row.as_ref());
-        let nodes = membership.nodes();
+        let changed = membership.changed_nodes(now);
+        if let Some(Nodes { ready, ranking, domains }) = changed {
+            self.sync.set_ranking(ranking);
+            self.feeds.set_readers(domains * READERS);
+            self.set_nodes(ready);
+        }
         self.forward_failures(lost);
+        self.step_sync(now);
+        self.clean_up(now);
+    }
+
+    fn set_nodes(&mut self, nodes: Vec<NodeAddress>) {
         if *self.nodes != nodes {
             log::info!(nodes = nodes.len() as u64; "nodes in address responses: {}", names(&nodes));
             self.nodes = Arc::new(nodes);
-            self.runners_wait.set(runners_wait(self.nodes.len()));
             self.publish();
         }
     }
 
-    fn apply_event(&mut self, FeedEvent { table, change }: FeedEvent) {
-        match table {
-            NODES => self.apply_nodes(change),
-            table if table == R::RUNNERS => self.apply_runners(change),
-            table if table == R::STATUS => self.apply_status(change),
-            _ => self.apply_operator_rows(change),
+    fn set_cut_off(&mut self, cut_off: bool) {
+        if self.cut_off != cut_off {
+            self.cut_off = cut_off;
+            if cut_off {
+                self.metrics.store_failed();
+            }
+            self.publish();
         }
     }
 
-    /// Applies node registrations. Those received before the membership exists are queued, since
-    /// the table is read in full only once.
-    fn apply_nodes(&mut self, change: Change) {
-        let Some(membership) = &mut self.membership else { return self.pending_nodes.push(change) };
-        if let Change::Whole(rows) | Change::Rows(rows) = &change {
-            membership.list(rows, matches!(change, Change::Whole(_)));
+    /// Deletes registrations of dead nodes, as the first reader of the domain.
+    fn clean_up(&mut self, now: Instant) {
+        if now < self.cleaned + CLEANUP_EVERY {
+            return;
         }
-    }
-
-    fn apply_runners(&mut self, change: Change) {
-        let now = Instant::now();
-        let changed = match change {
-            Change::Whole(rows) => self.registry.replace(now, &rows.rows, &self.records),
-            Change::Rows(rows) => self.registry.update(now, &rows.rows, &self.records),
-            Change::Down => {
-                self.registry.down();
-                false
-            }
-            Change::Up => {
-                self.registry.up(now);
-                false
+        self.cleaned = now;
+        let Some(membership) = &mut self.membership else { return };
+        if self.sync.is_first_reader() {
+            let names = membership.stale_registrations(now);
+            if !names.is_empty() {
+                tokio::task::spawn_local(join::unregister(self.store.clone(), names));
             }
-        };
-        if changed {
-            self.publish();
         }
     }
 
@@ -268,12 +255,6 @@
     }
 }
 
-/// Long-poll wait for runner registrations with this number of nodes.
-fn runners_wait(nodes: usize) -> Duration {
-    let wait = RUNNERS_WAIT_NODE.mul_f64(nodes as f64);
-    wait.clamp(RUNNERS_WAIT_LEAST, RUNNERS_WAIT_MOST)
-}
-
 fn names(nodes: &[NodeAddress]) -> String {
     nodes.iter().map(|n| n.name.as_str()).collect::<Vec<_>>().join(" ")
 }
--- a/crates/relay/src/control/catalog.rs
+++ b/crates/relay/src/control/catalog.rs
@@ -1,24 +1,19 @@
 //! Applies the operators' rows.
 
 use {
-    super::{Control, feed::Change},
-    crate::{catalog::Catalog, log_messages::IN_FORCE, records::Records, store::Row},
+    super::Control,
+    crate::{
+        catalog::Catalog,
+        log_messages::IN_FORCE,
+        records::Records,
+        store::{Row, Store},
+    },
     std::sync::Arc,
 };
 
-impl<R: Records> Control<R> {
-    pub(super) fn apply_operator_rows(&mut self, change: Change) {
-        let rows = match change {
-            Change::Whole(rows) | Change::Rows(rows) => rows,
-            Change::Down | Change::Up => {
-                self.cut_off = matches!(change, Change::Down);
-                if self.cut_off {
-                    self.metrics.store_failed();
-                }
-                return self.publish();
-            }
-        };
-        for row in &rows.rows {
+impl<R: Records, S: Store> Control<R, S> {
+    pub(super) fn apply_operator_rows(&mut self, rows: &[Row]) {
+        for row in rows {
             if row.key == R::CATALOG {
                 self.put_in_force(row);
             } else {
--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -15,22 +15,22 @@
 };
 
 /// Initial backoff; doubles with each failure.
-const BACKOFF_LEAST: Duration = Duration::from_millis(100);
+const BACKOFF_MIN: Duration = Duration::from_millis(100);
 /// Maximum backoff of the watcher that detects the store's return.
 pub const PROBE_PAUSE: Duration = Duration::from_millis(800);
-/// Maximum backoff of all others, which are notified of it. They keep polling, because the store
-/// may reject a single table only.
+/// Maximum backoff of all others, which are notified of it. They keep polling, because the store may
+/// reject a single table only.
 pub const REST_PAUSE: Duration = Duration::from_millis(3_200);
 
 /// Age from which a pending poll is abandoned once another poll succeeds after an outage. A silent
 /// store never responds to it, and its timeout is long.
-const STALE_QUESTION: Duration = Duration::from_millis(500);
+const STALE_POLL: Duration = Duration::from_millis(500);
 
 /// An event of a table.
 #[derive(Clone, Debug)]
-pub struct FeedEvent {
+pub struct FeedEvent<T> {
     /// Table.
-    pub table: &'static str,
+    pub table: T,
     /// Change.
     pub change: Change,
 }
@@ -48,71 +48,97 @@
     Up,
 }
 
-/// Watches one table.
-pub struct FeedWatcher<S> {
+/// Watches one table while it is active.
+pub struct FeedWatcher<S, T> {
     /// Store.
     pub store: S,
+    /// Name of the table in the store.
+    pub name: &'static str,
     /// Table.
-    pub table: &'static str,
+    pub table: T,
     /// Minimum interval of polls.
     pub every: Duration,
     /// Long-poll wait; may change.
     pub wait: Rc<Cell<Duration>>,
     /// Maximum backoff.
     pub pause: Duration,
+    /// Whether to poll.
+    pub active: watch::Receiver<bool>,
+    /// Revision up to which the table is known, if it is; may be advanced by others.
+    pub revision: Rc<Cell<Option<Revision>>>,
     /// Counts the store's returns, as seen by any watcher.
     pub returns: watch::Sender<u32>,
     /// Metrics.
     pub metrics: Metrics,
 }
 
-impl<S: Store> FeedWatcher<S> {
+impl<S: Store, T: Copy> FeedWatcher<S, T> {
     /// Sends events until the receiver is dropped.
-    pub async fn run(self, sender: mpsc::Sender<FeedEvent>) {
-        let mut revision = None;
+    pub async fn run(mut self, sender: mpsc::Sender<FeedEvent<T>>) {
+        // The sender of `active` lives as long as the control thread.
+        while self.active.wait_for(|active| *active).await.is_ok() {
+            let mut active = self.active.clone();
+            tokio::select! {
+                () = self.watch(&sender) => return,
+                _ = active.wait_for(|active| !*active) => {}
+            }
+        }
+    }
+
+    /// Polls until the receiver is dropped. The first poll does not wait for changes: it tells
+    /// whether the store is available.
+    async fn watch(&self, sender: &mpsc::Sender<FeedEvent<T>>) {
         let mut failures = 0;
+        let mut first = true;
         let mut returns = self.returns.subscribe();
         loop {
             returns.mark_unchanged();
-            let store_polled = Instant::now();
-            let Some(answer) = self.ask_unless_stale(revision, failures).await else { continue };
-            self.metrics.store_polled(self.table, peer_reports(&answer));
-            let mut changes = Vec::new();
-            if answer.is_ok() && failures > 0 {
-                log::info!(table = self.table; "{STORE_BACK}");
-                changes.push(Change::Up);
-                self.returns.send_modify(|count| *count += 1);
-            }
-            match answer {
-                Ok(rows) => {
-                    failures = 0;
-                    let whole = revision.replace(rows.revision).is_none();
-                    changes.push(if whole { Change::Whole(rows) } else { Change::Rows(rows) });
-                }
-                Err(StoreError::Compacted) => {
-                    log::info!(table = self.table; "store history compacted: reading the whole table");
-                    revision = None;
-                }
-                Err(error) => {
-                    if failures == 0 {
-                        log::warn!(table = self.table; "{error}");
-                        changes.push(Change::Down);
-                    }
-                    failures += 1;
-                }
-            }
-            for change in changes {
+            let asked = Instant::now();
+            let wait = if first || failures > 0 { Duration::ZERO } else { self.wait.get() };
+            let Some(response) = self.poll_unless_stale(wait).await else { continue };
+            first = false;
+            self.metrics.store_polled(self.name, outcome(&response));
+            for change in self.changes(response, &mut failures) {
                 if sender.send(FeedEvent { table: self.table, change }).await.is_err() {
                     return;
                 }
             }
             match failures {
-                0 => sleep_until(store_polled + self.every).await,
+                0 => sleep_until(asked + self.every).await,
                 failures => self.rest(failures, &mut returns).await,
             }
         }
     }
 
+    /// Evaluates a response and counts consecutive failures.
+    fn changes(&self, response: Result<Rows>, failures: &mut u32) -> Vec<Change> {
+        let mut changes = Vec::new();
+        if response.is_ok() && *failures > 0 {
+            log::info!(table = self.name; "{STORE_BACK}");
+            changes.push(Change::Up);
+            self.returns.send_modify(|count| *count += 1);
+        }
+        match response {
+            Ok(rows) => {
+                *failures = 0;
+                let whole = self.revision.replace(Some(rows.revision)).is_none();
+                changes.push(if whole { Change::Whole(rows) } else { Change::Rows(rows) });
+            }
+            Err(StoreError::Compacted) => {
+                log::info!(table = self.name; "store history compacted: reading the whole table");
+                self.revision.set(None);
+            }
+            Err(error) => {
+                if *failures == 0 {
+                    log::warn!(table = self.name; "{error}");
+                    changes.push(Change::Down);
+                }
+                *failures += 1;
+            }
+        }
+        changes
+    }
+
     /// Backs off after a failure, or until another watcher has found the store available.
     async fn rest(&self, failures: u32, returns: &mut watch::Receiver<u32>) {
         tokio::select! {
@@ -124,36 +150,30 @@
 
     /// Polls the store; `None` if another watcher found it back from an outage that may have
     /// swallowed the poll.
-    async fn ask_unless_stale(
-        &self,
-        revision: Option<Revision>,
-        failures: u32,
-    ) -> Option<Result<Rows>> {
+    async fn poll_unless_stale(&self, wait: Duration) -> Option<Result<Rows>> {
         let mut returns = self.returns.subscribe();
         let stale = async {
-            sleep(STALE_QUESTION).await;
+            sleep(STALE_POLL).await;
             // The sender lives as long as `self`.
             _ = returns.changed().await;
         };
         tokio::select! {
             biased;
-            answer = self.ask(revision, failures) => Some(answer),
+            response = self.poll(wait) => Some(response),
             () = stale => None,
         }
     }
 
-    /// Polls the store, without waiting for changes after a failure.
-    async fn ask(&self, revision: Option<Revision>, failures: u32) -> Result<Rows> {
-        let wait = if failures == 0 { self.wait.get() } else { Duration::ZERO };
-        match revision {
-            Some(after) => self.store.feed(self.table, after, wait).await,
-            None => self.store.read(self.table).await,
+    async fn poll(&self, wait: Duration) -> Result<Rows> {
+        match self.revision.get() {
+            Some(after) => self.store.feed(self.name, after, wait).await,
+            None => self.store.read(self.name).await,
         }
     }
 }
 
-fn peer_reports(answer: &Result<Rows>) -> PollOutcome {
-    match answer {
+fn outcome(response: &Result<Rows>) -> PollOutcome {
+    match response {
         Ok(rows) if rows.rows.is_empty() => PollOutcome::Unchanged,
         Ok(_) => PollOutcome::Changed,
         Err(_) => PollOutcome::Failed,
@@ -162,6 +182,6 @@
 
 /// Jitter, so that nodes do not return all at once.
 fn backoff(failures: u32, most: Duration) -> Duration {
-    let pause = BACKOFF_LEAST * 2u32.saturating_pow(failures.min(8) - 1);
+    let pause = BACKOFF_MIN * 2u32.saturating_pow(failures.min(8) - 1);
     pause.min(most).mul_f64(rand::rng().random_range(0.5..1.0))
 }
--- a/crates/relay/src/control/feeds.rs
+++ b/crates/relay/src/control/feeds.rs
@@ -9,12 +9,12 @@
         metrics::Metrics,
         records::Records,
         settings::Settings,
-        store::{Revision, Store},
+        store::{Result, Revision, Rows, Store},
         table_sync::TableSync,
     },
     bilberryfront_decide::member::message::TableId,
     std::{cell::Cell, rc::Rc, time::Duration},
-    tokio::sync::{mpsc, watch},
+    tokio::sync::{Notify, mpsc, watch},
 };
 
 /// Long-poll wait for operators' rows; bounds the detection of a lost response.
@@ -45,12 +45,22 @@
     Nodes,
 }
 
+/// A table read ahead of the replication.
+pub(super) struct Loaded {
+    pub(super) table: TableId,
+    pub(super) rows: Result<Rows>,
+}
+
 /// Control of the watchers.
 pub(super) struct Feeds {
-    active: watch::Sender<bool>,
+    /// Whether the operators' table is polled.
+    polling: watch::Sender<bool>,
+    /// Whether the other tables are polled.
+    reading: watch::Sender<bool>,
     revisions: [Rc<Cell<Option<Revision>>>; TableId::ALL.len()],
     nodes_revision: Rc<Cell<Option<Revision>>>,
     runners_wait: Rc<Cell<Duration>>,
+    load: Rc<Notify>,
 }
 
 impl Feeds {
@@ -59,20 +69,25 @@
         settings: &Settings,
         store: &S,
         metrics: &Metrics,
-    ) -> (Feeds, mpsc::Receiver<FeedEvent<Watched>>) {
+    ) -> (Feeds, mpsc::Receiver<FeedEvent<Watched>>, mpsc::Receiver<Loaded>) {
         let (sender, events) = mpsc::channel(EVENTS);
+        let (loader, loaded) = mpsc::channel(EVENTS);
         let feeds = Feeds {
-            active: watch::Sender::new(false),
+            polling: watch::Sender::new(false),
+            reading: watch::Sender::new(false),
             revisions: Default::default(),
             nodes_revision: Rc::default(),
             runners_wait: Rc::new(Cell::new(RUNNERS_WAIT_MIN)),
+            load: Rc::default(),
         };
         let returns = watch::Sender::new(0);
         let watch = |name, table, every, wait: &Rc<Cell<Duration>>| {
-            let (revision, pause) = match table {
-                Watched::Replicated(TableId::Operators) => (feeds.revision(TableId::Operators), PROBE_PAUSE),
-                Watched::Replicated(id) => (feeds.revision(id), REST_PAUSE),
-                Watched::Nodes => (feeds.nodes_revision.clone(), REST_PAUSE),
+            let (revision, pause, active) = match table {
+                Watched::Replicated(TableId::Operators) => {
+                    (feeds.revision(TableId::Operators), PROBE_PAUSE, &feeds.polling)
+                }
+                Watched::Replicated(id) => (feeds.revision(id), REST_PAUSE, &feeds.reading),
+                Watched::Nodes => (feeds.nodes_revision.clone(), REST_PAUSE, &feeds.reading),
             };
             let watcher = FeedWatcher {
                 store: store.clone(),
@@ -81,7 +96,7 @@
                 every,
                 wait: wait.clone(),
                 pause,
-                active: feeds.active.subscribe(),
+                active: active.subscribe(),
                 revision,
                 returns: returns.clone(),
                 metrics: metrics.clone(),
@@ -95,22 +110,36 @@
         watch(R::RUNNERS, replicated(TableId::Runners), runners_every, &feeds.runners_wait);
         watch(R::STATUS, replicated(TableId::Statuses), Duration::ZERO, &fixed(RARE_WAIT));
         watch(join::TABLE, Watched::Nodes, NODES_EVERY, &fixed(RARE_WAIT));
-        (feeds, events)
+        for (name, table) in [(R::ORDERS, TableId::Operators), (R::RUNNERS, TableId::Runners)] {
+            let load = load(store.clone(), name, table, feeds.load.clone(), loader.clone());
+            tokio::task::spawn_local(load);
+        }
+        (feeds, events, loaded)
+    }
+
+    /// Reads the tables that requests need, once.
+    pub(super) fn load_once(&self) {
+        self.load.notify_waiters();
     }
 
     /// Starts or stops polling. Feeds continue where the replicated tables are known.
     pub(super) fn set_active(&self, sync: &TableSync) {
-        let active = sync.is_polling();
-        if *self.active.borrow() == active {
+        if *self.polling.borrow() != sync.is_polling() {
+            log::info!(active = sync.is_polling(); "polling of the store switched");
+        }
+        self.switch(&self.polling, sync.is_polling(), &[TableId::Operators], sync);
+        let others = [TableId::Runners, TableId::Statuses];
+        self.switch(&self.reading, sync.is_reading(), &others, sync);
+    }
+
+    fn switch(&self, active: &watch::Sender<bool>, to: bool, tables: &[TableId], sync: &TableSync) {
+        if *active.borrow() == to {
             return;
         }
-        if active {
-            for table in TableId::ALL {
-                self.revision(table).set(sync.revision(table));
-            }
+        for table in tables {
+            self.revision(*table).set(sync.revision(*table));
         }
-        log::info!(active; "polling of the store switched");
-        self.active.send_replace(active);
+        active.send_replace(to);
     }
 
     /// Sets where the feed of node registrations continues.
@@ -128,3 +157,20 @@
         self.revisions[table as usize].clone()
     }
 }
+
+/// Reads a table each time it is requested.
+async fn load<S: Store>(
+    store: S,
+    name: &'static str,
+    table: TableId,
+    requested: Rc<Notify>,
+    loader: mpsc::Sender<Loaded>,
+) {
+    loop {
+        requested.notified().await;
+        let rows = store.read(name).await;
+        if loader.send(Loaded { table, rows }).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/relay/src/control/gossip.rs
+++ b/crates/relay/src/control/gossip.rs
@@ -2,17 +2,21 @@
 
 use {
     super::Control,
-    crate::{load_sync::PeerReport, records::Records, store::Row},
+    crate::{
+        load_sync::PeerReport,
+        records::Records,
+        store::{Row, Store},
+    },
     bilberryfront_decide::member::{
         PeerMessage,
-        message::{Load, Restart},
+        message::{CatalogPush, Load, Restart},
     },
     bilberryfront_peer::Received,
     compact_str::CompactString,
     tokio::time::Instant,
 };
 
-impl<R: Records> Control<R> {
+impl<R: Records, S: Store> Control<R, S> {
     pub(super) fn publish_load(&mut self, load: Load) {
         self.adopt_restarts(&load.restarts);
         if let Some(membership) = &mut self.membership {
@@ -22,36 +26,40 @@
     }
 
     pub(super) fn handle_peer_event(&mut self, event: Received) {
-        if let Received::Message { message: PeerMessage::Move(news), .. } = &event {
-            return self.rollouts.handle_peer_update(Instant::now(), news);
-        }
-        let event = match event {
-            Received::Message { from, message: PeerMessage::Load(load) } => {
-                return self.forward_load(from, load);
+        let Received::Message { from, message } = event else { return self.pass_to_members(event) };
+        match message {
+            PeerMessage::Move(update) => {
+                self.rollouts.handle_peer_update(Instant::now(), &update);
             }
-            Received::Message { message: PeerMessage::RelayedLoad(relayed), .. } => {
+            PeerMessage::Load(load) => self.forward_load(from, load),
+            PeerMessage::RelayedLoad(relayed) => {
                 if let Some(membership) = &self.membership {
                     membership.relay_load(&relayed);
                 }
-                return self.forward_load(relayed.origin, relayed.load);
+                self.forward_load(relayed.origin, relayed.load);
             }
-            event => event,
-        };
-        if let Received::Message { message: PeerMessage::CatalogPush(push), .. } = event {
-            let row = Row {
-                table: R::ORDERS.into(),
-                key: R::CATALOG.into(),
-                value: Some(push.doc.into()),
-                revision: push.revision,
-            };
-            return self.put_in_force(&row);
+            PeerMessage::CatalogPush(push) => self.apply_gossiped_catalog(push),
+            message @ (PeerMessage::Table(_)
+            | PeerMessage::TablePull(_)
+            | PeerMessage::StoreReport(_)) => self.sync_with(&from, message),
+            message => self.pass_to_members(Received::Message { from, message }),
         }
+    }
+
+    fn pass_to_members(&mut self, event: Received) {
         if let Some(membership) = &mut self.membership {
             let lost = membership.receive(Instant::now(), event, self.row.as_ref());
             self.forward_failures(lost);
         }
     }
 
+    fn apply_gossiped_catalog(&mut self, push: CatalogPush) {
+        let row =
+            Row { key: R::CATALOG.into(), value: Some(push.doc.into()), revision: push.revision };
+        self.sync.gossiped(Instant::now(), row.clone());
+        self.put_in_force(&row);
+    }
+
     fn forward_load(&mut self, from: CompactString, load: Load) {
         self.adopt_restarts(&load.restarts);
         // The receiver lives as long as the process.
@@ -60,7 +68,8 @@
 
     /// Applies restarts found by this node or a peer.
     fn adopt_restarts(&mut self, restarts: &[Restart]) {
-        if !restarts.is_empty() && self.registry.adopt_restarts(restarts) {
+        let settled = self.sync.is_settled(Instant::now());
+        if !restarts.is_empty() && self.registry.adopt_restarts(restarts, settled) {
             self.publish();
         }
     }
--- a/crates/relay/src/control/join.rs
+++ b/crates/relay/src/control/join.rs
@@ -1,49 +1,132 @@
-//! Becoming a node that others know and can talk to.
+//! Joining the system: certificate, peer transport and registration.
 
 use {
-    super::{NODES, REGISTER_RETRY, authority, members},
+    super::{
+        authority::Authority,
+        members::{self, Joined},
+    },
     crate::{
         metrics::Metrics,
         settings::Settings,
-        store::{Store, Write},
+        store::{Row, Rows, Store, StoreError, Write},
         view::NodeAddress,
     },
+    compact_str::{CompactString, format_compact},
+    std::time::Duration,
     tokio::{sync::mpsc, time::sleep},
 };
 
-/// Gets a certificate, listens for peers and registers this node, however long that takes.
+/// Table of the nodes' registrations and of their certificate authority. One table, so that a
+/// starting node reads everything with one call.
+pub(super) const TABLE: &str = "bilberryfront";
+/// Key of the certificate authority.
+const AUTHORITY: &str = "authority";
+/// Prefix of the keys of node registrations, followed by the node's name.
+const NODE: &str = "node/";
+/// Delay before a failed call is retried.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// Progress of joining.
+pub(super) enum Progress {
+    /// The store is unavailable; joining continues.
+    Unavailable,
+    /// The transport is started; these are the rows of the table.
+    Joined(Box<Joined>, Rows),
+}
+
+/// Joins, however long that takes.
 pub(super) async fn join<S: Store>(
     settings: Settings,
     store: S,
     metrics: Metrics,
-    arrived: mpsc::Sender<members::Joined>,
+    progress: mpsc::Sender<Progress>,
 ) {
-    let authority = authority::get(&store).await;
+    let (authority, rows) = loop {
+        match authority(&store).await {
+            Ok(found) => break found,
+            Err(StoreError::Conflict) => {}
+            Err(error) => {
+                log::warn!(table = TABLE; "cannot read the certificate authority: {error}");
+                // The control thread ends only when the node has drained.
+                _ = progress.send(Progress::Unavailable).await;
+                sleep(RETRY).await;
+            }
+        }
+    };
     let joined = match members::listen(&settings, &authority, metrics) {
         Ok(joined) => joined,
         Err(error) => return log::error!("cannot start the peer transport: {error}"),
     };
+    let row = registration(&settings);
+    let known = rows.rows.iter().any(|r| r.key == row.key && r.value == row.value);
+    _ = progress.send(Progress::Joined(Box::new(joined), rows)).await;
+    // A restarted node mostly has its row already.
+    if !known {
+        register(&store, row).await;
+    }
+}
+
+/// Address in a row of the table; `None` if the row is no registration of a node.
+pub(super) fn address(row: &Row) -> Option<NodeAddress> {
+    serde_json::from_slice(row.value.as_ref()?).ok()
+}
+
+/// Name of the node that a key stands for.
+pub(super) fn node_name(key: &str) -> Option<&str> {
+    key.strip_prefix(NODE)
+}
+
+/// Deletes registrations of nodes that have been dead for long.
+pub(super) async fn unregister<S: Store>(store: S, names: Vec<CompactString>) {
+    let delete = |name: &CompactString| Write {
+        table: TABLE.into(),
+        key: format_compact!("{NODE}{name}"),
+        value: None,
+        expected: None,
+    };
+    let writes: Vec<Write> = names.iter().map(delete).collect();
+    if let Err(error) = store.write(&writes).await {
+        log::warn!(nodes = names.len() as u64; "cannot delete registrations of dead nodes: {error}");
+    }
+}
+
+/// Reads the table with the authority in it, or creates the authority.
+async fn authority<S: Store>(store: &S) -> Result<(Authority, Rows), StoreError> {
+    let rows = store.read(TABLE).await?;
+    let row = rows.rows.iter().find(|r| r.key == AUTHORITY);
+    if let Some(authority) = row.and_then(|r| Authority::parse(r.value.as_deref()?)) {
+        return Ok((authority, rows));
+    }
+    let authority = Authority::create().expect("a new key signs its own certificate");
+    let write = Write {
+        table: TABLE.into(),
+        key: AUTHORITY.into(),
+        value: Some(authority.encode().into()),
+        expected: Some(row.map_or(0, |r| r.revision)),
+    };
+    store.write(&[write]).await?;
+    Ok((authority, rows))
+}
+
+fn registration(settings: &Settings) -> Write {
     let address = NodeAddress {
         name: settings.name.clone(),
         domain: settings.domain.clone(),
         callers: settings.listen.callers,
         peers: settings.listen.peers,
     };
-    // The control thread is gone only when the node has left.
-    _ = arrived.send(joined).await;
-    register(&store, &address).await;
-}
-
-async fn register<S: Store>(store: &S, address: &NodeAddress) {
-    let value = serde_json::to_vec(address).expect("plain data serializes");
-    let row = Write {
-        table: NODES.into(),
-        key: address.name.clone(),
+    let value = serde_json::to_vec(&address).expect("plain data serializes");
+    Write {
+        table: TABLE.into(),
+        key: format_compact!("{NODE}{}", settings.name),
         value: Some(value.into()),
         expected: None,
-    };
+    }
+}
+
+async fn register<S: Store>(store: &S, row: Write) {
     while let Err(error) = store.write(std::slice::from_ref(&row)).await {
         log::warn!("cannot register this node: {error}");
-        sleep(REGISTER_RETRY).await;
+        sleep(RETRY).await;
     }
 }
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -1,18 +1,19 @@
 //! Membership: the other nodes and the messages exchanged with them.
 
 use {
-    super::authority::Authority,
+    super::{authority::Authority, join},
     crate::{
         fanout::{self, Fanout, Peer},
         metrics::Metrics,
+        readers::Ranking,
         settings::Settings,
-        store::{Revision, Row, Rows},
+        store::{Revision, Rows},
         view::NodeAddress,
     },
     bilberryfront_decide::{
         id::Incarnation,
         member::{
-            Me, Members, Node, Output, PeerMessage, Target,
+            Address, Me, Members, Node, Output, PeerMessage, Target,
             message::{
                 CatalogPush, Hint, HintKind, Life, Load, NodeLocation, NodeState, RelayedLoad,
             },
@@ -22,17 +23,21 @@
     bilberryfront_wire::instance::{Instance, InstanceKind, InstanceList, InstanceState},
     bytes::Bytes,
     compact_str::{CompactString, format_compact},
+    rustc_hash::FxHashMap,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
-        time::{SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::{sync::mpsc, time::Instant},
 };
 
-/// Maximum number of nodes for which load updates are sent to all; above it only to heartbeat
-/// targets.
+/// Maximum number of nodes for which messages are sent to all; above it, to heartbeat targets.
 const FULL_MESH_LIMIT: usize = 100;
+/// Time after the start for which registered nodes without a heartbeat are ranked as readers.
+const RANK_UNSEEN: Duration = Duration::from_secs(3);
+/// Time for which a node must be dead before its registration is deleted.
+const RETENTION: Duration = Duration::from_secs(600);
 /// Scheme of callers' addresses in the membership.
 const SCHEME: &str = "http://";
 
@@ -50,7 +55,21 @@
     listed: BTreeMap<CompactString, NodeAddress>,
     start: Instant,
     metrics: Metrics,
-    drain: bool,
+    draining: bool,
+    /// Whether the set of nodes changed since it was last read.
+    changed: bool,
+    /// Since when nodes have been dead.
+    dead: BTreeMap<CompactString, Instant>,
+}
+
+/// What the control thread derives from the membership.
+pub(super) struct Nodes {
+    /// Nodes for address responses.
+    pub(super) ready: Vec<NodeAddress>,
+    /// Nodes of the own failure domain by rank.
+    pub(super) ranking: Ranking,
+    /// Number of failure domains.
+    pub(super) domains: usize,
 }
 
 /// Starts the transport with a certificate of the authority.
@@ -78,40 +97,53 @@
     let named = Me { name: me.name.clone(), life, location: location(&me) };
     let start = Instant::now();
     let members = Members::new(rand::random(), start, named);
-    let listed = BTreeMap::new();
-    let membership = Membership { members, net, me, listed, start, metrics, drain: false };
+    let membership = Membership {
+        members,
+        net,
+        me,
+        listed: BTreeMap::new(),
+        start,
+        metrics,
+        draining: false,
+        changed: true,
+        dead: BTreeMap::new(),
+    };
     Ok(Joined { membership, events })
 }
 
 impl Membership {
     /// Marks this node as ready.
     pub(super) fn ready(&mut self) {
-        if !self.drain {
+        if !self.draining {
             self.members.ready();
+            self.changed = true;
         }
     }
 
     /// Marks this node as draining.
     pub(super) fn leave(&mut self, now: Instant) {
-        if !std::mem::replace(&mut self.drain, true) {
+        if !std::mem::replace(&mut self.draining, true) {
             self.members.drain(now);
+            self.changed = true;
         }
     }
 
-    /// Applies rows of the node table.
+    /// Applies registrations of nodes.
     pub(super) fn list(&mut self, rows: &Rows, whole: bool) {
         if whole {
             self.listed.clear();
         }
         for row in &rows.rows {
-            match address(row) {
-                Some(node) => _ = self.listed.insert(row.key.clone(), node),
-                None => _ = self.listed.remove(&row.key),
+            let Some(name) = join::node_name(&row.key) else { continue };
+            match join::address(row) {
+                Some(node) => _ = self.listed.insert(name.into(), node),
+                None => _ = self.listed.remove(name),
             }
         }
         let instances = self.listed.values().map(instance).collect();
         let list = InstanceList { revision: rows.revision, instances };
         self.members.list(Instant::now(), &list);
+        self.changed = true;
     }
 
     /// Performs periodic work; returns runners reported as failed.
@@ -145,55 +177,125 @@
         self.carry_out(out, row)
     }
 
-    /// Nodes for address responses.
-    pub(super) fn nodes(&self) -> Vec<NodeAddress> {
-        let addresses = self.members.addresses().into_iter();
-        let node = |a: bilberryfront_decide::member::Address| {
+    /// The nodes, if they changed since the last call.
+    pub(super) fn changed_nodes(&mut self, now: Instant) -> Option<Nodes> {
+        if !std::mem::take(&mut self.changed) {
+            return None;
+        }
+        // Registered nodes that never send a heartbeat drop out of the ranking.
+        self.changed = now < self.start + RANK_UNSEEN;
+        let unseen = self.changed;
+        let ranked = |node: &Node| match node.state {
+            NodeState::Starting | NodeState::Ready => true,
+            NodeState::Unknown => unseen,
+            _ => false,
+        };
+        let mut domains = BTreeSet::from([self.me.domain.clone()]);
+        let mut local = Vec::new();
+        for node in self.members.nodes().filter(ranked) {
+            let Some(location) = node.location else { continue };
+            if location.domain == self.me.domain {
+                local.push(node.name);
+            }
+            domains.insert(location.domain);
+        }
+        if !self.draining {
+            local.push(self.me.name.clone());
+        }
+        Some(Nodes {
+            ready: self.ready_nodes(),
+            ranking: Ranking::new(local),
+            domains: domains.len(),
+        })
+    }
+
+    fn ready_nodes(&self) -> Vec<NodeAddress> {
+        let known = self.listed.values().chain([&self.me]).map(|node| (node.callers, node));
+        let known: FxHashMap<SocketAddr, &NodeAddress> = known.collect();
+        let node = |a: Address| {
             let callers: SocketAddr = a.url.strip_prefix(SCHEME)?.parse().ok()?;
-            let known = self.listed.values().chain([&self.me]).find(|n| n.callers == callers);
             let unlisted = || NodeAddress {
                 name: a.url.clone(),
                 domain: a.domain.clone(),
                 callers,
                 peers: callers,
             };
-            Some(known.cloned().unwrap_or_else(unlisted))
+            Some(known.get(&callers).map_or_else(unlisted, |node| (*node).clone()))
         };
-        addresses.filter_map(node).collect()
+        self.members.addresses().into_iter().filter_map(node).collect()
+    }
+
+    /// Registered nodes of the own failure domain that have been dead for long.
+    pub(super) fn stale_registrations(&mut self, now: Instant) -> Vec<CompactString> {
+        let is_stale = |(name, since): &(&CompactString, &Instant)| {
+            let local = self.listed.get(*name).is_some_and(|node| node.domain == self.me.domain);
+            local && now >= **since + RETENTION
+        };
+        let stale: Vec<CompactString> =
+            self.dead.iter().filter(is_stale).map(|(name, _)| name.clone()).collect();
+        stale.iter().for_each(|name| _ = self.dead.remove(name));
+        stale
     }
 
     /// Sends a message to all nodes, or to the heartbeat targets above [`FULL_MESH_LIMIT`].
     pub(super) fn broadcast(&self, message: &PeerMessage) {
-        let running_peers = self.running_peers();
-        let to = match running_peers.len() {
-            ..=FULL_MESH_LIMIT => running_peers.into_iter().map(|peer| peer.target).collect(),
+        let peers = self.running_peers();
+        let to = match peers.len() {
+            ..=FULL_MESH_LIMIT => peers.into_iter().map(|peer| peer.target).collect(),
             _ => self.members.targets(),
         };
         self.send(&to, message);
     }
 
+    /// Sends a message to all nodes of the own failure domain.
+    pub(super) fn broadcast_local(&self, message: &PeerMessage) {
+        let peers = self.running_peers().into_iter();
+        let local = peers.filter(|peer| peer.domain == self.me.domain).map(|peer| peer.target);
+        self.send(&local.collect::<Vec<_>>(), message);
+    }
+
+    /// Sends a message to the first reader of each other failure domain.
+    pub(super) fn send_to_readers(&self, message: &PeerMessage) {
+        let mut domains = BTreeMap::<CompactString, Vec<Target>>::new();
+        for Peer { target, domain } in self.running_peers() {
+            if domain != self.me.domain {
+                domains.entry(domain).or_default().push(target);
+            }
+        }
+        let first = |targets: Vec<Target>| {
+            let ranking = Ranking::new(targets.iter().map(|target| target.name.clone()));
+            targets.into_iter().find(|target| ranking.rank(&target.name) == 0)
+        };
+        let readers: Vec<Target> = domains.into_values().filter_map(first).collect();
+        self.send(&readers, message);
+    }
+
+    /// Sends a message to one node.
+    pub(super) fn send_to(&self, name: &str, message: &PeerMessage) {
+        if let Some(target) = self.members.target(name) {
+            self.send(&[target], message);
+        }
+    }
+
     /// Sends a load update, through relays to other domains.
     pub(super) fn send_load(&self, now: Instant, load: Load) {
-        let running_peers = self.running_peers();
-        if running_peers.len() > FULL_MESH_LIMIT {
+        let peers = self.running_peers();
+        if peers.len() > FULL_MESH_LIMIT {
             return self.send(&self.members.targets(), &PeerMessage::Load(load));
         }
         let epoch = fanout::epoch(self.start, now);
-        let routes = Fanout::new(&self.me.name, &self.me.domain, running_peers, epoch);
+        let Fanout { local, relays } = Fanout::new(&self.me.name, &self.me.domain, peers, epoch);
         let relayed =
             RelayedLoad { origin: self.me.name.clone(), load: load.clone(), forward: true };
-        self.send(&routes.local, &PeerMessage::Load(load));
-        self.send(&routes.relays, &PeerMessage::RelayedLoad(relayed));
+        self.send(&local, &PeerMessage::Load(load));
+        self.send(&relays, &PeerMessage::RelayedLoad(relayed));
     }
 
     /// Forwards a relayed update within this failure domain.
     pub(super) fn relay_load(&self, relayed: &RelayedLoad) {
         if relayed.forward {
-            let local =
-                self.running_peers().into_iter().filter(|peer| peer.domain == self.me.domain);
-            let local: Vec<Target> = local.map(|peer| peer.target).collect();
             let relayed = RelayedLoad { forward: false, ..relayed.clone() };
-            self.send(&local, &PeerMessage::RelayedLoad(relayed));
+            self.broadcast_local(&PeerMessage::RelayedLoad(relayed));
         }
     }
 
@@ -228,7 +330,11 @@
         self.net.close().await;
     }
 
-    fn carry_out(&self, out: Vec<Output>, row: Option<&(Revision, Bytes)>) -> Vec<CompactString> {
+    fn carry_out(
+        &mut self,
+        out: Vec<Output>,
+        row: Option<&(Revision, Bytes)>,
+    ) -> Vec<CompactString> {
         let mut lost = Vec::new();
         for output in out {
             match output {
@@ -240,6 +346,11 @@
                 }
                 Output::Changed { name, from, to } => {
                     log::info!(node = name.as_str(); "node state changed from {from:?} to {to:?}");
+                    self.changed = true;
+                    match to {
+                        NodeState::Gone => _ = self.dead.insert(name, Instant::now()),
+                        _ => _ = self.dead.remove(&name),
+                    }
                 }
                 Output::Hint(hint) => lost.push(hint.runner),
             }
@@ -260,10 +371,6 @@
     Some(PeerMessage::CatalogPush(CatalogPush { revision: *revision, doc }))
 }
 
-fn address(row: &Row) -> Option<NodeAddress> {
-    serde_json::from_slice(row.value.as_ref()?).ok()
-}
-
 fn instance(node: &NodeAddress) -> Instance {
     let NodeLocation { domain, url, peer } = location(node);
     Instance {
--- a/crates/relay/src/control/registry.rs
+++ b/crates/relay/src/control/registry.rs
@@ -4,16 +4,11 @@
     crate::{log_messages::RUNNER_GONE, records::Records, store::Row, view::Registration},
     bilberryfront_decide::member::message::Restart,
     compact_str::CompactString,
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::time::Instant,
 };
 
-/// Time after an outage within which live runners re-register: 2 s by the platform's guarantee,
-/// plus propagation.
+/// Time after an outage within which a restarted runner re-registers.
 const RELIST: Duration = Duration::from_millis(2_500);
 
 /// All registrations.
@@ -24,25 +19,23 @@
 pub struct RunnerRegistry {
     entries: BTreeMap<CompactString, Entry>,
     published: Option<Arc<Vec<Registration>>>,
-    outage: Outage,
 }
 
 #[derive(Debug)]
 struct Entry {
     registration: Registration,
-    missing: bool,
+    presence: Presence,
 }
 
-/// Whether a missing entry means a removed runner.
-#[derive(Clone, Copy, Debug, Default)]
-enum Outage {
-    /// It does.
-    #[default]
-    None,
-    /// The store is unavailable.
-    Down,
-    /// The store is available again; it does from this time on.
-    Until(Instant),
+/// Whether a runner is registered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    /// It is.
+    Listed,
+    /// It is not, but counts as registered up to this time.
+    Missing(Instant),
+    /// It restarted during an outage of the store and has not been able to register.
+    Adopted,
 }
 
 impl RunnerRegistry {
@@ -56,55 +49,49 @@
         self.published.is_some()
     }
 
-    /// The store became unavailable.
-    pub fn down(&mut self) {
-        self.outage = Outage::Down;
+    /// Failure domain of a runner.
+    pub fn domain(&self, id: &str) -> Option<&CompactString> {
+        self.entries.get(id).map(|entry| &entry.registration.domain)
     }
 
-    /// The store became available.
-    pub fn up(&mut self, now: Instant) {
-        self.outage = Outage::Until(now + RELIST);
-    }
-
-    /// Replaces the table; returns whether anything changed.
-    pub fn replace<R: Records>(&mut self, now: Instant, rows: &[Row], records: &R) -> bool {
-        let listed: BTreeSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
-        let shutdown: Vec<CompactString> =
-            self.entries.keys().filter(|id| !listed.contains(id.as_str())).cloned().collect();
-        shutdown.iter().for_each(|id| self.remove(now, id));
-        rows.iter().for_each(|row| self.take(now, row, records));
-        self.publish()
-    }
-
-    /// Applies changed rows; returns whether anything changed.
-    pub fn update<R: Records>(&mut self, now: Instant, rows: &[Row], records: &R) -> bool {
-        rows.iter().for_each(|row| self.take(now, row, records));
+    /// Applies changed rows; returns whether anything changed. Removed entries are kept for `grace`.
+    pub fn update<R: Records>(
+        &mut self,
+        now: Instant,
+        rows: &[Row],
+        grace: Duration,
+        records: &R,
+    ) -> bool {
+        rows.iter().for_each(|row| self.take(now, row, grace, records));
         self.publish()
     }
 
-    /// Removes entries that did not return after an outage; returns whether there were any.
-    pub fn settle(&mut self, now: Instant) -> bool {
-        let Outage::Until(until) = self.outage else { return false };
-        if now < until {
-            return false;
+    /// Removes entries that did not return in time; returns whether there were any. `settled` tells
+    /// whether the store is available and all live runners are registered there.
+    pub fn settle(&mut self, now: Instant, settled: bool) -> bool {
+        for entry in self.entries.values_mut() {
+            if settled && entry.presence == Presence::Adopted {
+                entry.presence = Presence::Missing(now + RELIST);
+            }
         }
-        self.outage = Outage::None;
+        let before = self.entries.len();
         self.entries.retain(|id, entry| {
-            if entry.missing {
+            let gone = matches!(entry.presence, Presence::Missing(until) if now >= until);
+            if gone {
                 log::info!(runner = id.as_str(); "runner did not return after the outage");
             }
-            !entry.missing
+            !gone
         });
-        self.publish()
+        before != self.entries.len() && self.publish()
     }
 
     /// Replaces entries of runners that restarted under new ids during an outage; returns whether
     /// anything changed.
     ///
     /// The store cannot report the new ids meanwhile, and the runners reject requests for the old
-    /// ones. A new entry counts as missing until the runner re-registers.
-    pub fn adopt_restarts(&mut self, restarts: &[Restart]) -> bool {
-        if matches!(self.outage, Outage::None) {
+    /// ones. With a `settled` store the registrations alone count.
+    pub fn adopt_restarts(&mut self, restarts: &[Restart], settled: bool) -> bool {
+        if settled {
             return false;
         }
         restarts.iter().for_each(|restart| self.restart(restart));
@@ -124,11 +111,11 @@
         log::info!(runner = id.as_str(), former = restart.former.as_str();
             "runner restarted during a store outage");
         self.entries.remove(&restart.former);
-        self.entries.insert(id, Entry { registration, missing: true });
+        self.entries.insert(id, Entry { registration, presence: Presence::Adopted });
     }
 
-    fn take<R: Records>(&mut self, now: Instant, row: &Row, records: &R) {
-        let Some(value) = &row.value else { return self.remove(now, &row.key) };
+    fn take<R: Records>(&mut self, now: Instant, row: &Row, grace: Duration, records: &R) {
+        let Some(value) = &row.value else { return self.remove(now, &row.key, grace) };
         match records.registration(&row.key, value) {
             Ok(registration) => self.register(registration),
             Err(error) => {
@@ -146,17 +133,12 @@
                 born = registration.born; "runner is {:?}", registration.state);
         }
         let id = registration.id.clone();
-        self.entries.insert(id, Entry { registration, missing: false });
+        self.entries.insert(id, Entry { registration, presence: Presence::Listed });
     }
 
-    fn remove(&mut self, now: Instant, id: &CompactString) {
-        let held = match self.outage {
-            Outage::None => false,
-            Outage::Down => true,
-            Outage::Until(until) => now < until,
-        };
+    fn remove(&mut self, now: Instant, id: &CompactString, grace: Duration) {
         match self.entries.get_mut(id) {
-            Some(entry) if held => entry.missing = true,
+            Some(entry) if !grace.is_zero() => entry.presence = Presence::Missing(now + grace),
             Some(_) => {
                 log::info!(runner = id.as_str(); "{RUNNER_GONE}");
                 self.entries.remove(id);
--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -1,9 +1,8 @@
 //! Drives the rollouts.
 
 use {
-    super::{Control, feed::Change},
+    super::{Control, members::Membership},
     crate::{
-        control::members::Membership,
         records::Records,
         rollouts::Action,
         store::{Row, Store, Write},
@@ -14,9 +13,9 @@
     tokio::time::Instant,
 };
 
-impl<R: Records> Control<R> {
+impl<R: Records, S: Store> Control<R, S> {
     /// Advances the rollouts and carries out their actions.
-    pub(super) fn step_moves<S: Store>(&mut self, store: &S) {
+    pub(super) fn step_rollouts(&mut self) {
         for (service, to) in self.rollouts.pending_versions() {
             let runners = self.registry.runners();
             let new = runners.iter().filter(|r| r.service == service && r.version == to);
@@ -35,7 +34,7 @@
                     let table = R::STATUS.into();
                     let expected = Some(expected);
                     let row = Write { table, key, value: Some(value), expected };
-                    tokio::task::spawn_local(write_record(store.clone(), row));
+                    tokio::task::spawn_local(write_record(self.store.clone(), row));
                 }
             }
         }
@@ -64,9 +63,8 @@
         }
     }
 
-    pub(super) fn apply_status(&mut self, change: Change) {
-        let (Change::Whole(rows) | Change::Rows(rows)) = change else { return };
-        for row in &rows.rows {
+    pub(super) fn apply_statuses(&mut self, rows: &[Row]) {
+        for row in rows {
             let value = row.value.as_deref().unwrap_or_default();
             match self.records.parse_status(&row.key, value) {
                 Some(Ok(record)) => self.rollouts.record(row.revision, record),
--- a/crates/relay/src/control/tables.rs
+++ b/crates/relay/src/control/tables.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        Control, Peers,
+        Control,
         feed::{Change, FeedEvent},
-        feeds::Watched,
+        feeds::{Loaded, Watched},
     },
     crate::{
         records::Records,
@@ -19,47 +19,78 @@
 
 impl<R: Records, S: Store> Control<R, S> {
     pub(super) fn apply_event(&mut self, FeedEvent { table, change }: FeedEvent<Watched>) {
-        let Some(Peers { membership, sync }) = &mut self.joined else { return };
-        match (table, change) {
-            (Watched::Nodes, Change::Whole(rows)) => membership.list(&rows, true),
-            (Watched::Nodes, Change::Rows(rows)) if !rows.rows.is_empty() => {
-                membership.list(&rows, false);
-            }
-            (Watched::Nodes, _) => {}
-            (Watched::Replicated(table), change) => {
+        match table {
+            Watched::Nodes => self.apply_nodes(&change),
+            Watched::Replicated(table) => {
                 let mut out = Vec::new();
-                sync.polled(Instant::now(), table, change, &mut out);
+                self.sync.polled(Instant::now(), table, change, &mut out);
                 self.carry_out(out);
                 self.step_sync(Instant::now());
             }
         }
     }
 
+    /// Applies a table that was read ahead of the replication.
+    pub(super) fn apply_loaded(&mut self, Loaded { table, rows }: Loaded) {
+        match rows {
+            Ok(rows) => {
+                let mut out = Vec::new();
+                self.sync.loaded(Instant::now(), table, rows, &mut out);
+                self.carry_out(out);
+            }
+            Err(error) => {
+                log::warn!("{error}");
+                self.set_cut_off(true);
+            }
+        }
+    }
+
+    fn apply_nodes(&mut self, change: &Change) {
+        let Some(membership) = &mut self.membership else { return };
+        match change {
+            Change::Whole(rows) => membership.list(rows, true),
+            Change::Rows(rows) if !rows.rows.is_empty() => membership.list(rows, false),
+            _ => {}
+        }
+    }
+
     /// Performs due work of the replication.
     pub(super) fn step_sync(&mut self, now: Instant) {
-        let Some(Peers { sync, .. }) = &mut self.joined else { return };
+        if self.membership.is_none() {
+            return;
+        }
         let mut out = Vec::new();
-        sync.step(now, &mut out);
-        self.feeds.set_active(sync);
-        let cut_off = sync.is_cut_off();
-        self.set_cut_off(cut_off);
+        self.sync.step(now, &mut out);
+        self.feeds.set_active(&self.sync);
+        self.set_cut_off(self.sync.is_cut_off());
         self.carry_out(out);
     }
 
     /// Handles a peer's message about the tables.
     pub(super) fn sync_with(&mut self, from: &CompactString, message: PeerMessage) {
-        let Some(Peers { sync, .. }) = &mut self.joined else { return };
         let mut out = Vec::new();
-        sync.received(Instant::now(), from, message, &mut out);
+        self.sync.received(Instant::now(), from, message, &mut out);
         self.carry_out(out);
     }
 
     fn carry_out(&mut self, actions: Vec<Action>) {
         for action in actions {
-            let Some(Peers { membership, .. }) = &self.joined else { return };
             match action {
-                Action::Broadcast(message) => membership.broadcast_local(&message),
-                Action::Send(to, message) => membership.send_to(&to, &message),
+                Action::Broadcast(message) => {
+                    if let Some(membership) = &self.membership {
+                        membership.broadcast_local(&message);
+                    }
+                }
+                Action::Exchange(message) => {
+                    if let Some(membership) = &self.membership {
+                        membership.send_to_readers(&message);
+                    }
+                }
+                Action::Send(to, message) => {
+                    if let Some(membership) = &self.membership {
+                        membership.send_to(&to, &message);
+                    }
+                }
                 Action::Apply { table, rows, grace } => self.apply_rows(table, &rows, grace),
             }
         }
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -19,7 +19,10 @@
     hyper::body::Incoming,
     rand::Rng,
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::{
+        sync::Notify,
+        time::{Instant, sleep},
+    },
 };
 
 /// Time to live of an address response; short, because callers keep using the address of a crashed
@@ -51,6 +54,8 @@
     pub traffic: Traffic<D, N>,
     /// Drain state.
     pub drain: Drain,
+    /// Signals a request that waits for the catalogue or the runners.
+    pub demand: Arc<Notify>,
     /// Maximum time to live of an address response.
     pub keep: Duration,
 }
@@ -116,6 +121,7 @@
         let timeout = self.dialect().head(parts).ok().and_then(|head| head.timeout);
         let share = timeout.map_or(STARTING_WAIT, |timeout| timeout.mul_f64(STARTING_SHARE));
         let end = start + share.min(STARTING_WAIT);
+        self.demand.notify_one();
         while !self.has_started() && Instant::now() < end {
             sleep(STARTING_TICK).await;
         }
--- a/crates/relay/src/metrics/volume.rs
+++ b/crates/relay/src/metrics/volume.rs
@@ -30,6 +30,7 @@
     Catalogue,
     Membership,
     Move,
+    Store,
 }
 
 /// Outcome of a poll.
@@ -108,5 +109,8 @@
         | PeerMessage::Claims(_)
         | PeerMessage::Leave(_) => MessageKind::Membership,
         PeerMessage::Move(_) => MessageKind::Move,
+        PeerMessage::Table(_) | PeerMessage::TablePull(_) | PeerMessage::StoreReport(_) => {
+            MessageKind::Store
+        }
     }
 }
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -62,7 +62,8 @@
     pub fn replace(&mut self, now: Instant, snapshot: Rows) -> Vec<Row> {
         let Rows { rows, revision } = snapshot;
         let first = self.revision.is_none();
-        let listed: std::collections::BTreeSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
+        let listed: std::collections::BTreeSet<&str> =
+            rows.iter().map(|r| r.key.as_str()).collect();
         let gone = |(key, version): (&CompactString, &Version)| {
             let gone = version.value.is_some()
                 && version.revision <= revision
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -17,12 +17,18 @@
         store::Store,
         view::Published,
     },
-    std::{io, net::SocketAddr, sync::mpsc, thread, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, mpsc},
+        thread,
+        time::Duration,
+    },
     tokio::{
         net::TcpListener,
         runtime::{Builder, Runtime},
         signal::unix::{SignalKind, signal},
-        sync::{mpsc::unbounded_channel, oneshot, watch},
+        sync::{Notify, mpsc::unbounded_channel, oneshot, watch},
         task::LocalSet,
         time::{Instant, sleep, sleep_until},
     },
@@ -78,8 +84,9 @@
     let (trial_sender, trial_receiver) = unbounded_channel();
     let (report_sender, report_receiver) = unbounded_channel();
     let metrics = Metrics::default();
+    let demand = Arc::new(Notify::new());
     let work = {
-        let metrics = metrics.clone();
+        let (metrics, signal) = (metrics.clone(), demand.clone());
         let (settings, published, drain) = (settings.clone(), published.clone(), drain.clone());
         let runtime = runtime()?;
         move || {
@@ -88,6 +95,7 @@
                 updates: load_receiver,
                 trials: trial_receiver,
                 peer_reports: report_sender,
+                demand: signal,
                 metrics,
             };
             let control =
@@ -105,7 +113,7 @@
     traffic.client.fleet.set_domain(&settings.domain);
     traffic.trials = Some(trial_sender.clone());
     traffic.set_metrics(&metrics);
-    let handler = Handler { traffic, drain, keep: settings.bounds.keep() };
+    let handler = Handler { traffic, drain, demand, keep: settings.bounds.keep() };
     LocalSet::new().block_on(
         &runtime()?,
         serve(
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -46,6 +46,11 @@
         self.0.iter().position(|n| n == name).unwrap_or(self.0.len())
     }
 
+    /// Whether a node is in the domain.
+    pub fn contains(&self, name: &str) -> bool {
+        self.rank(name) < self.len()
+    }
+
     /// Number of nodes.
     pub fn len(&self) -> usize {
         self.0.len()
@@ -94,13 +99,12 @@
     /// A node that has just started.
     pub fn new(now: Instant, seed: u64) -> Election {
         let rng = SmallRng::seed_from_u64(seed);
-        Election {
-            role: Role::Standby,
-            reports: BTreeMap::new(),
-            start: now,
-            attempt: None,
-            rng,
-        }
+        Election { role: Role::Standby, reports: BTreeMap::new(), start: now, attempt: None, rng }
+    }
+
+    /// Restarts the time for which the readers' first report is awaited.
+    pub fn start(&mut self, now: Instant) {
+        self.start = now;
     }
 
     /// Takes a reader's report.
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -11,8 +11,6 @@
 /// A row or a tombstone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
-    /// Table.
-    pub table: CompactString,
     /// Key.
     pub key: CompactString,
     /// Content; `None` for a tombstone.
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -25,7 +25,9 @@
 const RELIST: Duration = Duration::from_millis(2_500);
 /// Shortest time without the store after which registrations may have expired.
 const LAPSE: Duration = Duration::from_secs(2);
-/// Minimum interval of requests for a table.
+/// Interval of the reports to other domains.
+const EXCHANGE_EVERY: Duration = Duration::from_millis(800);
+/// Minimum interval of requests for a table to the same node.
 const PULL_EVERY: Duration = Duration::from_millis(250);
 /// Consecutive reports with another digest after which a table is requested; a single one may have
 /// overtaken an update.
@@ -36,6 +38,8 @@
 pub enum Action {
     /// Send to all nodes of the own failure domain.
     Broadcast(PeerMessage),
+    /// Send to the first reader of each other failure domain.
+    Exchange(PeerMessage),
     /// Send to one node.
     Send(CompactString, PeerMessage),
     /// Apply changed rows.
@@ -56,7 +60,7 @@
     /// Whether the last own poll failed.
     failed: bool,
     mismatches: u32,
-    pulled: Option<Instant>,
+    pulled: Option<(Instant, CompactString)>,
 }
 
 /// Replicated tables of one node.
@@ -67,7 +71,12 @@
     election: Election,
     tables: [Table; TableId::ALL.len()],
     polling: bool,
+    /// Whether the last poll of the operators' table succeeded.
+    responsive: bool,
+    /// Whether all tables are served.
+    served: bool,
     reported: Option<Instant>,
+    exchanged: Option<Instant>,
     /// Last sign that the store is available, own or reported.
     seen: Option<Instant>,
     /// Whether the store is unavailable to this node and to all readers.
@@ -76,6 +85,8 @@
     refused: bool,
     /// End of the time in which removed runners may return.
     grace: Option<Instant>,
+    /// Last request for missing tables.
+    pulled: Option<Instant>,
 }
 
 impl TableSync {
@@ -87,24 +98,39 @@
             election: Election::new(now, seed),
             tables: Default::default(),
             polling: false,
+            responsive: false,
+            served: false,
             reported: None,
+            exchanged: None,
             seen: None,
             outage: false,
             refused: false,
             grace: None,
+            pulled: None,
         }
     }
 
+    /// Starts the election: the other nodes are reachable from now on.
+    pub fn start(&mut self, now: Instant) {
+        self.election.start(now);
+    }
+
     /// Sets the nodes of the own failure domain.
     pub fn set_ranking(&mut self, ranking: Ranking) {
         self.ranking = ranking;
     }
 
-    /// Whether the store should be polled.
+    /// Whether the operators' table should be polled.
     pub fn is_polling(&self) -> bool {
         self.polling
     }
 
+    /// Whether all tables should be polled. While the store is unavailable, one table is enough to
+    /// detect its return.
+    pub fn is_reading(&self) -> bool {
+        self.polling && self.responsive
+    }
+
     /// Whether the store rejects requests of this node and of all readers.
     pub fn is_cut_off(&self) -> bool {
         self.outage && self.refused
@@ -129,12 +155,13 @@
     pub fn step(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.polling = self.election.step(now, &self.me, &self.ranking);
         if !self.polling {
+            self.responsive = false;
+            self.served = false;
             self.tables.iter_mut().for_each(|table| table.failed = false);
         }
         self.update_outage(now);
-        if self.polling && self.is_loaded() && self.is_report_due(now) {
-            self.reported = Some(now);
-            out.push(Action::Broadcast(PeerMessage::StoreReport(self.store_report())));
+        if self.polling && self.is_loaded() {
+            self.report(now, out);
         }
         if !self.polling && !self.is_loaded() {
             self.pull_missing(now, out);
@@ -146,9 +173,13 @@
         let failed = matches!(change, Change::Down);
         self.tables[index(table)].failed = failed;
         self.refused |= failed;
+        if table == TableId::Operators {
+            self.responsive = !failed;
+        }
         // Rollouts are rare: their statuses alone do not tell whether the store is available.
         if table != TableId::Statuses {
-            self.election.polled(now, !self.has_failed(), &self.ranking);
+            self.served = !self.has_failed();
+            self.election.polled(now, self.served, &self.ranking);
             let before = self.outage;
             self.update_outage(now);
             if before != self.outage {
@@ -184,6 +215,12 @@
         out.push(Action::Apply { table, rows, grace });
     }
 
+    /// Takes a table that was read ahead of the replication.
+    pub fn loaded(&mut self, now: Instant, table: TableId, rows: Rows, out: &mut Vec<Action>) {
+        let rows = self.tables[index(table)].mirror.replace(now, rows);
+        out.push(Action::Apply { table, rows, grace: Duration::ZERO });
+    }
+
     /// Takes a row of the operators' table that gossip has brought.
     pub fn gossiped(&mut self, now: Instant, row: Row) {
         self.tables[index(TableId::Operators)].mirror.merge(now, vec![row]);
@@ -198,15 +235,21 @@
         out: &mut Vec<Action>,
     ) {
         match message {
-            PeerMessage::Table(update) => self.apply(now, update, out),
+            PeerMessage::Table(update) => self.apply(now, from, update, out),
             PeerMessage::TablePull(table) => out.extend(self.answer(now, from, table)),
             PeerMessage::StoreReport(report) => self.compare(now, from, &report, out),
             _ => {}
         }
     }
 
-    fn apply(&mut self, now: Instant, update: TableUpdate, out: &mut Vec<Action>) {
-        let TableUpdate { table, revision, whole, grace_ms, rows } = update;
+    fn apply(
+        &mut self,
+        now: Instant,
+        from: &CompactString,
+        changes: TableUpdate,
+        out: &mut Vec<Action>,
+    ) {
+        let TableUpdate { table, revision, whole, grace_ms, rows } = changes;
         let rows: Vec<Row> = rows.into_iter().map(row).collect();
         let mirror = &mut self.tables[index(table)].mirror;
         let rows = match whole {
@@ -214,6 +257,10 @@
             false => mirror.merge(now, rows),
         };
         let grace = Duration::from_millis(grace_ms.into());
+        // From another domain: this node forwards what its domain lacks.
+        if !rows.is_empty() && !self.ranking.contains(from) {
+            out.push(Action::Broadcast(update(table, revision, false, grace, &rows)));
+        }
         if !rows.is_empty() || whole {
             out.push(Action::Apply { table, rows, grace });
         }
@@ -222,7 +269,7 @@
     /// Answers a request for a table, as far as this node is a reader.
     fn answer(&self, now: Instant, from: &CompactString, table: TableId) -> Option<Action> {
         let mirror = &self.tables[index(table)].mirror;
-        let revision = mirror.revision().filter(|_| self.polling && !self.has_failed())?;
+        let revision = mirror.revision().filter(|_| self.served)?;
         let message = update(table, revision, true, self.grace_left(now), &mirror.rows());
         Some(Action::Send(from.clone(), message))
     }
@@ -251,7 +298,7 @@
             }
             table.mismatches += 1;
             let due = table.mirror.revision().is_none() || table.mismatches >= MISMATCHES;
-            if due && table.may_pull(now) {
+            if due && table.may_pull(now, from) {
                 let message = PeerMessage::TablePull(digest.table);
                 out.push(Action::Send(from.clone(), message));
             }
@@ -260,15 +307,15 @@
 
     /// Requests tables from the nodes that should be readers, without waiting for a report.
     fn pull_missing(&mut self, now: Instant, out: &mut Vec<Action>) {
-        for id in TableId::ALL {
-            let table = &mut self.tables[index(id)];
-            if table.mirror.revision().is_none() && table.may_pull(now) {
-                let readers = self.ranking.readers().iter().filter(|name| **name != self.me);
-                let pull = |name: &CompactString| {
-                    Action::Send(name.clone(), PeerMessage::TablePull(id))
-                };
-                out.extend(readers.map(pull));
-            }
+        let missing = |table: &&TableId| self.tables[index(**table)].mirror.revision().is_none();
+        let missing: Vec<TableId> = TableId::ALL.iter().filter(missing).copied().collect();
+        if self.pulled.is_some_and(|at| now < at + PULL_EVERY) {
+            return;
+        }
+        self.pulled = Some(now);
+        for reader in self.ranking.readers().iter().filter(|name| **name != self.me) {
+            let pull = |id: &TableId| Action::Send(reader.clone(), PeerMessage::TablePull(*id));
+            out.extend(missing.iter().map(pull));
         }
     }
 
@@ -278,11 +325,16 @@
             Some(TableDigest { table, revision: mirror.revision()?, hash: mirror.hash() })
         };
         let digests = TableId::ALL.into_iter().filter_map(digest).collect();
-        StoreReport { available: !self.has_failed(), digests }
+        StoreReport { available: self.served, digests }
     }
 
-    fn is_report_due(&self, now: Instant) -> bool {
-        self.reported.is_none_or(|at| now >= at + REPORT_EVERY)
+    fn report(&mut self, now: Instant, out: &mut Vec<Action>) {
+        if is_due(&mut self.reported, now, REPORT_EVERY) {
+            out.push(Action::Broadcast(PeerMessage::StoreReport(self.store_report())));
+        }
+        if self.served && is_due(&mut self.exchanged, now, EXCHANGE_EVERY) {
+            out.push(Action::Exchange(PeerMessage::StoreReport(self.store_report())));
+        }
     }
 
     fn is_loaded(&self) -> bool {
@@ -295,8 +347,7 @@
 
     /// Tracks outages. Registrations expire in a long one, and return some time after it.
     fn update_outage(&mut self, now: Instant) {
-        let reads = self.polling && !self.has_failed() && self.is_loaded();
-        let available = reads || self.election.has_reader(now);
+        let available = (self.served && self.is_loaded()) || self.election.has_reader(now);
         if available && self.outage {
             let lapsed = self.seen.is_some_and(|seen| now >= seen + LAPSE);
             self.grace = lapsed.then_some(now + RELIST);
@@ -311,16 +362,26 @@
 }
 
 impl Table {
-    fn may_pull(&mut self, now: Instant) -> bool {
-        let due = self.pulled.is_none_or(|at| now >= at + PULL_EVERY);
+    fn may_pull(&mut self, now: Instant, from: &CompactString) -> bool {
+        let last = self.pulled.as_ref();
+        let due = last.is_none_or(|(at, to)| to != from || now >= *at + PULL_EVERY);
         if due {
-            self.pulled = Some(now);
+            self.pulled = Some((now, from.clone()));
             self.mismatches = 0;
         }
         due
     }
 }
 
+/// Whether an interval has passed since `last`, which is then set to now.
+fn is_due(last: &mut Option<Instant>, now: Instant, every: Duration) -> bool {
+    let due = last.is_none_or(|at| now >= at + every);
+    if due {
+        *last = Some(now);
+    }
+    due
+}
+
 fn index(table: TableId) -> usize {
     table as usize
 }
--- a/crates/relay/tests/feed.rs
+++ b/crates/relay/tests/feed.rs
@@ -1,4 +1,4 @@
-//! Following the store's tables through outages.
+//! Watching tables of the store through outages.
 
 use {
     bilberryfront_relay::{
@@ -14,8 +14,7 @@
     },
 };
 
-/// A store that swallows every question that it is asked while it is silent. Both its tables hold one
-/// row, which the orders' feed tells of once.
+/// A store that swallows every request while it is silent. Both tables hold one row.
 #[derive(Clone, Default)]
 struct Silent(Rc<State>);
 
@@ -28,7 +27,7 @@
 impl Silent {
     fn rows(&self) -> Rows {
         let revision = self.0.revision.get();
-        let row = Row { table: "t".into(), key: "k".into(), value: None, revision };
+        let row = Row { key: "k".into(), value: None, revision };
         Rows { rows: vec![row], revision }
     }
 }
@@ -60,28 +59,29 @@
     }
 }
 
-/// The store is silent for four seconds. The question for orders, which waits long since orders are rare,
-/// is swallowed; the one for runners fails and is answered again as soon as the store is back. Callers
-/// of the newest catalogue would be refused by the older one until the first question's timeout; so it
-/// is asked anew when the other one is answered.
+/// Guards against an outdated catalogue after a silent outage that swallowed a long poll.
 #[tokio::test(start_paused = true)]
-async fn a_question_that_an_outage_swallowed_is_asked_anew() {
+async fn a_poll_that_an_outage_swallowed_is_repeated() {
     LocalSet::new()
         .run_until(async {
             let store = Silent::default();
             let returns = watch::Sender::new(0);
+            let active = watch::Sender::new(true);
             let (sender, mut events) = mpsc::channel(64);
             for (table, wait) in [("orders", 5_000), ("runners", 1_000)] {
-                let follower = FeedWatcher {
+                let watcher = FeedWatcher {
                     store: store.clone(),
+                    name: table,
                     table,
+                    active: active.subscribe(),
+                    revision: Rc::default(),
                     every: Duration::ZERO,
                     wait: Rc::new(Cell::new(Duration::from_millis(wait))),
                     pause: PROBE_PAUSE,
                     returns: returns.clone(),
                     metrics: Metrics::default(),
                 };
-                tokio::task::spawn_local(follower.run(sender.clone()));
+                tokio::task::spawn_local(watcher.run(sender.clone()));
             }
             sleep(Duration::from_millis(100)).await;
             store.0.silent.set(true);
@@ -107,7 +107,7 @@
         .await;
 }
 
-/// A store that refuses every question while it is down, and counts the questions.
+/// A store that rejects requests while it is down, and counts them.
 #[derive(Clone, Default)]
 struct Refusing(Rc<Refusals>);
 
@@ -143,27 +143,29 @@
     }
 }
 
-/// Load: the store is down for eight seconds, and each call that it refuses is paid for. Four followers that
-/// all look for its return by themselves ask it some fifty times. One does, the others are told of the
-/// return and are back with it.
+/// Load: an outage of eight seconds; one watcher probes for its end, the others wait for the result.
 #[tokio::test(start_paused = true)]
-async fn one_follower_finds_the_end_of_an_outage_for_all() {
+async fn one_watcher_detects_the_end_of_an_outage_for_all() {
     LocalSet::new()
         .run_until(async {
             let store = Refusing::default();
             let returns = watch::Sender::new(0);
+            let active = watch::Sender::new(true);
             let (sender, mut events) = mpsc::channel(64);
             for table in ["orders", "runners", "nodes", "status"] {
-                let follower = FeedWatcher {
+                let watcher = FeedWatcher {
                     store: store.clone(),
+                    name: table,
                     table,
+                    active: active.subscribe(),
+                    revision: Rc::default(),
                     every: Duration::ZERO,
                     wait: Rc::new(Cell::new(Duration::from_secs(1))),
                     pause: if table == "orders" { PROBE_PAUSE } else { REST_PAUSE },
                     returns: returns.clone(),
                     metrics: Metrics::default(),
                 };
-                tokio::task::spawn_local(follower.run(sender.clone()));
+                tokio::task::spawn_local(watcher.run(sender.clone()));
             }
             sleep(Duration::from_millis(100)).await;
             store.0.down.set(true);
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -1,4 +1,4 @@
-//! Which runners count, by their entries in the store.
+//! The registry of runners.
 
 use {
     bilberryfront_decide::member::message::Restart,
@@ -63,96 +63,90 @@
 
 fn row(id: &str, value: &str) -> Row {
     let value = (!value.is_empty()).then(|| value.to_owned().into());
-    Row { table: "runners".into(), key: id.into(), value, revision: 1 }
+    Row { key: id.into(), value, revision: 1 }
 }
 
 fn ids(registry: &RunnerRegistry) -> Vec<String> {
     registry.runners().iter().map(|r| r.id.to_string()).collect()
 }
 
+/// Time for which runners may return after an outage.
+const GRACE: Duration = Duration::from_millis(2_500);
+
 fn registry(rows: &[Row]) -> RunnerRegistry {
     let mut registry = RunnerRegistry::default();
-    assert!(registry.replace(Instant::now(), rows, &Spelled));
+    assert!(update(&mut registry, rows, Duration::ZERO));
     registry
 }
 
-/// A runner dies and its process starts anew at the same address under a new id, while the old entry
-/// stays for seconds. Were both used, every send to the old id would be refused, and a copy of a
-/// running request's memory, which goes to the address, couldn't be found again.
+fn update(registry: &mut RunnerRegistry, rows: &[Row], grace: Duration) -> bool {
+    registry.update(Instant::now(), rows, grace, &Spelled)
+}
+
+/// Guards against sends to the expired id of a runner that restarted at its address.
 #[tokio::test(start_paused = true)]
-async fn a_runner_born_later_takes_over_the_address() {
+async fn a_later_incarnation_takes_over_the_address() {
     let mut registry =
         registry(&[row("old", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")]);
-    let now = Instant::now();
-    assert!(registry.update(now, &[row("new", "10.0.0.1:80 9 ready")], &Spelled));
+    assert!(update(&mut registry, &[row("new", "10.0.0.1:80 9 ready")], Duration::ZERO));
     assert_eq!(ids(&registry), ["b", "new"]);
-    // A late report of the old life changes nothing.
-    assert!(!registry.update(now, &[row("old", "10.0.0.1:80 5 ready")], &Spelled));
+    assert!(!update(&mut registry, &[row("old", "10.0.0.1:80 5 ready")], Duration::ZERO));
     assert_eq!(ids(&registry), ["b", "new"]);
 }
 
-/// The store is away, and entries lapse because runners can't report. Its first answer lacks them,
-/// though they are well: they stay for as long as a living runner takes to report, and no longer.
+/// Guards against dropping live runners whose registrations expired during an outage of the store.
 #[tokio::test(start_paused = true)]
-async fn entries_that_lapsed_in_an_outage_are_kept_until_runners_could_report() {
+async fn registrations_that_expired_in_an_outage_are_kept_for_a_while() {
     let all = [row("a", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")];
     let mut registry = registry(&all);
-    registry.down();
-    advance(Duration::from_secs(5)).await;
-    registry.up(Instant::now());
-    registry.replace(Instant::now(), &[], &Spelled);
+    update(&mut registry, &[row("a", ""), row("b", "")], GRACE);
     assert_eq!(ids(&registry), ["a", "b"]);
     advance(Duration::from_millis(500)).await;
-    registry.update(Instant::now(), &all[..1], &Spelled);
+    update(&mut registry, &all[..1], GRACE);
     advance(Duration::from_secs(1)).await;
-    assert!(!registry.settle(Instant::now()));
+    assert!(!registry.settle(Instant::now(), false));
     advance(Duration::from_secs(1)).await;
-    assert!(registry.settle(Instant::now()));
-    assert_eq!(ids(&registry), ["a"], "who stayed away is gone");
+    assert!(registry.settle(Instant::now(), true));
+    assert_eq!(ids(&registry), ["a"]);
 }
 
-/// The store is away, and engines crash and start anew under ids that only the store would tell. What a
-/// node finds out by itself counts meanwhile, before what the former life reported; after the store's return
-/// the engine must register like any other. While the store is there, it alone tells.
+/// Guards against losing engines that restart under new ids while the store cannot report them.
 #[tokio::test(start_paused = true)]
-async fn a_runner_that_restarts_in_an_outage_keeps_its_place() {
+async fn a_runner_that_restarts_in_an_outage_is_adopted_until_it_registers() {
     let restart = |id: &str| Restart { former: "a".into(), id: id.into() };
     let all = [row("a", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")];
     let mut registry = registry(&all);
-    assert!(!registry.adopt_restarts(&[restart("a2")]), "the store is there");
-    registry.down();
-    assert!(registry.adopt_restarts(&[restart("a2")]));
+    assert!(!registry.adopt_restarts(&[restart("a2")], true), "the store is available");
+    assert!(registry.adopt_restarts(&[restart("a2")], false));
     assert_eq!(ids(&registry), ["a2", "b"]);
     assert_eq!(registry.runners()[0].address, "10.0.0.1:80".parse().unwrap());
-    assert!(!registry.adopt_restarts(&[restart("a2")]), "told twice");
-    assert!(
-        !registry.update(Instant::now(), &all[..1], &Spelled),
-        "a late report of the former life"
-    );
-    registry.up(Instant::now());
-    registry.replace(Instant::now(), &all[1..], &Spelled);
+    assert!(!registry.adopt_restarts(&[restart("a2")], false), "repeated");
+    assert!(!update(&mut registry, &all[..1], Duration::ZERO), "a late row of the former one");
+    advance(Duration::from_secs(5)).await;
+    assert!(!registry.settle(Instant::now(), false), "the outage lasts");
+    update(&mut registry, &[row("a", "")], GRACE);
+    assert!(!registry.settle(Instant::now(), true));
     assert_eq!(ids(&registry), ["a2", "b"], "it has time to register");
     advance(Duration::from_secs(3)).await;
-    assert!(registry.settle(Instant::now()));
+    assert!(registry.settle(Instant::now(), true));
     assert_eq!(ids(&registry), ["b"]);
 }
 
-/// Without an outage an entry's removal is a runner's leaving: it gets nothing new from then on.
+/// Guards against requests to a runner that has left.
 #[tokio::test(start_paused = true)]
-async fn a_removed_entry_counts_at_once() {
+async fn a_removed_registration_counts_at_once() {
     let mut registry =
         registry(&[row("a", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")]);
-    assert!(registry.update(Instant::now(), &[row("a", "")], &Spelled));
+    assert!(update(&mut registry, &[row("a", "")], Duration::ZERO));
     assert_eq!(ids(&registry), ["b"]);
 }
 
-/// Somebody else than a runner writes an entry that can't be read: it names no runner, and the others
-/// hold.
+/// Guards against one undecodable row hiding the others.
 #[tokio::test(start_paused = true)]
-async fn an_unreadable_entry_hurts_no_other() {
+async fn an_undecodable_row_affects_no_other() {
     let rows = [row("a", "10.0.0.1:80 5 ready"), row("b", "\u{1}"), row("c", "x")];
     let mut registry = registry(&rows);
     assert_eq!(ids(&registry), ["a"]);
-    assert!(registry.update(Instant::now(), &[row("a", "nonsense")], &Spelled));
+    assert!(update(&mut registry, &[row("a", "nonsense")], Duration::ZERO));
     assert!(ids(&registry).is_empty());
 }
--- /dev/null
+++ b/crates/relay/tests/table_sync/world.rs
@@ -0,0 +1,279 @@
+//! Failure domains of nodes, a store and the messages between them, in steps of ten milliseconds.
+
+use {
+    bilberryfront_decide::member::{PeerMessage, message::TableId},
+    bilberryfront_relay::{
+        control::feed::Change,
+        readers::Ranking,
+        store::{Row, Rows},
+        table_sync::{Action, TableSync},
+    },
+    compact_str::{CompactString, format_compact},
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        time::Duration,
+    },
+    tokio::time::{Instant, advance},
+};
+
+/// Length of a step: more than a message takes within a failure domain.
+const STEP: Duration = Duration::from_millis(10);
+/// Long-poll wait, and pause between two polls that are rejected.
+pub(crate) const WAIT: Duration = Duration::from_secs(4);
+pub(crate) const BACKOFF: Duration = Duration::from_millis(800);
+/// Nodes of the second domain.
+const OTHERS: usize = 3;
+
+pub(crate) struct Node {
+    pub(crate) name: CompactString,
+    pub(crate) domain: usize,
+    pub(crate) sync: TableSync,
+    /// What was applied, by table and key, with the grace of removed rows.
+    pub(crate) rows: BTreeMap<(TableId, CompactString), u64>,
+    pub(crate) removed: Vec<(CompactString, Duration)>,
+    pub(crate) dead: bool,
+    /// Whether the store rejects this node.
+    pub(crate) refused: bool,
+    polls: [Poll; 3],
+}
+
+#[derive(Clone, Copy)]
+struct Poll {
+    active: bool,
+    down: bool,
+    due: Instant,
+    revision: Option<u64>,
+}
+
+#[derive(Default)]
+pub(crate) struct Store {
+    revision: u64,
+    rows: BTreeMap<(TableId, CompactString), (u64, bool)>,
+    pub(crate) down: bool,
+    pub(crate) calls: u32,
+}
+
+pub(crate) struct World {
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) store: Store,
+    messages: VecDeque<(CompactString, CompactString, PeerMessage)>,
+    /// Nodes that get no messages now.
+    pub(crate) deaf: BTreeSet<CompactString>,
+    pub(crate) sent: usize,
+}
+
+impl World {
+    /// Two domains whose nodes start now, over a store that holds `runners` rows. The first one has
+    /// `size` nodes, the other one [`OTHERS`].
+    pub(crate) fn new(size: usize, runners: usize) -> World {
+        let now = Instant::now();
+        let mut store = Store::default();
+        for index in 0..runners {
+            store.put(TableId::Runners, &format_compact!("r{index}"));
+        }
+        store.put(TableId::Operators, "config");
+        let poll = Poll { active: false, down: false, due: now, revision: None };
+        let domain = |domain: usize, size: usize| {
+            let names = (0..size).map(|i| format_compact!("node-{domain}-{i}"));
+            let ranking = Ranking::new(names.clone());
+            let node = move |(seed, name): (usize, CompactString)| {
+                let mut sync = TableSync::new(now, seed as u64, name.clone());
+                sync.set_ranking(ranking.clone());
+                let (rows, removed) = (BTreeMap::new(), Vec::new());
+                let (dead, refused, polls) = (false, false, [poll; 3]);
+                Node { name, domain, sync, rows, removed, dead, refused, polls }
+            };
+            names.enumerate().map(node).collect::<Vec<_>>()
+        };
+        let nodes = domain(0, size).into_iter().chain(domain(1, OTHERS)).collect();
+        World { nodes, store, messages: VecDeque::new(), deaf: BTreeSet::new(), sent: 0 }
+    }
+
+    /// The same, after all nodes have learned everything.
+    pub(crate) async fn settled(size: usize, runners: usize) -> World {
+        let mut world = World::new(size, runners);
+        world.run(Duration::from_secs(10)).await;
+        assert!(world.nodes.iter().all(|n| n.rows.len() == runners + 1), "settled");
+        world.store.calls = 0;
+        world.sent = 0;
+        world
+    }
+
+    /// Indices of the first domain's readers by rank.
+    pub(crate) fn readers(&self) -> Vec<usize> {
+        self.readers_of(0)
+    }
+
+    fn readers_of(&self, domain: usize) -> Vec<usize> {
+        let nodes = self.nodes.iter().filter(|n| n.domain == domain);
+        let ranking = Ranking::new(nodes.map(|n| n.name.clone()));
+        let index = |name: &CompactString| self.nodes.iter().position(|n| n.name == *name);
+        ranking.readers().iter().filter_map(index).collect()
+    }
+
+    pub(crate) async fn run(&mut self, time: Duration) {
+        let end = Instant::now() + time;
+        while Instant::now() < end {
+            self.step();
+            advance(STEP).await;
+        }
+    }
+
+    /// Runs until all live nodes satisfy a condition; the time it took.
+    pub(crate) async fn until(&mut self, what: &str, holds: impl Fn(&Node) -> bool) -> Duration {
+        let start = Instant::now();
+        while !self.nodes.iter().filter(|n| !n.dead).all(&holds) {
+            assert!(start.elapsed() < Duration::from_secs(30), "{what}");
+            self.step();
+            advance(STEP).await;
+        }
+        start.elapsed()
+    }
+
+    fn step(&mut self) {
+        let now = Instant::now();
+        for (from, to, message) in std::mem::take(&mut self.messages) {
+            let Some(index) = self.nodes.iter().position(|n| n.name == to && !n.dead) else {
+                continue;
+            };
+            if !self.deaf.contains(&to) {
+                let mut out = Vec::new();
+                self.nodes[index].sync.received(now, &from, message, &mut out);
+                self.carry_out(index, out);
+            }
+        }
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].dead {
+                continue;
+            }
+            let mut out = Vec::new();
+            self.nodes[index].sync.step(now, &mut out);
+            for table in TableId::ALL {
+                if let Some(change) = self.poll(now, index, table) {
+                    for change in change {
+                        self.nodes[index].sync.polled(now, table, change, &mut out);
+                    }
+                }
+            }
+            self.carry_out(index, out);
+        }
+    }
+
+    /// Polls like a watcher: at once when activated or when rows changed, else after the wait.
+    fn poll(&mut self, now: Instant, index: usize, table: TableId) -> Option<Vec<Change>> {
+        let node = &mut self.nodes[index];
+        let poll = &mut node.polls[table as usize];
+        let active = match table {
+            TableId::Operators => node.sync.is_polling(),
+            _ => node.sync.is_reading(),
+        };
+        if !active {
+            poll.active = false;
+            return None;
+        }
+        if !poll.active {
+            *poll =
+                Poll { active: true, down: false, due: now, revision: node.sync.revision(table) };
+        }
+        let failing = self.store.down || node.refused;
+        let changed = poll.revision.is_some_and(|known| self.store.has_changed(table, known));
+        if now < poll.due && (poll.down || failing || !changed) {
+            return None;
+        }
+        self.store.calls += 1;
+        if failing {
+            poll.due = now + BACKOFF;
+            return (!std::mem::replace(&mut poll.down, true)).then(|| vec![Change::Down]);
+        }
+        poll.due = now + WAIT;
+        let mut changes = Vec::new();
+        if std::mem::take(&mut poll.down) {
+            changes.push(Change::Up);
+        }
+        let rows = self.store.rows(table, poll.revision);
+        let whole = poll.revision.replace(rows.revision).is_none();
+        changes.push(if whole { Change::Whole(rows) } else { Change::Rows(rows) });
+        Some(changes)
+    }
+
+    fn carry_out(&mut self, index: usize, actions: Vec<Action>) {
+        let Node { name: from, domain, .. } = &self.nodes[index];
+        let (from, domain) = (from.clone(), *domain);
+        for action in actions {
+            match action {
+                Action::Exchange(message) => {
+                    let first = self.readers_of(1 - domain)[0];
+                    let to = self.nodes[first].name.clone();
+                    self.sent += 1;
+                    self.messages.push_back((from.clone(), to, message));
+                }
+                Action::Broadcast(message) => {
+                    let others = self.nodes.iter().filter(|n| n.name != from && n.domain == domain);
+                    let all: Vec<_> =
+                        others.map(|n| (from.clone(), n.name.clone(), message.clone())).collect();
+                    self.sent += all.len();
+                    self.messages.extend(all);
+                }
+                Action::Send(to, message) => {
+                    self.sent += 1;
+                    self.messages.push_back((from.clone(), to, message));
+                }
+                Action::Apply { table, rows, grace } => {
+                    for row in rows {
+                        self.nodes[index].apply(table, row, grace);
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Node {
+    fn apply(&mut self, table: TableId, row: Row, grace: Duration) {
+        let Row { key, value, revision } = row;
+        let known = self.rows.get(&(table, key.clone())).copied().unwrap_or_default();
+        assert!(revision > known, "{key} went back from {known} to {revision}");
+        match value {
+            Some(_) => _ = self.rows.insert((table, key), revision),
+            None => {
+                self.rows.remove(&(table, key.clone()));
+                self.removed.push((key, grace));
+            }
+        }
+    }
+
+    pub(crate) fn has(&self, table: TableId, key: &str, revision: u64) -> bool {
+        self.rows.get(&(table, key.into())).is_some_and(|known| *known >= revision)
+    }
+}
+
+impl Store {
+    /// Writes a row; its revision.
+    pub(crate) fn put(&mut self, table: TableId, key: &str) -> u64 {
+        self.revision += 1;
+        self.rows.insert((table, key.into()), (self.revision, true));
+        self.revision
+    }
+
+    pub(crate) fn remove(&mut self, table: TableId, key: &str) {
+        self.revision += 1;
+        self.rows.insert((table, key.into()), (self.revision, false));
+    }
+
+    fn has_changed(&self, table: TableId, after: u64) -> bool {
+        self.rows.iter().any(|((t, _), (revision, _))| *t == table && *revision > after)
+    }
+
+    fn rows(&self, table: TableId, after: Option<u64>) -> Rows {
+        let row = |((t, key), (revision, live)): (&(TableId, CompactString), &(u64, bool))| {
+            let wanted = *t == table
+                && match after {
+                    Some(after) => *revision > after,
+                    None => *live,
+                };
+            let value = live.then(|| b"value".as_slice().into());
+            wanted.then(|| Row { key: key.clone(), value, revision: *revision })
+        };
+        Rows { rows: self.rows.iter().filter_map(row).collect(), revision: self.revision }
+    }
+}
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -2,7 +2,7 @@
 
 use {
     bilberryfront::peer::codec::{
-        CATALOG_LIMIT, CONTROL_LIMIT, DecodeError, HEADER, VERSION, decode, encode,
+        CATALOG_LIMIT, CONTROL_LIMIT, DecodeError, HEADER, TABLE_LIMIT, VERSION, decode, encode,
     },
     bilberryfront_decide::{
         id::Incarnation,
@@ -10,7 +10,7 @@
             PeerMessage,
             message::{
                 CatalogPush, Claim, Heartbeat, Hint, HintKind, Life, Moment, NodeLocation,
-                NodeState, Update, Usage,
+                NodeState, StoreReport, TableDigest, TableId, TableRow, TableUpdate, Update, Usage,
             },
         },
     },
@@ -20,6 +20,8 @@
 
 const SEED: u64 = 0x5eed;
 const RUNS: u64 = 5_000;
+/// Flag of a compressed frame in the class byte.
+const COMPRESSED: u8 = 0x80;
 
 fn moment() -> Moment {
     Moment { life: Life { epoch: 1_764_720_000_000, incarnation: Incarnation(u64::MAX) }, beat: 9 }
@@ -31,6 +33,22 @@
     Claim { name: "b".into(), moment: moment(), state: NodeState::Gone, location: Some(location) }
 }
 
+/// Rows of a table; similar, as registrations of runners are.
+fn table(rows: u64) -> TableUpdate {
+    let row = |revision| TableRow {
+        key: format!("runner-{revision}").into(),
+        revision,
+        value: Some(format!("{{\"service\":\"llm\",\"born\":{revision}}}").into_bytes()),
+    };
+    TableUpdate {
+        table: TableId::Runners,
+        revision: rows,
+        whole: true,
+        grace_ms: 0,
+        rows: (0..rows).map(row).collect(),
+    }
+}
+
 fn messages() -> Vec<PeerMessage> {
     let hint = Hint { runner: "r".into(), kind: HintKind::Lost };
     vec![
@@ -49,6 +67,12 @@
         PeerMessage::MembersPush(vec![claim(), claim()]),
         PeerMessage::Leave(moment()),
         PeerMessage::Claims(vec![claim()]),
+        PeerMessage::Table(table(40)),
+        PeerMessage::TablePull(TableId::Runners),
+        PeerMessage::StoreReport(StoreReport {
+            available: true,
+            digests: vec![TableDigest { table: TableId::Operators, revision: 9, hash: 7 }],
+        }),
     ]
 }
 
@@ -89,18 +113,39 @@
         let other = [&[version], &bytes[1..]].concat();
         assert_eq!(decode(&other), Err(DecodeError::Header));
     }
-    for class in 2..=u8::MAX {
+    let known = [0, 1, 2, COMPRESSED, COMPRESSED | 1, COMPRESSED | 2];
+    for class in (0..=u8::MAX).filter(|class| !known.contains(class)) {
         let other = [&[VERSION, class], &bytes[2..]].concat();
         assert_eq!(decode(&other), Err(DecodeError::Header));
     }
-    // A small message must not use the bound of a catalogue.
-    let posing = [&[VERSION, 1], &bytes[2..]].concat();
-    assert_eq!(decode(&posing), Err(DecodeError::Garbled));
+    // A small message must not use the limit of a larger class.
+    for class in [1, 2] {
+        let other = [&[VERSION, class], &bytes[2..]].concat();
+        assert_eq!(decode(&other), Err(DecodeError::Garbled));
+    }
+}
+
+/// Load: registrations of hundreds of runners are sent to every node of a domain.
+#[test]
+fn long_frames_are_compressed() {
+    let frame = encode(&name(), &PeerMessage::Table(table(500))).unwrap();
+    assert!(frame.bytes.len() < 500 * 20, "{} bytes", frame.bytes.len());
+    assert_eq!(frame.bytes[1], COMPRESSED | 2);
+}
+
+/// Guards against a few bytes that expand beyond the limit of their class.
+#[test]
+fn compressed_frames_are_bounded_by_their_expanded_size() {
+    for (class, limit) in [(0, CONTROL_LIMIT), (1, CATALOG_LIMIT), (2, TABLE_LIMIT)] {
+        let body = lz4_flex::compress_prepend_size(&vec![0; limit + 1]);
+        let bytes = [&[VERSION, COMPRESSED | class], body.as_slice()].concat();
+        assert_eq!(decode(&bytes), Err(DecodeError::Oversized));
+    }
 }
 
 #[test]
 fn oversized_frames_are_refused_by_class() {
-    for (class, limit) in [(0, CONTROL_LIMIT), (1, CATALOG_LIMIT)] {
+    for (class, limit) in [(0, CONTROL_LIMIT), (1, CATALOG_LIMIT), (2, TABLE_LIMIT)] {
         let mut bytes = vec![0; limit + 1];
         (bytes[0], bytes[1]) = (VERSION, class);
         assert_eq!(decode(&bytes), Err(DecodeError::Oversized));
--- a/tests/relay/faces.rs
+++ b/tests/relay/faces.rs
@@ -16,7 +16,7 @@
     http_body_util::{BodyExt, Full},
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tokio::{
         sync::watch,
         time::{Instant, sleep},
@@ -34,7 +34,7 @@
 impl<N: Network> Node<N> {
     fn new(traffic: Traffic<Http, N>) -> Node<N> {
         let drain = Drain::new(Duration::from_secs(8));
-        let handler = Handler { traffic, drain, keep: Duration::from_secs(5) };
+        let handler = Handler { traffic, drain, demand: Arc::default(), keep: Duration::from_secs(5) };
         Node { handler, close: watch::Sender::new(false) }
     }
 
