Lay most heartbeat rings within failure domains, and spread a common first start

Cause: at 295 nodes all rings ran over all nodes, so four heartbeats in five crossed a border, each with up to 32 updates that were sent three times to six targets; the announcements of a common start alone were some 100 MB. All nodes also read the store and registered in the same milliseconds: the store limits writes to a part (200 a second), so 93 reads and 224 writes were refused, hundreds created the certificate authority at once, and most nodes knew few others for seconds: 39,000 false suspicions by 14 s.

Change: three rings run over all nodes, the others within each failure domain (domains below eight nodes share theirs); an update is sent once to four or more targets. When the whole system starts for the first time (setting bootstrap), nodes spread their first read over 1.5 s; a new node looks again for nodes that started with it, and takes part in the election of readers from then on.

Ruled out: two global rings.

--- a/crates/decide/src/member/ring.rs
+++ b/crates/decide/src/member/ring.rs
@@ -1,10 +1,27 @@
 //! Heartbeat topology.
 
-use {compact_str::CompactString, std::cmp::Reverse, xxhash_rust::xxh64::xxh64};
+use {
+    compact_str::CompactString, rustc_hash::FxHashMap, std::cmp::Reverse, xxhash_rust::xxh64::xxh64,
+};
 
 /// Maximum size of a full mesh.
 pub(super) const MESH: usize = 8;
 
+/// Rings over all nodes; the others are laid over each failure domain by itself, so that most
+/// heartbeats stay within it.
+const GLOBAL_RINGS: u64 = 3;
+/// Minimum size of a failure domain with rings of its own; the nodes of smaller ones share theirs.
+const DOMAIN_MIN: usize = 8;
+
+/// A node and its failure domain.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Neighbour<'a> {
+    /// Name.
+    pub(super) name: &'a CompactString,
+    /// Failure domain.
+    pub(super) domain: &'a CompactString,
+}
+
 /// Heartbeat neighbours of a node.
 ///
 /// The nodes form several rings, each ordered by a different hash of the names; a node sends to its
@@ -19,19 +36,27 @@
 }
 
 impl Ring {
-    /// The neighbours of `me`; `others` are all other nodes, each once.
-    pub(super) fn new(me: &str, others: &[&CompactString]) -> Ring {
+    /// The neighbours of the node `me` in `domain`; `others` are all other nodes, each once.
+    pub(super) fn new(me: &str, domain: &str, others: &[Neighbour<'_>]) -> Ring {
         let size = others.len() + 1;
         if size <= MESH {
-            let all: Vec<CompactString> = others.iter().map(|&n| n.clone()).collect();
+            let all: Vec<CompactString> = others.iter().map(|n| n.name.clone()).collect();
             return Ring { targets: all.clone(), watched: all };
         }
+        let mut sizes = FxHashMap::<&str, usize>::default();
+        others.iter().for_each(|n| *sizes.entry(n.domain).or_default() += 1);
+        *sizes.entry(domain).or_default() += 1;
+        let is_large = |domain: &str| sizes[domain] >= DOMAIN_MIN;
+        let shares_rings =
+            |other: &str| if is_large(domain) { other == domain } else { !is_large(other) };
         let mut ring = Ring::default();
         for seed in 0..rings(size) {
             let own = xxh64(me.as_bytes(), seed);
-            let ahead = |n: &&&CompactString| xxh64(n.as_bytes(), seed).wrapping_sub(own);
-            add(&mut ring.targets, others.iter().min_by_key(ahead));
-            add(&mut ring.watched, others.iter().min_by_key(|n| Reverse(ahead(n))));
+            let ahead = |n: &&Neighbour<'_>| xxh64(n.name.as_bytes(), seed).wrapping_sub(own);
+            let on_ring = |n: &&Neighbour<'_>| seed < GLOBAL_RINGS || shares_rings(n.domain);
+            let nodes = || others.iter().filter(on_ring);
+            add(&mut ring.targets, nodes().min_by_key(ahead));
+            add(&mut ring.watched, nodes().min_by_key(|n| Reverse(ahead(n))));
         }
         ring
     }
@@ -42,10 +67,10 @@
     u64::from(size.next_power_of_two().ilog2()).div_ceil(2) + 1
 }
 
-fn add(names: &mut Vec<CompactString>, name: Option<&&CompactString>) {
-    if let Some(&name) = name
-        && !names.contains(name)
+fn add(names: &mut Vec<CompactString>, node: Option<&Neighbour<'_>>) {
+    if let Some(node) = node
+        && !names.contains(node.name)
     {
-        names.push(name.clone());
+        names.push(node.name.clone());
     }
 }
--- a/crates/decide/src/member/rounds.rs
+++ b/crates/decide/src/member/rounds.rs
@@ -5,7 +5,7 @@
         ANSWER, MESH_INTERVAL, Members, Output, RING_INTERVAL, SILENCE, Target,
         message::{Heartbeat, NodeState, PeerMessage, Update},
         record::{NodeEvent, Overdue, Record},
-        ring::{MESH, Ring},
+        ring::{MESH, Neighbour, Ring},
     },
     compact_str::CompactString,
     rand::{Rng, seq::IteratorRandom},
@@ -117,17 +117,25 @@
 
     /// Nodes that should receive heartbeats of `name`.
     fn watchers(&self, name: &CompactString) -> Vec<Target> {
-        let counting = self.records.iter().filter(|(_, r)| r.counts()).map(|(n, _)| n);
-        let others: Vec<&CompactString> =
-            counting.chain([&self.me.name]).filter(|n| *n != name).collect();
-        let ring = Ring::new(name, &others);
+        let Some(location) = self.records.get(name).and_then(|r| r.location.as_ref()) else {
+            return Vec::new();
+        };
+        let me = Neighbour { name: &self.me.name, domain: &self.me.location.domain };
+        let others: Vec<Neighbour<'_>> =
+            self.neighbours().chain([me]).filter(|n| n.name != name).collect();
+        let ring = Ring::new(name, &location.domain, &others);
         ring.targets.iter().filter_map(|n| self.target(n)).collect()
     }
 
+    fn neighbours(&self) -> impl Iterator<Item = Neighbour<'_>> {
+        self.records.iter().filter(|(_, r)| r.counts()).filter_map(|(name, record)| {
+            Some(Neighbour { name, domain: &record.location.as_ref()?.domain })
+        })
+    }
+
     fn renew_ring(&mut self, now: Instant) {
-        let others: Vec<&CompactString> =
-            self.records.iter().filter(|(_, r)| r.counts()).map(|(n, _)| n).collect();
-        let ring = Ring::new(&self.me.name, &others);
+        let others: Vec<Neighbour<'_>> = self.neighbours().collect();
+        let ring = Ring::new(&self.me.name, &self.me.location.domain, &others);
         for (name, record) in &mut self.records {
             let watched = ring.watched.contains(name);
             record.watched = watched.then(|| record.watched.unwrap_or(now));
@@ -177,7 +185,7 @@
             location: placed.then(|| self.me.location.clone()),
             revision: self.revision,
             usage: self.usage.iter().take(lines).cloned().collect(),
-            updates: self.updates.next(),
+            updates: self.updates.next(self.ring.targets.len()),
         }
     }
 
--- a/crates/decide/src/member/updates.rs
+++ b/crates/decide/src/member/updates.rs
@@ -3,7 +3,7 @@
 use {
     super::message::{Hint, Update},
     compact_str::CompactString,
-    std::{cmp::Reverse, collections::VecDeque, time::Duration},
+    std::{collections::VecDeque, time::Duration},
     tokio::time::Instant,
 };
 
@@ -11,6 +11,8 @@
 pub(super) const PER_HEARTBEAT: usize = 32;
 /// Transmissions of each update to every target.
 const REPEATS: u8 = 3;
+/// Targets from which one transmission is enough: every node then gets an update from as many.
+const REDUNDANT: usize = 4;
 /// Capacity; the oldest update is dropped and left to anti-entropy.
 const CAPACITY: usize = 512;
 /// Time for which a repeated hint is suppressed.
@@ -19,18 +21,19 @@
 /// Pending updates, oldest first.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UpdateQueue {
+    /// With the number of transmissions.
     items: VecDeque<(Update, u8)>,
     hints: VecDeque<(Hint, Instant)>,
 }
 
 impl UpdateQueue {
     /// Queues an update; replaces an older one about the same subject.
-    pub(super) fn push(&mut self, updates: Update) {
-        self.items.retain(|(n, _)| subject(n) != subject(&updates));
+    pub(super) fn push(&mut self, update: Update) {
+        self.items.retain(|(known, _)| subject(known) != subject(&update));
         if self.items.len() == CAPACITY {
             self.items.pop_front();
         }
-        self.items.push_back((updates, REPEATS));
+        self.items.push_back((update, 0));
     }
 
     /// Queues a hint; returns whether it is new.
@@ -44,19 +47,20 @@
         true
     }
 
-    /// Updates for the next heartbeat, least transmitted first.
-    pub(super) fn next(&mut self) -> Vec<Update> {
-        self.items.make_contiguous().sort_by_key(|(_, left)| Reverse(*left));
+    /// Updates for the next heartbeat to this number of targets, least transmitted first.
+    pub(super) fn next(&mut self, targets: usize) -> Vec<Update> {
+        let repeats = if targets < REDUNDANT { REPEATS } else { 1 };
+        self.items.make_contiguous().sort_by_key(|(_, sent)| *sent);
         let count = self.items.len().min(PER_HEARTBEAT);
         let batch: Vec<(Update, u8)> = self.items.drain(..count).collect();
-        let again = batch.iter().filter(|(_, left)| *left > 1);
-        self.items.extend(again.map(|(updates, left)| (updates.clone(), left - 1)));
-        batch.into_iter().map(|(updates, _)| updates).collect()
+        let again = batch.iter().filter(|(_, sent)| sent + 1 < repeats);
+        self.items.extend(again.map(|(update, sent)| (update.clone(), sent + 1)));
+        batch.into_iter().map(|(update, _)| update).collect()
     }
 }
 
-fn subject(updates: &Update) -> (bool, &CompactString) {
-    match updates {
+fn subject(update: &Update) -> (bool, &CompactString) {
+    match update {
         Update::Node(claim) => (true, &claim.name),
         Update::Runner(hint) => (false, &hint.runner),
     }
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -102,12 +102,18 @@
     cut: fn(usize, usize) -> bool,
     /// Who was told of a runner, once for each time.
     hints: Vec<usize>,
+    /// Messages, and those between failure domains.
+    sent: usize,
+    crossed: usize,
 }
 
 impl Net {
     fn new(n: usize) -> Net {
+        Net::of((0..n).map(|i| format_compact!("{i}")).collect())
+    }
+
+    fn of(names: Vec<CompactString>) -> Net {
         let now = Instant::now();
-        let names: Vec<CompactString> = (0..n).map(|i| format_compact!("{i}")).collect();
         let list = list(1, &names.iter().map(CompactString::as_str).collect::<Vec<_>>());
         let start = |name: &CompactString| {
             let mut member = member(now, name);
@@ -115,7 +121,8 @@
             member
         };
         let members = names.iter().map(start).collect();
-        Net { now, names, members, inbox: Vec::new(), cut: |_, _| false, hints: Vec::new() }
+        let (inbox, hints) = (Vec::new(), Vec::new());
+        Net { now, names, members, inbox, cut: |_, _| false, hints, sent: 0, crossed: 0 }
     }
 
     fn run(&mut self, time: Duration) {
@@ -144,6 +151,9 @@
             let Output::Send { to, message } = output else { continue };
             for target in to {
                 let to = self.names.iter().position(|n| *n == target.name).unwrap();
+                self.sent += 1;
+                let domain = |index: usize| location(&self.names[index]).domain;
+                self.crossed += usize::from(domain(from) != domain(to));
                 if !(self.cut)(from, to) {
                     self.inbox.push((from, to, message.clone()));
                 }
@@ -553,3 +563,33 @@
     run(&mut b, now + Duration::from_secs(1), Duration::from_secs(10), &mut of_b);
     assert_eq!(of_a, of_b);
 }
+
+/// Load: a hundred nodes in three domains, and three hundred in five. Most heartbeats stay in their
+/// domain, and a node's number of messages grows with the logarithm only.
+#[test]
+fn most_heartbeats_stay_in_their_domain() {
+    for (size, domains) in [(100, "abc"), (300, "abcde")] {
+        let domain = |i: usize| domains.as_bytes()[i % domains.len()] as char;
+        let mut net = Net::of((0..size).map(|i| format_compact!("{}{i}", domain(i))).collect());
+        net.run(Duration::from_secs(5));
+        assert_eq!(net.counts(), vec![size; size]);
+        (net.sent, net.crossed) = (0, 0);
+        net.run(Duration::from_secs(5));
+        assert!(net.crossed * 2 <= net.sent, "{} of {} cross", net.crossed, net.sent);
+        let rate = net.sent as f64 / size as f64 / 5.0;
+        assert!(rate <= 2.5 * (size as f64).log2(), "{rate} messages a second and node");
+    }
+}
+
+/// Guards against callers being sent to nodes of a domain that is lost as a whole.
+#[test]
+fn a_lost_domain_of_many_nodes_is_noticed() {
+    let domain = |i: usize| "abcde".as_bytes()[i % 5] as char;
+    let mut net = Net::of((0..150).map(|i| format_compact!("{}{i}", domain(i))).collect());
+    net.run(Duration::from_secs(5));
+    net.cut = |from, to| (from % 5 == 0) || (to % 5 == 0);
+    net.run(SILENCE + CONFIRM + Duration::from_secs(3));
+    let counts = net.counts();
+    let others = counts.iter().enumerate().filter(|(i, _)| i % 5 > 0);
+    assert!(others.clone().all(|(_, n)| *n == 120), "{counts:?}");
+}
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -16,6 +16,7 @@
     self::{
         feed::FeedEvent,
         feeds::{Feeds, Loaded, Watched},
+        join::Listing,
         members::{Membership, Nodes},
         registry::RunnerRegistry,
     },
@@ -109,7 +110,7 @@
     let (progress, joining) = mpsc::channel(1);
     let join = join::join(settings.clone(), store.clone(), metrics.clone(), progress);
     tokio::task::spawn_local(join);
-    let sync = TableSync::new(Instant::now(), rand::random(), settings.name.clone());
+    let sync = TableSync::new(rand::random(), settings.name.clone());
     let control = Control {
         records,
         store,
@@ -146,11 +147,12 @@
                 Some(loaded) = inputs.loaded.recv() => self.apply_loaded(loaded),
                 Some(progress) = inputs.joining.recv() => match progress {
                     join::Progress::Unavailable => self.set_cut_off(true),
-                    join::Progress::Joined(joined, rows) => {
+                    join::Progress::Joined(joined, listing) => {
                         received = joined.events;
                         none = None;
-                        self.join(joined.membership, &rows);
+                        self.join(joined.membership, &listing);
                     }
+                    join::Progress::Listed(rows) => self.listed(&rows),
                 },
                 () = inputs.demand.notified() => self.load_now(),
                 Some(event) = received.recv(), if none.is_none() => self.handle_peer_event(event),
@@ -168,10 +170,21 @@
         }
     }
 
-    fn join(&mut self, mut membership: Membership, rows: &Rows) {
-        membership.list(rows, true);
-        self.feeds.set_nodes_revision(rows.revision);
+    fn join(&mut self, mut membership: Membership, listing: &Listing) {
+        membership.list(&listing.rows, true);
+        self.feeds.set_nodes_revision(listing.rows.revision);
         self.membership = Some(membership);
+        if listing.complete {
+            self.sync.start(Instant::now());
+        }
+        self.tick();
+    }
+
+    /// Applies the nodes that started with this one. Before, their ranking would be a guess.
+    fn listed(&mut self, rows: &Rows) {
+        if let Some(membership) = &mut self.membership {
+            membership.list(rows, false);
+        }
         self.sync.start(Instant::now());
         self.tick();
     }
--- a/crates/relay/src/control/join.rs
+++ b/crates/relay/src/control/join.rs
@@ -8,10 +8,11 @@
     crate::{
         metrics::Metrics,
         settings::Settings,
-        store::{Row, Rows, Store, StoreError, Write},
+        store::{Revision, Row, Rows, Store, StoreError, Write},
         view::NodeAddress,
     },
     compact_str::{CompactString, format_compact},
+    rand::Rng,
     std::time::Duration,
     tokio::{sync::mpsc, time::sleep},
 };
@@ -23,15 +24,30 @@
 const AUTHORITY: &str = "authority";
 /// Prefix of the keys of node registrations, followed by the node's name.
 const NODE: &str = "node/";
-/// Delay before a failed call is retried.
+/// Delay before a failed call is retried; up to twice as much at random.
 const RETRY: Duration = Duration::from_millis(400);
+/// Time over which nodes spread when all start for the first time: they create the authority and
+/// register, and the store limits the rate of writes to a table.
+const SPREAD: Duration = Duration::from_millis(1_500);
+/// Time after its registration at which a new node looks for nodes that started with it.
+const SETTLE: Duration = Duration::from_millis(1_500);
 
 /// Progress of joining.
 pub(super) enum Progress {
     /// The store is unavailable; joining continues.
     Unavailable,
-    /// The transport is started; these are the rows of the table.
-    Joined(Box<Joined>, Rows),
+    /// The transport is started.
+    Joined(Box<Joined>, Listing),
+    /// Nodes that were registered since.
+    Listed(Rows),
+}
+
+/// The table of the nodes at the start.
+pub(super) struct Listing {
+    /// Rows.
+    pub(super) rows: Rows,
+    /// Whether this node was registered already, and with it most of the others.
+    pub(super) complete: bool,
 }
 
 /// Joins, however long that takes.
@@ -41,6 +57,9 @@
     metrics: Metrics,
     progress: mpsc::Sender<Progress>,
 ) {
+    if settings.bootstrap {
+        sleep(SPREAD.mul_f64(rand::rng().random())).await;
+    }
     let (authority, rows) = loop {
         match authority(&store).await {
             Ok(found) => break found,
@@ -49,7 +68,7 @@
                 log::warn!(table = TABLE; "cannot read the certificate authority: {error}");
                 // The control thread ends only when the node has drained.
                 _ = progress.send(Progress::Unavailable).await;
-                sleep(RETRY).await;
+                sleep(retry()).await;
             }
         }
     };
@@ -58,12 +77,34 @@
         Err(error) => return log::error!("cannot start the peer transport: {error}"),
     };
     let row = registration(&settings);
-    let known = rows.rows.iter().any(|r| r.key == row.key && r.value == row.value);
-    _ = progress.send(Progress::Joined(Box::new(joined), rows)).await;
-    // A restarted node mostly has its row already.
-    if !known {
-        register(&store, row).await;
+    let complete = rows.rows.iter().any(|r| r.key == row.key && r.value == row.value);
+    let revision = rows.revision;
+    _ = progress.send(Progress::Joined(Box::new(joined), Listing { rows, complete })).await;
+    if complete {
+        return;
     }
+    register(&store, row).await;
+    sleep(SETTLE).await;
+    _ = progress.send(Progress::Listed(registered_since(&store, revision).await)).await;
+}
+
+/// Rows that were written since a revision.
+async fn registered_since<S: Store>(store: &S, revision: Revision) -> Rows {
+    loop {
+        let rows = match store.feed(TABLE, revision, Duration::ZERO).await {
+            Err(StoreError::Compacted) => store.read(TABLE).await,
+            rows => rows,
+        };
+        match rows {
+            Ok(rows) => return rows,
+            Err(error) => log::warn!(table = TABLE; "cannot read the registered nodes: {error}"),
+        }
+        sleep(retry()).await;
+    }
+}
+
+fn retry() -> Duration {
+    RETRY.mul_f64(rand::rng().random_range(1.0..2.0))
 }
 
 /// Address in a row of the table; `None` if the row is no registration of a node.
@@ -127,6 +168,6 @@
 async fn register<S: Store>(store: &S, row: Write) {
     while let Err(error) = store.write(std::slice::from_ref(&row)).await {
         log::warn!("cannot register this node: {error}");
-        sleep(RETRY).await;
+        sleep(retry()).await;
     }
 }
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -90,21 +90,27 @@
 pub struct Election {
     role: Role,
     reports: BTreeMap<CompactString, Report>,
-    start: Instant,
+    /// When the election started; `None` while the other nodes are unknown.
+    start: Option<Instant>,
     attempt: Option<Instant>,
     rng: SmallRng,
 }
 
 impl Election {
-    /// A node that has just started.
-    pub fn new(now: Instant, seed: u64) -> Election {
+    /// A node that takes no part before [`Election::start`].
+    pub fn new(seed: u64) -> Election {
         let rng = SmallRng::seed_from_u64(seed);
-        Election { role: Role::Standby, reports: BTreeMap::new(), start: now, attempt: None, rng }
+        Election { role: Role::Standby, reports: BTreeMap::new(), start: None, attempt: None, rng }
     }
 
-    /// Restarts the time for which the readers' first report is awaited.
+    /// Starts the election.
     pub fn start(&mut self, now: Instant) {
-        self.start = now;
+        self.start = Some(now);
+    }
+
+    /// Whether this node takes part.
+    pub fn is_started(&self) -> bool {
+        self.start.is_some()
     }
 
     /// Takes a reader's report.
@@ -133,6 +139,7 @@
 
     /// Whether this node should poll the store.
     pub fn step(&mut self, now: Instant, me: &str, ranking: &Ranking) -> bool {
+        let Some(start) = self.start else { return false };
         let rank = ranking.rank(me);
         if rank < READERS {
             self.role = Role::Reader;
@@ -143,7 +150,7 @@
             Role::Reader if self.is_relieved(now, rank) => self.role = Role::Standby,
             Role::Reader => {}
             Role::Standby if self.has_reader(now) => self.attempt = None,
-            Role::Standby => self.schedule(now, rank, ranking.len()),
+            Role::Standby => self.schedule(now, now.max(start + START), rank, ranking.len()),
         }
         self.role != Role::Standby
     }
@@ -153,11 +160,11 @@
         self.reports.values().any(|report| report.rank < rank && report.is_available(now))
     }
 
-    fn schedule(&mut self, now: Instant, rank: usize, size: usize) {
+    /// Attempts to read once it is this node's turn, which is not before `first`.
+    fn schedule(&mut self, now: Instant, first: Instant, rank: usize, size: usize) {
         let at = match self.attempt {
             Some(at) => at,
             None => {
-                let first = now.max(self.start + START);
                 let delay = match rank - READERS {
                     deputy if deputy < DEPUTIES => STEP * deputy as u32,
                     _ => ATTEMPT_EVERY.mul_f64(size as f64).mul_f64(self.rng.random()),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -20,6 +20,9 @@
     pub listen: Listen,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the whole system starts for the first time, so that all nodes start at once.
+    #[serde(default)]
+    pub bootstrap: bool,
     /// Limits set by the platform.
     #[serde(default)]
     pub bounds: Bounds,
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -91,11 +91,11 @@
 
 impl TableSync {
     /// A node without any rows.
-    pub fn new(now: Instant, seed: u64, me: CompactString) -> TableSync {
+    pub fn new(seed: u64, me: CompactString) -> TableSync {
         TableSync {
             ranking: Ranking::new([me.clone()]),
             me,
-            election: Election::new(now, seed),
+            election: Election::new(seed),
             tables: Default::default(),
             polling: false,
             responsive: false,
@@ -163,7 +163,7 @@
         if self.polling && self.is_loaded() {
             self.report(now, out);
         }
-        if !self.polling && !self.is_loaded() {
+        if !self.polling && self.election.is_started() && !self.is_loaded() {
             self.pull_missing(now, out);
         }
     }
--- a/crates/relay/tests/table_sync/world.rs
+++ b/crates/relay/tests/table_sync/world.rs
@@ -77,7 +77,8 @@
             let names = (0..size).map(|i| format_compact!("node-{domain}-{i}"));
             let ranking = Ranking::new(names.clone());
             let node = move |(seed, name): (usize, CompactString)| {
-                let mut sync = TableSync::new(now, seed as u64, name.clone());
+                let mut sync = TableSync::new(seed as u64, name.clone());
+                sync.start(now);
                 sync.set_ranking(ranking.clone());
                 let (rows, removed) = (BTreeMap::new(), Vec::new());
                 let (dead, refused, polls) = (false, false, [poll; 3]);
--- a/tests/relay/faces.rs
+++ b/tests/relay/faces.rs
@@ -34,7 +34,8 @@
 impl<N: Network> Node<N> {
     fn new(traffic: Traffic<Http, N>) -> Node<N> {
         let drain = Drain::new(Duration::from_secs(8));
-        let handler = Handler { traffic, drain, demand: Arc::default(), keep: Duration::from_secs(5) };
+        let handler =
+            Handler { traffic, drain, demand: Arc::default(), keep: Duration::from_secs(5) };
         Node { handler, close: watch::Sender::new(false) }
     }
 
