Let gossip introduce new nodes, with their addresses

Cause: claims left out a node's address where the sender had it listed. Since only readers follow the list now, others could not use what they learned; and each new node read the list once more to know those that started with it.

Change: claims of new nodes and whole membership tables hold the addresses; a new node relies on them and starts its part in the election 1.5 s after its registration.

Test: a_node_that_few_have_listed_becomes_known_to_all, red without the addresses.

--- a/crates/decide/src/member/merge.rs
+++ b/crates/decide/src/member/merge.rs
@@ -39,7 +39,7 @@
         &mut self,
         now: Instant,
         claim: &Claim,
-        spread: Gossip,
+        gossip: Gossip,
         out: &mut Vec<Output>,
     ) -> Option<Claim> {
         if claim.name == self.me.name {
@@ -52,7 +52,9 @@
             record.location.clone_from(&claim.location);
         }
         let (to, counts) = (record.state, record.counts());
-        let held = record.claim(&claim.name, !record.listed);
+        // The platform's list may not name the node to the receivers.
+        let is_new = matches!(from, NodeState::Unknown | NodeState::Gone | NodeState::Forgotten);
+        let held = record.claim(&claim.name, is_new || !record.listed);
         self.stale_ring |= counted != counts;
         if to == NodeState::Suspect {
             self.sweep = self.sweep.min(now + CONFIRM);
@@ -60,7 +62,7 @@
         if from != to {
             out.push(Output::Changed { name: claim.name.clone(), from, to });
         }
-        if (learned, spread) == (Merged::Changed, Gossip::Yes) {
+        if (learned, gossip) == (Merged::Changed, Gossip::Yes) {
             self.updates.push(Update::Node(held.clone()));
         }
         (learned == Merged::Outdated).then_some(held)
--- a/crates/decide/src/member/table.rs
+++ b/crates/decide/src/member/table.rs
@@ -107,7 +107,7 @@
     /// All claims, for anti-entropy.
     pub(super) fn claims(&self) -> Vec<Claim> {
         let known = self.records.iter().filter(|(_, r)| r.state != NodeState::Unknown);
-        let others = known.map(|(name, r)| r.claim(name, !r.listed));
+        let others = known.map(|(name, r)| r.claim(name, true));
         let (name, moment) = (self.me.name.clone(), self.moment());
         let location = Some(self.me.location.clone());
         let me = Claim { name, moment, state: self.state, location };
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -593,3 +593,26 @@
     let others = counts.iter().enumerate().filter(|(i, _)| i % 5 > 0);
     assert!(others.clone().all(|(_, n)| *n == 120), "{counts:?}");
 }
+
+/// Guards against nodes that join later and stay unknown to most: only some nodes read the list.
+#[test]
+fn a_node_that_few_have_listed_becomes_known_to_all() {
+    const OLD: usize = 60;
+    let domain = |i: usize| "abc".as_bytes()[i % 3] as char;
+    let names: Vec<CompactString> =
+        (0..OLD + 12).map(|i| format_compact!("{}{i}", domain(i))).collect();
+    let mut net = Net::of(names[..OLD].to_vec());
+    net.run(Duration::from_secs(5));
+    let all: Vec<&str> = names.iter().map(CompactString::as_str).collect();
+    for name in &names[OLD..] {
+        let mut member = member(net.now, name);
+        member.list(net.now, &list(2, &all));
+        net.names.push(name.clone());
+        net.members.push(member);
+    }
+    (0..3).for_each(|i| net.members[i].list(net.now, &list(2, &all)));
+    net.run(Duration::from_secs(4));
+    assert_eq!(net.counts()[..OLD], [OLD + 12; OLD]);
+    net.run(Duration::from_secs(2));
+    assert_eq!(net.counts(), [OLD + 12; OLD + 12]);
+}
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -29,7 +29,7 @@
         records::Records,
         rollouts::{Rollouts, Trial},
         settings::Settings,
-        store::{Revision, Rows, Store},
+        store::{Revision, Store},
         table_sync::TableSync,
         view::{NodeAddress, Published, Splits, View},
     },
@@ -152,7 +152,7 @@
                         none = None;
                         self.join(joined.membership, &listing);
                     }
-                    join::Progress::Listed(rows) => self.listed(&rows),
+                    join::Progress::Settled => self.sync.start(Instant::now()),
                 },
                 () = inputs.demand.notified() => self.load_now(),
                 Some(event) = received.recv(), if none.is_none() => self.handle_peer_event(event),
@@ -180,15 +180,6 @@
         self.tick();
     }
 
-    /// Applies the nodes that started with this one. Before, their ranking would be a guess.
-    fn listed(&mut self, rows: &Rows) {
-        if let Some(membership) = &mut self.membership {
-            membership.list(rows, false);
-        }
-        self.sync.start(Instant::now());
-        self.tick();
-    }
-
     /// Reads the tables directly: a request waits for them, so the readers' updates come too late.
     fn load_now(&mut self) {
         if self.catalog.is_none() || !self.registry.is_known() {
--- a/crates/relay/src/control/join.rs
+++ b/crates/relay/src/control/join.rs
@@ -8,7 +8,7 @@
     crate::{
         metrics::Metrics,
         settings::Settings,
-        store::{Revision, Row, Rows, Store, StoreError, Write},
+        store::{Row, Rows, Store, StoreError, Write},
         view::NodeAddress,
     },
     compact_str::{CompactString, format_compact},
@@ -29,7 +29,7 @@
 /// Time over which nodes spread when all start for the first time: they create the authority and
 /// register, and the store limits the rate of writes to a table.
 const SPREAD: Duration = Duration::from_millis(1_500);
-/// Time after its registration at which a new node looks for nodes that started with it.
+/// Time after its registration within which nodes that started with a new one are known.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
 /// Progress of joining.
@@ -38,8 +38,8 @@
     Unavailable,
     /// The transport is started.
     Joined(Box<Joined>, Listing),
-    /// Nodes that were registered since.
-    Listed(Rows),
+    /// Nodes that started with this one are registered too.
+    Settled,
 }
 
 /// The table of the nodes at the start.
@@ -78,29 +78,13 @@
     };
     let row = registration(&settings);
     let complete = rows.rows.iter().any(|r| r.key == row.key && r.value == row.value);
-    let revision = rows.revision;
     _ = progress.send(Progress::Joined(Box::new(joined), Listing { rows, complete })).await;
     if complete {
         return;
     }
     register(&store, row).await;
     sleep(SETTLE).await;
-    _ = progress.send(Progress::Listed(registered_since(&store, revision).await)).await;
-}
-
-/// Rows that were written since a revision.
-async fn registered_since<S: Store>(store: &S, revision: Revision) -> Rows {
-    loop {
-        let rows = match store.feed(TABLE, revision, Duration::ZERO).await {
-            Err(StoreError::Compacted) => store.read(TABLE).await,
-            rows => rows,
-        };
-        match rows {
-            Ok(rows) => return rows,
-            Err(error) => log::warn!(table = TABLE; "cannot read the registered nodes: {error}"),
-        }
-        sleep(retry()).await;
-    }
+    _ = progress.send(Progress::Settled).await;
 }
 
 fn retry() -> Duration {
