Pool retry budgets among nodes that report to each other

Cause: a node of the large deployment has some five streams in ten seconds, so its own part of the retry budget was two retries. The crash of a failure domain makes it resume two or three streams at once, and attempts without a connection were paid for too: requests were refused within 8 ms with 400 runners left, and streams ended though their replicas were there.

Change: load updates carry the use of the retry budgets; a node may use what its group has left, and its own part alone when no reports reach it. An attempt after one that found no connection is not charged: nothing has arrived yet.

Tests: crates/relay/tests/parts.rs (the bound in every window with reports and cut-off nodes; twenty nodes resume two streams each), tests/relay/calls.rs (seen red with the old charge).

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -133,6 +133,20 @@
     pub failed: Vec<CompactString>,
     /// Runners that restarted under a new id.
     pub restarts: Vec<Restart>,
+    /// Use of the sender's retry budgets.
+    pub budgets: Vec<BudgetUse>,
+}
+
+/// Use of a retry budget by one node within the budget's window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct BudgetUse {
+    /// Service.
+    pub service: CompactString,
+    /// Requests.
+    pub requests: u32,
+    /// Retries.
+    pub retries: u32,
 }
 
 /// A runner that restarted at its address under a new id.
@@ -148,7 +162,10 @@
 impl Load {
     /// Whether the update is empty.
     pub fn is_empty(&self) -> bool {
-        self.runners.is_empty() && self.failed.is_empty() && self.restarts.is_empty()
+        self.runners.is_empty()
+            && self.failed.is_empty()
+            && self.restarts.is_empty()
+            && self.budgets.is_empty()
     }
 }
 
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -165,7 +165,8 @@
         PeerMessage::Heartbeat(heartbeat) => heartbeat.updates.len().max(heartbeat.usage.len()),
         PeerMessage::MembersPush(claims) | PeerMessage::Claims(claims) => claims.len(),
         PeerMessage::Load(load) | PeerMessage::RelayedLoad(RelayedLoad { load, .. }) => {
-            load.runners.len().max(load.failed.len()).max(load.restarts.len())
+            let (runners, budgets) = (load.runners.len(), load.budgets.len());
+            runners.max(budgets).max(load.failed.len()).max(load.restarts.len())
         }
         _ => 0,
     }
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -1,17 +1,24 @@
-//! Retry budget.
+//! Retry budgets.
 //!
-//! The bound is global: in any window, retries stay below a ratio of the requests plus a fixed
-//! slack. Each node uses the ratio of its own requests and an equal share of the slack, so no
-//! coordination is needed.
+//! The bound is global: in any window, retries stay below a ratio of the requests plus a fixed slack.
+//! A node may use the ratio of the requests and an equal share of the slack of itself and of the peers
+//! that report to it. With few requests each, nodes could otherwise not retry what a failure domain's
+//! crash makes them retry at once.
 
 use {
-    std::{collections::VecDeque, time::Duration},
+    bilberryfront_decide::member::message::BudgetUse,
+    compact_str::CompactString,
+    rustc_hash::FxHashMap,
+    std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
-/// Share of the budget in use; the rest covers retries that arrive in a later window and nodes that
-/// have just joined.
+/// Share of the budget in use; the rest covers retries that arrive in a later window, nodes that have
+/// just joined, and retries that peers have not reported yet.
 const MARGIN: f64 = 0.7;
+/// Age at which a peer's report expires; peers repeat theirs every second. A node that is cut off
+/// falls back to its own part.
+const STALE: Duration = Duration::from_millis(1_500);
 /// Buckets per window.
 const PARTS: u32 = 20;
 
@@ -26,24 +33,93 @@
     pub window: Duration,
 }
 
+/// Retry budgets of all services. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Budgets {
+    allowance: Allowance,
+    services: Rc<RefCell<FxHashMap<CompactString, Budget>>>,
+}
+
 /// Retry budget of one service on this node.
 #[derive(Clone, Debug)]
 pub struct Budget {
     allowance: Allowance,
     parts: VecDeque<Part>,
+    peers: FxHashMap<CompactString, PeerUse>,
+    /// Whether retries were taken since the last report.
+    dirty: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Part {
     start: Instant,
     requests: u32,
-    further: u32,
+    retries: u32,
+}
+
+/// What a peer reported, and when.
+#[derive(Clone, Copy, Debug)]
+struct PeerUse {
+    at: Instant,
+    requests: u32,
+    retries: u32,
+}
+
+impl Budgets {
+    /// Unused budgets.
+    pub fn new(allowance: Allowance) -> Budgets {
+        Budgets { allowance, services: Rc::default() }
+    }
+
+    /// Counts a request.
+    pub fn request(&self, service: &str) {
+        self.with(service, |budget| budget.request(Instant::now()));
+    }
+
+    /// Takes one retry as one of `nodes` nodes; false if the budget is exhausted.
+    pub fn take(&self, service: &str, nodes: usize) -> bool {
+        self.with(service, |budget| budget.take(Instant::now(), nodes))
+    }
+
+    /// Use of all budgets, for peers.
+    pub fn snapshot(&self) -> Vec<BudgetUse> {
+        self.report(|budget| budget.has_requests(Instant::now()))
+    }
+
+    /// Use of the budgets from which retries were taken since the last call.
+    pub fn take_update(&self) -> Vec<BudgetUse> {
+        self.report(|budget| std::mem::take(&mut budget.dirty))
+    }
+
+    /// Applies a peer's report.
+    pub fn apply(&self, from: &CompactString, budgets: &[BudgetUse]) {
+        for used in budgets {
+            self.with(&used.service, |budget| budget.apply(Instant::now(), from, used));
+        }
+    }
+
+    fn report(&self, mut relevant: impl FnMut(&mut Budget) -> bool) -> Vec<BudgetUse> {
+        let now = Instant::now();
+        let mut services = self.services.borrow_mut();
+        let services = services.iter_mut().filter_map(|(service, budget)| {
+            relevant(budget).then(|| budget.used(now, service.clone()))
+        });
+        services.collect()
+    }
+
+    fn with<T>(&self, service: &str, work: impl FnOnce(&mut Budget) -> T) -> T {
+        let mut services = self.services.borrow_mut();
+        if !services.contains_key(service) {
+            services.insert(service.into(), Budget::new(self.allowance));
+        }
+        work(services.get_mut(service).expect("the budget was inserted"))
+    }
 }
 
 impl Budget {
     /// An unused budget.
     pub fn new(allowance: Allowance) -> Budget {
-        Budget { allowance, parts: VecDeque::new() }
+        Budget { allowance, parts: VecDeque::new(), peers: FxHashMap::default(), dirty: false }
     }
 
     /// Counts a request.
@@ -53,17 +129,44 @@
 
     /// Takes one retry as one of `nodes` nodes; false if the budget is exhausted.
     pub fn take(&mut self, now: Instant, nodes: usize) -> bool {
-        self.part(now);
-        let sum = |count: fn(&Part) -> u32| self.parts.iter().map(count).sum::<u32>();
-        let share = self.allowance.slack / nodes.max(1) as f64;
-        let allowed = self.allowance.ratio * f64::from(sum(|p| p.requests)) + share;
-        let free = f64::from(sum(|p| p.further)) + 1.0 <= allowed * MARGIN;
+        self.peers.retain(|_, peer| now < peer.at + STALE);
+        let (own_requests, own_retries) = self.own(now);
+        let requests = own_requests + self.peers.values().map(|p| p.requests).sum::<u32>();
+        let retries = own_retries + self.peers.values().map(|p| p.retries).sum::<u32>();
+        let share = (self.peers.len() + 1) as f64 / nodes.max(self.peers.len() + 1) as f64;
+        let allowed = self.allowance.ratio * f64::from(requests) + self.allowance.slack * share;
+        let free = f64::from(retries) + 1.0 <= allowed * MARGIN;
         if free {
-            self.part(now).further += 1;
+            self.part(now).retries += 1;
+            self.dirty = true;
         }
         free
     }
 
+    /// Use of this node, for peers.
+    pub fn used(&mut self, now: Instant, service: CompactString) -> BudgetUse {
+        let (requests, retries) = self.own(now);
+        BudgetUse { service, requests, retries }
+    }
+
+    /// Applies a peer's use.
+    pub fn apply(&mut self, now: Instant, from: &CompactString, used: &BudgetUse) {
+        let BudgetUse { requests, retries, .. } = *used;
+        self.peers.insert(from.clone(), PeerUse { at: now, requests, retries });
+    }
+
+    fn has_requests(&mut self, now: Instant) -> bool {
+        self.own(now) != (0, 0)
+    }
+
+    /// Requests and retries of this node within the window.
+    fn own(&mut self, now: Instant) -> (u32, u32) {
+        self.part(now);
+        let add =
+            |(requests, retries), part: &Part| (requests + part.requests, retries + part.retries);
+        self.parts.iter().fold((0, 0), add)
+    }
+
     /// The current bucket; drops expired ones.
     fn part(&mut self, now: Instant) -> &mut Part {
         let window = self.allowance.window;
@@ -71,7 +174,7 @@
             self.parts.pop_front();
         }
         if self.parts.back().is_none_or(|p| now >= p.start + window / PARTS) {
-            self.parts.push_back(Part { start: now, requests: 0, further: 0 });
+            self.parts.push_back(Part { start: now, requests: 0, retries: 0 });
         }
         self.parts.back_mut().expect("a part was pushed")
     }
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -301,10 +301,10 @@
                 let is_local = |id: &str| domain(id) == Some(&self.me.domain);
                 let is_own = |id: &str| is_local(id) && self.scope.includes(id);
                 let own = fanout::restrict(load, |load| is_own(&load.runner));
-                let Load { failed, restarts, .. } = load.clone();
+                let Load { failed, restarts, budgets, .. } = load.clone();
                 let group = local.iter().filter(|peer| self.scope.includes(&peer.name));
                 let group: Vec<Target> = group.cloned().collect();
-                self.send_if_any(&group, Load { failed, restarts, ..own });
+                self.send_if_any(&group, Load { failed, restarts, budgets, ..own });
                 // Replicas elsewhere are not reported: they delay no other request.
                 let others = fanout::restrict(load, |load| {
                     load.running > 0 && is_local(&load.runner) && !is_own(&load.runner)
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -102,7 +102,12 @@
             runner.dirty = false;
             runner.report()
         };
-        message::Load { runners: dirty.map(tell).collect(), failed, restarts }
+        message::Load {
+            runners: dirty.map(tell).collect(),
+            failed,
+            restarts,
+            ..message::Load::default()
+        }
     }
 
     /// This node's load on every runner in use.
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -9,7 +9,7 @@
     self::prefill_rate::PrefillRate,
     crate::{
         body::Answer,
-        budget::{Allowance, Budget},
+        budget::{Allowance, Budgets},
         call::Call,
         catalog::{Engine, Kind},
         dialect::{Dialect, SendOptions},
@@ -57,10 +57,10 @@
     pub metrics: Metrics,
     /// Outcomes of requests during a rollout, for the control thread.
     pub trials: Option<mpsc::UnboundedSender<Trial>>,
-    budgets: Rc<RefCell<FxHashMap<CompactString, Budget>>>,
+    /// Retry budgets.
+    pub budgets: Budgets,
     given: Rc<RefCell<FxHashMap<CompactString, Exposure>>>,
     prefill_rates: Rc<RefCell<FxHashMap<CompactString, PrefillRate>>>,
-    allowance: Allowance,
     bound: Bound,
 }
 
@@ -102,10 +102,9 @@
             open: Rc::default(),
             metrics,
             trials: None,
-            budgets: Rc::default(),
+            budgets: Budgets::new(allowance),
             given: Rc::default(),
             prefill_rates: Rc::default(),
-            allowance,
             bound,
         }
     }
@@ -119,7 +118,7 @@
     /// Runs a request to its response.
     pub async fn serve(&self, mut call: Call) -> Response<Answer> {
         call.version = self.choose_version(&call.service);
-        self.budget(&call.service, |b, now| b.request(now));
+        self.budgets.request(&call.service);
         let (kind, start, id) = (call.route.kind, call.start, call.head.id.clone());
         let response = match kind {
             Kind::Idempotent => idempotent::serve(self, &call).await,
@@ -199,7 +198,7 @@
     /// Takes one retry from the retry budget.
     fn may_retry(&self, service: &str) -> bool {
         let nodes = self.published.load().nodes.len();
-        self.budget(service, |b, now| b.take(now, nodes))
+        self.budgets.take(service, nodes)
     }
 
     /// Accesses the prefill rate of a service.
@@ -207,12 +206,6 @@
         work(self.prefill_rates.borrow_mut().entry(service.into()).or_default())
     }
 
-    fn budget<T>(&self, service: &str, work: impl FnOnce(&mut Budget, Instant) -> T) -> T {
-        let mut budgets = self.budgets.borrow_mut();
-        let new = || Budget::new(self.allowance);
-        work(budgets.entry(service.into()).or_insert_with(new), Instant::now())
-    }
-
     /// A rejection with a randomized `Retry-After`.
     fn not_run(&self) -> Refusal {
         Refusal::NotRun { retry: rand::rng().random_range(RETRY_LEAST..RETRY_MOST) }
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -26,9 +26,10 @@
 ) -> Response<Answer> {
     let until = call.deadline();
     let mut tried = Vec::new();
+    let mut arrived = false;
     while tried.len() < RUNNERS && Instant::now() < until {
         let Some(endpoint) = traffic.choose(call, &tried) else { break };
-        if !tried.is_empty() && !traffic.may_retry(&call.service) {
+        if arrived && !traffic.may_retry(&call.service) {
             break;
         }
         let fleet = &traffic.client.fleet;
@@ -47,7 +48,7 @@
                     }
                 };
             }
-            SendOutcome::NotRun => {}
+            SendOutcome::NotRun => arrived = true,
             SendOutcome::Unsent => fleet.failed(key, Instant::now()),
             SendOutcome::Lost(error) => {
                 if error == SendError::Broken {
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -51,6 +51,8 @@
     runs: u32,
     /// Sends so far.
     sends: u32,
+    /// Whether one of them has reached a runner.
+    arrived: bool,
     /// Time of the first event.
     began: Option<Instant>,
     /// How the current run was resumed.
@@ -117,6 +119,7 @@
             failed: Vec::new(),
             runs: 0,
             sends: 0,
+            arrived: false,
             began: None,
             resumed: Resume::Anew,
             from_replica: None,
@@ -140,6 +143,7 @@
             self.sends += 1;
             match self.attempt(&endpoint, replica, end).await {
                 AttemptOutcome::Started(started) => {
+                    self.arrived = true;
                     self.runs += u32::from(!from_replica);
                     self.began.get_or_insert_with(Instant::now);
                     if self.sends == 1 && self.call.head.resume.is_none() {
@@ -153,13 +157,15 @@
                     return Ok(*started);
                 }
                 AttemptOutcome::Failure(parts, bytes) => {
+                    self.arrived = true;
                     self.record_trial(endpoint.key, false);
                     self.runs += 1;
                     self.failure = Some((parts, bytes));
                 }
-                AttemptOutcome::NotRun => {}
+                AttemptOutcome::NotRun => self.arrived = true,
                 AttemptOutcome::Unsent => self.mark_failed(endpoint.key),
                 AttemptOutcome::Lost(error) => {
+                    self.arrived = true;
                     self.record_trial(endpoint.key, false);
                     self.runs += u32::from(!from_replica);
                     self.lost = Some(error);
@@ -287,12 +293,16 @@
         }
     }
 
+    /// Whether the limits allow another send. One that follows only failed connections is no retry.
     fn may_send(&self, end: Instant) -> bool {
-        let first = self.sends == 0;
+        if self.sends == 0 {
+            return true;
+        }
         let runs = self.runs < self.call.route.attempts.max(1);
         let again = self.lost.is_none() || self.is_resumable();
         let left = self.sends < SENDS && Instant::now() < end;
-        first || (runs && again && left && self.traffic.may_retry(&self.call.service))
+        let paid = || !self.arrived || self.traffic.may_retry(&self.call.service);
+        runs && again && left && paid()
     }
 
     fn is_resumable(&self) -> bool {
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -26,6 +26,8 @@
 #[derive(Default)]
 struct Progress {
     tried: Vec<RunnerKey>,
+    /// Whether an attempt has reached a runner.
+    arrived: bool,
     /// Attempts that may have run.
     runs: u32,
     /// Response to return if no runner succeeds.
@@ -44,7 +46,7 @@
     let attempts = call.route.attempts.max(1);
     while progress.runs < attempts && progress.tried.len() < RUNNERS && Instant::now() < end {
         let Some(endpoint) = traffic.choose(call, &progress.tried) else { break };
-        if !progress.tried.is_empty() && !traffic.may_retry(&call.service) {
+        if progress.arrived && !traffic.may_retry(&call.service) {
             break;
         }
         let last = progress.runs + 1 == attempts || traffic.client.fleet.ready(&call.service) < 2;
@@ -82,6 +84,7 @@
     until: Instant,
 ) -> Option<(Parts, Bytes)> {
     let (fleet, key) = (&traffic.client.fleet, endpoint.key);
+    progress.arrived |= !matches!(sent, SendOutcome::Unsent);
     match sent {
         SendOutcome::Answered(reply) => {
             progress.runs += 1;
--- a/crates/relay/src/load_sync.rs
+++ b/crates/relay/src/load_sync.rs
@@ -1,7 +1,7 @@
 //! Exchange of load updates between the traffic thread and peers.
 
 use {
-    crate::{fleet::Fleet, rollouts::Trial},
+    crate::{budget::Budgets, fleet::Fleet, rollouts::Trial},
     bilberryfront_decide::member::message::Load,
     compact_str::CompactString,
     std::time::Duration,
@@ -35,8 +35,8 @@
     pub peer_reports: mpsc::UnboundedReceiver<PeerReport>,
 }
 
-/// Sends changes of the fleet's load and applies those of peers.
-pub async fn sync(fleet: Fleet, mut channels: Channels) {
+/// Sends changes of the fleet's load and of the retry budgets, and applies those of peers.
+pub async fn sync(fleet: Fleet, budgets: Budgets, mut channels: Channels) {
     let changed = fleet.changes();
     let mut refresh = interval(REFRESH);
     refresh.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -44,11 +44,16 @@
         let load = tokio::select! {
             () = changed.notified() => {
                 sleep(GATHER).await;
-                fleet.take_update()
+                Load { budgets: budgets.take_update(), ..fleet.take_update() }
             }
-            _ = refresh.tick() => Load { runners: fleet.snapshot(), ..Load::default() },
-            Some(peer_reports) = channels.peer_reports.recv() => {
-                fleet.apply_peer_load(&peer_reports.from, &peer_reports.load);
+            _ = refresh.tick() => Load {
+                runners: fleet.snapshot(),
+                budgets: budgets.snapshot(),
+                ..Load::default()
+            },
+            Some(PeerReport { from, load }) = channels.peer_reports.recv() => {
+                fleet.apply_peer_load(&from, &load);
+                budgets.apply(&from, &load.budgets);
                 continue;
             }
         };
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -149,7 +149,8 @@
     }
     tokio::task::spawn_local(take_runners(handler.traffic.clone()));
     let fleet = handler.traffic.client.fleet.clone();
-    tokio::task::spawn_local(load_sync::sync(fleet, channels));
+    let budgets = handler.traffic.budgets.clone();
+    tokio::task::spawn_local(load_sync::sync(fleet, budgets, channels));
     tokio::task::spawn_local(signals(handler.drain.clone()));
     log::info!(name = settings.name.as_str(), domain = settings.domain.as_str(),
         callers:% = settings.listen.callers; "{SERVES}");
--- a/crates/relay/tests/parts.rs
+++ b/crates/relay/tests/parts.rs
@@ -1,14 +1,15 @@
 //! The smaller parts: events, the retry budget, routes, leaving.
 
 use {
+    bilberryfront_decide::member::message::BudgetUse,
     bilberryfront_relay::{
-        budget::{Allowance, Budget},
+        budget::{Allowance, Budgets},
         catalog::{Account, Catalog, Denied, Kind, Limits, Route, Target},
         drain::Drain,
         events::{Event, Splitter},
     },
     quickcheck::{Gen, QuickCheck},
-    std::time::Duration,
+    std::{collections::VecDeque, time::Duration},
     tokio::time::{Instant, advance},
 };
 
@@ -64,36 +65,125 @@
     assert!(splitter.take().is_err());
 }
 
-/// Load: everything fails and every request asks for a further send, in any rhythm. In no window do the
-/// sends of all nodes together exceed the ratio of their requests and the slack.
+const ALLOWANCE: Allowance =
+    Allowance { ratio: 0.8, slack: 150.0, window: Duration::from_secs(10) };
+const SERVICE: &str = "llm";
+
+/// Nodes with a budget each, which report to each other unless they are cut off.
+struct Nodes {
+    budgets: Vec<Budgets>,
+    reports: VecDeque<(Instant, usize, Vec<BudgetUse>)>,
+    cut: Vec<bool>,
+    /// Requests and retries.
+    log: Vec<(Instant, bool)>,
+}
+
+impl Nodes {
+    /// Time that a report takes.
+    const DELAY: Duration = Duration::from_millis(5);
+
+    fn new(count: usize) -> Nodes {
+        let budgets = (0..count).map(|_| Budgets::new(ALLOWANCE)).collect();
+        Nodes { budgets, reports: VecDeque::new(), cut: vec![false; count], log: Vec::new() }
+    }
+
+    fn request(&mut self, node: usize) {
+        self.budgets[node].request(SERVICE);
+        self.log.push((Instant::now(), false));
+    }
+
+    /// Takes a retry as one of `system` nodes.
+    fn take(&mut self, node: usize, system: usize) -> bool {
+        let taken = self.budgets[node].take(SERVICE, system);
+        if taken {
+            self.log.push((Instant::now(), true));
+            let update = self.budgets[node].take_update();
+            self.reports.push_back((Instant::now() + Nodes::DELAY, node, update));
+        }
+        taken
+    }
+
+    fn refresh(&mut self) {
+        for (node, budgets) in self.budgets.iter().enumerate() {
+            self.reports.push_back((Instant::now() + Nodes::DELAY, node, budgets.snapshot()));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = Instant::now();
+        while self.reports.front().is_some_and(|(at, ..)| now >= *at) {
+            let (_, from, update) = self.reports.pop_front().expect("there is a report");
+            let reached = |to: &usize| *to != from && !self.cut[from] && !self.cut[*to];
+            for to in (0..self.budgets.len()).filter(reached) {
+                self.budgets[to].apply(&format!("n{from}").into(), &update);
+            }
+        }
+    }
+
+    /// Checks the global bound in every window.
+    fn check(&self) {
+        let Allowance { ratio, slack, window } = ALLOWANCE;
+        for (start, _) in &self.log {
+            let within = self.log.iter().filter(|(at, _)| *at >= *start && *at < *start + window);
+            let (retries, requests) = within.fold((0.0, 0.0), |(t, r), (_, retry)| match retry {
+                true => (t + 1.0, r),
+                false => (t, r + 1.0),
+            });
+            assert!(retries <= ratio * requests + slack, "{retries} of {requests}");
+        }
+    }
+}
+
+/// Load: everything fails and every request asks for retries, in any rhythm, while some nodes are cut
+/// off from the others for a time.
 #[tokio::test(start_paused = true)]
-async fn the_budget_holds_in_every_window() {
+async fn the_retry_budget_holds_in_every_window() {
     const NODES: usize = 6;
-    let allowance = Allowance { ratio: 0.8, slack: 150.0, window: Duration::from_secs(10) };
-    let mut nodes: Vec<Budget> = (0..NODES).map(|_| Budget::new(allowance)).collect();
-    let mut log: Vec<(Instant, bool)> = Vec::new();
-    for step in 0_u32..4_000 {
-        let now = Instant::now();
-        let node = &mut nodes[step as usize * 7 % NODES];
-        if step % 3 == 0 {
-            node.request(now);
-            log.push((now, false));
+    let mut nodes = Nodes::new(NODES);
+    for step in 0_usize..4_000 {
+        let node = step * 7 % NODES;
+        if step.is_multiple_of(3) {
+            nodes.request(node);
         }
-        if node.take(now, NODES) {
-            log.push((now, true));
+        if step.is_multiple_of(50) {
+            nodes.refresh();
         }
+        nodes.cut = (0..NODES).map(|n| n < 2 && (1_000..2_000).contains(&step)).collect();
+        nodes.deliver();
+        nodes.take(node, NODES);
         advance(Duration::from_millis(if step % 400 < 300 { 3 } else { 40 })).await;
     }
-    let further = log.iter().filter(|(_, f)| *f).count();
-    assert!(further > 300, "a budget that gives nothing serves nobody: {further}");
-    for (start, _) in &log {
-        let within = log.iter().filter(|(at, _)| *at >= *start && *at < *start + allowance.window);
-        let (sends, requests) = within.fold((0.0, 0.0), |(s, r), (_, further)| match further {
-            true => (s + 1.0, r),
-            false => (s, r + 1.0),
-        });
-        assert!(sends <= allowance.ratio * requests + allowance.slack, "{sends} of {requests}");
+    let retries = nodes.log.iter().filter(|(_, retry)| *retry).count();
+    assert!(retries > 300, "a budget that gives nothing serves nobody: {retries}");
+    nodes.check();
+}
+
+/// Load: 295 nodes with a stream every two seconds each. A failure domain crashes, and each of a
+/// group's twenty nodes resumes its two or three streams at once.
+#[tokio::test(start_paused = true)]
+async fn nodes_with_few_requests_share_their_retry_budgets() {
+    const GROUP: usize = 20;
+    const SYSTEM: usize = 295;
+    let mut nodes = Nodes::new(GROUP);
+    for step in 0..100 {
+        (0..GROUP).filter(|node| (step + node) % 20 == 0).for_each(|node| nodes.request(node));
+        if step % 10 == 0 {
+            nodes.refresh();
+        }
+        advance(Duration::from_millis(100)).await;
+        nodes.deliver();
+    }
+    let mut resumed = 0;
+    for node in (0..GROUP).chain(0..GROUP) {
+        resumed += usize::from(nodes.take(node, SYSTEM));
+        advance(Duration::from_millis(8)).await;
+        nodes.deliver();
     }
+    assert_eq!(resumed, 2 * GROUP);
+    let alone = Budgets::new(ALLOWANCE);
+    (0..5).for_each(|_| alone.request(SERVICE));
+    let alone = (0..10).filter(|_| alone.take(SERVICE, SYSTEM)).count();
+    assert!(alone <= 3, "{alone} retries of a node that hears of nobody");
 }
 
 fn route(prefix: &str, public: bool, targets: &[(&str, u32)]) -> Route {
--- a/tests/relay/calls.rs
+++ b/tests/relay/calls.rs
@@ -2,6 +2,7 @@
 
 use {
     super::support::{PLAIN, Script, World, ms, play},
+    bilberryfront_relay::budget::{Allowance, Budgets},
     tokio::time::Instant,
 };
 
@@ -130,3 +131,19 @@
     })
     .await;
 }
+
+/// Guards against calls that are rejected because connections to dead runners used up the retries.
+#[tokio::test(start_paused = true)]
+async fn an_attempt_without_a_connection_takes_no_retry() {
+    play(async {
+        for path in ["/lodge/1", "/look/1"] {
+            let mut world = World::new(PLAIN, &["a", "b", "c"], &Script::Whole(200, "served"));
+            let allowance = Allowance { ratio: 0.0, slack: 0.0, window: ms(10_000) };
+            world.traffic.budgets = Budgets::new(allowance);
+            world.runners[0].crash();
+            world.runners[1].crash();
+            assert_eq!(world.serve(path, &[]).await.status, 200);
+        }
+    })
+    .await;
+}
