Keep a domain's other runners in use when restarted or draining ones fail

At the dark crash of 30.0 s, 75 of 98 lost streams didn't use their replica: two drained engines had exited in each other domain within 0.8 s, so that all holders there were suspect, and some replicas lay on the drained engines themselves.

Change: a 421 ejects that runner only, and isn't gossiped; a draining runner's failure makes no other one suspect; a domain is suspect after failures of a twentieth of its runners (two at least); a replica's holder is used unless it has failed itself, and isn't used, but replaced, once it drains (a request may not reach it later than drain_ms).

Ruled out: replicas missing for lack of room (0 parts found no room); callers sent to stopped instances (no refusal).

Each of the four tests was seen red with its part taken out.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -214,6 +214,15 @@
         inner.runners.iter().find(here).map(|(key, _)| inner.endpoint(key))
     }
 
+    /// Whether the runner accepts requests and has not failed since its last response. Unlike
+    /// [`Fleet::is_ejected`], this ignores cool-downs and failures of its neighbours.
+    pub fn is_available(&self, key: RunnerKey) -> bool {
+        let inner = self.inner.borrow();
+        let is_available =
+            |r: &Runner| r.registration.state == State::Ready && !r.health.has_failed();
+        inner.runners.get(key).is_some_and(is_available)
+    }
+
     /// Whether the runner is gone, restarted, or failed with no success since.
     pub fn is_lost(&self, key: RunnerKey) -> bool {
         self.inner.borrow().runners.get(key).is_none_or(|r| r.health.has_failed())
@@ -238,6 +247,17 @@
         self.lost.notify_waiters();
     }
 
+    /// Records that another runner, or another incarnation, responded at the runner's address. This
+    /// is not reported to peers and makes no other runner suspect: after an outage of a domain it
+    /// shows that the domain is back.
+    pub fn replaced(&self, key: RunnerKey, now: Instant) {
+        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
+            runner.health.failed(now);
+            runner.pool.clear();
+        }
+        self.lost.notify_waiters();
+    }
+
     /// Resolves once a runner counts as lost.
     pub async fn until_lost(&self, key: RunnerKey) {
         loop {
@@ -319,14 +339,18 @@
     }
 
     /// Marks a whole failure domain as suspect once several of its runners have failed, since
-    /// domains mostly fail as a unit. Any response from a runner clears its mark.
+    /// domains mostly fail as a unit. Any response from a runner clears its mark. A draining runner
+    /// is expected to exit, which says nothing about the others.
     fn suspect_neighbours(&mut self, key: RunnerKey, now: Instant) {
         let Registration { service, domain, .. } = &self.runners[key].registration;
         let all = self.services.get(service).into_iter().flatten().copied();
-        let near = all.filter(|k| self.runners[*k].registration.domain == *domain);
+        let near = all.filter(|k| {
+            let near = &self.runners[*k].registration;
+            near.domain == *domain && near.state == State::Ready
+        });
         let near: Vec<RunnerKey> = near.collect();
         let failed = near.iter().filter(|k| self.runners[**k].health.failed_recently(now));
-        if failed.count() >= health::DOMAIN_FAILURES {
+        if health::is_domain_suspect(failed.count(), near.len()) {
             near.iter().for_each(|k| self.runners[*k].health.suspect(now));
         }
     }
--- a/crates/relay/src/fleet/health.rs
+++ b/crates/relay/src/fleet/health.rs
@@ -2,9 +2,11 @@
 
 use {std::time::Duration, tokio::time::Instant};
 
-/// Failures within one failure domain, inside [`FAILURE_WINDOW`], that make all its runners
+/// Minimum failures within one failure domain, inside [`FAILURE_WINDOW`], that make all its runners
 /// suspect.
-pub(super) const DOMAIN_FAILURES: usize = 2;
+const DOMAIN_FAILURES: usize = 2;
+/// The same as a share of the domain's runners: in a large domain some fail at any time.
+const DOMAIN_SHARE: f64 = 0.05;
 /// Window in which failures are correlated.
 const FAILURE_WINDOW: Duration = Duration::from_millis(800);
 /// Age up to which an own response outweighs a peer's failure report.
@@ -20,6 +22,11 @@
 /// Cool-down after a rejection for lack of capacity.
 const OVERLOAD_COOLDOWN: Duration = Duration::from_millis(300);
 
+/// Whether so many failures make a domain with this number of runners suspect.
+pub(super) fn is_domain_suspect(failures: usize, runners: usize) -> bool {
+    failures >= DOMAIN_FAILURES && failures as f64 >= runners as f64 * DOMAIN_SHARE
+}
+
 /// Health of one runner, as observed by this node.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -15,23 +15,24 @@
 impl<D: Dialect, N: Network> Generation<D, N> {
     /// The replica's holder if it is available, else the best runner. Replicas are addressed by
     /// endpoint, so one may survive under the holder's new id; the runner rejects the request
-    /// otherwise.
+    /// otherwise. A holder that is merely suspect is used: prefilling the prompt again takes longer
+    /// than finding out.
     pub(super) fn next_endpoint(&mut self) -> Option<(Endpoint, Option<ReplicaRef>)> {
         let fleet = &self.traffic.client.fleet;
         if let Some((endpoint, from_replica)) = self.from_replica.take() {
-            match fleet.at(&endpoint).filter(|holder| !fleet.is_ejected(holder.key)) {
+            match fleet.at(&endpoint).filter(|holder| fleet.is_available(holder.key)) {
                 Some(holder) => return Some((holder, Some(from_replica))),
                 None => log::info!(request = self.call.head.id.as_str(),
-                    runner = endpoint.id.as_str(); "replica holder gone or ejected"),
+                    runner = endpoint.id.as_str(); "replica holder lost or draining"),
             }
         }
         Some((self.choose()?, None))
     }
 
-    /// Replaces the replica if its holder is lost or none exists.
+    /// Replaces the replica if its holder is lost or draining, or none exists.
     pub(super) fn renew_replica(&self, run: &mut Run) {
         let client = &self.traffic.client;
-        let sound = |b: &Replica| b.is_new() || !client.fleet.is_lost(b.holder().key);
+        let sound = |b: &Replica| b.is_new() || client.fleet.is_available(b.holder().key);
         if run.replica().is_some_and(sound) {
             return;
         }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -296,7 +296,7 @@
     ) {
         let now = Instant::now();
         match answer.moved {
-            true => self.fleet.failed(endpoint.key, now),
+            true => self.fleet.replaced(endpoint.key, now),
             false => self.fleet.full(endpoint.key, now),
         }
         let read = Limited::new(body, REFUSAL_BYTES).collect();
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -176,6 +176,45 @@
     }
 }
 
+/// Load: a domain's engines are back after a crash, but the store, which lists their new ids, is
+/// silent. A rejection by the successor of one engine must not eject the others.
+#[tokio::test(start_paused = true)]
+async fn restarted_runners_do_not_make_their_domain_suspect() {
+    let fleet = fleet(6);
+    let now = Instant::now();
+    (0..3).for_each(|i| fleet.replaced(find(&fleet, &format!("r{i}")), now));
+    assert!(fleet.is_ejected(find(&fleet, "r0")));
+    assert!(!fleet.is_ejected(find(&fleet, "r3")));
+    assert!(fleet.take_update().failed.is_empty());
+}
+
+/// Load: a quarter of the engines drain and exit. Failed connections to them must not eject the
+/// rest of their domains.
+#[tokio::test(start_paused = true)]
+async fn exits_of_draining_runners_do_not_make_their_domain_suspect() {
+    let fleet = Fleet::seeded(7);
+    let mut listed = runners(6);
+    listed[..3].iter_mut().for_each(|r| r.state = State::Draining);
+    fleet.update(&listed);
+    (0..3).for_each(|i| fleet.failed(find(&fleet, &format!("r{i}")), Instant::now()));
+    assert!(!fleet.is_ejected(find(&fleet, "r3")));
+}
+
+/// Load: a domain crashes while single runners of another one fail. A replica there is used although
+/// its holder is suspect, but not one on a runner that has failed or drains.
+#[tokio::test(start_paused = true)]
+async fn a_replica_on_a_suspect_runner_is_used() {
+    let fleet = Fleet::seeded(7);
+    let mut listed = runners(6);
+    listed[3].state = State::Draining;
+    fleet.update(&listed);
+    let key = |index: u8| find(&fleet, &format!("r{index}"));
+    (0..2).for_each(|i| fleet.failed(key(i), Instant::now()));
+    assert!(fleet.is_ejected(key(2)) && fleet.is_available(key(2)));
+    assert!(!fleet.is_available(key(0)));
+    assert!(!fleet.is_available(key(3)));
+}
+
 /// Another node says that runners failed it. This node avoids them without a loss of its own, but not
 /// one that it hears of itself: the other node's own way there may be what is broken.
 #[tokio::test(start_paused = true)]
--- a/crates/relay/tests/large_fleet.rs
+++ b/crates/relay/tests/large_fleet.rs
@@ -190,3 +190,18 @@
     }
     assert_eq!(Scope::new("node-0", 89, 30), Scope::System);
 }
+
+/// Load: some of a domain's engines lose responses. The others are not suspect, and streams stay;
+/// the crash of a whole domain is noticed after a few attempts.
+#[tokio::test(start_paused = true)]
+async fn a_large_domain_is_suspect_only_after_several_failures() {
+    let domain = Domain::new();
+    let node = &domain.nodes[0];
+    let engine = |index: u8| node.find(&format!("a-{index}")).unwrap().key;
+    (0..4).for_each(|index| node.failed(engine(index), Instant::now()));
+    assert!(!node.is_ejected(engine(50)));
+    assert_eq!(node.choose(&criteria(7)).unwrap().domain, "a");
+    (4..6).for_each(|index| node.failed(engine(index), Instant::now()));
+    assert!(node.is_ejected(engine(50)));
+    assert_ne!(node.choose(&criteria(7)).unwrap().domain, "a");
+}
