Remove engines that restart and drain while the store is silent

Change: a node that finds such a runner reports its former id as gone (a restart without a new id), and all remove it until the store is back.

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -131,7 +131,7 @@
     pub runners: Vec<RunnerLoad>,
     /// Ids of runners with connection errors or timeouts.
     pub failed: Vec<CompactString>,
-    /// Runners that restarted under a new id.
+    /// Runners whose address belongs to another incarnation.
     pub restarts: Vec<Restart>,
     /// Use of the sender's retry budgets.
     pub budgets: Vec<BudgetUse>,
@@ -149,14 +149,14 @@
     pub retries: u32,
 }
 
-/// A runner that restarted at its address under a new id.
+/// A runner that is gone: another incarnation responds at its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct Restart {
     /// Former id.
     pub former: CompactString,
-    /// New id.
-    pub id: CompactString,
+    /// New id; `None` if that incarnation drains or may belong to another service.
+    pub id: Option<CompactString>,
 }
 
 impl Load {
--- a/crates/relay/src/control/registry.rs
+++ b/crates/relay/src/control/registry.rs
@@ -19,6 +19,8 @@
 pub struct RunnerRegistry {
     entries: BTreeMap<CompactString, Entry>,
     published: Option<Arc<Vec<Registration>>>,
+    /// Whether any entry may be missing or adopted.
+    unsettled: bool,
 }
 
 #[derive(Debug)]
@@ -69,6 +71,9 @@
     /// Removes entries that did not return in time; returns whether there were any. `settled` tells
     /// whether the store is available and all live runners are registered there.
     pub fn settle(&mut self, now: Instant, settled: bool) -> bool {
+        if !self.unsettled {
+            return false;
+        }
         for entry in self.entries.values_mut() {
             if settled && entry.presence == Presence::Adopted {
                 entry.presence = Presence::Missing(now + RELIST);
@@ -82,14 +87,15 @@
             }
             !gone
         });
+        self.unsettled = self.entries.values().any(|entry| entry.presence != Presence::Listed);
         before != self.entries.len() && self.publish()
     }
 
-    /// Replaces entries of runners that restarted under new ids during an outage; returns whether
-    /// anything changed.
+    /// Replaces entries of runners that restarted under new ids during an outage, or removes them if
+    /// the new incarnation cannot be used; returns whether anything changed.
     ///
-    /// The store cannot report the new ids meanwhile, and the runners reject requests for the old
-    /// ones. With a `settled` store the registrations alone count.
+    /// The store cannot report this meanwhile, and requests for the old ids are rejected at the cost
+    /// of a retry. With a `settled` store the registrations alone count.
     pub fn adopt_restarts(&mut self, restarts: &[Restart], settled: bool) -> bool {
         if settled {
             return false;
@@ -100,18 +106,19 @@
 
     fn restart(&mut self, restart: &Restart) {
         let Some(former) = self.entries.get(&restart.former) else { return };
-        if self.entries.contains_key(&restart.id) {
+        let Some(id) = restart.id.clone() else { return self.drop_entry(&restart.former) };
+        if self.entries.contains_key(&id) {
             return;
         }
         // Ranks before the former incarnation, and after whatever registers at the address.
         let born = former.registration.born + 1;
-        let id = restart.id.clone();
         let former = former.registration.clone();
         let registration = Registration { id: id.clone(), born, assumed: true, ..former };
         log::info!(runner = id.as_str(), former = restart.former.as_str();
             "runner restarted during a store outage");
         self.entries.remove(&restart.former);
         self.entries.insert(id, Entry { registration, presence: Presence::Adopted });
+        self.unsettled = true;
     }
 
     fn take<R: Records>(&mut self, now: Instant, row: &Row, grace: Duration, records: &R) {
@@ -138,15 +145,20 @@
 
     fn remove(&mut self, now: Instant, id: &CompactString, grace: Duration) {
         match self.entries.get_mut(id) {
-            Some(entry) if !grace.is_zero() => entry.presence = Presence::Missing(now + grace),
-            Some(_) => {
-                log::info!(runner = id.as_str(); "{RUNNER_GONE}");
-                self.entries.remove(id);
+            Some(entry) if !grace.is_zero() => {
+                entry.presence = Presence::Missing(now + grace);
+                self.unsettled = true;
             }
+            Some(_) => self.drop_entry(id),
             None => {}
         }
     }
 
+    fn drop_entry(&mut self, id: &CompactString) {
+        log::info!(runner = id.as_str(); "{RUNNER_GONE}");
+        self.entries.remove(id);
+    }
+
     fn publish(&mut self) -> bool {
         let runners = living(self.entries.values().map(|e| &e.registration));
         let changed = self.published.as_ref().is_none_or(|old| **old != runners);
--- a/crates/relay/src/runner_client/restart.rs
+++ b/crates/relay/src/runner_client/restart.rs
@@ -33,12 +33,12 @@
             "unlisted runner at a known address, identity unknown");
         return;
     };
-    if is_same(&client.published.load(), &service, &identity) {
-        client.fleet.restarted(Restart { former: endpoint.id, id });
-    } else {
-        log::info!(runner = id.as_str(), former = endpoint.id.as_str();
-            "unlisted runner at a known address, service ambiguous");
+    let is_same = is_same(&client.published.load(), &service, &identity);
+    if !is_same {
+        log::info!(runner = id.as_str(), former = endpoint.id.as_str(), draining = identity.draining;
+            "unlisted runner at a known address, draining or of unknown service");
     }
+    client.fleet.restarted(Restart { former: endpoint.id, id: is_same.then_some(id) });
 }
 
 /// Whether the identity matches `service`. Inconclusive during a rollout, since the version is
