--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -3,10 +3,12 @@
 mod choose;
 mod load;
 mod health;
+mod lease;
 
 pub use self::{
     choose::{Criteria, Version},
     health::Health,
+    lease::Lease,
     load::Load,
 };
 
@@ -92,23 +94,6 @@
     pub domain: CompactString,
 }
 
-/// A request's share of a runner; released on drop.
-pub struct Lease {
-    fleet: Fleet,
-    /// The runner.
-    pub endpoint: Endpoint,
-    claim: Claim,
-}
-
-/// What a lease accounts for.
-#[derive(Clone, Copy)]
-enum Claim {
-    /// One call to a plain service.
-    Call,
-    /// Load on an engine.
-    Work(Load),
-}
-
 impl Default for Fleet {
     fn default() -> Fleet {
         Fleet::seeded(rand::random())
@@ -175,27 +160,6 @@
         }
     }
 
-    /// Leases part of an engine; the change goes into the next update to peers.
-    pub fn lease(&self, endpoint: Endpoint, load: Load) -> Lease {
-        self.change(endpoint.key, |own| *own += load);
-        Lease { fleet: self.clone(), endpoint, claim: Claim::Work(load) }
-    }
-
-    /// Leases a slot of a plain runner for one call. Calls are not reported to peers: most end
-    /// before the report would arrive, and a full runner rejects the next one itself.
-    pub fn call(&self, endpoint: Endpoint) -> Lease {
-        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(endpoint.key) {
-            runner.calls += 1;
-        }
-        Lease { fleet: self.clone(), endpoint, claim: Claim::Call }
-    }
-
-    fn end_call(&self, key: RunnerKey) {
-        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
-            runner.calls -= 1;
-        }
-    }
-
     fn change(&self, key: RunnerKey, change: impl FnOnce(&mut Load)) {
         if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
             change(&mut runner.own);
@@ -276,7 +240,7 @@
         !inner.by_id.contains_key(id) && inner.strangers.insert(id.clone(), now).is_none()
     }
 
-    /// Records that a runner restarted under a new id.
+    /// Records that another incarnation responds at a runner's address.
     pub fn restarted(&self, restart: Restart) {
         self.inner.borrow_mut().restarts.push(restart);
         self.changed.notify_one();
@@ -355,27 +319,3 @@
         }
     }
 }
-
-impl Lease {
-    /// Records a response from the runner.
-    pub fn alive(&self) {
-        self.fleet.alive(self.endpoint.key, Instant::now());
-    }
-
-    /// Marks the prompt as prefilled after the first output.
-    pub fn read(&mut self) {
-        if let Claim::Work(load) = &mut self.claim {
-            let read = Load { unread: std::mem::take(&mut load.unread), ..Load::default() };
-            self.fleet.change(self.endpoint.key, |own| *own -= read);
-        }
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        match self.claim {
-            Claim::Work(load) => self.fleet.change(self.endpoint.key, |own| *own -= load),
-            Claim::Call => self.fleet.end_call(self.endpoint.key),
-        }
-    }
-}
--- /dev/null
+++ b/crates/relay/src/fleet/lease.rs
@@ -0,0 +1,70 @@
+//! Leases of runners.
+
+use {
+    super::{Endpoint, Fleet, Load, RunnerKey},
+    tokio::time::Instant,
+};
+
+/// A request's share of a runner; released on drop.
+pub struct Lease {
+    fleet: Fleet,
+    /// The runner.
+    pub endpoint: Endpoint,
+    claim: Claim,
+}
+
+/// What a lease accounts for.
+#[derive(Clone, Copy)]
+enum Claim {
+    /// One call to a plain service.
+    Call,
+    /// Load on an engine.
+    Work(Load),
+}
+
+impl Fleet {
+    /// Leases part of an engine; the change goes into the next update to peers.
+    pub fn lease(&self, endpoint: Endpoint, load: Load) -> Lease {
+        self.change(endpoint.key, |own| *own += load);
+        Lease { fleet: self.clone(), endpoint, claim: Claim::Work(load) }
+    }
+
+    /// Leases a slot of a plain runner for one call. Calls are not reported to peers: most end
+    /// before the report would arrive, and a full runner rejects the next one itself.
+    pub fn call(&self, endpoint: Endpoint) -> Lease {
+        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(endpoint.key) {
+            runner.calls += 1;
+        }
+        Lease { fleet: self.clone(), endpoint, claim: Claim::Call }
+    }
+
+    fn end_call(&self, key: RunnerKey) {
+        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
+            runner.calls -= 1;
+        }
+    }
+}
+
+impl Lease {
+    /// Records a response from the runner.
+    pub fn alive(&self) {
+        self.fleet.alive(self.endpoint.key, Instant::now());
+    }
+
+    /// Marks the prompt as prefilled after the first output.
+    pub fn read(&mut self) {
+        if let Claim::Work(load) = &mut self.claim {
+            let read = Load { unread: std::mem::take(&mut load.unread), ..Load::default() };
+            self.fleet.change(self.endpoint.key, |own| *own -= read);
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        match self.claim {
+            Claim::Work(load) => self.fleet.change(self.endpoint.key, |own| *own -= load),
+            Claim::Call => self.fleet.end_call(self.endpoint.key),
+        }
+    }
+}
