--- a/crates/relay/tests/domains.rs
+++ b/crates/relay/tests/domains.rs
@@ -1,4 +1,4 @@
-//! What crosses the borders between failure domains: calls, streams, and words about them.
+//! Traffic between failure domains: calls, streams and load reports.
 
 use {
     bilberryfront_relay::{
@@ -59,9 +59,8 @@
     }
 }
 
-/// Load: callers make many short calls, and their domain's runner has slots for them. Each call that
-/// crosses a border pays for its bytes and gets nothing for it. Once half of the runner's slots are
-/// taken the next calls go elsewhere, before one has to wait.
+/// Load: many short calls. Guards against calls that cross a border while the local runner has free
+/// slots, and against queues there while others are free.
 #[tokio::test(start_paused = true)]
 async fn calls_stay_in_their_domain_while_half_of_its_slots_are_free() {
     for slots in [6, 48] {
@@ -75,8 +74,7 @@
     }
 }
 
-/// Load: short calls come by the hundred. Their word to every node was most of what nodes said to each
-/// other, and it was out of date when it came. Only what is under way at engines is told.
+/// Load: hundreds of short calls. Guards against load reports that are outdated on arrival.
 #[tokio::test(start_paused = true)]
 async fn calls_are_not_told_to_other_nodes() {
     let fleet = fleet(1, 6);
@@ -93,9 +91,8 @@
     assert_eq!(fleet.take_update().runners[0].running, 0);
 }
 
-/// Load: streams come while some engines are idle. One in the node's own domain is taken as long as it
-/// runs no more streams than the others: its events cross no border. With a stream less beside it, an
-/// engine elsewhere is better for the caller, in a fleet of few large engines and in one of many small ones.
+/// Load: streams begin while some engines are idle. Guards against events that cross a border for
+/// nothing, and against a busy local engine while another one is idle.
 #[tokio::test(start_paused = true)]
 async fn a_stream_leaves_its_domain_only_for_an_engine_with_fewer_streams() {
     for engine in FLEETS {
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! Who gets a request, under the loads and failures that a fleet sees.
+//! Selection of runners under load and failures.
 
 use {
     bilberryfront_decide::member::message::{self, RunnerLoad},
@@ -57,10 +57,8 @@
 /// A prompt of 5,000 tokens.
 const PROMPT: Load = Load { running: 1, memory: 5_600, unread: 5_000 };
 
-/// Load: six nodes each send a prompt to one of eighteen runners within a few milliseconds, as they do
-/// when callers come back together. A prompt that waits behind another's doubles the time to its first
-/// event, which with four such in a row is beyond 4.5 s. Each node tells the others what it has under
-/// way; so no runner gets two prompts while another one has none.
+/// Load: callers return at once, and six nodes send eighteen prompts within milliseconds. Guards against
+/// a runner with two prompts while another one is idle.
 #[tokio::test(start_paused = true)]
 async fn nodes_that_tell_their_loads_never_stack_prompts() {
     let nodes: Vec<Fleet> = (0..6).map(|_| fleet(6)).collect();
@@ -81,7 +79,7 @@
     assert_eq!(taken.len(), 18, "{taken:?}");
 }
 
-/// What another node said is dropped when it falls silent: its requests have ended with it.
+/// Guards against loads of a crashed node that are counted for ever.
 #[tokio::test(start_paused = true)]
 async fn a_silent_nodes_loads_are_forgotten() {
     let fleet = fleet(1);
@@ -99,9 +97,7 @@
     assert!(chosen.iter().any(|id| id != "r2"));
 }
 
-/// Every node finds the same homes for a prompt and sends it to one of them, so that a caller who comes back
-/// to another node finds the runner that has read it, though that node asks less than half of all runners.
-/// Different prompts have different homes.
+/// Guards against a resumed stream whose cached prompt another node does not find.
 #[tokio::test(start_paused = true)]
 async fn a_prompt_has_the_same_homes_everywhere() {
     let nodes = [Fleet::seeded(7), Fleet::seeded(8)];
@@ -122,8 +118,7 @@
     assert!(preferred.values().all(|n| (40..=104).contains(n)), "{preferred:?}");
 }
 
-/// Load: a runner's memory fills with copies of others' requests. Beyond it, runs are preempted and their
-/// prompts read again; so from six tenths on, others are better.
+/// Load: a runner's memory fills with replicas. Guards against preempted runs while others have room.
 #[tokio::test(start_paused = true)]
 async fn a_home_whose_memory_is_short_is_passed_over() {
     let fleet = fleet(10);
@@ -140,8 +135,8 @@
     assert!((0..50).all(|_| is_home(&fleet.choose(&criteria(Some(7))).unwrap())));
 }
 
-/// Load: streams run at some of a prompt's home runners. Reading a prompt slows them to a fifth for a
-/// second, so a home without a stream is better, and one of the homes is found all the same.
+/// Load: streams run on some of a prompt's preferred runners. Guards against slowing them while a preferred
+/// runner is free.
 #[tokio::test(start_paused = true)]
 async fn a_prompt_goes_to_a_home_without_streams() {
     let fleet = fleet(6);
@@ -158,8 +153,7 @@
     assert!(preferred.iter().all(|id| asked.contains(id)), "{preferred:?} of {asked:?}");
 }
 
-/// A failure domain goes down. Two of its runners fail; the others haven't been tried, and each try
-/// would cost a request half a second. They are left alone, until one of them is heard of.
+/// Guards against trying each runner of a crashed failure domain in turn.
 #[tokio::test(start_paused = true)]
 async fn two_failures_cast_doubt_on_their_domain() {
     let fleet = fleet(4);
@@ -215,8 +209,7 @@
     assert!(!fleet.is_available(key(3)));
 }
 
-/// Another node says that runners failed it. This node avoids them without a loss of its own, but not
-/// one that it hears of itself: the other node's own way there may be what is broken.
+/// Guards against a peer with a broken link that ejects runners which respond to this node.
 #[tokio::test(start_paused = true)]
 async fn another_nodes_failures_count_unless_contradicted() {
     let fleet = fleet(2);
@@ -228,9 +221,7 @@
     assert!(!fleet.is_ejected(living));
 }
 
-/// A copy of a running request's memory is sent without a word back: at a runner that is still down it
-/// is lost, and shows so only when it is needed. So copies go to runners that were in no trouble for
-/// a while, also when a request would be tried there again.
+/// Guards against replicas on runners that are still down, as a lost replica shows only when it is needed.
 #[tokio::test(start_paused = true)]
 async fn copies_go_only_to_runners_that_were_steady() {
     let fleet = fleet(1);
@@ -244,9 +235,8 @@
     assert!((0..50).any(|_| fleet.choose(&stable).unwrap().key == dead));
 }
 
-/// Load: one failure domain after the other crashes, and the one that is still whole is next. A run there is
-/// copied to a runner that was down a moment ago rather than to its neighbour, which goes down with it; to
-/// one that is known to be down, it isn't.
+/// Load: one failure domain after the other crashes. Guards against a replica beside its run, in the
+/// domain that crashes next.
 #[tokio::test(start_paused = true)]
 async fn a_copy_leaves_its_domain_even_for_a_runner_that_was_down() {
     let fleet = Fleet::seeded(7);
@@ -260,8 +250,7 @@
     assert_eq!(fleet.choose(&copy).unwrap().domain, "b");
 }
 
-/// A runner starts anew under its old id: what is held against its former life, and what ran there,
-/// doesn't count.
+/// Guards against failures and loads of the former incarnation of a runner that restarts under its id.
 #[tokio::test(start_paused = true)]
 async fn a_new_life_starts_clean() {
     let fleet = fleet(1);
--- a/crates/relay/tests/prefill_rate.rs
+++ b/crates/relay/tests/prefill_rate.rs
@@ -1,12 +1,11 @@
-//! What can't be read in time is refused at once.
+//! Rejection of prompts that cannot be prefilled before the deadline.
 
 use {bilberryfront_relay::flow::prefill_rate::PrefillRate, std::time::Duration};
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Load: all instances lost power, and callers whose connections hung come back with their streams after
-/// eighteen seconds, some within the last second before their patience ends. A prompt that can't be read by
-/// then at the best speed that was ever seen isn't begun, and doesn't hold up those that can.
+/// Load: callers resume their streams late after a loss of power. Guards against prefilling prompts for
+/// callers that leave before the first event.
 #[test]
 fn a_prompt_that_cannot_be_read_in_time_is_not_begun() {
     let mut pace = PrefillRate::default();
@@ -17,7 +16,7 @@
     assert!(!pace.exceeds(0, Duration::from_millis(5)), "a runner has it");
 }
 
-/// A node that has just started knows no speed: it tries whatever comes.
+/// Guards against rejections by a node that has no observation yet.
 #[test]
 fn nothing_is_hopeless_before_a_prompt_was_read() {
     assert!(!PrefillRate::default().exceeds(5_000, Duration::ZERO));
