Record runners' rate limits in logs and metrics

Now the limit is decoded once, logged when it changes, and requests to such runners are counted as First or Repeat. No decision uses it yet.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -89,6 +89,8 @@
     pub replica_to: Option<SocketAddr>,
     /// Replica to resume from, on the runner that gets the request.
     pub from_replica: Option<ReplicaRef>,
+    /// Number of earlier sends of the same request.
+    pub earlier: u32,
 }
 
 /// Reference to a replica of a run's KV cache.
@@ -101,7 +103,7 @@
 }
 
 /// Decoded response head.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Answer {
     /// Attempt id.
     pub id: Option<CompactString>,
@@ -115,6 +117,8 @@
     pub runner: Option<CompactString>,
     /// Idle timeout of the connection.
     pub idle: Option<Duration>,
+    /// Requests per second that the runner accepts from all nodes together, while it states them.
+    pub rate_limit: Option<f64>,
 }
 
 /// Progress of a request according to its runner.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -4,6 +4,7 @@
 mod load;
 mod health;
 mod lease;
+mod rate_limit;
 
 pub use self::{
     choose::{Criteria, Version},
@@ -79,6 +80,8 @@
     peer_loads: PeerLoads,
     /// Whether `own` changed since the last update to peers.
     dirty: bool,
+    /// Requests per second that the runner accepts from all nodes, while it states them.
+    rate_limit: Option<f64>,
 }
 
 /// A runner's address and identity.
@@ -289,6 +292,7 @@
             calls: 0,
             peer_loads: PeerLoads::default(),
             dirty: false,
+            rate_limit: None,
         };
         let key = self.runners.insert(runner);
         self.by_id.insert(registration.id.clone(), key);
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -257,8 +257,8 @@
     }
 }
 
-/// Send options of a plain attempt.
-fn options(call: &Call, endpoint: &Endpoint) -> SendOptions {
+/// Send options of a plain attempt after `earlier` ones.
+fn options(call: &Call, endpoint: &Endpoint, earlier: usize) -> SendOptions {
     let now = Instant::now();
     let left = call.caller_deadline().map(|end| end.saturating_duration_since(now));
     SendOptions {
@@ -267,5 +267,6 @@
         resume: call.head.resume,
         replica_to: None,
         from_replica: None,
+        earlier: earlier as u32,
     }
 }
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -35,7 +35,8 @@
         let fleet = &traffic.client.fleet;
         let _lease = fleet.call(endpoint.clone());
         let key = endpoint.key;
-        match traffic.client.send(call, &endpoint, &options(call, &endpoint), until).await {
+        let options = options(call, &endpoint, tried.len());
+        match traffic.client.send(call, &endpoint, &options, until).await {
             SendOutcome::Answered(reply) => {
                 return match traffic.client.whole(reply, &endpoint, until).await {
                     Ok((parts, bytes)) => {
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -252,6 +252,7 @@
             resume: self.position,
             replica_to: replica.as_ref().map(|p| p.address),
             from_replica: from_replica.clone(),
+            earlier: self.sends - 1,
         };
         let fleet = &self.traffic.client.fleet;
         let memory = self.size().total();
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -52,8 +52,9 @@
         let last = progress.runs + 1 == attempts || traffic.client.fleet.ready(&call.service) < 2;
         let until = if last { end } else { hedge_deadline(call, end) };
         let _lease = traffic.client.fleet.call(endpoint.clone());
+        let options = options(call, &endpoint, progress.tried.len());
         progress.tried.push(endpoint.key);
-        let sent = traffic.client.send(call, &endpoint, &options(call, &endpoint), until).await;
+        let sent = traffic.client.send(call, &endpoint, &options, until).await;
         let answer = take(traffic, &mut progress, sent, &endpoint, until).await;
         if progress.tried.len() == 1 && progress.runs == 1 {
             traffic.record_trial(call, endpoint.key, ended(call, answer.is_some()));
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -27,8 +27,13 @@
 /// Registration removed.
 pub const RUNNER_GONE: &str = "runner removed";
 
+/// A runner states a rate limit, or another one.
+pub const RATE_LIMITED: &str = "the runner limits its rate of requests";
+/// A runner no longer states a rate limit.
+pub const RATE_UNLIMITED: &str = "the runner no longer limits its rate of requests";
+
 /// All messages, to check that the operators' page covers them.
-pub const ALL: [&str; 13] = [
+pub const ALL: [&str; 15] = [
     REFUSED,
     RUN_BEGUN,
     RUN_LOST,
@@ -42,4 +47,6 @@
     SERVES,
     STORE_BACK,
     RUNNER_GONE,
+    RATE_LIMITED,
+    RATE_UNLIMITED,
 ];
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -86,6 +86,20 @@
     cause: Cause,
 }
 
+/// Whether a send is the first of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelValue)]
+enum Send {
+    First,
+    Repeat,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct OfSend {
+    send: Send,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct OfResume {
@@ -100,6 +114,7 @@
     latency: Family<OfKind, Histogram>,
     refused: Family<OfCause, Counter>,
     resumed: Family<OfResume, Counter>,
+    limited: Family<OfSend, Counter>,
     pause: Family<OfResume, Histogram>,
     store: Counter,
     volume: Volume,
@@ -117,6 +132,7 @@
             latency: Family::new_with_constructor(histogram),
             refused: Family::default(),
             resumed: Family::default(),
+            limited: Family::default(),
             pause: Family::new_with_constructor(histogram),
             store: Counter::default(),
             volume: Volume::default(),
@@ -135,6 +151,11 @@
         );
         registry.register("refusals", "Refusals by cause", m.refused.clone());
         registry.register("resumes", "Lost runs that went on at another runner", m.resumed.clone());
+        registry.register(
+            "limited_sends",
+            "Requests sent to runners that limit their rate",
+            m.limited.clone(),
+        );
         registry.register(
             "resume_seconds",
             "Time from a lost run to the next event",
@@ -183,6 +204,12 @@
         self.refused.get_or_create(&OfCause { cause }).inc();
     }
 
+    /// Counts a request sent to a runner that limits its rate, after `earlier` sends of it.
+    pub fn count_limited_send(&self, earlier: u32) {
+        let send = if earlier == 0 { Send::First } else { Send::Repeat };
+        self.limited.get_or_create(&OfSend { send }).inc();
+    }
+
     /// Counts a stream resumed after `pause`.
     pub fn resumed(&self, from: Resume, pause: Duration) {
         self.resumed.get_or_create(&OfResume { from }).inc();
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -99,6 +99,9 @@
             let headers = self.dialect.send(call, options);
             request(&call.method, &call.path, endpoint.address, headers, call.body.clone())
         };
+        if self.fleet.is_rate_limited(endpoint.key) {
+            self.metrics.count_limited_send(options.earlier);
+        }
         let (response, line) = match self.exchange(endpoint, request, until).await {
             Ok(answered) => answered,
             Err(SendError::Unsent) => {
@@ -115,6 +118,7 @@
         self.count_bytes(Part::Request, endpoint, call.body.len());
         let (mut parts, body) = response.into_parts();
         let answer = self.dialect.answer(&parts);
+        self.take_rate_limit(endpoint, &answer);
         if answer.unrun {
             log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
                 status = parts.status.as_u16(), from_replica = options.from_replica.is_some();
@@ -138,6 +142,15 @@
         SendOutcome::Answered(Box::new(Reply { parts, answer, body, line }))
     }
 
+    /// Records the rate limit that a response states. Its absence ends a limit only in the response to a
+    /// request that was run.
+    fn take_rate_limit(&self, endpoint: &Endpoint, answer: &Answer) {
+        let is_own = answer.signed && !answer.moved;
+        if is_own && (answer.rate_limit.is_some() || !answer.unrun) {
+            self.fleet.set_rate_limit(endpoint.key, answer.rate_limit);
+        }
+    }
+
     /// Reads the response body and returns the connection to the pool.
     pub async fn whole(
         &self,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -4,6 +4,8 @@
 mod calls;
 #[path = "relay/faces.rs"]
 mod faces;
+#[path = "relay/limits.rs"]
+mod limits;
 #[path = "relay/streams.rs"]
 mod streams;
 #[path = "relay/support.rs"]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -122,6 +122,8 @@
     pub(crate) down: Cell<bool>,
     /// Id of the process that started at its address later, and the model that it says it runs.
     pub(crate) restarted: RefCell<Option<(&'static str, &'static str)>>,
+    /// Requests a second that it states in its answers.
+    pub(crate) rate_limit: Cell<Option<f64>>,
     /// Requests that it has seen; questions aside.
     pub(crate) seen: RefCell<Vec<Seen>>,
     /// Its connections.
@@ -151,6 +153,7 @@
             dark: Cell::new(false),
             down: Cell::new(false),
             restarted: RefCell::default(),
+            rate_limit: Cell::new(None),
             seen: RefCell::default(),
             log_messages: RefCell::default(),
         }
@@ -267,6 +270,9 @@
     let headers = response.headers_mut();
     headers.entry("x-bilberryfront-attempt-id").or_insert(id);
     headers.insert("x-bilberryfront-server-stamp", runner.id.parse().unwrap());
+    if let Some(limit) = runner.rate_limit.get() {
+        headers.insert("server-limit", limit.to_string().parse().unwrap());
+    }
     Ok(response)
 }
 
