--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -355,6 +355,7 @@
 }
 
 /// Runners, and the traffic before them.
+#[derive(Clone)]
 pub(crate) struct World {
     /// The traffic.
     pub(crate) traffic: Traffic<Http, Net>,
@@ -388,8 +389,25 @@
         self.runners.push(runner);
     }
 
-    /// Publishes the catalogue and the runners, as the control thread would.
+    /// The same runners, behind the node `n{index}` of a failure domain.
+    pub(crate) fn node(&self, index: u8, domain: &'static str) -> World {
+        let mut world = self.clone();
+        let allowance = Allowance { ratio: 0.8, slack: 100.0, window: Duration::from_secs(10) };
+        let bound = Bound { share: 0.1, slack: 50.0 };
+        world.traffic =
+            Traffic::new(Http, self.net.clone(), Published::default(), allowance, bound);
+        world.traffic.client.fleet = Fleet::seeded(u64::from(index));
+        world.traffic.client.fleet.set_domain(&domain.into());
+        world
+    }
+
+    /// Publishes the catalogue, the runners and two nodes, as the control thread would.
     pub(crate) fn publish(&self) {
+        self.publish_nodes(vec![node("n1", 1, "a"), node("n2", 2, "a")]);
+    }
+
+    /// Publishes the catalogue, the runners and these nodes.
+    pub(crate) fn publish_nodes(&self, nodes: Vec<NodeAddress>) {
         let registration = |runner: &Rc<Runner>| Registration {
             id: runner.id.as_str().into(),
             born: 1,
@@ -407,7 +425,7 @@
             catalog: Some(Arc::new(catalog())),
             runners: Arc::new(runners),
             listed: true,
-            nodes: Arc::new(vec![node("n1", 1), node("n2", 2)]),
+            nodes: Arc::new(nodes),
             scope: Scope::System,
             splits: Splits::default(),
             cut_off: false,
@@ -465,9 +483,15 @@
     }
 }
 
-fn node(name: &str, index: u8) -> NodeAddress {
+/// A node's addresses.
+pub(crate) fn node(name: &str, index: u8, domain: &'static str) -> NodeAddress {
     let address = |port| SocketAddr::from(([10, 0, 0, index], port));
-    NodeAddress { name: name.into(), domain: "a".into(), callers: address(80), peers: address(81) }
+    NodeAddress {
+        name: name.into(),
+        domain: domain.into(),
+        callers: address(80),
+        peers: address(81),
+    }
 }
 
 /// What a caller got.
@@ -551,6 +575,6 @@
 }
 
 /// Milliseconds.
-pub(crate) fn ms(count: u64) -> Duration {
+pub(crate) const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
