Share a runner's rate limit among the nodes that mainly use it

Cause: the statement in a runner's response was dropped. Class: a word of a runner in its response head that no part of the system reads; the selection of runners knew slots, loads and failures only.

Now a response's limit holds for the runner's incarnation until a response to a request that was run states none, and each change is sent to all nodes with its age, the newest statement counts. The limit is divided among at most limit + 3 owners, by rendezvous hashing among the nodes whose failure domain mainly uses the runner; each has a token bucket for its part that starts empty, with room for (limit + 3) / owners requests. In 4 s that makes at most 5 x limit + 3, where 6 x limit + 5 are allowed; the rest is for nodes that disagree about the list. The bucket is asked when a runner is chosen and again right before the send, so repeats, resumptions and hedges count. A runner at its limit is no failure and takes no retry budget; where all are at theirs, the caller gets its rejection at once with the time until the next place. A statement that nobody confirms expires after 10 s.

Ruled out: decide/limits.rs counts running requests, not a rate, and relies on heartbeats of all nodes; budget.rs pools use after the fact, within a slack of 150.

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -135,6 +135,20 @@
     pub restarts: Vec<Restart>,
     /// Use of the sender's retry budgets.
     pub budgets: Vec<BudgetUse>,
+    /// Rate limits stated by runners.
+    pub limits: Vec<RateLimit>,
+}
+
+/// A runner's statement about its rate of requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct RateLimit {
+    /// Runner id.
+    pub runner: CompactString,
+    /// Thousandths of a request per second, of all nodes together; `None` for no limit any more.
+    pub limit: Option<u32>,
+    /// Age of the statement in milliseconds; the newest one counts.
+    pub age_ms: u32,
 }
 
 /// Use of a retry budget by one node within the budget's window.
@@ -166,6 +180,7 @@
             && self.failed.is_empty()
             && self.restarts.is_empty()
             && self.budgets.is_empty()
+            && self.limits.is_empty()
     }
 }
 
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -9,7 +9,7 @@
 };
 
 /// Protocol version.
-pub const VERSION: u8 = 4;
+pub const VERSION: u8 = 5;
 /// Maximum size of a [`Class::Control`] frame.
 pub const CONTROL_LIMIT: usize = 256 * 1024;
 /// Maximum size of a [`Class::Catalog`] frame.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -14,18 +14,18 @@
 };
 
 use {
-    self::load::PeerLoads,
+    self::{load::PeerLoads, rate_limit::Statement},
     crate::{
         fanout::Scope,
         pool::{Connection, Pool},
-        view::{Registration, State},
+        view::{NodeAddress, Registration, State},
     },
     bilberryfront_decide::member::message::Restart,
     compact_str::CompactString,
     rand::{SeedableRng, rngs::SmallRng},
     rustc_hash::{FxHashMap, FxHashSet},
     slotmap::{SlotMap, new_key_type},
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration},
     tokio::{sync::Notify, time::Instant},
     xxhash_rust::xxh64::xxh64,
 };
@@ -60,6 +60,10 @@
     restarts: Vec<Restart>,
     /// This node's failure domain; empty until it is set.
     domain: CompactString,
+    /// This node's name; empty until it is set.
+    me: CompactString,
+    /// Nodes that share the runners' rate limits.
+    nodes: Arc<Vec<NodeAddress>>,
     /// Which loads peers report.
     scope: Scope,
     /// Unlisted runners seen at known addresses, with the time of the last identity check.
@@ -80,8 +84,8 @@
     peer_loads: PeerLoads,
     /// Whether `own` changed since the last update to peers.
     dirty: bool,
-    /// Requests per second that the runner accepts from all nodes, while it states them.
-    rate_limit: Option<f64>,
+    /// The latest statement about its rate of requests.
+    statement: Option<Statement>,
 }
 
 /// A runner's address and identity.
@@ -139,6 +143,7 @@
             let service = runner.registration.service.clone();
             inner.services.entry(service).or_default().push(key);
         }
+        inner.divide_limits(Instant::now());
     }
 
     /// Whether a registration list was ever applied.
@@ -261,11 +266,13 @@
         Some(self.inner.borrow().runners.get(key)?.registration.service.clone())
     }
 
-    /// Number of runners of a service that accept requests.
+    /// Number of runners of a service that accept requests, from this node within their rate limits.
     pub fn ready(&self, service: &str) -> usize {
+        let now = Instant::now();
         let inner = self.inner.borrow();
         let keys = inner.services.get(service).into_iter().flatten();
-        keys.filter(|k| inner.runners[**k].registration.state == State::Ready).count()
+        let runners = keys.map(|key| &inner.runners[*key]);
+        runners.filter(|r| r.registration.state == State::Ready && r.has_token(now)).count()
     }
 }
 
@@ -292,7 +299,7 @@
             calls: 0,
             peer_loads: PeerLoads::default(),
             dirty: false,
-            rate_limit: None,
+            statement: None,
         };
         let key = self.runners.insert(runner);
         self.by_id.insert(registration.id.clone(), key);
--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -80,7 +80,7 @@
         let now = Instant::now();
         let mut random = self.random.borrow_mut();
         let keys = inner.services.get(criteria.service)?.iter().copied();
-        let open = keys.filter(|k| inner.is_open(*k, criteria));
+        let open = keys.filter(|k| inner.is_open(*k, criteria, now));
         let preferred = inner.preferred(criteria);
         let mean = inner.mean_load(criteria, now);
         let mut score = |k| {
@@ -98,8 +98,9 @@
         let inner = self.inner.borrow();
         let now = Instant::now();
         let preferred = inner.preferred(criteria).into_iter();
-        let sound = preferred
-            .filter(|k| inner.is_open(*k, criteria) && !inner.runners[*k].health.is_ejected(now));
+        let sound = preferred.filter(|k| {
+            inner.is_open(*k, criteria, now) && !inner.runners[*k].health.is_ejected(now)
+        });
         sound.map(|key| inner.endpoint(key)).collect()
     }
 
@@ -130,9 +131,11 @@
         ranked.into_iter().map(|(_, key)| key).collect()
     }
 
-    fn is_open(&self, key: RunnerKey, criteria: &Criteria<'_>) -> bool {
-        let registration = &self.runners[key].registration;
+    fn is_open(&self, key: RunnerKey, criteria: &Criteria<'_>, now: Instant) -> bool {
+        let runner = &self.runners[key];
+        let registration = &runner.registration;
         registration.state == State::Ready
+            && runner.has_token(now)
             && !criteria.except.contains(&key)
             && criteria.version.is_none_or(|v| v.allows(&registration.version))
     }
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -94,6 +94,7 @@
 
     /// Changes since the last call, for peers.
     pub fn take_update(&self) -> message::Load {
+        let limits = self.take_limits();
         let mut inner = self.inner.borrow_mut();
         let failed = std::mem::take(&mut inner.failures);
         let restarts = std::mem::take(&mut inner.restarts);
@@ -106,15 +107,18 @@
             runners: dirty.map(tell).collect(),
             failed,
             restarts,
+            limits,
             ..message::Load::default()
         }
     }
 
-    /// This node's load on every runner in use.
-    pub fn snapshot(&self) -> Vec<RunnerLoad> {
+    /// This node's load on every runner in use, and recent rate limits.
+    pub fn snapshot(&self) -> message::Load {
+        let limits = self.recent_limits();
         let inner = self.inner.borrow();
         let loaded = inner.runners.values().filter(|r| r.own != Load::default());
-        loaded.map(Runner::report).collect()
+        let runners = loaded.map(Runner::report).collect();
+        message::Load { runners, limits, ..message::Load::default() }
     }
 
     /// Applies a peer's report.
@@ -133,6 +137,7 @@
                 inner.suspect_neighbours(key, now);
             }
         }
+        update.limits.iter().for_each(|limit| inner.apply_limit(limit, now));
         if !update.failed.is_empty() {
             self.lost.notify_waiters();
         }
--- a/crates/relay/src/fleet/rate_limit.rs
+++ b/crates/relay/src/fleet/rate_limit.rs
@@ -1,28 +1,244 @@
 //! Rate limits stated by runners.
+//!
+//! A limit is for all nodes together. It is divided among a few owners, nodes near the runner, which
+//! every node derives from the same registrations; the others send nothing. Each owner has a token
+//! bucket for its part. With equal parts for all nodes, the tokens that idle nodes save up would
+//! exceed the limit of a slow runner when they are spent at once.
+
+mod bucket;
 
 use {
-    super::{Fleet, RunnerKey},
-    crate::log_messages::{RATE_LIMITED, RATE_UNLIMITED},
+    self::bucket::Bucket,
+    super::{Fleet, Inner, Runner, RunnerKey},
+    crate::{
+        log_messages::{RATE_LIMITED, RATE_UNLIMITED},
+        view::{NodeAddress, State},
+    },
+    bilberryfront_decide::member::message::RateLimit,
+    compact_str::CompactString,
+    std::{cmp::Reverse, collections::BTreeSet, sync::Arc, time::Duration},
+    tokio::time::Instant,
+    xxhash_rust::xxh64::xxh64,
 };
 
+/// Requests that all nodes together may send at once after a pause, in addition to those of one second.
+/// There are no more owners than that, so that each may send one.
+const BURST: f64 = 3.0;
+/// Age at which a statement expires that no node confirms; a node then finds out by a request.
+const STALE: Duration = Duration::from_secs(10);
+/// Age up to which an own observation is repeated to peers, for those that missed the first report.
+const REPEAT: Duration = Duration::from_secs(2);
+/// Units of a limit in one request per second.
+const SCALE: f64 = 1_000.0;
+
+/// A runner's latest statement.
+#[derive(Debug)]
+pub(super) struct Statement {
+    /// Thousandths of a request per second; `None` if it ended an earlier limit.
+    limit: Option<u32>,
+    /// Time of the response that carried it.
+    at: Instant,
+    /// Whether this node received that response.
+    own: bool,
+    /// Whether peers have to be informed.
+    dirty: bool,
+    /// This node's part.
+    bucket: Bucket,
+}
+
+impl Statement {
+    fn is_limit(&self, now: Instant) -> bool {
+        self.limit.is_some() && now < self.at + STALE
+    }
+
+    fn report(&self, now: Instant, runner: &CompactString) -> RateLimit {
+        let age = now.saturating_duration_since(self.at).as_millis();
+        let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+        RateLimit { runner: runner.clone(), limit: self.limit, age_ms }
+    }
+}
+
 impl Fleet {
+    /// Sets this node's name and the nodes that share limits.
+    pub fn set_nodes(&self, me: &CompactString, nodes: &Arc<Vec<NodeAddress>>) {
+        let inner = &mut *self.inner.borrow_mut();
+        if inner.me != *me || inner.nodes != *nodes {
+            inner.me.clone_from(me);
+            inner.nodes.clone_from(nodes);
+            inner.divide_limits(Instant::now());
+        }
+    }
+
     /// Records the rate limit in a runner's response, in requests per second of all nodes together.
     pub fn set_rate_limit(&self, key: RunnerKey, limit: Option<f64>) {
+        let now = Instant::now();
+        let limit = limit.map(|limit| (limit * SCALE).round() as u32);
+        if self.inner.borrow_mut().state_limit(key, limit, now, true) {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Whether a runner limits its rate of requests.
+    pub fn is_rate_limited(&self, key: RunnerKey) -> bool {
+        let now = Instant::now();
+        self.inner.borrow().runners.get(key).is_some_and(|runner| runner.is_limited(now))
+    }
+
+    /// Takes one request from this node's part of a runner's rate limit; false if it is used up.
+    pub fn admit(&self, key: RunnerKey) -> bool {
+        let now = Instant::now();
         let inner = &mut *self.inner.borrow_mut();
-        let Some(runner) = inner.runners.get_mut(key) else { return };
-        if runner.rate_limit == limit {
-            return;
+        match inner.runners.get_mut(key) {
+            Some(runner) if runner.is_limited(now) => runner.take_token(now),
+            _ => true,
+        }
+    }
+
+    /// Time until this node may send to any runner of a service, if their rate limits alone prevent it.
+    pub fn wait_for_token(&self, service: &str) -> Option<Duration> {
+        let now = Instant::now();
+        let inner = self.inner.borrow();
+        let keys = inner.services.get(service)?.iter();
+        let ready =
+            keys.map(|k| &inner.runners[*k]).filter(|r| r.registration.state == State::Ready);
+        let waits = ready.map(|runner| match runner.has_token(now) {
+            true => Some(Duration::ZERO),
+            false => runner.statement.as_ref()?.bucket.wait(now),
+        });
+        waits.flatten().min().filter(|wait| !wait.is_zero())
+    }
+
+    /// Statements to repeat to peers.
+    pub(super) fn limits(
+        &self,
+        mut relevant: impl FnMut(&mut Statement) -> bool,
+    ) -> Vec<RateLimit> {
+        let now = Instant::now();
+        let mut inner = self.inner.borrow_mut();
+        let reports = inner.runners.values_mut().filter_map(|runner| {
+            let statement = runner.statement.as_mut().filter(|s| s.own)?;
+            relevant(statement).then(|| statement.report(now, &runner.registration.id))
+        });
+        reports.collect()
+    }
+
+    /// Statements that peers do not have yet.
+    pub(super) fn take_limits(&self) -> Vec<RateLimit> {
+        self.limits(|statement| std::mem::take(&mut statement.dirty))
+    }
+
+    /// Statements that peers may have missed.
+    pub(super) fn recent_limits(&self) -> Vec<RateLimit> {
+        let now = Instant::now();
+        self.limits(|statement| now < statement.at + REPEAT)
+    }
+}
+
+impl Inner {
+    /// Applies a statement unless a newer one is known; returns whether peers have to be informed.
+    fn state_limit(&mut self, key: RunnerKey, limit: Option<u32>, at: Instant, own: bool) -> bool {
+        let now = Instant::now();
+        let Some(runner) = self.runners.get_mut(key) else { return false };
+        let former = runner.statement.as_ref().filter(|s| now < s.at + STALE);
+        let is_outdated = former.is_some_and(|former| at < former.at);
+        let known = former.and_then(|former| former.limit);
+        if is_outdated || (known.is_none() && limit.is_none()) {
+            return false;
         }
-        runner.rate_limit = limit;
         let id = runner.registration.id.as_str();
-        match limit {
-            Some(limit) => log::info!(runner = id, limit; "{RATE_LIMITED}"),
-            None => log::info!(runner = id; "{RATE_UNLIMITED}"),
+        if known != limit {
+            match limit {
+                Some(limit) => {
+                    log::info!(runner = id, limit = f64::from(limit) / SCALE; "{RATE_LIMITED}");
+                }
+                None => log::info!(runner = id; "{RATE_UNLIMITED}"),
+            }
         }
+        let dirty = own && known != limit;
+        let bucket = match runner.statement.take() {
+            Some(former) if former.limit == limit => former.bucket,
+            _ => Bucket::new(now),
+        };
+        runner.statement = Some(Statement { limit, at, own, dirty, bucket });
+        if known != limit {
+            self.divide_limit(key, now);
+        }
+        dirty
     }
 
-    /// Whether a runner states a rate limit.
-    pub fn is_rate_limited(&self, key: RunnerKey) -> bool {
-        self.inner.borrow().runners.get(key).is_some_and(|runner| runner.rate_limit.is_some())
+    /// Applies a peer's report.
+    pub(super) fn apply_limit(&mut self, report: &RateLimit, now: Instant) {
+        let age = Duration::from_millis(report.age_ms.into());
+        let (key, at) = (self.by_id.get(&report.runner).copied(), now.checked_sub(age));
+        if let (Some(key), Some(at)) = (key, at) {
+            self.state_limit(key, report.limit, at, false);
+        }
+    }
+
+    /// Divides all limits anew, after nodes or runners have changed.
+    pub(super) fn divide_limits(&mut self, now: Instant) {
+        let limited = self.runners.iter().filter(|(_, runner)| runner.is_limited(now));
+        let limited: Vec<RunnerKey> = limited.map(|(key, _)| key).collect();
+        limited.into_iter().for_each(|key| self.divide_limit(key, now));
+    }
+
+    fn divide_limit(&mut self, key: RunnerKey, now: Instant) {
+        let runner = &self.runners[key];
+        let Some(limit) = runner.statement.as_ref().and_then(|s| s.limit) else { return };
+        let limit = f64::from(limit) / SCALE;
+        let owners = self.owners(runner, (limit + BURST) as usize);
+        let part = if owners.contains(&self.me) { 1.0 / owners.len() as f64 } else { 0.0 };
+        if let Some(statement) = &mut self.runners[key].statement {
+            statement.bucket.resize(now, limit * part, (limit + BURST) * part);
+        }
+    }
+
+    /// The nodes that share a runner's limit: at most `count` by rendezvous hashing, of the nodes whose
+    /// failure domain mainly uses this runner, or of all if there are none.
+    fn owners(&self, runner: &Runner, count: usize) -> BTreeSet<&CompactString> {
+        let domains = self.domains(&runner.registration.service);
+        let domain = &runner.registration.domain;
+        let mark = |name: &CompactString| xxh64(name.as_bytes(), runner.address_hash);
+        let is_near = |node: &&NodeAddress| home(&domains, &node.domain) == Some(domain);
+        let mut ranked: Vec<&NodeAddress> = self.nodes.iter().filter(is_near).collect();
+        if ranked.is_empty() {
+            ranked = self.nodes.iter().collect();
+        }
+        ranked.sort_unstable_by_key(|node| Reverse(mark(&node.name)));
+        ranked.into_iter().take(count).map(|node| &node.name).collect()
+    }
+
+    /// The failure domains with runners of a service.
+    fn domains(&self, service: &str) -> BTreeSet<&CompactString> {
+        let keys = self.services.get(service).into_iter().flatten();
+        let registrations = keys.map(|key| &self.runners[*key].registration);
+        let ready = registrations.filter(|registration| registration.state == State::Ready);
+        ready.map(|registration| &registration.domain).collect()
+    }
+}
+
+/// The failure domain, of those with runners, that the nodes of another one mainly use.
+fn home<'a>(
+    domains: &BTreeSet<&'a CompactString>,
+    from: &CompactString,
+) -> Option<&'a CompactString> {
+    let seed = xxh64(from.as_bytes(), 0);
+    let other = || domains.iter().copied().max_by_key(|d| xxh64(d.as_bytes(), seed));
+    domains.get(from).copied().or_else(other)
+}
+
+impl Runner {
+    pub(super) fn is_limited(&self, now: Instant) -> bool {
+        self.statement.as_ref().is_some_and(|statement| statement.is_limit(now))
+    }
+
+    /// Whether its rate limit, if any, leaves this node another request.
+    pub(super) fn has_token(&self, now: Instant) -> bool {
+        let limited = self.statement.as_ref().filter(|statement| statement.is_limit(now));
+        limited.is_none_or(|statement| statement.bucket.has_token(now))
+    }
+
+    fn take_token(&mut self, now: Instant) -> bool {
+        self.statement.as_mut().is_none_or(|statement| statement.bucket.take(now))
     }
 }
--- /dev/null
+++ b/crates/relay/src/fleet/rate_limit/bucket.rs
@@ -0,0 +1,57 @@
+//! Token bucket.
+
+use {std::time::Duration, tokio::time::Instant};
+
+/// Longest stated wait, for a bucket that hardly fills.
+const WAIT_MAX: Duration = Duration::from_secs(60);
+
+/// A bucket that starts empty.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bucket {
+    /// Tokens per second.
+    rate: f64,
+    capacity: f64,
+    tokens: f64,
+    /// Time up to which `tokens` were added.
+    filled: Instant,
+}
+
+impl Bucket {
+    /// An empty bucket that does not fill.
+    pub(super) fn new(now: Instant) -> Bucket {
+        Bucket { rate: 0.0, capacity: 0.0, tokens: 0.0, filled: now }
+    }
+
+    /// Changes the rate in tokens per second, and the capacity.
+    pub(super) fn resize(&mut self, now: Instant, rate: f64, capacity: f64) {
+        self.tokens = self.level(now).min(capacity);
+        (self.rate, self.capacity, self.filled) = (rate, capacity, now);
+    }
+
+    /// Whether there is a token.
+    pub(super) fn has_token(&self, now: Instant) -> bool {
+        self.level(now) >= 1.0
+    }
+
+    /// Takes a token if there is one.
+    pub(super) fn take(&mut self, now: Instant) -> bool {
+        (self.tokens, self.filled) = (self.level(now), now);
+        let taken = self.tokens >= 1.0;
+        if taken {
+            self.tokens -= 1.0;
+        }
+        taken
+    }
+
+    /// Time until there is a token; `None` if it does not fill.
+    pub(super) fn wait(&self, now: Instant) -> Option<Duration> {
+        let missing = (1.0 - self.level(now)).max(0.0);
+        let wait = Duration::try_from_secs_f64(missing / self.rate).unwrap_or(WAIT_MAX);
+        (self.rate > 0.0).then(|| wait.min(WAIT_MAX))
+    }
+
+    fn level(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
+        (self.tokens + self.rate * elapsed).min(self.capacity)
+    }
+}
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -41,8 +41,8 @@
 
 /// Shortest `Retry-After` of a rejected request.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
-/// Longest `Retry-After`; the value is random in between, so that rejected callers spread out.
-const RETRY_MOST: Duration = Duration::from_millis(600);
+/// Range of the random part of `Retry-After`, so that rejected callers spread out.
+const RETRY_SPREAD: Duration = Duration::from_millis(450);
 
 /// Shared state of all flows. Clones share it.
 #[derive(Clone)]
@@ -206,9 +206,11 @@
         work(self.prefill_rates.borrow_mut().entry(service.into()).or_default())
     }
 
-    /// A rejection with a randomized `Retry-After`.
-    fn not_run(&self) -> Refusal {
-        Refusal::NotRun { retry: rand::rng().random_range(RETRY_LEAST..RETRY_MOST) }
+    /// A rejection with a randomized `Retry-After`, not before the runners' rate limits allow a request.
+    fn not_run(&self, call: &Call) -> Refusal {
+        let wait = self.client.fleet.wait_for_token(&call.service).unwrap_or_default();
+        let least = wait.max(RETRY_LEAST);
+        Refusal::NotRun { retry: rand::rng().random_range(least..least + RETRY_SPREAD) }
     }
 
     fn refuse(&self, call: &Call, refusal: Refusal) -> Response<Answer> {
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -50,6 +50,7 @@
                 };
             }
             SendOutcome::NotRun => arrived = true,
+            SendOutcome::Limited => {}
             SendOutcome::Unsent => fleet.failed(key, Instant::now()),
             SendOutcome::Lost(error) => {
                 if error == SendError::Broken {
@@ -61,7 +62,7 @@
         }
         tried.push(key);
     }
-    traffic.refuse(call, traffic.not_run())
+    traffic.refuse(call, traffic.not_run(call))
 }
 
 /// Response to a request that may have run.
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -87,6 +87,7 @@
     Failure(Parts, Bytes),
     NotRun,
     Unsent,
+    Limited,
     Lost(SendError),
 }
 
@@ -133,7 +134,7 @@
         let end = self.call.deadline();
         let mut cached = if self.sends == 0 { self.find_cached().await } else { None };
         if self.sends == 0 && self.misses_deadline(cached.is_some()) {
-            return Err(FinalFailure::Refused(self.traffic.not_run()));
+            return Err(FinalFailure::Refused(self.traffic.not_run(&self.call)));
         }
         while self.may_send(end) {
             let next =
@@ -163,6 +164,7 @@
                     self.failure = Some((parts, bytes));
                 }
                 AttemptOutcome::NotRun => self.arrived = true,
+                AttemptOutcome::Limited => {}
                 AttemptOutcome::Unsent => self.mark_failed(endpoint.key),
                 AttemptOutcome::Lost(error) => {
                     self.arrived = true;
@@ -272,6 +274,7 @@
                 SendOutcome::Answered(reply) => reply,
                 SendOutcome::NotRun => return AttemptOutcome::NotRun,
                 SendOutcome::Unsent => return AttemptOutcome::Unsent,
+                SendOutcome::Limited => return AttemptOutcome::Limited,
                 SendOutcome::Lost(error) => return AttemptOutcome::Lost(error),
             };
             let (parts, mut run) = Run::new(*reply, lease, replica);
@@ -336,7 +339,7 @@
     fn final_failure(&mut self) -> FinalFailure {
         match (self.failure.take(), self.lost) {
             (Some((parts, bytes)), _) => FinalFailure::Failure(parts, bytes),
-            (None, None) => FinalFailure::Refused(self.traffic.not_run()),
+            (None, None) => FinalFailure::Refused(self.traffic.not_run(&self.call)),
             (None, Some(SendError::Silent)) => FinalFailure::Refused(Refusal::Timeout),
             (None, Some(_)) => FinalFailure::Refused(Refusal::Lost),
         }
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -65,7 +65,7 @@
     }
     match progress.failure {
         Some((parts, bytes)) => Response::from_parts(parts, bytes.into()),
-        None => traffic.refuse(call, refusal(traffic, &progress)),
+        None => traffic.refuse(call, refusal(traffic, call, &progress)),
     }
 }
 
@@ -85,7 +85,7 @@
     until: Instant,
 ) -> Option<(Parts, Bytes)> {
     let (fleet, key) = (&traffic.client.fleet, endpoint.key);
-    progress.arrived |= !matches!(sent, SendOutcome::Unsent);
+    progress.arrived |= !matches!(sent, SendOutcome::Unsent | SendOutcome::Limited);
     match sent {
         SendOutcome::Answered(reply) => {
             progress.runs += 1;
@@ -95,7 +95,7 @@
                 Err(error) => progress.lost = Some(error),
             }
         }
-        SendOutcome::NotRun => {}
+        SendOutcome::NotRun | SendOutcome::Limited => {}
         SendOutcome::Unsent => fleet.failed(key, Instant::now()),
         SendOutcome::Lost(error) => {
             progress.runs += 1;
@@ -109,9 +109,13 @@
     None
 }
 
-fn refusal<D: Dialect, N: Network>(traffic: &Traffic<D, N>, progress: &Progress) -> Refusal {
+fn refusal<D: Dialect, N: Network>(
+    traffic: &Traffic<D, N>,
+    call: &Call,
+    progress: &Progress,
+) -> Refusal {
     match progress.lost {
-        None => traffic.not_run(),
+        None => traffic.not_run(call),
         Some(SendError::Silent) => Refusal::Timeout,
         Some(_) => Refusal::Lost,
     }
--- a/crates/relay/src/load_sync.rs
+++ b/crates/relay/src/load_sync.rs
@@ -46,11 +46,7 @@
                 sleep(GATHER).await;
                 Load { budgets: budgets.take_update(), ..fleet.take_update() }
             }
-            _ = refresh.tick() => Load {
-                runners: fleet.snapshot(),
-                budgets: budgets.snapshot(),
-                ..Load::default()
-            },
+            _ = refresh.tick() => Load { budgets: budgets.snapshot(), ..fleet.snapshot() },
             Some(PeerReport { from, load }) = channels.peer_reports.recv() => {
                 fleet.apply_peer_load(&from, &load);
                 budgets.apply(&from, &load.budgets);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -17,6 +17,7 @@
         store::Store,
         view::Published,
     },
+    compact_str::CompactString,
     std::{
         io,
         net::SocketAddr,
@@ -147,7 +148,8 @@
     if let Some(address) = settings.listen.metrics {
         start(address, Purpose::Metrics)?;
     }
-    tokio::task::spawn_local(take_runners(handler.traffic.clone()));
+    let name = settings.name.clone();
+    tokio::task::spawn_local(take_runners(handler.traffic.clone(), name));
     let fleet = handler.traffic.client.fleet.clone();
     let budgets = handler.traffic.budgets.clone();
     tokio::task::spawn_local(load_sync::sync(fleet, budgets, channels));
@@ -160,11 +162,12 @@
 }
 
 /// Applies published views to the fleet.
-async fn take_runners<D: Dialect>(traffic: Traffic<D, Tcp>) {
+async fn take_runners<D: Dialect>(traffic: Traffic<D, Tcp>, name: CompactString) {
     let mut signal = traffic.published.watch();
     loop {
         let view = traffic.published.load();
         traffic.client.fleet.set_scope(view.scope);
+        traffic.client.fleet.set_nodes(&name, &view.nodes);
         if view.listed {
             traffic.client.fleet.update(&view.runners);
         }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -55,6 +55,8 @@
     NotRun,
     /// Nothing was sent.
     Unsent,
+    /// Nothing was sent, as the runner's rate limit is used up.
+    Limited,
     /// Sent without a response; it may have run.
     Lost(SendError),
 }
@@ -99,6 +101,9 @@
             let headers = self.dialect.send(call, options);
             request(&call.method, &call.path, endpoint.address, headers, call.body.clone())
         };
+        if !self.fleet.admit(endpoint.key) {
+            return SendOutcome::Limited;
+        }
         if self.fleet.is_rate_limited(endpoint.key) {
             self.metrics.count_limited_send(options.earlier);
         }
--- a/crates/relay/tests/domains.rs
+++ b/crates/relay/tests/domains.rs
@@ -86,7 +86,7 @@
     let work = Load { running: 1, memory: 5_600, unread: 5_000 };
     let lease = fleet.lease(place, work);
     assert_eq!(fleet.take_update().runners.len(), 1);
-    assert_eq!(fleet.snapshot().len(), 1);
+    assert_eq!(fleet.snapshot().runners.len(), 1);
     drop(lease);
     assert_eq!(fleet.take_update().runners[0].running, 0);
 }
--- a/tests/relay/limits.rs
+++ b/tests/relay/limits.rs
@@ -134,3 +134,42 @@
     })
     .await;
 }
+
+/// Guards against a request that waits, or a caller sent back too early, while all runners are at their
+/// limits; a runner at its limit has not failed.
+#[tokio::test(start_paused = true)]
+async fn a_request_beyond_all_limits_is_rejected_at_once() {
+    play(async {
+        let world = World::new(PLAIN, &["a"], &Script::Whole(200, "lodged"));
+        let alone = node("n1", 1, "a");
+        world.publish_nodes(vec![alone]);
+        world.runners[0].rate_limit.set(Some(0.25));
+        assert_eq!(world.serve("/lodge/1", &[]).await.status, 200);
+        let start = Instant::now();
+        let received = world.serve("/lodge/2", &[]).await;
+        assert_eq!((received.status, start.elapsed()), (503, Duration::ZERO));
+        let retry: f64 = received.headers["retry-after"].to_str().unwrap().parse().unwrap();
+        assert!((4.0..5.0).contains(&retry), "{retry}");
+        sleep(Duration::from_secs_f64(retry)).await;
+        assert_eq!(world.serve("/lodge/2", &[]).await.status, 200);
+        assert_eq!(world.sends(), 2);
+        assert!(world.traffic.client.fleet.take_update().failed.is_empty());
+    })
+    .await;
+}
+
+/// Guards against a repeat that is sent past a limit which first sends respect.
+#[tokio::test(start_paused = true)]
+async fn repeats_keep_to_a_limit() {
+    play(async {
+        let world = World::new(PLAIN, &["a", "b"], &Script::Whole(500, "no"));
+        world.runners[1].rate_limit.set(Some(1.0));
+        for _ in 0..100 {
+            assert_eq!(world.serve("/look/1", &[]).await.status, 500);
+            sleep(ms(100)).await;
+        }
+        let limited = world.runners[1].count();
+        assert!(limited <= 15, "{limited} requests in 10 s at a limit of 1 a second");
+    })
+    .await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -361,6 +361,8 @@
     pub(crate) traffic: Traffic<Http, Net>,
     /// The runners.
     pub(crate) runners: Vec<Rc<Runner>>,
+    /// The node's name.
+    name: String,
     net: Net,
 }
 
@@ -373,7 +375,7 @@
         let bound = Bound { share: 0.1, slack: 50.0 };
         let mut traffic = Traffic::new(Http, net.clone(), published, allowance, bound);
         traffic.client.fleet = Fleet::seeded(7);
-        let mut world = World { traffic, runners: Vec::new(), net };
+        let mut world = World { traffic, runners: Vec::new(), name: "n1".into(), net };
         for (index, domain) in domains.iter().enumerate() {
             world.add(index as u8, service, domain, script);
         }
@@ -398,6 +400,7 @@
             Traffic::new(Http, self.net.clone(), Published::default(), allowance, bound);
         world.traffic.client.fleet = Fleet::seeded(u64::from(index));
         world.traffic.client.fleet.set_domain(&domain.into());
+        world.name = format!("n{index}");
         world
     }
 
@@ -408,6 +411,7 @@
 
     /// Publishes the catalogue, the runners and these nodes.
     pub(crate) fn publish_nodes(&self, nodes: Vec<NodeAddress>) {
+        let nodes = Arc::new(nodes);
         let registration = |runner: &Rc<Runner>| Registration {
             id: runner.id.as_str().into(),
             born: 1,
@@ -421,11 +425,12 @@
         };
         let runners: Vec<Registration> = self.runners.iter().map(registration).collect();
         self.traffic.client.fleet.update(&runners);
+        self.traffic.client.fleet.set_nodes(&self.name.as_str().into(), &nodes);
         self.traffic.published.store(View {
             catalog: Some(Arc::new(catalog())),
             runners: Arc::new(runners),
             listed: true,
-            nodes: Arc::new(nodes),
+            nodes,
             scope: Scope::System,
             splits: Splits::default(),
             cut_off: false,
