--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -150,7 +150,7 @@
     /// Records the rate limit that a response states. Its absence ends a limit only in the response to a
     /// request that was run.
     fn take_rate_limit(&self, endpoint: &Endpoint, answer: &Answer) {
-        let is_own = answer.signed && !answer.moved;
+        let is_own = (answer.signed || answer.unrun) && !answer.moved;
         if is_own && (answer.rate_limit.is_some() || !answer.unrun) {
             self.fleet.set_rate_limit(endpoint.key, answer.rate_limit);
         }
--- a/tests/relay/limits.rs
+++ b/tests/relay/limits.rs
@@ -173,3 +173,20 @@
     })
     .await;
 }
+
+/// Guards against a limit that is missed because the runner states it while it rejects a request, which
+/// it does not sign.
+#[tokio::test(start_paused = true)]
+async fn a_limit_in_a_rejection_holds() {
+    play(async {
+        let world = World::new(PLAIN, &["a", "b"], &Script::Whole(200, "lodged"));
+        *world.runners[0].script.borrow_mut() = Script::NotRun;
+        world.runners[0].rate_limit.set(Some(0.0));
+        for _ in 0..50 {
+            assert_eq!(world.serve("/lodge/1", &[]).await.status, 200);
+            sleep(ms(100)).await;
+        }
+        assert_eq!(world.runners[0].count(), 1);
+    })
+    .await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -247,6 +247,7 @@
         _ => runner.script.borrow().clone(),
     };
     let id = parts.headers["x-bilberryfront-attempt-id"].clone();
+    let is_rejected = script == Script::NotRun;
     let mut response = match script {
         Script::Whole(status, text) => whole(status, text),
         Script::NotRun => {
@@ -269,7 +270,9 @@
     };
     let headers = response.headers_mut();
     headers.entry("x-bilberryfront-attempt-id").or_insert(id);
-    headers.insert("x-bilberryfront-server-stamp", runner.id.parse().unwrap());
+    if !is_rejected {
+        headers.insert("x-bilberryfront-server-stamp", runner.id.parse().unwrap());
+    }
     if let Some(limit) = runner.rate_limit.get() {
         headers.insert("server-limit", limit.to_string().parse().unwrap());
     }
