--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -119,6 +119,8 @@
     pub idle: Option<Duration>,
     /// Requests per second that the runner accepts from all nodes together, while it states them.
     pub rate_limit: Option<f64>,
+    /// Whether the runner announces that it leaves.
+    pub draining: bool,
 }
 
 /// Progress of a request according to its runner.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The runners as the traffic thread sees them: registrations, load and health.
 
 mod choose;
+mod drain;
 mod load;
 mod health;
 mod lease;
@@ -86,6 +87,8 @@
     dirty: bool,
     /// The latest statement about its rate of requests.
     statement: Option<Statement>,
+    /// Whether it has announced that it leaves; final for an incarnation.
+    draining: bool,
 }
 
 /// A runner's address and identity.
@@ -300,6 +303,7 @@
             peer_loads: PeerLoads::default(),
             dirty: false,
             statement: None,
+            draining: false,
         };
         let key = self.runners.insert(runner);
         self.by_id.insert(registration.id.clone(), key);
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -32,8 +32,11 @@
 /// A runner no longer states a rate limit.
 pub const RATE_UNLIMITED: &str = "the runner no longer limits its rate of requests";
 
+/// A runner announces its drain in a response.
+pub const RUNNER_DRAINING: &str = "the runner announces that it leaves";
+
 /// All messages, to check that the operators' page covers them.
-pub const ALL: [&str; 15] = [
+pub const ALL: [&str; 16] = [
     REFUSED,
     RUN_BEGUN,
     RUN_LOST,
@@ -49,4 +52,5 @@
     RUNNER_GONE,
     RATE_LIMITED,
     RATE_UNLIMITED,
+    RUNNER_DRAINING,
 ];
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -123,7 +123,7 @@
         self.count_bytes(Part::Request, endpoint, call.body.len());
         let (mut parts, body) = response.into_parts();
         let answer = self.dialect.answer(&parts);
-        self.take_rate_limit(endpoint, &answer);
+        self.take_statements(endpoint, &answer);
         if answer.unrun {
             log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
                 status = parts.status.as_u16(), from_replica = options.from_replica.is_some();
@@ -147,10 +147,13 @@
         SendOutcome::Answered(Box::new(Reply { parts, answer, body, line }))
     }
 
-    /// Records the rate limit that a response states. Its absence ends a limit only in the response to a
-    /// request that was run.
-    fn take_rate_limit(&self, endpoint: &Endpoint, answer: &Answer) {
+    /// Records what a response states about its runner. The absence of a rate limit ends one only in the
+    /// response to a request that was run.
+    fn take_statements(&self, endpoint: &Endpoint, answer: &Answer) {
         let is_own = (answer.signed || answer.unrun) && !answer.moved;
+        if is_own && answer.draining {
+            self.fleet.set_draining(endpoint.key);
+        }
         if is_own && (answer.rate_limit.is_some() || !answer.unrun) {
             self.fleet.set_rate_limit(endpoint.key, answer.rate_limit);
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -2,6 +2,8 @@
 
 #[path = "relay/calls.rs"]
 mod calls;
+#[path = "relay/drains.rs"]
+mod drains;
 #[path = "relay/faces.rs"]
 mod faces;
 #[path = "relay/limits.rs"]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -124,6 +124,8 @@
     pub(crate) restarted: RefCell<Option<(&'static str, &'static str)>>,
     /// Requests a second that it states in its answers.
     pub(crate) rate_limit: Cell<Option<f64>>,
+    /// Whether its answers say that it leaves.
+    pub(crate) leaving: Cell<bool>,
     /// Requests that it has seen; questions aside.
     pub(crate) seen: RefCell<Vec<Seen>>,
     /// Its connections.
@@ -154,6 +156,7 @@
             down: Cell::new(false),
             restarted: RefCell::default(),
             rate_limit: Cell::new(None),
+            leaving: Cell::new(false),
             seen: RefCell::default(),
             log_messages: RefCell::default(),
         }
@@ -273,6 +276,9 @@
     if !is_rejected {
         headers.insert("x-bilberryfront-server-stamp", runner.id.parse().unwrap());
     }
+    if runner.leaving.get() {
+        headers.insert("server-leaving", "1".parse().unwrap());
+    }
     if let Some(limit) = runner.rate_limit.get() {
         headers.insert("server-limit", limit.to_string().parse().unwrap());
     }
