--- a/tests/relay/drains.rs
+++ b/tests/relay/drains.rs
@@ -1,6 +1,37 @@
 //! Runners that announce in their answers that they leave.
 
-use super::support::{PLAIN, Script, World, play};
+use {
+    super::support::{ENGINES, Ends, PLAIN, Script, World, ms, play},
+    tokio::time::sleep,
+};
+
+const EVENTS: Script = Script::Events { last: 3, gap: ms(5), ends: Ends::Whole };
+
+/// Guards against requests to a runner that has announced that it leaves, while the store is away, its
+/// registration still says ready, and older lists of runners are applied again.
+#[tokio::test(start_paused = true)]
+async fn no_request_reaches_a_runner_after_its_announcement() {
+    for (service, path, script) in [
+        (PLAIN, "/lodge/1", Script::Whole(200, "lodged")),
+        (PLAIN, "/look/1", Script::Whole(500, "no")),
+        (PLAIN, "/lodge/1", Script::NotRun),
+        (ENGINES, "/stream/1", EVENTS),
+        (ENGINES, "/fixed/1", EVENTS),
+    ] {
+        play(async {
+            let world = World::new(service, &["a", "b", "c"], &script);
+            world.runners[0].leaving.set(true);
+            for _ in 0..200 {
+                world.serve(path, &[]).await;
+                world.publish();
+                sleep(ms(20)).await;
+            }
+            let count = world.runners[0].count();
+            assert_eq!(count, 1, "{path}: requests to a leaving runner");
+        })
+        .await;
+    }
+}
 
 /// Guards against an announcement that is recorded from some kinds of responses only.
 #[tokio::test(start_paused = true)]
