Send nothing to a runner after it announces that it leaves

Callers saw nothing amiss; a leaving runner got requests 2.07 and 2.37 s after their nodes had its announcement (bound 2 s), and for 12 s as many as before.

Cause: nodes learned of a draining runner from its registration alone, and the store was away from 7.0 to 20.1 s; the runner's own word in each response was dropped.

It counts from any response of the runner, rejections and control requests included, goes to all nodes at once with the incarnation's start time, and is repeated for 2 s. Leaving runners hold no new replicas, and existing ones are renewed as when the registration says draining. Where all runners leave, requests are rejected at once.

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -137,6 +137,18 @@
     pub budgets: Vec<BudgetUse>,
     /// Rate limits stated by runners.
     pub limits: Vec<RateLimit>,
+    /// Runners that announced that they leave.
+    pub draining: Vec<DrainNotice>,
+}
+
+/// A runner's announcement that it leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct DrainNotice {
+    /// Runner id.
+    pub runner: CompactString,
+    /// Start time in milliseconds since the Unix epoch; the id may be used again later.
+    pub born: u64,
 }
 
 /// A runner's statement about its rate of requests.
@@ -181,6 +193,7 @@
             && self.restarts.is_empty()
             && self.budgets.is_empty()
             && self.limits.is_empty()
+            && self.draining.is_empty()
     }
 }
 
--- a/crates/relay/src/control/members/send.rs
+++ b/crates/relay/src/control/members/send.rs
@@ -104,7 +104,8 @@
                 let is_local = |id: &str| domain(id) == Some(&self.me.domain);
                 let is_own = |id: &str| is_local(id) && self.scope.includes(id);
                 let own = fanout::restrict(load, |load| is_own(&load.runner));
-                let Load { failed, restarts, budgets, limits, .. } = load.clone();
+                let Load { failed, restarts, budgets, limits, draining, .. } = load.clone();
+                let stated = Load { limits, draining, ..Load::default() };
                 let group = local.iter().filter(|peer| self.scope.includes(&peer.name));
                 let group: Vec<Target> = group.cloned().collect();
                 self.send_if_any(&group, Load { failed, restarts, budgets, ..own });
@@ -112,12 +113,12 @@
                 let others = fanout::restrict(load, |load| {
                     load.running > 0 && is_local(&load.runner) && !is_own(&load.runner)
                 });
-                self.send_if_any(local, Load { limits: limits.clone(), ..others });
+                self.send_if_any(local, Load { runners: others.runners, ..stated.clone() });
                 for relay in relays {
                     let theirs = fanout::restrict(load, |load| {
                         load.running > 0 && domain(&load.runner) == Some(&relay.domain)
                     });
-                    self.send_relayed(relay, Load { limits: limits.clone(), ..theirs });
+                    self.send_relayed(relay, Load { runners: theirs.runners, ..stated.clone() });
                 }
             }
         }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -15,11 +15,11 @@
 };
 
 use {
-    self::{load::PeerLoads, rate_limit::Statement},
+    self::{drain::Announcement, load::PeerLoads, rate_limit::Statement},
     crate::{
         fanout::Scope,
         pool::{Connection, Pool},
-        view::{NodeAddress, Registration, State},
+        view::{NodeAddress, Registration},
     },
     bilberryfront_decide::member::message::Restart,
     compact_str::CompactString,
@@ -87,8 +87,8 @@
     dirty: bool,
     /// The latest statement about its rate of requests.
     statement: Option<Statement>,
-    /// Whether it has announced that it leaves; final for an incarnation.
-    draining: bool,
+    /// Its announcement that it leaves.
+    drain: Option<Announcement>,
 }
 
 /// A runner's address and identity.
@@ -193,8 +193,7 @@
     /// [`Fleet::is_ejected`], this ignores cool-downs and failures of its neighbours.
     pub fn is_available(&self, key: RunnerKey) -> bool {
         let inner = self.inner.borrow();
-        let is_available =
-            |r: &Runner| r.registration.state == State::Ready && !r.health.has_failed();
+        let is_available = |r: &Runner| r.is_ready() && !r.health.has_failed();
         inner.runners.get(key).is_some_and(is_available)
     }
 
@@ -275,7 +274,7 @@
         let inner = self.inner.borrow();
         let keys = inner.services.get(service).into_iter().flatten();
         let runners = keys.map(|key| &inner.runners[*key]);
-        runners.filter(|r| r.registration.state == State::Ready && r.has_token(now)).count()
+        runners.filter(|r| r.is_ready() && r.has_token(now)).count()
     }
 }
 
@@ -303,7 +302,7 @@
             peer_loads: PeerLoads::default(),
             dirty: false,
             statement: None,
-            draining: false,
+            drain: None,
         };
         let key = self.runners.insert(runner);
         self.by_id.insert(registration.id.clone(), key);
@@ -324,8 +323,8 @@
         let Registration { service, domain, .. } = &self.runners[key].registration;
         let all = self.services.get(service).into_iter().flatten().copied();
         let near = all.filter(|k| {
-            let near = &self.runners[*k].registration;
-            near.domain == *domain && near.state == State::Ready
+            let near = &self.runners[*k];
+            near.registration.domain == *domain && near.is_ready()
         });
         let near: Vec<RunnerKey> = near.collect();
         let failed = near.iter().filter(|k| self.runners[**k].health.failed_recently(now));
--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Endpoint, Fleet, Inner, Load, RunnerKey},
-    crate::{fanout::Scope, view::State},
+    crate::fanout::Scope,
     rand::Rng,
     std::cmp::Reverse,
     tokio::time::Instant,
@@ -134,7 +134,7 @@
     fn is_open(&self, key: RunnerKey, criteria: &Criteria<'_>, now: Instant) -> bool {
         let runner = &self.runners[key];
         let registration = &runner.registration;
-        registration.state == State::Ready
+        runner.is_ready()
             && runner.has_token(now)
             && !criteria.except.contains(&key)
             && criteria.version.is_none_or(|v| v.allows(&registration.version))
--- a/crates/relay/src/fleet/drain.rs
+++ b/crates/relay/src/fleet/drain.rs
@@ -1,22 +1,95 @@
 //! Runners that announce in a response that they leave.
+//!
+//! The announcement is final for an incarnation. It counts beside the registration, which follows later,
+//! and never if the store is unavailable.
 
 use {
-    super::{Fleet, RunnerKey},
-    crate::log_messages::RUNNER_DRAINING,
+    super::{Fleet, Inner, Runner, RunnerKey},
+    crate::{log_messages::RUNNER_DRAINING, view::State},
+    bilberryfront_decide::member::message::DrainNotice,
+    std::time::Duration,
+    tokio::time::Instant,
 };
 
+/// Age up to which an announcement is repeated to peers, for those that missed the first report.
+const REPEAT: Duration = Duration::from_secs(2);
+
+/// An announcement received by this node or a peer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Announcement {
+    at: Instant,
+    /// Whether this node received it from the runner.
+    own: bool,
+    /// Whether peers have to be informed.
+    dirty: bool,
+}
+
 impl Fleet {
     /// Records that a runner has announced that it leaves.
     pub fn set_draining(&self, key: RunnerKey) {
-        let inner = &mut *self.inner.borrow_mut();
-        let Some(runner) = inner.runners.get_mut(key) else { return };
-        if !std::mem::replace(&mut runner.draining, true) {
-            log::info!(runner = runner.registration.id.as_str(); "{RUNNER_DRAINING}");
+        let announced = self.inner.borrow_mut().announce_drain(key, true);
+        if announced {
+            self.changed.notify_one();
         }
     }
 
     /// Whether a runner has announced that it leaves.
     pub fn is_draining(&self, key: RunnerKey) -> bool {
-        self.inner.borrow().runners.get(key).is_some_and(|runner| runner.draining)
+        self.inner.borrow().runners.get(key).is_some_and(|runner| runner.drain.is_some())
+    }
+
+    /// Announcements that peers do not have yet.
+    pub(super) fn take_drain_notices(&self) -> Vec<DrainNotice> {
+        self.drain_notices(|drain| std::mem::take(&mut drain.dirty))
+    }
+
+    /// Announcements that peers may have missed.
+    pub(super) fn recent_drain_notices(&self) -> Vec<DrainNotice> {
+        let now = Instant::now();
+        self.drain_notices(|drain| drain.own && now < drain.at + REPEAT)
+    }
+
+    fn drain_notices(&self, relevant: impl Fn(&mut Announcement) -> bool) -> Vec<DrainNotice> {
+        let mut inner = self.inner.borrow_mut();
+        let leaving = inner.runners.values_mut().filter_map(|runner| {
+            let is_relevant = runner.drain.as_mut().is_some_and(&relevant);
+            is_relevant.then(|| runner.drain_notice())
+        });
+        leaving.collect()
+    }
+}
+
+impl Inner {
+    /// Returns whether the announcement is new.
+    fn announce_drain(&mut self, key: RunnerKey, own: bool) -> bool {
+        let now = Instant::now();
+        let Some(runner) = self.runners.get_mut(key) else { return false };
+        let is_new = runner.drain.is_none();
+        if is_new {
+            runner.drain = Some(Announcement { at: now, own, dirty: own });
+            log::info!(runner = runner.registration.id.as_str(); "{RUNNER_DRAINING}");
+            self.divide_limits(now);
+        }
+        is_new
+    }
+
+    /// Applies a peer's report, unless it is about another incarnation.
+    pub(super) fn apply_drain_notice(&mut self, notice: &DrainNotice) {
+        let Some(key) = self.by_id.get(&notice.runner).copied() else { return };
+        if self.runners[key].registration.born == notice.born {
+            self.announce_drain(key, false);
+        }
+    }
+}
+
+impl Runner {
+    /// Whether it accepts new requests, by its registration and its own announcements.
+    pub(super) fn is_ready(&self) -> bool {
+        self.registration.state == State::Ready && self.drain.is_none()
+    }
+
+    fn drain_notice(&self) -> DrainNotice {
+        let (runner, born) = (self.registration.id.clone(), self.registration.born);
+        DrainNotice { runner, born }
     }
 }
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -94,7 +94,7 @@
 
     /// Changes since the last call, for peers.
     pub fn take_update(&self) -> message::Load {
-        let limits = self.take_limits();
+        let (limits, draining) = (self.take_limits(), self.take_drain_notices());
         let mut inner = self.inner.borrow_mut();
         let failed = std::mem::take(&mut inner.failures);
         let restarts = std::mem::take(&mut inner.restarts);
@@ -108,17 +108,18 @@
             failed,
             restarts,
             limits,
+            draining,
             ..message::Load::default()
         }
     }
 
-    /// This node's load on every runner in use, and recent rate limits.
+    /// This node's load on every runner in use, and what runners have stated recently.
     pub fn snapshot(&self) -> message::Load {
-        let limits = self.recent_limits();
+        let (limits, draining) = (self.recent_limits(), self.recent_drain_notices());
         let inner = self.inner.borrow();
         let loaded = inner.runners.values().filter(|r| r.own != Load::default());
         let runners = loaded.map(Runner::report).collect();
-        message::Load { runners, limits, ..message::Load::default() }
+        message::Load { runners, limits, draining, ..message::Load::default() }
     }
 
     /// Applies a peer's report.
@@ -138,6 +139,7 @@
             }
         }
         update.limits.iter().for_each(|limit| inner.apply_limit(limit, now));
+        update.draining.iter().for_each(|notice| inner.apply_drain_notice(notice));
         if !update.failed.is_empty() {
             self.lost.notify_waiters();
         }
--- a/crates/relay/src/fleet/rate_limit.rs
+++ b/crates/relay/src/fleet/rate_limit.rs
@@ -12,7 +12,7 @@
     super::{Fleet, Inner, Runner, RunnerKey},
     crate::{
         log_messages::{RATE_LIMITED, RATE_UNLIMITED},
-        view::{NodeAddress, State},
+        view::NodeAddress,
     },
     bilberryfront_decide::member::message::RateLimit,
     compact_str::CompactString,
@@ -84,11 +84,13 @@
         self.inner.borrow().runners.get(key).is_some_and(|runner| runner.is_limited(now))
     }
 
-    /// Takes one request from this node's part of a runner's rate limit; false if it is used up.
+    /// Takes one request from this node's part of a runner's rate limit; false if it is used up, or if
+    /// the runner has announced that it leaves.
     pub fn admit(&self, key: RunnerKey) -> bool {
         let now = Instant::now();
         let inner = &mut *self.inner.borrow_mut();
         match inner.runners.get_mut(key) {
+            Some(runner) if runner.drain.is_some() => false,
             Some(runner) if runner.is_limited(now) => runner.take_token(now),
             _ => true,
         }
@@ -99,8 +101,7 @@
         let now = Instant::now();
         let inner = self.inner.borrow();
         let keys = inner.services.get(service)?.iter();
-        let ready =
-            keys.map(|k| &inner.runners[*k]).filter(|r| r.registration.state == State::Ready);
+        let ready = keys.map(|key| &inner.runners[*key]).filter(|runner| runner.is_ready());
         let waits = ready.map(|runner| match runner.has_token(now) {
             true => Some(Duration::ZERO),
             false => runner.statement.as_ref()?.bucket.wait(now),
@@ -211,9 +212,8 @@
     /// The failure domains with runners of a service.
     fn domains(&self, service: &str) -> BTreeSet<&CompactString> {
         let keys = self.services.get(service).into_iter().flatten();
-        let registrations = keys.map(|key| &self.runners[*key].registration);
-        let ready = registrations.filter(|registration| registration.state == State::Ready);
-        ready.map(|registration| &registration.domain).collect()
+        let ready = keys.map(|key| &self.runners[*key]).filter(|runner| runner.is_ready());
+        ready.map(|runner| &runner.registration.domain).collect()
     }
 }
 
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -50,7 +50,7 @@
                 };
             }
             SendOutcome::NotRun => arrived = true,
-            SendOutcome::Limited => {}
+            SendOutcome::Withheld => {}
             SendOutcome::Unsent => fleet.failed(key, Instant::now()),
             SendOutcome::Lost(error) => {
                 if error == SendError::Broken {
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -87,7 +87,7 @@
     Failure(Parts, Bytes),
     NotRun,
     Unsent,
-    Limited,
+    Withheld,
     Lost(SendError),
 }
 
@@ -164,7 +164,7 @@
                     self.failure = Some((parts, bytes));
                 }
                 AttemptOutcome::NotRun => self.arrived = true,
-                AttemptOutcome::Limited => {}
+                AttemptOutcome::Withheld => {}
                 AttemptOutcome::Unsent => self.mark_failed(endpoint.key),
                 AttemptOutcome::Lost(error) => {
                     self.arrived = true;
@@ -274,7 +274,7 @@
                 SendOutcome::Answered(reply) => reply,
                 SendOutcome::NotRun => return AttemptOutcome::NotRun,
                 SendOutcome::Unsent => return AttemptOutcome::Unsent,
-                SendOutcome::Limited => return AttemptOutcome::Limited,
+                SendOutcome::Withheld => return AttemptOutcome::Withheld,
                 SendOutcome::Lost(error) => return AttemptOutcome::Lost(error),
             };
             let (parts, mut run) = Run::new(*reply, lease, replica);
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -85,7 +85,7 @@
     until: Instant,
 ) -> Option<(Parts, Bytes)> {
     let (fleet, key) = (&traffic.client.fleet, endpoint.key);
-    progress.arrived |= !matches!(sent, SendOutcome::Unsent | SendOutcome::Limited);
+    progress.arrived |= !matches!(sent, SendOutcome::Unsent | SendOutcome::Withheld);
     match sent {
         SendOutcome::Answered(reply) => {
             progress.runs += 1;
@@ -95,7 +95,7 @@
                 Err(error) => progress.lost = Some(error),
             }
         }
-        SendOutcome::NotRun | SendOutcome::Limited => {}
+        SendOutcome::NotRun | SendOutcome::Withheld => {}
         SendOutcome::Unsent => fleet.failed(key, Instant::now()),
         SendOutcome::Lost(error) => {
             progress.runs += 1;
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -55,8 +55,8 @@
     NotRun,
     /// Nothing was sent.
     Unsent,
-    /// Nothing was sent, as the runner's rate limit is used up.
-    Limited,
+    /// Nothing was sent, as the runner leaves or its rate limit is used up.
+    Withheld,
     /// Sent without a response; it may have run.
     Lost(SendError),
 }
@@ -102,7 +102,7 @@
             request(&call.method, &call.path, endpoint.address, headers, call.body.clone())
         };
         if !self.fleet.admit(endpoint.key) {
-            return SendOutcome::Limited;
+            return SendOutcome::Withheld;
         }
         if self.fleet.is_rate_limited(endpoint.key) {
             self.metrics.count_limited_send(options.earlier);
@@ -279,9 +279,13 @@
             let until = Instant::now() + limit;
             let (response, line) = self.exchange(endpoint, request, until).await.ok()?;
             let (parts, body) = response.into_parts();
+            let answer = self.dialect.answer(&parts);
+            if answer.draining {
+                self.fleet.set_draining(endpoint.key);
+            }
             let body = Limited::new(body, ANSWER_BYTES).collect().await.ok()?.to_bytes();
             self.fleet.alive(endpoint.key, Instant::now());
-            self.fleet.keep(endpoint.key, line, self.dialect.answer(&parts).idle);
+            self.fleet.keep(endpoint.key, line, answer.idle);
             parts.status.is_success().then_some(body)
         };
         timeout(limit, asked).await.ok()?
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -270,3 +270,52 @@
 fn find(fleet: &Fleet, id: &str) -> RunnerKey {
     fleet.find(id).expect("the runner is listed").key
 }
+
+/// The runners that a node chooses from, of `fleet(1)`.
+fn chosen(fleet: &Fleet) -> Vec<String> {
+    let mut ids: Vec<String> =
+        (0..50).map(|_| fleet.choose(&criteria(None)).unwrap().id.to_string()).collect();
+    ids.sort_unstable();
+    ids.dedup();
+    ids
+}
+
+/// Guards against requests of nodes that a leaving runner has not answered since its announcement.
+#[tokio::test(start_paused = true)]
+async fn peers_learn_that_a_runner_leaves() {
+    let nodes = [fleet(1), fleet(1), fleet(1)];
+    nodes[0].set_draining(nodes[0].find("r0").unwrap().key);
+    nodes[1].apply_peer_load(&"n0".into(), &nodes[0].take_update());
+    assert_eq!(chosen(&nodes[1]), ["r1", "r2"]);
+    assert!(nodes[0].take_update().draining.is_empty());
+    // The third missed the report and gets the repeated one.
+    nodes[2].apply_peer_load(&"n0".into(), &nodes[0].snapshot());
+    assert_eq!(chosen(&nodes[2]), ["r1", "r2"]);
+    assert!(nodes[2].snapshot().draining.is_empty(), "a report is not reported again");
+}
+
+/// Guards against an announcement that outlives its incarnation, or that a report about the former one
+/// extends to the next.
+#[tokio::test(start_paused = true)]
+async fn a_restarted_runner_is_used_again_after_a_drain() {
+    let node = fleet(1);
+    node.set_draining(node.find("r0").unwrap().key);
+    let report = node.take_update();
+    let mut list = runners(1);
+    node.update(&list);
+    assert_eq!(chosen(&node), ["r1", "r2"], "an older list does not undo it");
+    list[0].born = 2;
+    node.update(&list);
+    node.apply_peer_load(&"n1".into(), &report);
+    assert_eq!(chosen(&node), ["r0", "r1", "r2"]);
+}
+
+/// Guards against a request that was chosen before the announcement and is sent after it.
+#[tokio::test(start_paused = true)]
+async fn a_waiting_request_is_not_sent_to_a_leaving_runner() {
+    let node = fleet(1);
+    let endpoint = node.choose(&criteria(None)).unwrap();
+    assert!(node.admit(endpoint.key));
+    node.set_draining(endpoint.key);
+    assert!(!node.admit(endpoint.key));
+}
--- a/tests/relay/drains.rs
+++ b/tests/relay/drains.rs
@@ -2,7 +2,7 @@
 
 use {
     super::support::{ENGINES, Ends, PLAIN, Script, World, ms, play},
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep},
 };
 
 const EVENTS: Script = Script::Events { last: 3, gap: ms(5), ends: Ends::Whole };
@@ -47,3 +47,17 @@
         .await;
     }
 }
+
+/// Guards against a wait, or a request to a leaving runner, where no other is left.
+#[tokio::test(start_paused = true)]
+async fn a_request_is_rejected_at_once_when_all_runners_leave() {
+    play(async {
+        let world = World::new(PLAIN, &["a"], &Script::Whole(200, "lodged"));
+        world.runners[0].leaving.set(true);
+        world.serve("/lodge/1", &[]).await;
+        let start = Instant::now();
+        let received = world.serve("/lodge/2", &[]).await;
+        assert_eq!((received.status, start.elapsed(), world.sends()), (503, ms(0), 1));
+    })
+    .await;
+}
