Send nothing to a runner for the Retry-After of its rejection

The time holds for this node, which the runner addressed, for requests and control requests, and is checked again right before the send; probes of a stream wait for its end instead of counting as failed. Where all runners of a service want none, callers are told the shortest time at once.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -121,6 +121,8 @@
     pub rate_limit: Option<f64>,
     /// Whether the runner announces that it leaves.
     pub draining: bool,
+    /// Time for which the runner wants no request of this node, in a rejection.
+    pub retry_after: Option<Duration>,
 }
 
 /// Progress of a request according to its runner.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -5,6 +5,7 @@
 mod load;
 mod health;
 mod lease;
+mod pause;
 mod rate_limit;
 
 pub use self::{
@@ -89,6 +90,8 @@
     statement: Option<Statement>,
     /// Its announcement that it leaves.
     drain: Option<Announcement>,
+    /// Time until which it wants no request of this node.
+    paused_until: Option<Instant>,
 }
 
 /// A runner's address and identity.
@@ -268,13 +271,13 @@
         Some(self.inner.borrow().runners.get(key)?.registration.service.clone())
     }
 
-    /// Number of runners of a service that accept requests, from this node within their rate limits.
+    /// Number of runners of a service that accept requests of this node now.
     pub fn ready(&self, service: &str) -> usize {
         let now = Instant::now();
         let inner = self.inner.borrow();
         let keys = inner.services.get(service).into_iter().flatten();
         let runners = keys.map(|key| &inner.runners[*key]);
-        runners.filter(|r| r.is_ready() && r.has_token(now)).count()
+        runners.filter(|runner| runner.is_open(now)).count()
     }
 }
 
@@ -303,6 +306,7 @@
             dirty: false,
             statement: None,
             drain: None,
+            paused_until: None,
         };
         let key = self.runners.insert(runner);
         self.by_id.insert(registration.id.clone(), key);
--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -134,8 +134,7 @@
     fn is_open(&self, key: RunnerKey, criteria: &Criteria<'_>, now: Instant) -> bool {
         let runner = &self.runners[key];
         let registration = &runner.registration;
-        runner.is_ready()
-            && runner.has_token(now)
+        runner.is_open(now)
             && !criteria.except.contains(&key)
             && criteria.version.is_none_or(|v| v.allows(&registration.version))
     }
--- a/crates/relay/src/fleet/rate_limit.rs
+++ b/crates/relay/src/fleet/rate_limit.rs
@@ -85,30 +85,18 @@
     }
 
     /// Takes one request from this node's part of a runner's rate limit; false if it is used up, or if
-    /// the runner has announced that it leaves.
+    /// the runner has announced that it leaves or wants no request for some time.
     pub fn admit(&self, key: RunnerKey) -> bool {
         let now = Instant::now();
         let inner = &mut *self.inner.borrow_mut();
         match inner.runners.get_mut(key) {
             Some(runner) if runner.drain.is_some() => false,
+            Some(runner) if !runner.pause_left(now).is_zero() => false,
             Some(runner) if runner.is_limited(now) => runner.take_token(now),
             _ => true,
         }
     }
 
-    /// Time until this node may send to any runner of a service, if their rate limits alone prevent it.
-    pub fn wait_for_token(&self, service: &str) -> Option<Duration> {
-        let now = Instant::now();
-        let inner = self.inner.borrow();
-        let keys = inner.services.get(service)?.iter();
-        let ready = keys.map(|key| &inner.runners[*key]).filter(|runner| runner.is_ready());
-        let waits = ready.map(|runner| match runner.has_token(now) {
-            true => Some(Duration::ZERO),
-            false => runner.statement.as_ref()?.bucket.wait(now),
-        });
-        waits.flatten().min().filter(|wait| !wait.is_zero())
-    }
-
     /// Statements to repeat to peers.
     pub(super) fn limits(
         &self,
@@ -238,6 +226,14 @@
         limited.is_none_or(|statement| statement.bucket.has_token(now))
     }
 
+    /// Time until it has a token; `None` if this node has no part of the limit.
+    pub(super) fn wait_for_token(&self, now: Instant) -> Option<Duration> {
+        match &self.statement {
+            Some(statement) if statement.is_limit(now) => statement.bucket.wait(now),
+            _ => Some(Duration::ZERO),
+        }
+    }
+
     fn take_token(&mut self, now: Instant) -> bool {
         self.statement.as_mut().is_none_or(|statement| statement.bucket.take(now))
     }
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -206,9 +206,9 @@
         work(self.prefill_rates.borrow_mut().entry(service.into()).or_default())
     }
 
-    /// A rejection with a randomized `Retry-After`, not before the runners' rate limits allow a request.
+    /// A rejection with a randomized `Retry-After`, not before a runner wants a request.
     fn not_run(&self, call: &Call) -> Refusal {
-        let wait = self.client.fleet.wait_for_token(&call.service).unwrap_or_default();
+        let wait = self.client.fleet.wait(&call.service).unwrap_or_default();
         let least = wait.max(RETRY_LEAST);
         Refusal::NotRun { retry: rand::rng().random_range(least..least + RETRY_SPREAD) }
     }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -22,7 +22,7 @@
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
     std::{net::SocketAddr, str::FromStr, time::Duration},
-    tokio::time::{Instant, sleep, timeout, timeout_at},
+    tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 
 /// Maximum size of a buffered response.
@@ -55,7 +55,7 @@
     NotRun,
     /// Nothing was sent.
     Unsent,
-    /// Nothing was sent, as the runner leaves or its rate limit is used up.
+    /// Nothing was sent: the runner leaves, wants no request for some time, or its rate limit is used up.
     Withheld,
     /// Sent without a response; it may have run.
     Lost(SendError),
@@ -126,7 +126,8 @@
         self.take_statements(endpoint, &answer);
         if answer.unrun {
             log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
-                status = parts.status.as_u16(), from_replica = options.from_replica.is_some();
+                status = parts.status.as_u16(), from_replica = options.from_replica.is_some(),
+                retry_after = answer.retry_after.unwrap_or_default().as_millis() as u64;
                 "{NOT_RUN}");
             self.finish_rejected(endpoint, &answer, body, line).await;
             if let Some(id) = answer.runner.filter(|_| answer.moved) {
@@ -151,6 +152,9 @@
     /// response to a request that was run.
     fn take_statements(&self, endpoint: &Endpoint, answer: &Answer) {
         let is_own = (answer.signed || answer.unrun) && !answer.moved;
+        if let Some(time) = answer.retry_after.filter(|_| answer.unrun && !answer.moved) {
+            self.fleet.pause(endpoint.key, time);
+        }
         if is_own && answer.draining {
             self.fleet.set_draining(endpoint.key);
         }
@@ -204,6 +208,9 @@
         }
         let mut missed = 0;
         while missed < PROBES {
+            if let Some(end) = self.fleet.paused_until(endpoint.key) {
+                sleep_until(end).await;
+            }
             match self.progress(call, endpoint).await {
                 None => missed += 1,
                 Some(Progress::Made(events)) if events >= LOST_EVENTS => {
@@ -273,6 +280,9 @@
         body: Bytes,
         limit: Duration,
     ) -> Option<Bytes> {
+        if self.fleet.paused_until(endpoint.key).is_some() {
+            return None;
+        }
         let path = PathAndQuery::from_str(path).ok()?;
         let request = || request(method, &path, endpoint.address, HeaderMap::new(), body.clone());
         let asked = async {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -8,6 +8,8 @@
 mod faces;
 #[path = "relay/limits.rs"]
 mod limits;
+#[path = "relay/pauses.rs"]
+mod pauses;
 #[path = "relay/streams.rs"]
 mod streams;
 #[path = "relay/support.rs"]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -126,6 +126,8 @@
     pub(crate) rate_limit: Cell<Option<f64>>,
     /// Whether its answers say that it leaves.
     pub(crate) leaving: Cell<bool>,
+    /// `Retry-After` of its rejections.
+    pub(crate) retry_after: Cell<Option<&'static str>>,
     /// Requests that it has seen; questions aside.
     pub(crate) seen: RefCell<Vec<Seen>>,
     /// Its connections.
@@ -157,6 +159,7 @@
             restarted: RefCell::default(),
             rate_limit: Cell::new(None),
             leaving: Cell::new(false),
+            retry_after: Cell::new(None),
             seen: RefCell::default(),
             log_messages: RefCell::default(),
         }
@@ -279,6 +282,9 @@
     if runner.leaving.get() {
         headers.insert("server-leaving", "1".parse().unwrap());
     }
+    if let Some(seconds) = runner.retry_after.get().filter(|_| is_rejected) {
+        headers.insert("retry-after", seconds.parse().unwrap());
+    }
     if let Some(limit) = runner.rate_limit.get() {
         headers.insert("server-limit", limit.to_string().parse().unwrap());
     }
