Send loads of runners to their group only, through one relay for each group

A load on a runner outside the own group went to all hundred nodes of its domain, though only the twenty of its group use it, and each node held connections to all.

Now such a load goes to one relay in the runner's group, which forwards it to that group; three relays take turns for each sender, as between domains. What runners state about themselves still reaches every node. Systems of up to a hundred nodes are unchanged.

--- a/crates/relay/src/control/members/send.rs
+++ b/crates/relay/src/control/members/send.rs
@@ -3,7 +3,7 @@
 use {
     super::Membership,
     crate::{
-        fanout::{self, Fanout, Peer, Scope},
+        fanout::{self, Fanout, GroupRelays, Peer, Scope},
         readers::Ranking,
     },
     bilberryfront_decide::member::{
@@ -26,12 +26,19 @@
     /// Running nodes.
     peers: Vec<Peer>,
     fanout: Fanout,
+    /// Relays in a large system.
+    groups: GroupRelays,
 }
 
 impl Routes {
     /// No receivers yet.
     pub(super) fn new(start: Instant) -> Routes {
-        Routes { at: start, peers: Vec::new(), fanout: Fanout::default() }
+        Routes {
+            at: start,
+            peers: Vec::new(),
+            fanout: Fanout::default(),
+            groups: GroupRelays::default(),
+        }
     }
 
     /// Whether they should be computed anew.
@@ -46,7 +53,11 @@
         let peers = self.running_peers();
         let epoch = fanout::epoch(self.start, now);
         let fanout = Fanout::new(&self.me.name, &self.me.domain, peers.clone(), epoch);
-        self.routes = Routes { at: now, peers, fanout };
+        let groups = match self.scope {
+            Scope::System => GroupRelays::default(),
+            Scope::Group { .. } => GroupRelays::new(&self.me.name, &self.me.domain, &peers, epoch),
+        };
+        self.routes = Routes { at: now, peers, fanout, groups };
     }
 
     /// Sends a message to all nodes, or to the heartbeat targets above [`FULL_MESH_LIMIT`].
@@ -94,54 +105,70 @@
         load: &Load,
         domain: impl Fn(&str) -> Option<&'a CompactString>,
     ) {
-        let Fanout { local, relays } = &self.routes.fanout;
         match self.scope {
-            Scope::System => {
-                self.send(local, &PeerMessage::Load(load.clone()));
-                relays.iter().for_each(|relay| self.send_relayed(relay, load.clone()));
-            }
-            Scope::Group { .. } => {
-                let is_local = |id: &str| domain(id) == Some(&self.me.domain);
-                let is_own = |id: &str| is_local(id) && self.scope.includes(id);
-                let own = fanout::restrict(load, |load| is_own(&load.runner));
-                let Load { failed, restarts, budgets, limits, draining, .. } = load.clone();
-                let stated = Load { limits, draining, ..Load::default() };
-                let group = local.iter().filter(|peer| self.scope.includes(&peer.name));
-                let group: Vec<Target> = group.cloned().collect();
-                self.send_if_any(&group, Load { failed, restarts, budgets, ..own });
-                // Replicas elsewhere are not reported: they delay no other request.
-                let others = fanout::restrict(load, |load| {
-                    load.running > 0 && is_local(&load.runner) && !is_own(&load.runner)
-                });
-                self.send_if_any(local, Load { runners: others.runners, ..stated.clone() });
-                for relay in relays {
-                    let theirs = fanout::restrict(load, |load| {
-                        load.running > 0 && domain(&load.runner) == Some(&relay.domain)
-                    });
-                    self.send_relayed(relay, Load { runners: theirs.runners, ..stated.clone() });
-                }
-            }
+            Scope::System => self.send_to_all(load),
+            Scope::Group { .. } => self.send_to_groups(load.clone(), domain),
         }
     }
 
-    fn send_if_any(&self, to: &[Target], load: Load) {
-        if !load.is_empty() {
-            self.send(to, &PeerMessage::Load(load));
-        }
+    fn send_to_all(&self, load: &Load) {
+        let Fanout { local, relays } = &self.routes.fanout;
+        self.send(local, &PeerMessage::Load(load.clone()));
+        relays.iter().for_each(|relay| self.send_relayed(&relay.target, load.clone()));
     }
 
-    fn send_relayed(&self, relay: &Peer, load: Load) {
-        if !load.is_empty() {
-            let relayed = RelayedLoad { origin: self.me.name.clone(), load, forward: true };
-            self.send(std::slice::from_ref(&relay.target), &PeerMessage::RelayedLoad(relayed));
+    /// Sends loads to the groups of their runners, what runners have stated to all nodes, and the rest
+    /// to the own group.
+    fn send_to_groups<'a>(&self, load: Load, domain: impl Fn(&str) -> Option<&'a CompactString>) {
+        let Load { runners, failed, restarts, budgets, limits, draining } = load;
+        let stated = Load { limits, draining, ..Load::default() };
+        if !stated.is_empty() {
+            self.send_to_all(&stated);
+        }
+        let is_own = |id: &str| domain(id) == Some(&self.me.domain) && self.scope.includes(id);
+        let (own, others): (Vec<_>, Vec<_>) =
+            runners.into_iter().partition(|load| is_own(&load.runner));
+        let own = Load { runners: own, failed, restarts, budgets, ..Load::default() };
+        if !own.is_empty() {
+            self.send(&self.group(), &PeerMessage::Load(own));
         }
+        let mut relayed = BTreeMap::<&CompactString, (&Target, Load)>::new();
+        // Replicas elsewhere are not reported: they delay no other request.
+        for load in others.into_iter().filter(|load| load.running > 0) {
+            let relay = domain(&load.runner)
+                .and_then(|domain| self.routes.groups.relay(domain, &load.runner));
+            if let Some(relay) = relay {
+                let (_, loads) =
+                    relayed.entry(&relay.name).or_insert_with(|| (relay, Load::default()));
+                loads.runners.push(load);
+            }
+        }
+        relayed.into_values().for_each(|(relay, load)| self.send_relayed(relay, load));
+    }
+
+    /// The other nodes of the own group.
+    fn group(&self) -> Vec<Target> {
+        let local = self.routes.fanout.local.iter();
+        local.filter(|peer| self.scope.includes(&peer.name)).cloned().collect()
     }
 
-    /// Forwards a relayed update within this failure domain.
+    fn send_relayed(&self, relay: &Target, load: Load) {
+        let relayed = RelayedLoad { origin: self.me.name.clone(), load, forward: true };
+        self.send(std::slice::from_ref(relay), &PeerMessage::RelayedLoad(relayed));
+    }
+
+    /// Forwards a relayed update: what runners have stated to this failure domain, loads to the nodes
+    /// of it that know them.
     pub(in crate::control) fn relay_load(&self, relayed: &RelayedLoad) {
-        if relayed.forward {
-            let relayed = RelayedLoad { forward: false, ..relayed.clone() };
-            self.broadcast_local(&PeerMessage::RelayedLoad(relayed));
+        if !relayed.forward {
+            return;
+        }
+        let relayed = RelayedLoad { forward: false, ..relayed.clone() };
+        let is_for_all = !relayed.load.limits.is_empty() || !relayed.load.draining.is_empty();
+        let message = PeerMessage::RelayedLoad(relayed);
+        match self.scope {
+            Scope::Group { .. } if !is_for_all => self.send(&self.group(), &message),
+            _ => self.broadcast_local(&message),
         }
     }
 
--- a/crates/relay/src/fanout.rs
+++ b/crates/relay/src/fanout.rs
@@ -2,14 +2,12 @@
 //!
 //! In a small system every node knows the load of every runner: an update goes to the nodes of the
 //! own failure domain, and through one relay to each other domain, so that it crosses each border
-//! once. In a large one the nodes and runners of a domain are divided into groups, and an update goes
-//! to the nodes of one group, so that the messages of a node do not grow with the system.
+//! once. In a large one the nodes and runners of a domain are divided into groups, and the load of a
+//! runner goes to the nodes of its group, through one relay if that is another group, so that the
+//! messages and connections of a node do not grow with its domain.
 
 use {
-    bilberryfront_decide::member::{
-        Target,
-        message::{Load, RunnerLoad},
-    },
+    bilberryfront_decide::member::Target,
     compact_str::CompactString,
     std::{collections::BTreeMap, time::Duration},
     tokio::time::Instant,
@@ -20,7 +18,7 @@
 const SYSTEM_LIMIT: usize = 100;
 /// Mean number of nodes in a group.
 const GROUP_SIZE: usize = 20;
-/// Relays of a node in each other domain. They take turns, so that an undetected failed one costs
+/// Relays of a node in each other domain or group. They take turns, so that an undetected failed one costs
 /// its domain the updates of one epoch, and connections to them stay open.
 const RELAYS: usize = 3;
 /// Length of a relay's turn.
@@ -44,6 +42,12 @@
     pub relays: Vec<Peer>,
 }
 
+/// One relay in each group of each failure domain, in a large system.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GroupRelays {
+    domains: BTreeMap<CompactString, Vec<Option<Target>>>,
+}
+
 /// Which loads a node knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Scope {
@@ -65,7 +69,7 @@
         if system <= SYSTEM_LIMIT {
             return Scope::System;
         }
-        let count = domain.div_ceil(GROUP_SIZE).max(1) as u32;
+        let count = group_count(domain);
         Scope::Group { index: group(me, count), count }
     }
 
@@ -92,27 +96,57 @@
             let mark = xxh64(peer.target.name.as_bytes(), seed);
             domains.entry(peer.domain.clone()).or_default().push((mark, peer));
         }
-        for mut candidates in domains.into_values() {
-            candidates.sort_unstable_by_key(|(mark, _)| *mark);
-            let turn = epoch as usize % candidates.len().min(RELAYS);
-            fanout.relays.push(candidates.swap_remove(turn).1);
-        }
+        fanout.relays.extend(domains.into_values().filter_map(|peers| relay(peers, epoch)));
         fanout
     }
 }
 
+impl GroupRelays {
+    /// Relays of the node `me` in `epoch`.
+    pub fn new(me: &str, domain: &str, peers: &[Peer], epoch: u64) -> GroupRelays {
+        let seed = xxh64(me.as_bytes(), 0);
+        let mut domains = BTreeMap::<CompactString, Vec<&Peer>>::new();
+        for peer in peers {
+            domains.entry(peer.domain.clone()).or_default().push(peer);
+        }
+        let relays = |(name, peers): (CompactString, Vec<&Peer>)| {
+            let count = group_count(peers.len() + usize::from(name == domain));
+            let mut groups = vec![Vec::new(); count as usize];
+            for peer in peers {
+                let mark = xxh64(peer.target.name.as_bytes(), seed);
+                groups[group(&peer.target.name, count) as usize].push((mark, peer.clone()));
+            }
+            let relays = groups.into_iter().map(|peers| Some(relay(peers, epoch)?.target));
+            (name, relays.collect())
+        };
+        GroupRelays { domains: domains.into_iter().map(relays).collect() }
+    }
+
+    /// The relay for the load of a runner in a failure domain.
+    pub fn relay(&self, domain: &str, runner: &str) -> Option<&Target> {
+        let relays = self.domains.get(domain)?;
+        relays[group(runner, relays.len() as u32) as usize].as_ref()
+    }
+}
+
+/// The candidate whose turn it is, of those with the lowest marks.
+fn relay(mut candidates: Vec<(u64, Peer)>, epoch: u64) -> Option<Peer> {
+    candidates.sort_unstable_by_key(|(mark, _)| *mark);
+    let turn = epoch as usize % candidates.len().clamp(1, RELAYS);
+    (turn < candidates.len()).then(|| candidates.swap_remove(turn).1)
+}
+
+/// Number of groups in a failure domain with this number of nodes.
+fn group_count(nodes: usize) -> u32 {
+    nodes.div_ceil(GROUP_SIZE).max(1) as u32
+}
+
 /// The group of a node or runner, by rendezvous hashing: few change theirs when `count` changes.
 fn group(name: &str, count: u32) -> u32 {
     let mark = |index: &u32| xxh64(name.as_bytes(), u64::from(*index) + 1);
     (0..count).max_by_key(mark).unwrap_or_default()
 }
 
-/// The part of an update about some runners.
-pub fn restrict(load: &Load, relevant: impl Fn(&RunnerLoad) -> bool) -> Load {
-    let runners = load.runners.iter().filter(|load| relevant(load)).cloned().collect();
-    Load { runners, ..Load::default() }
-}
-
 /// Epoch at `now` of a node started at `start`.
 pub fn epoch(start: Instant, now: Instant) -> u64 {
     now.saturating_duration_since(start).div_duration_f64(EPOCH) as u64
--- a/crates/relay/tests/fanout.rs
+++ b/crates/relay/tests/fanout.rs
@@ -2,9 +2,12 @@
 
 use {
     bilberryfront_decide::member::Target,
-    bilberryfront_relay::fanout::{Fanout, Peer, epoch},
+    bilberryfront_relay::fanout::{Fanout, GroupRelays, Peer, Scope, epoch},
     compact_str::{CompactString, format_compact},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     tokio::time::Instant,
 };
 
@@ -89,3 +92,43 @@
     assert_eq!([at(0), at(999), at(1_000), at(2_500)], [0, 0, 1, 2]);
     assert_eq!(epoch(start + Duration::from_secs(1), start), 0, "never before the start");
 }
+
+/// A system of three domains with a hundred nodes in each.
+fn large() -> Vec<Peer> {
+    let place = |index: usize| {
+        let Peer { target, .. } = node(index);
+        Peer { target, domain: DOMAINS[index % 3].into() }
+    };
+    (0..300).map(place).collect()
+}
+
+/// Load: every node of a large system reports streams on runners everywhere. A report reaches a relay
+/// in the group of the runner, and the node connects to few others.
+#[test]
+fn reports_of_a_large_system_go_through_few_relays() {
+    let system = large();
+    for me in &system {
+        let peers: Vec<Peer> = system.iter().filter(|peer| *peer != me).cloned().collect();
+        let relays = GroupRelays::new(&me.target.name, &me.domain, &peers, 5);
+        let mut used = BTreeSet::new();
+        for runner in (0..900).map(|index| format_compact!("runner-{index}")) {
+            for domain in DOMAINS.iter().take(3) {
+                let relay = relays.relay(domain, &runner).unwrap();
+                let scope = Scope::new(&relay.name, system.len(), 100);
+                assert!(scope.includes(&runner), "{} does not know {runner}", relay.name);
+                used.insert(relay.name.clone());
+            }
+        }
+        assert!(used.len() <= 15, "{} relays", used.len());
+    }
+}
+
+/// Guards against a group that misses the reports of a node whose relay is dead for long.
+#[test]
+fn a_dead_group_relay_is_replaced_in_the_next_epoch() {
+    let system = large();
+    let relays = |epoch| GroupRelays::new("node-0", "a", &system[1..], epoch);
+    let relay = |epoch| relays(epoch).relay("b", "runner-7").unwrap().clone();
+    assert_ne!(relay(1), relay(2));
+    assert_eq!(relay(1), relay(4), "connections are used again");
+}
