Report a rate limit that is confirmed before its first report, and use the field's names

A second response within the 2 ms in which changes are gathered replaced the first one's record and with it the mark that peers have to be informed; they got the limit up to a second later, with the next refresh (test: 0 reports before, 1 now). Statement is renamed to AdvertisedLimit, state_limit to update_limit, take_statements to apply_signals.

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -135,7 +135,7 @@
     pub restarts: Vec<Restart>,
     /// Use of the sender's retry budgets.
     pub budgets: Vec<BudgetUse>,
-    /// Rate limits stated by runners.
+    /// Rate limits advertised by runners.
     pub limits: Vec<RateLimit>,
     /// Runners that announced that they leave.
     pub draining: Vec<DrainNotice>,
@@ -151,7 +151,7 @@
     pub born: u64,
 }
 
-/// A runner's statement about its rate of requests.
+/// A runner's rate limit, or the end of one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
 pub struct RateLimit {
@@ -159,7 +159,7 @@
     pub runner: CompactString,
     /// Thousandths of a request per second, of all nodes together; `None` for no limit any more.
     pub limit: Option<u32>,
-    /// Age of the statement in milliseconds; the newest one counts.
+    /// Age of the response that carried it, in milliseconds; the newest one counts.
     pub age_ms: u32,
 }
 
--- a/crates/relay/src/control/members/send.rs
+++ b/crates/relay/src/control/members/send.rs
@@ -117,13 +117,13 @@
         relays.iter().for_each(|relay| self.send_relayed(&relay.target, load.clone()));
     }
 
-    /// Sends loads to the groups of their runners, what runners have stated to all nodes, and the rest
-    /// to the own group.
+    /// Sends loads to the groups of their runners, what runners advertise to all nodes, and the rest to
+    /// the own group.
     fn send_to_groups<'a>(&self, load: Load, domain: impl Fn(&str) -> Option<&'a CompactString>) {
         let Load { runners, failed, restarts, budgets, limits, draining } = load;
-        let stated = Load { limits, draining, ..Load::default() };
-        if !stated.is_empty() {
-            self.send_to_all(&stated);
+        let advertised = Load { limits, draining, ..Load::default() };
+        if !advertised.is_empty() {
+            self.send_to_all(&advertised);
         }
         let is_own = |id: &str| domain(id) == Some(&self.me.domain) && self.scope.includes(id);
         let (own, others): (Vec<_>, Vec<_>) =
@@ -157,8 +157,8 @@
         self.send(std::slice::from_ref(relay), &PeerMessage::RelayedLoad(relayed));
     }
 
-    /// Forwards a relayed update: what runners have stated to this failure domain, loads to the nodes
-    /// of it that know them.
+    /// Forwards a relayed update: what runners advertise to this failure domain, loads to the nodes of it
+    /// that know them.
     pub(in crate::control) fn relay_load(&self, relayed: &RelayedLoad) {
         if !relayed.forward {
             return;
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -117,7 +117,7 @@
     pub runner: Option<CompactString>,
     /// Idle timeout of the connection.
     pub idle: Option<Duration>,
-    /// Requests per second that the runner accepts from all nodes together, while it states them.
+    /// Requests per second that the runner accepts from all nodes together, while it advertises a limit.
     pub rate_limit: Option<f64>,
     /// Whether the runner announces that it leaves.
     pub draining: bool,
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -16,7 +16,7 @@
 };
 
 use {
-    self::{drain::Announcement, load::PeerLoads, rate_limit::Statement},
+    self::{drain::Announcement, load::PeerLoads, rate_limit::AdvertisedLimit},
     crate::{
         fanout::Scope,
         pool::{Connection, Pool},
@@ -86,8 +86,8 @@
     peer_loads: PeerLoads,
     /// Whether `own` changed since the last update to peers.
     dirty: bool,
-    /// The latest statement about its rate of requests.
-    statement: Option<Statement>,
+    /// Its rate limit for all nodes together.
+    limit: Option<AdvertisedLimit>,
     /// Its announcement that it leaves.
     drain: Option<Announcement>,
     /// Time until which it wants no request of this node.
@@ -304,7 +304,7 @@
             calls: 0,
             peer_loads: PeerLoads::default(),
             dirty: false,
-            statement: None,
+            limit: None,
             drain: None,
             paused_until: None,
         };
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -113,7 +113,7 @@
         }
     }
 
-    /// This node's load on every runner in use, and what runners have stated recently.
+    /// This node's load on every runner in use, and what runners have advertised recently.
     pub fn snapshot(&self) -> message::Load {
         let (limits, draining) = (self.recent_limits(), self.recent_drain_notices());
         let inner = self.inner.borrow();
--- a/crates/relay/src/fleet/pause.rs
+++ b/crates/relay/src/fleet/pause.rs
@@ -33,7 +33,7 @@
 }
 
 impl Runner {
-    /// Whether it may be sent a request, as far as its own statements go.
+    /// Whether it may be sent a request, by its backpressure signals.
     pub(super) fn is_open(&self, now: Instant) -> bool {
         self.is_ready() && self.pause_left(now).is_zero() && self.has_token(now)
     }
--- a/crates/relay/src/fleet/rate_limit.rs
+++ b/crates/relay/src/fleet/rate_limit.rs
@@ -1,4 +1,4 @@
-//! Rate limits stated by runners.
+//! Rate limits advertised by runners.
 //!
 //! A limit is for all nodes together. It is divided among a few owners, nodes near the runner, which
 //! every node derives from the same registrations; the others send nothing. Each owner has a token
@@ -24,18 +24,18 @@
 /// Requests that all nodes together may send at once after a pause, in addition to those of one second.
 /// There are no more owners than that, so that each may send one.
 const BURST: f64 = 3.0;
-/// Age at which a statement expires that no node confirms; a node then finds out by a request.
+/// Age at which a limit expires that no response confirms; a node then finds out by a request.
 const STALE: Duration = Duration::from_secs(10);
 /// Age up to which an own observation is repeated to peers, for those that missed the first report.
 const REPEAT: Duration = Duration::from_secs(2);
 /// Units of a limit in one request per second.
 const SCALE: f64 = 1_000.0;
 
-/// A runner's latest statement.
+/// A runner's latest limit, or the end of one.
 #[derive(Debug)]
-pub(super) struct Statement {
+pub(super) struct AdvertisedLimit {
     /// Thousandths of a request per second; `None` if it ended an earlier limit.
-    limit: Option<u32>,
+    rate: Option<u32>,
     /// Time of the response that carried it.
     at: Instant,
     /// Whether this node received that response.
@@ -46,15 +46,15 @@
     bucket: Bucket,
 }
 
-impl Statement {
-    fn is_limit(&self, now: Instant) -> bool {
-        self.limit.is_some() && now < self.at + STALE
+impl AdvertisedLimit {
+    fn is_in_force(&self, now: Instant) -> bool {
+        self.rate.is_some() && now < self.at + STALE
     }
 
     fn report(&self, now: Instant, runner: &CompactString) -> RateLimit {
         let age = now.saturating_duration_since(self.at).as_millis();
         let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
-        RateLimit { runner: runner.clone(), limit: self.limit, age_ms }
+        RateLimit { runner: runner.clone(), limit: self.rate, age_ms }
     }
 }
 
@@ -73,7 +73,7 @@
     pub fn set_rate_limit(&self, key: RunnerKey, limit: Option<f64>) {
         let now = Instant::now();
         let limit = limit.map(|limit| (limit * SCALE).round() as u32);
-        if self.inner.borrow_mut().state_limit(key, limit, now, true) {
+        if self.inner.borrow_mut().update_limit(key, limit, now, true) {
             self.changed.notify_one();
         }
     }
@@ -97,59 +97,52 @@
         }
     }
 
-    /// Statements to repeat to peers.
+    /// Limits observed by this node, for peers.
     pub(super) fn limits(
         &self,
-        mut relevant: impl FnMut(&mut Statement) -> bool,
+        mut relevant: impl FnMut(&mut AdvertisedLimit) -> bool,
     ) -> Vec<RateLimit> {
         let now = Instant::now();
         let mut inner = self.inner.borrow_mut();
         let reports = inner.runners.values_mut().filter_map(|runner| {
-            let statement = runner.statement.as_mut().filter(|s| s.own)?;
-            relevant(statement).then(|| statement.report(now, &runner.registration.id))
+            let limit = runner.limit.as_mut().filter(|limit| limit.own)?;
+            relevant(limit).then(|| limit.report(now, &runner.registration.id))
         });
         reports.collect()
     }
 
-    /// Statements that peers do not have yet.
+    /// Limits that peers do not have yet.
     pub(super) fn take_limits(&self) -> Vec<RateLimit> {
-        self.limits(|statement| std::mem::take(&mut statement.dirty))
+        self.limits(|limit| std::mem::take(&mut limit.dirty))
     }
 
-    /// Statements that peers may have missed.
+    /// Limits that peers may have missed.
     pub(super) fn recent_limits(&self) -> Vec<RateLimit> {
         let now = Instant::now();
-        self.limits(|statement| now < statement.at + REPEAT)
+        self.limits(|limit| now < limit.at + REPEAT)
     }
 }
 
 impl Inner {
-    /// Applies a statement unless a newer one is known; returns whether peers have to be informed.
-    fn state_limit(&mut self, key: RunnerKey, limit: Option<u32>, at: Instant, own: bool) -> bool {
+    /// Applies a limit unless a newer one is known; returns whether peers have to be informed.
+    fn update_limit(&mut self, key: RunnerKey, rate: Option<u32>, at: Instant, own: bool) -> bool {
         let now = Instant::now();
         let Some(runner) = self.runners.get_mut(key) else { return false };
-        let former = runner.statement.as_ref().filter(|s| now < s.at + STALE);
+        let former = runner.limit.as_ref().filter(|limit| now < limit.at + STALE);
         let is_outdated = former.is_some_and(|former| at < former.at);
-        let known = former.and_then(|former| former.limit);
-        if is_outdated || (known.is_none() && limit.is_none()) {
+        let known = former.and_then(|former| former.rate);
+        if is_outdated || (known.is_none() && rate.is_none()) {
             return false;
         }
-        let id = runner.registration.id.as_str();
-        if known != limit {
-            match limit {
-                Some(limit) => {
-                    log::info!(runner = id, limit = f64::from(limit) / SCALE; "{RATE_LIMITED}");
-                }
-                None => log::info!(runner = id; "{RATE_UNLIMITED}"),
-            }
-        }
-        let dirty = own && known != limit;
-        let bucket = match runner.statement.take() {
-            Some(former) if former.limit == limit => former.bucket,
+        let (changed, unreported) = (known != rate, former.is_some_and(|former| former.dirty));
+        let bucket = match runner.limit.take() {
+            Some(former) if former.rate == rate => former.bucket,
             _ => Bucket::new(now),
         };
-        runner.statement = Some(Statement { limit, at, own, dirty, bucket });
-        if known != limit {
+        let dirty = own && (changed || unreported);
+        runner.limit = Some(AdvertisedLimit { rate, at, own, dirty, bucket });
+        if changed {
+            log_change(&runner.registration.id, rate);
             self.divide_limit(key, now);
         }
         dirty
@@ -160,7 +153,7 @@
         let age = Duration::from_millis(report.age_ms.into());
         let (key, at) = (self.by_id.get(&report.runner).copied(), now.checked_sub(age));
         if let (Some(key), Some(at)) = (key, at) {
-            self.state_limit(key, report.limit, at, false);
+            self.update_limit(key, report.limit, at, false);
         }
     }
 
@@ -173,12 +166,12 @@
 
     fn divide_limit(&mut self, key: RunnerKey, now: Instant) {
         let runner = &self.runners[key];
-        let Some(limit) = runner.statement.as_ref().and_then(|s| s.limit) else { return };
-        let limit = f64::from(limit) / SCALE;
-        let owners = self.owners(runner, (limit + BURST) as usize);
+        let Some(rate) = runner.limit.as_ref().and_then(|limit| limit.rate) else { return };
+        let rate = f64::from(rate) / SCALE;
+        let owners = self.owners(runner, (rate + BURST) as usize);
         let part = if owners.contains(&self.me) { 1.0 / owners.len() as f64 } else { 0.0 };
-        if let Some(statement) = &mut self.runners[key].statement {
-            statement.bucket.resize(now, limit * part, (limit + BURST) * part);
+        if let Some(limit) = &mut self.runners[key].limit {
+            limit.bucket.resize(now, rate * part, (rate + BURST) * part);
         }
     }
 
@@ -205,6 +198,13 @@
     }
 }
 
+fn log_change(runner: &str, rate: Option<u32>) {
+    match rate {
+        Some(rate) => log::info!(runner, limit = f64::from(rate) / SCALE; "{RATE_LIMITED}"),
+        None => log::info!(runner; "{RATE_UNLIMITED}"),
+    }
+}
+
 /// The failure domain, of those with runners, that the nodes of another one mainly use.
 fn home<'a>(
     domains: &BTreeSet<&'a CompactString>,
@@ -217,24 +217,24 @@
 
 impl Runner {
     pub(super) fn is_limited(&self, now: Instant) -> bool {
-        self.statement.as_ref().is_some_and(|statement| statement.is_limit(now))
+        self.limit.as_ref().is_some_and(|limit| limit.is_in_force(now))
     }
 
     /// Whether its rate limit, if any, leaves this node another request.
     pub(super) fn has_token(&self, now: Instant) -> bool {
-        let limited = self.statement.as_ref().filter(|statement| statement.is_limit(now));
-        limited.is_none_or(|statement| statement.bucket.has_token(now))
+        let limit = self.limit.as_ref().filter(|limit| limit.is_in_force(now));
+        limit.is_none_or(|limit| limit.bucket.has_token(now))
     }
 
     /// Time until it has a token; `None` if this node has no part of the limit.
     pub(super) fn wait_for_token(&self, now: Instant) -> Option<Duration> {
-        match &self.statement {
-            Some(statement) if statement.is_limit(now) => statement.bucket.wait(now),
+        match &self.limit {
+            Some(limit) if limit.is_in_force(now) => limit.bucket.wait(now),
             _ => Some(Duration::ZERO),
         }
     }
 
     fn take_token(&mut self, now: Instant) -> bool {
-        self.statement.as_mut().is_none_or(|statement| statement.bucket.take(now))
+        self.limit.as_mut().is_none_or(|limit| limit.bucket.take(now))
     }
 }
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -27,9 +27,9 @@
 /// Registration removed.
 pub const RUNNER_GONE: &str = "runner removed";
 
-/// A runner states a rate limit, or another one.
+/// A runner advertises a rate limit, or another one.
 pub const RATE_LIMITED: &str = "the runner limits its rate of requests";
-/// A runner no longer states a rate limit.
+/// A runner no longer advertises a rate limit.
 pub const RATE_UNLIMITED: &str = "the runner no longer limits its rate of requests";
 
 /// A runner announces its drain in a response.
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -123,7 +123,7 @@
         self.count_bytes(Part::Request, endpoint, call.body.len());
         let (mut parts, body) = response.into_parts();
         let answer = self.dialect.answer(&parts);
-        self.take_statements(endpoint, &answer);
+        self.apply_signals(endpoint, &answer);
         if answer.unrun {
             log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
                 status = parts.status.as_u16(), from_replica = options.from_replica.is_some(),
@@ -148,9 +148,9 @@
         SendOutcome::Answered(Box::new(Reply { parts, answer, body, line }))
     }
 
-    /// Records what a response states about its runner. The absence of a rate limit ends one only in the
+    /// Applies the backpressure signals of a response. The absence of a rate limit ends one only in the
     /// response to a request that was run.
-    fn take_statements(&self, endpoint: &Endpoint, answer: &Answer) {
+    fn apply_signals(&self, endpoint: &Endpoint, answer: &Answer) {
         let is_own = (answer.signed || answer.unrun) && !answer.moved;
         if let Some(time) = answer.retry_after.filter(|_| answer.unrun && !answer.moved) {
             self.fleet.pause(endpoint.key, time);
--- a/crates/relay/tests/rate_limit.rs
+++ b/crates/relay/tests/rate_limit.rs
@@ -383,3 +383,15 @@
     sleep_until(Instant::now() + Duration::from_secs(2)).await;
     assert!(fleet.choose(&criteria()).is_some());
 }
+
+/// Guards against a limit that peers learn a second late, as another response confirms it before the
+/// report.
+#[tokio::test(start_paused = true)]
+async fn a_confirmed_limit_is_still_reported() {
+    let system = System::new(1, 1, 1);
+    let fleet = &system.nodes[0];
+    fleet.set_rate_limit(system.key(0, 0), Some(2.0));
+    fleet.set_rate_limit(system.key(0, 0), Some(2.0));
+    assert_eq!(fleet.take_update().limits.len(), 1);
+    assert!(fleet.take_update().limits.is_empty());
+}
