Give each listener of the process test a loopback address of its own

The test asks the system for a free port, closes it, and starts the program with it; in between, an outgoing connection of the four tests beside it can get the same port, as both come from the range of 127.0.0.1. Outgoing connections have the source 127.0.0.1, so a listener on another loopback address can't lose its port to them. Nothing is asserted less. Not reproduced at will; the log of that run has the address.

--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -21,10 +21,11 @@
     std::{
         fs,
         io::{BufRead, BufReader},
-        net::{SocketAddr, TcpListener, UdpSocket},
+        net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         rc::Rc,
+        sync::atomic::{AtomicU8, Ordering},
         thread,
         time::Duration,
     },
@@ -73,12 +74,19 @@
 }
 
 fn free() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    TcpListener::bind((loopback(), 0)).unwrap().local_addr().unwrap()
 }
 
 fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    UdpSocket::bind((loopback(), 0)).unwrap().local_addr().unwrap()
+}
+
+/// A loopback address of its own for each listener: outgoing connections take ports of 127.0.0.1, and
+/// could take a listener's before its process binds it.
+fn loopback() -> Ipv4Addr {
+    static COUNT: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 64 | high & 63, low, COUNT.fetch_add(1, Ordering::Relaxed))
 }
 
 impl Platform {
