--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -59,6 +59,15 @@
         if self.revision.is_some() { changed } else { Vec::new() }
     }
 
+    /// Returns the keys of rows that [`Mirror::merge`] would ignore because a later version is known,
+    /// with the revision of that version.
+    pub fn outdated<'a>(&'a self, rows: &'a [Row]) -> impl Iterator<Item = (&'a Row, Revision)> {
+        rows.iter().filter_map(|row| {
+            let known = self.rows.get(&row.key)?.revision;
+            (known > row.revision).then_some((row, known))
+        })
+    }
+
     /// Merges a snapshot of the whole table and returns the rows that changed, including removed
     /// ones.
     pub fn replace(&mut self, now: Instant, snapshot: Rows) -> Vec<Row> {
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -194,6 +194,12 @@
         }
         let mirror = &mut self.tables[index(table)].mirror;
         let loaded = mirror.revision().is_some();
+        if let Change::Snapshot(rows) | Change::Rows(rows) = &change {
+            for (row, known) in mirror.outdated(&rows.rows) {
+                log::warn!(table:? = table, key = row.key.as_str(), revision = row.revision, known;
+                    "row of the store ignored: a later revision is known");
+            }
+        }
         let (rows, revision) = match change {
             Change::Unavailable | Change::Available => return,
             Change::Snapshot(snapshot) => {
