--- a/crates/standins/src/feed_store.rs
+++ b/crates/standins/src/feed_store.rs
@@ -3,7 +3,10 @@
 //! - `POST /api/rows-tx`: an atomic transaction, conditional on row versions.
 //! - `GET /api/rows-get?table=..&from=..`: a page of rows in key order.
 //! - `GET /api/rows-feed?table=..&after_revision=..&wait_ms=..`: long-polls for rows changed after a
-//!   version.
+//!   version; 410 if the store does not have that version.
+//!
+//! The header `Store-Era` of all responses is the number of times that the store was restored from a
+//! backup. Versions that were assigned after the backup was taken are assigned again.
 
 use {
     crate::{
@@ -32,6 +35,8 @@
     },
 };
 
+/// Header with the number of restorations.
+const ERA: &str = "store-era";
 /// Maximum rows per page.
 const MAX_PAGE_ROWS: usize = 500;
 
@@ -80,16 +85,22 @@
 pub struct FeedStore {
     faults: Arc<FaultInjector>,
     state: Arc<Mutex<State>>,
-    version: watch::Sender<u64>,
+    /// Sent after each change of the state.
+    changed: watch::Sender<()>,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct State {
+    era: u64,
     version: u64,
     rows: BTreeMap<(CompactString, CompactString), Row>,
     log: Vec<Row>,
 }
 
+/// Contents of a store at some time.
+#[derive(Clone)]
+pub struct Backup(State);
+
 impl FeedStore {
     /// Starts an empty store.
     pub fn start(&self, listen: SocketAddr) -> io::Result<Handle> {
@@ -111,8 +122,21 @@
             value,
             ver: 0,
         };
-        let version = self.lock().put(vec![row]);
-        self.version.send_replace(version);
+        self.lock().put(vec![row]);
+        self.changed.send_replace(());
+    }
+
+    /// Returns a backup of all rows and their history.
+    pub fn back_up(&self) -> Backup {
+        Backup(self.lock().clone())
+    }
+
+    /// Replaces all rows by those of a backup, and continues from its version.
+    pub fn restore(&self, backup: &Backup) {
+        let mut state = self.lock();
+        *state = State { era: state.era + 1, ..backup.0.clone() };
+        drop(state);
+        self.changed.send_replace(());
     }
 
     /// Returns the value of a row.
@@ -126,7 +150,7 @@
 }
 
 impl State {
-    fn put(&mut self, rows: Vec<Row>) -> u64 {
+    fn put(&mut self, rows: Vec<Row>) {
         self.version += 1;
         for row in rows {
             let row = Row { ver: self.version, ..row };
@@ -137,7 +161,6 @@
             }
             self.log.push(row);
         }
-        self.version
     }
 
     fn is_current(&self, row: &Row) -> bool {
@@ -145,8 +168,17 @@
         current.map_or(0, |r| r.ver) == row.ver
     }
 
-    fn response(&self, rows: Vec<Row>, has_more: bool) -> Rows {
-        Rows { rows, ver: self.version, now_ms: 0, has_more }
+    fn respond(&self, rows: Vec<Row>, has_more: bool) -> Response {
+        let rows = Rows { rows, ver: self.version, now_ms: 0, has_more };
+        let mut response = json(&rows);
+        response.headers_mut().insert(ERA, self.era.into());
+        response
+    }
+
+    fn respond_status(&self, status: StatusCode) -> Response {
+        let mut response = status.into_response();
+        response.headers_mut().insert(ERA, self.era.into());
+        response
     }
 
     fn changed_since(&self, table: &str, after: u64) -> Vec<Row> {
@@ -161,13 +193,14 @@
             let Transaction { expected_revision, puts, remove } = transaction;
             let mut state = store.lock();
             if !expected_revision.iter().all(|row| state.is_current(row)) {
-                return StatusCode::PRECONDITION_FAILED.into_response();
+                return state.respond_status(StatusCode::PRECONDITION_FAILED);
             }
             let removed = remove.into_iter().map(|row| Row { tombstone: true, ..row });
-            let version = state.put(puts.into_iter().chain(removed).collect());
+            state.put(puts.into_iter().chain(removed).collect());
+            let response = state.respond(Vec::new(), false);
             drop(state);
-            store.version.send_replace(version);
-            json(&store.lock().response(Vec::new(), false))
+            store.changed.send_replace(());
+            response
         })
     };
     with_faults(&store.faults, "/api/rows-tx", execute).await
@@ -181,7 +214,7 @@
         let rows = state.rows.values().filter(|r| r.table == table && r.key.as_str() >= from);
         let rows: Vec<Row> = rows.take(MAX_PAGE_ROWS + 1).cloned().collect();
         let more = rows.len() > MAX_PAGE_ROWS;
-        json(&state.response(rows.into_iter().take(MAX_PAGE_ROWS).collect(), more))
+        state.respond(rows.into_iter().take(MAX_PAGE_ROWS).collect(), more)
     };
     with_faults(&store.faults, "/api/rows-get", execute).await
 }
@@ -190,17 +223,23 @@
     let query = query(&uri);
     let number = |name| text(&query, name).parse::<u64>().unwrap_or_default();
     let (table, after) = (text(&query, "table"), number("after_revision"));
-    let mut version = store.version.subscribe();
+    let mut changed = store.changed.subscribe();
     let wait = Duration::from_millis(number("wait_ms"));
     // A request that will be rejected must not wait for a change first.
     if store.faults.active().reject.is_none() {
-        let changed = version.wait_for(|_| !store.lock().changed_since(table, after).is_empty());
+        let ends = changed.wait_for(|()| {
+            let state = store.lock();
+            after > state.version || !state.changed_since(table, after).is_empty()
+        });
         // If nothing changes within `wait`, the response has no rows.
-        _ = timeout(wait, changed).await;
+        _ = timeout(wait, ends).await;
     }
     let execute = || {
         let state = store.lock();
-        json(&state.response(state.changed_since(table, after), false))
+        if after > state.version {
+            return state.respond_status(StatusCode::GONE);
+        }
+        state.respond(state.changed_since(table, after), false)
     };
     with_faults(&store.faults, "/api/rows-feed", execute).await
 }
