--- a/crates/decide/examples/gossip.rs
+++ b/crates/decide/examples/gossip.rs
@@ -131,7 +131,7 @@
 }
 
 fn push() -> PeerMessage {
-    PeerMessage::CatalogPush(CatalogPush { revision: 2, doc: String::new() })
+    PeerMessage::CatalogPush(CatalogPush { revision: 2.into(), doc: String::new() })
 }
 
 fn usage(i: u32) -> Usage {
@@ -149,8 +149,8 @@
         let node_seconds = n as f64 * 60.0;
         let (bytes, cpu) =
             (2.0 * bench.bytes as f64 / node_seconds, bench.cpu.as_nanos() as f64 / node_seconds);
-        bench.run(0, |m, _, out| m.set_revision(2, out));
-        let revision = bench.run_until(|m| m.revision() == 2);
+        bench.run(0, |m, _, out| m.set_revision(2.into(), out));
+        let revision = bench.run_until(|m| m.revision() == 2.into());
         bench.members[1] = None;
         let one = bench.run_until(|m| m.addresses().len() == n - 1);
         (0..n).filter(|i| i % 9 == 2).for_each(|i| bench.members[i] = None);
--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -29,8 +29,8 @@
         ring::Ring,
         updates::UpdateQueue,
     },
-    crate::id::Revision,
-    bilberryfront_wire::instance::{InstanceKind, InstanceList, InstanceState},
+    crate::id::{CatalogRevision, StoreRevision},
+    bilberryfront_wire::instance::{Instance, InstanceKind, InstanceList, InstanceState},
     compact_str::CompactString,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{collections::BTreeMap, time::Duration},
@@ -111,13 +111,13 @@
     me: Me,
     state: NodeState,
     beat: u64,
-    revision: Revision,
+    revision: CatalogRevision,
     usage: Vec<Usage>,
     records: BTreeMap<CompactString, Record>,
     ring: Ring,
     ring_is_stale: bool,
     updates: UpdateQueue,
-    list_revision: u64,
+    list_revision: StoreRevision,
     last_tick: Instant,
     /// Next check for expired timeouts.
     sweep_at: Instant,
@@ -131,7 +131,7 @@
     /// Time of the last heartbeat.
     last_sent: Instant,
     /// Revision and time of the last catalogue pull.
-    pull: Option<(Revision, Instant)>,
+    pull: Option<(CatalogRevision, Instant)>,
     rng: SmallRng,
 }
 
@@ -144,13 +144,13 @@
             me,
             state: NodeState::Starting,
             beat: 0,
-            revision: 0,
+            revision: CatalogRevision::default(),
             usage: Vec::new(),
             records: BTreeMap::new(),
             ring: Ring::default(),
             ring_is_stale: false,
             updates: UpdateQueue::default(),
-            list_revision: 0,
+            list_revision: StoreRevision::default(),
             last_tick: now,
             sweep_at: now,
             heartbeat_at,
@@ -175,7 +175,7 @@
         match message {
             PeerMessage::Heartbeat(heartbeat) => self.on_heartbeat(now, from, heartbeat, out),
             PeerMessage::Revision(revision) => self.pull_if_newer(now, from, *revision, out),
-            PeerMessage::CatalogPull(after) if self.revision > *after => {
+            PeerMessage::CatalogPull(known) if self.revision.supersedes(*known) => {
                 out.extend(self.target(from).map(Output::PushCatalog));
             }
             PeerMessage::CatalogPull(_)
@@ -257,13 +257,23 @@
     /// Applies the platform's list unless it is outdated. Unlisted nodes that send heartbeats are
     /// kept; listed nodes that don't are not in address responses.
     pub fn apply_list(&mut self, now: Instant, list: &InstanceList) {
-        if list.revision < self.list_revision {
+        self.apply_instances(now, StoreRevision::new(0, list.revision), &list.instances);
+    }
+
+    /// Applies a list that was read from the store at a revision, unless it is outdated.
+    pub fn apply_instances(
+        &mut self,
+        now: Instant,
+        revision: StoreRevision,
+        instances: &[Instance],
+    ) {
+        if revision < self.list_revision {
             return;
         }
-        self.list_revision = list.revision;
+        self.list_revision = revision;
         self.ring_is_stale = true;
         self.records.values_mut().for_each(|r| r.listed = false);
-        for node in list.instances.iter().filter(|i| i.kind == InstanceKind::Node) {
+        for node in instances.iter().filter(|i| i.kind == InstanceKind::Node) {
             let Some(peer) = node.peer.clone() else { continue };
             let Some(record) = self.record(now, &node.name) else { continue };
             record.listed = true;
@@ -306,8 +316,8 @@
     }
 
     /// Sets the current catalogue revision and announces it.
-    pub fn set_revision(&mut self, revision: Revision, out: &mut Vec<Output>) {
-        if revision > self.revision {
+    pub fn set_revision(&mut self, revision: CatalogRevision, out: &mut Vec<Output>) {
+        if revision.supersedes(self.revision) {
             self.revision = revision;
             let message = PeerMessage::Revision(revision);
             out.push(Output::Send { to: self.targets(), message });
@@ -329,11 +339,12 @@
         &mut self,
         now: Instant,
         from: &str,
-        revision: Revision,
+        revision: CatalogRevision,
         out: &mut Vec<Output>,
     ) {
-        let is_pending = self.pull.is_some_and(|(r, at)| r >= revision && now < at + PULL_TIMEOUT);
-        if revision > self.revision && !is_pending {
+        let is_pending =
+            self.pull.is_some_and(|(r, at)| !revision.supersedes(r) && now < at + PULL_TIMEOUT);
+        if revision.supersedes(self.revision) && !is_pending {
             self.pull = Some((revision, now));
             self.send(from, PeerMessage::CatalogPull(self.revision), out);
         }
--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        id::{Incarnation, Revision},
+        id::{CatalogRevision, Incarnation, StoreRevision},
         mover::MoveUpdate,
     },
     compact_str::CompactString,
@@ -16,9 +16,9 @@
     /// Heartbeat.
     Heartbeat(Heartbeat),
     /// The sender has applied this catalogue revision.
-    Revision(Revision),
+    Revision(CatalogRevision),
     /// Requests the catalogue if it is newer than this revision.
-    CatalogPull(Revision),
+    CatalogPull(CatalogRevision),
     /// Response to [`PeerMessage::CatalogPull`].
     CatalogPush(CatalogPush),
     /// Requests the membership table.
@@ -68,7 +68,7 @@
     /// Table.
     pub table: TableId,
     /// Revision of the store up to which the sender has read the table.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether `rows` contains all rows of the table.
     pub whole: bool,
     /// Milliseconds for which a removed row may still return, after an outage of the store; 0 if
@@ -85,7 +85,7 @@
     /// Key.
     pub key: CompactString,
     /// Revision of the last write.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Content; `None` for a removed row.
     pub value: Option<Vec<u8>>,
 }
@@ -107,8 +107,8 @@
     /// Table.
     pub table: TableId,
     /// Revision of the store up to which the table was read.
-    pub revision: u64,
-    /// Hash over keys and revisions of all rows.
+    pub revision: StoreRevision,
+    /// Hash of all rows.
     pub hash: u64,
 }
 
@@ -219,7 +219,7 @@
 #[derive(Deserialize, Serialize)]
 pub struct CatalogPush {
     /// Revision.
-    pub revision: Revision,
+    pub revision: CatalogRevision,
     /// The [`crate::catalog::CatalogDoc`] as JSON.
     pub doc: String,
 }
@@ -290,8 +290,8 @@
     pub state: NodeState,
     /// Sender's addresses; omitted from most heartbeats.
     pub location: Option<NodeLocation>,
-    /// Sender's catalogue revision; 0 for none.
-    pub revision: Revision,
+    /// Sender's catalogue revision.
+    pub revision: CatalogRevision,
     /// Sender's highest usages of limits.
     pub usage: Vec<Usage>,
     /// Gossip.
--- a/crates/decide/src/member/record.rs
+++ b/crates/decide/src/member/record.rs
@@ -7,7 +7,7 @@
     },
     crate::{
         chart::Chart,
-        id::{Incarnation, Revision},
+        id::{CatalogRevision, Incarnation},
     },
     compact_str::CompactString,
     serde::Deserialize,
@@ -79,8 +79,8 @@
     pub(super) watched_since: Option<Instant>,
     pub(super) location: Option<NodeLocation>,
     pub(super) usage: Vec<Usage>,
-    /// Catalogue revision in its last heartbeat; 0 if none.
-    pub(super) revision: Revision,
+    /// Catalogue revision in its last heartbeat.
+    pub(super) revision: CatalogRevision,
     pub(super) listed: bool,
     /// Listed as draining.
     pub(super) leaving: bool,
@@ -99,7 +99,7 @@
             watched_since: None,
             location: None,
             usage: Vec::new(),
-            revision: 0,
+            revision: CatalogRevision::default(),
             listed: false,
             leaving: false,
         }
--- a/crates/decide/src/member/table.rs
+++ b/crates/decide/src/member/table.rs
@@ -5,7 +5,7 @@
         Members, SILENCE_TIMEOUT,
         message::{Claim, NodeLocation, NodeState, Usage},
     },
-    crate::id::{Incarnation, Revision},
+    crate::id::{CatalogRevision, Incarnation},
     compact_str::CompactString,
     std::collections::BTreeMap,
     tokio::time::Instant,
@@ -32,8 +32,8 @@
     pub state: NodeState,
     /// Addresses, if known.
     pub location: Option<NodeLocation>,
-    /// Catalogue revision in its last heartbeat; 0 if none.
-    pub revision: Revision,
+    /// Catalogue revision in its last heartbeat.
+    pub revision: CatalogRevision,
 }
 
 /// Usage of limits by the other nodes.
@@ -86,7 +86,7 @@
     }
 
     /// Returns the current catalogue revision.
-    pub fn revision(&self) -> Revision {
+    pub fn revision(&self) -> CatalogRevision {
         self.revision
     }
 
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -60,7 +60,7 @@
         moment: Moment { life, beat },
         state,
         location: None,
-        revision: 0,
+        revision: 0.into(),
         usage: Vec::new(),
         updates: Vec::new(),
     }
@@ -520,18 +520,18 @@
     let now = Instant::now();
     let mut a = pair(now);
     let mut out = Vec::new();
-    a.receive(now, "b", &PeerMessage::Revision(4), &mut out);
-    a.receive(now, "b", &PeerMessage::Revision(4), &mut out);
+    a.receive(now, "b", &PeerMessage::Revision(4.into()), &mut out);
+    a.receive(now, "b", &PeerMessage::Revision(4.into()), &mut out);
     let to = vec![Target { name: "b".into(), address: "b:1".into() }];
-    assert_eq!(out, [Output::Send { to: to.clone(), message: PeerMessage::CatalogPull(0) }]);
+    assert_eq!(out, [Output::Send { to: to.clone(), message: PeerMessage::CatalogPull(0.into()) }]);
     out.clear();
-    a.set_revision(4, &mut out);
-    assert_eq!(out, [Output::Send { to: to.clone(), message: PeerMessage::Revision(4) }]);
+    a.set_revision(4.into(), &mut out);
+    assert_eq!(out, [Output::Send { to: to.clone(), message: PeerMessage::Revision(4.into()) }]);
     out.clear();
-    a.receive(now, "b", &PeerMessage::Revision(3), &mut out);
-    a.receive(now, "b", &PeerMessage::CatalogPull(4), &mut out);
+    a.receive(now, "b", &PeerMessage::Revision(3.into()), &mut out);
+    a.receive(now, "b", &PeerMessage::CatalogPull(4.into()), &mut out);
     assert_eq!(out, []);
-    a.receive(now, "b", &PeerMessage::CatalogPull(3), &mut out);
+    a.receive(now, "b", &PeerMessage::CatalogPull(3.into()), &mut out);
     assert_eq!(out, [Output::PushCatalog(to[0].clone())]);
 }
 
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -30,11 +30,14 @@
         records::Records,
         rollouts::{RolloutSample, Rollouts},
         settings::Settings,
-        store::{Revision, Store},
+        store::Store,
         table_sync::TableSync,
         view::{NodeAddress, Published, Splits, View},
     },
-    bilberryfront_decide::{id::Incarnation, member::message::Load},
+    bilberryfront_decide::{
+        id::{CatalogRevision, Incarnation},
+        member::message::Load,
+    },
     bytes::Bytes,
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -55,8 +58,8 @@
     published: Published,
     drain: Drain,
     catalog: Option<Arc<Catalog>>,
-    /// Revision and value of the catalogue's row, for peers.
-    row: Option<(Revision, Bytes)>,
+    /// Revision and value of the catalogue, for peers.
+    row: Option<(CatalogRevision, Bytes)>,
     registry: RunnerRegistry,
     /// `None` until this node has joined.
     membership: Option<Membership>,
--- a/crates/relay/src/control/catalog.rs
+++ b/crates/relay/src/control/catalog.rs
@@ -3,12 +3,13 @@
 use {
     super::Control,
     crate::{
-        catalog::Catalog,
         log_messages::CATALOG_APPLIED,
         records::Records,
         store::{Row, Store},
     },
+    bilberryfront_decide::id::CatalogRevision,
     std::sync::Arc,
+    xxhash_rust::xxh32::xxh32,
 };
 
 impl<R: Records, S: Store> Control<R, S> {
@@ -22,29 +23,31 @@
         }
     }
 
-    /// Applies a catalogue from the store or a peer if it is newer than the current one, since
-    /// responses may arrive out of order.
+    /// Applies a catalogue from the store or a peer if it supersedes the current one: responses may
+    /// arrive out of order, and a restored store has an older catalogue until the operators write the
+    /// lost one again.
     pub(super) fn apply_catalog(&mut self, row: &Row) {
         let Some(value) = &row.value else { return };
-        if self.row.as_ref().is_some_and(|(current, _)| row.revision <= *current) {
+        let hash = xxh32(value, 0);
+        let current = self.row.as_ref().map(|(current, _)| *current).unwrap_or_default();
+        if self.row.is_some() && hash == current.hash {
             return;
         }
-        match self.records.parse_catalog(value) {
-            Ok(catalog) if self.is_newer(&catalog) => {
-                log::info!(version = catalog.version, revision = row.revision;
-                    "{CATALOG_APPLIED}");
-                self.catalog = Some(Arc::new(catalog));
-                self.row = Some((row.revision, value.clone()));
-                self.publish();
+        let catalog = match self.records.parse_catalog(value) {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                return log::warn!(revision:% = row.revision; "invalid catalogue: {error}");
             }
-            Ok(catalog) => {
-                log::warn!(version = catalog.version; "outdated catalogue ignored");
-            }
-            Err(error) => log::warn!(revision = row.revision; "invalid catalogue: {error}"),
+        };
+        let version = catalog.version;
+        let revision = CatalogRevision { version, row: row.revision, hash };
+        if self.row.is_some() && !revision.supersedes(current) {
+            return log::warn!(version, revision:% = row.revision, current = current.version;
+                "outdated catalogue ignored");
         }
-    }
-
-    fn is_newer(&self, catalog: &Catalog) -> bool {
-        self.catalog.as_ref().is_none_or(|current| catalog.version > current.version)
+        log::info!(version, revision:% = row.revision; "{CATALOG_APPLIED}");
+        self.catalog = Some(Arc::new(catalog));
+        self.row = Some((revision, value.clone()));
+        self.publish();
     }
 }
--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -95,6 +95,7 @@
         loop {
             recoveries.mark_unchanged();
             let poll_start = Instant::now();
+            let has_history = self.revision.get().is_some();
             let wait = if first || failures > 0 { Duration::ZERO } else { self.wait.get() };
             let Some(response) = self.poll_unless_stale(wait).await else { continue };
             first = false;
@@ -104,6 +105,10 @@
                     return;
                 }
             }
+            if has_history && self.revision.get().is_none() {
+                // The store has responded, so there is nothing to wait for.
+                continue;
+            }
             match failures {
                 0 => sleep_until(poll_start + self.min_interval).await,
                 failures => self.back_off(failures, &mut recoveries).await,
@@ -125,8 +130,8 @@
                 let is_first = self.revision.replace(Some(rows.revision)).is_none();
                 changes.push(if is_first { Change::Snapshot(rows) } else { Change::Rows(rows) });
             }
-            Err(StoreError::Compacted) => {
-                log::info!(table = self.name; "store history compacted: reading the whole table");
+            Err(error @ (StoreError::Compacted | StoreError::Restored)) => {
+                log::info!(table = self.name; "reading the whole table: {error}");
                 self.revision.set(None);
             }
             Err(error) => {
@@ -178,6 +183,7 @@
     match response {
         Ok(rows) if rows.rows.is_empty() => PollOutcome::Unchanged,
         Ok(_) => PollOutcome::Changed,
+        Err(StoreError::Restored) => PollOutcome::Restored,
         Err(_) => PollOutcome::Failed,
     }
 }
--- a/crates/relay/src/control/gossip.rs
+++ b/crates/relay/src/control/gossip.rs
@@ -56,8 +56,8 @@
     }
 
     fn apply_gossiped_catalog(&mut self, push: CatalogPush) {
-        let row =
-            Row { key: R::CATALOG.into(), value: Some(push.doc.into()), revision: push.revision };
+        let CatalogPush { revision, doc } = push;
+        let row = Row { key: R::CATALOG.into(), value: Some(doc.into()), revision: revision.row };
         self.sync.on_gossip(Instant::now(), row.clone());
         self.apply_catalog(&row);
     }
--- a/crates/relay/src/control/join.rs
+++ b/crates/relay/src/control/join.rs
@@ -8,7 +8,7 @@
     crate::{
         metrics::Metrics,
         settings::Settings,
-        store::{Row, Rows, Store, StoreError, Write},
+        store::{Condition, Row, Rows, Store, StoreError, Write},
         view::NodeAddress,
     },
     compact_str::{CompactString, format_compact},
@@ -108,7 +108,7 @@
         table: TABLE.into(),
         key: format_compact!("{NODE}{name}"),
         value: None,
-        expected: None,
+        condition: Condition::None,
     };
     let writes: Vec<Write> = names.iter().map(delete).collect();
     if let Err(error) = store.write(&writes).await {
@@ -128,7 +128,7 @@
         table: TABLE.into(),
         key: AUTHORITY.into(),
         value: Some(authority.encode().into()),
-        expected: Some(row.map_or(0, |r| r.revision)),
+        condition: row.map_or(Condition::Absent, |row| Condition::At(row.revision)),
     };
     store.write(&[write]).await?;
     Ok((authority, rows))
@@ -146,7 +146,7 @@
         table: TABLE.into(),
         key: format_compact!("{NODE}{}", settings.name),
         value: Some(value.into()),
-        expected: None,
+        condition: Condition::None,
     }
 }
 
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -6,22 +6,18 @@
     self::send::Routes,
     super::{authority::Authority, join},
     crate::{
-        fanout::Scope,
-        metrics::Metrics,
-        readers::Ranking,
-        settings::Settings,
-        store::{Revision, Rows},
+        fanout::Scope, metrics::Metrics, readers::Ranking, settings::Settings, store::Rows,
         view::NodeAddress,
     },
     bilberryfront_decide::{
-        id::Incarnation,
+        id::{CatalogRevision, Incarnation},
         member::{
             Address, Me, Members, Node, Output, PeerMessage,
             message::{CatalogPush, NodeIncarnation, NodeLocation, NodeState},
         },
     },
     bilberryfront_peer::{PeerConfig, PeerError, PeerNet, Received},
-    bilberryfront_wire::instance::{Instance, InstanceKind, InstanceList, InstanceState},
+    bilberryfront_wire::instance::{Instance, InstanceKind, InstanceState},
     bytes::Bytes,
     compact_str::{CompactString, format_compact},
     rustc_hash::FxHashMap,
@@ -150,9 +146,8 @@
                 None => _ = self.listed.remove(name),
             }
         }
-        let instances = self.listed.values().map(instance).collect();
-        let list = InstanceList { revision: rows.revision, instances };
-        self.members.apply_list(Instant::now(), &list);
+        let instances: Vec<Instance> = self.listed.values().map(instance).collect();
+        self.members.apply_instances(Instant::now(), rows.revision, &instances);
         self.changed = true;
     }
 
@@ -162,7 +157,7 @@
     pub(super) fn tick(
         &mut self,
         now: Instant,
-        row: Option<&(Revision, Bytes)>,
+        row: Option<&(CatalogRevision, Bytes)>,
     ) -> Vec<CompactString> {
         let mut out = Vec::new();
         if let Some((revision, _)) = row {
@@ -182,7 +177,7 @@
         &mut self,
         now: Instant,
         event: Received,
-        row: Option<&(Revision, Bytes)>,
+        row: Option<&(CatalogRevision, Bytes)>,
     ) -> Vec<CompactString> {
         let mut out = Vec::new();
         match event {
@@ -272,7 +267,7 @@
     fn apply_outputs(
         &mut self,
         out: Vec<Output>,
-        row: Option<&(Revision, Bytes)>,
+        row: Option<&(CatalogRevision, Bytes)>,
     ) -> Vec<CompactString> {
         let mut failed = Vec::new();
         for output in out {
@@ -298,7 +293,7 @@
     }
 }
 
-fn catalog_push((revision, value): &(Revision, Bytes)) -> Option<PeerMessage> {
+fn catalog_push((revision, value): &(CatalogRevision, Bytes)) -> Option<PeerMessage> {
     let doc = String::from_utf8(value.to_vec()).ok()?;
     Some(PeerMessage::CatalogPush(CatalogPush { revision: *revision, doc }))
 }
--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -29,11 +29,10 @@
         for action in self.rollouts.tick(Instant::now(), rank, names.len()) {
             match action {
                 Action::Broadcast(update) => self.broadcast_rollout(update),
-                Action::Write { status, expected } => {
+                Action::Write { status, condition } => {
                     let (key, value) = self.records.encode_status(&status);
                     let table = R::STATUS.into();
-                    let expected = Some(expected);
-                    let row = Write { table, key, value: Some(value), expected };
+                    let row = Write { table, key, value: Some(value), condition };
                     tokio::task::spawn_local(write_status(self.store.clone(), row));
                 }
             }
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -24,6 +24,8 @@
 pub const SERVING: &str = "serving";
 /// Store available again after an outage.
 pub const STORE_RECOVERED: &str = "store available again";
+/// Store restored from a backup.
+pub const STORE_RESTORED: &str = "the store was restored from a backup";
 /// Registration of a runner removed.
 pub const RUNNER_REMOVED: &str = "runner removed";
 
@@ -36,7 +38,7 @@
 pub const RUNNER_DRAINING: &str = "the runner announces that it leaves";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 16] = [
+pub const ALL: [&str; 17] = [
     REJECTED,
     RUN_STARTED,
     RUN_LOST,
@@ -49,6 +51,7 @@
     CATALOG_APPLIED,
     SERVING,
     STORE_RECOVERED,
+    STORE_RESTORED,
     RUNNER_REMOVED,
     RATE_LIMITED,
     RATE_UNLIMITED,
--- a/crates/relay/src/metrics/volume.rs
+++ b/crates/relay/src/metrics/volume.rs
@@ -41,6 +41,8 @@
     Changed,
     /// No changes.
     Unchanged,
+    /// The store was restored from a backup.
+    Restored,
     /// Error or rejection.
     Failed,
 }
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -18,7 +18,7 @@
 /// Copy of a table that is read by some nodes and forwarded to the others.
 ///
 /// The version of a row with the highest revision wins, so updates of several readers may arrive in
-/// any order and more than once.
+/// any order and more than once. Rows of an era that has ended are ignored.
 #[derive(Debug, Default)]
 pub struct Mirror {
     rows: BTreeMap<CompactString, Version>,
@@ -26,6 +26,8 @@
     /// Sum of the hashes of all rows.
     hash: u64,
     revision: Option<Revision>,
+    /// Latest known era of the store.
+    era: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -42,19 +44,28 @@
         self.revision
     }
 
-    /// Returns a hash over keys and revisions of all rows, which is equal for equal copies.
+    /// Returns a hash of all rows, which is equal for equal copies. It does not cover the eras, so that
+    /// rows that a restored store still has need not be sent again.
     pub fn hash(&self) -> u64 {
         self.hash
     }
 
+    /// Returns whether rows at this revision are of an era that has ended.
+    pub fn is_outdated(&self, revision: Revision) -> bool {
+        revision.era < self.era
+    }
+
     /// Marks the copy as complete up to a revision.
     pub fn confirm(&mut self, revision: Revision) {
         self.revision = self.revision.map(|known| known.max(revision));
+        self.era = self.era.max(revision.era);
     }
 
     /// Merges some rows and returns those that changed. Returns nothing before the first
     /// [`Mirror::replace`], which returns all rows.
     pub fn merge(&mut self, now: Instant, rows: Vec<Row>) -> Vec<Row> {
+        let is_current = |row: &Row| !self.is_outdated(row.revision);
+        let rows: Vec<Row> = rows.into_iter().filter(is_current).collect();
         let changed: Vec<Row> = rows.into_iter().filter(|row| self.put(now, row)).collect();
         if self.revision.is_some() { changed } else { Vec::new() }
     }
@@ -69,10 +80,13 @@
     }
 
     /// Merges a snapshot of the whole table and returns the rows that changed, including removed
-    /// ones.
+    /// ones. A snapshot of an era that has ended is ignored unless it is the first one.
     pub fn replace(&mut self, now: Instant, snapshot: Rows) -> Vec<Row> {
         let Rows { rows, revision } = snapshot;
         let first = self.revision.is_none();
+        if !first && self.is_outdated(revision) {
+            return Vec::new();
+        }
         let listed: std::collections::BTreeSet<&str> =
             rows.iter().map(|r| r.key.as_str()).collect();
         let removed = |(key, version): (&CompactString, &Version)| {
@@ -85,6 +99,7 @@
         let changed =
             removed_rows.into_iter().chain(rows).filter(|row| self.put(now, row)).collect();
         self.revision = Some(self.revision.unwrap_or_default().max(revision));
+        self.era = self.era.max(revision.era);
         if first { self.rows() } else { changed }
     }
 
@@ -97,22 +112,26 @@
         self.rows.iter().filter_map(live).collect()
     }
 
+    /// Stores a version unless a later one is known. Returns whether the row changed; it has not if a
+    /// restored store still has the same version.
     fn put(&mut self, now: Instant, row: &Row) -> bool {
+        let version = Version { revision: row.revision, value: row.value.clone() };
         let known = self.rows.get(&row.key);
         if known.is_some_and(|known| known.revision >= row.revision) {
             return false;
         }
-        if let Some(Version { revision, value: Some(_) }) = known {
-            self.hash = self.hash.wrapping_sub(hash(&row.key, *revision));
+        let is_same = known.is_some_and(|known| known.is_same(&version));
+        self.era = self.era.max(row.revision.era);
+        if let Some(known) = known {
+            self.hash = self.hash.wrapping_sub(known.hash(&row.key));
         }
-        match &row.value {
-            Some(_) => self.hash = self.hash.wrapping_add(hash(&row.key, row.revision)),
-            None => self.removed.push_back((now, row.key.clone())),
+        self.hash = self.hash.wrapping_add(version.hash(&row.key));
+        if version.value.is_none() {
+            self.removed.push_back((now, row.key.clone()));
         }
-        let version = Version { revision: row.revision, value: row.value.clone() };
         self.rows.insert(row.key.clone(), version);
         self.prune(now);
-        true
+        !is_same
     }
 
     fn prune(&mut self, now: Instant) {
@@ -128,6 +147,15 @@
     }
 }
 
-fn hash(key: &str, revision: Revision) -> u64 {
-    xxh64(key.as_bytes(), revision)
+impl Version {
+    /// Returns whether both have the same number and content, as a row that was not lost when the store
+    /// was restored.
+    fn is_same(&self, other: &Version) -> bool {
+        self.revision.number == other.revision.number && self.value == other.value
+    }
+
+    fn hash(&self, key: &str) -> u64 {
+        let Some(value) = &self.value else { return 0 };
+        xxh64(value, xxh64(key.as_bytes(), self.revision.number))
+    }
 }
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -13,7 +13,7 @@
 
 use {
     self::track::Rollout,
-    crate::view::Splits,
+    crate::{store::Revision, view::Splits},
     bilberryfront_decide::{
         id::Incarnation,
         mover::{Choice, MoveUpdate, Sample},
@@ -68,7 +68,7 @@
 pub struct Rollouts {
     me: Incarnation,
     rollouts: BTreeMap<CompactString, Rollout>,
-    statuses: BTreeMap<CompactString, (u64, RolloutStatus)>,
+    statuses: BTreeMap<CompactString, (Revision, RolloutStatus)>,
 }
 
 impl Rollouts {
@@ -78,12 +78,12 @@
     }
 
     /// Applies an order with its store revision.
-    pub fn apply_order(&mut self, now: Instant, revision: u64, order: RolloutOrder) {
+    pub fn apply_order(&mut self, now: Instant, revision: Revision, order: RolloutOrder) {
         let known = self.rollouts.get(&order.service).is_some_and(|t| t.revision() >= revision);
         if known {
             return;
         }
-        log::info!(service = order.service.as_str(), to = order.to.as_str(), revision,
+        log::info!(service = order.service.as_str(), to = order.to.as_str(), revision:%,
             time = order.time.as_millis() as u64; "rollout ordered");
         let service = order.service.clone();
         let mut rollout = Rollout::new(now, self.me, revision, order);
@@ -94,7 +94,7 @@
     }
 
     /// Applies a stored status with its store revision.
-    pub fn apply_status(&mut self, revision: u64, status: RolloutStatus) {
+    pub fn apply_status(&mut self, revision: Revision, status: RolloutStatus) {
         if let Some(rollout) = self.rollouts.get_mut(&status.service) {
             rollout.apply_status(revision, &status);
         }
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{RolloutOrder, RolloutStatus, exposure::CANARY_SHARE},
-    crate::view::{Rule, Split},
+    crate::{
+        store::{Condition, Revision},
+        view::{Rule, Split},
+    },
     bilberryfront_decide::{
         chart::Chart,
         id::Incarnation,
@@ -71,12 +74,12 @@
 /// Side effect of a rollout.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Write this status if the stored one has the revision `expected`; 0 if there is none.
+    /// Write this status.
     Write {
         /// Status.
         status: RolloutStatus,
-        /// Expected revision.
-        expected: u64,
+        /// Condition on the stored status.
+        condition: Condition,
     },
     /// Send this message to all peers.
     Broadcast(MoveUpdate),
@@ -84,12 +87,12 @@
 
 pub(super) struct Rollout {
     me: Incarnation,
-    revision: u64,
+    revision: Revision,
     order: RolloutOrder,
     start: Instant,
     phase: Phase,
-    /// Revision of the stored status, with its phase if it belongs to this rollout.
-    recorded: (u64, Option<Phase>),
+    /// Revision of the stored status, if there is one, with its phase if it belongs to this rollout.
+    recorded: Option<(Revision, Option<Phase>)>,
     collector: Collector,
     pool: PooledEvidence,
     routes: BTreeMap<CompactString, Counts>,
@@ -109,7 +112,7 @@
     pub(super) fn new(
         now: Instant,
         me: Incarnation,
-        revision: u64,
+        revision: Revision,
         order: RolloutOrder,
     ) -> Rollout {
         Rollout {
@@ -117,7 +120,7 @@
             revision,
             start: now,
             phase: CHART.initial(),
-            recorded: (0, None),
+            recorded: None,
             collector: Collector::default(),
             pool: PooledEvidence::default(),
             routes: BTreeMap::new(),
@@ -134,7 +137,7 @@
         }
     }
 
-    pub(super) fn revision(&self) -> u64 {
+    pub(super) fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -147,9 +150,9 @@
     }
 
     /// Applies a stored status. A status older than the order belongs to an earlier rollout.
-    pub(super) fn apply_status(&mut self, revision: u64, status: &RolloutStatus) {
+    pub(super) fn apply_status(&mut self, revision: Revision, status: &RolloutStatus) {
         let mine = revision > self.revision && status.to == self.order.to;
-        self.recorded = (revision, mine.then_some(status.phase));
+        self.recorded = Some((revision, mine.then_some(status.phase)));
         match status.phase {
             Phase::Completed if mine && self.phase == Phase::RolledBack => {
                 self.transition(Signal::RecordedCompleted);
@@ -195,7 +198,7 @@
     }
 
     fn id(&self) -> MoveId {
-        MoveId(self.revision)
+        MoveId(self.revision.number)
     }
 
     fn transition(&mut self, signal: Signal) {
@@ -280,9 +283,14 @@
         })
     }
 
+    /// Returns the stored phase of this rollout.
+    fn recorded_phase(&self) -> Option<Phase> {
+        self.recorded?.1
+    }
+
     /// Returns whether a final status is stored.
     fn is_over(&self) -> bool {
-        matches!(self.recorded.1, Some(Phase::Completed | Phase::RolledBack))
+        matches!(self.recorded_phase(), Some(Phase::Completed | Phase::RolledBack))
     }
 
     /// Returns the write of a status, if one is due and it is this node's turn.
@@ -294,7 +302,9 @@
         self.write_at = now + WRITE_RETRY_DELAY;
         let RolloutOrder { service, to, .. } = self.order.clone();
         let status = RolloutStatus { service, to, phase };
-        Some(Action::Write { status, expected: self.recorded.0 })
+        let condition =
+            self.recorded.map_or(Condition::Absent, |(revision, _)| Condition::At(revision));
+        Some(Action::Write { status, condition })
     }
 
     /// Returns the phase that should be stored, with the time since when.
@@ -310,7 +320,7 @@
             {
                 Some((Phase::Completed, self.at(COMPLETE_SHARE)))
             }
-            Phase::Canary if self.recorded.1.is_none() => Some((Phase::Canary, self.start)),
+            Phase::Canary if self.recorded_phase().is_none() => Some((Phase::Canary, self.start)),
             Phase::Canary => None,
         }
     }
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -1,13 +1,12 @@
 //! Interface to the platform's store of versioned rows with a change feed.
 
+pub use bilberryfront_decide::id::StoreRevision as Revision;
+
 use {bytes::Bytes, compact_str::CompactString, std::time::Duration};
 
 /// Result with a [`StoreError`].
 pub type Result<T> = std::result::Result<T, StoreError>;
 
-/// Revision of a row, or of the newest transaction covered by a response.
-pub type Revision = u64;
-
 /// Row or tombstone.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
@@ -41,11 +40,26 @@
     /// The requested part of the history is no longer available.
     #[error("the store no longer has the requested part of its history")]
     Compacted,
+    /// The store was restored from a backup, so its history does not continue at the requested
+    /// revision.
+    #[error("the store was restored from a backup")]
+    Restored,
     /// The expected revision of a write did not match.
     #[error("the row was changed by another write")]
     Conflict,
 }
 
+/// Condition of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// Always met.
+    None,
+    /// There is no row.
+    Absent,
+    /// The row has this revision.
+    At(Revision),
+}
+
 /// Conditional write of a row.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Write {
@@ -55,8 +69,8 @@
     pub key: CompactString,
     /// New content; `None` deletes the row.
     pub value: Option<Bytes>,
-    /// Expected current revision: 0 if there must be no row, `None` for any.
-    pub expected: Option<Revision>,
+    /// Condition on the current row.
+    pub condition: Condition,
 }
 
 /// Client of the store. Every call ends within the client's timeout.
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -7,9 +7,10 @@
 use {
     crate::{
         control::feed::Change,
+        log_messages::STORE_RESTORED,
         mirror::Mirror,
         readers::{Election, REPORT_INTERVAL, Ranking},
-        store::{Row, Rows},
+        store::{Revision, Row, Rows},
     },
     bilberryfront_decide::member::{
         PeerMessage,
@@ -149,7 +150,7 @@
     }
 
     /// Returns the revision up to which a table is known, from which its feed can be resumed.
-    pub fn revision(&self, table: TableId) -> Option<u64> {
+    pub fn revision(&self, table: TableId) -> Option<Revision> {
         self.tables[index(table)].mirror.revision()
     }
 
@@ -194,9 +195,15 @@
         }
         let mirror = &mut self.tables[index(table)].mirror;
         let loaded = mirror.revision().is_some();
+        if let (Change::Snapshot(rows), Some(known)) = (&change, mirror.revision())
+            && known.era < rows.revision.era
+        {
+            log::warn!(table:? = table, known:% = known, revision:% = rows.revision;
+                "{STORE_RESTORED}");
+        }
         if let Change::Snapshot(rows) | Change::Rows(rows) = &change {
             for (row, known) in mirror.outdated(&rows.rows) {
-                log::warn!(table:? = table, key = row.key.as_str(), revision = row.revision, known;
+                log::warn!(table:? = table, key = row.key.as_str(), revision:% = row.revision, known:%;
                     "row of the store ignored: a later revision is known");
             }
         }
@@ -306,6 +313,9 @@
         self.available_at = Some(now);
         for digest in &report.digests {
             let table = &mut self.tables[index(digest.table)];
+            if table.mirror.is_outdated(digest.revision) {
+                continue;
+            }
             if table.mirror.revision().is_some() && table.mirror.hash() == digest.hash {
                 table.mirror.confirm(digest.revision);
                 table.mismatches = 0;
@@ -404,7 +414,7 @@
 
 fn update(
     table: TableId,
-    revision: u64,
+    revision: Revision,
     whole: bool,
     grace: Duration,
     rows: &[Row],
--- a/crates/relay/tests/feed.rs
+++ b/crates/relay/tests/feed.rs
@@ -88,13 +88,13 @@
             store.0.silent.set(true);
             sleep(Duration::from_secs(4)).await;
             store.0.silent.set(false);
-            store.0.revision.set(7);
+            store.0.revision.set(Revision::new(0, 7));
             let recovered_at = Instant::now();
             let orders = async {
                 loop {
                     match events.recv().await.unwrap() {
                         FeedEvent { table: "orders", change: Change::Rows(rows) }
-                            if rows.revision == 7 =>
+                            if rows.revision.number == 7 =>
                         {
                             return;
                         }
@@ -127,7 +127,7 @@
         self.0.calls.set(self.0.calls.get() + 1);
         match self.0.down.get() {
             true => Err(StoreError::Unavailable("down".into())),
-            false => Ok(Rows { rows: Vec::new(), revision: 1 }),
+            false => Ok(Rows { rows: Vec::new(), revision: Revision::new(0, 1) }),
         }
     }
 }
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -7,7 +7,7 @@
         control::registry::RunnerRegistry,
         records::{BadRecord, Records},
         rollouts::{RolloutOrder, RolloutStatus},
-        store::Row,
+        store::{Revision, Row},
         view::{Registration, State},
     },
     bytes::Bytes,
@@ -63,7 +63,7 @@
 
 fn row(id: &str, value: &str) -> Row {
     let value = (!value.is_empty()).then(|| value.to_owned().into());
-    Row { key: id.into(), value, revision: 1 }
+    Row { key: id.into(), value, revision: Revision::new(0, 1) }
 }
 
 fn ids(registry: &RunnerRegistry) -> Vec<String> {
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -10,6 +10,7 @@
             Action, Phase, RolloutOrder, RolloutSample, RolloutStatus, Rollouts,
             exposure::{Bound, Exposure},
         },
+        store::{Condition, Revision},
         view::{Rule, Split},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -43,6 +44,8 @@
     from: Duration,
 }
 
+/// Revision of the order.
+const ORDERED_AT: Revision = Revision::new(0, 10);
 const HEALTHY: FailureRates =
     FailureRates { old: 0.02, new: 0.02, route: None, from: Duration::ZERO };
 const FAILING: FailureRates = FailureRates { new: 0.6, ..HEALTHY };
@@ -52,8 +55,8 @@
     rng: SmallRng,
     start: Instant,
     failure_rates: FailureRates,
-    store: Option<(u64, RolloutStatus)>,
-    revision: u64,
+    store: Option<(Revision, RolloutStatus)>,
+    revision: Revision,
     store_down: bool,
     final_writes: u32,
     messages: Vec<(usize, MoveUpdate)>,
@@ -71,7 +74,7 @@
         let now = Instant::now();
         let node = |i: u64| {
             let mut rollouts = Rollouts::new(Incarnation(i + 1));
-            rollouts.apply_order(now, 10, rollout_order());
+            rollouts.apply_order(now, ORDERED_AT, rollout_order());
             Node { rollouts, exposure: Exposure::default(), isolated: false, dead: false }
         };
         World {
@@ -80,7 +83,7 @@
             start: now,
             failure_rates,
             store: None,
-            revision: 10,
+            revision: ORDERED_AT,
             store_down: false,
             final_writes: 0,
             messages: Vec::new(),
@@ -116,8 +119,8 @@
                     Action::Broadcast(update) if !self.nodes[i].isolated => {
                         self.messages.push((i, update));
                     }
-                    Action::Write { status, expected } if !self.nodes[i].isolated => {
-                        self.write(&status, expected);
+                    Action::Write { status, condition } if !self.nodes[i].isolated => {
+                        self.write(&status, condition);
                     }
                     _ => {}
                 }
@@ -125,13 +128,14 @@
         }
     }
 
-    fn write(&mut self, record: &RolloutStatus, expected: u64) {
-        let stored = self.store.as_ref().map_or(0, |(revision, _)| *revision);
-        if self.store_down || stored != expected {
+    fn write(&mut self, record: &RolloutStatus, condition: Condition) {
+        let stored = self.store.as_ref();
+        let stored = stored.map_or(Condition::Absent, |(revision, _)| Condition::At(*revision));
+        if self.store_down || stored != condition {
             return;
         }
         self.final_writes += u32::from(record.phase != Phase::Canary);
-        self.revision += 1;
+        self.revision.number += 1;
         self.store = Some((self.revision, record.clone()));
         let receivers = self.nodes.iter_mut().filter(|n| !n.isolated && !n.dead);
         receivers.for_each(|node| node.rollouts.apply_status(self.revision, record.clone()));
@@ -267,7 +271,7 @@
 #[tokio::test(start_paused = true)]
 async fn first_stored_final_status_is_authoritative() {
     let mut node = Rollouts::new(Incarnation(9));
-    node.apply_order(Instant::now(), 10, rollout_order());
+    node.apply_order(Instant::now(), ORDERED_AT, rollout_order());
     let update = MoveUpdate {
         from: Incarnation(1),
         sequence: 1,
@@ -284,7 +288,7 @@
     node.handle_peer_update(Instant::now(), &update);
     assert_eq!(node.splits()["llm"].rule, Rule::OnlyOld);
     let record = RolloutStatus { service: "llm".into(), to: "v2".into(), phase: Phase::Completed };
-    node.apply_status(12, record);
+    node.apply_status(Revision::new(0, 12), record);
     assert_eq!(node.splits()["llm"].rule, Rule::OnlyNew);
 }
 
@@ -294,7 +298,7 @@
 #[tokio::test(start_paused = true)]
 async fn restarted_node_applies_the_stored_status() {
     let record = |phase| RolloutStatus { service: "llm".into(), to: "v2".into(), phase };
-    for (revision, phase, rule) in [
+    for (number, phase, rule) in [
         (12, Phase::Completed, Rule::OnlyNew),
         (12, Phase::RolledBack, Rule::OnlyOld),
         (12, Phase::Canary, Rule::Canary),
@@ -304,13 +308,13 @@
         for first in [true, false] {
             let mut node = Rollouts::new(Incarnation(1));
             if first {
-                node.apply_status(revision, record(phase));
+                node.apply_status(Revision::new(0, number), record(phase));
             }
-            node.apply_order(Instant::now(), 10, rollout_order());
+            node.apply_order(Instant::now(), ORDERED_AT, rollout_order());
             if !first {
-                node.apply_status(revision, record(phase));
+                node.apply_status(Revision::new(0, number), record(phase));
             }
-            assert_eq!(node.splits()["llm"].rule, rule, "{revision} {phase:?} {first}");
+            assert_eq!(node.splits()["llm"].rule, rule, "{number} {phase:?} {first}");
         }
     }
 }
@@ -320,7 +324,7 @@
 #[tokio::test(start_paused = true)]
 async fn version_without_runners_is_not_completed() {
     let mut node = Rollouts::new(Incarnation(1));
-    node.apply_order(Instant::now(), 10, rollout_order());
+    node.apply_order(Instant::now(), ORDERED_AT, rollout_order());
     let mut records = BTreeMap::new();
     let end = Instant::now() + TIME;
     while Instant::now() < end {
--- a/crates/relay/tests/table_sync.rs
+++ b/crates/relay/tests/table_sync.rs
@@ -10,7 +10,7 @@
     bilberryfront_relay::{
         mirror::Mirror,
         readers::READERS,
-        store::{Row, Rows},
+        store::{Revision, Row, Rows},
     },
     quickcheck::{Gen, QuickCheck},
     std::time::Duration,
@@ -165,6 +165,107 @@
     }
 }
 
+/// Guards against nodes that keep rows which the store lost when it was restored, or miss rows at
+/// revisions that it has assigned again.
+#[tokio::test(start_paused = true)]
+async fn every_node_follows_a_restored_store() {
+    for size in SIZES {
+        let mut world = World::settled(size, RUNNERS).await;
+        let backup = world.store.back_up();
+        for key in ["r1", "lost"] {
+            world.store.put(TableId::Runners, key);
+        }
+        world.store.remove(TableId::Runners, "r2");
+        world.store.put(TableId::Operators, "config");
+        world.run(SECOND).await;
+        world.store.restore(&backup);
+        let revision = world.store.put(TableId::Operators, "config");
+        world.store.put(TableId::Runners, "r3");
+        let contents = world.store.contents();
+        let elapsed = world.until("restored", |n| n.contents() == contents).await;
+        assert!(elapsed <= SECOND, "{elapsed:?}");
+        assert!(world.nodes.iter().all(|n| n.has(TableId::Operators, "config", revision)));
+    }
+}
+
+/// Load: the store is restored. The nodes read it as rarely as at any other time, and do not send
+/// each other the rows that it still has.
+#[tokio::test(start_paused = true)]
+async fn restoration_causes_few_calls_and_messages() {
+    for size in SIZES {
+        let mut world = World::settled(size, RUNNERS).await;
+        let backup = world.store.back_up();
+        world.store.put(TableId::Operators, "config");
+        world.run(SECOND).await;
+        (world.store.calls, world.sent, world.sent_rows) = (0, 0, 0);
+        world.store.restore(&backup);
+        world.run(2 * SECOND).await;
+        let calls = DOMAINS * READERS * TABLES * 3;
+        assert!(world.store.calls as usize <= calls, "{} calls of {size}", world.store.calls);
+        assert!(world.sent_rows <= 4 * world.nodes.len(), "{} rows", world.sent_rows);
+    }
+}
+
+/// Guards against any order of writes, restorations, outages, lost messages and restarts after which
+/// the nodes do not agree with the store.
+#[test]
+fn nodes_agree_with_the_store_after_any_faults() {
+    fn agree(steps: &Vec<(u8, u8)>) -> bool {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        runtime.block_on(async {
+            let mut world = World::settled(5, 6).await;
+            let mut backup = world.store.back_up();
+            for (action, index) in steps {
+                let key = format!("r{}", index % 8);
+                let node = usize::from(*index) % world.nodes.len();
+                match action % 10 {
+                    0 | 1 => _ = world.store.put(TableId::Runners, &key),
+                    2 => world.store.remove(TableId::Runners, &key),
+                    3 => _ = world.store.put(TableId::Operators, "config"),
+                    4 => backup = world.store.back_up(),
+                    5 | 6 => world.store.restore(&backup),
+                    7 => world.store.down = !world.store.down,
+                    8 => world.toggle_reachable(node),
+                    _ => world.nodes[node].rejected = !world.nodes[node].rejected,
+                }
+                world.run(Duration::from_millis(u64::from(*index) * 4)).await;
+            }
+            world.repair();
+            world.run(15 * SECOND).await;
+            let contents = world.store.contents();
+            world.nodes.iter().all(|n| n.contents() == contents)
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, 0x5eed))
+        .tests(60)
+        .quickcheck((|steps| agree(&steps)) as fn(Vec<(u8, u8)>) -> bool);
+}
+
+/// Guards against a delayed message from before a restoration that replaces a row of the restored
+/// store, which has a lower number.
+#[test]
+fn rows_of_an_ended_era_are_ignored() {
+    let now = Instant::now();
+    let row = |era, number, value: &'static str| Row {
+        key: "r1".into(),
+        value: Some(value.as_bytes().into()),
+        revision: Revision::new(era, number),
+    };
+    let rows = |row: Row| Rows { revision: row.revision, rows: vec![row] };
+    let mut mirror = Mirror::default();
+    mirror.replace(now, rows(row(0, 3, "old")));
+    mirror.confirm(Revision::new(1, 4));
+    assert_eq!(mirror.merge(now, vec![row(0, 9, "lost")]), []);
+    assert_eq!(mirror.replace(now, rows(row(0, 9, "lost"))), []);
+    assert_eq!(mirror.rows(), [row(0, 3, "old")]);
+    assert_eq!(mirror.merge(now, vec![row(1, 5, "new")]), [row(1, 5, "new")]);
+}
+
 /// Guards against replacing a row by an older version when updates of two readers arrive out of
 /// order.
 #[test]
@@ -176,7 +277,7 @@
         let row = |&(key, revision): &(u8, u16)| Row {
             key: (key % 8).to_string().into(),
             value: (revision % 3 > 0).then(|| b"v".as_slice().into()),
-            revision: u64::from(revision) * 8 + u64::from(key % 8) + 1,
+            revision: Revision::new(0, u64::from(revision) * 8 + u64::from(key % 8) + 1),
         };
         let rows: Vec<Row> = updates.iter().map(row).collect();
         let start = || {
--- a/crates/relay/tests/table_sync/world.rs
+++ b/crates/relay/tests/table_sync/world.rs
@@ -6,9 +6,10 @@
     bilberryfront_relay::{
         control::feed::Change,
         readers::Ranking,
-        store::{Row, Rows},
+        store::{Revision, Row, Rows},
         table_sync::{Action, TableSync},
     },
+    bytes::Bytes,
     compact_str::{CompactString, format_compact},
     std::{
         collections::{BTreeMap, BTreeSet, VecDeque},
@@ -29,9 +30,9 @@
     pub(crate) name: CompactString,
     pub(crate) domain: usize,
     pub(crate) sync: TableSync,
-    /// Revisions of the applied rows by table and key; removed rows are in `removed`, with their
-    /// grace period.
-    pub(crate) rows: BTreeMap<(TableId, CompactString), u64>,
+    /// Revisions and contents of the applied rows by table and key; removed rows are in `removed`, with
+    /// their grace period.
+    pub(crate) rows: BTreeMap<(TableId, CompactString), (Revision, Bytes)>,
     pub(crate) removed: Vec<(CompactString, Duration)>,
     pub(crate) dead: bool,
     /// Whether the store rejects this node.
@@ -44,17 +45,25 @@
     active: bool,
     down: bool,
     due: Instant,
-    revision: Option<u64>,
+    revision: Option<Revision>,
 }
 
 #[derive(Default)]
 pub(crate) struct Store {
-    revision: u64,
-    rows: BTreeMap<(TableId, CompactString), (u64, bool)>,
+    contents: Backup,
+    /// Number of writes, including lost ones; makes each content unique.
+    writes: u64,
     pub(crate) down: bool,
     pub(crate) calls: u32,
 }
 
+/// Contents of the store at some time; removed rows have no content.
+#[derive(Clone, Default)]
+pub(crate) struct Backup {
+    revision: Revision,
+    rows: BTreeMap<(TableId, CompactString), (Revision, Option<Bytes>)>,
+}
+
 pub(crate) struct World {
     pub(crate) nodes: Vec<Node>,
     pub(crate) store: Store,
@@ -62,6 +71,8 @@
     /// Nodes that receive no messages.
     pub(crate) unreachable: BTreeSet<CompactString>,
     pub(crate) sent: usize,
+    /// Number of rows in the sent messages.
+    pub(crate) sent_rows: usize,
 }
 
 impl World {
@@ -89,7 +100,14 @@
             names.enumerate().map(node).collect::<Vec<_>>()
         };
         let nodes = domain(0, size).into_iter().chain(domain(1, OTHERS)).collect();
-        World { nodes, store, messages: VecDeque::new(), unreachable: BTreeSet::new(), sent: 0 }
+        World {
+            nodes,
+            store,
+            messages: VecDeque::new(),
+            unreachable: BTreeSet::new(),
+            sent: 0,
+            sent_rows: 0,
+        }
     }
 
     /// Creates the same domains, after all nodes have received all rows.
@@ -102,6 +120,21 @@
         world
     }
 
+    /// Makes a node unreachable, or reachable again.
+    pub(crate) fn toggle_reachable(&mut self, index: usize) {
+        let name = self.nodes[index].name.clone();
+        if !self.unreachable.remove(&name) {
+            self.unreachable.insert(name);
+        }
+    }
+
+    /// Ends all faults.
+    pub(crate) fn repair(&mut self) {
+        self.store.down = false;
+        self.unreachable.clear();
+        self.nodes.iter_mut().for_each(|node| node.rejected = false);
+    }
+
     /// Returns the indices of the first domain's readers by rank.
     pub(crate) fn readers(&self) -> Vec<usize> {
         self.readers_of(0)
@@ -184,7 +217,7 @@
                 Poll { active: true, down: false, due: now, revision: node.sync.revision(table) };
         }
         let is_failing = self.store.down || node.rejected;
-        let changed = poll.revision.is_some_and(|known| self.store.has_changed(table, known));
+        let changed = poll.revision.is_none_or(|known| self.store.has_changed(table, known));
         if now < poll.due && (poll.down || is_failing || !changed) {
             return None;
         }
@@ -193,6 +226,10 @@
             poll.due = now + BACKOFF;
             return (!std::mem::replace(&mut poll.down, true)).then(|| vec![Change::Unavailable]);
         }
+        if poll.revision.is_some_and(|known| !self.store.has_history(known)) {
+            poll.revision = None;
+            return None;
+        }
         poll.due = now + WAIT;
         let mut changes = Vec::new();
         if std::mem::take(&mut poll.down) {
@@ -213,6 +250,7 @@
                     let first = self.readers_of(1 - domain)[0];
                     let to = self.nodes[first].name.clone();
                     self.sent += 1;
+                    self.sent_rows += row_count(&message);
                     self.messages.push_back((from.clone(), to, message));
                 }
                 Action::Broadcast(message) => {
@@ -220,10 +258,12 @@
                     let all: Vec<_> =
                         others.map(|n| (from.clone(), n.name.clone(), message.clone())).collect();
                     self.sent += all.len();
+                    self.sent_rows += all.len() * row_count(&message);
                     self.messages.extend(all);
                 }
                 Action::Send(to, message) => {
                     self.sent += 1;
+                    self.sent_rows += row_count(&message);
                     self.messages.push_back((from.clone(), to, message));
                 }
                 Action::Apply { table, rows, grace } => {
@@ -236,13 +276,27 @@
     }
 }
 
+fn row_count(message: &PeerMessage) -> usize {
+    match message {
+        PeerMessage::Table(update) => update.rows.len(),
+        _ => 0,
+    }
+}
+
 impl Node {
+    /// Returns the contents of the applied rows.
+    pub(crate) fn contents(&self) -> BTreeMap<(TableId, CompactString), Bytes> {
+        let contents = self.rows.iter();
+        contents.map(|(key, (_, value))| (key.clone(), value.clone())).collect()
+    }
+
     fn apply(&mut self, table: TableId, row: Row, grace: Duration) {
         let Row { key, value, revision } = row;
-        let known = self.rows.get(&(table, key.clone())).copied().unwrap_or_default();
-        assert!(revision > known, "revision of {key} decreased from {known} to {revision}");
+        let known = self.rows.get(&(table, key.clone())).map(|(known, _)| *known);
+        let is_later = known.is_none_or(|known| revision > known);
+        assert!(is_later, "revision of {key} decreased from {known:?} to {revision}");
         match value {
-            Some(_) => _ = self.rows.insert((table, key), revision),
+            Some(value) => _ = self.rows.insert((table, key), (revision, value)),
             None => {
                 self.rows.remove(&(table, key.clone()));
                 self.removed.push((key, grace));
@@ -250,38 +304,70 @@
         }
     }
 
-    pub(crate) fn has(&self, table: TableId, key: &str, revision: u64) -> bool {
-        self.rows.get(&(table, key.into())).is_some_and(|known| *known >= revision)
+    pub(crate) fn has(&self, table: TableId, key: &str, revision: Revision) -> bool {
+        self.rows.get(&(table, key.into())).is_some_and(|(known, _)| *known >= revision)
     }
 }
 
 impl Store {
     /// Writes a row and returns its revision.
-    pub(crate) fn put(&mut self, table: TableId, key: &str) -> u64 {
-        self.revision += 1;
-        self.rows.insert((table, key.into()), (self.revision, true));
-        self.revision
+    pub(crate) fn put(&mut self, table: TableId, key: &str) -> Revision {
+        self.writes += 1;
+        self.write(table, key, Some(self.writes.to_string().into()))
     }
 
     pub(crate) fn remove(&mut self, table: TableId, key: &str) {
-        self.revision += 1;
-        self.rows.insert((table, key.into()), (self.revision, false));
+        self.write(table, key, None);
+    }
+
+    /// Returns the contents of all rows.
+    pub(crate) fn contents(&self) -> BTreeMap<(TableId, CompactString), Bytes> {
+        let live =
+            |((table, key), (_, value)): (&(TableId, CompactString), &(_, Option<Bytes>))| {
+                Some(((*table, key.clone()), value.clone()?))
+            };
+        self.contents.rows.iter().filter_map(live).collect()
     }
 
-    fn has_changed(&self, table: TableId, after: u64) -> bool {
-        self.rows.iter().any(|((t, _), (revision, _))| *t == table && *revision > after)
+    pub(crate) fn back_up(&self) -> Backup {
+        self.contents.clone()
+    }
+
+    /// Replaces the contents by those of a backup, in a new era.
+    pub(crate) fn restore(&mut self, backup: &Backup) {
+        let era = self.contents.revision.era + 1;
+        self.contents = backup.clone();
+        self.contents.revision.era = era;
+        self.contents.rows.values_mut().for_each(|(revision, _)| revision.era = era);
+    }
+
+    fn write(&mut self, table: TableId, key: &str, value: Option<Bytes>) -> Revision {
+        self.contents.revision.number += 1;
+        let revision = self.contents.revision;
+        self.contents.rows.insert((table, key.into()), (revision, value));
+        revision
+    }
+
+    fn has_history(&self, after: Revision) -> bool {
+        after.era == self.contents.revision.era
+    }
+
+    fn has_changed(&self, table: TableId, after: Revision) -> bool {
+        let is_changed = |((t, _), (revision, _)): (&(TableId, _), &(Revision, _))| {
+            *t == table && *revision > after
+        };
+        !self.has_history(after) || self.contents.rows.iter().any(is_changed)
     }
 
-    fn rows(&self, table: TableId, after: Option<u64>) -> Rows {
-        let row = |((t, key), (revision, live)): (&(TableId, CompactString), &(u64, bool))| {
-            let wanted = *t == table
-                && match after {
-                    Some(after) => *revision > after,
-                    None => *live,
-                };
-            let value = live.then(|| b"value".as_slice().into());
-            wanted.then(|| Row { key: key.clone(), value, revision: *revision })
+    fn rows(&self, table: TableId, after: Option<Revision>) -> Rows {
+        let row = |((t, key), (revision, value)): (
+            &(TableId, CompactString),
+            &(Revision, Option<Bytes>),
+        )| {
+            let wanted = *t == table && after.map_or(value.is_some(), |after| *revision > after);
+            wanted.then(|| Row { key: key.clone(), value: value.clone(), revision: *revision })
         };
-        Rows { rows: self.rows.iter().filter_map(row).collect(), revision: self.revision }
+        let rows = self.contents.rows.iter().filter_map(row).collect();
+        Rows { rows, revision: self.contents.revision }
     }
 }
--- a/examples/measure/control/peers.rs
+++ b/examples/measure/control/peers.rs
@@ -55,10 +55,18 @@
     let heartbeat = PeerMessage::Heartbeat(heartbeat(1, location));
     let bytes =
         bilberryfront::peer::codec::encode(&"a".into(), &heartbeat).map_err(io::Error::other)?;
-    let push = PeerMessage::CatalogPush(CatalogPush { revision: 2, doc: "x".repeat(150 << 10) });
+    let push =
+        PeerMessage::CatalogPush(CatalogPush { revision: 2.into(), doc: "x".repeat(150 << 10) });
     let target = [target];
-    send_and_receive(&from, &mut events, &target, &PeerMessage::Revision(1), 10, Duration::ZERO)
-        .await?;
+    send_and_receive(
+        &from,
+        &mut events,
+        &target,
+        &PeerMessage::Revision(1.into()),
+        10,
+        Duration::ZERO,
+    )
+    .await?;
     let idle = spent(async {
         let start = Instant::now();
         for n in 1..=SLOW_SERIES.0 {
@@ -72,7 +80,7 @@
         ("heartbeat (datagram), one per 4 ms", &heartbeat, SLOW_SERIES.0, SLOW_SERIES.1),
         (
             "revision (own stream), one per 4 ms",
-            &PeerMessage::Revision(1),
+            &PeerMessage::Revision(1.into()),
             SLOW_SERIES.0,
             SLOW_SERIES.1,
         ),
@@ -90,7 +98,7 @@
         }
         println!("{name}: {each:.1} µs per message, {lost} of {count} lost");
     }
-    let (pull, back) = (PeerMessage::CatalogPull(2), [back]);
+    let (pull, back) = (PeerMessage::CatalogPull(2.into()), [back]);
     let act = async {
         for _ in 0..CATALOGUES {
             send_and_receive(&to, &mut asked, &back, &pull, 1, Duration::ZERO).await?;
@@ -131,7 +139,7 @@
     let targets = spokes.iter().map(|(_, _, t)| t.clone()).collect::<Vec<_>>();
     let before = own_resident();
     let act = async {
-        from.send(&targets, &PeerMessage::Revision(1)).map_err(io::Error::other)?;
+        from.send(&targets, &PeerMessage::Revision(1.into())).map_err(io::Error::other)?;
         for (_, events, _) in &mut spokes {
             events.recv().await.ok_or_else(|| io::Error::other("a peer endpoint closed"))?;
         }
--- a/examples/measure/control/state.rs
+++ b/examples/measure/control/state.rs
@@ -193,7 +193,7 @@
         moment: Moment { life: life(n), beat: 2 },
         state: NodeState::Ready,
         location: Some(location),
-        revision: 1,
+        revision: 1.into(),
         usage: usage.collect(),
         updates: Vec::new(),
     }
--- a/src/control/membership.rs
+++ b/src/control/membership.rs
@@ -136,7 +136,7 @@
         if *self.leaving.requested.borrow() && self.drain.listed() {
             self.leave(now);
         }
-        self.members.set_revision(view.catalog.revision, out);
+        self.members.set_revision(view.catalog.revision.into(), out);
         self.members.set_usage(usage(&view));
         self.members.tick(now, out);
         self.control.send(Event::Peers(self.peer_use(&view.catalog, now)));
@@ -177,6 +177,7 @@
     /// again, because a peer that runs another version may accept more.
     fn apply(&self, push: CatalogPush) {
         let CatalogPush { revision, doc } = push;
+        let revision: Revision = revision.version;
         match serde_json::from_str::<CatalogDoc>(&doc) {
             Ok(catalogue) if catalogue.check().is_empty() => {
                 self.control.apply_catalog(CatalogueRevision { revision, catalogue });
@@ -228,7 +229,7 @@
 fn catalog_push(catalog: &Catalog) -> PeerMessage {
     let revision: Revision = catalog.revision;
     let doc = serde_json::to_string(&catalog.doc()).expect("a catalogue always serializes");
-    PeerMessage::CatalogPush(CatalogPush { revision, doc })
+    PeerMessage::CatalogPush(CatalogPush { revision: revision.into(), doc })
 }
 
 fn usage(view: &View) -> Vec<Usage> {
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -66,7 +66,7 @@
         let location = Some(self.location.clone());
         let revision = view.catalog.revision;
         let (name, incarnation) = (self.name.clone(), self.incarnation);
-        row(&Node { name, incarnation, state, location, revision })
+        row(&Node { name, incarnation, state, location, revision: revision.into() })
     }
 }
 
@@ -74,7 +74,7 @@
     let (domain, url) =
         node.location.as_ref().map(|p| (p.domain.clone(), p.url.clone())).unwrap_or_default();
     let state = CompactString::const_new(state_name(node.state));
-    let revision = (node.revision > 0).then_some(node.revision);
+    let revision = (node.revision.version > 0).then_some(node.revision.version);
     NodeRow { name: node.name.clone(), domain, url, state, revision }
 }
 
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -79,11 +79,11 @@
     let authority = authority();
     let (a, mut at_a, to_a) = start(&authority, "a");
     let (b, mut at_b, to_b) = start(&authority, "b");
-    a.send(&[to_b], &PeerMessage::CatalogPull(1)).unwrap();
-    assert_eq!(at_b.recv().await, message("a", PeerMessage::CatalogPull(1)));
+    a.send(&[to_b], &PeerMessage::CatalogPull(1.into())).unwrap();
+    assert_eq!(at_b.recv().await, message("a", PeerMessage::CatalogPull(1.into())));
     // Larger than the flow-control window of a stream, so it is written in parts.
     let doc = "x".repeat(5 << 20);
-    let push = PeerMessage::CatalogPush(CatalogPush { revision: 2, doc });
+    let push = PeerMessage::CatalogPush(CatalogPush { revision: 2.into(), doc });
     b.send(&[to_a], &push).unwrap();
     assert_eq!(at_a.recv().await, message("b", push));
 }
@@ -108,12 +108,12 @@
     let (ours, theirs) = (authority(), authority());
     let (a, mut at_a, to_a) = start(&ours, "a");
     let (b, mut at_b, _) = start(&theirs, "b");
-    b.send(std::slice::from_ref(&to_a), &PeerMessage::Revision(9)).unwrap();
+    b.send(std::slice::from_ref(&to_a), &PeerMessage::Revision(9.into())).unwrap();
     assert_eq!(at_b.recv().await, Some(Received::Broken("a".into())));
     wait_until(&a, |c| c.refused > 0).await;
     let (c, _at_c, _) = start(&ours, "c");
-    c.send(&[to_a], &PeerMessage::Revision(2)).unwrap();
-    assert_eq!(at_a.recv().await, message("c", PeerMessage::Revision(2)));
+    c.send(&[to_a], &PeerMessage::Revision(2.into())).unwrap();
+    assert_eq!(at_a.recv().await, message("c", PeerMessage::Revision(2.into())));
 }
 
 // As above, but the client trusts our authority, so only the node's own check can reject it.
@@ -123,12 +123,12 @@
     let (a, mut at_a, to_a) = start(&ours, "a");
     let intruder = PeerConfig { authority: ours.pem().into_bytes(), ..config(&theirs, "c") };
     let (c, mut at_c) = PeerNet::start(&intruder).unwrap();
-    c.send(std::slice::from_ref(&to_a), &PeerMessage::Revision(9)).unwrap();
+    c.send(std::slice::from_ref(&to_a), &PeerMessage::Revision(9.into())).unwrap();
     assert_eq!(at_c.recv().await, Some(Received::Broken("a".into())));
     wait_until(&a, |c| c.refused > 0).await;
     let (d, _at_d, _) = start(&ours, "d");
-    d.send(&[to_a], &PeerMessage::Revision(2)).unwrap();
-    assert_eq!(at_a.recv().await, message("d", PeerMessage::Revision(2)));
+    d.send(&[to_a], &PeerMessage::Revision(2.into())).unwrap();
+    assert_eq!(at_a.recv().await, message("d", PeerMessage::Revision(2.into())));
 }
 
 // Guards against messages to the wrong node when the list contains the address of `b` for `c`: the
@@ -139,7 +139,7 @@
     let (a, mut at_a, _) = start(&authority, "a");
     let (b, _at_b, to_b) = start(&authority, "b");
     let wrong = Target { name: "c".into(), ..to_b };
-    a.send(&[wrong], &PeerMessage::Revision(9)).unwrap();
+    a.send(&[wrong], &PeerMessage::Revision(9.into())).unwrap();
     assert_eq!(at_a.recv().await, Some(Received::Broken("c".into())));
     assert_eq!(b.counts().received, 0);
 }
@@ -152,11 +152,11 @@
     let authority = authority();
     let (a, mut at_a, to_a) = start(&authority, "a");
     let c = dial(&config(&authority, "c"), &to_a).await;
-    let forged = codec::encode(&"b".into(), &PeerMessage::Revision(9)).unwrap();
+    let forged = codec::encode(&"b".into(), &PeerMessage::Revision(9.into())).unwrap();
     write(&c, &forged.bytes).await;
-    let own = codec::encode(&"c".into(), &PeerMessage::Revision(2)).unwrap();
+    let own = codec::encode(&"c".into(), &PeerMessage::Revision(2.into())).unwrap();
     write(&c, &own.bytes).await;
-    assert_eq!(at_a.recv().await, message("c", PeerMessage::Revision(2)));
+    assert_eq!(at_a.recv().await, message("c", PeerMessage::Revision(2.into())));
     wait_until(&a, |c| c.refused == 1).await;
 }
 
@@ -168,15 +168,15 @@
     let (a, mut at_a, to_a) = start(&authority, "a");
     let c = dial(&config(&authority, "c"), &to_a).await;
     write(&c, &[&[VERSION, 0][..], &vec![0; CONTROL_LIMIT]].concat()).await;
-    let push = PeerMessage::CatalogPush(CatalogPush { revision: 9, doc: "{}".into() });
+    let push = PeerMessage::CatalogPush(CatalogPush { revision: 9.into(), doc: "{}".into() });
     write(&c, &codec::encode(&"c".into(), &push).unwrap().bytes).await;
     wait_until(&a, |c| c.refused == 2).await;
     let pull = codec::encode(&"c".into(), &PeerMessage::MembersPull).unwrap();
     write(&c, &pull.bytes).await;
     assert_eq!(at_a.recv().await, message("c", PeerMessage::MembersPull));
     let (d, _at_d, _) = start(&authority, "d");
-    d.send(&[to_a], &PeerMessage::Revision(2)).unwrap();
-    assert_eq!(at_a.recv().await, message("d", PeerMessage::Revision(2)));
+    d.send(&[to_a], &PeerMessage::Revision(2.into())).unwrap();
+    assert_eq!(at_a.recv().await, message("d", PeerMessage::Revision(2.into())));
 }
 
 // Guards against a stuck node that delays messages to others. It accepts connections but never
@@ -206,7 +206,7 @@
         a.send(std::slice::from_ref(&to_stuck), &large).unwrap();
     }
     for revision in 0..20 {
-        a.send(std::slice::from_ref(&to_b), &PeerMessage::Revision(revision)).unwrap();
+        a.send(std::slice::from_ref(&to_b), &PeerMessage::Revision(revision.into())).unwrap();
     }
     for _ in 0..20 {
         assert!(matches!(at_b.recv().await, Some(Received::Message { .. })));
@@ -222,8 +222,8 @@
     let authority = authority();
     let (a, mut at_a, _) = start(&authority, "a");
     let (b, mut at_b, to_b) = start(&authority, "b");
-    a.send(std::slice::from_ref(&to_b), &PeerMessage::Revision(1)).unwrap();
-    assert_eq!(at_b.recv().await, message("a", PeerMessage::Revision(1)));
+    a.send(std::slice::from_ref(&to_b), &PeerMessage::Revision(1.into())).unwrap();
+    assert_eq!(at_b.recv().await, message("a", PeerMessage::Revision(1.into())));
     b.close().await;
     assert_eq!(at_a.recv().await, Some(Received::Broken("b".into())));
 }
@@ -271,11 +271,11 @@
     }
     tokio::time::sleep(Duration::from_millis(2_300)).await;
     let (b, mut at_b) = PeerNet::start(&later).unwrap();
-    b.send(&[to_a], &PeerMessage::CatalogPull(1)).unwrap();
+    b.send(&[to_a], &PeerMessage::CatalogPull(1.into())).unwrap();
     while !matches!(at_a.recv().await, Some(Received::Message { .. })) {}
     let start = tokio::time::Instant::now();
-    a.send(&[to_b], &PeerMessage::CatalogPull(2)).unwrap();
-    wait_for(&mut at_b, PeerMessage::CatalogPull(2)).await;
+    a.send(&[to_b], &PeerMessage::CatalogPull(2.into())).unwrap();
+    wait_for(&mut at_b, PeerMessage::CatalogPull(2.into())).await;
     let took = start.elapsed();
     assert!(took < Duration::from_millis(300), "took {took:?}");
 }
@@ -300,19 +300,19 @@
         })
         .await
         .unwrap();
-    a.send(std::slice::from_ref(&to_b), &PeerMessage::CatalogPull(1)).unwrap();
-    assert_eq!(at_old.recv().await, message("a", PeerMessage::CatalogPull(1)));
+    a.send(std::slice::from_ref(&to_b), &PeerMessage::CatalogPull(1.into())).unwrap();
+    assert_eq!(at_old.recv().await, message("a", PeerMessage::CatalogPull(1.into())));
     tokio::time::sleep(Duration::from_millis(1_100)).await;
     // The shutdown of the runtime stops the tasks of the process, including its socket, wherever
     // they are.
     runtime.shutdown_background();
     drop((old, at_old));
     let (b, mut at_b) = restart(&first).await;
-    b.send(&[to_a], &PeerMessage::CatalogPull(2)).unwrap();
+    b.send(&[to_a], &PeerMessage::CatalogPull(2.into())).unwrap();
     while !matches!(at_a.recv().await, Some(Received::Message { .. })) {}
     let start = tokio::time::Instant::now();
-    a.send(&[to_b], &PeerMessage::CatalogPull(3)).unwrap();
-    wait_for(&mut at_b, PeerMessage::CatalogPull(3)).await;
+    a.send(&[to_b], &PeerMessage::CatalogPull(3.into())).unwrap();
+    wait_for(&mut at_b, PeerMessage::CatalogPull(3.into())).await;
     let took = start.elapsed();
     assert!(took < Duration::from_millis(300), "took {took:?}");
 }
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -5,7 +5,7 @@
         CATALOG_LIMIT, CONTROL_LIMIT, DecodeError, HEADER, TABLE_LIMIT, VERSION, decode, encode,
     },
     bilberryfront_decide::{
-        id::Incarnation,
+        id::{Incarnation, StoreRevision},
         member::{
             PeerMessage,
             message::{
@@ -39,14 +39,14 @@
 
 /// Returns a table update with similar rows, as registrations of runners are.
 fn table(rows: u64) -> TableUpdate {
-    let row = |revision| TableRow {
-        key: format!("runner-{revision}").into(),
-        revision,
-        value: Some(format!("{{\"service\":\"llm\",\"born\":{revision}}}").into_bytes()),
+    let row = |number| TableRow {
+        key: format!("runner-{number}").into(),
+        revision: StoreRevision::new(1, number),
+        value: Some(format!("{{\"service\":\"llm\",\"born\":{number}}}").into_bytes()),
     };
     TableUpdate {
         table: TableId::Runners,
-        revision: rows,
+        revision: StoreRevision::new(1, rows),
         whole: true,
         grace_ms: 0,
         rows: (0..rows).map(row).collect(),
@@ -60,13 +60,16 @@
             moment: moment(),
             state: NodeState::Ready,
             location: claim().location,
-            revision: 3,
+            revision: 3.into(),
             usage: vec![Usage { entry: "e".into(), account: "c".into(), running: 300 }],
             updates: vec![Update::Node(claim()), Update::Runner(hint)],
         }),
-        PeerMessage::Revision(4),
-        PeerMessage::CatalogPull(u64::MAX),
-        PeerMessage::CatalogPush(CatalogPush { revision: 5, doc: "{\"accounts\":[]}".into() }),
+        PeerMessage::Revision(4.into()),
+        PeerMessage::CatalogPull(u64::MAX.into()),
+        PeerMessage::CatalogPush(CatalogPush {
+            revision: 5.into(),
+            doc: "{\"accounts\":[]}".into(),
+        }),
         PeerMessage::MembersPull,
         PeerMessage::MembersPush(vec![claim(), claim()]),
         PeerMessage::Leave(moment()),
@@ -75,7 +78,11 @@
         PeerMessage::TablePull(TableId::Runners),
         PeerMessage::StoreReport(StoreReport {
             available: true,
-            digests: vec![TableDigest { table: TableId::Operators, revision: 9, hash: 7 }],
+            digests: vec![TableDigest {
+                table: TableId::Operators,
+                revision: StoreRevision::new(2, 9),
+                hash: 7,
+            }],
         }),
     ]
 }
@@ -112,7 +119,7 @@
 
 #[test]
 fn unknown_versions_and_classes_are_rejected() {
-    let bytes = encode(&name(), &PeerMessage::Revision(1)).unwrap().bytes.to_vec();
+    let bytes = encode(&name(), &PeerMessage::Revision(1.into())).unwrap().bytes.to_vec();
     for version in (0..=u8::MAX).filter(|v| *v != VERSION) {
         let other = [&[version], &bytes[1..]].concat();
         assert_eq!(decode(&other), Err(DecodeError::Header));
@@ -156,7 +163,7 @@
         assert_eq!(decode(&bytes), Err(DecodeError::Oversized));
     }
     let doc = "x".repeat(CATALOG_LIMIT);
-    let push = PeerMessage::CatalogPush(CatalogPush { revision: 1, doc });
+    let push = PeerMessage::CatalogPush(CatalogPush { revision: 1.into(), doc });
     assert!(encode(&name(), &push).is_err());
 }
 
@@ -175,7 +182,7 @@
     let updates = vec![Update::Node(claim()); 65];
     let (moment, state) = (moment(), NodeState::Ready);
     let heartbeat =
-        Heartbeat { moment, state, location: None, revision: 0, usage: Vec::new(), updates };
+        Heartbeat { moment, state, location: None, revision: 0.into(), usage: Vec::new(), updates };
     let bytes = encode(&name(), &PeerMessage::Heartbeat(heartbeat)).unwrap().bytes;
     assert_eq!(decode(&bytes), Err(DecodeError::Oversized));
 }
--- a/tests/peer_members.rs
+++ b/tests/peer_members.rs
@@ -4,7 +4,7 @@
     bilberryfront::peer::{PeerConfig, PeerNet, Received},
     bilberryfront_decide::{
         core::TICK,
-        id::Incarnation,
+        id::{Incarnation, Revision},
         member::{
             Me, Members, Output, PeerMessage,
             message::{CatalogPush, NodeIncarnation, NodeLocation},
@@ -22,7 +22,7 @@
 };
 
 /// State that a test observes: number of addresses and catalogue revision.
-type View = (usize, u64);
+type View = (usize, Revision);
 
 /// A node with only membership and the peer connections, wired as in the control thread.
 struct Node {
@@ -45,7 +45,8 @@
                 },
             }
             out.into_iter().for_each(|o| self.apply(o));
-            self.view.send_replace((self.members.addresses().len(), self.members.revision()));
+            self.view
+                .send_replace((self.members.addresses().len(), self.members.revision().version));
         }
     }
 
@@ -124,7 +125,7 @@
         members.apply_list(now, &list);
         members.ready();
         if i == 0 {
-            members.set_revision(1, &mut Vec::new());
+            members.set_revision(1.into(), &mut Vec::new());
         }
         let (view, observed) = watch::channel((0, 0));
         let node = Node { net: net.clone(), events, members, view };
