Keep what is known of a runner's incarnation when the store is restored

After a restoration callers' requests would reach runners that had announced their drain or had left, since the backup lists them as ready; and runners that had registered within the lost seconds would get no requests until they register again, though they run.

A drain is final for an incarnation, whatever a later row says. A registration from a backup of a runner that had left before is withheld for 5 s: by then the store has removed it again, unless the runner runs (three heartbeats of 1.2 s, and margin). Runners that the restored store lacks are kept for the 2.5 s in which they register again, as after an outage, however short the outage was.

Tests, red before: draining_is_final_for_an_incarnation, removed_runner_is_not_used_because_of_a_backup, removed_runner_that_stays_registered_is_used_again, and the grace period in every_node_follows_a_restored_store. Tests of the crate pass.

--- a/crates/relay/src/control/registry.rs
+++ b/crates/relay/src/control/registry.rs
@@ -1,7 +1,12 @@
 //! Registry of runners, built from their registrations in the store.
 
 use {
-    crate::{log_messages::RUNNER_REMOVED, records::Records, store::Row, view::Registration},
+    crate::{
+        log_messages::RUNNER_REMOVED,
+        records::Records,
+        store::Row,
+        view::{Registration, State},
+    },
     bilberryfront_decide::member::message::Restart,
     compact_str::CompactString,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -11,6 +16,12 @@
 /// Time after an outage of the store within which a restarted runner registers again.
 const REREGISTER_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time after which a registration from a backup is used although its runner had left before the
+/// restoration. The store removes registrations of runners that are not running sooner.
+const REVIVE_DELAY: Duration = Duration::from_secs(5);
+/// Retention time of removals; longer than the age of any backup.
+const REMOVAL_TTL: Duration = Duration::from_secs(60);
+
 /// All registrations.
 ///
 /// Registrations expire while the store is unavailable, although the runners are running. Entries
@@ -19,8 +30,12 @@
 #[derive(Debug, Default)]
 pub struct RunnerRegistry {
     entries: BTreeMap<CompactString, Entry>,
+    /// Removed runners by id.
+    removals: BTreeMap<CompactString, Removal>,
+    /// Latest known era of the store.
+    era: u64,
     published: Option<Arc<Vec<Registration>>>,
-    /// Whether any entry may be `Missing` or `Adopted`.
+    /// Whether any entry may be other than `Listed`.
     unsettled: bool,
 }
 
@@ -30,6 +45,18 @@
     presence: Presence,
 }
 
+/// Removal of a runner.
+#[derive(Clone, Copy, Debug)]
+struct Removal {
+    at: Instant,
+    /// Era of the store.
+    era: u64,
+    /// Start time of the incarnation.
+    born: u64,
+    /// Last state.
+    state: State,
+}
+
 /// Registration state of a runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Presence {
@@ -39,6 +66,15 @@
     Missing(Instant),
     /// The runner has restarted during an outage of the store and could not register yet.
     Adopted,
+    /// The registration was restored from a backup after the runner had left, and is not used before
+    /// this time.
+    Withheld(Instant),
+}
+
+impl Entry {
+    fn is_withheld(&self) -> bool {
+        matches!(self.presence, Presence::Withheld(_))
+    }
 }
 
 impl RunnerRegistry {
@@ -66,6 +102,8 @@
         grace: Duration,
         records: &R,
     ) -> bool {
+        self.removals.retain(|_, removal| now < removal.at + REMOVAL_TTL);
+        self.era = rows.iter().map(|row| row.revision.era).fold(self.era, u64::max);
         rows.iter().for_each(|row| self.apply_row(now, row, grace, records));
         self.publish()
     }
@@ -77,22 +115,29 @@
         if !self.unsettled {
             return false;
         }
-        for entry in self.entries.values_mut() {
-            if settled && entry.presence == Presence::Adopted {
-                entry.presence = Presence::Missing(now + REREGISTER_TIME);
+        for (id, entry) in &mut self.entries {
+            match entry.presence {
+                Presence::Adopted if settled => {
+                    entry.presence = Presence::Missing(now + REREGISTER_TIME);
+                }
+                Presence::Withheld(until) if now >= until => {
+                    log::info!(runner = id.as_str(); "runner is registered since the restoration");
+                    entry.presence = Presence::Listed;
+                }
+                _ => {}
             }
         }
-        let before = self.entries.len();
-        self.entries.retain(|id, entry| {
+        let is_expired = |(id, entry): (&CompactString, &Entry)| {
             let expired = matches!(entry.presence, Presence::Missing(until) if now >= until);
-            if expired {
-                log::info!(runner = id.as_str();
-                    "runner did not register again after the store outage");
-            }
-            !expired
-        });
+            expired.then(|| id.clone())
+        };
+        let expired: Vec<CompactString> = self.entries.iter().filter_map(is_expired).collect();
+        for id in &expired {
+            log::info!(runner = id.as_str(); "runner did not register again after the store outage");
+            self.drop_entry(now, id);
+        }
         self.unsettled = self.entries.values().any(|entry| entry.presence != Presence::Listed);
-        before != self.entries.len() && self.publish()
+        self.publish()
     }
 
     /// Replaces entries of runners that have restarted with new ids during an outage, or removes
@@ -110,7 +155,11 @@
 
     fn restart(&mut self, restart: &Restart) {
         let Some(former) = self.entries.get(&restart.former) else { return };
-        let Some(id) = restart.id.clone() else { return self.drop_entry(&restart.former) };
+        let Some(id) = restart.id.clone() else {
+            log::info!(runner = restart.former.as_str(); "{RUNNER_REMOVED}");
+            _ = self.entries.remove(&restart.former);
+            return;
+        };
         if self.entries.contains_key(&id) {
             return;
         }
@@ -128,7 +177,7 @@
     fn apply_row<R: Records>(&mut self, now: Instant, row: &Row, grace: Duration, records: &R) {
         let Some(value) = &row.value else { return self.remove(now, &row.key, grace) };
         match records.parse_registration(&row.key, value) {
-            Ok(registration) => self.register(registration),
+            Ok(registration) => self.register(now, registration),
             Err(error) => {
                 // The row was not written by a runner.
                 log::warn!(runner = row.key.as_str(); "invalid registration: {error}");
@@ -137,9 +186,21 @@
         }
     }
 
-    fn register(&mut self, registration: Registration) {
+    /// Registers a runner. A registration from a backup does not undo what is known of its
+    /// incarnation.
+    fn register(&mut self, now: Instant, mut registration: Registration) {
         let known = self.entries.get(&registration.id).map(|e| &e.registration);
-        if known.is_none_or(|k| k.state != registration.state || k.born != registration.born) {
+        let known = known.filter(|known| known.born == registration.born);
+        if known.is_some_and(|known| known.state == State::Draining) {
+            registration.state = State::Draining;
+        }
+        let removal = self.removals.remove(&registration.id);
+        let removal = removal.filter(|r| r.era < self.era && r.born == registration.born);
+        if let Some(removal) = removal {
+            registration.state = removal.state;
+            return self.withhold(now, registration);
+        }
+        if known.is_none_or(|known| known.state != registration.state) {
             log::info!(runner = registration.id.as_str(), service = registration.service.as_str(),
                 born = registration.born; "runner is {:?}", registration.state);
         }
@@ -147,24 +208,38 @@
         self.entries.insert(id, Entry { registration, presence: Presence::Listed });
     }
 
+    fn withhold(&mut self, now: Instant, registration: Registration) {
+        log::info!(runner = registration.id.as_str();
+            "registration of a removed runner restored from a backup");
+        let presence = Presence::Withheld(now + REVIVE_DELAY);
+        self.entries.insert(registration.id.clone(), Entry { registration, presence });
+        self.unsettled = true;
+    }
+
     fn remove(&mut self, now: Instant, id: &CompactString, grace: Duration) {
         match self.entries.get_mut(id) {
-            Some(entry) if !grace.is_zero() => {
+            Some(entry) if !grace.is_zero() && !entry.is_withheld() => {
                 entry.presence = Presence::Missing(now + grace);
                 self.unsettled = true;
             }
-            Some(_) => self.drop_entry(id),
+            Some(_) => {
+                log::info!(runner = id.as_str(); "{RUNNER_REMOVED}");
+                self.drop_entry(now, id);
+            }
             None => {}
         }
     }
 
-    fn drop_entry(&mut self, id: &CompactString) {
-        log::info!(runner = id.as_str(); "{RUNNER_REMOVED}");
-        self.entries.remove(id);
+    fn drop_entry(&mut self, now: Instant, id: &CompactString) {
+        let Some(entry) = self.entries.remove(id) else { return };
+        let Registration { born, state, .. } = entry.registration;
+        let removal = Removal { at: now, era: self.era, born, state };
+        self.removals.insert(id.clone(), removal);
     }
 
     fn publish(&mut self) -> bool {
-        let runners = without_replaced(self.entries.values().map(|e| &e.registration));
+        let used = self.entries.values().filter(|entry| !entry.is_withheld());
+        let runners = without_replaced(used.map(|entry| &entry.registration));
         let changed = self.published.as_ref().is_none_or(|old| **old != runners);
         if changed {
             self.published = Some(Arc::new(runners));
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -200,6 +200,10 @@
         {
             log::warn!(table:? = table, known:% = known, revision:% = rows.revision;
                 "{STORE_RESTORED}");
+            if table == TableId::Runners {
+                // Runners whose registration was lost register again.
+                self.grace = Some(now + REREGISTER_TIME);
+            }
         }
         if let Change::Snapshot(rows) | Change::Rows(rows) = &change {
             for (row, known) in mirror.outdated(&rows.rows) {
@@ -376,7 +380,7 @@
         let available = (self.served && self.is_loaded()) || self.election.has_reader(now);
         if available && self.outage {
             let lapsed = self.available_at.is_some_and(|at| now >= at + MIN_EXPIRY_TIME);
-            self.grace = lapsed.then_some(now + REREGISTER_TIME);
+            self.grace = self.grace.max(lapsed.then_some(now + REREGISTER_TIME));
         }
         self.outage = !available;
         self.rejected &= self.outage;
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -66,6 +66,11 @@
     Row { key: id.into(), value, revision: Revision::new(0, 1) }
 }
 
+/// Returns a row of a store that was restored from a backup.
+fn restored(id: &str, value: &str) -> Row {
+    Row { revision: Revision::new(1, 1), ..row(id, value) }
+}
+
 fn ids(registry: &RunnerRegistry) -> Vec<String> {
     registry.runners().iter().map(|r| r.id.to_string()).collect()
 }
@@ -162,6 +167,47 @@
     assert_eq!(ids(&registry), ["b"]);
 }
 
+/// Guards against requests to a draining runner whose registration in a backup is still ready.
+#[tokio::test(start_paused = true)]
+async fn draining_is_final_for_an_incarnation() {
+    let mut registry = registry(&[row("a", "10.0.0.1:80 5 draining")]);
+    assert!(!update(&mut registry, &[restored("a", "10.0.0.1:80 5 ready")], GRACE));
+    assert_eq!(registry.runners()[0].state, State::Draining);
+    assert!(update(&mut registry, &[restored("a", "10.0.0.1:80 9 ready")], GRACE));
+    assert_eq!(registry.runners()[0].state, State::Ready, "another incarnation");
+}
+
+/// Guards against requests to a runner that has left and whose registration is in a backup. The store
+/// removes it again unless the runner is running.
+#[tokio::test(start_paused = true)]
+async fn removed_runner_is_not_used_because_of_a_backup() {
+    let all = [row("a", "10.0.0.1:80 5 ready"), row("b", "10.0.0.2:80 5 ready")];
+    let mut registry = registry(&all);
+    update(&mut registry, &[row("a", "")], Duration::ZERO);
+    assert!(!update(&mut registry, &[restored("a", "10.0.0.1:80 5 ready")], GRACE));
+    assert_eq!(ids(&registry), ["b"]);
+    update(&mut registry, &[restored("a", "")], Duration::ZERO);
+    advance(Duration::from_secs(10)).await;
+    assert!(!registry.remove_expired(Instant::now(), true));
+    assert_eq!(ids(&registry), ["b"]);
+}
+
+/// Guards against losing a runner for good that had lost its registration for other reasons before
+/// the store was restored.
+#[tokio::test(start_paused = true)]
+async fn removed_runner_that_stays_registered_is_used_again() {
+    let value = "10.0.0.1:80 5 ready";
+    let mut registry = registry(&[row("a", value), row("b", "10.0.0.2:80 5 ready")]);
+    update(&mut registry, &[row("a", "")], Duration::ZERO);
+    update(&mut registry, &[restored("a", value)], GRACE);
+    advance(Duration::from_secs(6)).await;
+    assert!(registry.remove_expired(Instant::now(), true));
+    assert_eq!(ids(&registry), ["a", "b"]);
+    update(&mut registry, &[restored("a", "")], Duration::ZERO);
+    assert!(update(&mut registry, &[restored("a", value)], Duration::ZERO), "registered again");
+    assert_eq!(ids(&registry), ["a", "b"]);
+}
+
 /// Guards against ignoring valid rows because of an invalid one.
 #[tokio::test(start_paused = true)]
 async fn invalid_row_affects_no_other_row() {
--- a/crates/relay/tests/table_sync.rs
+++ b/crates/relay/tests/table_sync.rs
@@ -12,6 +12,7 @@
         readers::READERS,
         store::{Revision, Row, Rows},
     },
+    compact_str::CompactString,
     quickcheck::{Gen, QuickCheck},
     std::time::Duration,
     tokio::time::Instant,
@@ -185,6 +186,10 @@
         let elapsed = world.until("restored", |n| n.contents() == contents).await;
         assert!(elapsed <= SECOND, "{elapsed:?}");
         assert!(world.nodes.iter().all(|n| n.has(TableId::Operators, "config", revision)));
+        let has_grace =
+            |(key, grace): &(CompactString, Duration)| key == "lost" && !grace.is_zero();
+        let nodes = || world.nodes.iter();
+        assert!(nodes().all(|n| n.removed.iter().any(has_grace)), "lost runners register again");
     }
 }
 
