Keep rollouts and their statuses when the store is restored

After a restoration a rollout would have started again: its order comes back with another revision, and a higher one was a new order. A version that had been rolled back would get requests once more, an older order in the backup would replace the one in force, the verdict of a lost order would count for another one at the same number, and operators would wait for a final status that the store lost and nobody writes again.

The first sight of the same order in a later era continues its rollout; a later one in the same era is another order, as before. The order that was replaced is known by number and content and ignored. The id of a rollout covers the version that it moves to. The condition of the write is taken from the copy of the table, in the era in which the copy is complete; before that nothing is written.

--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -4,11 +4,14 @@
     super::{Control, members::Membership},
     crate::{
         records::Records,
-        rollouts::Action,
+        rollouts::{Action, RolloutStatus},
         store::{Row, Store, Write},
         view::State,
     },
-    bilberryfront_decide::{member::PeerMessage, mover::MoveUpdate},
+    bilberryfront_decide::{
+        member::{PeerMessage, message::TableId},
+        mover::MoveUpdate,
+    },
     compact_str::CompactString,
     tokio::time::Instant,
 };
@@ -29,12 +32,7 @@
         for action in self.rollouts.tick(Instant::now(), rank, names.len()) {
             match action {
                 Action::Broadcast(update) => self.broadcast_rollout(update),
-                Action::Write { status, condition } => {
-                    let (key, value) = self.records.encode_status(&status);
-                    let table = R::STATUS.into();
-                    let row = Write { table, key, value: Some(value), condition };
-                    tokio::task::spawn_local(write_status(self.store.clone(), row));
-                }
+                Action::Write(status) => self.write_status(&status),
             }
         }
         let splits = self.rollouts.splits();
@@ -44,6 +42,14 @@
         }
     }
 
+    /// Writes a status if the stored one is the one that this node has read.
+    fn write_status(&self, status: &RolloutStatus) {
+        let (key, value) = self.records.encode_status(status);
+        let Some(condition) = self.sync.condition(TableId::Statuses, &key) else { return };
+        let row = Write { table: R::STATUS.into(), key, value: Some(value), condition };
+        tokio::task::spawn_local(write_status(self.store.clone(), row));
+    }
+
     fn broadcast_rollout(&self, update: MoveUpdate) {
         if let Some(membership) = &self.membership {
             membership.broadcast(&PeerMessage::Move(update));
@@ -63,10 +69,15 @@
     }
 
     pub(super) fn apply_statuses(&mut self, rows: &[Row]) {
+        let now = Instant::now();
         for row in rows {
-            let value = row.value.as_deref().unwrap_or_default();
+            let Some(value) = &row.value else {
+                let service = self.records.status_service(&row.key);
+                service.iter().for_each(|service| self.rollouts.remove_status(now, service));
+                continue;
+            };
             match self.records.parse_status(&row.key, value) {
-                Some(Ok(status)) => self.rollouts.apply_status(row.revision, status),
+                Some(Ok(status)) => self.rollouts.apply_status(now, row.revision, status),
                 Some(Err(error)) => {
                     log::warn!(key = row.key.as_str(); "invalid rollout status: {error}");
                 }
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -1,7 +1,7 @@
 //! Local copy of a table of the store, merged from the store's and from peers' rows.
 
 use {
-    crate::store::{Revision, Row, Rows},
+    crate::store::{Condition, Revision, Row, Rows},
     bytes::Bytes,
     compact_str::CompactString,
     std::{
@@ -55,6 +55,14 @@
         revision.era < self.era
     }
 
+    /// Returns the condition that a row is as known; `None` if the copy may lack rows of the latest era.
+    pub fn condition(&self, key: &str) -> Option<Condition> {
+        let Revision { era, .. } = self.revision.filter(|revision| revision.era == self.era)?;
+        let live = self.rows.get(key).filter(|version| version.value.is_some());
+        let at = |version: &Version| Condition::At(Revision { era, ..version.revision });
+        Some(live.map_or(Condition::Absent, at))
+    }
+
     /// Marks the copy as complete up to a revision.
     pub fn confirm(&mut self, revision: Revision) {
         self.revision = self.revision.map(|known| known.max(revision));
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -34,6 +34,9 @@
     /// Decodes a rollout status; `None` if the key is not one.
     fn parse_status(&self, key: &str, value: &[u8]) -> Option<Result<RolloutStatus, BadRecord>>;
 
+    /// Returns the service of a rollout status; `None` if the key is not one.
+    fn status_service(&self, key: &str) -> Option<CompactString>;
+
     /// Encodes a rollout status as key and value.
     fn encode_status(&self, record: &RolloutStatus) -> (CompactString, Bytes);
 }
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -79,8 +79,8 @@
 
     /// Applies an order with its store revision.
     pub fn apply_order(&mut self, now: Instant, revision: Revision, order: RolloutOrder) {
-        let known = self.rollouts.get(&order.service).is_some_and(|t| t.revision() >= revision);
-        if known {
+        let former = self.rollouts.get_mut(&order.service);
+        if former.is_some_and(|former| former.covers(revision, &order)) {
             return;
         }
         log::info!(service = order.service.as_str(), to = order.to.as_str(), revision:%,
@@ -88,19 +88,30 @@
         let service = order.service.clone();
         let mut rollout = Rollout::new(now, self.me, revision, order);
         if let Some((written, status)) = self.statuses.get(&service) {
-            rollout.apply_status(*written, status);
+            rollout.apply_status(now, *written, status);
+        }
+        if let Some(former) = self.rollouts.get(&service) {
+            rollout.set_replaced(former);
         }
         self.rollouts.insert(service, rollout);
     }
 
     /// Applies a stored status with its store revision.
-    pub fn apply_status(&mut self, revision: Revision, status: RolloutStatus) {
+    pub fn apply_status(&mut self, now: Instant, revision: Revision, status: RolloutStatus) {
         if let Some(rollout) = self.rollouts.get_mut(&status.service) {
-            rollout.apply_status(revision, &status);
+            rollout.apply_status(now, revision, &status);
         }
         self.statuses.insert(status.service.clone(), (revision, status));
     }
 
+    /// Applies that the store has no status of a service.
+    pub fn remove_status(&mut self, now: Instant, service: &str) {
+        if let Some(rollout) = self.rollouts.get_mut(service) {
+            rollout.remove_status(now);
+        }
+        self.statuses.remove(service);
+    }
+
     /// Records the outcome of a request.
     pub fn observe(&mut self, sample: &RolloutSample) {
         if let Some(rollout) = self.rollouts.get_mut(&sample.service) {
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -3,7 +3,7 @@
 use {
     super::{RolloutOrder, RolloutStatus, exposure::CANARY_SHARE},
     crate::{
-        store::{Condition, Revision},
+        store::Revision,
         view::{Rule, Split},
     },
     bilberryfront_decide::{
@@ -20,6 +20,7 @@
     serde::Deserialize,
     std::{collections::BTreeMap, sync::LazyLock, time::Duration},
     tokio::time::Instant,
+    xxhash_rust::xxh64::xxh64,
 };
 
 static CHART: LazyLock<Chart<Phase, Signal>> = LazyLock::new(|| {
@@ -74,13 +75,8 @@
 /// Side effect of a rollout.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
-    /// Write this status.
-    Write {
-        /// Status.
-        status: RolloutStatus,
-        /// Condition on the stored status.
-        condition: Condition,
-    },
+    /// Write this status unless another one has been stored.
+    Write(RolloutStatus),
     /// Send this message to all peers.
     Broadcast(MoveUpdate),
 }
@@ -89,10 +85,14 @@
     me: Incarnation,
     revision: Revision,
     order: RolloutOrder,
+    /// Number and content of the order that this one replaced.
+    replaced: Option<(u64, RolloutOrder)>,
     start: Instant,
     phase: Phase,
-    /// Revision of the stored status, if there is one, with its phase if it belongs to this rollout.
-    recorded: Option<(Revision, Option<Phase>)>,
+    /// Phase in the stored status, if that belongs to this rollout.
+    recorded: Option<Phase>,
+    /// Time at which the stored status was last read.
+    recorded_at: Instant,
     collector: Collector,
     pool: PooledEvidence,
     routes: BTreeMap<CompactString, Counts>,
@@ -120,7 +120,9 @@
             revision,
             start: now,
             phase: CHART.initial(),
+            replaced: None,
             recorded: None,
+            recorded_at: now,
             collector: Collector::default(),
             pool: PooledEvidence::default(),
             routes: BTreeMap::new(),
@@ -137,10 +139,6 @@
         }
     }
 
-    pub(super) fn revision(&self) -> Revision {
-        self.revision
-    }
-
     pub(super) fn to(&self) -> &CompactString {
         &self.order.to
     }
@@ -150,9 +148,15 @@
     }
 
     /// Applies a stored status. A status older than the order belongs to an earlier rollout.
-    pub(super) fn apply_status(&mut self, revision: Revision, status: &RolloutStatus) {
+    pub(super) fn apply_status(
+        &mut self,
+        now: Instant,
+        revision: Revision,
+        status: &RolloutStatus,
+    ) {
         let mine = revision > self.revision && status.to == self.order.to;
-        self.recorded = Some((revision, mine.then_some(status.phase)));
+        self.recorded = mine.then_some(status.phase);
+        self.recorded_at = now;
         match status.phase {
             Phase::Completed if mine && self.phase == Phase::RolledBack => {
                 self.transition(Signal::RecordedCompleted);
@@ -163,6 +167,35 @@
         }
     }
 
+    /// Records that there is no stored status.
+    pub(super) fn remove_status(&mut self, now: Instant) {
+        self.recorded = None;
+        self.recorded_at = now;
+    }
+
+    /// Returns whether an order that was read at this revision needs no new rollout: it is outdated, or
+    /// the store was restored and has the order of this rollout or of the one before it.
+    pub(super) fn covers(&mut self, revision: Revision, order: &RolloutOrder) -> bool {
+        if revision <= self.revision {
+            return true;
+        }
+        if revision.era == self.revision.era {
+            return false;
+        }
+        if *order == self.order {
+            self.revision = revision;
+            return true;
+        }
+        self.replaced
+            .as_ref()
+            .is_some_and(|(number, replaced)| *number == revision.number && replaced == order)
+    }
+
+    /// Records the rollout that this one replaces.
+    pub(super) fn set_replaced(&mut self, former: &Rollout) {
+        self.replaced = Some((former.revision.number, former.order.clone()));
+    }
+
     pub(super) fn observe(&mut self, sample: &Sample<'_>) {
         if sample.choice.id == Some(self.id()) {
             self.collector.observe(sample, &self.routes);
@@ -197,8 +230,9 @@
         report.into_iter().chain(write).collect()
     }
 
+    /// Returns the id, which is the same in all eras of a store that keeps the order.
     fn id(&self) -> MoveId {
-        MoveId(self.revision.number)
+        MoveId(xxh64(self.order.to.as_bytes(), self.revision.number))
     }
 
     fn transition(&mut self, signal: Signal) {
@@ -283,34 +317,28 @@
         })
     }
 
-    /// Returns the stored phase of this rollout.
-    fn recorded_phase(&self) -> Option<Phase> {
-        self.recorded?.1
-    }
-
     /// Returns whether a final status is stored.
     fn is_over(&self) -> bool {
-        matches!(self.recorded_phase(), Some(Phase::Completed | Phase::RolledBack))
+        matches!(self.recorded, Some(Phase::Completed | Phase::RolledBack))
     }
 
     /// Returns the write of a status, if one is due and it is this node's turn.
     fn write(&mut self, now: Instant, rank: usize) -> Option<Action> {
         let (phase, due) = self.due(now)?;
+        let due = due.max(self.recorded_at);
         if self.is_over() || now < due + WRITER_STAGGER * rank as u32 || now < self.write_at {
             return None;
         }
         self.write_at = now + WRITE_RETRY_DELAY;
         let RolloutOrder { service, to, .. } = self.order.clone();
-        let status = RolloutStatus { service, to, phase };
-        let condition =
-            self.recorded.map_or(Condition::Absent, |(revision, _)| Condition::At(revision));
-        Some(Action::Write { status, condition })
+        Some(Action::Write(RolloutStatus { service, to, phase }))
     }
 
     /// Returns the phase that should be stored, with the time since when.
     fn due(&self, now: Instant) -> Option<(Phase, Instant)> {
         match self.phase {
-            Phase::Completed => None,
+            // The store lost the status. Leaves time to read a new order that another node follows.
+            Phase::Completed => Some((Phase::Completed, self.recorded_at + WRITER_STAGGER)),
             Phase::RolledBack => Some((Phase::RolledBack, self.decided_at)),
             Phase::Canary if now >= self.at(FINAL_SHARE) && self.is_healthy(now, 1) => {
                 Some((Phase::Completed, self.at(FINAL_SHARE)))
@@ -320,7 +348,7 @@
             {
                 Some((Phase::Completed, self.at(COMPLETE_SHARE)))
             }
-            Phase::Canary if self.recorded_phase().is_none() => Some((Phase::Canary, self.start)),
+            Phase::Canary if self.recorded.is_none() => Some((Phase::Canary, self.start)),
             Phase::Canary => None,
         }
     }
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -10,7 +10,7 @@
         log_messages::STORE_RESTORED,
         mirror::Mirror,
         readers::{Election, REPORT_INTERVAL, Ranking},
-        store::{Revision, Row, Rows},
+        store::{Condition, Revision, Row, Rows},
     },
     bilberryfront_decide::member::{
         PeerMessage,
@@ -154,6 +154,11 @@
         self.tables[index(table)].mirror.revision()
     }
 
+    /// Returns the condition that a row is as known; `None` if the table may lack rows.
+    pub fn condition(&self, table: TableId, key: &str) -> Option<Condition> {
+        self.tables[index(table)].mirror.condition(key)
+    }
+
     /// Performs due work.
     pub fn step(&mut self, now: Instant, out: &mut Vec<Action>) {
         self.polling = self.election.step(now, &self.me, &self.ranking);
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -56,6 +56,10 @@
         None
     }
 
+    fn status_service(&self, _: &str) -> Option<CompactString> {
+        None
+    }
+
     fn encode_status(&self, record: &RolloutStatus) -> (CompactString, Bytes) {
         (record.service.clone(), Bytes::new())
     }
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -3,14 +3,14 @@
 use {
     bilberryfront_decide::{
         id::Incarnation,
-        mover::{Cause, MoveId, MoveUpdate, Verdict},
+        mover::{Cause, MoveUpdate, Verdict},
     },
     bilberryfront_relay::{
         rollouts::{
             Action, Phase, RolloutOrder, RolloutSample, RolloutStatus, Rollouts,
             exposure::{Bound, Exposure},
         },
-        store::{Condition, Revision},
+        store::Revision,
         view::{Rule, Split},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
@@ -27,6 +27,8 @@
 /// A node with its rollouts and the requests that it assigned.
 struct Node {
     rollouts: Rollouts,
+    /// Revision of the status that the node has read.
+    known: Option<Revision>,
     exposure: Exposure,
     /// Whether the node has no connection to the store and to its peers.
     isolated: bool,
@@ -75,7 +77,13 @@
         let node = |i: u64| {
             let mut rollouts = Rollouts::new(Incarnation(i + 1));
             rollouts.apply_order(now, ORDERED_AT, rollout_order());
-            Node { rollouts, exposure: Exposure::default(), isolated: false, dead: false }
+            Node {
+                rollouts,
+                known: None,
+                exposure: Exposure::default(),
+                isolated: false,
+                dead: false,
+            }
         };
         World {
             nodes: (0..6).map(node).collect(),
@@ -119,26 +127,26 @@
                     Action::Broadcast(update) if !self.nodes[i].isolated => {
                         self.messages.push((i, update));
                     }
-                    Action::Write { status, condition } if !self.nodes[i].isolated => {
-                        self.write(&status, condition);
-                    }
+                    Action::Write(status) if !self.nodes[i].isolated => self.write(i, &status),
                     _ => {}
                 }
             }
         }
     }
 
-    fn write(&mut self, record: &RolloutStatus, condition: Condition) {
-        let stored = self.store.as_ref();
-        let stored = stored.map_or(Condition::Absent, |(revision, _)| Condition::At(*revision));
-        if self.store_down || stored != condition {
+    fn write(&mut self, node: usize, record: &RolloutStatus) {
+        let stored = self.store.as_ref().map(|(revision, _)| *revision);
+        if self.store_down || stored != self.nodes[node].known {
             return;
         }
         self.final_writes += u32::from(record.phase != Phase::Canary);
         self.revision.number += 1;
         self.store = Some((self.revision, record.clone()));
         let receivers = self.nodes.iter_mut().filter(|n| !n.isolated && !n.dead);
-        receivers.for_each(|node| node.rollouts.apply_status(self.revision, record.clone()));
+        for node in receivers {
+            node.known = Some(self.revision);
+            node.rollouts.apply_status(Instant::now(), self.revision, record.clone());
+        }
     }
 
     fn send_request(&mut self, i: usize, now: Instant) {
@@ -277,7 +285,7 @@
         sequence: 1,
         acks: Vec::new(),
         entry: "llm".into(),
-        id: MoveId(10),
+        id: node.splits()["llm"].id,
         verdict: Some(Verdict {
             cause: Cause::Failing,
             route: "check".into(),
@@ -288,7 +296,7 @@
     node.handle_peer_update(Instant::now(), &update);
     assert_eq!(node.splits()["llm"].rule, Rule::OnlyOld);
     let record = RolloutStatus { service: "llm".into(), to: "v2".into(), phase: Phase::Completed };
-    node.apply_status(Revision::new(0, 12), record);
+    node.apply_status(Instant::now(), Revision::new(0, 12), record);
     assert_eq!(node.splits()["llm"].rule, Rule::OnlyNew);
 }
 
@@ -308,17 +316,99 @@
         for first in [true, false] {
             let mut node = Rollouts::new(Incarnation(1));
             if first {
-                node.apply_status(Revision::new(0, number), record(phase));
+                node.apply_status(Instant::now(), Revision::new(0, number), record(phase));
             }
             node.apply_order(Instant::now(), ORDERED_AT, rollout_order());
             if !first {
-                node.apply_status(Revision::new(0, number), record(phase));
+                node.apply_status(Instant::now(), Revision::new(0, number), record(phase));
             }
             assert_eq!(node.splits()["llm"].rule, rule, "{number} {phase:?} {first}");
         }
     }
 }
 
+/// Returns the status that a node writes within five seconds.
+async fn written_status(node: &mut Rollouts) -> Option<Phase> {
+    let end = Instant::now() + Duration::from_secs(5);
+    while Instant::now() < end {
+        for action in node.tick(Instant::now(), 0, 1) {
+            if let Action::Write(status) = action {
+                return Some(status.phase);
+            }
+        }
+        advance(STEP).await;
+    }
+    None
+}
+
+/// Guards against an order whose rollout starts again, and sends requests to a version that was rolled
+/// back, because the order has another revision after a restoration of the store.
+#[tokio::test(start_paused = true)]
+async fn order_written_again_after_a_restoration_is_the_same_rollout() {
+    let record = |phase| RolloutStatus { service: "llm".into(), to: "v2".into(), phase };
+    for (phase, rule) in [(Phase::Completed, Rule::OnlyNew), (Phase::RolledBack, Rule::OnlyOld)] {
+        let mut node = Rollouts::new(Incarnation(1));
+        node.apply_order(Instant::now(), ORDERED_AT, rollout_order());
+        node.apply_status(Instant::now(), Revision::new(0, 12), record(phase));
+        node.remove_status(Instant::now(), "llm");
+        node.apply_order(Instant::now(), Revision::new(1, 7), rollout_order());
+        assert_eq!(node.splits()["llm"].rule, rule, "{phase:?}");
+        node.apply_order(Instant::now(), Revision::new(1, 9), rollout_order());
+        assert_eq!(node.splits()["llm"].rule, Rule::Canary, "a later order is another one");
+    }
+}
+
+/// Guards against an older order in a backup that replaces the one in force.
+#[tokio::test(start_paused = true)]
+async fn older_order_in_a_backup_is_ignored() {
+    let later = RolloutOrder { to: "v3".into(), ..rollout_order() };
+    let mut node = Rollouts::new(Incarnation(1));
+    node.apply_order(Instant::now(), ORDERED_AT, rollout_order());
+    node.apply_order(Instant::now(), Revision::new(0, 20), later.clone());
+    node.apply_order(Instant::now(), Revision::new(1, 10), rollout_order());
+    assert_eq!(node.splits()["llm"].to, "v3");
+    node.apply_order(Instant::now(), Revision::new(1, 12), later);
+    assert_eq!(node.splits()["llm"].to, "v3");
+    let other = RolloutOrder { to: "v4".into(), ..rollout_order() };
+    node.apply_order(Instant::now(), Revision::new(1, 14), other);
+    assert_eq!(node.splits()["llm"].to, "v4");
+}
+
+/// Guards against evidence and verdicts of a lost rollout that are applied to another one, whose order
+/// has the same number.
+#[tokio::test(start_paused = true)]
+async fn rollouts_with_the_same_number_in_two_eras_differ() {
+    let id = |era, to: &str| {
+        let mut node = Rollouts::new(Incarnation(1));
+        let order = RolloutOrder { to: to.into(), ..rollout_order() };
+        node.apply_order(Instant::now(), Revision::new(era, 10), order);
+        node.splits()["llm"].id
+    };
+    assert_ne!(id(0, "v2"), id(1, "v3"));
+    assert_eq!(id(0, "v2"), id(1, "v2"), "the restored store still has the order");
+}
+
+/// Guards against operators who wait for the end of a rollout whose final status the store lost.
+#[tokio::test(start_paused = true)]
+async fn final_status_is_written_again_after_a_restoration() {
+    let record = |phase| RolloutStatus { service: "llm".into(), to: "v2".into(), phase };
+    for phase in [Phase::Completed, Phase::RolledBack] {
+        for is_lost in [true, false] {
+            let mut node = Rollouts::new(Incarnation(1));
+            node.apply_order(Instant::now(), ORDERED_AT, rollout_order());
+            node.apply_status(Instant::now(), Revision::new(0, 14), record(phase));
+            assert_eq!(written_status(&mut node).await, None, "{phase:?} is stored");
+            match is_lost {
+                true => node.remove_status(Instant::now(), "llm"),
+                false => {
+                    node.apply_status(Instant::now(), Revision::new(1, 12), record(Phase::Canary));
+                }
+            }
+            assert_eq!(written_status(&mut node).await, Some(phase), "lost: {is_lost}");
+        }
+    }
+}
+
 /// The new version never has a runner. Guards against completing the rollout, which would stop the
 /// old runners.
 #[tokio::test(start_paused = true)]
@@ -329,7 +419,7 @@
     let end = Instant::now() + TIME;
     while Instant::now() < end {
         for action in node.tick(Instant::now(), 0, 1) {
-            if let Action::Write { status, .. } = action {
+            if let Action::Write(status) = action {
                 records.insert(status.phase as u8, status.phase);
             }
         }
--- a/crates/relay/tests/table_sync.rs
+++ b/crates/relay/tests/table_sync.rs
@@ -10,7 +10,7 @@
     bilberryfront_relay::{
         mirror::Mirror,
         readers::READERS,
-        store::{Revision, Row, Rows},
+        store::{Condition, Revision, Row, Rows},
     },
     compact_str::CompactString,
     quickcheck::{Gen, QuickCheck},
@@ -271,6 +271,24 @@
     assert_eq!(mirror.merge(now, vec![row(1, 5, "new")]), [row(1, 5, "new")]);
 }
 
+/// Guards against a conditional write at a number that the store has assigned again, and against one
+/// that is never tried although the store still has the row.
+#[test]
+fn condition_is_of_the_era_in_which_the_copy_is_complete() {
+    let now = Instant::now();
+    let revision = Revision::new(0, 3);
+    let row = |key: &str, revision| Row { key: key.into(), value: Some("v".into()), revision };
+    let mut mirror = Mirror::default();
+    assert_eq!(mirror.condition("r1"), None, "not read yet");
+    mirror.replace(now, Rows { rows: vec![row("r1", revision)], revision });
+    assert_eq!(mirror.condition("r1"), Some(Condition::At(revision)));
+    mirror.merge(now, vec![row("r2", Revision::new(1, 2))]);
+    assert_eq!(mirror.condition("r1"), None, "other rows of the new era may be missing");
+    mirror.confirm(Revision::new(1, 3));
+    assert_eq!(mirror.condition("r1"), Some(Condition::At(Revision::new(1, 3))));
+    assert_eq!(mirror.condition("r3"), Some(Condition::Absent));
+}
+
 /// Guards against replacing a row by an older version when updates of two readers arrive out of
 /// order.
 #[test]
