Write the system's own rows again when a restored store lacks them

After a restoration to a backup from before the first start, or the start of some nodes, the store would have no certificate authority and no registrations of the running nodes. An instance that starts then would create a second authority, whose certificates the others reject, and split the system for good, or would not find the others.

The readers of each failure domain check the nodes' table after they have read it anew: the first one after 0.15 to 0.45 s, the next 3 s later each, so that it finds nothing missing. They write the registrations of running nodes of their domain, 100 a call, and the authority as it was. An instance that starts in a restored store without an authority waits up to 4 s for the others to write it. An older authority replaces a newer one.

Tests with the real program, red before (rows not back within 20 s): registrations_and_authority_are_written_again, older_authority_replaces_a_newer_one.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod join;
 mod members;
+mod own_rows;
 pub mod registry;
 mod rollouts;
 mod tables;
@@ -18,6 +19,7 @@
         feeds::{Feeds, Loaded, WatchedTable},
         join::Listing,
         members::{Membership, Nodes},
+        own_rows::OwnRows,
         registry::RunnerRegistry,
     },
     crate::{
@@ -63,6 +65,8 @@
     registry: RunnerRegistry,
     /// `None` until this node has joined.
     membership: Option<Membership>,
+    /// `None` until this node has joined.
+    own_rows: Option<OwnRows>,
     sync: TableSync,
     feeds: Feeds,
     nodes: Arc<Vec<NodeAddress>>,
@@ -125,6 +129,7 @@
         row: None,
         registry: RunnerRegistry::default(),
         membership: None,
+        own_rows: None,
         sync,
         feeds,
         nodes: Arc::default(),
@@ -156,6 +161,7 @@
                     join::Progress::Joined(joined, listing) => {
                         received = joined.events;
                         placeholder = None;
+                        self.own_rows = Some(OwnRows::new(joined.authority));
                         self.finish_join(joined.membership, &listing);
                     }
                     join::Progress::Settled => self.sync.start(Instant::now()),
@@ -217,6 +223,7 @@
         }
         self.forward_failures(failed);
         self.step_sync(now);
+        self.check_own_rows(now);
         self.clean_up(now);
     }
 
--- a/crates/relay/src/control/authority.rs
+++ b/crates/relay/src/control/authority.rs
@@ -18,6 +18,9 @@
 #[derive(Clone)]
 #[derive(Deserialize, Serialize)]
 pub(super) struct Authority {
+    /// Creation time in milliseconds since the Unix epoch; 0 if unknown.
+    #[serde(default)]
+    created: u64,
     pub(super) certificate: String,
     key: String,
 }
@@ -30,9 +33,16 @@
 
 impl Authority {
     /// Creates a new authority with a self-signed certificate.
-    pub(super) fn create() -> Result<Authority> {
+    pub(super) fn create(created: u64) -> Result<Authority> {
         let issuer = CertifiedIssuer::self_signed(params(), KeyPair::generate()?)?;
-        Ok(Authority { certificate: issuer.pem(), key: issuer.key().serialize_pem() })
+        let (certificate, key) = (issuer.pem(), issuer.key().serialize_pem());
+        Ok(Authority { created, certificate, key })
+    }
+
+    /// Returns whether this authority replaces `other` in the store: the older one has signed the
+    /// certificates of more nodes.
+    pub(super) fn precedes(&self, other: &Authority) -> bool {
+        (self.created, &self.certificate) < (other.created, &other.certificate)
     }
 
     /// Decodes a stored authority; `None` if it is invalid.
--- a/crates/relay/src/control/join.rs
+++ b/crates/relay/src/control/join.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         authority::Authority,
-        members::{self, Joined},
+        members::{self, Joined, unix_millis},
     },
     crate::{
         metrics::Metrics,
@@ -14,14 +14,17 @@
     compact_str::{CompactString, format_compact},
     rand::Rng,
     std::time::Duration,
-    tokio::{sync::mpsc, time::sleep},
+    tokio::{
+        sync::mpsc,
+        time::{Instant, sleep},
+    },
 };
 
 /// Table of the nodes' registrations and their certificate authority. It is one table, so that a
 /// starting node can read everything with one call.
 pub(super) const TABLE: &str = "bilberryfront";
 /// Key of the certificate authority.
-const AUTHORITY: &str = "authority";
+pub(super) const AUTHORITY: &str = "authority";
 /// Prefix of the keys of node registrations, followed by the node's name.
 const NODE: &str = "node/";
 /// Minimum delay before a failed call is retried; the maximum is twice as long.
@@ -33,6 +36,10 @@
 /// known as well.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time for which a node that starts after a restoration of the store waits until the running nodes have
+/// written the authority again.
+const AUTHORITY_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Progress of joining.
 pub(super) enum Progress {
     /// The store is unavailable; joining continues.
@@ -61,9 +68,17 @@
     if settings.bootstrap {
         sleep(START_SPREAD.mul_f64(rand::rng().random())).await;
     }
+    let start = Instant::now();
     let (authority, rows) = loop {
-        match load_authority(&store).await {
-            Ok(found) => break found,
+        let may_create = settings.bootstrap || start.elapsed() >= AUTHORITY_TIMEOUT;
+        match load_authority(&store, may_create).await {
+            Ok(Some(found)) => break found,
+            Ok(None) => {
+                log::info!(
+                    "no certificate authority in the restored store: waiting for other nodes"
+                );
+                sleep(retry_delay()).await;
+            }
             Err(StoreError::Conflict) => {}
             Err(error) => {
                 log::warn!(table = TABLE; "cannot read the certificate authority: {error}");
@@ -77,13 +92,13 @@
         Ok(joined) => joined,
         Err(error) => return log::error!("cannot start the peer transport: {error}"),
     };
-    let row = registration(&settings);
+    let row = registration_row(&NodeAddress::of(&settings));
     let complete = rows.rows.iter().any(|r| r.key == row.key && r.value == row.value);
     _ = progress.send(Progress::Joined(Box::new(joined), Listing { rows, complete })).await;
     if complete {
         return;
     }
-    register(&store, row).await;
+    write_until_done(store, vec![row]).await;
     sleep(SETTLE_TIME).await;
     _ = progress.send(Progress::Settled).await;
 }
@@ -116,43 +131,53 @@
     }
 }
 
-/// Reads the table of the nodes, and creates the authority if there is none.
-async fn load_authority<S: Store>(store: &S) -> Result<(Authority, Rows), StoreError> {
+/// Reads the table of the nodes, and creates the authority if there is none. Returns `None` if the
+/// running nodes of a restored store should do so, because theirs is another one than this node would
+/// create.
+async fn load_authority<S: Store>(
+    store: &S,
+    may_create: bool,
+) -> Result<Option<(Authority, Rows)>, StoreError> {
     let rows = store.read(TABLE).await?;
     let row = rows.rows.iter().find(|r| r.key == AUTHORITY);
     if let Some(authority) = row.and_then(|r| Authority::parse(r.value.as_deref()?)) {
-        return Ok((authority, rows));
+        return Ok(Some((authority, rows)));
     }
-    let authority = Authority::create().expect("a new key can sign its own certificate");
-    let write = Write {
-        table: TABLE.into(),
-        key: AUTHORITY.into(),
-        value: Some(authority.encode().into()),
-        condition: row.map_or(Condition::Absent, |row| Condition::At(row.revision)),
-    };
-    store.write(&[write]).await?;
-    Ok((authority, rows))
+    let is_restored = rows.revision.era > 0;
+    if is_restored && !may_create {
+        return Ok(None);
+    }
+    let authority =
+        Authority::create(unix_millis()).expect("a new key can sign its own certificate");
+    let condition = row.map_or(Condition::Absent, |row| Condition::At(row.revision));
+    store.write(&[authority_row(&authority, condition)]).await?;
+    Ok(Some((authority, rows)))
 }
 
-fn registration(settings: &Settings) -> Write {
-    let address = NodeAddress {
-        name: settings.name.clone(),
-        domain: settings.domain.clone(),
-        callers: settings.listen.callers,
-        peers: settings.listen.peers,
-    };
-    let value = serde_json::to_vec(&address).expect("plain data serializes");
+/// Returns the row of the certificate authority.
+pub(super) fn authority_row(authority: &Authority, condition: Condition) -> Write {
+    let value = Some(authority.encode().into());
+    Write { table: TABLE.into(), key: AUTHORITY.into(), value, condition }
+}
+
+/// Returns the registration of a node.
+pub(super) fn registration_row(node: &NodeAddress) -> Write {
+    let value = serde_json::to_vec(node).expect("plain data serializes");
     Write {
         table: TABLE.into(),
-        key: format_compact!("{NODE}{}", settings.name),
+        key: format_compact!("{NODE}{}", node.name),
         value: Some(value.into()),
         condition: Condition::None,
     }
 }
 
-async fn register<S: Store>(store: &S, row: Write) {
-    while let Err(error) = store.write(std::slice::from_ref(&row)).await {
-        log::warn!("cannot register this node: {error}");
+/// Writes rows of the nodes' table until the store has them or another node has changed them.
+pub(super) async fn write_until_done<S: Store>(store: S, rows: Vec<Write>) {
+    while let Err(error) = store.write(&rows).await {
+        log::warn!(table = TABLE, rows = rows.len() as u64; "cannot write rows: {error}");
+        if error == StoreError::Conflict {
+            return;
+        }
         sleep(retry_delay()).await;
     }
 }
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -39,6 +39,7 @@
 
 /// Started transport with its membership.
 pub(super) struct Joined {
+    pub(super) authority: Authority,
     pub(super) membership: Membership,
     pub(super) events: mpsc::Receiver<Received>,
 }
@@ -81,12 +82,7 @@
     authority: &Authority,
     metrics: Metrics,
 ) -> Result<Joined, PeerError> {
-    let local_node = NodeAddress {
-        name: settings.name.clone(),
-        domain: settings.domain.clone(),
-        callers: settings.listen.callers,
-        peers: settings.listen.peers,
-    };
+    let local_node = NodeAddress::of(settings);
     let identity = authority.sign(&local_node.name).map_err(|e| PeerError::Tls(e.to_string()))?;
     let config = PeerConfig {
         name: local_node.name.clone(),
@@ -114,7 +110,7 @@
         dead: BTreeMap::new(),
         scope: Scope::default(),
     };
-    Ok(Joined { membership, events })
+    Ok(Joined { authority: authority.clone(), membership, events })
 }
 
 impl Membership {
@@ -237,6 +233,22 @@
         self.members.addresses().into_iter().filter_map(node).collect()
     }
 
+    /// Returns the running nodes of this node's failure domain that are not registered.
+    pub(super) fn unlisted(&self) -> Vec<NodeAddress> {
+        let address = |node: Node| {
+            let NodeLocation { domain, url, peer } = node.location?;
+            let callers = url.strip_prefix(SCHEME)?.parse().ok()?;
+            let is_running = matches!(node.state, NodeState::Starting | NodeState::Ready);
+            let is_local = domain == self.local_node.domain;
+            let address =
+                NodeAddress { name: node.name, domain, callers, peers: peer.parse().ok()? };
+            (is_running && is_local).then_some(address)
+        };
+        let own = (!self.draining).then(|| self.local_node.clone());
+        let running = self.members.nodes().filter_map(address).chain(own);
+        running.filter(|node| !self.listed.contains_key(&node.name)).collect()
+    }
+
     /// Removes and returns the dead nodes of this node's failure domain whose registrations have
     /// exceeded [`RETENTION`].
     pub(super) fn take_stale_registrations(&mut self, now: Instant) -> Vec<CompactString> {
@@ -321,9 +333,9 @@
     }
 }
 
-/// Returns the time in milliseconds since the Unix epoch. It only orders the incarnations of a node.
-/// A node whose clock was set back raises its epoch when it sees a newer one under its name.
-fn unix_millis() -> u64 {
+/// Returns the time in milliseconds since the Unix epoch. It only orders the incarnations of a node,
+/// and certificate authorities. A node whose clock was set back raises its epoch when it sees a newer one under its name.
+pub(super) fn unix_millis() -> u64 {
     let time = SystemTime::now().duration_since(UNIX_EPOCH);
     time.unwrap_or_default().as_millis() as u64
 }
--- a/crates/relay/src/control/tables.rs
+++ b/crates/relay/src/control/tables.rs
@@ -46,6 +46,7 @@
     }
 
     fn apply_nodes(&mut self, change: &Change) {
+        self.observe_own_rows(change);
         let Some(membership) = &mut self.membership else { return };
         match change {
             Change::Snapshot(rows) => membership.apply_registrations(rows, true),
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -144,9 +144,14 @@
         !self.outage && self.grace.is_none_or(|end| now >= end)
     }
 
+    /// Returns this node's rank among the readers of its failure domain.
+    pub fn rank(&self) -> usize {
+        self.ranking.rank(&self.me)
+    }
+
     /// Returns whether this node is the first reader of its failure domain.
     pub fn is_first_reader(&self) -> bool {
-        self.ranking.rank(&self.me) == 0
+        self.rank() == 0
     }
 
     /// Returns the revision up to which a table is known, from which its feed can be resumed.
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -1,7 +1,7 @@
 //! View of the control state, published by the control thread.
 
 use {
-    crate::{catalog::Catalog, fanout::Scope},
+    crate::{catalog::Catalog, fanout::Scope, settings::Settings},
     arc_swap::ArcSwap,
     bilberryfront_decide::mover::MoveId,
     compact_str::CompactString,
@@ -56,6 +56,18 @@
     pub peers: SocketAddr,
 }
 
+impl NodeAddress {
+    /// Returns the addresses of the node with these settings.
+    pub fn of(settings: &Settings) -> NodeAddress {
+        NodeAddress {
+            name: settings.name.clone(),
+            domain: settings.domain.clone(),
+            callers: settings.listen.callers,
+            peers: settings.listen.peers,
+        }
+    }
+}
+
 /// Split of a service's requests during a rollout.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Split {
--- a/crates/standins/src/feed_store.rs
+++ b/crates/standins/src/feed_store.rs
@@ -225,11 +225,14 @@
     let (table, after) = (text(&query, "table"), number("after_revision"));
     let mut changed = store.changed.subscribe();
     let wait = Duration::from_millis(number("wait_ms"));
+    let era = store.lock().era;
     // A request that will be rejected must not wait for a change first.
     if store.faults.active().reject.is_none() {
         let ends = changed.wait_for(|()| {
             let state = store.lock();
-            after > state.version || !state.changed_since(table, after).is_empty()
+            state.era != era
+                || after > state.version
+                || !state.changed_since(table, after).is_empty()
         });
         // If nothing changes within `wait`, the response has no rows.
         _ = timeout(wait, ends).await;
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -62,6 +62,57 @@
     }
 }
 
+/// Table of the instances' registrations and their certificate authority.
+const NODES: &str = "bilberryfront";
+
+/// Guards against instances that cannot find or trust each other: the backup is older than their
+/// registrations and their certificate authority.
+#[tokio::test]
+async fn registrations_and_authority_are_written_again() {
+    run_local(async {
+        let platform = Platform::new().await;
+        let backup = platform.store.back_up();
+        let instances = [platform.start("n1"), platform.start("n2")];
+        wait_until("both resolve both", async || {
+            instances[0].resolve().await.len() == 2 && instances[1].resolve().await.len() == 2
+        })
+        .await;
+        let keys = ["authority", "node/n1", "node/n2"];
+        let rows = || keys.map(|key| platform.store.value(NODES, key));
+        let before = rows();
+        assert!(before.iter().all(Option::is_some), "{before:?}");
+        platform.store.restore(&backup);
+        assert_eq!(rows(), [const { None }; 3]);
+        let late = platform.start("n3");
+        wait_until("the rows are back", async || rows() == before).await;
+        wait_until("a new instance joins", async || late.resolve().await.len() == 3).await;
+    })
+    .await;
+}
+
+/// Guards against a split of the system: an instance that starts after a restoration has created another
+/// certificate authority.
+#[tokio::test]
+async fn older_authority_replaces_a_newer_one() {
+    run_local(async {
+        let platform = Platform::new().await;
+        let backup = platform.store.back_up();
+        let instance = platform.start("n1");
+        wait_until("the instance is ready", async || instance.ready().await).await;
+        let authority = platform.store.value(NODES, "authority");
+        let other = Platform::new().await;
+        let newer = other.start("n2");
+        wait_until("the other instance is ready", async || newer.ready().await).await;
+        platform.store.restore(&backup);
+        platform.store.put(NODES, "authority", other.store.value(NODES, "authority"));
+        wait_until("the authority is back", async || {
+            platform.store.value(NODES, "authority") == authority
+        })
+        .await;
+    })
+    .await;
+}
+
 /// Guards against a revoked key that stays valid: the catalogue that revokes it has a revision that
 /// the store assigned to another catalogue before it was restored.
 #[tokio::test]
