Repeat polls that began before a restoration of the store

A key could stay valid for 5 s after it was revoked: the long poll of the operators' table had begun before the restoration and got its response only when its wait had passed, although the polls of other tables had shown that the store was restored.

A later era, seen by the poll of any table or told by a peer, now counts as a recovery of the store, upon which polls that are pending for half a second or longer are repeated, as after an outage.

--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -22,7 +22,7 @@
 /// well, because the store may reject a single table only.
 pub const STANDBY_BACKOFF_MAX: Duration = Duration::from_millis(3_200);
 
-/// Age from which a pending poll is abandoned if another poll succeeds after an outage. A store
+/// Age from which a pending poll is abandoned after an outage or a restoration of the store. A store
 /// that dropped the request never responds to it, and the timeout of a poll is long.
 const STALE_POLL_AGE: Duration = Duration::from_millis(500);
 
@@ -67,7 +67,7 @@
     /// Revision up to which the table is known, if it is; may be advanced by others.
     pub revision: Rc<Cell<Option<Revision>>>,
     /// Number of recoveries detected, shared by all watchers. An outage counts once for each watcher
-    /// that detects its end.
+    /// that detects its end, a restoration once.
     pub recoveries: watch::Sender<u32>,
     /// Metrics.
     pub metrics: Metrics,
@@ -155,8 +155,8 @@
     }
 
     /// Polls the store. Returns `None` if the poll has been pending for at least [`STALE_POLL_AGE`]
-    /// and another watcher has detected the end of an outage since the poll started: the request may
-    /// have been lost in the outage.
+    /// and a recovery has been detected since the poll started: the request may have been lost in the
+    /// outage, or be for an era that has ended.
     async fn poll_unless_stale(&self, wait: Duration) -> Option<Result<Rows>> {
         let mut recoveries = self.recoveries.subscribe();
         let stale = async {
--- a/crates/relay/src/control/feeds.rs
+++ b/crates/relay/src/control/feeds.rs
@@ -61,6 +61,10 @@
     reading: watch::Sender<bool>,
     revisions: [Rc<Cell<Option<Revision>>>; TableId::ALL.len()],
     nodes_revision: Rc<Cell<Option<Revision>>>,
+    /// Number of recoveries of the store; see [`FeedWatcher::recoveries`].
+    recoveries: watch::Sender<u32>,
+    /// Latest known era of the store.
+    era: Cell<u64>,
     runners_wait: Rc<Cell<Duration>>,
     load: Rc<Notify>,
 }
@@ -79,10 +83,11 @@
             reading: watch::Sender::new(false),
             revisions: Default::default(),
             nodes_revision: Rc::default(),
+            recoveries: watch::Sender::new(0),
+            era: Cell::default(),
             runners_wait: Rc::new(Cell::new(RUNNERS_WAIT_MIN)),
             load: Rc::default(),
         };
-        let recoveries = watch::Sender::new(0);
         let watch = |name, table, min_interval, wait: &Rc<Cell<Duration>>| {
             let (revision, max_backoff, active) = match table {
                 WatchedTable::Replicated(TableId::Operators) => {
@@ -104,7 +109,7 @@
                 max_backoff,
                 active: active.subscribe(),
                 revision,
-                recoveries: recoveries.clone(),
+                recoveries: feeds.recoveries.clone(),
                 metrics: metrics.clone(),
             };
             tokio::task::spawn_local(watcher.run(sender.clone()));
@@ -128,8 +133,12 @@
         self.load.notify_waiters();
     }
 
-    /// Starts or stops polling. Feeds resume from the revisions of the replicated tables.
+    /// Starts or stops polling. Feeds resume from the revisions of the replicated tables. Polls from
+    /// before a restoration are repeated, whichever table or peer has shown it.
     pub(super) fn set_active(&self, sync: &TableSync) {
+        if self.era.replace(sync.era()) < sync.era() {
+            self.recoveries.send_modify(|count| *count += 1);
+        }
         if *self.polling.borrow() != sync.is_polling() {
             log::info!(active = sync.is_polling(); "polling of the store started or stopped");
         }
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -50,6 +50,11 @@
         self.hash
     }
 
+    /// Returns the latest known era of the store.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
     /// Returns whether rows at this revision are of an era that has ended.
     pub fn is_outdated(&self, revision: Revision) -> bool {
         revision.era < self.era
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -159,6 +159,11 @@
         self.tables[index(table)].mirror.revision()
     }
 
+    /// Returns the latest known era of the store.
+    pub fn era(&self) -> u64 {
+        self.tables.iter().map(|table| table.mirror.era()).max().unwrap_or_default()
+    }
+
     /// Returns the condition that a row is as known; `None` if the table may lack rows.
     pub fn condition(&self, table: TableId, key: &str) -> Option<Condition> {
         self.tables[index(table)].mirror.condition(key)
--- a/crates/standins/src/feed_store.rs
+++ b/crates/standins/src/feed_store.rs
@@ -92,6 +92,8 @@
 #[derive(Clone, Default)]
 struct State {
     era: u64,
+    /// Whether polls of earlier eras get no response before their wait has passed.
+    holds_polls: bool,
     version: u64,
     rows: BTreeMap<(CompactString, CompactString), Row>,
     log: Vec<Row>,
@@ -131,10 +133,19 @@
         Backup(self.lock().clone())
     }
 
-    /// Replaces all rows by those of a backup, and continues from its version.
+    /// Replaces all rows by those of a backup, and continues from its version. Pending polls end.
     pub fn restore(&self, backup: &Backup) {
+        self.replace(backup, false);
+    }
+
+    /// Restores a backup as [`Self::restore`] does, but pending polls end only after their wait.
+    pub fn restore_silently(&self, backup: &Backup) {
+        self.replace(backup, true);
+    }
+
+    fn replace(&self, backup: &Backup, holds_polls: bool) {
         let mut state = self.lock();
-        *state = State { era: state.era + 1, ..backup.0.clone() };
+        *state = State { era: state.era + 1, holds_polls, ..backup.0.clone() };
         drop(state);
         self.changed.send_replace(());
     }
@@ -230,9 +241,10 @@
     if store.faults.active().reject.is_none() {
         let ends = changed.wait_for(|()| {
             let state = store.lock();
-            state.era != era
-                || after > state.version
-                || !state.changed_since(table, after).is_empty()
+            match state.era == era {
+                true => after > state.version || !state.changed_since(table, after).is_empty(),
+                false => !state.holds_polls,
+            }
         });
         // If nothing changes within `wait`, the response has no rows.
         _ = timeout(wait, ends).await;
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -62,6 +62,20 @@
     }
 }
 
+/// Guards against a catalogue that is read seconds late: the poll of its table began before the
+/// restoration and gets no response, while polls of other tables show that the store was restored.
+#[tokio::test]
+async fn a_key_is_revoked_although_a_poll_from_before_the_restoration_is_pending() {
+    run_local(async {
+        let deployment = Deployment::new().await;
+        deployment.platform.store.restore_silently(&deployment.backup);
+        deployment.platform.put_catalog(8, &["k1", "k7"]);
+        let elapsed = deployment.wait_until_status("k2 is revoked", "k2", 401).await;
+        assert!(elapsed < APPLY_TIME, "revoked after {elapsed:?}");
+    })
+    .await;
+}
+
 /// Table of the instances' registrations and their certificate authority.
 const NODES: &str = "bilberryfront";
 
