--- a/crates/relay/src/control/tables.rs
+++ b/crates/relay/src/control/tables.rs
@@ -65,6 +65,7 @@
         let mut out = Vec::new();
         self.sync.step(now, &mut out);
         self.feeds.set_active(&self.sync);
+        self.metrics.set_store_era(self.sync.era());
         self.set_cut_off(self.sync.is_cut_off());
         self.apply_actions(out);
     }
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -22,6 +22,10 @@
 pub const CATALOG_APPLIED: &str = "catalogue applied";
 /// Process ready to accept connections.
 pub const SERVING: &str = "serving";
+/// Call rejected by the store; followed by the reason.
+pub const STORE_UNAVAILABLE: &str = "the store is unavailable: ";
+/// No response from the store; followed by the reason.
+pub const STORE_RESPONSE_LOST: &str = "the store's response was lost: ";
 /// Store available again after an outage.
 pub const STORE_RECOVERED: &str = "store available again";
 /// Store restored from a backup.
@@ -38,7 +42,7 @@
 pub const RUNNER_DRAINING: &str = "the runner announces that it leaves";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 17] = [
+pub const ALL: [&str; 19] = [
     REJECTED,
     RUN_STARTED,
     RUN_LOST,
@@ -50,6 +54,8 @@
     ERROR_RETURNED,
     CATALOG_APPLIED,
     SERVING,
+    STORE_UNAVAILABLE,
+    STORE_RESPONSE_LOST,
     STORE_RECOVERED,
     STORE_RESTORED,
     RUNNER_REMOVED,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -119,6 +119,7 @@
     store: Counter,
     volume: Volume,
     version: Gauge,
+    era: Gauge,
     nodes: Gauge,
     runners: Gauge,
     open: Gauge,
@@ -137,6 +138,7 @@
             store: Counter::default(),
             volume: Volume::default(),
             version: Gauge::default(),
+            era: Gauge::default(),
             nodes: Gauge::default(),
             runners: Gauge::default(),
             open: Gauge::default(),
@@ -168,6 +170,7 @@
         );
         m.volume.register(&mut registry);
         registry.register("catalogue_version", "Version in force", m.version.clone());
+        registry.register("store_era", "Restorations of the store", m.era.clone());
         registry.register("nodes", "Nodes in the address answers", m.nodes.clone());
         registry.register("runners", "Runners registered", m.runners.clone());
         registry.register("open", "Requests and streams under way", m.open.clone());
@@ -244,6 +247,11 @@
         self.runners.set(runners as i64);
     }
 
+    /// Sets the number of restorations of the store, as known to this node.
+    pub fn set_store_era(&self, era: u64) {
+        self.era.set(era as i64);
+    }
+
     /// Encodes all metrics as text; `open` is the number of requests in flight.
     pub fn encode(&self, open: usize) -> String {
         self.open.set(open as i64);
--- a/crates/relay/src/store.rs
+++ b/crates/relay/src/store.rs
@@ -2,7 +2,12 @@
 
 pub use bilberryfront_decide::id::StoreRevision as Revision;
 
-use {bytes::Bytes, compact_str::CompactString, std::time::Duration};
+use {
+    crate::log_messages::{STORE_RESPONSE_LOST, STORE_RESTORED, STORE_UNAVAILABLE},
+    bytes::Bytes,
+    compact_str::CompactString,
+    std::time::Duration,
+};
 
 /// Result with a [`StoreError`].
 pub type Result<T> = std::result::Result<T, StoreError>;
@@ -32,17 +37,17 @@
 #[derive(thiserror::Error)]
 pub enum StoreError {
     /// Call rejected without any effect.
-    #[error("the store is unavailable: {0}")]
+    #[error("{STORE_UNAVAILABLE}{0}")]
     Unavailable(CompactString),
     /// No response; a write may have been applied, or may be applied later.
-    #[error("the store's response was lost: {0}")]
+    #[error("{STORE_RESPONSE_LOST}{0}")]
     Lost(CompactString),
     /// The requested part of the history is no longer available.
     #[error("the store no longer has the requested part of its history")]
     Compacted,
     /// The store was restored from a backup, so its history does not continue at the requested
     /// revision.
-    #[error("the store was restored from a backup")]
+    #[error("{STORE_RESTORED}")]
     Restored,
     /// The expected revision of a write did not match.
     #[error("the row was changed by another write")]
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -1,10 +1,14 @@
 //! The probable cause of a subject's outcome, and what to do about it.
 
 use {
-    super::line::{Line, Logs},
+    super::{
+        history::TIME_BEFORE,
+        line::{Line, Logs},
+    },
     bilberryfront_relay::log_messages::{
         CATALOG_APPLIED, ERROR_RETURNED, REJECTED, REJECTED_BY_RUNNER, RUN_LOST, RUN_STARTED,
-        RUNNER_ERROR, RUNNER_REMOVED, SERVING, STORE_RECOVERED, STREAM_ABORTED, STREAM_COMPLETED,
+        RUNNER_ERROR, RUNNER_REMOVED, SERVING, STORE_RECOVERED, STORE_RESPONSE_LOST,
+        STORE_RESTORED, STORE_UNAVAILABLE, STREAM_ABORTED, STREAM_COMPLETED,
     },
     jiff::SignedDuration,
 };
@@ -152,9 +156,14 @@
 
 /// Describes the outage of the store that an instance was affected by.
 fn outage(logs: &Logs, at: &Line) -> Option<String> {
-    let last = logs.lines.iter().rfind(|line| {
-        line.node == at.node && line.order <= at.order && line.fields.contains_key("table")
-    })?;
+    let is_about_store = |line: &Line| {
+        line.message == STORE_RECOVERED
+            || [STORE_UNAVAILABLE, STORE_RESPONSE_LOST].iter().any(|m| line.message.contains(m))
+    };
+    let last = logs
+        .lines
+        .iter()
+        .rfind(|line| line.node == at.node && line.order <= at.order && is_about_store(line))?;
     (last.message != STORE_RECOVERED)
         .then(|| format!("the store did not respond ({})", last.message))
 }
@@ -175,11 +184,26 @@
         ),
         None => format!(
             "Denied ({reason}) by catalogue {held}, the newest that any of these instances had: the \
-             operators' catalogue doesn't allow it."
+             operators' catalogue doesn't allow it.{}",
+            restoration(logs, line)
         ),
     }
 }
 
+/// Describes the last restoration of the store if it was shortly before a line.
+fn restoration(logs: &Logs, at: &Line) -> String {
+    let age = |line: &Line| at.order.duration_since(line.order);
+    let is_recent = |line: &&Line| {
+        line.message == STORE_RESTORED && (SignedDuration::ZERO..TIME_BEFORE).contains(&age(line))
+    };
+    logs.lines.iter().rfind(is_recent).map_or_else(String::new, |line| {
+        format!(
+            " The store was restored from a backup {} ms before: operators may have to write lost changes again.",
+            age(line).as_millis()
+        )
+    })
+}
+
 /// Summarizes the lines of a runner.
 pub(super) fn of_runner(own: &[&Line]) -> String {
     let count = |text: &str| own.iter().filter(|line| line.message.starts_with(text)).count();
--- a/src/explain/history.rs
+++ b/src/explain/history.rs
@@ -18,7 +18,7 @@
 const RUNNER_FIELDS: [&str; 4] = ["runner", "holder", "replica", "former"];
 /// Time before a subject's first line in which related lines are included. An outage is logged only
 /// when it starts, and lasts for seconds.
-const TIME_BEFORE: SignedDuration = SignedDuration::from_secs(10);
+pub(super) const TIME_BEFORE: SignedDuration = SignedDuration::from_secs(10);
 /// Time after a subject's last line in which related lines are included. If a failure domain fails,
 /// the failure of its other runners is detected within this time.
 const TIME_AFTER: SignedDuration = SignedDuration::from_millis(500);
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -74,6 +74,10 @@
         // earlier.
         line(7_000, log_messages::CATALOG_APPLIED, json!({"version": 9, "revision": 9})),
         line(9_500, "rejected: NoKey", json!({"request": "unknown-key", "version": 9})),
+        line(11_000, log_messages::STORE_RECOVERED, json!({"table": "op"})),
+        line(11_100, log_messages::STORE_RESTORED, json!({"table": "Operators"})),
+        line(11_200, "rejected: NoKey", json!({"request": "revoked-key", "version": 9})),
+        line(11_300, "rejected: NotRun { retry: 300ms }", json!({"request": "new", "version": 0})),
     ];
     fs::write(folder.path().join("one.log"), first.join("\n")).unwrap();
     fs::write(folder.path().join("two.log"), second.join("\n")).unwrap();
@@ -99,6 +103,8 @@
         ("full", "no runner of the service was listed"),
         ("denied", "while n1 had catalogue 9 for 1000 ms: the instance was behind"),
         ("unknown-key", "the newest that any of these instances had"),
+        ("revoked-key", "restored from a backup 100 ms before"),
+        ("new", "had just started"),
         ("failing", "status 500: each of the runners p1, p2 ran it and failed"),
         ("cut-short", "n1 restarted 1500 ms after"),
         ("e1", "2 were lost, 0 requests were rejected. Its entry was removed."),
