Ignore the status of an earlier rollout in a backup

A rollout would have ended as completed or rolled back, and the old runners stopped, because of the final status of an earlier rollout to the same version: in a backup from before the order that status has a revision of a later era, which was taken for a later write.

A status belongs to a rollout if its number is above the order's as well.

Test, red before: status_of_an_earlier_rollout_in_a_backup_is_not_applied.

--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -154,7 +154,9 @@
         revision: Revision,
         status: &RolloutStatus,
     ) {
-        let mine = revision > self.revision && status.to == self.order.to;
+        // A backup from before the order has the status of an earlier rollout, at a lower number.
+        let Revision { era, number } = self.revision;
+        let mine = revision.era >= era && revision.number > number && status.to == self.order.to;
         self.recorded = mine.then_some(status.phase);
         self.recorded_at = now;
         match status.phase {
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -374,6 +374,21 @@
     assert_eq!(node.splits()["llm"].to, "v4");
 }
 
+/// Guards against a rollout that ends because of the status of an earlier one, which is in a backup from
+/// before the order.
+#[tokio::test(start_paused = true)]
+async fn status_of_an_earlier_rollout_in_a_backup_is_not_applied() {
+    let record = |phase| RolloutStatus { service: "llm".into(), to: "v2".into(), phase };
+    for phase in [Phase::Completed, Phase::RolledBack] {
+        let mut node = Rollouts::new(Incarnation(1));
+        node.apply_order(Instant::now(), ORDERED_AT, rollout_order());
+        node.apply_status(Instant::now(), Revision::new(1, 9), record(phase));
+        assert_eq!(node.splits()["llm"].rule, Rule::Canary, "{phase:?}");
+        node.apply_status(Instant::now(), Revision::new(1, 11), record(phase));
+        assert_ne!(node.splits()["llm"].rule, Rule::Canary, "{phase:?}");
+    }
+}
+
 /// Guards against evidence and verdicts of a lost rollout that are applied to another one, whose order
 /// has the same number.
 #[tokio::test(start_paused = true)]
