Write a catalogue revision again that the table service has lost

A node whose catalogue is newer than the table's head writes it again, conditional on the head, so that one of many does. Changes that are based on a revision below the one in force are rejected as a conflict, also those of version moves, until that has happened.

Scenario table-is-restored, red before: "two operators received revision 2 as their own".

--- a/crates/scenarios/src/language.rs
+++ b/crates/scenarios/src/language.rs
@@ -237,6 +237,10 @@
     LoseCommits(u32),
     /// Reads return the rows as they are now, until `up`.
     StaleReads,
+    /// Keeps a copy of all rows.
+    BackUp,
+    /// Replaces all rows by those of the last backup.
+    Restore,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/scenarios/src/table.rs
+++ b/crates/scenarios/src/table.rs
@@ -32,6 +32,8 @@
 #[derive(Default)]
 struct State {
     rows: RowStore,
+    /// Rows that a restoration brings back.
+    backup: RowStore,
     /// Rows that reads return instead of `rows`.
     stale: Option<RowStore>,
     down: bool,
@@ -57,13 +59,16 @@
         match action {
             TableAction::Up => {
                 let rows = std::mem::take(&mut state.rows);
-                *state = State { rows, ..State::default() };
+                let backup = std::mem::take(&mut state.backup);
+                *state = State { rows, backup, ..State::default() };
             }
             TableAction::Down => state.down = true,
             TableAction::Slow(ms) => state.slow = Duration::from_millis(ms),
             TableAction::LoseReplies(count) => state.lost_replies = count,
             TableAction::LoseCommits(count) => state.lost_commits = count,
             TableAction::StaleReads => state.stale = Some(state.rows.clone()),
+            TableAction::BackUp => state.backup = state.rows.clone(),
+            TableAction::Restore => state.rows = state.backup.clone(),
         }
     }
 
--- a/src/catalogue/store.rs
+++ b/src/catalogue/store.rs
@@ -6,7 +6,8 @@
 //! - `catalogue/log/N`: author, time, comment and apply id of revision N ([`Change`]).
 //!
 //! Revision numbers only increase and revisions are never deleted, so a delayed or repeated write
-//! can't revert an accepted catalogue.
+//! can't revert an accepted catalogue. A table that is restored from a backup may lack the latest
+//! revisions; the nodes, which have them in force, write the last one again.
 
 use {
     crate::platform::{http::PlatformError, table::Table},
@@ -22,6 +23,8 @@
 pub type Result<T> = std::result::Result<T, StoreError>;
 
 const HEAD: &str = "catalogue/head";
+/// Author of changes that no operator has made.
+const AUTHOR: &str = "bilberryfront";
 /// Maximum number of times a commit is sent before its outcome is reported as unknown.
 const MAX_SENDS: u32 = 4;
 /// Pause before a commit with a lost reply is sent again, multiplied by the number of previous
@@ -180,6 +183,25 @@
         Err(StoreError::Unknown { apply: change.apply.clone() })
     }
 
+    /// Stores a revision again that a restored table has lost, so that its number is not assigned to
+    /// another catalogue. Does nothing if the table has this revision or a later one.
+    pub async fn write_again(&self, lost: &CatalogueRevision) -> Result<()> {
+        let (latest, row) = self.read_head().await?;
+        if latest >= lost.revision {
+            return Ok(());
+        }
+        let change = Change {
+            apply: format_compact!("{:032x}", rand::random::<u128>()),
+            who: AUTHOR.into(),
+            when: Timestamp::now(),
+            comment: "written again: the table service had lost it".into(),
+        };
+        // Another node may write it first. A commit without effect is repeated after the next poll.
+        let commit = commit(&lost.catalogue, lost.revision, row, &change);
+        self.table.commit(&commit).await.map_err(StoreError::Down)?;
+        Ok(())
+    }
+
     /// Determines from the log whether `revision` was created by `change`.
     async fn resolve(&self, revision: Revision, change: &Change) -> Result<Outcome> {
         let rows = self.read(vec![HEAD.into(), log_key(revision)]).await?;
--- a/src/control/moves/task.rs
+++ b/src/control/moves/task.rs
@@ -190,9 +190,11 @@
             }
             Output::Broadcast(update) => self.send_to_peers(view, update),
             Output::Adopt { entry, version } if !mem::replace(&mut self.is_adopting, true) => {
+                let in_force = view.catalog.revision;
                 tokio::spawn(async move {
                     let store = Store::new(table);
-                    _ = sender.send(TableResult::Adopted(adopt(&store, &entry, version).await));
+                    let adopted = adopt(&store, in_force, &entry, version).await;
+                    _ = sender.send(TableResult::Adopted(adopted));
                 });
             }
             Output::Adopt { .. } => {}
@@ -238,10 +240,15 @@
 /// change the next attempt starts from that change.
 async fn adopt<T: Table>(
     store: &Store<T>,
+    in_force: Revision,
     entry: &str,
     version: CompactString,
 ) -> Option<CatalogueRevision> {
     let CatalogueRevision { revision, mut catalogue } = store.get().await.ok()?;
+    if revision < in_force {
+        // A restored table has lost the one in force, which is written again first.
+        return None;
+    }
     let found = catalogue.entries.iter_mut().find(|e| e.name == entry)?;
     if found.version == version {
         return Some(CatalogueRevision { revision, catalogue });
--- a/src/control/pollers.rs
+++ b/src/control/pollers.rs
@@ -3,13 +3,10 @@
 use {
     super::Control,
     crate::{
-        catalogue::store::{CatalogueRevision, Store},
+        catalogue::store::{self, CatalogueRevision, Store},
         platform::{http::Service, instances, table::Table},
     },
-    bilberryfront_decide::{
-        Event,
-        id::{Revision, RunnerKey},
-    },
+    bilberryfront_decide::{Event, id::RunnerKey},
     bilberryfront_wire::{
         instance::{Instance, InstanceList},
         runner::LoadReport,
@@ -18,7 +15,7 @@
     futures_util::{StreamExt, stream},
     rand::Rng,
     rustc_hash::FxHashMap,
-    std::time::Duration,
+    std::{cmp::Ordering, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
@@ -51,17 +48,35 @@
     }
 }
 
-/// Polls the catalogue's revision number continuously, and reads the catalogue when it increased.
+/// Polls the catalogue's revision number continuously. Reads the catalogue when it increased, and
+/// writes it again when it decreased.
 pub async fn poll_catalog<T: Table>(control: Control, store: Store<T>) {
     loop {
-        let known = control.view().catalog.revision;
-        if let Some(latest) = read_newer(&store, known).await {
-            control.apply_catalog(latest);
-        }
+        // While the table service does not respond, the catalogue stays as it is.
+        _ = follow_catalog(&control, &store).await;
         sleep(jittered(CATALOG_INTERVAL)).await;
     }
 }
 
+async fn follow_catalog<T: Table>(control: &Control, store: &Store<T>) -> store::Result<()> {
+    let head = store.head().await?;
+    let catalog = control.view().catalog.clone();
+    match head.cmp(&catalog.revision) {
+        Ordering::Greater => control.apply_catalog(store.revision(head).await?),
+        Ordering::Equal => {}
+        Ordering::Less => {
+            log::warn!(
+                "the table service has lost catalogue revision {}: writing it again",
+                catalog.revision
+            );
+            let catalogue = catalog.doc();
+            let lost = CatalogueRevision { revision: catalog.revision, catalogue };
+            store.write_again(&lost).await?;
+        }
+    }
+    Ok(())
+}
+
 /// Polls the load report of every runner continuously.
 pub async fn poll_loads(control: Control) {
     let mut clients = FxHashMap::default();
@@ -108,14 +123,6 @@
     control.send(event);
 }
 
-async fn read_newer<T: Table>(store: &Store<T>, known: Revision) -> Option<CatalogueRevision> {
-    let head = store.head().await.ok()?;
-    if head <= known {
-        return None;
-    }
-    store.revision(head).await.ok()
-}
-
 /// Returns 0.8 to 1.2 times the interval at random, so that nodes that started together don't all
 /// poll the platform at the same time.
 fn jittered(every: Duration) -> Duration {
--- a/src/operator/control.rs
+++ b/src/operator/control.rs
@@ -10,7 +10,7 @@
         control::{Control, view::View},
     },
     bilberryfront_decide::{
-        id::Incarnation,
+        id::{Incarnation, Revision},
         member::{
             DrainState, Node,
             message::{NodeLocation, NodeState},
@@ -41,6 +41,10 @@
         Nodes { revision: view.catalog.revision, nodes: rows }
     }
 
+    fn revision(&self) -> Revision {
+        self.control.view().catalog.revision
+    }
+
     fn accepted(&self, numbered: CatalogueRevision) {
         self.control.apply_catalog(numbered);
     }
--- a/src/operator/server.rs
+++ b/src/operator/server.rs
@@ -10,6 +10,7 @@
         catalogue::store::{CatalogueRevision, Change, Outcome, Store},
         platform::table::Table,
     },
+    bilberryfront_decide::id::Revision,
     bytes::Bytes,
     compact_str::CompactString,
     http::{HeaderMap, Response, header::CONTENT_TYPE},
@@ -36,6 +37,8 @@
 pub trait Control: Send + Sync + 'static {
     /// Returns all known nodes, including this one.
     fn nodes(&self) -> Nodes;
+    /// Returns the revision of the catalogue in force.
+    fn revision(&self) -> Revision;
     /// Applies a catalogue that was just accepted, and sends it to peers; must not block.
     fn accepted(&self, numbered: CatalogueRevision);
 }
@@ -105,6 +108,11 @@
             serde_json::from_slice::<Proposal>(&body).map_err(|e| Refusal::Body(e.to_string()))?;
         validate(&proposal)?;
         let Proposal { expect, apply, comment, catalogue } = proposal;
+        // A restored table would assign the number of a revision that is in force.
+        let now = self.control.revision();
+        if expect < now {
+            return Err(Refusal::Conflict { expect, now });
+        }
         let change = Change { apply, who, when: Timestamp::now(), comment };
         match self.store.apply(&catalogue, expect, &change).await? {
             Outcome::Applied(revision) => {
--- a/tests/catalogue_apply.rs
+++ b/tests/catalogue_apply.rs
@@ -19,6 +19,7 @@
             router,
         },
     },
+    bilberryfront_decide::id::Revision,
     folder::{Outcome, run},
     serde_json::Value,
     std::{
@@ -52,6 +53,10 @@
         Nodes { revision: 3, nodes: vec![node] }
     }
 
+    fn revision(&self) -> Revision {
+        0
+    }
+
     fn accepted(&self, numbered: CatalogueRevision) {
         self.accepted.lock().unwrap().push(numbered);
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -92,6 +92,7 @@
     stale_read
     store_down_for_minutes
     store_is_slow
+    table_is_restored
     version_gone_in_the_middle
     whole_answer_survives
 }
