--- a/crates/decide/src/id.rs
+++ b/crates/decide/src/id.rs
@@ -75,7 +75,8 @@
     /// Returns whether this catalogue replaces `other`.
     ///
     /// The version decides, because a restored store may contain an older catalogue at a later
-    /// revision. Operators who lost a version may assign it again to other content.
+    /// revision. Operators whose latest versions were lost may assign them again to other content, which
+    /// then wins by the revision of its row.
     pub fn supersedes(self, other: CatalogRevision) -> bool {
         match self.version.cmp(&other.version) {
             Ordering::Equal => self.row > other.row && self.hash != other.hash,
--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -95,7 +95,7 @@
         loop {
             recoveries.mark_unchanged();
             let poll_start = Instant::now();
-            let has_history = self.revision.get().is_some();
+            let resumed = self.revision.get().is_some();
             let wait = if first || failures > 0 { Duration::ZERO } else { self.wait.get() };
             let Some(response) = self.poll_unless_stale(wait).await else { continue };
             first = false;
@@ -105,8 +105,8 @@
                     return;
                 }
             }
-            if has_history && self.revision.get().is_none() {
-                // The store has responded, so there is nothing to wait for.
+            if resumed && self.revision.get().is_none() {
+                // The store is available: the whole table is read without a pause.
                 continue;
             }
             match failures {
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -334,7 +334,8 @@
 }
 
 /// Returns the time in milliseconds since the Unix epoch. It only orders the incarnations of a node,
-/// and certificate authorities. A node whose clock was set back raises its epoch when it sees a newer one under its name.
+/// and certificate authorities. A node whose clock was set back raises its epoch when it sees a newer
+/// one under its name.
 pub(super) fn unix_millis() -> u64 {
     let time = SystemTime::now().duration_since(UNIX_EPOCH);
     time.unwrap_or_default().as_millis() as u64
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -83,9 +83,9 @@
         if self.revision.is_some() { changed } else { Vec::new() }
     }
 
-    /// Returns the keys of rows that [`Mirror::merge`] would ignore because a later version is known,
-    /// with the revision of that version.
-    pub fn outdated<'a>(&'a self, rows: &'a [Row]) -> impl Iterator<Item = (&'a Row, Revision)> {
+    /// Returns the rows that [`Mirror::merge`] would ignore because a later version is known, with the
+    /// revision of that version.
+    pub fn superseded<'a>(&'a self, rows: &'a [Row]) -> impl Iterator<Item = (&'a Row, Revision)> {
         rows.iter().filter_map(|row| {
             let known = self.rows.get(&row.key)?.revision;
             (known > row.revision).then_some((row, known))
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -221,7 +221,7 @@
             }
         }
         if let Change::Snapshot(rows) | Change::Rows(rows) = &change {
-            for (row, known) in mirror.outdated(&rows.rows) {
+            for (row, known) in mirror.superseded(&rows.rows) {
                 log::warn!(table:? = table, key = row.key.as_str(), revision:% = row.revision, known:%;
                     "row of the store ignored: a later revision is known");
             }
