Replace lost rows by those of a node that has not read the restored store itself

A node could have kept a row for good that the store had lost: a copy that holds what the restored store has is confirmed without new revisions, and its rows, sent as a whole table, carried those of the ended era, below that of the lost row.

Rows of a copy are of the era in which it is complete.

--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -116,11 +116,18 @@
         if first { self.rows() } else { changed }
     }
 
-    /// Returns all rows except tombstones.
+    /// Returns all rows except tombstones. Their revisions are of the era in which the copy is complete,
+    /// also if their versions are older: the restored store still has them.
     pub fn rows(&self) -> Vec<Row> {
+        let complete = self.revision.map_or(0, |revision| revision.era);
         let live = |(key, version): (&CompactString, &Version)| {
             let value = Some(version.value.clone()?);
-            Some(Row { key: key.clone(), value, revision: version.revision })
+            let Revision { era, number } = version.revision;
+            Some(Row {
+                key: key.clone(),
+                value,
+                revision: Revision::new(era.max(complete), number),
+            })
         };
         self.rows.iter().filter_map(live).collect()
     }
