Count the calls that write the system's own rows again

Eight instances of one failure domain with the real program, a store restored to before their start: two transactions, the registrations and the authority; the second reader's check, 3 s later, finds nothing missing.

--- a/crates/standins/src/feed_store.rs
+++ b/crates/standins/src/feed_store.rs
@@ -21,7 +21,10 @@
         collections::{BTreeMap, HashMap},
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicU32, Ordering},
+        },
         time::Duration,
     },
     tokio::{sync::watch, time::timeout},
@@ -87,6 +90,8 @@
     state: Arc<Mutex<State>>,
     /// Sent after each change of the state.
     changed: watch::Sender<()>,
+    /// Number of transactions that callers have sent, including rejected ones.
+    transactions: Arc<AtomicU32>,
 }
 
 #[derive(Clone, Default)]
@@ -150,6 +155,11 @@
         self.changed.send_replace(());
     }
 
+    /// Returns the number of transactions that callers have sent.
+    pub fn transaction_count(&self) -> u32 {
+        self.transactions.load(Ordering::Relaxed)
+    }
+
     /// Returns the value of a row.
     pub fn value(&self, table: &str, key: &str) -> Option<String> {
         self.lock().rows.get(&(table.into(), key.into()))?.value.clone()
@@ -199,6 +209,7 @@
 }
 
 async fn write(Extension(store): Extension<FeedStore>, body: Bytes) -> Response {
+    store.transactions.fetch_add(1, Ordering::Relaxed);
     let execute = || {
         parse_json(&body, |transaction: Transaction| {
             let Transaction { expected_revision, puts, remove } = transaction;
--- a/tests/store_restored.rs
+++ b/tests/store_restored.rs
@@ -104,6 +104,34 @@
     .await;
 }
 
+/// Load: the store loses the rows of all instances of a failure domain. Two calls write them again.
+#[tokio::test]
+async fn missing_rows_are_written_with_few_calls() {
+    /// Longer than the time after which the second reader checks the rows.
+    const CHECK_TIME: Duration = Duration::from_secs(5);
+    run_local(async {
+        let platform = Platform::new().await;
+        let backup = platform.store.back_up();
+        let instances: Vec<Instance> =
+            (0..8).map(|index| platform.start(&format!("n{index}"))).collect();
+        wait_until("each instance resolves all", async || {
+            let mut all = true;
+            for instance in &instances {
+                all &= instance.resolve().await.len() == instances.len();
+            }
+            all
+        })
+        .await;
+        sleep(ms(2_500)).await;
+        let before = platform.store.transaction_count();
+        platform.store.restore(&backup);
+        sleep(CHECK_TIME).await;
+        assert_eq!(platform.store.transaction_count() - before, 2, "transactions");
+        assert!(platform.store.value(NODES, "node/n7").is_some());
+    })
+    .await;
+}
+
 /// Guards against a split of the system: an instance that starts after a restoration has created another
 /// certificate authority.
 #[tokio::test]
