--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -38,8 +38,8 @@
     RelayedLoad(RelayedLoad),
     /// Rows of a table of the store.
     Table(TableUpdate),
-    /// Requests a whole table; answered with [`PeerMessage::Table`].
-    TablePull(TableId),
+    /// Requests rows of a table; answered with [`PeerMessage::Table`].
+    TablePull(TablePull),
     /// State of a reader of the store.
     StoreReport(StoreReport),
 }
@@ -69,8 +69,8 @@
     pub table: TableId,
     /// Revision of the store up to which the sender has read the table.
     pub revision: StoreRevision,
-    /// Whether `rows` contains all rows of the table.
-    pub whole: bool,
+    /// Which rows are included.
+    pub extent: Extent,
     /// Milliseconds for which a removed row may still return, after an outage of the store; 0 if
     /// none.
     pub grace_ms: u32,
@@ -78,6 +78,32 @@
     pub rows: Vec<TableRow>,
 }
 
+/// Which rows an update of a table includes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum Extent {
+    /// Some rows that have changed.
+    Changes,
+    /// All rows that have changed after a revision, of those that the receiver holds.
+    Since(StoreRevision),
+    /// All rows that the receiver holds, as the service of some runners is divided into shards.
+    Shard,
+    /// All rows of the table.
+    Whole,
+}
+
+/// Request for rows of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct TablePull {
+    /// Table.
+    pub table: TableId,
+    /// Revision up to which the sender has the rows; `None` if it needs all of them.
+    pub since: Option<StoreRevision>,
+    /// Position of the sender among the shards; `None` if it holds the whole table.
+    pub shard: Option<u32>,
+}
+
 /// A row of a table of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Deserialize, Serialize)]
@@ -98,6 +124,18 @@
     pub available: bool,
     /// Digest of each table as read; empty before the first read.
     pub digests: Vec<TableDigest>,
+    /// Divided services.
+    pub services: Vec<DividedService>,
+}
+
+/// A service whose registrations are divided into shards.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct DividedService {
+    /// Service.
+    pub service: CompactString,
+    /// Number of shards; a power of two.
+    pub shards: u32,
 }
 
 /// Digest of a replicated table.
@@ -110,6 +148,8 @@
     pub revision: StoreRevision,
     /// Hash of all rows.
     pub hash: u64,
+    /// Hash of the rows that the receiver holds if it does not hold the whole table.
+    pub shard_hash: u64,
 }
 
 /// A load update relayed by another node.
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -12,7 +12,7 @@
 };
 
 /// Protocol version.
-pub const VERSION: u8 = 6;
+pub const VERSION: u8 = 7;
 /// Maximum size of a [`Class::Control`] frame, in bytes.
 pub const CONTROL_LIMIT: usize = 256 * 1024;
 /// Maximum size of a [`Class::Catalog`] frame, in bytes.
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -119,7 +119,7 @@
     let (progress, joining) = mpsc::channel(1);
     let join = join::join(settings.clone(), store.clone(), metrics.clone(), progress);
     tokio::task::spawn_local(join);
-    let sync = TableSync::new(rand::random(), settings.name.clone());
+    let sync = TableSync::new(rand::random(), settings.name.clone(), R::registered_service);
     let control = Control {
         records,
         store,
--- a/crates/relay/src/control/members/send.rs
+++ b/crates/relay/src/control/members/send.rs
@@ -5,6 +5,7 @@
     crate::{
         fanout::{self, Fanout, GroupRelays, Peer, Scope},
         readers::Ranking,
+        shards,
     },
     bilberryfront_decide::member::{
         Node, PeerMessage, Target,
@@ -81,6 +82,15 @@
         self.send(&self.routes.fanout.local, message);
     }
 
+    /// Sends a message to the other nodes of this node's failure domain that hold one of `count` shards.
+    pub(in crate::control) fn send_to_shard(&self, shard: u32, count: u32, message: &PeerMessage) {
+        let is_holder =
+            |target: &&Target| shards::is_same_shard(shards::shard(&target.name), shard, count);
+        let local = self.routes.fanout.local.iter();
+        let holders: Vec<Target> = local.filter(is_holder).cloned().collect();
+        self.send(&holders, message);
+    }
+
     /// Sends a message to the first reader of each other failure domain.
     pub(in crate::control) fn send_to_readers(&self, message: &PeerMessage) {
         let mut domains = BTreeMap::<&CompactString, Vec<&Target>>::new();
--- a/crates/relay/src/control/registry.rs
+++ b/crates/relay/src/control/registry.rs
@@ -108,6 +108,13 @@
         self.publish()
     }
 
+    /// Deletes entries that this node no longer holds; returns whether there were any. The runners
+    /// have not left.
+    pub fn release(&mut self, ids: &[CompactString]) -> bool {
+        let released = ids.iter().filter(|id| self.entries.remove(*id).is_some()).count();
+        released > 0 && self.publish()
+    }
+
     /// Removes entries whose runners did not register again in time; returns whether there were
     /// any. `settled` is true if the store is available and all running runners are registered
     /// there.
--- a/crates/relay/src/control/tables.rs
+++ b/crates/relay/src/control/tables.rs
@@ -85,6 +85,11 @@
                         membership.broadcast_local(&message);
                     }
                 }
+                Action::SendToShard { shard, count, message } => {
+                    if let Some(membership) = &self.membership {
+                        membership.send_to_shard(shard, count, &message);
+                    }
+                }
                 Action::Exchange(message) => {
                     if let Some(membership) = &self.membership {
                         membership.send_to_readers(&message);
@@ -96,6 +101,11 @@
                     }
                 }
                 Action::Apply { table, rows, grace } => self.apply_rows(table, &rows, grace),
+                Action::Release { keys, .. } => {
+                    if self.registry.release(&keys) {
+                        self.publish();
+                    }
+                }
             }
         }
     }
--- a/crates/relay/src/fanout.rs
+++ b/crates/relay/src/fanout.rs
@@ -8,6 +8,7 @@
 //! its domain.
 
 use {
+    crate::shards::{MAX_SHARDS, shard},
     bilberryfront_decide::member::Target,
     compact_str::CompactString,
     std::{collections::BTreeMap, time::Duration},
@@ -17,7 +18,7 @@
 
 /// Maximum number of nodes that know the load of all runners.
 const SYSTEM_LIMIT: usize = 100;
-/// Mean number of nodes in a group.
+/// Minimum mean number of nodes in a group; less than twice as many are in one group.
 const GROUP_SIZE: usize = 20;
 /// Number of relays that a node uses in turn in each other domain or group. An undetected failed
 /// relay then loses the updates of one epoch only, and connections to the relays stay open.
@@ -139,16 +140,16 @@
     (turn < candidates.len()).then(|| candidates.swap_remove(turn).1)
 }
 
-/// Returns the number of groups in a failure domain with this number of nodes.
+/// Returns the number of groups in a failure domain with this number of nodes; a power of two, so
+/// that a node whose registrations are divided into more shards holds those of its group.
 fn group_count(nodes: usize) -> u32 {
-    nodes.div_ceil(GROUP_SIZE).max(1) as u32
+    let count = (nodes / GROUP_SIZE).clamp(1, MAX_SHARDS as usize) as u32;
+    1 << count.ilog2()
 }
 
-/// Returns the group of a node or runner by rendezvous hashing, so that only few of them change
-/// their group if `count` changes.
+/// Returns the group of a node or runner.
 fn group(name: &str, count: u32) -> u32 {
-    let hash = |index: &u32| xxh64(name.as_bytes(), u64::from(*index) + 1);
-    (0..count).max_by_key(hash).unwrap_or_default()
+    shard(name) % count
 }
 
 /// Returns the epoch at `now` of a node started at `start`.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod rejection;
 pub mod server;
 pub mod settings;
+pub mod shards;
 pub mod fanout;
 pub mod store;
 pub mod table_sync;
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -1,11 +1,14 @@
 //! Local copy of a table of the store, merged from the store's and from peers' rows.
 
 use {
-    crate::store::{Condition, Revision, Row, Rows},
+    crate::{
+        shards::{self, Census, ShardCounts},
+        store::{Condition, Revision, Row, Rows},
+    },
     bytes::Bytes,
     compact_str::CompactString,
     std::{
-        collections::{BTreeMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         time::Duration,
     },
     tokio::time::Instant,
@@ -23,21 +26,34 @@
 pub struct Mirror {
     rows: BTreeMap<CompactString, Version>,
     removed: VecDeque<(Instant, CompactString)>,
-    /// Sum of the hashes of all rows.
-    hash: u64,
+    /// Returns the service of a registration; `None` in a table without registrations.
+    service_of: Option<ServiceOf>,
+    census: Census,
     revision: Option<Revision>,
     /// Latest known era of the store.
     era: u64,
+    /// Latest revision of a tombstone that was deleted.
+    pruned: Revision,
 }
 
+/// Returns the service of a registration with this key and content; `None` if it is invalid.
+pub type ServiceOf = fn(&str, &[u8]) -> Option<CompactString>;
+
 #[derive(Clone, Debug)]
 struct Version {
     revision: Revision,
     /// `None` for a tombstone.
     value: Option<Bytes>,
+    /// Service of a registration.
+    service: Option<CompactString>,
 }
 
 impl Mirror {
+    /// Creates an empty copy of a table of registrations.
+    pub fn of_registrations(service_of: ServiceOf) -> Mirror {
+        Mirror { service_of: Some(service_of), ..Mirror::default() }
+    }
+
     /// Returns the revision up to which the copy is complete; `None` until the whole table has been
     /// read once.
     pub fn revision(&self) -> Option<Revision> {
@@ -47,7 +63,17 @@
     /// Returns a hash of all rows, which is equal for equal copies. It does not cover the eras, so that
     /// rows that a restored store still has need not be sent again.
     pub fn hash(&self) -> u64 {
-        self.hash
+        self.census.hash(None, &ShardCounts::default())
+    }
+
+    /// Returns the hash of the rows that a node at the position `shard` holds.
+    pub fn shard_hash(&self, shard: u32, counts: &ShardCounts) -> u64 {
+        self.census.hash(Some(shard), counts)
+    }
+
+    /// Returns the number of shards of each divided service; `counts` are the present ones.
+    pub fn divide(&self, counts: &ShardCounts) -> ShardCounts {
+        self.census.divide(counts)
     }
 
     /// Returns the latest known era of the store.
@@ -100,8 +126,7 @@
         if !first && self.is_outdated(revision) {
             return Vec::new();
         }
-        let listed: std::collections::BTreeSet<&str> =
-            rows.iter().map(|r| r.key.as_str()).collect();
+        let listed: BTreeSet<&str> = rows.iter().map(|r| r.key.as_str()).collect();
         let removed = |(key, version): (&CompactString, &Version)| {
             let is_removed = version.value.is_some()
                 && version.revision <= revision
@@ -119,33 +144,124 @@
     /// Returns all rows except tombstones. Their revisions are of the era in which the copy is complete,
     /// also if their versions are older: the restored store still has them.
     pub fn rows(&self) -> Vec<Row> {
+        self.rows_where(|_, version| version.value.is_some())
+    }
+
+    /// Returns the rows that a node at the position `shard` holds, or all rows.
+    pub fn held_rows(&self, shard: Option<u32>, counts: &ShardCounts) -> Vec<Row> {
+        self.rows_where(|key, version| {
+            version.value.is_some() && version.is_held(key, shard, counts)
+        })
+    }
+
+    /// Returns the rows of [`Mirror::held_rows`] that changed after a revision, with tombstones; `None`
+    /// if they are not known.
+    pub fn changes_since(
+        &self,
+        since: Revision,
+        shard: Option<u32>,
+        counts: &ShardCounts,
+    ) -> Option<Vec<Row>> {
+        let is_known = self.revision.is_some_and(|known| known.era == since.era)
+            && self.pruned <= since
+            && !self.is_outdated(since);
+        let is_changed = |key: &CompactString, version: &Version| {
+            version.revision > since && version.is_held(key, shard, counts)
+        };
+        is_known.then(|| self.rows_where(is_changed))
+    }
+
+    /// Deletes the rows that a node at the position `shard` does not hold, and returns their keys.
+    pub fn retain_shard(&mut self, shard: u32, counts: &ShardCounts) -> Vec<CompactString> {
+        let Mirror { rows, census, .. } = self;
+        let is_released = |(key, version): &(&CompactString, &Version)| {
+            !version.is_held(key, Some(shard), counts)
+        };
+        let released: Vec<CompactString> =
+            rows.iter().filter(is_released).map(|(key, _)| key.clone()).collect();
+        for key in &released {
+            rows.remove(key).iter().for_each(|version| version.leave(key, census));
+        }
+        released
+    }
+
+    /// Returns the rows that a node at the position `shard` holds since its former division changed,
+    /// and the keys of those that it no longer holds; it held all rows except `fresh` ones if
+    /// `former` is `None`.
+    pub fn moved(
+        &self,
+        shard: u32,
+        former: Option<&ShardCounts>,
+        counts: &ShardCounts,
+        fresh: &[Row],
+    ) -> (Vec<Row>, Vec<CompactString>) {
+        let fresh: BTreeSet<&str> = fresh.iter().map(|row| row.key.as_str()).collect();
+        let was_held = |key: &str, version: &Version| {
+            former.is_none_or(|former| version.is_held(key, Some(shard), former))
+        };
+        let added = self.rows_where(|key, version| {
+            let is_added = !was_held(key, version) && version.is_held(key, Some(shard), counts);
+            is_added && version.value.is_some() && !fresh.contains(key.as_str())
+        });
+        let is_removed = |(key, version): &(&CompactString, &Version)| {
+            was_held(key, version) && !version.is_held(key, Some(shard), counts)
+        };
+        let removed = self.rows.iter().filter(is_removed).map(|(key, _)| key.clone());
+        (added, removed.collect())
+    }
+
+    /// Returns the number of rows, with tombstones.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether there are no rows.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns whether a node at the position `shard` holds a row; `None` if there is no such row.
+    pub fn is_held(&self, key: &str, shard: u32, counts: &ShardCounts) -> Option<bool> {
+        let version = self.rows.get(key).filter(|version| version.value.is_some())?;
+        Some(version.is_held(key, Some(shard), counts))
+    }
+
+    /// Returns the service of a registration.
+    pub fn service(&self, key: &str) -> Option<&CompactString> {
+        self.rows.get(key)?.service.as_ref()
+    }
+
+    fn rows_where(&self, is_wanted: impl Fn(&CompactString, &Version) -> bool) -> Vec<Row> {
         let complete = self.revision.map_or(0, |revision| revision.era);
-        let live = |(key, version): (&CompactString, &Version)| {
-            let value = Some(version.value.clone()?);
+        let wanted = self.rows.iter().filter(|(key, version)| is_wanted(key, version));
+        let row = |(key, version): (&CompactString, &Version)| {
             let Revision { era, number } = version.revision;
-            Some(Row {
-                key: key.clone(),
-                value,
-                revision: Revision::new(era.max(complete), number),
-            })
+            let revision = Revision::new(era.max(complete), number);
+            Row { key: key.clone(), value: version.value.clone(), revision }
         };
-        self.rows.iter().filter_map(live).collect()
+        wanted.map(row).collect()
     }
 
     /// Stores a version unless a later one is known. Returns whether the row changed; it has not if a
     /// restored store still has the same version.
     fn put(&mut self, now: Instant, row: &Row) -> bool {
-        let version = Version { revision: row.revision, value: row.value.clone() };
         let known = self.rows.get(&row.key);
         if known.is_some_and(|known| known.revision >= row.revision) {
             return false;
         }
+        let value = row.value.clone();
+        // A tombstone is forwarded like the row that it removes.
+        let service = match (&value, self.service_of) {
+            (Some(value), Some(service_of)) => service_of(&row.key, value),
+            _ => known.and_then(|known| known.service.clone()),
+        };
+        let version = Version { revision: row.revision, value, service };
         let is_same = known.is_some_and(|known| known.is_same(&version));
         self.era = self.era.max(row.revision.era);
         if let Some(known) = known {
-            self.hash = self.hash.wrapping_sub(known.hash(&row.key));
+            known.leave(&row.key, &mut self.census);
         }
-        self.hash = self.hash.wrapping_add(version.hash(&row.key));
+        version.enter(&row.key, &mut self.census);
         if version.value.is_none() {
             self.removed.push_back((now, row.key.clone()));
         }
@@ -159,7 +275,8 @@
             if now < *at + TOMBSTONE_TTL {
                 return;
             }
-            if self.rows.get(key).is_some_and(|version| version.value.is_none()) {
+            if let Some(version) = self.rows.get(key).filter(|version| version.value.is_none()) {
+                self.pruned = self.pruned.max(version.revision);
                 self.rows.remove(key);
             }
             self.removed.pop_front();
@@ -174,8 +291,25 @@
         self.revision.number == other.revision.number && self.value == other.value
     }
 
-    fn hash(&self, key: &str) -> u64 {
-        let Some(value) = &self.value else { return 0 };
-        xxh64(value, xxh64(key.as_bytes(), self.revision.number))
+    fn is_held(&self, key: &str, shard: Option<u32>, counts: &ShardCounts) -> bool {
+        let count = counts.of(self.service.as_ref());
+        shard.is_none_or(|own| shards::is_same_shard(own, shards::shard(key), count))
+    }
+
+    fn enter(&self, key: &str, census: &mut Census) {
+        if let Some(hash) = self.hash(key) {
+            census.add(self.service.as_ref(), shards::shard(key), hash);
+        }
+    }
+
+    fn leave(&self, key: &str, census: &mut Census) {
+        if let Some(hash) = self.hash(key) {
+            census.remove(self.service.as_ref(), shards::shard(key), hash);
+        }
+    }
+
+    /// Returns a hash of the row; `None` for a tombstone.
+    fn hash(&self, key: &str) -> Option<u64> {
+        Some(xxh64(self.value.as_ref()?, xxh64(key.as_bytes(), self.revision.number)))
     }
 }
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -18,7 +18,7 @@
 /// Interval of the readers' reports.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Age at which a report expires.
-const REPORT_TTL: Duration = Duration::from_millis(1_200);
+pub const REPORT_TTL: Duration = Duration::from_millis(1_200);
 /// Time to wait for the first report of a reader after the start.
 const FIRST_REPORT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Number of deputies, which replace the readers one after the other; the attempts of all other
@@ -150,6 +150,12 @@
         self.reports.values().any(|report| report.is_available(now))
     }
 
+    /// Returns whether no reader of a lower rank than this one reports that the store is available.
+    pub fn is_first(&self, now: Instant, reader: &str) -> bool {
+        let Some(rank) = self.reports.get(reader).map(|report| report.rank) else { return false };
+        !self.reports.values().any(|report| report.rank < rank && report.is_available(now))
+    }
+
     /// Returns whether this node should poll the store.
     pub fn step(&mut self, now: Instant, me: &str, ranking: &Ranking) -> bool {
         let Some(start) = self.start else { return false };
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -28,6 +28,9 @@
     /// Decodes a registration.
     fn parse_registration(&self, id: &str, value: &[u8]) -> Result<Registration, BadRecord>;
 
+    /// Returns the service of a registration; `None` if it is invalid.
+    fn registered_service(id: &str, value: &[u8]) -> Option<CompactString>;
+
     /// Decodes a rollout order; `None` if the key is not one.
     fn parse_order(&self, key: &str, value: &[u8]) -> Option<Result<RolloutOrder, BadRecord>>;
 
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -2,22 +2,28 @@
 //!
 //! This is a state machine without I/O: it handles events and returns actions. Readers
 //! ([`crate::readers`]) poll the store, forward changed rows and report digests of their tables;
-//! the other nodes request a whole table if their copy differs.
+//! the other nodes request the rows that changed since their revision if their copy differs, or all
+//! rows if the copies still differ then. Readers hold all registrations of runners, the other nodes
+//! one shard of them ([`crate::shards`]).
 
 use {
     crate::{
         control::feed::Change,
         log_messages::STORE_RESTORED,
-        mirror::Mirror,
-        readers::{Election, REPORT_INTERVAL, Ranking},
+        mirror::{Mirror, ServiceOf},
+        readers::{Election, REPORT_INTERVAL, REPORT_TTL, Ranking},
+        shards::{self, ShardCounts},
         store::{Condition, Revision, Row, Rows},
     },
     bilberryfront_decide::member::{
         PeerMessage,
-        message::{StoreReport, TableDigest, TableId, TableRow, TableUpdate},
+        message::{
+            DividedService, Extent, StoreReport, TableDigest, TableId, TablePull, TableRow,
+            TableUpdate,
+        },
     },
     compact_str::CompactString,
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
     tokio::time::Instant,
 };
 
@@ -28,8 +34,15 @@
 const MIN_EXPIRY_TIME: Duration = Duration::from_secs(2);
 /// Interval of the reports to other failure domains.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(800);
-/// Minimum interval of requests for a table to the same node.
-const PULL_INTERVAL: Duration = Duration::from_millis(250);
+/// Minimum time until rows are requested again; doubles with each request until the copies agree, as
+/// responses to all nodes of a domain may take seconds on the reader's link.
+const PULL_BACKOFF_MIN: Duration = Duration::from_millis(500);
+/// Maximum time until rows are requested again.
+const PULL_BACKOFF_MAX: Duration = Duration::from_secs(4);
+/// Minimum time until missing tables are requested again from a node that may not be a reader.
+const MISSING_BACKOFF_MIN: Duration = Duration::from_millis(250);
+/// Maximum time until missing tables are requested again from such a node.
+const MISSING_BACKOFF_MAX: Duration = Duration::from_secs(1);
 /// Consecutive reports with a different digest after which a table is requested; a single report
 /// may have overtaken an update.
 const MISMATCHES: u32 = 2;
@@ -39,6 +52,15 @@
 pub enum Action {
     /// Send to all other nodes of this node's failure domain.
     Broadcast(PeerMessage),
+    /// Send to the other nodes of this node's failure domain that hold one of `count` shards.
+    SendToShard {
+        /// Position of the shard.
+        shard: u32,
+        /// Number of shards.
+        count: u32,
+        /// Message.
+        message: PeerMessage,
+    },
     /// Send to the first reader of each other failure domain.
     Exchange(PeerMessage),
     /// Send to one node.
@@ -52,16 +74,44 @@
         /// Time for which removed runners are kept, because they may register again.
         grace: Duration,
     },
+    /// Delete rows that this node no longer holds, although they are still in the table.
+    Release {
+        /// Table.
+        table: TableId,
+        /// Keys of the rows.
+        keys: Vec<CompactString>,
+    },
 }
 
 /// State of one table.
 #[derive(Debug, Default)]
 struct Table {
     mirror: Mirror,
+    /// Whether the mirror has all rows, not only those of this node's shard.
+    whole: bool,
     /// Whether this node's last poll failed.
     failed: bool,
     mismatches: u32,
-    pulled: Option<(Instant, CompactString)>,
+    pull: Option<Backoff>,
+}
+
+/// Time of the last request, and the time until the next one.
+#[derive(Clone, Copy, Debug)]
+struct Backoff {
+    at: Instant,
+    wait: Duration,
+}
+
+impl Backoff {
+    /// Returns whether a request is due, and records it.
+    fn try_next(state: &mut Option<Backoff>, now: Instant, min: Duration, max: Duration) -> bool {
+        let is_due = state.is_none_or(|last| now >= last.at + last.wait);
+        if is_due {
+            let wait = state.map_or(min, |last| (last.wait * 2).min(max));
+            *state = Some(Backoff { at: now, wait });
+        }
+        is_due
+    }
 }
 
 /// Replicated tables of one node.
@@ -87,18 +137,28 @@
     rejected: bool,
     /// End of the time in which removed runners may register again.
     grace: Option<Instant>,
-    /// Time of the last request for missing tables.
-    pulled_missing_at: Option<Instant>,
+    missing_pull: Option<Backoff>,
+    /// Number of requests for missing tables, which go to each reader in turn.
+    missing_pulls: usize,
+    /// Position of this node among the shards.
+    shard: u32,
+    services: ShardCounts,
+    /// Time at which `services` were adopted from a reader that precedes this node.
+    adopted_at: Option<Instant>,
 }
 
 impl TableSync {
-    /// Creates the state of a node without any rows.
-    pub fn new(seed: u64, me: CompactString) -> TableSync {
+    /// Creates the state of a node without any rows. `service_of` decodes the service of a
+    /// registration.
+    pub fn new(seed: u64, me: CompactString, service_of: ServiceOf) -> TableSync {
+        let mut tables: [Table; TableId::ALL.len()] = Default::default();
+        tables[index(TableId::Runners)].mirror = Mirror::of_registrations(service_of);
         TableSync {
             ranking: Ranking::new([me.clone()]),
+            shard: shards::shard(&me),
             me,
             election: Election::new(seed),
-            tables: Default::default(),
+            tables,
             polling: false,
             responsive: false,
             served: false,
@@ -108,7 +168,10 @@
             outage: false,
             rejected: false,
             grace: None,
-            pulled_missing_at: None,
+            missing_pull: None,
+            missing_pulls: 0,
+            services: ShardCounts::default(),
+            adopted_at: None,
         }
     }
 
@@ -154,9 +217,15 @@
         self.rank() == 0
     }
 
-    /// Returns the revision up to which a table is known, from which its feed can be resumed.
+    /// Returns the revision up to which the whole table is known, from which its feed can be resumed.
     pub fn revision(&self, table: TableId) -> Option<Revision> {
-        self.tables[index(table)].mirror.revision()
+        let Table { mirror, whole, .. } = &self.tables[index(table)];
+        mirror.revision().filter(|_| *whole)
+    }
+
+    /// Returns the number of rows of a table that this node has.
+    pub fn row_count(&self, table: TableId) -> usize {
+        self.tables[index(table)].mirror.len()
     }
 
     /// Returns the latest known era of the store.
@@ -166,7 +235,7 @@
 
     /// Returns the condition that a row is as known; `None` if the table may lack rows.
     pub fn condition(&self, table: TableId, key: &str) -> Option<Condition> {
-        self.tables[index(table)].mirror.condition(key)
+        self.tables[index(table)].mirror.condition(key).filter(|_| self.tables[index(table)].whole)
     }
 
     /// Performs due work.
@@ -178,6 +247,9 @@
             self.tables.iter_mut().for_each(|table| table.failed = false);
         }
         self.update_outage(now);
+        if !self.polling {
+            self.delete_other_shards();
+        }
         if self.polling && self.is_loaded() {
             self.report(now, out);
         }
@@ -208,8 +280,8 @@
         if !failed {
             self.available_at = Some(now);
         }
-        let mirror = &mut self.tables[index(table)].mirror;
-        let loaded = mirror.revision().is_some();
+        let Table { mirror, whole, .. } = &mut self.tables[index(table)];
+        let (loaded, was_whole) = (mirror.revision().is_some(), *whole);
         if let (Change::Snapshot(rows), Some(known)) = (&change, mirror.revision())
             && known.era < rows.revision.era
         {
@@ -230,6 +302,7 @@
             Change::Unavailable | Change::Available => return,
             Change::Snapshot(snapshot) => {
                 let revision = snapshot.revision;
+                *whole = true;
                 (mirror.replace(now, snapshot), revision)
             }
             Change::Rows(Rows { rows, revision }) => {
@@ -238,23 +311,25 @@
                 (rows, revision)
             }
         };
-        if rows.is_empty() && loaded {
+        if rows.is_empty() && loaded && was_whole {
             return;
         }
         let grace = self.grace_left(now);
         // The first read is not forwarded: nodes without these rows request them after the next
         // report.
-        match loaded {
-            true => out.push(Action::Broadcast(update(table, revision, false, grace, &rows))),
+        match loaded && was_whole {
+            true => self.broadcast(table, revision, grace, &rows, out),
             false => self.reported_at = None,
         }
-        out.push(Action::Apply { table, rows, grace });
+        self.apply_held(now, table, rows, was_whole, grace, out);
     }
 
     /// Handles a table that was read directly.
     pub fn on_load(&mut self, now: Instant, table: TableId, rows: Rows, out: &mut Vec<Action>) {
-        let rows = self.tables[index(table)].mirror.replace(now, rows);
-        out.push(Action::Apply { table, rows, grace: Duration::ZERO });
+        let Table { mirror, whole, .. } = &mut self.tables[index(table)];
+        let was_whole = std::mem::replace(whole, true);
+        let rows = mirror.replace(now, rows);
+        self.apply_held(now, table, rows, was_whole, Duration::ZERO, out);
     }
 
     /// Handles a row of the operators' table that was received by gossip.
@@ -272,7 +347,7 @@
     ) {
         match message {
             PeerMessage::Table(update) => self.apply(now, from, update, out),
-            PeerMessage::TablePull(table) => out.extend(self.respond_to_pull(now, from, table)),
+            PeerMessage::TablePull(pull) => out.extend(self.respond_to_pull(now, from, pull)),
             PeerMessage::StoreReport(report) => self.compare(now, from, &report, out),
             _ => {}
         }
@@ -285,33 +360,107 @@
         changes: TableUpdate,
         out: &mut Vec<Action>,
     ) {
-        let TableUpdate { table, revision, whole, grace_ms, rows } = changes;
+        let TableUpdate { table, revision, extent, grace_ms, rows } = changes;
         let rows: Vec<Row> = rows.into_iter().map(row).collect();
-        let mirror = &mut self.tables[index(table)].mirror;
-        let rows = match whole {
-            true => mirror.replace(now, Rows { rows, revision }),
-            false => mirror.merge(now, rows),
+        let Table { mirror, whole, .. } = &mut self.tables[index(table)];
+        let was_whole = *whole;
+        let rows = match extent {
+            Extent::Whole => {
+                *whole = true;
+                mirror.replace(now, Rows { rows, revision })
+            }
+            Extent::Shard if !was_whole => mirror.replace(now, Rows { rows, revision }),
+            Extent::Shard | Extent::Changes => mirror.merge(now, rows),
+            Extent::Since(since) => {
+                let rows = mirror.merge(now, rows);
+                if mirror.revision().is_some_and(|known| since <= known) {
+                    mirror.confirm(revision);
+                }
+                rows
+            }
         };
         let grace = Duration::from_millis(grace_ms.into());
         // The sender is in another failure domain: forward the rows that were missing in this one.
         if !rows.is_empty() && !self.ranking.contains(from) {
-            out.push(Action::Broadcast(update(table, revision, false, grace, &rows)));
+            self.broadcast(table, revision, grace, &rows, out);
+        }
+        if !rows.is_empty() || matches!(extent, Extent::Whole | Extent::Shard) {
+            self.apply_held(now, table, rows, was_whole, grace, out);
         }
-        if !rows.is_empty() || whole {
-            out.push(Action::Apply { table, rows, grace });
+    }
+
+    /// Applies changed rows that this node holds. The registrations that it holds change as well if
+    /// the services are divided differently now.
+    fn apply_held(
+        &mut self,
+        now: Instant,
+        table: TableId,
+        mut rows: Vec<Row>,
+        was_whole: bool,
+        grace: Duration,
+        out: &mut Vec<Action>,
+    ) {
+        let Table { mirror, whole, .. } = &self.tables[index(table)];
+        if table == TableId::Runners && *whole {
+            let is_adopted = self.adopted_at.is_some_and(|at| now < at + REPORT_TTL);
+            let services = match is_adopted {
+                true => self.services.clone(),
+                false => mirror.divide(&self.services),
+            };
+            let former = std::mem::replace(&mut self.services, services);
+            let mut released = Vec::new();
+            rows.retain(|row| {
+                let is_held = mirror.is_held(&row.key, self.shard, &self.services) != Some(false);
+                if !is_held {
+                    released.push(row.key.clone());
+                }
+                is_held
+            });
+            if former != self.services || !was_whole {
+                let held = was_whole.then_some(&former);
+                let (added, removed) = mirror.moved(self.shard, held, &self.services, &rows);
+                rows.extend(added);
+                released.extend(removed);
+            }
+            if !released.is_empty() {
+                out.push(Action::Release { table, keys: released });
+            }
         }
+        out.push(Action::Apply { table, rows, grace });
     }
 
-    /// Returns the response to a request for a table, if this node serves its tables.
+    /// Deletes the copies of other shards' registrations, which only readers need.
+    fn delete_other_shards(&mut self) {
+        let Table { mirror, whole, .. } = &mut self.tables[index(TableId::Runners)];
+        if *whole && self.services.max() > 1 {
+            *whole = false;
+            mirror.retain_shard(self.shard, &self.services);
+        }
+    }
+
+    /// Returns the response to a request for rows, if this node serves its tables.
     fn respond_to_pull(
         &self,
         now: Instant,
         from: &CompactString,
-        table: TableId,
+        TablePull { table, since, shard }: TablePull,
     ) -> Option<Action> {
-        let mirror = &self.tables[index(table)].mirror;
-        let revision = mirror.revision().filter(|_| self.served)?;
-        let message = update(table, revision, true, self.grace_left(now), &mirror.rows());
+        let Table { mirror, whole, .. } = &self.tables[index(table)];
+        let revision = mirror.revision().filter(|_| self.served && *whole)?;
+        let changes = since
+            .and_then(|since| Some((since, mirror.changes_since(since, shard, &self.services)?)));
+        let (extent, rows) = match changes {
+            Some((since, rows)) => (Extent::Since(since), rows),
+            None => {
+                let is_divided = table == TableId::Runners && self.services.max() > 1;
+                let extent = match shard {
+                    Some(_) if is_divided => Extent::Shard,
+                    _ => Extent::Whole,
+                };
+                (extent, mirror.held_rows(shard, &self.services))
+            }
+        };
+        let message = update(table, revision, extent, self.grace_left(now), &rows);
         Some(Action::Send(from.clone(), message))
     }
 
@@ -330,54 +479,163 @@
             return;
         }
         self.available_at = Some(now);
+        self.adopt_division(now, from, report, out);
         for digest in &report.digests {
-            let table = &mut self.tables[index(digest.table)];
-            if table.mirror.is_outdated(digest.revision) {
-                continue;
-            }
-            if table.mirror.revision().is_some() && table.mirror.hash() == digest.hash {
-                table.mirror.confirm(digest.revision);
-                table.mismatches = 0;
-                continue;
-            }
-            table.mismatches += 1;
-            let due = table.mirror.revision().is_none() || table.mismatches >= MISMATCHES;
-            if due && table.try_pull(now, from) {
-                let message = PeerMessage::TablePull(digest.table);
-                out.push(Action::Send(from.clone(), message));
-            }
+            self.compare_digest(now, from, report, digest, out);
         }
     }
 
-    /// Requests missing tables from the nodes that should be readers, without waiting for a report.
+    /// Adopts the division of the services from the first available reader of this failure domain.
+    fn adopt_division(
+        &mut self,
+        now: Instant,
+        from: &CompactString,
+        report: &StoreReport,
+        out: &mut Vec<Action>,
+    ) {
+        let precedes = self.ranking.rank(from) < self.rank();
+        let is_first = self.ranking.contains(from) && self.election.is_first(now, from);
+        if !is_first || (self.polling && !precedes) {
+            return;
+        }
+        self.adopted_at = Some(now);
+        let services = division(report);
+        if services == self.services {
+            return;
+        }
+        log::info!(from = from.as_str(), shards = services.max(); "number of shards changed");
+        let former = std::mem::replace(&mut self.services, services);
+        let Table { mirror, whole, .. } = &mut self.tables[index(TableId::Runners)];
+        let (added, released) = match whole {
+            true => mirror.moved(self.shard, Some(&former), &self.services, &[]),
+            // Added rows are requested after the next report.
+            false => (Vec::new(), mirror.retain_shard(self.shard, &self.services)),
+        };
+        let table = TableId::Runners;
+        if !released.is_empty() {
+            out.push(Action::Release { table, keys: released });
+        }
+        if !added.is_empty() {
+            out.push(Action::Apply { table, rows: added, grace: Duration::ZERO });
+        }
+    }
+
+    fn compare_digest(
+        &mut self,
+        now: Instant,
+        from: &CompactString,
+        report: &StoreReport,
+        digest: &TableDigest,
+        out: &mut Vec<Action>,
+    ) {
+        let shard = (!self.polling).then_some(self.shard);
+        let is_comparable = digest.table != TableId::Runners || division(report) == self.services;
+        let table = &mut self.tables[index(digest.table)];
+        let is_shard = !table.whole && shard.is_some();
+        // A reader that the store serves reads the whole table itself.
+        let is_reading = !table.whole && shard.is_none() && !self.rejected;
+        if table.mirror.is_outdated(digest.revision) || (is_shard && !is_comparable) || is_reading {
+            return;
+        }
+        let hash = if is_shard { digest.shard_hash } else { digest.hash };
+        let known = table.mirror.revision();
+        if known.is_some() && table.mirror.hash() == hash {
+            table.mirror.confirm(digest.revision);
+            table.mismatches = 0;
+            table.pull = None;
+            return;
+        }
+        table.mismatches += 1;
+        let is_due = known.is_none() || table.mismatches >= MISMATCHES;
+        // Copies at the same revision differ in rows that have not changed since.
+        let has_rows = table.whole || is_shard;
+        let since = known.filter(|known| has_rows && *known != digest.revision);
+        if is_due && Backoff::try_next(&mut table.pull, now, PULL_BACKOFF_MIN, PULL_BACKOFF_MAX) {
+            table.mismatches = 0;
+            let pull = TablePull { table: digest.table, since, shard };
+            out.push(Action::Send(from.clone(), PeerMessage::TablePull(pull)));
+        }
+    }
+
+    /// Requests missing tables from the nodes that should be readers, in turn, without waiting for a
+    /// report.
     fn pull_missing(&mut self, now: Instant, out: &mut Vec<Action>) {
-        let missing = |table: &&TableId| self.tables[index(**table)].mirror.revision().is_none();
-        let missing: Vec<TableId> = TableId::ALL.iter().filter(missing).copied().collect();
-        if self.pulled_missing_at.is_some_and(|at| now < at + PULL_INTERVAL) {
+        let readers = self.ranking.readers().iter().filter(|name| **name != self.me);
+        let readers: Vec<&CompactString> = readers.collect();
+        let (min, max) = (MISSING_BACKOFF_MIN, MISSING_BACKOFF_MAX);
+        if readers.is_empty() || !Backoff::try_next(&mut self.missing_pull, now, min, max) {
             return;
         }
-        self.pulled_missing_at = Some(now);
-        for reader in self.ranking.readers().iter().filter(|name| **name != self.me) {
-            let pull = |id: &TableId| Action::Send(reader.clone(), PeerMessage::TablePull(*id));
-            out.extend(missing.iter().map(pull));
+        // Half of the nodes start with the second reader.
+        let turn = self.shard as usize + self.missing_pulls;
+        self.missing_pulls += 1;
+        let reader = readers[turn % readers.len()];
+        let missing = |table: &&TableId| self.tables[index(**table)].mirror.revision().is_none();
+        out.extend(TableId::ALL.iter().filter(missing).map(|table| {
+            let pull = TablePull { table: *table, since: None, shard: Some(self.shard) };
+            Action::Send(reader.clone(), PeerMessage::TablePull(pull))
+        }));
+    }
+
+    /// Sends changed rows to the nodes of this node's failure domain that hold them.
+    fn broadcast(
+        &self,
+        table: TableId,
+        revision: Revision,
+        grace: Duration,
+        rows: &[Row],
+        out: &mut Vec<Action>,
+    ) {
+        let Table { mirror, whole, .. } = &self.tables[index(table)];
+        let message = |rows: &[Row]| update(table, revision, Extent::Changes, grace, rows);
+        if table != TableId::Runners || self.services.max() == 1 {
+            return out.push(Action::Broadcast(message(rows)));
+        }
+        let mut shards = BTreeMap::<(u32, u32), Vec<Row>>::new();
+        for row in rows {
+            let count = self.services.of(mirror.service(&row.key));
+            // Rows of a shard holder are its own ones, whatever their service.
+            let count = if *whole { count } else { self.services.max() };
+            let shard = if *whole { shards::shard(&row.key) } else { self.shard };
+            shards.entry((count, shard % count)).or_default().push(row.clone());
         }
+        out.extend(shards.into_iter().map(|((count, shard), rows)| match count {
+            1 => Action::Broadcast(message(&rows)),
+            _ => Action::SendToShard { shard, count, message: message(&rows) },
+        }));
     }
 
-    fn store_report(&self) -> StoreReport {
+    /// Returns the report of this node for the nodes at the position `shard`.
+    fn store_report(&self, shard: u32) -> StoreReport {
         let digest = |table| {
+            let revision = self.revision(table)?;
             let mirror = &self.tables[index(table)].mirror;
-            Some(TableDigest { table, revision: mirror.revision()?, hash: mirror.hash() })
+            let shard_hash = mirror.shard_hash(shard, &self.services);
+            Some(TableDigest { table, revision, hash: mirror.hash(), shard_hash })
         };
         let digests = TableId::ALL.into_iter().filter_map(digest).collect();
-        StoreReport { available: self.served, digests }
+        let divided = |(service, shards): (&CompactString, u32)| DividedService {
+            service: service.clone(),
+            shards,
+        };
+        let services = self.services.iter().map(divided).collect();
+        StoreReport { available: self.served, digests, services }
     }
 
     fn report(&mut self, now: Instant, out: &mut Vec<Action>) {
         if is_due(&mut self.reported_at, now, REPORT_INTERVAL) {
-            out.push(Action::Broadcast(PeerMessage::StoreReport(self.store_report())));
+            let count = self.services.max();
+            out.extend((0..count).map(|shard| {
+                let message = PeerMessage::StoreReport(self.store_report(shard));
+                match count {
+                    1 => Action::Broadcast(message),
+                    _ => Action::SendToShard { shard, count, message },
+                }
+            }));
         }
         if self.served && is_due(&mut self.exchanged_at, now, EXCHANGE_INTERVAL) {
-            out.push(Action::Exchange(PeerMessage::StoreReport(self.store_report())));
+            let report = self.store_report(self.shard);
+            out.push(Action::Exchange(PeerMessage::StoreReport(report)));
         }
     }
 
@@ -406,16 +664,10 @@
     }
 }
 
-impl Table {
-    fn try_pull(&mut self, now: Instant, from: &CompactString) -> bool {
-        let last = self.pulled.as_ref();
-        let due = last.is_none_or(|(at, to)| to != from || now >= *at + PULL_INTERVAL);
-        if due {
-            self.pulled = Some((now, from.clone()));
-            self.mismatches = 0;
-        }
-        due
-    }
+/// Returns the division of the services in a report.
+fn division(report: &StoreReport) -> ShardCounts {
+    let services = report.services.iter();
+    ShardCounts::new(services.map(|divided| (divided.service.clone(), divided.shards)))
 }
 
 /// Returns whether an interval has passed since `last`, and sets `last` to now if so.
@@ -434,7 +686,7 @@
 fn update(
     table: TableId,
     revision: Revision,
-    whole: bool,
+    extent: Extent,
     grace: Duration,
     rows: &[Row],
 ) -> PeerMessage {
@@ -446,7 +698,7 @@
     PeerMessage::Table(TableUpdate {
         table,
         revision,
-        whole,
+        extent,
         grace_ms: grace.as_millis() as u32,
         rows: rows.iter().map(row).collect(),
     })
--- a/crates/relay/tests/registry.rs
+++ b/crates/relay/tests/registry.rs
@@ -48,6 +48,10 @@
         })
     }
 
+    fn registered_service(_: &str, _: &[u8]) -> Option<CompactString> {
+        Some("llm".into())
+    }
+
     fn parse_order(&self, _: &str, _: &[u8]) -> Option<Result<RolloutOrder, BadRecord>> {
         None
     }
--- a/crates/relay/tests/table_sync.rs
+++ b/crates/relay/tests/table_sync.rs
@@ -1,6 +1,8 @@
 //! Replication of the store's tables within a failure domain of 33 nodes (of 100 in three domains)
 //! and of 60 nodes (of 300 in five domains).
 
+#[path = "table_sync/shards.rs"]
+mod shards;
 #[path = "table_sync/world.rs"]
 mod world;
 
--- /dev/null
+++ b/crates/relay/tests/table_sync/shards.rs
@@ -0,0 +1,218 @@
+//! Registrations of a large service, divided into shards, in failure domains of up to 120 nodes.
+
+use {
+    super::{
+        SECOND,
+        world::{Node, World},
+    },
+    bilberryfront_decide::member::message::TableId,
+    bilberryfront_relay::{
+        mirror::Mirror,
+        shards::{self, Census, MAX_SHARDS, MIN_RUNNERS, ShardCounts, shard},
+        store::{Revision, Row, Rows},
+    },
+    compact_str::{CompactString, format_compact},
+    quickcheck::{Gen, QuickCheck},
+    std::{collections::BTreeSet, time::Duration},
+    tokio::time::Instant,
+};
+
+/// Maximum number of rows that a node holds: a shard with twice the minimum mean number of runners, with
+/// a margin for hashing, and the row of the operators' table.
+const MAX_HELD: usize = 2 * MIN_RUNNERS + MIN_RUNNERS / 4;
+
+fn is_reader(world: &World, index: usize) -> bool {
+    world.nodes[index].domain != 0 || world.readers().contains(&index)
+}
+
+/// Returns whether the node has applied exactly the registrations of its shard.
+fn holds_its_shard(node: &Node, world: &World, counts: &ShardCounts) -> bool {
+    let count = counts.of(Some(&"llm".into()));
+    let is_held = |(table, key): &(TableId, CompactString)| {
+        *table != TableId::Runners || shards::is_same_shard(shard(&node.name), shard(key), count)
+    };
+    let held = world.store.contents().into_iter().filter(|(key, _)| is_held(key)).collect();
+    node.contents() == held
+}
+
+/// Returns the division of the service in a store with this number of registrations.
+fn division(runners: usize) -> ShardCounts {
+    let mut census = Census::default();
+    for index in 0..runners {
+        census.add(Some(&"llm".into()), shard(&format_compact!("r{index}")), 1);
+    }
+    census.divide(&ShardCounts::default())
+}
+
+/// Load: more runners. Guards against nodes whose memory and processor time grow with the fleet, as
+/// they hold and process the registrations of all runners.
+#[tokio::test(start_paused = true)]
+async fn held_registrations_do_not_grow_with_the_fleet() {
+    for runners in [2_000, 8_000] {
+        let mut world = World::new(60, runners);
+        world.run(5 * SECOND).await;
+        let counts = division(runners);
+        assert!(world.nodes.iter().all(|node| holds_its_shard(node, &world, &counts)));
+        assert!(world.nodes.iter().all(|node| node.rows.len() <= MAX_HELD), "{runners} runners");
+        let others = (0..60).filter(|index| !is_reader(&world, *index));
+        let copies = others.map(|index| world.nodes[index].sync.row_count(TableId::Runners));
+        assert!(copies.max().unwrap() <= MAX_HELD, "{runners} runners");
+        let keys = world.nodes.iter().flat_map(|node| node.rows.keys());
+        let held: BTreeSet<&CompactString> = keys.map(|(_, key)| key).collect();
+        assert_eq!(held.len(), runners + 1, "every runner is held by some node");
+    }
+}
+
+/// Load: all nodes start at the same time. Guards against nodes that request the registrations again
+/// while the responses are on their way, and against whole tables.
+#[tokio::test(start_paused = true)]
+async fn each_node_gets_its_shard_once_at_a_start() {
+    for runners in [2_000, 8_000] {
+        let mut world = World::new(60, runners);
+        world.run(5 * SECOND).await;
+        let limit = world.nodes.len() * MAX_HELD;
+        assert!(world.sent_rows <= limit, "{} rows of {runners} runners", world.sent_rows);
+    }
+}
+
+/// Load: a release, in which registrations change continuously. Guards against nodes that request
+/// tables whenever the digests differ, and against changes that are sent to all nodes.
+#[tokio::test(start_paused = true)]
+async fn changes_are_sent_to_the_holders_of_a_shard() {
+    const CHANGES: usize = 100;
+    const SHARDS: usize = 8;
+    let mut world = World::new(120, 8_000);
+    world.run(5 * SECOND).await;
+    world.sent_rows = 0;
+    for index in 0..CHANGES {
+        world.store.put(TableId::Runners, &format!("r{index}"));
+        world.run(SECOND / 20).await;
+    }
+    // Two readers send each change to the holders of its shard, and to the other domain.
+    let copies = 2 * 120 / SHARDS + world.nodes.len() - 120;
+    let limit = CHANGES * (copies + copies / 2);
+    assert!(world.sent_rows <= limit, "{} rows, not {limit}", world.sent_rows);
+    assert!(world.nodes.iter().all(|n| holds_its_shard(n, &world, &division(8_000))));
+}
+
+/// Guards against a node that becomes a reader and serves only its own shard.
+#[tokio::test(start_paused = true)]
+async fn new_readers_serve_all_shards() {
+    let mut world = World::new(30, 2_000);
+    world.run(5 * SECOND).await;
+    for reader in world.readers() {
+        world.nodes[reader].dead = true;
+    }
+    world.run(5 * SECOND).await;
+    for index in 0..20 {
+        world.store.put(TableId::Runners, &format!("r{index}"));
+        world.store.remove(TableId::Runners, &format!("r{}", 100 + index));
+    }
+    world.run(5 * SECOND).await;
+    let counts = division(1_980);
+    assert!(world.nodes.iter().filter(|n| !n.dead).all(|n| holds_its_shard(n, &world, &counts)));
+}
+
+/// Guards against nodes that keep the registrations of their former shard, or lack those of the new
+/// one, when a service has grown or shrunk.
+#[tokio::test(start_paused = true)]
+async fn service_is_divided_again_when_its_size_changes() {
+    let mut world = World::new(30, 900);
+    world.run(5 * SECOND).await;
+    assert!(world.nodes.iter().all(|node| node.rows.len() == 901), "not divided");
+    for (from, to) in [(900, 2_100), (2_100, 4_200)] {
+        for index in from..to {
+            world.store.put(TableId::Runners, &format!("r{index}"));
+        }
+        world.run(8 * SECOND).await;
+        let counts = division(to);
+        assert!(world.nodes.iter().all(|node| holds_its_shard(node, &world, &counts)), "{to}");
+    }
+    for index in 300..4_200 {
+        world.store.remove(TableId::Runners, &format!("r{index}"));
+    }
+    world.run(8 * SECOND).await;
+    assert!(world.nodes.iter().all(|node| node.rows.len() == 301), "not divided any more");
+}
+
+/// Guards against any order of writes, restorations, outages, lost messages and restarts after which
+/// nodes lack registrations of their shard.
+#[test]
+fn shards_agree_with_the_store_after_any_faults() {
+    const RUNNERS: usize = 1_200;
+    fn agree(steps: &Vec<(u8, u8)>) -> bool {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .unwrap();
+        runtime.block_on(async {
+            let mut world = World::new(6, RUNNERS);
+            world.run(5 * SECOND).await;
+            let mut backup = world.store.back_up();
+            for (action, index) in steps {
+                let key = format!("r{}", index % 8);
+                let node = usize::from(*index) % world.nodes.len();
+                match action % 10 {
+                    0 | 1 => _ = world.store.put(TableId::Runners, &key),
+                    2 => world.store.remove(TableId::Runners, &key),
+                    3 => _ = world.store.put(TableId::Operators, "config"),
+                    4 => backup = world.store.back_up(),
+                    5 | 6 => world.store.restore(&backup),
+                    7 => world.store.down = !world.store.down,
+                    8 => world.toggle_reachable(node),
+                    _ => world.nodes[node].rejected = !world.nodes[node].rejected,
+                }
+                world.run(Duration::from_millis(u64::from(*index) * 4)).await;
+            }
+            world.repair();
+            world.run(20 * SECOND).await;
+            let counts = division(RUNNERS);
+            world.nodes.iter().all(|node| holds_its_shard(node, &world, &counts))
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 0x5eed))
+        .tests(12)
+        .quickcheck((|steps| agree(&steps)) as fn(Vec<(u8, u8)>) -> bool);
+}
+
+/// Guards against a service near a limit that is divided differently with each changed registration.
+#[test]
+fn division_is_stable_near_a_limit() {
+    let mut census = Census::default();
+    let llm: CompactString = "llm".into();
+    let add = |census: &mut Census, runners: usize| {
+        (0..runners).for_each(|index| census.add(Some(&llm), index as u32 % MAX_SHARDS, 1));
+    };
+    add(&mut census, 2 * MIN_RUNNERS);
+    let divided = census.divide(&ShardCounts::default());
+    assert_eq!(divided.max(), 2);
+    (0..100).for_each(|index| census.remove(Some(&llm), index % MAX_SHARDS, 1));
+    assert_eq!(census.divide(&ShardCounts::default()).max(), 1, "without a former division");
+    assert_eq!(census.divide(&divided), divided);
+    add(&mut census, 60 * MIN_RUNNERS);
+    assert_eq!(census.divide(&divided).max(), 32);
+}
+
+/// Guards against a node that misses a removal because the tombstone was deleted before it requested
+/// the changes.
+#[tokio::test(start_paused = true)]
+async fn changes_since_a_deleted_tombstone_are_unknown() {
+    let row = |key: &str, value: Option<&'static str>, number| Row {
+        key: key.into(),
+        value: value.map(|value| value.as_bytes().into()),
+        revision: Revision::new(0, number),
+    };
+    let mut mirror = Mirror::default();
+    let rows = vec![row("r1", Some("v"), 1), row("r2", Some("v"), 2)];
+    mirror.replace(Instant::now(), Rows { rows, revision: Revision::new(0, 2) });
+    mirror.merge(Instant::now(), vec![row("r1", None, 3)]);
+    mirror.confirm(Revision::new(0, 3));
+    let changes =
+        |mirror: &Mirror| mirror.changes_since(Revision::new(0, 2), None, &ShardCounts::default());
+    assert_eq!(changes(&mirror), Some(vec![row("r1", None, 3)]));
+    tokio::time::advance(100 * SECOND).await;
+    mirror.merge(Instant::now(), vec![row("r2", Some("w"), 4)]);
+    assert_eq!(changes(&mirror), None);
+}
--- a/crates/relay/tests/table_sync/world.rs
+++ b/crates/relay/tests/table_sync/world.rs
@@ -6,6 +6,7 @@
     bilberryfront_relay::{
         control::feed::Change,
         readers::Ranking,
+        shards,
         store::{Revision, Row, Rows},
         table_sync::{Action, TableSync},
     },
@@ -62,6 +63,8 @@
 pub(crate) struct Backup {
     revision: Revision,
     rows: BTreeMap<(TableId, CompactString), (Revision, Option<Bytes>)>,
+    /// Revision of the latest change of each table.
+    changed: [Revision; TableId::ALL.len()],
 }
 
 pub(crate) struct World {
@@ -90,7 +93,8 @@
             let names = (0..size).map(|i| format_compact!("node-{domain}-{i}"));
             let ranking = Ranking::new(names.clone());
             let node = move |(seed, name): (usize, CompactString)| {
-                let mut sync = TableSync::new(seed as u64, name.clone());
+                let service = |_: &str, _: &[u8]| Some("llm".into());
+                let mut sync = TableSync::new(seed as u64, name.clone(), service);
                 sync.start(now);
                 sync.set_ranking(ranking.clone());
                 let (rows, removed) = (BTreeMap::new(), Vec::new());
@@ -266,11 +270,27 @@
                     self.sent_rows += row_count(&message);
                     self.messages.push_back((from.clone(), to, message));
                 }
+                Action::SendToShard { shard, count, message } => {
+                    let is_holder =
+                        |name: &str| shards::is_same_shard(shards::shard(name), shard, count);
+                    let others = self.nodes.iter().filter(|n| n.name != from && n.domain == domain);
+                    let holders = others.filter(|n| is_holder(&n.name));
+                    let all: Vec<_> =
+                        holders.map(|n| (from.clone(), n.name.clone(), message.clone())).collect();
+                    self.sent += all.len();
+                    self.sent_rows += all.len() * row_count(&message);
+                    self.messages.extend(all);
+                }
                 Action::Apply { table, rows, grace } => {
                     for row in rows {
                         self.nodes[index].apply(table, row, grace);
                     }
                 }
+                Action::Release { table, keys } => {
+                    for key in keys {
+                        self.nodes[index].rows.remove(&(table, key));
+                    }
+                }
             }
         }
     }
@@ -339,11 +359,13 @@
         self.contents = backup.clone();
         self.contents.revision.era = era;
         self.contents.rows.values_mut().for_each(|(revision, _)| revision.era = era);
+        self.contents.changed.iter_mut().for_each(|revision| revision.era = era);
     }
 
     fn write(&mut self, table: TableId, key: &str, value: Option<Bytes>) -> Revision {
         self.contents.revision.number += 1;
         let revision = self.contents.revision;
+        self.contents.changed[table as usize] = revision;
         self.contents.rows.insert((table, key.into()), (revision, value));
         revision
     }
@@ -353,10 +375,7 @@
     }
 
     fn has_changed(&self, table: TableId, after: Revision) -> bool {
-        let is_changed = |((t, _), (revision, _)): (&(TableId, _), &(Revision, _))| {
-            *t == table && *revision > after
-        };
-        !self.has_history(after) || self.contents.rows.iter().any(is_changed)
+        !self.has_history(after) || self.contents.changed[table as usize] > after
     }
 
     fn rows(&self, table: TableId, after: Option<Revision>) -> Rows {
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -9,9 +9,9 @@
         member::{
             PeerMessage,
             message::{
-                CatalogPush, Claim, Heartbeat, Hint, HintKind, Moment, NodeIncarnation,
-                NodeLocation, NodeState, StoreReport, TableDigest, TableId, TableRow, TableUpdate,
-                Update, Usage,
+                CatalogPush, Claim, DividedService, Extent, Heartbeat, Hint, HintKind, Moment,
+                NodeIncarnation, NodeLocation, NodeState, StoreReport, TableDigest, TableId,
+                TablePull, TableRow, TableUpdate, Update, Usage,
             },
         },
     },
@@ -47,7 +47,7 @@
     TableUpdate {
         table: TableId::Runners,
         revision: StoreRevision::new(1, rows),
-        whole: true,
+        extent: Extent::Whole,
         grace_ms: 0,
         rows: (0..rows).map(row).collect(),
     }
@@ -75,14 +75,20 @@
         PeerMessage::Leave(moment()),
         PeerMessage::Claims(vec![claim()]),
         PeerMessage::Table(table(40)),
-        PeerMessage::TablePull(TableId::Runners),
+        PeerMessage::TablePull(TablePull {
+            table: TableId::Runners,
+            since: Some(StoreRevision::new(0, 7)),
+            shard: Some(3),
+        }),
         PeerMessage::StoreReport(StoreReport {
             available: true,
             digests: vec![TableDigest {
                 table: TableId::Operators,
                 revision: StoreRevision::new(2, 9),
                 hash: 7,
+                shard_hash: 8,
             }],
+            services: vec![DividedService { service: "llm".into(), shards: 16 }],
         }),
     ]
 }
