Request a heartbeat before a watched node is suspected, and gossip in proportion to the queue

Cause: a node sends its heartbeats to its successors in its own view of the rings. While all nodes start, the views differ for seconds: a node that knows more than another one expects heartbeats that go elsewhere, and suspects it after 2 s. Each false suspicion is gossiped, refuted and repeated, and gossip carries 32 changes a heartbeat, so at 985 nodes one round of changes takes 15 s.

Change: a node that is watched but silent for 0.9 s is asked for a heartbeat, by a claim about the asking node, which also makes it known there. Gossip sends a quarter of its queue with a heartbeat, at least 32 changes as before. The first exchanges of tables follow after 1, 2 and 4 s.

--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -17,6 +17,7 @@
     drain::{Drain, DrainState},
     message::PeerMessage,
     table::{Address, Node, PeerUsage},
+    updates::MAX_UPDATES,
 };
 
 use {
@@ -43,6 +44,9 @@
 pub const RING_INTERVAL: Duration = Duration::from_millis(500);
 /// Silence after which a watched node becomes suspect.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Silence after which a watched node is asked for a heartbeat. Its view of the rings may differ, so
+/// that it sends its heartbeats to other nodes.
+pub const PING_DELAY: Duration = Duration::from_millis(900);
 /// Time after which a suspect is removed from address responses, unless the suspicion is refuted.
 pub const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Time for which other nodes may refute a suspicion before it is gossiped.
@@ -54,8 +58,11 @@
 
 /// Timeout of a catalogue pull.
 const PULL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Initial interval of anti-entropy; doubles up to the regular interval while exchanges bring few
-/// changes.
+/// First interval of anti-entropy after the start, when nodes that start at the same time do not get
+/// each other's gossip yet; doubles up to the regular interval.
+const FIRST_SYNC_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval of anti-entropy after an exchange that brought many changes; doubles up to the regular
+/// interval.
 const MIN_SYNC_INTERVAL: Duration = Duration::from_secs(5);
 /// Changes per exchange that reset the interval.
 const SYNC_MIN_CHANGES: usize = 4;
@@ -156,7 +163,7 @@
             heartbeat_at,
             probe_at: now,
             sync_at: now,
-            sync_interval: MIN_SYNC_INTERVAL,
+            sync_interval: FIRST_SYNC_INTERVAL,
             last_sent: now,
             pull: None,
             rng,
@@ -194,11 +201,16 @@
                 let before = out.len();
                 claims.iter().for_each(|c| _ = self.merge(now, c, Gossip::No, out));
                 if out.len() - before >= SYNC_MIN_CHANGES {
-                    self.sync_interval = MIN_SYNC_INTERVAL;
+                    self.sync_interval = self.sync_interval.min(MIN_SYNC_INTERVAL);
                     self.sync_at = self.sync_at.min(now + MIN_SYNC_INTERVAL);
                 }
             }
-            PeerMessage::Claims(claims) => self.merge_claims(now, from, claims, out),
+            PeerMessage::Claims(claims) => {
+                self.merge_claims(now, from, claims, out);
+                if claims.iter().any(|claim| claim.name == from) {
+                    self.send(from, PeerMessage::Heartbeat(self.presence()), out);
+                }
+            }
             PeerMessage::Leave(moment) => {
                 let (moment, state) = (*moment, NodeState::Gone);
                 let claim = Claim { name: from.into(), moment, state, location: None };
@@ -295,11 +307,13 @@
         }
     }
 
-    /// Marks this node as ready.
-    pub fn ready(&mut self) {
-        if self.state == NodeState::Starting {
+    /// Marks this node as ready; returns whether it was not before.
+    pub fn ready(&mut self) -> bool {
+        let is_starting = self.state == NodeState::Starting;
+        if is_starting {
             self.state = NodeState::Ready;
         }
+        is_starting
     }
 
     /// Marks this node as draining and announces it.
--- a/crates/decide/src/member/merge.rs
+++ b/crates/decide/src/member/merge.rs
@@ -84,9 +84,7 @@
             self.beat = self.beat.max(claim.moment.beat);
         }
         self.beat += 1;
-        let (name, moment) = (self.me.name.clone(), self.moment());
-        let location = Some(self.me.location.clone());
-        let refutation = Claim { name, moment, state: self.state, location };
+        let refutation = self.own_claim();
         self.updates.push(Update::Node(refutation.clone()));
         self.schedule_early_heartbeat(now);
         Some(refutation)
--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -28,7 +28,7 @@
     /// The sender exits.
     Leave(Moment),
     /// Claims to be checked; the receiver refutes outdated ones. Sent before a suspicion is
-    /// gossiped.
+    /// gossiped. A claim about the sender itself requests a heartbeat.
     Claims(Vec<Claim>),
     /// State of a rollout.
     Move(MoveUpdate),
--- a/crates/decide/src/member/record.rs
+++ b/crates/decide/src/member/record.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        CONFIRM_TIMEOUT, REFUTE_TIMEOUT, SILENCE_TIMEOUT, TOMBSTONE_RETENTION,
+        CONFIRM_TIMEOUT, PING_DELAY, REFUTE_TIMEOUT, SILENCE_TIMEOUT, TOMBSTONE_RETENTION,
         message::{Claim, Moment, NodeIncarnation, NodeLocation, NodeState, Usage},
     },
     crate::{
@@ -165,9 +165,7 @@
     pub(super) fn deadline(&self) -> Option<(Instant, Overdue)> {
         match self.state {
             NodeState::Starting | NodeState::Ready | NodeState::Draining => {
-                let watched = self.watched_since?;
-                let last = self.last_heartbeat.unwrap_or(watched).max(watched).max(self.since);
-                Some((last + SILENCE_TIMEOUT, Overdue::Suspect))
+                Some((self.silent_since()? + SILENCE_TIMEOUT, Overdue::Suspect))
             }
             NodeState::Suspect if self.awaits_refutation => {
                 Some((self.since + REFUTE_TIMEOUT, Overdue::Publish))
@@ -180,6 +178,17 @@
         }
     }
 
+    /// Returns whether the node is running and watched, but has been silent for [`PING_DELAY`].
+    pub(super) fn is_quiet(&self, now: Instant) -> bool {
+        self.is_running() && self.silent_since().is_some_and(|since| now >= since + PING_DELAY)
+    }
+
+    /// Returns the time of the last sign of a watched node.
+    fn silent_since(&self) -> Option<Instant> {
+        let watched = self.watched_since?;
+        Some(self.last_heartbeat.unwrap_or(watched).max(watched).max(self.since))
+    }
+
     /// Restarts the current timeout.
     pub(super) fn restart_timeout(&mut self, now: Instant) {
         self.watched_since = self.watched_since.map(|_| now);
--- a/crates/decide/src/member/rounds.rs
+++ b/crates/decide/src/member/rounds.rs
@@ -45,6 +45,7 @@
         to.extend(self.probe(now, out));
         let message = PeerMessage::Heartbeat(self.heartbeat());
         out.push(Output::Send { to, message });
+        self.ping_quiet(now, out);
         self.synchronize(now, out);
         self.last_sent = now;
         self.heartbeat_at = now + self.interval().mul_f64(self.rng.random_range(0.9..1.1));
@@ -159,6 +160,15 @@
         self.target(name)
     }
 
+    /// Requests a heartbeat of each watched node that has been silent for a while.
+    fn ping_quiet(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let quiet = self.records.iter().filter(|(_, record)| record.is_quiet(now));
+        let to: Vec<Target> = quiet.filter_map(|(name, _)| self.target(name)).collect();
+        if !to.is_empty() {
+            out.push(Output::Send { to, message: PeerMessage::Claims(vec![self.own_claim()]) });
+        }
+    }
+
     /// Requests another node's membership table, if due.
     fn synchronize(&mut self, now: Instant, out: &mut Vec<Output>) {
         if now < self.sync_at {
@@ -191,6 +201,18 @@
         }
     }
 
+    /// Returns a heartbeat without gossip, which answers a request.
+    pub(super) fn presence(&self) -> Heartbeat {
+        Heartbeat {
+            moment: self.moment(),
+            state: self.state,
+            location: Some(self.me.location.clone()),
+            revision: self.revision,
+            usage: Vec::new(),
+            updates: Vec::new(),
+        }
+    }
+
     fn is_mesh(&self) -> bool {
         self.ring.targets.len() < MAX_MESH && self.ring.targets.len() + 1 >= self.topology_size()
     }
--- a/crates/decide/src/member/table.rs
+++ b/crates/decide/src/member/table.rs
@@ -90,6 +90,16 @@
         self.revision
     }
 
+    /// Returns the number of other nodes, including dead ones.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no other node is known.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
     /// Returns the states of all other nodes.
     pub fn states(&self) -> impl Iterator<Item = (&CompactString, NodeState)> {
         self.records.iter().map(|(n, r)| (n, r.state))
@@ -110,10 +120,13 @@
     pub(super) fn claims(&self) -> Vec<Claim> {
         let known = self.records.iter().filter(|(_, r)| r.state != NodeState::Unknown);
         let others = known.map(|(name, r)| r.claim(name, true));
+        others.chain([self.own_claim()]).collect()
+    }
+
+    /// Returns a claim about this node.
+    pub(super) fn own_claim(&self) -> Claim {
         let (name, moment) = (self.me.name.clone(), self.moment());
-        let location = Some(self.me.location.clone());
-        let me = Claim { name, moment, state: self.state, location };
-        others.chain([me]).collect()
+        Claim { name, moment, state: self.state, location: Some(self.me.location.clone()) }
     }
 
     /// Returns the number of nodes in the heartbeat topology, including this one.
--- a/crates/decide/src/member/updates.rs
+++ b/crates/decide/src/member/updates.rs
@@ -1,21 +1,32 @@
 //! Queue of gossip updates.
 
 use {
-    super::message::{Hint, Update},
+    super::{
+        MAX_MEMBERS,
+        message::{Hint, Update},
+    },
     compact_str::CompactString,
     std::{collections::VecDeque, time::Duration},
     tokio::time::Instant,
 };
 
-/// Maximum updates per heartbeat; fits one datagram.
-pub(super) const PER_HEARTBEAT: usize = 32;
+/// Updates per heartbeat that fit one datagram; more are sent if the queue is longer than
+/// [`QUEUE_HEARTBEATS`] datagrams.
+const PER_HEARTBEAT: usize = 32;
+/// Number of heartbeats within which all updates are sent, so that the time until a change is known to
+/// all nodes does not grow with the number of changes.
+const QUEUE_HEARTBEATS: usize = 4;
 /// Transmissions of each update to every target.
 const REPEATS: u8 = 3;
 /// Number of targets from which one transmission suffices, because each node then receives every
 /// update from as many senders.
 const REDUNDANT: usize = 4;
 /// Capacity of the queue. The oldest update is dropped; anti-entropy spreads it later.
-const CAPACITY: usize = 512;
+const CAPACITY: usize = MAX_MEMBERS;
+/// Maximum updates per heartbeat.
+pub const MAX_UPDATES: usize = CAPACITY / QUEUE_HEARTBEATS;
+/// Maximum number of recent hints.
+const MAX_HINTS: usize = 512;
 /// Time for which a repeated hint is suppressed.
 const HINT_AGE: Duration = Duration::from_secs(5);
 
@@ -40,7 +51,7 @@
     /// Queues a hint; returns whether it is new.
     pub(super) fn hint(&mut self, now: Instant, hint: &Hint) -> bool {
         self.hints.retain(|(_, at)| now < *at + HINT_AGE);
-        if self.hints.len() == CAPACITY || self.hints.iter().any(|(h, _)| h == hint) {
+        if self.hints.len() == MAX_HINTS || self.hints.iter().any(|(h, _)| h == hint) {
             return false;
         }
         self.hints.push_back((hint.clone(), now));
@@ -53,7 +64,8 @@
     pub(super) fn next(&mut self, targets: usize) -> Vec<Update> {
         let repeats = if targets < REDUNDANT { REPEATS } else { 1 };
         self.items.make_contiguous().sort_by_key(|(_, sent)| *sent);
-        let count = self.items.len().min(PER_HEARTBEAT);
+        let count = PER_HEARTBEAT.max(self.items.len().div_ceil(QUEUE_HEARTBEATS));
+        let count = count.min(self.items.len());
         let batch: Vec<(Update, u8)> = self.items.drain(..count).collect();
         let again = batch.iter().filter(|(_, sent)| sent + 1 < repeats);
         self.items.extend(again.map(|(update, sent)| (update.clone(), sent + 1)));
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{PeerError, Result},
-    bilberryfront_decide::member::{MAX_MEMBERS, PeerMessage, message::RelayedLoad},
+    bilberryfront_decide::member::{MAX_MEMBERS, MAX_UPDATES, PeerMessage, message::RelayedLoad},
     bytes::Bytes,
     compact_str::CompactString,
     std::borrow::Cow,
@@ -27,7 +27,7 @@
 const COMPRESS_MIN_BYTES: usize = 512;
 /// Size of the prefix of compressed data that states its uncompressed size.
 const SIZE_PREFIX_BYTES: usize = size_of::<u32>();
-/// Maximum usage entries or updates per heartbeat.
+/// Maximum entries of other lists.
 const ITEMS_LIMIT: usize = 64;
 /// Maximum entries of each kind per load update.
 pub const LOADS_LIMIT: usize = 1_024;
@@ -182,6 +182,7 @@
     match message {
         PeerMessage::MembersPush(_) => MAX_MEMBERS + 1,
         PeerMessage::Load(_) | PeerMessage::RelayedLoad(_) => LOADS_LIMIT,
+        PeerMessage::Heartbeat(_) => MAX_UPDATES,
         _ => ITEMS_LIMIT,
     }
 }
