Update what derives from all nodes at a pace that depends on their number

Cause: once ready, a node marked its nodes as changed at each tick, and then built the addresses, the ranking, the groups and the relays anew from all nodes, 20 times a second. At 985 nodes that alone is most of 0.12 core; while nodes change, as at a start, missed heartbeats follow. Each change also logged the names of all nodes, 20 KB a line, and each first sight of a node a line.

Change: an update takes place at most every 0.5 ms x nodes while nodes change (20 times a second up to 100 nodes, every 0.5 s at 985), and once a second otherwise, since a node may change its address. A node's own readiness and its stop are not delayed. The runners are applied only when their list has changed. The log has the number of nodes; first sights are of level debug.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -11,6 +11,7 @@
 mod own_rows;
 pub mod registry;
 mod rollouts;
+pub mod schedule;
 mod tables;
 
 use {
@@ -229,7 +230,7 @@
 
     fn set_nodes(&mut self, nodes: Vec<NodeAddress>) {
         if *self.nodes != nodes {
-            log::info!(nodes = nodes.len() as u64; "nodes in address responses: {}", names(&nodes));
+            log::info!(nodes = nodes.len() as u64; "nodes in address responses changed");
             self.nodes = Arc::new(nodes);
             self.publish();
         }
@@ -274,7 +275,3 @@
         });
     }
 }
-
-fn names(nodes: &[NodeAddress]) -> String {
-    nodes.iter().map(|n| n.name.as_str()).collect::<Vec<_>>().join(" ")
-}
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -4,7 +4,7 @@
 
 use {
     self::send::Routes,
-    super::{authority::Authority, join},
+    super::{authority::Authority, join, schedule::Schedule},
     crate::{
         fanout::Scope, metrics::Metrics, readers::Ranking, settings::Settings, store::Rows,
         view::NodeAddress,
@@ -53,8 +53,8 @@
     start: Instant,
     metrics: Metrics,
     draining: bool,
-    /// Whether the nodes have changed since they were last read.
-    changed: bool,
+    /// Schedule of [`Self::changed_nodes`].
+    schedule: Schedule,
     /// Whether the startup grace period was still running at the last call of
     /// [`Self::changed_nodes`].
     in_grace_period: bool,
@@ -104,9 +104,9 @@
         start,
         metrics,
         draining: false,
-        changed: true,
+        schedule: Schedule::default(),
         in_grace_period: true,
-        routes: Routes::new(start),
+        routes: Routes::default(),
         dead: BTreeMap::new(),
         scope: Scope::default(),
     };
@@ -116,9 +116,8 @@
 impl Membership {
     /// Marks this node as ready.
     pub(super) fn mark_ready(&mut self) {
-        if !self.draining {
-            self.members.ready();
-            self.changed = true;
+        if !self.draining && self.members.ready() {
+            self.schedule.mark_urgent();
         }
     }
 
@@ -126,7 +125,7 @@
     pub(super) fn mark_draining(&mut self, now: Instant) {
         if !std::mem::replace(&mut self.draining, true) {
             self.members.drain(now);
-            self.changed = true;
+            self.schedule.mark_urgent();
         }
     }
 
@@ -144,7 +143,7 @@
         }
         let instances: Vec<Instance> = self.listed.values().map(instance).collect();
         self.members.apply_instances(Instant::now(), rows.revision, &instances);
-        self.changed = true;
+        self.schedule.mark_changed();
     }
 
     /// Runs the timers of the membership and updates the receivers of messages; returns the runners
@@ -161,12 +160,16 @@
         }
         self.members.tick(now, &mut out);
         let failed = self.apply_outputs(out, row);
-        if self.changed || self.routes.are_stale(now) {
+        if self.is_update_due(now) {
             self.update_routes(now);
         }
         failed
     }
 
+    fn is_update_due(&self, now: Instant) -> bool {
+        self.schedule.is_due(now, self.members.len())
+    }
+
     /// Handles a peer event; returns the runners that were reported as failed. `row` is the same as
     /// for [`Self::tick`].
     pub(super) fn receive(
@@ -185,14 +188,15 @@
         self.apply_outputs(out, row)
     }
 
-    /// Returns the derived state if the nodes have changed since the last call.
+    /// Returns the derived state if an update is due.
     pub(super) fn changed_nodes(&mut self, now: Instant) -> Option<Nodes> {
         let in_grace_period = now < self.start + STARTUP_GRACE_PERIOD;
         let expired =
             std::mem::replace(&mut self.in_grace_period, in_grace_period) && !in_grace_period;
-        if !std::mem::take(&mut self.changed) && !expired {
+        if !self.is_update_due(now) && !expired {
             return None;
         }
+        self.schedule.mark_updated(now);
         let ranked = |node: &Node| match node.state {
             NodeState::Starting | NodeState::Ready => true,
             NodeState::Unknown => in_grace_period,
@@ -291,8 +295,12 @@
                     }
                 }
                 Output::Changed { name, from, to } => {
-                    log::info!(node = name.as_str(); "node state changed from {from:?} to {to:?}");
-                    self.changed = true;
+                    let level = match to {
+                        NodeState::Starting | NodeState::Ready => log::Level::Debug,
+                        _ => log::Level::Info,
+                    };
+                    log::log!(level, node = name.as_str(); "node state changed from {from:?} to {to:?}");
+                    self.schedule.mark_changed();
                     match to {
                         NodeState::Gone => _ = self.dead.insert(name, Instant::now()),
                         _ => _ = self.dead.remove(&name),
--- a/crates/relay/src/control/members/send.rs
+++ b/crates/relay/src/control/members/send.rs
@@ -12,20 +12,16 @@
         message::{Hint, HintKind, Load, NodeState, RelayedLoad},
     },
     compact_str::CompactString,
-    std::{collections::BTreeMap, time::Duration},
+    std::collections::BTreeMap,
     tokio::time::Instant,
 };
 
 /// Maximum number of other nodes up to which broadcasts are sent to all of them; above it, they are
 /// sent to the heartbeat targets.
 const FULL_MESH_LIMIT: usize = 100;
-/// Maximum age of [`Routes`] while no node changes its state, since a node may still change its
-/// address.
-const MAX_ROUTES_AGE: Duration = Duration::from_millis(250);
-
 /// Receivers of this node's messages.
+#[derive(Default)]
 pub(super) struct Routes {
-    at: Instant,
     /// Running nodes.
     peers: Vec<Peer>,
     fanout: Fanout,
@@ -33,23 +29,6 @@
     groups: GroupRelays,
 }
 
-impl Routes {
-    /// Creates the state without any receivers.
-    pub(super) fn new(start: Instant) -> Routes {
-        Routes {
-            at: start,
-            peers: Vec::new(),
-            fanout: Fanout::default(),
-            groups: GroupRelays::default(),
-        }
-    }
-
-    /// Returns whether the receivers should be recomputed.
-    pub(super) fn are_stale(&self, now: Instant) -> bool {
-        now >= self.at + MAX_ROUTES_AGE
-    }
-}
-
 impl Membership {
     /// Recomputes the receivers of messages.
     pub(super) fn update_routes(&mut self, now: Instant) {
@@ -63,7 +42,7 @@
                 GroupRelays::new(&self.local_node.name, &self.local_node.domain, &peers, epoch)
             }
         };
-        self.routes = Routes { at: now, peers, fanout, groups };
+        self.routes = Routes { peers, fanout, groups };
     }
 
     /// Sends a message to all other nodes, or to the heartbeat targets if there are more than
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -15,7 +15,7 @@
         server::{self, Purpose},
         settings::Settings,
         store::Store,
-        view::Published,
+        view::{Published, Registration},
     },
     compact_str::CompactString,
     std::{
@@ -170,12 +170,16 @@
 /// Applies published views to the fleet.
 async fn apply_views<D: Dialect>(traffic: Traffic<D, Tcp>, name: CompactString) {
     let mut signal = traffic.published.watch();
+    let mut applied: Option<Arc<Vec<Registration>>> = None;
     loop {
         let view = traffic.published.load();
         traffic.client.fleet.set_scope(view.scope);
         traffic.client.fleet.set_nodes(&name, &view.nodes);
-        if view.listed {
+        let is_applied =
+            applied.as_ref().is_some_and(|runners| Arc::ptr_eq(runners, &view.runners));
+        if view.listed && !is_applied {
             traffic.client.fleet.update(&view.runners);
+            applied = Some(view.runners.clone());
         }
         if signal.changed().await.is_err() {
             return;
