Wait until callers' connections are closed before a stopping instance exits

Cause: after the address responses had expired (3.0 s) the instance waited until no request was in flight, slept 50 ms for the last responses to leave, and exited. It still accepted connections, and what arrived in those 50 ms was cut.

Change: from then on callers' connections are not accepted any more, and the instance waits until those that are open have closed: idle ones are closed at once, others after their response. The bound before the kill stays.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -54,6 +54,8 @@
     pub published: Published,
     /// Number of requests and streams in flight.
     pub in_flight: Rc<Cell<usize>>,
+    /// Number of open connections of callers.
+    pub connections: Rc<Cell<usize>>,
     /// Metrics of this node.
     pub metrics: Metrics,
     /// Sends outcomes of requests during a rollout to the control thread.
@@ -101,6 +103,7 @@
             },
             published,
             in_flight: Rc::default(),
+            connections: Rc::default(),
             metrics,
             samples: None,
             budgets: Budgets::new(allowance),
@@ -142,6 +145,11 @@
         InFlightGuard::new(&self.in_flight)
     }
 
+    /// Counts a connection of a caller as open until the returned guard is dropped.
+    pub fn track_connection(&self) -> InFlightGuard {
+        InFlightGuard::new(&self.connections)
+    }
+
     /// Selects a runner that is not in `except`, according to the rollout of the service.
     fn choose_runner(&self, call: &Call, except: &[RunnerKey]) -> Option<Endpoint> {
         let view = self.published.load();
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -38,7 +38,7 @@
 /// Result with a [`NodeError`].
 pub type Result<T> = std::result::Result<T, NodeError>;
 
-/// Interval at which a draining node checks for requests in flight.
+/// Interval at which a draining node checks for open connections.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout for sending the leave message.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -200,8 +200,8 @@
     }
 }
 
-/// Waits until address responses have expired and the node is idle, at most until the kill
-/// deadline.
+/// Waits until address responses have expired and all callers' connections are closed, at most until
+/// the kill deadline.
 async fn wait_drained<D: Dialect>(
     handler: &Handler<D, Tcp>,
     at: Instant,
@@ -212,12 +212,14 @@
         Drain::addresses_expire(at, ADDRESSES_TTL.min(handler.max_addresses_ttl)).min(end);
     sleep_until(expired).await;
     close.send_replace(true);
-    while handler.traffic.in_flight.get() > 0 && Instant::now() < end {
+    let traffic = &handler.traffic;
+    let is_open = || traffic.in_flight.get() > 0 || traffic.connections.get() > 0;
+    while is_open() && Instant::now() < end {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    // Leaves time to flush the last responses.
+    // Leaves time to send the last responses, which the sockets still buffer.
     sleep(DRAIN_POLL_INTERVAL).await;
-    let open = handler.traffic.in_flight.get();
+    let open = traffic.in_flight.get();
     log::info!(open = open as u64, after = at.elapsed().as_millis() as u64; "drained");
 }
 
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -47,15 +47,21 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Accepts and serves connections until cancelled; a change of `close` closes idle ones.
+/// Accepts and serves connections; a change of `close` closes idle ones. Callers' connections are not
+/// accepted from then on, since a request on a new one could arrive while the process exits.
 pub async fn serve<D: Dialect, N: Network>(
     listener: TcpListener,
     purpose: Purpose,
     handler: Handler<D, N>,
     close: watch::Receiver<bool>,
 ) {
+    let mut closing = close.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.changed(), if purpose == Purpose::Requests => return,
+        };
+        match accepted {
             Ok((stream, _)) => match configure(&stream) {
                 Ok(()) => {
                     let serving = serve_connection(stream, purpose, handler.clone(), close.clone());
@@ -79,6 +85,7 @@
     handler: Handler<D, N>,
     mut close: watch::Receiver<bool>,
 ) {
+    let _open = (purpose == Purpose::Requests).then(|| handler.traffic.track_connection());
     let limits = limits(&handler.traffic.published);
     let service = service_fn(|request| respond(&handler, purpose, request));
     let mut builder = http1::Builder::new();
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -55,6 +55,8 @@
 pub(crate) enum Script {
     /// Sends a complete response with this status and body.
     Respond(u16, &'static str),
+    /// Sends a complete response with this status and body after a delay.
+    RespondAfter(u16, &'static str, Duration),
     /// Rejects the request with the header that states that it was not executed.
     NotRun,
     /// Streams events up to the id `last`, then ends the stream as `end` states.
@@ -260,6 +262,10 @@
     let is_rejected = script == Script::NotRun;
     let mut response = match script {
         Script::Respond(status, text) => complete_response(status, text),
+        Script::RespondAfter(status, text, delay) => {
+            sleep(delay).await;
+            complete_response(status, text)
+        }
         Script::NotRun => {
             let mut response = complete_response(503, "");
             response.headers_mut().insert("x-bilberryfront-not-executed", "1".parse().unwrap());
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -9,6 +9,7 @@
 
 use {
     bytes::Bytes,
+    futures_util::future::join_all,
     http::Request,
     http_body_util::{BodyExt, Full},
     hyper::client::conn::http1,
@@ -30,6 +31,47 @@
     },
 };
 
+/// Guards against a call that is cut because it arrives while the instance, idle for a moment, is about
+/// to exit. Callers with old address responses connect until the process is gone.
+#[tokio::test]
+async fn instance_that_stops_answers_every_call_that_it_forwards() {
+    const CALLERS: usize = 8;
+    run_local(async {
+        let mut platform = Platform::new().await;
+        let slow = Script::RespondAfter(200, "lodged", ms(15));
+        platform.runners[2].crash();
+        platform.start_runner("p2", support::PLAIN, "a", slow).await;
+        let mut instance = platform.start("n1");
+        wait_until("the instance serves", async || {
+            instance.post("/lodge/1", "k1").await.is_some_and(|r| r.status == 200)
+        })
+        .await;
+        let runner = platform.runners[3].clone();
+        let before = runner.request_count();
+        instance.process.terminate();
+        let callers = instance.callers;
+        // The pauses leave the instance idle between the calls.
+        let call = |index: usize| async move {
+            sleep(ms(30 * index as u64)).await;
+            let mut answered = 0;
+            while let Ok(stream) = TcpStream::connect(callers).await {
+                drop(stream);
+                let response = post(callers, "/lodge/2", "k1").await;
+                answered += usize::from(response.is_some_and(|r| r.status == 200));
+                sleep(ms(40 + 20 * (index as u64 % 5))).await;
+            }
+            answered
+        };
+        let answered = join_all((0..CALLERS).map(call)).await;
+        assert!(instance.process.wait().unwrap().success());
+        let (answered, forwarded) =
+            (answered.iter().sum::<usize>(), runner.request_count() - before);
+        assert!(answered > 0);
+        assert_eq!(answered, forwarded, "calls that were answered and forwarded");
+    })
+    .await;
+}
+
 /// Guards against failed requests while parts of the system fail. Two instances find each other
 /// through the store; a stream continues after its runner crashes; a revoked key is soon rejected,
 /// also when the store becomes unavailable afterwards; an instance that is terminated drains
