Request a shard once while its response is on its way, and count shards

Cause: at a start of the whole fleet a reader sends a shard to each of the 190 instances of its domain, which takes seconds on 20 Mbit/s. Requests were repeated after 0.5 s, and in turn every second without a report, so the same rows were queued up to eight times.

Change: all rows are requested again after 20 ms for each node of the domain, twice that time and so on, and not without a report while a request is pending; changed rows as before. The test saw eight requests in three seconds before, and one or two now.

--- a/crates/decide/tests/member_start.rs
+++ b/crates/decide/tests/member_start.rs
@@ -78,7 +78,7 @@
             self.members.push(member);
         }
         let ticks = (self.now - self.start).as_millis() / STEP.as_millis();
-        if ticks % 40 == 0 {
+        if ticks.is_multiple_of(40) {
             let readers = self.members.iter_mut().take(2 * DOMAINS);
             readers.for_each(|reader| reader.apply_instances(self.now, revision, &listed));
         }
--- a/crates/relay/src/control/tables.rs
+++ b/crates/relay/src/control/tables.rs
@@ -66,6 +66,7 @@
         self.sync.step(now, &mut out);
         self.feeds.set_active(&self.sync);
         self.metrics.set_store_era(self.sync.era());
+        self.metrics.set_shards(self.sync.shard_count());
         self.set_cut_off(self.sync.is_cut_off());
         self.apply_actions(out);
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -120,6 +120,7 @@
     volume: Volume,
     version: Gauge,
     era: Gauge,
+    shards: Gauge,
     nodes: Gauge,
     runners: Gauge,
     open: Gauge,
@@ -139,6 +140,7 @@
             volume: Volume::default(),
             version: Gauge::default(),
             era: Gauge::default(),
+            shards: Gauge::default(),
             nodes: Gauge::default(),
             runners: Gauge::default(),
             open: Gauge::default(),
@@ -170,6 +172,11 @@
         );
         m.volume.register(&mut registry);
         registry.register("catalogue_version", "Version in force", m.version.clone());
+        registry.register(
+            "shards",
+            "Number of shards of the service with most runners",
+            m.shards.clone(),
+        );
         registry.register("store_era", "Restorations of the store", m.era.clone());
         registry.register("nodes", "Nodes in the address answers", m.nodes.clone());
         registry.register("runners", "Runners registered", m.runners.clone());
@@ -252,6 +259,11 @@
         self.era.set(era as i64);
     }
 
+    /// Sets the number of shards into which the largest service is divided.
+    pub fn set_shards(&self, count: u32) {
+        self.shards.set(count.into());
+    }
+
     /// Encodes all metrics as text; `open` is the number of requests in flight.
     pub fn encode(&self, open: usize) -> String {
         self.open.set(open as i64);
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -34,11 +34,13 @@
 const MIN_EXPIRY_TIME: Duration = Duration::from_secs(2);
 /// Interval of the reports to other failure domains.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(800);
-/// Minimum time until rows are requested again; doubles with each request until the copies agree, as
-/// responses to all nodes of a domain may take seconds on the reader's link.
+/// Minimum time until rows are requested again; doubles with each request until the copies agree.
 const PULL_BACKOFF_MIN: Duration = Duration::from_millis(500);
-/// Maximum time until rows are requested again.
+/// Maximum time until changed rows are requested again.
 const PULL_BACKOFF_MAX: Duration = Duration::from_secs(4);
+/// Time per node of the domain until all rows are requested again: a compressed shard of 50 KB on a
+/// reader's link of 20 Mbit/s, which sends them to all nodes one after the other.
+const SHARD_TIME: Duration = Duration::from_millis(20);
 /// Minimum time until missing tables are requested again from a node that may not be a reader.
 const MISSING_BACKOFF_MIN: Duration = Duration::from_millis(250);
 /// Maximum time until missing tables are requested again from such a node.
@@ -233,6 +235,11 @@
         self.tables.iter().map(|table| table.mirror.era()).max().unwrap_or_default()
     }
 
+    /// Returns the number of shards of the service that is divided into most.
+    pub fn shard_count(&self) -> u32 {
+        self.services.max()
+    }
+
     /// Returns the condition that a row is as known; `None` if the table may lack rows.
     pub fn condition(&self, table: TableId, key: &str) -> Option<Condition> {
         self.tables[index(table)].mirror.condition(key).filter(|_| self.tables[index(table)].whole)
@@ -550,7 +557,14 @@
         // Copies at the same revision differ in rows that have not changed since.
         let has_rows = table.whole || is_shard;
         let since = known.filter(|known| has_rows && *known != digest.revision);
-        if is_due && Backoff::try_next(&mut table.pull, now, PULL_BACKOFF_MIN, PULL_BACKOFF_MAX) {
+        let (min, max) = match since {
+            Some(_) => (PULL_BACKOFF_MIN, PULL_BACKOFF_MAX),
+            None => {
+                let time = SHARD_TIME * self.ranking.len() as u32;
+                (time.max(PULL_BACKOFF_MIN), time.max(PULL_BACKOFF_MAX))
+            }
+        };
+        if is_due && Backoff::try_next(&mut table.pull, now, min, max) {
             table.mismatches = 0;
             let pull = TablePull { table: digest.table, since, shard };
             out.push(Action::Send(from.clone(), PeerMessage::TablePull(pull)));
@@ -570,7 +584,12 @@
         let turn = self.shard as usize + self.missing_pulls;
         self.missing_pulls += 1;
         let reader = readers[turn % readers.len()];
-        let missing = |table: &&TableId| self.tables[index(**table)].mirror.revision().is_none();
+        let missing = |table: &&TableId| {
+            let Table { mirror, pull, .. } = &self.tables[index(**table)];
+            // The response to a request after a report may be on its way.
+            let is_pending = pull.is_some_and(|last| now < last.at + last.wait);
+            mirror.revision().is_none() && !is_pending
+        };
         out.extend(TableId::ALL.iter().filter(missing).map(|table| {
             let pull = TablePull { table: *table, since: None, shard: Some(self.shard) };
             Action::Send(reader.clone(), PeerMessage::TablePull(pull))
--- a/crates/relay/tests/table_sync/shards.rs
+++ b/crates/relay/tests/table_sync/shards.rs
@@ -5,11 +5,16 @@
         SECOND,
         world::{Node, World},
     },
-    bilberryfront_decide::member::message::TableId,
+    bilberryfront_decide::member::{
+        PeerMessage,
+        message::{StoreReport, TableDigest, TableId},
+    },
     bilberryfront_relay::{
         mirror::Mirror,
+        readers::Ranking,
         shards::{self, Census, MAX_SHARDS, MIN_RUNNERS, ShardCounts, shard},
         store::{Revision, Row, Rows},
+        table_sync::{Action, TableSync},
     },
     compact_str::{CompactString, format_compact},
     quickcheck::{Gen, QuickCheck},
@@ -75,6 +80,43 @@
     }
 }
 
+/// Load: all nodes of a large domain start at the same time, and the responses of its readers take
+/// seconds on their links. Guards against requests that are repeated while the response is on its way.
+#[test]
+fn shard_on_its_way_is_not_requested_again() {
+    const NODES: usize = 190;
+    const INTERVAL: Duration = Duration::from_millis(50);
+    let names = (0..NODES).map(|index| format_compact!("node-{index}"));
+    let ranking = Ranking::new(names);
+    let reader = ranking.readers()[0].clone();
+    let me = format_compact!("node-{}", if reader == "node-7" { 8 } else { 7 });
+    let (start, mut out) = (Instant::now(), Vec::new());
+    let mut sync = TableSync::new(1, me, |_, _| Some("llm".into()));
+    sync.set_ranking(ranking);
+    sync.start(start);
+    let digest = |table| {
+        let revision = Revision::new(0, 5);
+        TableDigest { table, revision, hash: 1, shard_hash: 2 }
+    };
+    let digests: Vec<TableDigest> = TableId::ALL.into_iter().map(digest).collect();
+    let report = StoreReport { available: true, digests, services: Vec::new() };
+    for tick in 0..60 {
+        let now = start + INTERVAL * tick;
+        if tick % 8 == 4 {
+            let message = PeerMessage::StoreReport(report.clone());
+            sync.on_message(now, &reader, message, &mut out);
+        }
+        sync.step(now, &mut out);
+    }
+    let is_pull = |action: &&Action| {
+        let pull = |message: &PeerMessage| matches!(message, PeerMessage::TablePull(pull) if pull.table == TableId::Runners);
+        matches!(action, Action::Send(_, message) if pull(message))
+    };
+    let pulls = out.iter().filter(is_pull).count();
+    // One before the first report, and one after it.
+    assert!(pulls <= 2, "{pulls} requests in three seconds");
+}
+
 /// Load: a release, in which registrations change continuously. Guards against nodes that request
 /// tables whenever the digests differ, and against changes that are sent to all nodes.
 #[tokio::test(start_paused = true)]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -56,6 +56,7 @@
     /// Sends a complete response with this status and body.
     Respond(u16, &'static str),
     /// Sends a complete response with this status and body after a delay.
+    #[allow(dead_code, reason = "used by the tests of the program only")]
     RespondAfter(u16, &'static str, Duration),
     /// Rejects the request with the header that states that it was not executed.
     NotRun,
