Keep few TLS sessions, and account for the whole fleet

Cause: each connection to a node stored its session for resumption, up to eight tickets for each of 256 servers and 256 sessions of clients, with the certificate chains. On the whole fleet an instance's heap held some 2,000 copies of the protocol's name and 3,000 of certificates after the start: 15 to 29 MB, rising with the number of nodes that it ever sent to.

Change: one ticket a connection, 64 sessions as client and 64 as server, more than a node sends to regularly.

Ruled out: changing the rings at most every 2 ms x nodes, against connections to ever more nodes. The model's bound on receivers is a test now.

--- a/crates/decide/tests/member_start.rs
+++ b/crates/decide/tests/member_start.rs
@@ -10,7 +10,7 @@
     },
     bilberryfront_wire::instance::{Instance, InstanceKind, InstanceState},
     compact_str::{CompactString, format_compact},
-    std::time::Duration,
+    std::{collections::HashSet, time::Duration},
     tokio::time::Instant,
 };
 
@@ -31,6 +31,8 @@
     suspicions: usize,
     /// Number of state changes.
     changes: usize,
+    /// Senders and receivers of messages.
+    links: HashSet<(usize, usize)>,
 }
 
 fn instance(index: usize) -> Instance {
@@ -59,7 +61,16 @@
     fn new(size: usize) -> Net {
         let now = Instant::now();
         let (members, inbox) = (Vec::new(), Vec::new());
-        Net { start: now, now, size, members, inbox, suspicions: 0, changes: 0 }
+        Net {
+            start: now,
+            now,
+            size,
+            members,
+            inbox,
+            suspicions: 0,
+            changes: 0,
+            links: HashSet::new(),
+        }
     }
 
     fn step(&mut self) {
@@ -98,8 +109,10 @@
         for output in out {
             match output {
                 Output::Send { to, message } => {
-                    let to = to.iter().map(|target| index(&target.name));
-                    self.inbox.extend(to.map(|to| (from, to, message.clone())));
+                    for to in to.iter().map(|target| index(&target.name)) {
+                        self.links.insert((from, to));
+                        self.inbox.push((from, to, message.clone()));
+                    }
                 }
                 Output::Changed { to, .. } => {
                     self.changes += 1;
@@ -125,6 +138,17 @@
     }
 }
 
+/// Load: all nodes start together. Guards against connections to ever more nodes while the rings change.
+#[test]
+fn nodes_that_start_together_send_to_few_nodes() {
+    for size in [100, 400] {
+        let mut net = Net::new(size);
+        net.run_until_known();
+        let links = net.links.len() as f64 / size as f64;
+        assert!(links <= 20.0, "{links} receivers of each of {size} nodes");
+    }
+}
+
 /// Load: all nodes start together. Guards against nodes that suspect each other because their views
 /// differ: each sends heartbeats to the neighbours in its own view, and a large system takes seconds
 /// until all views agree.
--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -8,7 +8,10 @@
         crypto::rustls::{QuicClientConfig, QuicServerConfig},
     },
     rustls::{
-        ClientConfig, RootCertStore, ServerConfig, crypto::ring, server::WebPkiClientVerifier,
+        ClientConfig, RootCertStore, ServerConfig,
+        client::Resumption,
+        crypto::ring,
+        server::{ServerSessionMemoryCache, WebPkiClientVerifier},
         version::TLS13,
     },
     rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
@@ -19,6 +22,9 @@
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// ALPN protocol.
 const ALPN: &[u8] = b"bilberryfront/1";
+/// Number of nodes whose TLS sessions are kept for resumption, as client and as server each; more than
+/// a node sends to regularly. Each session holds a certificate chain.
+const SESSIONS: usize = 64;
 /// Maximum concurrent incoming streams per connection, with one message each.
 const MAX_STREAMS: u32 = 16;
 /// Receive window per connection and per stream, and send window.
@@ -95,6 +101,8 @@
         .with_protocol_versions(&[&TLS13])?
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain, key)?;
+    config.session_storage = ServerSessionMemoryCache::new(SESSIONS);
+    config.send_tls13_tickets = 1;
     config.alpn_protocols = vec![ALPN.to_vec()];
     Ok(config)
 }
@@ -108,6 +116,7 @@
         .with_protocol_versions(&[&TLS13])?
         .with_root_certificates(roots)
         .with_client_auth_cert(chain, key)?;
+    config.resumption = Resumption::in_memory_sessions(SESSIONS);
     config.alpn_protocols = vec![ALPN.to_vec()];
     Ok(config)
 }
