Let a reader that the store rejects get its tables from its peers

Cause: with the division into shards, a reader without the whole table ignored the digests of other readers, as it reads the table itself, unless the store was unavailable to all of them. A reader that starts while the store rejects it alone, and serves the others, got no tables and would never have become ready, at any size of the system.

Change: it ignores them only while its own polls have not failed.

The test failed before, at 100 and 2,000 runners.

--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -537,10 +537,11 @@
     ) {
         let shard = (!self.polling).then_some(self.shard);
         let is_comparable = digest.table != TableId::Runners || division(report) == self.services;
+        let is_rejected = self.has_failed();
         let table = &mut self.tables[index(digest.table)];
         let is_shard = !table.whole && shard.is_some();
-        // A reader that the store serves reads the whole table itself.
-        let is_reading = !table.whole && shard.is_none() && !self.rejected;
+        // A reader reads the whole table itself unless the store rejects it.
+        let is_reading = !table.whole && shard.is_none() && !is_rejected;
         if table.mirror.is_outdated(digest.revision) || (is_shard && !is_comparable) || is_reading {
             return;
         }
--- a/crates/relay/tests/table_sync/shards.rs
+++ b/crates/relay/tests/table_sync/shards.rs
@@ -155,6 +155,23 @@
     assert!(world.nodes.iter().filter(|n| !n.dead).all(|n| holds_its_shard(n, &world, &counts)));
 }
 
+/// Guards against a reader that never gets its tables, because the store rejects it from its start on
+/// and serves the others.
+#[tokio::test(start_paused = true)]
+async fn reader_that_the_store_rejects_gets_the_tables_from_its_peers() {
+    for runners in [100, 2_000] {
+        let mut world = World::new(30, runners);
+        let reader = world.readers()[0];
+        world.nodes[reader].rejected = true;
+        world.run(8 * SECOND).await;
+        let counts = division(runners);
+        assert!(world.nodes.iter().all(|n| holds_its_shard(n, &world, &counts)), "{runners}");
+        world.store.put(TableId::Runners, "r1");
+        world.run(3 * SECOND).await;
+        assert!(world.nodes.iter().all(|n| holds_its_shard(n, &world, &counts)), "{runners}");
+    }
+}
+
 /// Guards against nodes that keep the registrations of their former shard, or lack those of the new
 /// one, when a service has grown or shrunk.
 #[tokio::test(start_paused = true)]
