Accept as many claims as a heartbeat may refute, and bound the lists of a heartbeat apart

Cause: gossip in proportion to its queue raised the limit of a heartbeat's lists from 64 to 512 entries, for usage as well, while the answer to a heartbeat, a claim for each refuted update, was still rejected above 64.

Change: a heartbeat has at most 512 updates and 64 lines of usage, and 512 claims are accepted. The test takes each list at its limit and one above; it expects more than before.

--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -5,7 +5,10 @@
 
 use {
     crate::{PeerError, Result},
-    bilberryfront_decide::member::{MAX_MEMBERS, MAX_UPDATES, PeerMessage, message::RelayedLoad},
+    bilberryfront_decide::member::{
+        MAX_MEMBERS, MAX_UPDATES, PeerMessage,
+        message::{Heartbeat, RelayedLoad},
+    },
     bytes::Bytes,
     compact_str::CompactString,
     std::borrow::Cow,
@@ -27,8 +30,8 @@
 const COMPRESS_MIN_BYTES: usize = 512;
 /// Size of the prefix of compressed data that states its uncompressed size.
 const SIZE_PREFIX_BYTES: usize = size_of::<u32>();
-/// Maximum entries of other lists.
-const ITEMS_LIMIT: usize = 64;
+/// Maximum usage entries per heartbeat.
+const USAGE_LIMIT: usize = 64;
 /// Maximum entries of each kind per load update.
 pub const LOADS_LIMIT: usize = 1_024;
 
@@ -142,7 +145,7 @@
     if !rest.is_empty() || Class::of(&message) != class {
         return Err(DecodeError::Garbled);
     }
-    if item_count(&message) > item_limit(&message) {
+    if has_too_many_items(&message) {
         return Err(DecodeError::Oversized);
     }
     Ok((name, message))
@@ -165,24 +168,20 @@
     lz4_flex::decompress_size_prepended(body).map_err(|_| DecodeError::Garbled)
 }
 
-/// Returns the length of the longest list in the message.
-fn item_count(message: &PeerMessage) -> usize {
+/// Returns whether a list in the message is longer than any sender makes it.
+fn has_too_many_items(message: &PeerMessage) -> bool {
     match message {
-        PeerMessage::Heartbeat(heartbeat) => heartbeat.updates.len().max(heartbeat.usage.len()),
-        PeerMessage::MembersPush(claims) | PeerMessage::Claims(claims) => claims.len(),
+        PeerMessage::Heartbeat(Heartbeat { updates, usage, .. }) => {
+            updates.len() > MAX_UPDATES || usage.len() > USAGE_LIMIT
+        }
+        // At most all updates of a heartbeat are refuted.
+        PeerMessage::Claims(claims) => claims.len() > MAX_UPDATES,
+        PeerMessage::MembersPush(claims) => claims.len() > MAX_MEMBERS + 1,
         PeerMessage::Load(load) | PeerMessage::RelayedLoad(RelayedLoad { load, .. }) => {
             let (runners, budgets) = (load.runners.len(), load.budgets.len());
-            runners.max(budgets).max(load.failed.len()).max(load.restarts.len())
+            let longest = runners.max(budgets).max(load.failed.len()).max(load.restarts.len());
+            longest > LOADS_LIMIT
         }
-        _ => 0,
-    }
-}
-
-fn item_limit(message: &PeerMessage) -> usize {
-    match message {
-        PeerMessage::MembersPush(_) => MAX_MEMBERS + 1,
-        PeerMessage::Load(_) | PeerMessage::RelayedLoad(_) => LOADS_LIMIT,
-        PeerMessage::Heartbeat(_) => MAX_UPDATES,
-        _ => ITEMS_LIMIT,
+        _ => false,
     }
 }
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -7,7 +7,7 @@
     bilberryfront_decide::{
         id::{Incarnation, StoreRevision},
         member::{
-            PeerMessage,
+            MAX_UPDATES, PeerMessage,
             message::{
                 CatalogPush, Claim, DividedService, Extent, Heartbeat, Hint, HintKind, Moment,
                 NodeIncarnation, NodeLocation, NodeState, StoreReport, TableDigest, TableId,
@@ -183,14 +183,28 @@
     assert_eq!(decode(&bytes), Err(DecodeError::Garbled));
 }
 
+/// Guards against messages whose lists are longer than any sender makes them.
 #[test]
 fn too_many_items_are_rejected() {
-    let updates = vec![Update::Node(claim()); 65];
-    let (moment, state) = (moment(), NodeState::Ready);
-    let heartbeat =
-        Heartbeat { moment, state, location: None, revision: 0.into(), usage: Vec::new(), updates };
-    let bytes = encode(&name(), &PeerMessage::Heartbeat(heartbeat)).unwrap().bytes;
-    assert_eq!(decode(&bytes), Err(DecodeError::Oversized));
+    let heartbeat = |updates: usize, usage: usize| {
+        let line = Usage { entry: "e".into(), account: "c".into(), running: 1 };
+        PeerMessage::Heartbeat(Heartbeat {
+            moment: moment(),
+            state: NodeState::Ready,
+            location: None,
+            revision: 0.into(),
+            usage: vec![line; usage],
+            updates: vec![Update::Node(claim()); updates],
+        })
+    };
+    let decoded = |message: &PeerMessage| decode(&encode(&name(), message).unwrap().bytes);
+    let claims = |count: usize| PeerMessage::Claims(vec![claim(); count]);
+    for message in [heartbeat(MAX_UPDATES, 64), claims(MAX_UPDATES)] {
+        assert_eq!(decoded(&message), Ok((name(), message)));
+    }
+    for message in [heartbeat(MAX_UPDATES + 1, 0), heartbeat(0, 65), claims(MAX_UPDATES + 1)] {
+        assert_eq!(decoded(&message), Err(DecodeError::Oversized));
+    }
 }
 
 #[test]
