--- a/crates/relay/tests/table_sync.rs
+++ b/crates/relay/tests/table_sync.rs
@@ -217,7 +217,7 @@
 /// the nodes do not agree with the store.
 #[test]
 fn nodes_agree_with_the_store_after_any_faults() {
-    fn agree(steps: &Vec<(u8, u8)>) -> bool {
+    fn agree(steps: &[(u8, u8)]) -> bool {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_time()
             .start_paused(true)
@@ -225,23 +225,7 @@
             .unwrap();
         runtime.block_on(async {
             let mut world = World::settled(5, 6).await;
-            let mut backup = world.store.back_up();
-            for (action, index) in steps {
-                let key = format!("r{}", index % 8);
-                let node = usize::from(*index) % world.nodes.len();
-                match action % 10 {
-                    0 | 1 => _ = world.store.put(TableId::Runners, &key),
-                    2 => world.store.remove(TableId::Runners, &key),
-                    3 => _ = world.store.put(TableId::Operators, "config"),
-                    4 => backup = world.store.back_up(),
-                    5 | 6 => world.store.restore(&backup),
-                    7 => world.store.down = !world.store.down,
-                    8 => world.toggle_reachable(node),
-                    _ => world.nodes[node].rejected = !world.nodes[node].rejected,
-                }
-                world.run(Duration::from_millis(u64::from(*index) * 4)).await;
-            }
-            world.repair();
+            world.run_faults(steps).await;
             world.run(15 * SECOND).await;
             let contents = world.store.contents();
             world.nodes.iter().all(|n| n.contents() == contents)
--- a/crates/relay/tests/table_sync/shards.rs
+++ b/crates/relay/tests/table_sync/shards.rs
@@ -199,7 +199,7 @@
 #[test]
 fn shards_agree_with_the_store_after_any_faults() {
     const RUNNERS: usize = 1_200;
-    fn agree(steps: &Vec<(u8, u8)>) -> bool {
+    fn agree(steps: &[(u8, u8)]) -> bool {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_time()
             .start_paused(true)
@@ -208,23 +208,7 @@
         runtime.block_on(async {
             let mut world = World::new(6, RUNNERS);
             world.run(5 * SECOND).await;
-            let mut backup = world.store.back_up();
-            for (action, index) in steps {
-                let key = format!("r{}", index % 8);
-                let node = usize::from(*index) % world.nodes.len();
-                match action % 10 {
-                    0 | 1 => _ = world.store.put(TableId::Runners, &key),
-                    2 => world.store.remove(TableId::Runners, &key),
-                    3 => _ = world.store.put(TableId::Operators, "config"),
-                    4 => backup = world.store.back_up(),
-                    5 | 6 => world.store.restore(&backup),
-                    7 => world.store.down = !world.store.down,
-                    8 => world.toggle_reachable(node),
-                    _ => world.nodes[node].rejected = !world.nodes[node].rejected,
-                }
-                world.run(Duration::from_millis(u64::from(*index) * 4)).await;
-            }
-            world.repair();
+            world.run_faults(steps).await;
             world.run(20 * SECOND).await;
             let counts = division(RUNNERS);
             world.nodes.iter().all(|node| holds_its_shard(node, &world, &counts))
--- a/crates/relay/tests/table_sync/world.rs
+++ b/crates/relay/tests/table_sync/world.rs
@@ -124,8 +124,29 @@
         world
     }
 
+    /// Applies random faults and changes, each as a kind and an index, and ends all faults.
+    pub(crate) async fn run_faults(&mut self, steps: &[(u8, u8)]) {
+        let mut backup = self.store.back_up();
+        for (action, index) in steps {
+            let key = format_compact!("r{}", index % 8);
+            let node = usize::from(*index) % self.nodes.len();
+            match action % 10 {
+                0 | 1 => _ = self.store.put(TableId::Runners, &key),
+                2 => self.store.remove(TableId::Runners, &key),
+                3 => _ = self.store.put(TableId::Operators, "config"),
+                4 => backup = self.store.back_up(),
+                5 | 6 => self.store.restore(&backup),
+                7 => self.store.down = !self.store.down,
+                8 => self.toggle_reachable(node),
+                _ => self.nodes[node].rejected = !self.nodes[node].rejected,
+            }
+            self.run(Duration::from_millis(u64::from(*index) * 4)).await;
+        }
+        self.repair();
+    }
+
     /// Makes a node unreachable, or reachable again.
-    pub(crate) fn toggle_reachable(&mut self, index: usize) {
+    fn toggle_reachable(&mut self, index: usize) {
         let name = self.nodes[index].name.clone();
         if !self.unreachable.remove(&name) {
             self.unreachable.insert(name);
@@ -133,7 +154,7 @@
     }
 
     /// Ends all faults.
-    pub(crate) fn repair(&mut self) {
+    fn repair(&mut self) {
         self.store.down = false;
         self.unreachable.clear();
         self.nodes.iter_mut().for_each(|node| node.rejected = false);
