--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -208,7 +208,7 @@
             PeerMessage::Claims(claims) => {
                 self.merge_claims(now, from, claims, out);
                 if claims.iter().any(|claim| claim.name == from) {
-                    self.send(from, PeerMessage::Heartbeat(self.presence()), out);
+                    self.send(from, PeerMessage::Heartbeat(self.heartbeat_reply()), out);
                 }
             }
             PeerMessage::Leave(moment) => {
--- a/crates/decide/src/member/record.rs
+++ b/crates/decide/src/member/record.rs
@@ -179,7 +179,7 @@
     }
 
     /// Returns whether the node is running and watched, but has been silent for [`PING_DELAY`].
-    pub(super) fn is_quiet(&self, now: Instant) -> bool {
+    pub(super) fn is_silent(&self, now: Instant) -> bool {
         self.is_running() && self.silent_since().is_some_and(|since| now >= since + PING_DELAY)
     }
 
--- a/crates/decide/src/member/rounds.rs
+++ b/crates/decide/src/member/rounds.rs
@@ -45,7 +45,7 @@
         to.extend(self.probe(now, out));
         let message = PeerMessage::Heartbeat(self.heartbeat());
         out.push(Output::Send { to, message });
-        self.ping_quiet(now, out);
+        self.ping_silent(now, out);
         self.synchronize(now, out);
         self.last_sent = now;
         self.heartbeat_at = now + self.interval().mul_f64(self.rng.random_range(0.9..1.1));
@@ -161,9 +161,9 @@
     }
 
     /// Requests a heartbeat of each watched node that has been silent for a while.
-    fn ping_quiet(&mut self, now: Instant, out: &mut Vec<Output>) {
-        let quiet = self.records.iter().filter(|(_, record)| record.is_quiet(now));
-        let to: Vec<Target> = quiet.filter_map(|(name, _)| self.target(name)).collect();
+    fn ping_silent(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let silent = self.records.iter().filter(|(_, record)| record.is_silent(now));
+        let to: Vec<Target> = silent.filter_map(|(name, _)| self.target(name)).collect();
         if !to.is_empty() {
             out.push(Output::Send { to, message: PeerMessage::Claims(vec![self.own_claim()]) });
         }
@@ -202,7 +202,7 @@
     }
 
     /// Returns a heartbeat without gossip, which answers a request.
-    pub(super) fn presence(&self) -> Heartbeat {
+    pub(super) fn heartbeat_reply(&self) -> Heartbeat {
         Heartbeat {
             moment: self.moment(),
             state: self.state,
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        shards::{self, Census, ShardCounts},
+        shards::{self, ShardCounts, ShardDigests},
         store::{Condition, Revision, Row, Rows},
     },
     bytes::Bytes,
@@ -28,7 +28,7 @@
     removed: VecDeque<(Instant, CompactString)>,
     /// Returns the service of a registration; `None` in a table without registrations.
     service_of: Option<ServiceOf>,
-    census: Census,
+    digests: ShardDigests,
     revision: Option<Revision>,
     /// Latest known era of the store.
     era: u64,
@@ -63,17 +63,17 @@
     /// Returns a hash of all rows, which is equal for equal copies. It does not cover the eras, so that
     /// rows that a restored store still has need not be sent again.
     pub fn hash(&self) -> u64 {
-        self.census.hash(None, &ShardCounts::default())
+        self.digests.hash(None, &ShardCounts::default())
     }
 
     /// Returns the hash of the rows that a node at the position `shard` holds.
     pub fn shard_hash(&self, shard: u32, counts: &ShardCounts) -> u64 {
-        self.census.hash(Some(shard), counts)
+        self.digests.hash(Some(shard), counts)
     }
 
     /// Returns the number of shards of each divided service; `counts` are the present ones.
     pub fn divide(&self, counts: &ShardCounts) -> ShardCounts {
-        self.census.divide(counts)
+        self.digests.divide(counts)
     }
 
     /// Returns the latest known era of the store.
@@ -173,14 +173,14 @@
 
     /// Deletes the rows that a node at the position `shard` does not hold, and returns their keys.
     pub fn retain_shard(&mut self, shard: u32, counts: &ShardCounts) -> Vec<CompactString> {
-        let Mirror { rows, census, .. } = self;
+        let Mirror { rows, digests, .. } = self;
         let is_released = |(key, version): &(&CompactString, &Version)| {
             !version.is_held(key, Some(shard), counts)
         };
         let released: Vec<CompactString> =
             rows.iter().filter(is_released).map(|(key, _)| key.clone()).collect();
         for key in &released {
-            rows.remove(key).iter().for_each(|version| version.leave(key, census));
+            rows.remove(key).iter().for_each(|version| version.leave(key, digests));
         }
         released
     }
@@ -259,9 +259,9 @@
         let is_same = known.is_some_and(|known| known.is_same(&version));
         self.era = self.era.max(row.revision.era);
         if let Some(known) = known {
-            known.leave(&row.key, &mut self.census);
+            known.leave(&row.key, &mut self.digests);
         }
-        version.enter(&row.key, &mut self.census);
+        version.enter(&row.key, &mut self.digests);
         if version.value.is_none() {
             self.removed.push_back((now, row.key.clone()));
         }
@@ -296,15 +296,15 @@
         shard.is_none_or(|own| shards::is_same_shard(own, shards::shard(key), count))
     }
 
-    fn enter(&self, key: &str, census: &mut Census) {
+    fn enter(&self, key: &str, digests: &mut ShardDigests) {
         if let Some(hash) = self.hash(key) {
-            census.add(self.service.as_ref(), shards::shard(key), hash);
+            digests.add(self.service.as_ref(), shards::shard(key), hash);
         }
     }
 
-    fn leave(&self, key: &str, census: &mut Census) {
+    fn leave(&self, key: &str, digests: &mut ShardDigests) {
         if let Some(hash) = self.hash(key) {
-            census.remove(self.service.as_ref(), shards::shard(key), hash);
+            digests.remove(self.service.as_ref(), shards::shard(key), hash);
         }
     }
 
--- a/crates/relay/src/shards.rs
+++ b/crates/relay/src/shards.rs
@@ -55,40 +55,40 @@
 
 /// Number of rows and sum of their hashes in each shard of one service.
 #[derive(Clone, Debug)]
-struct Tally {
+struct ServiceDigest {
     rows: usize,
     hashes: [u64; MAX_SHARDS as usize],
 }
 
-impl Default for Tally {
-    fn default() -> Tally {
-        Tally { rows: 0, hashes: [0; MAX_SHARDS as usize] }
+impl Default for ServiceDigest {
+    fn default() -> ServiceDigest {
+        ServiceDigest { rows: 0, hashes: [0; MAX_SHARDS as usize] }
     }
 }
 
-/// Tallies of all services; each change of a row takes constant time.
+/// Digests of all services; each change of a row takes constant time.
 #[derive(Clone, Debug, Default)]
-pub struct Census {
-    services: BTreeMap<Option<CompactString>, Tally>,
+pub struct ShardDigests {
+    services: BTreeMap<Option<CompactString>, ServiceDigest>,
 }
 
-impl Census {
+impl ShardDigests {
     /// Adds a row; `service` is `None` if the row is not a registration.
     pub fn add(&mut self, service: Option<&CompactString>, shard: u32, hash: u64) {
-        let tally = self.services.entry(service.cloned()).or_default();
-        tally.rows += 1;
-        let sum = &mut tally.hashes[shard as usize];
+        let digest = self.services.entry(service.cloned()).or_default();
+        digest.rows += 1;
+        let sum = &mut digest.hashes[shard as usize];
         *sum = sum.wrapping_add(hash);
     }
 
     /// Removes a row that was added.
     pub fn remove(&mut self, service: Option<&CompactString>, shard: u32, hash: u64) {
         let service = service.cloned();
-        let Some(tally) = self.services.get_mut(&service) else { return };
-        tally.rows -= 1;
-        let sum = &mut tally.hashes[shard as usize];
+        let Some(digest) = self.services.get_mut(&service) else { return };
+        digest.rows -= 1;
+        let sum = &mut digest.hashes[shard as usize];
         *sum = sum.wrapping_sub(hash);
-        if tally.rows == 0 {
+        if digest.rows == 0 {
             self.services.remove(&service);
         }
     }
@@ -97,9 +97,9 @@
     /// for all rows.
     pub fn hash(&self, shard: Option<u32>, counts: &ShardCounts) -> u64 {
         let held = |count, index: u32| shard.is_none_or(|own| is_same_shard(own, index, count));
-        let sums = self.services.iter().flat_map(|(service, tally)| {
+        let sums = self.services.iter().flat_map(|(service, digest)| {
             let count = counts.of(service.as_ref());
-            let hashes = tally.hashes.iter().zip(0..MAX_SHARDS);
+            let hashes = digest.hashes.iter().zip(0..MAX_SHARDS);
             hashes.filter(move |(_, index)| held(count, *index)).map(|(hash, _)| *hash)
         });
         sums.fold(0, u64::wrapping_add)
@@ -107,9 +107,9 @@
 
     /// Returns the number of shards of each divided service; `counts` are the present ones.
     pub fn divide(&self, counts: &ShardCounts) -> ShardCounts {
-        let services = self.services.iter().filter_map(|(service, tally)| {
+        let services = self.services.iter().filter_map(|(service, digest)| {
             let service = service.as_ref()?;
-            Some((service.clone(), shard_count(tally.rows, counts.of(Some(service)))))
+            Some((service.clone(), shard_count(digest.rows, counts.of(Some(service)))))
         });
         ShardCounts::new(services)
     }
--- a/crates/relay/tests/table_sync/shards.rs
+++ b/crates/relay/tests/table_sync/shards.rs
@@ -12,7 +12,7 @@
     bilberryfront_relay::{
         mirror::Mirror,
         readers::Ranking,
-        shards::{self, Census, MAX_SHARDS, MIN_RUNNERS, ShardCounts, shard},
+        shards::{self, MAX_SHARDS, MIN_RUNNERS, ShardCounts, ShardDigests, shard},
         store::{Revision, Row, Rows},
         table_sync::{Action, TableSync},
     },
@@ -42,11 +42,11 @@
 
 /// Returns the division of the service in a store with this number of registrations.
 fn division(runners: usize) -> ShardCounts {
-    let mut census = Census::default();
+    let mut digests = ShardDigests::default();
     for index in 0..runners {
-        census.add(Some(&"llm".into()), shard(&format_compact!("r{index}")), 1);
+        digests.add(Some(&"llm".into()), shard(&format_compact!("r{index}")), 1);
     }
-    census.divide(&ShardCounts::default())
+    digests.divide(&ShardCounts::default())
 }
 
 /// Load: more runners. Guards against nodes whose memory and processor time grow with the fleet, as
@@ -223,19 +223,19 @@
 /// Guards against a service near a limit that is divided differently with each changed registration.
 #[test]
 fn division_is_stable_near_a_limit() {
-    let mut census = Census::default();
+    let mut digests = ShardDigests::default();
     let llm: CompactString = "llm".into();
-    let add = |census: &mut Census, runners: usize| {
-        (0..runners).for_each(|index| census.add(Some(&llm), index as u32 % MAX_SHARDS, 1));
+    let add = |digests: &mut ShardDigests, runners: usize| {
+        (0..runners).for_each(|index| digests.add(Some(&llm), index as u32 % MAX_SHARDS, 1));
     };
-    add(&mut census, 2 * MIN_RUNNERS);
-    let divided = census.divide(&ShardCounts::default());
+    add(&mut digests, 2 * MIN_RUNNERS);
+    let divided = digests.divide(&ShardCounts::default());
     assert_eq!(divided.max(), 2);
-    (0..100).for_each(|index| census.remove(Some(&llm), index % MAX_SHARDS, 1));
-    assert_eq!(census.divide(&ShardCounts::default()).max(), 1, "without a former division");
-    assert_eq!(census.divide(&divided), divided);
-    add(&mut census, 60 * MIN_RUNNERS);
-    assert_eq!(census.divide(&divided).max(), 32);
+    (0..100).for_each(|index| digests.remove(Some(&llm), index % MAX_SHARDS, 1));
+    assert_eq!(digests.divide(&ShardCounts::default()).max(), 1, "without a former division");
+    assert_eq!(digests.divide(&divided), divided);
+    add(&mut digests, 60 * MIN_RUNNERS);
+    assert_eq!(digests.divide(&divided).max(), 32);
 }
 
 /// Guards against a node that misses a removal because the tombstone was deleted before it requested
