Divide a service only where each shard has enough holders

Cause: the number of shards depended on the runners alone. Six instances before 2,000 runners would hold two shards, by the hashes of their names; with one chance in 32 all six hold the same one, and half of the runners get no requests.

Change: a service is divided while a failure domain has eight instances for each shard, and into fewer shards again below two, so that a short loss of many instances moves no registrations. The first reader divides again when the number of instances has changed.

--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -71,9 +71,10 @@
         self.digests.hash(Some(shard), counts)
     }
 
-    /// Returns the number of shards of each divided service; `counts` are the present ones.
-    pub fn divide(&self, counts: &ShardCounts) -> ShardCounts {
-        self.digests.divide(counts)
+    /// Returns the number of shards of each divided service in a failure domain with this number of
+    /// nodes; `counts` are the present ones.
+    pub fn divide(&self, nodes: usize, counts: &ShardCounts) -> ShardCounts {
+        self.digests.divide(nodes, counts)
     }
 
     /// Returns the latest known era of the store.
--- a/crates/relay/src/shards.rs
+++ b/crates/relay/src/shards.rs
@@ -10,9 +10,15 @@
 pub const MAX_SHARDS: u32 = 64;
 /// Minimum mean number of runners per shard when a service is divided.
 pub const MIN_RUNNERS: usize = 512;
+/// Minimum mean number of holders per shard in a failure domain when a service is divided. Runners of a
+/// shard without holders would get no requests.
+pub const MIN_HOLDERS: usize = 8;
 /// Share of [`MIN_RUNNERS`] below which a service is divided into fewer shards again, so that a
 /// service near the limit is not divided differently with each change.
 const MERGE_SHARE: f64 = 0.75;
+/// Mean number of holders below which a service is divided into fewer shards again. Many nodes may be
+/// lost for a short time.
+const MERGE_HOLDERS: usize = 2;
 
 /// Position of a name among [`MAX_SHARDS`] shards. With a smaller number of shards, which is a
 /// power of two, its shard is the remainder.
@@ -105,24 +111,31 @@
         sums.fold(0, u64::wrapping_add)
     }
 
-    /// Returns the number of shards of each divided service; `counts` are the present ones.
-    pub fn divide(&self, counts: &ShardCounts) -> ShardCounts {
+    /// Returns the number of shards of each divided service in a failure domain with this number of
+    /// nodes; `counts` are the present ones.
+    pub fn divide(&self, nodes: usize, counts: &ShardCounts) -> ShardCounts {
         let services = self.services.iter().filter_map(|(service, digest)| {
             let service = service.as_ref()?;
-            Some((service.clone(), shard_count(digest.rows, counts.of(Some(service)))))
+            Some((service.clone(), shard_count(digest.rows, nodes, counts.of(Some(service)))))
         });
         ShardCounts::new(services)
     }
 }
 
-/// Returns the number of shards for a number of runners; `present` is kept near a limit.
-fn shard_count(runners: usize, present: u32) -> u32 {
-    let per_shard = |count: u32| runners as f64 / f64::from(count);
+/// Returns the number of shards for a number of runners and nodes; `present` is kept near a limit.
+fn shard_count(runners: usize, nodes: usize, present: u32) -> u32 {
+    let is_too_many = |count: u32| {
+        let (runners, count) = (runners as f64, count as usize);
+        runners / (count as f64) < MIN_RUNNERS as f64 * MERGE_SHARE || nodes / count < MERGE_HOLDERS
+    };
+    let is_enough = |count: u32| {
+        runners / count as usize >= MIN_RUNNERS && nodes / count as usize >= MIN_HOLDERS
+    };
     let mut count = present;
-    while count > 1 && per_shard(count) < MIN_RUNNERS as f64 * MERGE_SHARE {
+    while count > 1 && is_too_many(count) {
         count /= 2;
     }
-    while count < MAX_SHARDS && per_shard(count * 2) >= MIN_RUNNERS as f64 {
+    while count < MAX_SHARDS && is_enough(count * 2) {
         count *= 2;
     }
     count
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -129,6 +129,8 @@
     /// Position of this node among the shards.
     shard: u32,
     services: ShardCounts,
+    /// Number of nodes for which `services` were determined.
+    divided_for: usize,
     /// Time at which `services` were adopted from a reader that precedes this node.
     adopted_at: Option<Instant>,
 }
@@ -157,6 +159,7 @@
             missing_pull: None,
             missing_pulls: 0,
             services: ShardCounts::default(),
+            divided_for: 0,
             adopted_at: None,
         }
     }
@@ -238,8 +241,9 @@
             self.tables.iter_mut().for_each(|table| table.failed = false);
         }
         self.update_outage(now);
-        if !self.polling {
-            self.delete_other_shards();
+        match self.polling {
+            true => self.update_division(now, out),
+            false => self.delete_other_shards(),
         }
         if self.polling && self.is_loaded() {
             self.report(now, out);
--- a/crates/relay/src/table_sync/division.rs
+++ b/crates/relay/src/table_sync/division.rs
@@ -26,7 +26,7 @@
             let is_adopted = self.adopted_at.is_some_and(|at| now < at + REPORT_TTL);
             let services = match is_adopted {
                 true => self.services.clone(),
-                false => mirror.divide(&self.services),
+                false => mirror.divide(self.ranking.len(), &self.services),
             };
             let former = std::mem::replace(&mut self.services, services);
             let mut released = Vec::new();
@@ -47,7 +47,18 @@
                 out.push(Action::Release { table, keys: released });
             }
         }
-        out.push(Action::Apply { table, rows, grace });
+        if !rows.is_empty() || !was_whole || table != TableId::Runners {
+            out.push(Action::Apply { table, rows, grace });
+        }
+    }
+
+    /// Divides the services again if the number of nodes has changed.
+    pub(super) fn update_division(&mut self, now: Instant, out: &mut Vec<Action>) {
+        let nodes = self.ranking.len();
+        let is_whole = self.tables[index(TableId::Runners)].whole;
+        if is_whole && std::mem::replace(&mut self.divided_for, nodes) != nodes {
+            self.apply_held(now, TableId::Runners, Vec::new(), true, Duration::ZERO, out);
+        }
     }
 
     /// Deletes the copies of other shards' registrations, which only readers need.
