Accept callers while no other instance is ready to do so

Cause: an instance closes its listener 3 s after SIGTERM, but stays for its streams, 5.6 s on average, and is ready again 0.7 s after its exit; and address responses are empty while no instance is ready, although instances still accept. Ruled out: slow starts.

Change: an instance accepts until no request is in flight and no address response lists it, at the latest 1.3 s before the kill. While no instance is ready, address responses list the third of the draining ones (two at least) that started to drain last, for 0.3 s; the others leave once idle. A refused stream is told when an instance is expected to be ready. The timeout of a call ends before the process.

The process test failed on the code before: no address 0.4 s after the second SIGTERM.

--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -117,6 +117,8 @@
 pub struct Members {
     me: Me,
     state: NodeState,
+    /// Start of the drain of this node.
+    draining_since: Option<Instant>,
     beat: u64,
     revision: CatalogRevision,
     usage: Vec<Usage>,
@@ -150,6 +152,7 @@
         Members {
             me,
             state: NodeState::Starting,
+            draining_since: None,
             beat: 0,
             revision: CatalogRevision::default(),
             usage: Vec::new(),
@@ -319,6 +322,7 @@
     /// Marks this node as draining and announces it.
     pub fn drain(&mut self, now: Instant) {
         self.state = NodeState::Draining;
+        self.draining_since.get_or_insert(now);
         self.schedule_early_heartbeat(now);
     }
 
--- a/crates/decide/src/member/table.rs
+++ b/crates/decide/src/member/table.rs
@@ -4,6 +4,7 @@
     super::{
         Members, SILENCE_TIMEOUT,
         message::{Claim, NodeLocation, NodeState, Usage},
+        record::Record,
     },
     crate::id::{CatalogRevision, Incarnation},
     compact_str::CompactString,
@@ -57,17 +58,24 @@
         let others = others.filter_map(|(n, r)| Some((n, r.location.as_ref()?)));
         let mut nodes: Vec<_> = me.into_iter().chain(others).collect();
         nodes.sort_by_cached_key(|(n, p)| (p.domain != *own, xxh64(n.as_bytes(), seed)));
-        let address =
-            |p: &super::NodeLocation| Address { url: p.url.clone(), domain: p.domain.clone() };
         nodes.into_iter().map(|(_, p)| address(p)).collect()
     }
 
+    /// Returns the draining nodes with the start of their drain, in the order of these times.
+    pub fn draining(&self) -> Vec<(Instant, Address)> {
+        let me = self.draining_since.map(|since| (since, &self.me.name, &self.me.location));
+        let others = self.records.iter().filter(|(_, r)| r.state == NodeState::Draining);
+        let others = others.filter_map(|(n, r)| Some((r.since, n, r.location.as_ref()?)));
+        let mut nodes: Vec<_> = me.into_iter().chain(others).collect();
+        nodes.sort_by_key(|&(since, name, _)| (since, name));
+        nodes.into_iter().map(|(since, _, p)| (since, address(p))).collect()
+    }
+
     /// Returns the usage of limits by the other nodes.
     pub fn usage(&self, now: Instant) -> PeerUsage {
         let nodes =
             self.records.values().filter(|r| r.is_serving() || r.is_lost_but_listed()).count();
-        let is_heard =
-            |r: &&super::Record| r.last_heartbeat.is_some_and(|h| now < h + SILENCE_TIMEOUT);
+        let is_heard = |r: &&Record| r.last_heartbeat.is_some_and(|h| now < h + SILENCE_TIMEOUT);
         let mut sums = BTreeMap::<(&str, &str), u64>::new();
         let mut count = 0;
         for record in self.records.values().filter(is_heard) {
@@ -134,3 +142,7 @@
         1 + self.records.values().filter(|r| r.is_in_topology()).count()
     }
 }
+
+fn address(location: &NodeLocation) -> Address {
+    Address { url: location.url.clone(), domain: location.domain.clone() }
+}
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -645,3 +645,24 @@
     net.run(Duration::from_secs(2));
     assert_eq!(net.counts(), [OLD + 12; OLD + 12]);
 }
+
+/// Guards against callers who find no instance while all of them drain: which ones stay longest must
+/// be known then.
+#[test]
+fn draining_nodes_are_ordered_by_the_start_of_their_drain() {
+    let now = Instant::now();
+    let mut a = pair(now);
+    assert!(a.draining().is_empty());
+    let draining = heartbeat(incarnation(1, 1), 2, NodeState::Draining);
+    let urls = |a: &Members| -> Vec<_> {
+        a.draining().into_iter().map(|(since, node)| (since - now, node.url)).collect()
+    };
+    a.on_heartbeat(now + STEP * 20, "b", &draining, &mut Vec::new());
+    assert_eq!(urls(&a), [(STEP * 20, "http://b".into())]);
+    a.drain(now + STEP * 30);
+    a.drain(now + STEP * 40);
+    assert_eq!(urls(&a), [(STEP * 20, "http://b".into()), (STEP * 30, "http://a".into())]);
+    let left = Moment { life: incarnation(1, 1), beat: 3 };
+    a.receive(now + STEP * 50, "b", &PeerMessage::Leave(left), &mut Vec::new());
+    assert_eq!(urls(&a), [(STEP * 30, "http://a".into())]);
+}
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -71,6 +71,8 @@
     sync: TableSync,
     feeds: Feeds,
     nodes: Arc<Vec<NodeAddress>>,
+    /// Time at which a node is expected to be ready, if none is.
+    next_ready: Option<Instant>,
     scope: Scope,
     cut_off: bool,
     metrics: Metrics,
@@ -134,6 +136,7 @@
         sync,
         feeds,
         nodes: Arc::default(),
+        next_ready: None,
         scope: Scope::default(),
         cut_off: false,
         metrics,
@@ -216,11 +219,11 @@
         }
         let failed = membership.tick(now, self.row.as_ref());
         let changed = membership.changed_nodes(now);
-        if let Some(Nodes { ready, ranking, domains, scope }) = changed {
+        if let Some(Nodes { listed, next_ready, ranking, domains, scope }) = changed {
             self.scope = scope;
             self.sync.set_ranking(ranking);
             self.feeds.set_readers(domains * READERS);
-            self.set_nodes(ready);
+            self.set_nodes(listed, next_ready);
         }
         self.forward_failures(failed);
         self.step_sync(now);
@@ -228,10 +231,12 @@
         self.clean_up(now);
     }
 
-    fn set_nodes(&mut self, nodes: Vec<NodeAddress>) {
-        if *self.nodes != nodes {
-            log::info!(nodes = nodes.len() as u64; "nodes in address responses changed");
+    fn set_nodes(&mut self, nodes: Vec<NodeAddress>, next_ready: Option<Instant>) {
+        if *self.nodes != nodes || self.next_ready != next_ready {
+            log::info!(nodes = nodes.len() as u64, draining = next_ready.is_some();
+                "nodes in address responses changed");
             self.nodes = Arc::new(nodes);
+            self.next_ready = next_ready;
             self.publish();
         }
     }
@@ -269,6 +274,7 @@
             runners: self.registry.runners(),
             listed: self.registry.is_loaded(),
             nodes: self.nodes.clone(),
+            next_ready: self.next_ready,
             scope: self.scope,
             splits: self.splits.clone(),
             cut_off: self.cut_off,
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -6,8 +6,8 @@
     self::send::Routes,
     super::{authority::Authority, join, schedule::Schedule},
     crate::{
-        fanout::Scope, metrics::Metrics, readers::Ranking, settings::Settings, store::Rows,
-        view::NodeAddress,
+        drain::Drain, fanout::Scope, metrics::Metrics, readers::Ranking, settings::Settings,
+        store::Rows, view::NodeAddress,
     },
     bilberryfront_decide::{
         id::{CatalogRevision, Incarnation},
@@ -34,6 +34,11 @@
 const STARTUP_GRACE_PERIOD: Duration = Duration::from_secs(3);
 /// Time after which the registration of a dead node is deleted.
 const RETENTION: Duration = Duration::from_secs(600);
+/// While no node is ready, one of so many draining nodes is listed in address responses. The others exit
+/// once they are idle, so that some are ready again before the last ones exit.
+const LISTED_DRAINING_SHARE: usize = 3;
+/// Minimum number of draining nodes in address responses, as one may crash.
+const MIN_LISTED_DRAINING: usize = 2;
 /// Scheme of the URLs for callers in the membership.
 const SCHEME: &str = "http://";
 
@@ -53,6 +58,7 @@
     start: Instant,
     metrics: Metrics,
     draining: bool,
+    grace: Duration,
     /// Schedule of [`Self::changed_nodes`].
     schedule: Schedule,
     /// Whether the startup grace period was still running at the last call of
@@ -67,7 +73,9 @@
 /// State that the control thread derives from the membership.
 pub(super) struct Nodes {
     /// Nodes for address responses.
-    pub(super) ready: Vec<NodeAddress>,
+    pub(super) listed: Vec<NodeAddress>,
+    /// Time at which a node is expected to be ready, if none is and the listed ones are draining.
+    pub(super) next_ready: Option<Instant>,
     /// Nodes of this node's failure domain by rank.
     pub(super) ranking: Ranking,
     /// Number of failure domains.
@@ -104,6 +112,7 @@
         start,
         metrics,
         draining: false,
+        grace: settings.bounds.grace(),
         schedule: Schedule::default(),
         in_grace_period: true,
         routes: Routes::default(),
@@ -214,14 +223,30 @@
         if !self.draining {
             local.push(self.local_node.name.clone());
         }
-        let ready = self.ready_nodes();
+        let ready = self.known_nodes(self.members.addresses());
         let local_ready = ready.iter().filter(|node| node.domain == self.local_node.domain).count();
         self.scope = Scope::new(&self.local_node.name, ready.len(), local_ready);
         let (ranking, domains) = (Ranking::new(local), domains.len());
-        Some(Nodes { ready, ranking, domains, scope: self.scope })
+        let (listed, next_ready) = match ready.is_empty() {
+            true => self.draining_nodes(now),
+            false => (ready, None),
+        };
+        Some(Nodes { listed, next_ready, ranking, domains, scope: self.scope })
+    }
+
+    /// Returns the draining nodes that stay longest, and the time at which the first one of all
+    /// draining nodes is expected to have restarted.
+    fn draining_nodes(&self, now: Instant) -> (Vec<NodeAddress>, Option<Instant>) {
+        let draining = self.members.draining();
+        let next_ready = draining.first().map(|(since, _)| *since + self.grace);
+        let count = draining.len().div_ceil(LISTED_DRAINING_SHARE).max(MIN_LISTED_DRAINING);
+        let listing_time = Drain::listing_time(self.grace);
+        let listed = draining.into_iter().rev().take(count);
+        let listed = listed.filter(|(since, _)| now < *since + listing_time);
+        (self.known_nodes(listed.map(|(_, address)| address).collect()), next_ready)
     }
 
-    fn ready_nodes(&self) -> Vec<NodeAddress> {
+    fn known_nodes(&self, addresses: Vec<Address>) -> Vec<NodeAddress> {
         let known = self.listed.values().chain([&self.local_node]).map(|node| (node.callers, node));
         let known: FxHashMap<SocketAddr, &NodeAddress> = known.collect();
         let node = |a: Address| {
@@ -234,7 +259,7 @@
             };
             Some(known.get(&callers).map_or_else(unlisted, |node| (*node).clone()))
         };
-        self.members.addresses().into_iter().filter_map(node).collect()
+        addresses.into_iter().filter_map(node).collect()
     }
 
     /// Returns the running nodes of this node's failure domain that are not registered.
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -1,8 +1,9 @@
 //! Graceful shutdown of a node.
 //!
-//! A draining node is not ready and not listed in address responses. It continues to serve callers
-//! with older address responses, closes each connection after its response, and exits once it is
-//! idle and those address responses have expired, or shortly before it is killed.
+//! A draining node is not ready. It is listed in address responses only while no node is ready. It
+//! continues to serve callers with older address responses, closes each connection after its
+//! response, and exits once it is idle and those address responses have expired, or shortly before it
+//! is killed.
 
 use {
     std::{sync::Arc, time::Duration},
@@ -11,8 +12,15 @@
 
 /// Time before the kill that is reserved for the last responses and the leave message.
 const KILL_RESERVE: Duration = Duration::from_millis(800);
+/// Time before the exit from which no connections are accepted, so that the last calls are answered.
+const ACCEPT_RESERVE: Duration = Duration::from_millis(500);
 /// Callers may use an address response for this multiple of its time to live.
 const ADDRESS_TTL_MULTIPLE: u32 = 3;
+/// Time to live of an address response that lists draining nodes; short, because callers should move
+/// to the first node that is ready.
+pub const DRAINING_ADDRESSES_TTL: Duration = Duration::from_millis(300);
+/// Time until a node has removed the addresses of draining nodes from its address responses.
+const ADDRESSES_UPDATE_TIME: Duration = Duration::from_secs(1);
 /// Share of the grace period after which new streams that may outlast it are rejected, since most
 /// of them would not finish.
 const STREAM_CUTOFF_SHARE: f64 = 0.25;
@@ -61,10 +69,17 @@
         deadline > at + self.grace && now > at + self.grace.mul_f64(STREAM_CUTOFF_SHARE)
     }
 
-    /// Returns the time at which all address responses that list this node have expired; `at` is
-    /// the start of the drain.
-    pub fn addresses_expire(at: Instant, ttl: Duration) -> Instant {
-        at + ttl * ADDRESS_TTL_MULTIPLE
+    /// Returns the time left until the process must exit; `None` if it is not draining.
+    pub fn time_left(&self) -> Option<Duration> {
+        let at = (*self.started.borrow())?;
+        Some(self.kill_deadline(at).saturating_duration_since(Instant::now()))
+    }
+
+    /// Returns the time after the start of a node's drain for which it may be listed in address
+    /// responses while no node is ready. It accepts connections until these responses have expired.
+    pub fn listing_time(grace: Duration) -> Duration {
+        let reserve = DRAINING_ADDRESSES_TTL * ADDRESS_TTL_MULTIPLE + ADDRESSES_UPDATE_TIME;
+        accept_time(grace).saturating_sub(reserve)
     }
 
     /// Returns the time at which the process must exit; `at` is the start of the drain.
@@ -72,3 +87,33 @@
         at + self.grace.saturating_sub(KILL_RESERVE)
     }
 }
+
+/// Decides when a draining node stops accepting connections.
+#[derive(Debug)]
+pub struct Closing {
+    /// Time at which the address responses that list this node have expired.
+    expired: Instant,
+    deadline: Instant,
+}
+
+impl Closing {
+    /// Creates the state of a node that drains since `at` and was listed in address responses with
+    /// this time to live until then.
+    pub fn new(drain: &Drain, at: Instant, ttl: Duration) -> Closing {
+        let deadline = at + accept_time(drain.grace);
+        Closing { expired: at + ttl * ADDRESS_TTL_MULTIPLE, deadline }
+    }
+
+    /// Returns whether the node should accept no more connections. `is_listed` is whether address
+    /// responses list it although it is draining, `is_idle` whether no request is in flight.
+    pub fn is_due(&mut self, now: Instant, is_listed: bool, is_idle: bool) -> bool {
+        if is_listed {
+            self.expired = self.expired.max(now + DRAINING_ADDRESSES_TTL * ADDRESS_TTL_MULTIPLE);
+        }
+        now >= self.deadline || (is_idle && now >= self.expired)
+    }
+}
+
+fn accept_time(grace: Duration) -> Duration {
+    grace.saturating_sub(KILL_RESERVE + ACCEPT_RESERVE)
+}
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -6,7 +6,7 @@
         call::{Call, Head},
         catalog::{Account, Catalog, Denied, Route},
         dialect::{Dialect, Malformed, Query},
-        drain::Drain,
+        drain::{DRAINING_ADDRESSES_TTL, Drain},
         flow::Traffic,
         log_messages::REJECTED,
         network::Network,
@@ -44,8 +44,13 @@
 /// `Retry-After` while the store is unavailable at the start; long enough that the few retries of a
 /// caller outlast a short outage.
 const CUT_OFF_RETRY: Duration = Duration::from_secs(2);
+/// Time that a call needs at least; a draining node rejects calls for which less is left.
+const MIN_CALL_TIME: Duration = Duration::from_millis(200);
 /// `Retry-After` while draining; short, because other nodes are available.
 const DRAINING_RETRY: Duration = Duration::from_millis(20);
+/// Range of the random part of `Retry-After` while no node is ready, so that not all rejected callers
+/// return to the first one at the same time.
+const DRAINING_RETRY_JITTER: Duration = Duration::from_millis(250);
 
 /// Handler of callers' requests and queries. Clones share their state.
 #[derive(Clone)]
@@ -138,7 +143,8 @@
         if nodes.is_empty() {
             return status(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let ttl = ADDRESSES_TTL.min(self.max_addresses_ttl);
+        let ttl = if view.next_ready.is_some() { DRAINING_ADDRESSES_TTL } else { ADDRESSES_TTL };
+        let ttl = ttl.min(self.max_addresses_ttl);
         let (kind, body) = self.dialect().addresses(&nodes, ttl);
         let mut response = Response::new(ResponseBody::from(Bytes::from(body)));
         let kind = header::HeaderValue::from_static(kind);
@@ -162,7 +168,7 @@
         parts: &Parts,
         start: Instant,
     ) -> Result<Admitted, (Rejection, Option<String>)> {
-        let head = self.dialect().parse_request(parts).map_err(|e| (malformed(e), None))?;
+        let mut head = self.dialect().parse_request(parts).map_err(|e| (malformed(e), None))?;
         let id = || Some(head.id.to_string());
         let view = self.traffic.published.load();
         let Some(catalog) = view.catalog.clone() else {
@@ -171,9 +177,20 @@
         };
         let admitted = catalog.admit(&head.host, parts.uri.path(), head.key.as_deref());
         let (route, account) = admitted.map_err(|denied| (rejection_of(denied), id()))?;
-        let deadline = start + route.timeout;
-        if route.kind.is_stream() && self.drain.outlives_grace(deadline) {
-            return Err((Rejection::NotRun { retry: DRAINING_RETRY }, id()));
+        let is_rejected = match self.drain.time_left() {
+            None => false,
+            Some(_) if route.kind.is_stream() => self.drain.outlives_grace(start + route.timeout),
+            // The caller gets a response before this process exits, if not the runner's.
+            Some(left) => {
+                head.timeout = Some(head.timeout.unwrap_or(route.timeout).min(left));
+                left < MIN_CALL_TIME
+            }
+        };
+        if is_rejected {
+            let jitter = || DRAINING_RETRY_JITTER.mul_f64(rand::rng().random());
+            let wait = view.next_ready.map(|at| at.saturating_duration_since(start) + jitter());
+            let retry = wait.unwrap_or(DRAINING_RETRY);
+            return Err((Rejection::NotRun { retry }, id()));
         }
         Ok(Admitted { head, route, account, catalog })
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -4,7 +4,7 @@
     crate::{
         control,
         dialect::Dialect,
-        drain::Drain,
+        drain::{Closing, Drain},
         flow::Traffic,
         handler::{ADDRESSES_TTL, Handler},
         load_sync::{self, Channels},
@@ -31,7 +31,7 @@
         signal::unix::{SignalKind, signal},
         sync::{Notify, mpsc::unbounded_channel, oneshot, watch},
         task::LocalSet,
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep},
     },
 };
 
@@ -163,7 +163,7 @@
     log::info!(name = settings.name.as_str(), domain = settings.domain.as_str(),
         callers:% = settings.listen.callers; "{SERVING}");
     let at = handler.drain.started().await;
-    wait_drained(&handler, at, &close).await;
+    wait_drained(&handler, &settings.name, at, &close).await;
     Ok(())
 }
 
@@ -200,17 +200,16 @@
     }
 }
 
-/// Waits until address responses have expired and all callers' connections are closed, at most until
-/// the kill deadline.
+/// Waits until the node may exit: it accepts connections until no caller needs it, and closes them once
+/// they are idle, at most until the kill deadline.
 async fn wait_drained<D: Dialect>(
     handler: &Handler<D, Tcp>,
+    name: &str,
     at: Instant,
     close: &watch::Sender<bool>,
 ) {
     let end = handler.drain.kill_deadline(at);
-    let expired =
-        Drain::addresses_expire(at, ADDRESSES_TTL.min(handler.max_addresses_ttl)).min(end);
-    sleep_until(expired).await;
+    wait_unused(handler, name, at).await;
     close.send_replace(true);
     let traffic = &handler.traffic;
     let is_open = || traffic.in_flight.get() > 0 || traffic.connections.get() > 0;
@@ -223,6 +222,20 @@
     log::info!(open = open as u64, after = at.elapsed().as_millis() as u64; "drained");
 }
 
+/// Waits until no request is in flight and the address responses that list this node have expired, at
+/// most until the accept deadline.
+async fn wait_unused<D: Dialect>(handler: &Handler<D, Tcp>, name: &str, at: Instant) {
+    let ttl = ADDRESSES_TTL.min(handler.max_addresses_ttl);
+    let mut closing = Closing::new(&handler.drain, at, ttl);
+    let is_due = |closing: &mut Closing| {
+        let is_listed = handler.traffic.published.load().lists_draining(name);
+        closing.is_due(Instant::now(), is_listed, handler.traffic.in_flight.get() == 0)
+    };
+    while !is_due(&mut closing) {
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener> {
     server::listen(address).map_err(|source| NodeError::Listen { address, source })
 }
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -7,7 +7,7 @@
     compact_str::CompactString,
     rustc_hash::FxHashMap,
     std::{net::SocketAddr, sync::Arc},
-    tokio::sync::watch,
+    tokio::{sync::watch, time::Instant},
 };
 
 /// Registration of a runner.
@@ -104,6 +104,9 @@
     pub listed: bool,
     /// Nodes listed in address responses, including this one.
     pub nodes: Arc<Vec<NodeAddress>>,
+    /// While no node is known to be ready: the time at which one is expected to be. `nodes` are draining
+    /// then.
+    pub next_ready: Option<Instant>,
     /// Runners whose load peers report to this node.
     pub scope: Scope,
     /// Splits of services with a rollout.
@@ -112,6 +115,14 @@
     pub cut_off: bool,
 }
 
+impl View {
+    /// Returns whether address responses may list the node with this name while it drains.
+    pub fn lists_draining(&self, name: &str) -> bool {
+        let is_listed = || self.nodes.iter().any(|node| node.name == name);
+        self.nodes.is_empty() || (self.next_ready.is_some() && is_listed())
+    }
+}
+
 /// Current view with change notification.
 #[derive(Clone)]
 pub struct Published {
--- a/tests/relay/endpoints.rs
+++ b/tests/relay/endpoints.rs
@@ -190,6 +190,65 @@
     .await;
 }
 
+/// Guards against callers of streams who return, and are rejected again, before any node is ready.
+#[tokio::test(start_paused = true)]
+async fn a_stream_is_rejected_until_a_node_is_ready() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a"], &Script::Respond(200, "yes"));
+        let node = Node::new(deployment.traffic.clone());
+        node.handler.drain.start();
+        tokio::time::sleep(ms(3_000)).await;
+        let published = &deployment.traffic.published;
+        let next_ready = Some(Instant::now() + ms(4_000));
+        published.store(View { next_ready, ..View::clone(&published.load()) });
+        let mut caller = node.connect(Purpose::Requests).await;
+        let response = caller.get("/stream/1").await;
+        let retry: f64 = header(&response, "retry-after").unwrap().parse().unwrap();
+        assert_eq!(response.status(), 503);
+        assert!((4.0..4.5).contains(&retry), "{retry}");
+    })
+    .await;
+}
+
+/// Guards against callers that keep the address of a draining node although another one is ready.
+#[tokio::test(start_paused = true)]
+async fn addresses_of_draining_nodes_expire_soon() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a"], &Script::Respond(200, "yes"));
+        let node = Node::new(deployment.traffic.clone());
+        let published = &deployment.traffic.published;
+        let next_ready = Some(Instant::now() + ms(4_000));
+        published.store(View { next_ready, ..View::clone(&published.load()) });
+        let mut health_client = node.connect(Purpose::Queries).await;
+        let response = health_client.get("/api/resolve?name=desk.example&region=r&zone=a").await;
+        let body = String::from_utf8(response.into_body().to_vec()).unwrap();
+        assert_eq!(body, r#"{"addresses":["10.0.0.1:80","10.0.0.2:80"],"ttl_s":0.3}"#);
+    })
+    .await;
+}
+
+/// Guards against calls that the exit of the process cuts: they end with a response before it, and are
+/// rejected at once if there is no time for one.
+#[tokio::test(start_paused = true)]
+async fn a_call_ends_before_the_process_exits() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a"], &Script::Hang);
+        let node = Node::new(deployment.traffic.clone());
+        node.handler.drain.start();
+        let start = Instant::now();
+        tokio::time::sleep(ms(6_500)).await;
+        let mut caller = node.connect(Purpose::Requests).await;
+        assert_eq!(caller.get("/lodge/1").await.status(), 504);
+        assert!((ms(7_100)..=ms(7_250)).contains(&start.elapsed()), "{:?}", start.elapsed());
+        let mut late = node.connect(Purpose::Requests).await;
+        let sent_at = Instant::now();
+        assert_eq!(late.get("/lodge/2").await.status(), 503);
+        assert!(sent_at.elapsed() < ms(20), "{:?}", sent_at.elapsed());
+        assert_eq!(deployment.request_count(), 1);
+    })
+    .await;
+}
+
 /// Guards against responses that a shutdown cuts: an idle connection is closed, one with a request
 /// in progress is closed after the response.
 #[tokio::test(start_paused = true)]
--- a/tests/relay/process.rs
+++ b/tests/relay/process.rs
@@ -44,6 +44,8 @@
     pub(crate) handle: Handle,
     pub(crate) runners: Vec<Rc<Runner>>,
     pub(crate) folder: TempDir,
+    /// Grace period of instances that start from now on.
+    pub(crate) grace: Duration,
 }
 
 /// A running instance.
@@ -91,7 +93,7 @@
         let store = FeedStore::default();
         let handle = store.start("127.0.0.1:0".parse().unwrap()).unwrap();
         let folder = tempfile::tempdir().unwrap();
-        let mut platform = Platform { store, handle, runners: Vec::new(), folder };
+        let mut platform = Platform { store, handle, runners: Vec::new(), folder, grace: GRACE };
         platform.put_catalog(1, &["k1", "k2"]);
         for (id, service, domain, script) in [
             ("e1", ENGINES, "a", EVENTS),
@@ -177,7 +179,7 @@
                 "addresses": listen.addresses, "peers": free_udp_address(),
                 "metrics": listen.metrics},
             "store": self.handle.addr,
-            "bounds": {"grace": GRACE.as_secs(), "keep": 5, "ratio": 0.8, "slack": 50, "window": 10},
+            "bounds": {"grace": self.grace.as_secs(), "keep": 5, "ratio": 0.8, "slack": 50, "window": 10},
         });
         let path = self.folder.path().join(format!("{name}.jsonc"));
         fs::write(&path, format!("// an instance\n{settings}")).unwrap();
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -469,6 +469,7 @@
             runners: Arc::new(runners),
             listed: true,
             nodes,
+            next_ready: None,
             scope: Scope::System,
             splits: Splits::default(),
             cut_off: false,
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -72,6 +72,43 @@
     .await;
 }
 
+/// Guards against callers without any instance while all instances stop at about the same time: they are
+/// idle, but none of them is ready.
+#[tokio::test]
+async fn instances_that_stop_together_serve_callers_until_they_are_killed() {
+    run_local(async {
+        let mut platform = Platform::new().await;
+        platform.grace = Duration::from_secs(8);
+        let mut instances = [platform.start("n1"), platform.start("n2")];
+        for instance in &instances {
+            wait_until("both instances are known", async || instance.resolve().await.len() == 2)
+                .await;
+        }
+        let start = Instant::now();
+        for instance in &mut instances {
+            instance.process.terminate();
+            sleep(ms(200)).await;
+        }
+        while start.elapsed() < ms(6_000) {
+            // Callers don't use an address response any longer while they can get a new one.
+            let listed = [instances[0].resolve().await, instances[1].resolve().await].concat();
+            let is_listed = |instance: &&Instance| listed.contains(&instance.callers.to_string());
+            let passed = start.elapsed();
+            assert!(passed > ms(4_500) || !listed.is_empty(), "no address after {passed:?}");
+            for instance in instances.iter().filter(|i| listed.is_empty() || is_listed(i)) {
+                let response = instance.post("/lodge/1", "k1").await;
+                assert!(response.is_some_and(|r| r.status == 200), "no response after {passed:?}");
+            }
+            sleep(ms(100)).await;
+        }
+        for instance in &mut instances {
+            assert!(instance.process.wait().unwrap().success());
+        }
+        assert!(start.elapsed() < ms(8_000), "{:?}", start.elapsed());
+    })
+    .await;
+}
+
 /// Guards against failed requests while parts of the system fail. Two instances find each other
 /// through the store; a stream continues after its runner crashes; a revoked key is soon rejected,
 /// also when the store becomes unavailable afterwards; an instance that is terminated drains
