Serve the connections that are established when a listener closes

What callers saw: an attempt that ended without a connection when an instance closed its listener.

Cause, two: closing a listener resets the connections that the kernel has established and nobody has accepted; and hyper's graceful shutdown closes a connection whose first request has not arrived yet.

Change: the last connections are taken from the closed listener without waiting, and a new connection is kept for 200 ms for its first request.

The test (20 connections established before the listener closes) failed with either part taken out: the response was incomplete.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -9,11 +9,12 @@
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type},
-    std::{convert::Infallible, io, net::SocketAddr, time::Duration},
+    std::{cell::Cell, convert::Infallible, io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncRead, AsyncWrite},
         net::{TcpListener, TcpStream},
         sync::watch,
+        time::{sleep, timeout},
     },
 };
 
@@ -23,6 +24,8 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Delay after a failed accept, which mostly fails for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a new connection is kept open for its first request when idle ones are closed.
+const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
 /// Minimum buffer size that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -48,7 +51,8 @@
 }
 
 /// Accepts and serves connections; a change of `close` closes idle ones. Callers' connections are not
-/// accepted from then on, since a request on a new one could arrive while the process exits.
+/// accepted from then on, since a request on a new one could arrive while the process exits. Those that
+/// the kernel has established by then are still served: closing the listener would reset them.
 pub async fn serve<D: Dialect, N: Network>(
     listener: TcpListener,
     purpose: Purpose,
@@ -56,28 +60,58 @@
     close: watch::Receiver<bool>,
 ) {
     let mut closing = close.clone();
+    let start = |stream| start_connection(stream, purpose, &handler, &close);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.changed(), if purpose == Purpose::Requests => return,
+            _ = closing.changed(), if purpose == Purpose::Requests => break,
         };
         match accepted {
-            Ok((stream, _)) => match configure(&stream) {
-                Ok(()) => {
-                    let serving = serve_connection(stream, purpose, handler.clone(), close.clone());
-                    _ = tokio::task::spawn_local(serving);
-                }
-                // The caller has already disconnected.
-                Err(error) => log::debug!("cannot configure a connection: {error}"),
-            },
+            Ok((stream, _)) => start(stream),
             Err(error) => {
                 log::warn!("cannot accept a connection: {error}");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+    match established(listener) {
+        Ok(streams) => streams.into_iter().for_each(start),
+        Err(error) => log::warn!("cannot accept the last connections: {error}"),
+    }
+}
+
+/// Returns the established connections that have not been accepted yet, and closes the listener.
+fn established(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    let listener = listener.into_std()?;
+    let mut streams = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                streams.push(TcpStream::from_std(stream)?);
             }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(streams),
+            Err(error) => return Err(error),
         }
     }
 }
 
+fn start_connection<D: Dialect, N: Network>(
+    stream: TcpStream,
+    purpose: Purpose,
+    handler: &Handler<D, N>,
+    close: &watch::Receiver<bool>,
+) {
+    match configure(&stream) {
+        Ok(()) => {
+            let serving = serve_connection(stream, purpose, handler.clone(), close.clone());
+            _ = tokio::task::spawn_local(serving);
+        }
+        // The caller has already disconnected.
+        Err(error) => log::debug!("cannot configure a connection: {error}"),
+    }
+}
+
 /// Serves a connection; a change of `close` closes it once it is idle.
 pub async fn serve_connection<D: Dialect, N: Network>(
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
@@ -87,7 +121,11 @@
 ) {
     let _open = (purpose == Purpose::Requests).then(|| handler.traffic.track_connection());
     let limits = limits(&handler.traffic.published);
-    let service = service_fn(|request| respond(&handler, purpose, request));
+    let is_new = Cell::new(true);
+    let service = service_fn(|request| {
+        is_new.set(false);
+        respond(&handler, purpose, request)
+    });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
@@ -101,7 +139,13 @@
             // Errors are caused by the caller.
             _ = serving.as_mut() => return,
             changed = close.changed() => match changed {
-                Ok(()) => serving.as_mut().graceful_shutdown(),
+                Ok(()) => {
+                    let first = timeout(FIRST_REQUEST_TIMEOUT, serving.as_mut());
+                    if is_new.get() && first.await.is_ok() {
+                        return;
+                    }
+                    serving.as_mut().graceful_shutdown();
+                }
                 Err(_) => {
                     _ = serving.await;
                     return;
--- a/tests/relay/endpoints.rs
+++ b/tests/relay/endpoints.rs
@@ -18,6 +18,7 @@
     hyper_util::rt::TokioIo,
     std::{sync::Arc, time::Duration},
     tokio::{
+        net::TcpStream,
         sync::watch,
         time::{Instant, sleep},
     },
@@ -249,6 +250,38 @@
     .await;
 }
 
+/// Guards against connections that the kernel has established for callers, and that a closed listener
+/// resets.
+#[tokio::test]
+async fn established_connections_are_served_although_the_listener_closes() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a"], &Script::Respond(200, "yes"));
+        let node = Node::new(deployment.traffic.clone());
+        let listener = server::listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let address = listener.local_addr().unwrap();
+        let (handler, closed) = (node.handler.clone(), node.close.subscribe());
+        tokio::task::spawn_local(server::serve(listener, Purpose::Requests, handler, closed));
+        sleep(ms(10)).await;
+        // The listener's task doesn't run until all are connected.
+        let connect = |_| {
+            let stream = std::net::TcpStream::connect(address).unwrap();
+            stream.set_nonblocking(true).unwrap();
+            TcpStream::from_std(stream).unwrap()
+        };
+        let streams: Vec<TcpStream> = (0..20).map(connect).collect();
+        node.close.send_replace(true);
+        for stream in streams {
+            let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+            tokio::task::spawn_local(async move {
+                _ = connection.await;
+            });
+            assert_eq!(Caller(sender).get("/look/1").await.status(), 200);
+        }
+        assert!(TcpStream::connect(address).await.is_err());
+    })
+    .await;
+}
+
 /// Guards against responses that a shutdown cuts: an idle connection is closed, one with a request
 /// in progress is closed after the response.
 #[tokio::test(start_paused = true)]
