Report a call that was never sent as not run

What a caller would see: a call that may be repeated is answered with `run: unknown` although no runner took a connection, so that a caller who must not repeat what may have run gives up a call that never ran. Noticed by reading.

Cause: the outcome was derived from the number of the attempt. The change to the old version during a move used up an attempt as well.

Change: the outcome is unknown from the first attempt that may have reached a runner on. Acquiring a runner, with the change to the old version, is one function for both kinds of calls. Looked for elsewhere: streams keep such a flag already.

--- a/src/traffic/services.rs
+++ b/src/traffic/services.rs
@@ -1,5 +1,6 @@
 //! `ANY /v1/services/{entry}/{path}`: calls to plain services.
 
+mod acquire;
 pub mod job;
 pub mod once;
 pub mod repeat;
--- a/src/traffic/services/once.rs
+++ b/src/traffic/services/once.rs
@@ -1,7 +1,11 @@
 //! Calls that may run at most once.
 
 use {
-    super::{Result, Services, job::Job},
+    super::{
+        Result, Services,
+        acquire::{Wanted, acquire},
+        job::Job,
+    },
     crate::{
         intents::{Call, Claim, Permit, answer},
         platform::table::Table,
@@ -13,8 +17,7 @@
         },
     },
     bilberryfront_decide::{
-        action::Reason,
-        event::{Purpose, Verdict},
+        event::Verdict,
         id::RunnerKey,
         intent::{Answer, Outcome},
     },
@@ -62,7 +65,7 @@
     let mut avoid = None;
     let mut chooser = job.chooser(&services.control.view());
     for _ in 0..MAX_ATTEMPTS {
-        let lease = match acquire(services, job, avoid, &mut chooser).await {
+        let lease = match acquire_first(services, job, avoid, &mut chooser).await {
             Ok(lease) => lease,
             Err(problem) => return no_runner(services, &call, problem).await,
         };
@@ -100,22 +103,16 @@
     }
 }
 
-async fn acquire<T: Table, X: Exchange>(
+async fn acquire_first<T: Table, X: Exchange>(
     services: &Services<T, X>,
     job: &Job,
     avoid: Option<RunnerKey>,
     chooser: &mut Chooser,
 ) -> Result<Lease> {
     let control = &services.control;
-    loop {
-        let pin = chooser.version().cloned();
-        let request = job.runner_request(control.next_ticket(), Purpose::First, avoid, pin);
-        match control.request_runner(request).await {
-            Ok(grant) => return Ok(Lease::new(control.clone(), grant, chooser.trial())),
-            Err(rejection) if rejection.reason == Reason::NoRunner && chooser.fall_back() => {}
-            Err(rejection) => return Err(problem::from_rejection(&rejection)),
-        }
-    }
+    let mut wanted = Wanted { avoid, ..Wanted::first(control) };
+    let acquired = acquire(control, job, &mut wanted, chooser).await;
+    acquired.map_err(|rejection| problem::from_rejection(&rejection))
 }
 
 /// Waits, without holding a runner, for the outcome of the same call by another request. If that
@@ -131,7 +128,7 @@
         Claim::Granted(permit) => permit,
         other => return Err(result_of_claim(other)),
     };
-    match acquire(services, job, None, chooser).await {
+    match acquire_first(services, job, None, chooser).await {
         Ok(lease) => Ok((lease, permit)),
         Err(problem) => {
             services.intents.settle(permit, Outcome::NotRun).await;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -37,6 +37,7 @@
     double_post
     equal_bodies
     key_with_another_body
+    look_up_is_never_sent
     lookup_at_paused_services
     move_bad_in_an_outage
     move_bad_on_one_route
