Resume the TLS sessions of all nodes that a node sends to

Cause: rustls counts eight sessions for each server, so a cache for 64 held eight servers, fewer than the 15 to 40 nodes that an instance sends to; and a server kept the sessions of its last 64 clients only. Connections that were opened again paid for a full handshake.

Change: the client keeps sessions of 64 servers. The server keeps none; its tickets, encrypted with a key of its own, hold them, so that it needs no memory for its clients.

The test (handshakes in memory with 100 clients and 64 servers) failed before on both sides: Full, expected Resumed.

--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -10,8 +10,8 @@
     rustls::{
         ClientConfig, RootCertStore, ServerConfig,
         client::Resumption,
-        crypto::ring,
-        server::{ServerSessionMemoryCache, WebPkiClientVerifier},
+        crypto::ring::{self, Ticketer},
+        server::{NoServerSessionStorage, WebPkiClientVerifier},
         version::TLS13,
     },
     rustls_pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
@@ -22,9 +22,11 @@
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// ALPN protocol.
 const ALPN: &[u8] = b"bilberryfront/1";
-/// Number of nodes whose TLS sessions are kept for resumption, as client and as server each; more than
-/// a node sends to regularly. Each session holds a certificate chain.
+/// Number of nodes whose TLS sessions are kept for resumption as client; more than a node sends to
+/// regularly. Each session holds a certificate chain. A server keeps none: its tickets hold them.
 const SESSIONS: usize = 64;
+/// Number of sessions for which rustls counts a server.
+const SESSIONS_PER_SERVER: usize = 8;
 /// Maximum concurrent incoming streams per connection, with one message each.
 const MAX_STREAMS: u32 = 16;
 /// Receive window per connection and per stream, and send window.
@@ -108,7 +110,8 @@
         .with_protocol_versions(&[&TLS13])?
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain, key)?;
-    config.session_storage = ServerSessionMemoryCache::new(SESSIONS);
+    config.session_storage = Arc::new(NoServerSessionStorage {});
+    config.ticketer = Ticketer::new()?;
     config.send_tls13_tickets = 1;
     config.alpn_protocols = vec![ALPN.to_vec()];
     Ok(config)
@@ -123,7 +126,7 @@
         .with_protocol_versions(&[&TLS13])?
         .with_root_certificates(roots)
         .with_client_auth_cert(chain, key)?;
-    config.resumption = Resumption::in_memory_sessions(SESSIONS);
+    config.resumption = Resumption::in_memory_sessions(SESSIONS * SESSIONS_PER_SERVER);
     config.alpn_protocols = vec![ALPN.to_vec()];
     Ok(config)
 }
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -15,8 +15,10 @@
     },
     quinn::{Connection, Endpoint},
     rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair},
+    rustls::{ClientConfig, ClientConnection, HandshakeKind, ServerConfig, ServerConnection},
     std::{
         net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
         time::Duration,
     },
     tokio::sync::mpsc::Receiver,
@@ -361,6 +363,47 @@
     assert_eq!((a.counts().connected, b.counts().connected), (1, 1));
 }
 
+/// Guards against full handshakes in a large system: sessions are resumed however many other nodes have
+/// connected since.
+#[test]
+fn sessions_of_many_nodes_are_resumed() {
+    const CLIENTS: usize = 100;
+    const SERVERS: usize = 64;
+    let authority = authority();
+    let configs = |name: &str| tls::configs(&config(&authority, name)).unwrap();
+    let shared =
+        |(server, client): (ServerConfig, ClientConfig)| (Arc::new(server), Arc::new(client));
+    let (server, client) = shared(configs("hub"));
+    let names: Vec<String> = (0..CLIENTS).map(|index| format!("n{index}")).collect();
+    let nodes: Vec<_> = names.iter().map(|name| shared(configs(name))).collect();
+    for expected in [HandshakeKind::Full, HandshakeKind::Resumed] {
+        for (name, (_, node)) in names.iter().zip(&nodes) {
+            assert_eq!(handshake(node, &server, "hub"), expected, "from {name}");
+        }
+        for (name, (node, _)) in names.iter().zip(&nodes).take(SERVERS) {
+            assert_eq!(handshake(&client, node, name), expected, "to {name}");
+        }
+    }
+}
+
+/// Performs a handshake in memory, up to the ticket for the next one.
+fn handshake(client: &Arc<ClientConfig>, server: &Arc<ServerConfig>, name: &str) -> HandshakeKind {
+    let name = name.to_owned().try_into().unwrap();
+    let mut client = ClientConnection::new(client.clone(), name).unwrap();
+    let mut server = ServerConnection::new(server.clone()).unwrap();
+    while client.wants_write() || server.wants_write() {
+        let mut bytes = Vec::new();
+        client.write_tls(&mut bytes).unwrap();
+        server.read_tls(&mut bytes.as_slice()).unwrap();
+        server.process_new_packets().unwrap();
+        bytes.clear();
+        server.write_tls(&mut bytes).unwrap();
+        client.read_tls(&mut bytes.as_slice()).unwrap();
+        client.process_new_packets().unwrap();
+    }
+    client.handshake_kind().unwrap()
+}
+
 /// Waits until this message of the node `a` is received, for ten seconds at most.
 async fn wait_for(events: &mut Receiver<Received>, expected: PeerMessage) {
     let expected = message("a", expected);
