--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -30,15 +30,19 @@
         ("keep", bounds.keep),
         ("window", bounds.window),
     ];
-    let ratios = [("ratio", bounds.ratio), ("slack", bounds.slack)];
+    let amounts = [("ratio", bounds.ratio), ("slack", bounds.slack), ("trials", bounds.trials)];
+    let shares = [("exposure", bounds.exposure)];
     let is_invalid = |excludes_zero: bool, value: f64| {
         !value.is_finite() || value < 0.0 || (excludes_zero && value == 0.0)
     };
     let invalid =
         times.iter().filter(|(_, v)| is_invalid(true, *v)).map(|(f, _)| (*f, "more than 0"));
     let invalid = invalid.chain(
-        ratios.iter().filter(|(_, v)| is_invalid(false, *v)).map(|(f, _)| (*f, "0 or more")),
+        amounts.iter().filter(|(_, v)| is_invalid(false, *v)).map(|(f, _)| (*f, "0 or more")),
     );
+    let is_share = |value: f64| (0.0..=1.0).contains(&value);
+    let invalid =
+        invalid.chain(shares.iter().filter(|(_, v)| !is_share(*v)).map(|(f, _)| (*f, "0 to 1")));
     for (field, range) in invalid {
         let path = [Step::Field("bounds"), Step::Field(field)];
         faults.push(doc.fault(
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -418,7 +418,7 @@
         "listen": {"callers": "127.0.0.1:1", "health": "127.0.0.1:2", "addresses": "127.0.0.1:3",
             "peers": "127.0.0.1:4"},
         "store": "127.0.0.1:5",
-        "bounds": {"grace": 0},
+        "bounds": {"grace": 0, "exposure": 1.5, "trials": -1},
     }"#;
     fs::write(&path, text).unwrap();
     for command in [vec!["check"], vec!["relay", "--settings"]] {
@@ -431,6 +431,7 @@
         let shown = String::from_utf8(output.stderr).unwrap();
         assert_eq!(output.status.code(), Some(1), "{command:?}: {shown}");
         assert!(shown.contains("`domain` is empty") && shown.contains("`grace` is out of range"));
+        assert!(shown.contains("`exposure` is out of") && shown.contains("`trials` is out of"));
         assert!(shown.contains(":3:"), "{shown}");
     }
 }
