Count warnings against their own limit of log lines

What an operator would see: no warnings while many requests fail: lines of information and warnings shared a limit of 200 lines a second, errors had the 100 of information. Noticed by reading.

Cause: the comparison of levels was inverted; the library orders them by severity. The test failed before.

--- a/src/logs.rs
+++ b/src/logs.rs
@@ -2,10 +2,9 @@
 
 mod budget;
 
-pub use budget::dropped_lines;
+pub use budget::{RateLimit, dropped_lines};
 
 use {
-    self::budget::RateLimit,
     crate::settings::{Log, LogFormat},
     logforth::{
         append::{Stderr, Stdout, asynchronous::AsyncBuilder},
--- a/src/logs/budget.rs
+++ b/src/logs/budget.rs
@@ -30,7 +30,7 @@
 
 /// A filter that limits the rate of log lines and logs how many were dropped.
 #[derive(Debug, Default)]
-pub(super) struct RateLimit {
+pub struct RateLimit {
     state: Mutex<State>,
 }
 
@@ -60,7 +60,7 @@
 
     /// Counts a line and returns whether it is within the limit.
     fn count_line(&mut self, level: Level) -> bool {
-        let (count, limit) = match level <= Level::Warn {
+        let (count, limit) = match level >= Level::Warn {
             true => (&mut self.failures, MAX_FAILURE_LINES),
             false => (&mut self.info, MAX_INFO_LINES),
         };
--- a/tests/settings_logs.rs
+++ b/tests/settings_logs.rs
@@ -3,9 +3,14 @@
 
 use {
     bilberryfront::{
-        logs,
+        logs::{self, RateLimit},
         settings::{Log, LogFormat},
     },
+    logforth::{
+        Filter,
+        filter::FilterResult,
+        record::{Level, Record},
+    },
     serde_json::Value,
     std::{env, process::Command},
 };
@@ -59,3 +64,18 @@
     assert!(lines[0].contains("WARN") && lines[0].contains("node is lost"), "{lines:?}");
     assert!(!lines[0].contains('\u{1b}'), "{lines:?}");
 }
+
+/// Guards against warnings and errors that lines of information displace: when many requests fail, they
+/// tell why.
+#[test]
+fn information_does_not_displace_warnings() {
+    let limit = RateLimit::default();
+    let passed = |level: Level, count: usize| {
+        let record = Record::builder().level(level).build();
+        (0..count).filter(|_| limit.matches(&record, &[]) == FilterResult::Neutral).count()
+    };
+    assert_eq!(passed(Level::Info, 500), 100);
+    assert_eq!(passed(Level::Warn, 150), 150);
+    assert_eq!(passed(Level::Error, 150), 50);
+    assert_eq!(passed(Level::Debug, 10), 0);
+}
