--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -10,7 +10,10 @@
     rustls::{
         ClientConfig, RootCertStore, ServerConfig,
         client::Resumption,
-        crypto::ring::{self, Ticketer},
+        crypto::{
+            CryptoProvider,
+            ring::{self, Ticketer, cipher_suite::TLS13_AES_128_GCM_SHA256},
+        },
         server::{NoServerSessionStorage, WebPkiClientVerifier},
         version::TLS13,
     },
@@ -104,7 +107,7 @@
     chain: Vec<CertificateDer<'static>>,
     key: PrivateKeyDer<'static>,
 ) -> std::result::Result<ServerConfig, Box<dyn std::error::Error>> {
-    let provider = Arc::new(ring::default_provider());
+    let provider = Arc::new(provider());
     let verifier = WebPkiClientVerifier::builder_with_provider(roots, provider.clone()).build()?;
     let mut config = ServerConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&TLS13])?
@@ -122,7 +125,7 @@
     chain: Vec<CertificateDer<'static>>,
     key: PrivateKeyDer<'static>,
 ) -> std::result::Result<ClientConfig, rustls::Error> {
-    let mut config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+    let mut config = ClientConfig::builder_with_provider(Arc::new(provider()))
         .with_protocol_versions(&[&TLS13])?
         .with_root_certificates(roots)
         .with_client_auth_cert(chain, key)?;
@@ -131,6 +134,12 @@
     Ok(config)
 }
 
+/// Returns the cryptography with the cipher suite whose hash, which derives the keys of each connection,
+/// most processors implement.
+fn provider() -> CryptoProvider {
+    CryptoProvider { cipher_suites: vec![TLS13_AES_128_GCM_SHA256], ..ring::default_provider() }
+}
+
 fn transport_config() -> TransportConfig {
     let idle = IdleTimeout::try_from(IDLE_TIMEOUT).expect("the timeout fits a QUIC varint");
     let mut transport = TransportConfig::default();
