Serve established connections also if a later one fails, and clarify names of the drain

The connections taken from a closing listener were dropped if one of them could not be set up. A divisor was called a share. No other change of behaviour.

--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -34,9 +34,9 @@
 const STARTUP_GRACE_PERIOD: Duration = Duration::from_secs(3);
 /// Time after which the registration of a dead node is deleted.
 const RETENTION: Duration = Duration::from_secs(600);
-/// While no node is ready, one of so many draining nodes is listed in address responses. The others exit
-/// once they are idle, so that some are ready again before the last ones exit.
-const LISTED_DRAINING_SHARE: usize = 3;
+/// Divisor of the number of draining nodes that gives the number of those in address responses while no
+/// node is ready. The others exit once they are idle, so that some are ready again before the last exit.
+const LISTED_DRAINING_DIVISOR: usize = 3;
 /// Minimum number of draining nodes in address responses, as one may crash.
 const MIN_LISTED_DRAINING: usize = 2;
 /// Scheme of the URLs for callers in the membership.
@@ -58,6 +58,7 @@
     start: Instant,
     metrics: Metrics,
     draining: bool,
+    /// Time after the start of a drain at which the process is killed.
     grace: Duration,
     /// Schedule of [`Self::changed_nodes`].
     schedule: Schedule,
@@ -235,12 +236,12 @@
         Some(Nodes { listed, next_ready, ranking, domains, scope: self.scope })
     }
 
-    /// Returns the draining nodes that stay longest, and the time at which the first one of all
-    /// draining nodes is expected to have restarted.
+    /// Returns the draining nodes that stay longest, for address responses, and the time at which the
+    /// first one of all draining nodes is expected to have restarted.
     fn draining_nodes(&self, now: Instant) -> (Vec<NodeAddress>, Option<Instant>) {
         let draining = self.members.draining();
         let next_ready = draining.first().map(|(since, _)| *since + self.grace);
-        let count = draining.len().div_ceil(LISTED_DRAINING_SHARE).max(MIN_LISTED_DRAINING);
+        let count = draining.len().div_ceil(LISTED_DRAINING_DIVISOR).max(MIN_LISTED_DRAINING);
         let listing_time = Drain::listing_time(self.grace);
         let listed = draining.into_iter().rev().take(count);
         let listed = listed.filter(|(since, _)| now < *since + listing_time);
--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -105,7 +105,7 @@
     }
 
     /// Returns whether the node should accept no more connections. `is_listed` is whether address
-    /// responses list it although it is draining, `is_idle` whether no request is in flight.
+    /// responses may list it although it is draining, `is_idle` whether no request is in flight.
     pub fn is_due(&mut self, now: Instant, is_listed: bool, is_idle: bool) -> bool {
         if is_listed {
             self.expired = self.expired.max(now + DRAINING_ADDRESSES_TTL * ADDRESS_TTL_MULTIPLE);
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -74,23 +74,21 @@
             }
         }
     }
-    match established(listener) {
-        Ok(streams) => streams.into_iter().for_each(start),
-        Err(error) => log::warn!("cannot accept the last connections: {error}"),
+    if let Err(error) = accept_established(listener, start) {
+        log::warn!("cannot accept the last connections: {error}");
     }
 }
 
-/// Returns the established connections that have not been accepted yet, and closes the listener.
-fn established(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+/// Accepts the connections that the kernel has established, and closes the listener.
+fn accept_established(listener: TcpListener, start: impl Fn(TcpStream)) -> io::Result<()> {
     let listener = listener.into_std()?;
-    let mut streams = Vec::new();
     loop {
         match listener.accept() {
             Ok((stream, _)) => {
                 stream.set_nonblocking(true)?;
-                streams.push(TcpStream::from_std(stream)?);
+                start(TcpStream::from_std(stream)?);
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(streams),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
             Err(error) => return Err(error),
         }
     }
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -116,7 +116,8 @@
 }
 
 impl View {
-    /// Returns whether address responses may list the node with this name while it drains.
+    /// Returns whether address responses may list the node with this name while it drains. Without any
+    /// node in this view, other nodes may still list it.
     pub fn lists_draining(&self, name: &str) -> bool {
         let is_listed = || self.nodes.iter().any(|node| node.name == name);
         self.nodes.is_empty() || (self.next_ready.is_some() && is_listed())
