Log responses that are lost before their first event

A stream whose connection broke after the response head and before the first event left no line in the log, so that the requests that crash runners could not be told from those that waited beside them.

--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -18,7 +18,7 @@
         dialect::{Dialect, ReplicaRef, SendOptions},
         events::Event,
         fleet::{Endpoint, Load, RunnerKey},
-        log_messages::RUN_LOST,
+        log_messages::{RESPONSE_LOST, RUN_LOST},
         metrics::{Part, Resume},
         network::Network,
         pool::SendError,
@@ -288,8 +288,14 @@
                 Err(RunEnd::Whole) => {
                     AttemptOutcome::Started(Box::new(StartedRun { parts, run, first: None }))
                 }
-                Err(RunEnd::Silent) => AttemptOutcome::Lost(SendError::Timeout),
-                Err(_) => AttemptOutcome::Lost(SendError::Disconnected),
+                Err(reason) => {
+                    log::warn!(request = id.as_str(), runner = endpoint.id.as_str();
+                        "{RESPONSE_LOST}{reason:?}, before the first event");
+                    AttemptOutcome::Lost(match reason {
+                        RunEnd::Silent => SendError::Timeout,
+                        _ => SendError::Disconnected,
+                    })
+                }
             }
         };
         tokio::select! {
