--- a/tests/relay/process.rs
+++ b/tests/relay/process.rs
@@ -213,6 +213,15 @@
 }
 
 pub(crate) async fn post(callers: SocketAddr, path: &str, key: &str) -> Option<Received> {
+    post_body(callers, path, key, "{}").await
+}
+
+pub(crate) async fn post_body(
+    callers: SocketAddr,
+    path: &str,
+    key: &str,
+    body: &str,
+) -> Option<Received> {
     let request = Request::post(path)
         .header("host", "desk.example")
         .header("x-bilberryfront-attempt-id", "a1")
@@ -220,7 +229,7 @@
         .header("x-bilberryfront-token-counts", "5000,100")
         .header("x-bilberryfront-prompt-prefix", "a1:200,b7:4800")
         .header("authorization", format!("Bearer {key}"));
-    send(callers, request.body(Full::from("{}")).unwrap()).await
+    send(callers, request.body(Full::from(body.to_owned())).unwrap()).await
 }
 
 pub(crate) async fn get(address: SocketAddr, path: &str) -> Option<Received> {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -45,6 +45,8 @@
 
 /// Buffer of an in-memory connection in each direction, in bytes.
 const WINDOW: usize = 64 << 10;
+/// Time from the arrival of a request that crashes its runner to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(50);
 /// Service of the inference engines.
 pub(crate) const ENGINES: &str = "llm";
 /// Service of the plain runners, which answer calls with a single response.
@@ -95,6 +97,9 @@
     pub(crate) at: Instant,
     /// Request headers.
     pub(crate) headers: HeaderMap,
+    /// Request body.
+    #[allow(dead_code, reason = "used by some of the test programs only")]
+    pub(crate) body: Bytes,
 }
 
 /// An in-memory runner.
@@ -123,6 +128,8 @@
     pub(crate) is_unresponsive: Cell<bool>,
     /// Whether the process has crashed.
     pub(crate) is_crashed: Cell<bool>,
+    /// Body of the requests that crash the runner, shortly after their response has started.
+    pub(crate) crash_body: RefCell<Option<Bytes>>,
     /// Instance id of the process that was started later at the same address, and the model that it
     /// reports.
     pub(crate) restarted: RefCell<Option<(&'static str, &'static str)>>,
@@ -160,6 +167,7 @@
             generated_events: Cell::new(0),
             is_unresponsive: Cell::new(false),
             is_crashed: Cell::new(false),
+            crash_body: RefCell::default(),
             restarted: RefCell::default(),
             rate_limit: Cell::new(None),
             is_leaving: Cell::new(false),
@@ -249,11 +257,20 @@
         return Ok(misdirected(id));
     }
     let (parts, body) = request.into_parts();
-    body.collect().await.map_err(io::Error::other)?;
-    runner
-        .requests
-        .borrow_mut()
-        .push(ReceivedRequest { at: Instant::now(), headers: parts.headers.clone() });
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let crashes = runner.crash_body.borrow().as_ref() == Some(&body);
+    runner.requests.borrow_mut().push(ReceivedRequest {
+        at: Instant::now(),
+        headers: parts.headers.clone(),
+        body,
+    });
+    if crashes {
+        let runner = runner.clone();
+        tokio::task::spawn_local(async move {
+            sleep(CRASH_DELAY).await;
+            runner.crash();
+        });
+    }
     let is_resumed = parts.headers.contains_key("kv-from");
     let script = match runner.resume_script.borrow().clone() {
         Some(script) if is_resumed => script,
