Quarantine requests that crash the runners that run them

Every attempt counted its own runs only, up to five, and forgot them; a crash was charged to the runner alone.

A request is now identified across attempts by its account, method, path and body. A node that sees a runner crash while it runs the request (its response had started, or no other request was there; the runner then refuses connections; no other runner crashed at the same moment) records that, and tells its peers at once. A request that has crashed three runners, counted over all nodes, is rejected at once with 503 and the time left of ten minutes, is not retried, and is cancelled where it still waits at a runner. From two crashes it runs on an idle runner, if there is one. A completed run clears it anywhere, so that popular requests aren't blamed for runners that crash by themselves. Each second the nodes repeat what is quarantined to their heartbeat targets, for nodes that have just started. At most 256 requests are remembered, those with the fewest crashes go first.

--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -195,7 +195,8 @@
             | PeerMessage::RelayedLoad(_)
             | PeerMessage::Table(_)
             | PeerMessage::TablePull(_)
-            | PeerMessage::StoreReport(_) => {}
+            | PeerMessage::StoreReport(_)
+            | PeerMessage::Crashes(_) => {}
             PeerMessage::MembersPull => {
                 let table = self.claims();
                 self.send(from, PeerMessage::MembersPush(table), out);
--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -42,6 +42,30 @@
     TablePull(TablePull),
     /// State of a reader of the store.
     StoreReport(StoreReport),
+    /// Requests that have crashed runners.
+    Crashes(Vec<CrashReport>),
+}
+
+/// Identity of a request across attempts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Deserialize, Serialize)]
+pub struct RequestId {
+    /// Hash of the account.
+    pub account: u64,
+    /// Hash of the method, path and body.
+    pub request: u128,
+}
+
+/// Runners that have crashed while running a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct CrashReport {
+    /// Request.
+    pub id: RequestId,
+    /// Hashes of the runners' incarnations; empty if a run of the request has completed.
+    pub runners: Vec<u64>,
+    /// Age of the last crash in milliseconds.
+    pub age_ms: u32,
 }
 
 /// A replicated table of the platform's store.
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -35,6 +35,9 @@
 /// Maximum entries of each kind per load update.
 pub const LOADS_LIMIT: usize = 1_024;
 
+/// Maximum requests per report on crashes.
+pub const CRASHES_LIMIT: usize = 256;
+
 /// An encoded message.
 #[derive(Clone, Debug)]
 pub struct Frame {
@@ -182,6 +185,7 @@
             let longest = runners.max(budgets).max(load.failed.len()).max(load.restarts.len());
             longest > LOADS_LIMIT
         }
+        PeerMessage::Crashes(crashes) => crashes.len() > CRASHES_LIMIT,
         _ => false,
     }
 }
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -27,7 +27,7 @@
         catalog::Catalog,
         drain::Drain,
         fanout::Scope,
-        load_sync::PeerReport,
+        load_sync::{PeerReport, Update},
         metrics::Metrics,
         readers::READERS,
         records::Records,
@@ -37,10 +37,7 @@
         table_sync::TableSync,
         view::{NodeAddress, Published, Splits, View},
     },
-    bilberryfront_decide::{
-        id::{CatalogRevision, Incarnation},
-        member::message::Load,
-    },
+    bilberryfront_decide::id::{CatalogRevision, Incarnation},
     bytes::Bytes,
     std::{sync::Arc, time::Duration},
     tokio::{
@@ -78,7 +75,7 @@
     metrics: Metrics,
     rollouts: Rollouts,
     splits: Splits,
-    /// Sends load updates of peers to the traffic thread.
+    /// Sends updates of peers to the traffic thread.
     peer_reports: mpsc::UnboundedSender<PeerReport>,
     cleaned_at: Instant,
 }
@@ -89,17 +86,17 @@
     loaded: mpsc::Receiver<Loaded>,
     joining: mpsc::Receiver<join::Progress>,
     demand: Arc<Notify>,
-    updates: mpsc::UnboundedReceiver<Load>,
+    updates: mpsc::UnboundedReceiver<Update>,
     samples: mpsc::UnboundedReceiver<RolloutSample>,
 }
 
 /// Channels to the traffic thread.
 pub struct Channels {
-    /// Load updates of this node.
-    pub updates: mpsc::UnboundedReceiver<Load>,
+    /// Updates of this node for its peers.
+    pub updates: mpsc::UnboundedReceiver<Update>,
     /// Outcomes of requests during a rollout.
     pub samples: mpsc::UnboundedReceiver<RolloutSample>,
-    /// Load updates of peers.
+    /// Updates of peers.
     pub peer_reports: mpsc::UnboundedSender<PeerReport>,
     /// Notified when a request waits for the catalogue or the runners.
     pub demand: Arc<Notify>,
@@ -172,7 +169,7 @@
                 },
                 () = inputs.demand.notified() => self.load_now(),
                 Some(event) = received.recv(), if placeholder.is_none() => self.handle_peer_event(event),
-                Some(load) = inputs.updates.recv() => self.publish_load(&load),
+                Some(update) = inputs.updates.recv() => self.publish_update(update),
                 Some(sample) = inputs.samples.recv() => self.rollouts.observe(&sample),
                 _ = ticks.tick() => {
                     self.tick();
--- a/crates/relay/src/control/gossip.rs
+++ b/crates/relay/src/control/gossip.rs
@@ -3,7 +3,7 @@
 use {
     super::Control,
     crate::{
-        load_sync::PeerReport,
+        load_sync::{PeerReport, Update},
         records::Records,
         store::{Row, Store},
     },
@@ -17,11 +17,15 @@
 };
 
 impl<R: Records, S: Store> Control<R, S> {
-    pub(super) fn publish_load(&mut self, load: &Load) {
+    pub(super) fn publish_update(&mut self, Update { load, crashes }: Update) {
         self.adopt_restarts(&load.restarts);
-        if let Some(membership) = &mut self.membership {
+        let Some(membership) = &mut self.membership else { return };
+        if !load.is_empty() {
             membership.gossip_failures(Instant::now(), &load.failed);
-            membership.send_load(load, |id| self.registry.domain(id));
+            membership.send_load(&load, |id| self.registry.domain(id));
+        }
+        if !crashes.is_empty() {
+            membership.broadcast(&PeerMessage::Crashes(crashes));
         }
     }
 
@@ -40,6 +44,7 @@
                 }
                 self.forward_load(relayed.origin, relayed.load);
             }
+            PeerMessage::Crashes(crashes) => self.report(PeerReport::Crashes(crashes)),
             PeerMessage::CatalogPush(push) => self.apply_gossiped_catalog(push),
             message @ (PeerMessage::Table(_)
             | PeerMessage::TablePull(_)
@@ -64,8 +69,13 @@
 
     fn forward_load(&mut self, from: CompactString, load: Load) {
         self.adopt_restarts(&load.restarts);
+        self.report(PeerReport::Load { from, load });
+    }
+
+    /// Sends a report of a peer to the traffic thread.
+    fn report(&self, report: PeerReport) {
         // The receiver exists as long as the process.
-        _ = self.peer_reports.send(PeerReport { from, load });
+        _ = self.peer_reports.send(report);
     }
 
     /// Applies restarts of runners found by this node or a peer.
@@ -81,8 +91,7 @@
     pub(super) fn forward_failures(&self, failed: Vec<CompactString>) {
         if !failed.is_empty() {
             let load = Load { failed, ..Load::default() };
-            // The receiver exists as long as the process.
-            _ = self.peer_reports.send(PeerReport { from: CompactString::default(), load });
+            self.report(PeerReport::Load { from: CompactString::default(), load });
         }
     }
 }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -273,6 +273,20 @@
         }
     }
 
+    /// Returns a hash of a runner's incarnation; `None` if its exit would be expected, because it is
+    /// draining or no longer listed.
+    pub fn incarnation(&self, key: RunnerKey) -> Option<u64> {
+        let inner = self.inner.borrow();
+        let runner = inner.runners.get(key).filter(|runner| runner.is_ready())?;
+        Some(xxh64(runner.registration.id.as_bytes(), runner.registration.born))
+    }
+
+    /// Returns whether no node has reported a request in flight on a runner.
+    pub fn is_idle(&self, key: RunnerKey) -> bool {
+        let inner = self.inner.borrow();
+        inner.runners.get(key).is_some_and(|runner| runner.is_idle(Instant::now()))
+    }
+
     /// Returns the service of a listed runner.
     pub fn service(&self, key: RunnerKey) -> Option<CompactString> {
         Some(self.inner.borrow().runners.get(key)?.registration.service.clone())
--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -30,6 +30,8 @@
 const REMOTE_SLOTS_SHARE: f64 = 0.5;
 /// Score of an ejected runner; exceeds the score of any load.
 const EJECTED_SCORE: f64 = 1e9;
+/// Score of a runner in use if an idle one is requested; exceeds the score of most loads.
+const IN_USE_SCORE: f64 = 1e6;
 /// Share of [`EJECTED_SCORE`] for an unstable runner if a stable one is requested.
 const UNSTABLE_SHARE: f64 = 0.5;
 /// Share of [`EJECTED_SCORE`] for a runner in the avoided failure domain. Exceeds
@@ -57,6 +59,8 @@
     pub version: Option<Version<'a>>,
     /// Whether to avoid runners that failed recently.
     pub stable: bool,
+    /// Whether to prefer an idle runner over any that is in use.
+    pub idle: bool,
 }
 
 /// Version constraint of a request.
@@ -152,11 +156,15 @@
             health if criteria.stable && health.is_unstable(now) => UNSTABLE_SHARE,
             _ => 0.0,
         };
+        let in_use = if criteria.idle && !runner.is_idle(now) { IN_USE_SCORE } else { 0.0 };
         let avoided = if is_avoided { SAME_DOMAIN_SHARE } else { 0.0 };
         let calls = f64::from(runner.calls) * RUNNING_WEIGHT;
         let load = runner.load(now).weight(criteria.memory) + calls;
         let unreported = if self.is_reported(key) { 0.0 } else { mean };
-        load + unreported + self.distance(key, criteria) + EJECTED_SCORE * (health + avoided)
+        load + in_use
+            + unreported
+            + self.distance(key, criteria)
+            + EJECTED_SCORE * (health + avoided)
     }
 
     /// Returns whether peers report the load of a runner to this node.
--- a/crates/relay/src/fleet/load.rs
+++ b/crates/relay/src/fleet/load.rs
@@ -80,6 +80,10 @@
         sum
     }
 
+    pub(super) fn is_idle(&self, now: Instant) -> bool {
+        self.calls == 0 && self.load(now).running == 0
+    }
+
     fn report(&self) -> RunnerLoad {
         let Load { running, memory, unread } = self.own_load;
         RunnerLoad { runner: self.registration.id.clone(), running, memory, unread }
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -17,6 +17,7 @@
         log_messages::{ERROR_RETURNED, REJECTED},
         metrics::{Metrics, Outcome},
         network::Network,
+        quarantine::Quarantine,
         rejection::Rejection,
         rollouts::{
             RolloutSample,
@@ -62,6 +63,8 @@
     pub samples: Option<mpsc::UnboundedSender<RolloutSample>>,
     /// Retry budgets by service.
     pub budgets: Budgets,
+    /// Requests that crash runners.
+    pub quarantine: Quarantine,
     exposures: Rc<RefCell<FxHashMap<CompactString, Exposure>>>,
     prefill_rates: Rc<RefCell<FxHashMap<CompactString, PrefillRate>>>,
     bound: Bound,
@@ -107,6 +110,7 @@
             metrics,
             samples: None,
             budgets: Budgets::new(allowance),
+            quarantine: Quarantine::default(),
             exposures: Rc::default(),
             prefill_rates: Rc::default(),
             bound,
@@ -121,6 +125,9 @@
 
     /// Executes a request with the flow of its route kind and returns the response.
     pub async fn serve(&self, mut call: Call) -> Response<ResponseBody> {
+        if let Some(retry) = self.quarantine.time_left(&call) {
+            return self.reject(&call, Rejection::Quarantined { retry });
+        }
         call.version = self.choose_version(&call.service);
         self.budgets.count_request(&call.service);
         let (kind, start, id) = (call.route.kind, call.start, call.head.id.clone());
@@ -203,6 +210,7 @@
             avoid_domain: None,
             version: None,
             stable: false,
+            idle: self.quarantine.is_suspect(call),
         }
     }
 
@@ -218,6 +226,15 @@
         self.budgets.try_take(service, nodes)
     }
 
+    /// Attributes the crash of a runner, if it has crashed, to a request that was sent to it at
+    /// `sent_at`.
+    async fn record_crash(&self, call: &Call, endpoint: &Endpoint, sent_at: Instant) {
+        let Some(incarnation) = self.client.fleet.incarnation(endpoint.key) else { return };
+        if self.client.has_crashed(endpoint).await {
+            self.quarantine.record_crash(call, incarnation, sent_at);
+        }
+    }
+
     /// Calls `work` with the prefill rate of a service.
     fn prefill_rate<T>(&self, service: &str, work: impl FnOnce(&mut PrefillRate) -> T) -> T {
         work(self.prefill_rates.borrow_mut().entry(service.into()).or_default())
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -36,10 +36,12 @@
         let _lease = fleet.lease_call(endpoint.clone());
         let key = endpoint.key;
         let options = send_options(call, &endpoint, tried.len());
+        let sent_at = Instant::now();
         match traffic.client.send(call, &endpoint, &options, deadline).await {
             SendOutcome::Answered(reply) => {
                 return match traffic.client.read_body(reply, &endpoint, deadline).await {
                     Ok((parts, bytes)) => {
+                        traffic.quarantine.record_response(call);
                         traffic.report_sample(
                             call,
                             key,
@@ -48,6 +50,7 @@
                         Response::from_parts(parts, bytes.into())
                     }
                     Err(error) => {
+                        traffic.record_crash(call, &endpoint, sent_at).await;
                         traffic.report_sample(call, key, summarize(call, false));
                         traffic.reject(call, rejection_of(error))
                     }
@@ -59,6 +62,7 @@
             SendOutcome::Lost(error) => {
                 if error == SendError::Disconnected {
                     fleet.record_failure(key, Instant::now());
+                    traffic.record_crash(call, &endpoint, sent_at).await;
                 }
                 traffic.report_sample(call, key, summarize(call, false));
                 return traffic.reject(call, rejection_of(error));
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -51,6 +51,8 @@
     runs: u32,
     /// Number of sends.
     sends: u32,
+    /// Time of the last send.
+    sent_at: Instant,
     /// Whether a send has reached a runner.
     reached_runner: bool,
     /// Time of the first event.
@@ -88,7 +90,17 @@
     NotRun,
     Unsent,
     Withheld,
-    Lost(SendError),
+    Lost(LostRun),
+    /// The request was quarantined while the attempt waited for the first event.
+    Quarantined,
+}
+
+/// A send that was lost before the first event.
+struct LostRun {
+    error: SendError,
+    /// Whether the runner may have crashed because of this request: the response had started, or no
+    /// other request was on the runner.
+    is_suspect: bool,
 }
 
 /// Starts a stream and returns its response, which begins with the first event.
@@ -120,6 +132,7 @@
             failed: Vec::new(),
             runs: 0,
             sends: 0,
+            sent_at: Instant::now(),
             reached_runner: false,
             first_event_at: None,
             resumed: Resume::Anew,
@@ -142,6 +155,7 @@
             let Some((endpoint, replica)) = next else { break };
             let from_replica = replica.is_some();
             self.sends += 1;
+            self.sent_at = Instant::now();
             match self.attempt(&endpoint, replica, end).await {
                 AttemptOutcome::Started(started) => {
                     self.reached_runner = true;
@@ -166,12 +180,19 @@
                 AttemptOutcome::NotRun => self.reached_runner = true,
                 AttemptOutcome::Withheld => {}
                 AttemptOutcome::Unsent => self.mark_failed(endpoint.key),
-                AttemptOutcome::Lost(error) => {
+                AttemptOutcome::Lost(LostRun { error, is_suspect }) => {
                     self.reached_runner = true;
                     self.report_sample(endpoint.key, false);
                     self.runs += u32::from(!from_replica);
                     self.lost = Some(error);
                     self.mark_failed(endpoint.key);
+                    if is_suspect && error == SendError::Disconnected {
+                        self.traffic.record_crash(&self.call, &endpoint, self.sent_at).await;
+                    }
+                }
+                AttemptOutcome::Quarantined => {
+                    self.lost = Some(SendError::Disconnected);
+                    break;
                 }
             }
             // A runner without the replica may still prefill the prompt.
@@ -198,13 +219,18 @@
                 }
                 Err(RunEnd::Whole) => {
                     self.log_ended(&run);
+                    self.traffic.quarantine.record_response(&self.call);
                     self.report_sample(run.endpoint().key, true);
                     run.release_connection(&self.traffic.client.fleet);
                     return sender.finish();
                 }
                 Err(reason) => {
                     let lost = Instant::now();
+                    let endpoint = run.endpoint().clone();
                     self.abandon(run, reason);
+                    if reason == RunEnd::Cut {
+                        self.traffic.record_crash(&self.call, &endpoint, self.sent_at).await;
+                    }
                     if !self.is_resumable() {
                         return self.log_broken();
                     }
@@ -258,6 +284,10 @@
             earlier: self.sends - 1,
         };
         let fleet = &self.traffic.client.fleet;
+        let was_idle = fleet.is_idle(endpoint.key);
+        let lost = |error, has_started| {
+            AttemptOutcome::Lost(LostRun { error, is_suspect: has_started || was_idle })
+        };
         let memory = self.size().total();
         let unread = if from_replica.is_some() { 0 } else { self.size().prompt };
         let lease = fleet.lease(endpoint.clone(), Load { running: 1, memory, unread });
@@ -269,14 +299,14 @@
                 SendOutcome::Answered(reply) if is_failure(reply.parts.status) => {
                     return match self.traffic.client.read_body(reply, endpoint, end).await {
                         Ok((parts, bytes)) => AttemptOutcome::Failure(parts, bytes),
-                        Err(error) => AttemptOutcome::Lost(error),
+                        Err(error) => lost(error, true),
                     };
                 }
                 SendOutcome::Answered(reply) => reply,
                 SendOutcome::NotRun => return AttemptOutcome::NotRun,
                 SendOutcome::Unsent => return AttemptOutcome::Unsent,
                 SendOutcome::Withheld => return AttemptOutcome::Withheld,
-                SendOutcome::Lost(error) => return AttemptOutcome::Lost(error),
+                SendOutcome::Lost(error) => return lost(error, false),
             };
             let (parts, mut run) = Run::new(*reply, lease, replica);
             let timeout = end.saturating_duration_since(Instant::now());
@@ -291,16 +321,18 @@
                 Err(reason) => {
                     log::warn!(request = id.as_str(), runner = endpoint.id.as_str();
                         "{RESPONSE_LOST}{reason:?}, before the first event");
-                    AttemptOutcome::Lost(match reason {
+                    let error = match reason {
                         RunEnd::Silent => SendError::Timeout,
                         _ => SendError::Disconnected,
-                    })
+                    };
+                    lost(error, true)
                 }
             }
         };
         tokio::select! {
             tried = send => tried,
-            () = self.traffic.client.wait_until_lost(&self.call, endpoint) => AttemptOutcome::Lost(SendError::Timeout),
+            () = self.traffic.client.wait_until_lost(&self.call, endpoint) => lost(SendError::Timeout, false),
+            () = self.traffic.quarantine.wait_until_quarantined(&self.call) => AttemptOutcome::Quarantined,
         }
     }
 
@@ -313,8 +345,9 @@
         let has_runs_left = self.runs < self.call.route.attempts.max(1);
         let is_safe = self.lost.is_none() || self.is_resumable();
         let has_sends_left = self.sends < MAX_SENDS && Instant::now() < end;
+        let is_quarantined = self.traffic.quarantine.time_left(&self.call).is_some();
         let has_budget = || !self.reached_runner || self.traffic.take_retry(&self.call.service);
-        has_runs_left && is_safe && has_sends_left && has_budget()
+        !is_quarantined && has_runs_left && is_safe && has_sends_left && has_budget()
     }
 
     fn is_resumable(&self) -> bool {
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -36,6 +36,13 @@
     lost: Option<SendError>,
 }
 
+/// One send.
+struct Attempt<'a> {
+    endpoint: &'a Endpoint,
+    sent_at: Instant,
+    deadline: Instant,
+}
+
 /// Tries one runner after another until one succeeds.
 pub(super) async fn serve<D: Dialect, N: Network>(
     traffic: &Traffic<D, N>,
@@ -45,6 +52,9 @@
     let end = call.deadline();
     let attempts = call.route.attempts.max(1);
     while progress.runs < attempts && progress.tried.len() < MAX_RUNNERS && Instant::now() < end {
+        if progress.lost.is_some() && traffic.quarantine.time_left(call).is_some() {
+            break;
+        }
         let Some(endpoint) = traffic.choose_runner(call, &progress.tried) else { break };
         if progress.reached_runner && !traffic.take_retry(&call.service) {
             break;
@@ -55,8 +65,10 @@
         let _lease = traffic.client.fleet.lease_call(endpoint.clone());
         let options = send_options(call, &endpoint, progress.tried.len());
         progress.tried.push(endpoint.key);
+        let sent_at = Instant::now();
         let sent = traffic.client.send(call, &endpoint, &options, deadline).await;
-        let response = evaluate(traffic, &mut progress, sent, &endpoint, deadline).await;
+        let attempt = Attempt { endpoint: &endpoint, sent_at, deadline };
+        let response = evaluate(traffic, call, &mut progress, sent, &attempt).await;
         if progress.tried.len() == 1 && progress.runs == 1 {
             traffic.report_sample(call, endpoint.key, summarize(call, response.is_some()));
         }
@@ -80,20 +92,29 @@
 /// Evaluates an attempt and returns its response if that is final.
 async fn evaluate<D: Dialect, N: Network>(
     traffic: &Traffic<D, N>,
+    call: &Call,
     progress: &mut Progress,
     sent: SendOutcome,
-    endpoint: &Endpoint,
-    deadline: Instant,
+    attempt: &Attempt<'_>,
 ) -> Option<(Parts, Bytes)> {
+    let Attempt { endpoint, sent_at, deadline } = *attempt;
     let (fleet, key) = (&traffic.client.fleet, endpoint.key);
     progress.reached_runner |= !matches!(sent, SendOutcome::Unsent | SendOutcome::Withheld);
     match sent {
         SendOutcome::Answered(reply) => {
             progress.runs += 1;
             match traffic.client.read_body(reply, endpoint, deadline).await {
-                Ok((parts, bytes)) if !is_failure(parts.status) => return Some((parts, bytes)),
-                Ok(failure) => progress.failure = Some(failure),
-                Err(error) => progress.lost = Some(error),
+                Ok((parts, bytes)) => {
+                    traffic.quarantine.record_response(call);
+                    if !is_failure(parts.status) {
+                        return Some((parts, bytes));
+                    }
+                    progress.failure = Some((parts, bytes));
+                }
+                Err(error) => {
+                    progress.lost = Some(error);
+                    traffic.record_crash(call, endpoint, sent_at).await;
+                }
             }
         }
         SendOutcome::NotRun | SendOutcome::Withheld => {}
@@ -105,6 +126,7 @@
                 SendError::Timeout => fleet.record_overload(key, Instant::now()),
                 SendError::Unsent | SendError::Disconnected => {
                     fleet.record_failure(key, Instant::now());
+                    traffic.record_crash(call, endpoint, sent_at).await;
                 }
             }
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod network;
 pub mod node;
 pub mod pool;
+pub mod quarantine;
 pub mod readers;
 pub mod records;
 pub mod rejection;
--- a/crates/relay/src/load_sync.rs
+++ b/crates/relay/src/load_sync.rs
@@ -1,8 +1,8 @@
 //! Exchange of load updates between the traffic thread and peers.
 
 use {
-    crate::{budget::Budgets, fleet::Fleet, rollouts::RolloutSample},
-    bilberryfront_decide::member::message::Load,
+    crate::{budget::Budgets, fleet::Fleet, quarantine::Quarantine, rollouts::RolloutSample},
+    bilberryfront_decide::member::message::{CrashReport, Load},
     compact_str::CompactString,
     std::time::Duration,
     tokio::{
@@ -16,44 +16,72 @@
 /// Interval of full updates, which replace lost updates.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Update of this node for its peers.
+#[derive(Clone, Debug, Default)]
+pub struct Update {
+    /// Load and failures of runners, and use of retry budgets.
+    pub load: Load,
+    /// Requests that have crashed runners.
+    pub crashes: Vec<CrashReport>,
+}
+
 /// Update from a peer.
 #[derive(Clone, Debug)]
-pub struct PeerReport {
-    /// Peer.
-    pub from: CompactString,
-    /// Update.
-    pub load: Load,
+pub enum PeerReport {
+    /// Load and failures of runners, and use of retry budgets.
+    Load {
+        /// Peer.
+        from: CompactString,
+        /// Update.
+        load: Load,
+    },
+    /// Requests that have crashed runners.
+    Crashes(Vec<CrashReport>),
 }
 
 /// Channels between the traffic thread and the control thread.
 pub struct Channels {
     /// Updates of this node.
-    pub updates: mpsc::UnboundedSender<Load>,
+    pub updates: mpsc::UnboundedSender<Update>,
     /// Outcomes of requests during a rollout.
     pub samples: mpsc::UnboundedSender<RolloutSample>,
     /// Updates of peers.
     pub peer_reports: mpsc::UnboundedReceiver<PeerReport>,
 }
 
-/// Sends changes of the fleet's load and of the retry budgets, and applies those of peers.
-pub async fn sync(fleet: Fleet, budgets: Budgets, mut channels: Channels) {
+/// Sends changes of the fleet's load, the retry budgets and the quarantine, and applies those of peers.
+pub async fn sync(fleet: Fleet, budgets: Budgets, quarantine: Quarantine, mut channels: Channels) {
     let changed = fleet.changes();
+    let crashed = quarantine.changes();
     let mut refresh = interval(REFRESH_INTERVAL);
     refresh.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        let load = tokio::select! {
+        let update = tokio::select! {
             () = changed.notified() => {
                 sleep(BATCH_DELAY).await;
-                Load { budgets: budgets.take_update(), ..fleet.take_update() }
+                let load = Load { budgets: budgets.take_update(), ..fleet.take_update() };
+                Update { load, ..Update::default() }
+            }
+            () = crashed.notified() => {
+                Update { crashes: quarantine.take_update(), ..Update::default() }
             }
-            _ = refresh.tick() => Load { budgets: budgets.snapshot(), ..fleet.snapshot() },
-            Some(PeerReport { from, load }) = channels.peer_reports.recv() => {
-                fleet.apply_peer_load(&from, &load);
-                budgets.apply(&from, &load.budgets);
+            _ = refresh.tick() => Update {
+                load: Load { budgets: budgets.snapshot(), ..fleet.snapshot() },
+                crashes: quarantine.snapshot(),
+            },
+            Some(report) = channels.peer_reports.recv() => {
+                match report {
+                    PeerReport::Load { from, load } => {
+                        fleet.apply_peer_load(&from, &load);
+                        budgets.apply(&from, &load.budgets);
+                    }
+                    PeerReport::Crashes(crashes) => quarantine.apply(&crashes),
+                }
                 continue;
             }
         };
-        if !load.is_empty() && channels.updates.send(load).is_err() {
+        let is_empty = update.load.is_empty() && update.crashes.is_empty();
+        if !is_empty && channels.updates.send(update).is_err() {
             return;
         }
     }
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -41,8 +41,13 @@
 /// Runner announces in a response that it is draining.
 pub const RUNNER_DRAINING: &str = "the runner announces that it leaves";
 
+/// Request quarantined, since it has crashed several runners.
+pub const QUARANTINED: &str = "request quarantined: it crashes runners";
+/// Run of a suspect or quarantined request completed.
+pub const QUARANTINE_ENDED: &str = "request no longer suspected of crashing runners";
+
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 19] = [
+pub const ALL: [&str; 21] = [
     REJECTED,
     RUN_STARTED,
     RUN_LOST,
@@ -62,4 +67,6 @@
     RATE_LIMITED,
     RATE_UNLIMITED,
     RUNNER_DRAINING,
+    QUARANTINED,
+    QUARANTINE_ENDED,
 ];
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -53,6 +53,7 @@
     NoKey,
     BodySize,
     NotRun,
+    Quarantined,
     Lost,
     Timeout,
 }
@@ -123,6 +124,7 @@
     shards: Gauge,
     nodes: Gauge,
     runners: Gauge,
+    quarantined: Gauge,
     open: Gauge,
 }
 
@@ -143,6 +145,7 @@
             shards: Gauge::default(),
             nodes: Gauge::default(),
             runners: Gauge::default(),
+            quarantined: Gauge::default(),
             open: Gauge::default(),
         };
         let mut registry = Registry::with_prefix("bilberryfront");
@@ -180,6 +183,11 @@
         registry.register("store_era", "Restorations of the store", m.era.clone());
         registry.register("nodes", "Nodes in the address answers", m.nodes.clone());
         registry.register("runners", "Runners registered", m.runners.clone());
+        registry.register(
+            "quarantined",
+            "Requests that are rejected because they crash runners",
+            m.quarantined.clone(),
+        );
         registry.register("open", "Requests and streams under way", m.open.clone());
         metrics.registry = Arc::new(registry);
         metrics
@@ -208,6 +216,7 @@
             Rejection::NoKey => Cause::NoKey,
             Rejection::BodySize => Cause::BodySize,
             Rejection::NotRun { .. } => Cause::NotRun,
+            Rejection::Quarantined { .. } => Cause::Quarantined,
             Rejection::Lost => Cause::Lost,
             Rejection::Timeout => Cause::Timeout,
         };
@@ -264,6 +273,11 @@
         self.shards.set(count.into());
     }
 
+    /// Sets the number of quarantined requests.
+    pub fn set_quarantined(&self, count: usize) {
+        self.quarantined.set(count as i64);
+    }
+
     /// Encodes all metrics as text; `open` is the number of requests in flight.
     pub fn encode(&self, open: usize) -> String {
         self.open.set(open as i64);
--- a/crates/relay/src/metrics/volume.rs
+++ b/crates/relay/src/metrics/volume.rs
@@ -31,6 +31,7 @@
     Membership,
     Move,
     Store,
+    Quarantine,
 }
 
 /// Outcome of a poll of the store.
@@ -111,6 +112,7 @@
         | PeerMessage::Claims(_)
         | PeerMessage::Leave(_) => MessageKind::Membership,
         PeerMessage::Move(_) => MessageKind::Move,
+        PeerMessage::Crashes(_) => MessageKind::Quarantine,
         PeerMessage::Table(_) | PeerMessage::TablePull(_) | PeerMessage::StoreReport(_) => {
             MessageKind::Store
         }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -158,7 +158,8 @@
     tokio::task::spawn_local(apply_views(handler.traffic.clone(), name));
     let fleet = handler.traffic.client.fleet.clone();
     let budgets = handler.traffic.budgets.clone();
-    tokio::task::spawn_local(load_sync::sync(fleet, budgets, channels));
+    let quarantine = handler.traffic.quarantine.clone();
+    tokio::task::spawn_local(load_sync::sync(fleet, budgets, quarantine, channels));
     tokio::task::spawn_local(handle_signals(handler.drain.clone()));
     log::info!(name = settings.name.as_str(), domain = settings.domain.as_str(),
         callers:% = settings.listen.callers; "{SERVING}");
--- /dev/null
+++ b/crates/relay/src/quarantine.rs
@@ -0,0 +1,289 @@
+//! Quarantine of requests that crash the runners that run them.
+//!
+//! A request is suspect after a runner has crashed while running it, and quarantined after
+//! [`MAX_CRASHES`] of them, counted by all nodes together. A completed run clears it. After the
+//! quarantine has expired, the request may run again; another crash renews the quarantine.
+
+mod fingerprint;
+
+use {
+    self::fingerprint::fingerprint,
+    crate::{
+        call::Call,
+        log_messages::{QUARANTINE_ENDED, QUARANTINED},
+    },
+    bilberryfront_decide::member::message::{CrashReport, RequestId},
+    rand::Rng,
+    rustc_hash::FxHashMap,
+    std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration},
+    tokio::{sync::Notify, time::Instant},
+};
+
+/// Crashed runners from which a request is quarantined.
+pub const MAX_CRASHES: usize = 3;
+/// Crashed runners from which a request is sent to an idle runner and reported further by peers.
+const SUSPECT_CRASHES: usize = 2;
+/// Time after its last crash for which a request is quarantined.
+pub const QUARANTINE_TIME: Duration = Duration::from_secs(600);
+/// Upper bound of the random part of [`QUARANTINE_TIME`], as a share of it, so that nodes do not try
+/// the request again at the same time.
+const EXPIRY_JITTER: f64 = 0.2;
+/// Time after its last crash for which a request that is not quarantined is remembered.
+const SUSPECT_TIME: Duration = Duration::from_secs(600);
+/// Window in which crashes of several runners count as an outage, not as caused by a request.
+const OUTAGE_WINDOW: Duration = Duration::from_millis(100);
+/// Maximum number of remembered requests.
+pub const MAX_ENTRIES: usize = 256;
+
+/// Requests that have crashed runners. Clones share their state.
+#[derive(Clone)]
+pub struct Quarantine {
+    inner: Rc<RefCell<Inner>>,
+    changed: Rc<Notify>,
+    /// Notified when a request is quarantined.
+    quarantined: Rc<Notify>,
+}
+
+struct Inner {
+    entries: FxHashMap<RequestId, Entry>,
+    /// Requests cleared since the last report to peers.
+    cleared: Vec<RequestId>,
+    /// Recent crashes found by this node.
+    recent: VecDeque<(u64, Instant)>,
+    /// Time after its last crash after which this node runs a quarantined request again.
+    expiry: Duration,
+}
+
+/// Crashes that one request has caused.
+struct Entry {
+    /// Hashes of the last crashed runners, at most [`MAX_CRASHES`].
+    runners: Vec<u64>,
+    last: Instant,
+    /// Whether the entry has to be reported to peers.
+    dirty: bool,
+}
+
+impl Default for Quarantine {
+    fn default() -> Quarantine {
+        let expiry = QUARANTINE_TIME.mul_f64(1.0 + rand::rng().random_range(0.0..EXPIRY_JITTER));
+        let inner = Inner {
+            entries: FxHashMap::default(),
+            cleared: Vec::new(),
+            recent: VecDeque::new(),
+            expiry,
+        };
+        Quarantine {
+            inner: Rc::new(RefCell::new(inner)),
+            changed: Rc::default(),
+            quarantined: Rc::default(),
+        }
+    }
+}
+
+impl Quarantine {
+    /// Returns the time for which a request is still quarantined, if it is.
+    pub fn time_left(&self, call: &Call) -> Option<Duration> {
+        let inner = self.inner.borrow();
+        let entry = inner.find(call)?;
+        let left = (entry.last + inner.expiry).saturating_duration_since(Instant::now());
+        (entry.runners.len() >= MAX_CRASHES && !left.is_zero()).then_some(left)
+    }
+
+    /// Returns whether a request should run without others beside it.
+    pub fn is_suspect(&self, call: &Call) -> bool {
+        self.inner.borrow().find(call).is_some_and(|entry| entry.runners.len() >= SUSPECT_CRASHES)
+    }
+
+    /// Returns the number of quarantined requests.
+    pub fn len(&self) -> usize {
+        let inner = self.inner.borrow();
+        let now = Instant::now();
+        inner.entries.values().filter(|entry| inner.is_quarantined(entry, now)).count()
+    }
+
+    /// Returns whether no request is quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Waits until a request is quarantined.
+    pub async fn wait_until_quarantined(&self, call: &Call) {
+        loop {
+            let changed = self.quarantined.notified();
+            if self.time_left(call).is_some() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Records that a runner, identified by a hash of its incarnation, has crashed while running a
+    /// request that was sent to it at `sent_at`.
+    pub fn record_crash(&self, call: &Call, runner: u64, sent_at: Instant) {
+        let now = Instant::now();
+        let mut inner = self.inner.borrow_mut();
+        if inner.is_outage(runner, sent_at, now) {
+            return;
+        }
+        let id = fingerprint(call);
+        if inner.add(id, &[runner], now) {
+            inner.entries.get_mut(&id).expect("the entry was added").dirty = true;
+            self.changed.notify_one();
+            if inner.entries[&id].runners.len() >= MAX_CRASHES {
+                log::warn!(request = call.head.id.as_str(), route = call.route.name.as_str(),
+                    fingerprint = display(id).as_str(); "{QUARANTINED}");
+                self.quarantined.notify_waiters();
+            }
+        }
+    }
+
+    /// Records a complete response to a request, which clears it.
+    pub fn record_response(&self, call: &Call) {
+        let mut inner = self.inner.borrow_mut();
+        if !inner.entries.is_empty() && inner.clear(fingerprint(call)) {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Returns a handle that is notified when [`Quarantine::take_update`] has something to report.
+    pub fn changes(&self) -> Rc<Notify> {
+        self.changed.clone()
+    }
+
+    /// Takes the changes since the last call, for peers.
+    pub fn take_update(&self) -> Vec<CrashReport> {
+        let inner = &mut *self.inner.borrow_mut();
+        let now = Instant::now();
+        let cleared = std::mem::take(&mut inner.cleared).into_iter();
+        let cleared = cleared.map(|id| CrashReport { id, runners: Vec::new(), age_ms: 0 });
+        let dirty = inner.entries.iter_mut().filter(|(_, entry)| entry.dirty);
+        let changed = dirty.map(|(id, entry)| {
+            entry.dirty = false;
+            entry.report(*id, now)
+        });
+        cleared.chain(changed).take(MAX_ENTRIES).collect()
+    }
+
+    /// Returns the quarantined requests, for peers that have started or missed an update.
+    pub fn snapshot(&self) -> Vec<CrashReport> {
+        let inner = self.inner.borrow();
+        let now = Instant::now();
+        let quarantined = inner.entries.iter().filter(|(_, e)| inner.is_quarantined(e, now));
+        quarantined.map(|(id, entry)| entry.report(*id, now)).collect()
+    }
+
+    /// Applies a report of a peer. Reports on suspect requests are passed on, since a large system has
+    /// no direct path between all nodes.
+    pub fn apply(&self, reports: &[CrashReport]) {
+        let now = Instant::now();
+        let mut inner = self.inner.borrow_mut();
+        for CrashReport { id, runners, age_ms } in reports {
+            if runners.is_empty() {
+                if inner.clear(*id) {
+                    self.changed.notify_one();
+                }
+                continue;
+            }
+            let age = Duration::from_millis(u64::from(*age_ms));
+            let Some(at) = now.checked_sub(age) else { continue };
+            if !inner.add(*id, runners, at) {
+                continue;
+            }
+            let entry = inner.entries.get_mut(id).expect("the entry was added");
+            if entry.runners.len() >= SUSPECT_CRASHES {
+                entry.dirty = true;
+                self.changed.notify_one();
+            }
+            if entry.runners.len() >= MAX_CRASHES {
+                log::warn!(fingerprint = display(*id).as_str(); "{QUARANTINED}, reported by a peer");
+                self.quarantined.notify_waiters();
+            }
+        }
+    }
+}
+
+impl Inner {
+    /// Returns the entry of a request. Hashes its body only if there are entries.
+    fn find(&self, call: &Call) -> Option<&Entry> {
+        if self.entries.is_empty() {
+            return None;
+        }
+        self.entries.get(&fingerprint(call))
+    }
+
+    fn is_quarantined(&self, entry: &Entry, now: Instant) -> bool {
+        entry.runners.len() >= MAX_CRASHES && now < entry.last + self.expiry
+    }
+
+    /// Records the crash of a runner; returns whether another runner has crashed just before, after
+    /// the request was sent: a request that crashes one runner after the other is no outage.
+    fn is_outage(&mut self, runner: u64, sent_at: Instant, now: Instant) -> bool {
+        self.recent.retain(|(_, at)| now < *at + OUTAGE_WINDOW);
+        if self.recent.iter().all(|(known, _)| *known != runner) {
+            self.recent.push_back((runner, now));
+        }
+        self.recent.iter().any(|(known, at)| *known != runner && *at > sent_at)
+    }
+
+    /// Adds crashed runners to an entry; returns whether one of them was not known.
+    fn add(&mut self, id: RequestId, runners: &[u64], at: Instant) -> bool {
+        if !self.entries.contains_key(&id) {
+            self.make_room(Instant::now());
+        }
+        let new = || Entry { runners: Vec::new(), last: at, dirty: false };
+        let entry = self.entries.entry(id).or_insert_with(new);
+        let before = entry.last;
+        let mut is_changed = false;
+        for runner in runners.iter().take(MAX_CRASHES) {
+            // An older report on a full entry is about crashes that were replaced by later ones.
+            let is_outdated = entry.runners.len() >= MAX_CRASHES && at <= before;
+            if !entry.runners.contains(runner) && !is_outdated {
+                entry.runners.push(*runner);
+                is_changed = true;
+            }
+        }
+        let excess = entry.runners.len().saturating_sub(MAX_CRASHES);
+        entry.runners.drain(..excess);
+        if is_changed {
+            entry.last = before.max(at);
+        }
+        is_changed
+    }
+
+    fn clear(&mut self, id: RequestId) -> bool {
+        let is_known = self.entries.remove(&id).is_some();
+        if is_known {
+            log::info!(fingerprint = display(id).as_str(); "{QUARANTINE_ENDED}");
+            self.cleared.push(id);
+        }
+        is_known
+    }
+
+    /// Removes expired entries, and if there are still too many, the one with the fewest crashes.
+    fn make_room(&mut self, now: Instant) {
+        // Longer than the quarantine, so that a crash in the trial after it renews the quarantine.
+        let retention = |entry: &Entry| match entry.runners.len() {
+            MAX_CRASHES.. => self.expiry * 2,
+            _ => SUSPECT_TIME,
+        };
+        self.entries.retain(|_, entry| now < entry.last + retention(entry));
+        if self.entries.len() >= MAX_ENTRIES {
+            let least = self.entries.iter().min_by_key(|(_, e)| (e.runners.len(), e.last));
+            if let Some(id) = least.map(|(id, _)| *id) {
+                self.entries.remove(&id);
+            }
+        }
+    }
+}
+
+impl Entry {
+    fn report(&self, id: RequestId, now: Instant) -> CrashReport {
+        let age = now.saturating_duration_since(self.last).as_millis();
+        let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+        CrashReport { id, runners: self.runners.clone(), age_ms }
+    }
+}
+
+fn display(id: RequestId) -> String {
+    format!("{:016x}{:032x}", id.account, id.request)
+}
--- a/crates/relay/src/rejection.rs
+++ b/crates/relay/src/rejection.rs
@@ -22,6 +22,11 @@
         /// Value of `Retry-After`.
         retry: Duration,
     },
+    /// The request crashes the runners that run it. It was not run.
+    Quarantined {
+        /// Value of `Retry-After`.
+        retry: Duration,
+    },
     /// The response was lost; the request may have run.
     Lost,
     /// No response within the timeout; the request may have run.
@@ -36,7 +41,9 @@
             Rejection::NoRoute => StatusCode::NOT_FOUND,
             Rejection::NoKey => StatusCode::UNAUTHORIZED,
             Rejection::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
-            Rejection::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Rejection::NotRun { .. } | Rejection::Quarantined { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Rejection::Lost => StatusCode::BAD_GATEWAY,
             Rejection::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -49,7 +56,7 @@
         id: Option<&str>,
     ) -> Response<ResponseBody> {
         let retry = match self {
-            Rejection::NotRun { retry } => Some(retry),
+            Rejection::NotRun { retry } | Rejection::Quarantined { retry } => Some(retry),
             _ => None,
         };
         let mut response = Response::new(ResponseBody::empty());
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -21,8 +21,11 @@
     },
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
-    std::{net::SocketAddr, str::FromStr, time::Duration},
-    tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at},
+    std::{io, net::SocketAddr, str::FromStr, time::Duration},
+    tokio::{
+        io::AsyncReadExt,
+        time::{Instant, sleep, sleep_until, timeout, timeout_at},
+    },
 };
 
 /// Maximum size of a buffered response body.
@@ -44,6 +47,10 @@
 const CACHE_TIMEOUT: Duration = Duration::from_millis(60);
 /// Timeout of a replication request.
 const REPLICATE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of the connection that shows whether a runner has crashed.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time within which that connection is closed if something else accepts it.
+const CRASH_CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Consecutive failed probes after which a runner counts as lost.
 const MAX_FAILED_PROBES: u32 = 2;
 
@@ -261,6 +268,18 @@
         }
     }
 
+    /// Returns whether the runner's process has ended: a new connection is refused or closed at once.
+    /// A broken connection alone is no evidence of a crash.
+    pub async fn has_crashed(&self, endpoint: &Endpoint) -> bool {
+        match self.network.connect(endpoint.address, CRASH_CHECK_TIMEOUT).await {
+            Ok(mut stream) => {
+                let closed = timeout(CRASH_CLOSE_TIMEOUT, stream.read_u8()).await;
+                closed.is_ok_and(|read| read.is_err())
+            }
+            Err(error) => error.kind() != io::ErrorKind::TimedOut,
+        }
+    }
+
     /// Requests the identity of the runner at an address.
     async fn identity(&self, endpoint: &Endpoint) -> Option<Identity> {
         let body = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await?;
--- a/crates/relay/tests/domains.rs
+++ b/crates/relay/tests/domains.rs
@@ -56,6 +56,7 @@
         avoid_domain: None,
         version: None,
         stable: false,
+        idle: false,
     }
 }
 
@@ -74,6 +75,16 @@
     }
 }
 
+/// Guards against running a request that may crash its runner beside others while a runner is idle.
+#[tokio::test(start_paused = true)]
+async fn suspect_request_leaves_its_domain_for_an_idle_runner() {
+    let fleet = fleet(1, 6);
+    let call = fleet.lease_call(fleet.choose(&criteria(0)).unwrap());
+    assert_eq!(fleet.choose(&criteria(0)).unwrap().domain, call.endpoint.domain);
+    let suspect = fleet.choose(&Criteria { idle: true, ..criteria(0) }).unwrap();
+    assert_ne!(suspect.domain, call.endpoint.domain);
+}
+
 /// Load: hundreds of short calls. Guards against load reports that are outdated when they arrive.
 #[tokio::test(start_paused = true)]
 async fn calls_are_not_reported_to_peers() {
--- a/crates/relay/tests/fleet.rs
+++ b/crates/relay/tests/fleet.rs
@@ -51,6 +51,7 @@
         avoid_domain: None,
         version: None,
         stable: false,
+        idle: false,
     }
 }
 
--- a/crates/relay/tests/large_fleet.rs
+++ b/crates/relay/tests/large_fleet.rs
@@ -52,6 +52,7 @@
         avoid_domain: None,
         version: None,
         stable: false,
+        idle: false,
     }
 }
 
--- a/crates/relay/tests/rate_limit.rs
+++ b/crates/relay/tests/rate_limit.rs
@@ -93,6 +93,7 @@
         avoid_domain: None,
         version: None,
         stable: false,
+        idle: false,
     }
 }
 
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -140,6 +140,9 @@
                 line.number("ready").unwrap_or_default()
             )
         }
+        "Quarantined" => "Rejected, not run: earlier attempts of the same request crashed the runners that ran \
+             it, so it is quarantined. `request quarantined` in the instances' logs has its fingerprint."
+            .into(),
         "Lost" => format!(
             "Ended without a response: {runner} had the request, and its connection failed after {waited} ms. \
              It may have run, so it was neither retried nor reported as not run: look up the id in the \
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -2,6 +2,8 @@
 
 #[path = "relay/calls.rs"]
 mod calls;
+#[path = "relay/crashes.rs"]
+mod crashes;
 #[path = "relay/drains.rs"]
 mod drains;
 #[path = "relay/endpoints.rs"]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -533,6 +533,7 @@
             avoid_domain: None,
             version: None,
             stable: false,
+            idle: false,
         };
         let preferred = self.traffic.client.fleet.preferred(&criteria).into_iter();
         preferred.map(|place| place.id.to_string()).collect()
