--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -148,11 +148,10 @@
                 engines.step().await;
             }
         }
-        for index in 0..instances.len() {
-            instances[index].process.kill();
-            instances[index] = engines.platform.start(&format!("m{index}"));
-            let started = &instances[index];
-            wait_until("the new instance is ready", async || started.ready().await).await;
+        for (index, instance) in instances.iter_mut().enumerate() {
+            instance.process.kill();
+            *instance = engines.platform.start(&format!("m{index}"));
+            wait_until("the new instance is ready", async || instance.ready().await).await;
             sleep(NOTICE * 2).await;
         }
         let start = Instant::now();
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -10,6 +10,8 @@
 mod endpoints;
 #[path = "relay/limits.rs"]
 mod limits;
+#[path = "relay/partitions.rs"]
+mod partitions;
 #[path = "relay/pauses.rs"]
 mod pauses;
 #[path = "relay/streams.rs"]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -195,23 +195,83 @@
     }
 }
 
+/// How a node's connections to all runners fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Partition {
+    /// Open connections break, new ones are refused.
+    Refuse,
+    /// Neither open connections nor attempts to connect get any response.
+    Hang,
+}
+
 /// In-memory network that connects to the runners by address.
 #[derive(Clone, Default)]
 pub(crate) struct MemoryNetwork {
     runners: Rc<RefCell<HashMap<SocketAddr, Rc<Runner>>>>,
+    partition: Rc<Cell<Option<Partition>>>,
+    /// Tasks that carry the bytes of open connections.
+    links: Rc<RefCell<Vec<Link>>>,
+}
+
+struct Link {
+    task: AbortHandle,
+    /// Whether the task is stopped without closing the connection.
+    is_hung: Rc<Cell<bool>>,
+}
+
+impl MemoryNetwork {
+    /// Returns a connection that the network's partition affects.
+    fn carry(&self, runner: Rc<Runner>) -> DuplexStream {
+        let mut stream = accept(runner);
+        let (client, mut far) = tokio::io::duplex(WINDOW);
+        let is_hung = Rc::new(Cell::new(false));
+        let hung = is_hung.clone();
+        let copy = async move {
+            let copying = tokio::io::copy_bidirectional(&mut far, &mut stream);
+            tokio::pin!(copying);
+            // Polled only while the link carries bytes, so that a hung one stays open.
+            std::future::poll_fn(|context| match hung.get() {
+                true => std::task::Poll::Pending,
+                false => copying.as_mut().poll(context).map(|_| ()),
+            })
+            .await;
+        };
+        let task = tokio::task::spawn_local(copy).abort_handle();
+        self.links.borrow_mut().push(Link { task, is_hung });
+        client
+    }
+
+    fn set_partition(&self, partition: Option<Partition>) {
+        self.partition.set(partition);
+        for link in self.links.borrow_mut().drain(..) {
+            match partition {
+                Some(Partition::Refuse) => link.task.abort(),
+                Some(Partition::Hang) => link.is_hung.set(true),
+                None => {}
+            }
+        }
+    }
 }
 
 impl Network for MemoryNetwork {
     type Stream = DuplexStream;
 
     async fn connect(&self, address: SocketAddr, limit: Duration) -> io::Result<DuplexStream> {
+        match self.partition.get() {
+            Some(Partition::Refuse) => return Err(io::ErrorKind::ConnectionRefused.into()),
+            Some(Partition::Hang) => {
+                sleep(limit).await;
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            None => {}
+        }
         let runner = self.runners.borrow().get(&address).cloned();
         match runner {
             Some(runner) if runner.is_unresponsive.get() => {
                 sleep(limit).await;
                 Err(io::ErrorKind::TimedOut.into())
             }
-            Some(runner) if !runner.is_crashed.get() => Ok(accept(runner)),
+            Some(runner) if !runner.is_crashed.get() => Ok(self.carry(runner)),
             _ => Err(io::ErrorKind::ConnectionRefused.into()),
         }
     }
@@ -449,10 +509,12 @@
     /// Returns the same runners behind another node, `n{index}`, of a failure domain.
     pub(crate) fn node(&self, index: u8, domain: &'static str) -> Deployment {
         let mut deployment = self.clone();
+        deployment.net =
+            MemoryNetwork { runners: self.net.runners.clone(), ..MemoryNetwork::default() };
         let allowance = Allowance { ratio: 0.8, slack: 100.0, window: Duration::from_secs(10) };
         let bound = Bound { share: 0.1, slack: 50.0 };
         deployment.traffic =
-            Traffic::new(Http, self.net.clone(), Published::default(), allowance, bound);
+            Traffic::new(Http, deployment.net.clone(), Published::default(), allowance, bound);
         deployment.traffic.client.fleet = Fleet::seeded(u64::from(index));
         deployment.traffic.client.fleet.set_domain(&domain.into());
         deployment.name = format!("n{index}");
@@ -539,6 +601,11 @@
         preferred.map(|place| place.id.to_string()).collect()
     }
 
+    /// Partitions the node from all runners, or ends that.
+    pub(crate) fn partition(&self, partition: Option<Partition>) {
+        self.net.set_partition(partition);
+    }
+
     /// Returns the number of requests that all runners have received.
     pub(crate) fn request_count(&self) -> usize {
         self.runners.iter().map(|r| r.request_count()).sum()
