Reach runners through other nodes while a node is partitioned from them

A node now notices that its own path is at fault: two runners of a service fail one after the other without any response in between, and then none of four others, of different domains, can be reached at the same time. From then on it opens its connections to the service through another node, over QUIC streams of connections that carry nothing else: the other node carries the bytes of a TCP connection to a listed runner, so that resuming, sending once, budgets and cancellation work as before. When a runner was reached that way, so that the runners are not down, the node tells its peers, which leave it out of address responses unless all are in that state, and its responses close callers' connections. It tries direct connections every 250 ms and returns to them after three successes. Failures that its own path may have caused are not reported to peers.

Ruled out: forwarding requests instead of connections (the other node would have to resume, and count attempts, for a caller that it doesn't have); messages and tunnels on one QUIC connection (a slow reader would use up the window of the messages); a connection that succeeds once as the end of a partition (nearly all runners may be unreachable).

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -44,6 +44,8 @@
     StoreReport(StoreReport),
     /// Requests that have crashed runners.
     Crashes(Vec<CrashReport>),
+    /// Services from whose runners the sender is partitioned, while other nodes reach them.
+    Partitions(Vec<CompactString>),
 }
 
 /// Identity of a request across attempts.
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -185,6 +185,7 @@
             let longest = runners.max(budgets).max(load.failed.len()).max(load.restarts.len());
             longest > LOADS_LIMIT
         }
+        PeerMessage::Partitions(services) => services.len() > LOADS_LIMIT,
         PeerMessage::Crashes(crashes) => crashes.len() > CRASHES_LIMIT,
         _ => false,
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,12 +9,14 @@
 mod receiver;
 mod sender;
 pub mod tls;
+pub mod tunnel;
 
 use {
     self::{
         codec::{Class, Frame},
         queue::Queue,
         tls::Identity,
+        tunnel::Tunnels,
     },
     bilberryfront_decide::member::{PeerMessage, Target},
     compact_str::CompactString,
@@ -134,6 +136,8 @@
     name: CompactString,
     endpoint: Endpoint,
     client: quinn::ClientConfig,
+    tunnel_client: quinn::ClientConfig,
+    tunnels: Tunnels,
     ephemeral: bool,
     links: Mutex<FxHashMap<CompactString, Link>>,
     /// Nodes with an outstanding catalogue request.
@@ -183,7 +187,7 @@
 impl PeerNet {
     /// Starts the transport on the current runtime.
     pub fn start(config: &PeerConfig) -> Result<(PeerNet, mpsc::Receiver<Received>)> {
-        let Identity { server, client } = tls::identity(config)?;
+        let Identity { server, client, tunnel_client } = tls::identity(config)?;
         let endpoint = Endpoint::server(server, config.listen)
             .map_err(|cause| PeerError::Listen { address: config.listen, cause })?;
         let (events, receiver) = mpsc::channel(EVENT_QUEUE_LEN);
@@ -191,6 +195,8 @@
             name: config.name.clone(),
             endpoint,
             client,
+            tunnel_client,
+            tunnels: Tunnels::default(),
             ephemeral: config.ephemeral,
             links: Mutex::default(),
             catalog_requests: Mutex::default(),
--- a/crates/peer/src/receiver.rs
+++ b/crates/peer/src/receiver.rs
@@ -62,6 +62,10 @@
                 Ok(stream) => _ = tokio::spawn(receive(shared.clone(), peer.clone(), stream)),
                 Err(_) => return,
             },
+            tunnel = connection.accept_bi() => match tunnel {
+                Ok(tunnel) => shared.accept_tunnel(tunnel),
+                Err(_) => return,
+            },
         }
     }
 }
--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -32,6 +32,14 @@
 const SESSIONS_PER_SERVER: usize = 8;
 /// Maximum concurrent incoming streams per connection, with one message each.
 const MAX_STREAMS: u32 = 16;
+/// Maximum concurrent incoming tunnels per connection.
+const MAX_TUNNELS: u32 = 512;
+/// Receive window per tunnel.
+const TUNNEL_WINDOW_BYTES: u32 = 64 * 1024;
+/// Receive window of all tunnels of a connection.
+const TUNNELS_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
+/// Interval of keep-alive packets on a connection for tunnels, which may be silent while a runner works.
+const TUNNEL_KEEP_ALIVE: Duration = Duration::from_secs(2);
 /// Receive window per connection and per stream, and send window.
 const WINDOW_BYTES: u32 = 2 * 1024 * 1024;
 /// Size of the send and receive buffers for datagrams.
@@ -43,6 +51,8 @@
     pub server: quinn::ServerConfig,
     /// Client side.
     pub client: quinn::ClientConfig,
+    /// Client side of connections for tunnels.
+    pub tunnel_client: quinn::ClientConfig,
 }
 
 /// Builds the configurations of the transport for both roles.
@@ -52,10 +62,12 @@
     let client = QuicClientConfig::try_from(client).map_err(tls_error)?;
     let mut server = quinn::ServerConfig::with_crypto(Arc::new(server));
     let mut client = quinn::ClientConfig::new(Arc::new(client));
+    let mut tunnel_client = client.clone();
     let transport = Arc::new(transport_config());
     server.transport_config(transport.clone());
     client.transport_config(transport);
-    Ok(Identity { server, client })
+    tunnel_client.transport_config(Arc::new(tunnel_config()));
+    Ok(Identity { server, client, tunnel_client })
 }
 
 /// Parses the certificates and builds the TLS configurations. The first DNS name of the certificate
@@ -146,7 +158,7 @@
     transport
         .max_idle_timeout(Some(idle))
         .max_concurrent_uni_streams(VarInt::from_u32(MAX_STREAMS))
-        .max_concurrent_bidi_streams(VarInt::from_u32(0))
+        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_TUNNELS))
         .receive_window(VarInt::from_u32(WINDOW_BYTES))
         .stream_receive_window(VarInt::from_u32(WINDOW_BYTES))
         .send_window(u64::from(WINDOW_BYTES))
@@ -155,6 +167,17 @@
     transport
 }
 
+fn tunnel_config() -> TransportConfig {
+    let mut transport = transport_config();
+    transport
+        .max_concurrent_uni_streams(VarInt::from_u32(0))
+        .max_concurrent_bidi_streams(VarInt::from_u32(0))
+        .stream_receive_window(VarInt::from_u32(TUNNEL_WINDOW_BYTES))
+        .receive_window(VarInt::from_u32(TUNNELS_WINDOW_BYTES))
+        .keep_alive_interval(Some(TUNNEL_KEEP_ALIVE));
+    transport
+}
+
 fn pem_error(part: &'static str, error: &rustls_pki_types::pem::Error) -> PeerError {
     PeerError::Pem { part, cause: error.to_string() }
 }
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -35,6 +35,7 @@
         settings::Settings,
         store::Store,
         table_sync::TableSync,
+        tunnel::Tunnels,
         view::{NodeAddress, Published, Splits, View},
     },
     bilberryfront_decide::id::{CatalogRevision, Incarnation},
@@ -75,6 +76,7 @@
     metrics: Metrics,
     rollouts: Rollouts,
     splits: Splits,
+    tunnels: Tunnels,
     /// Sends updates of peers to the traffic thread.
     peer_reports: mpsc::UnboundedSender<PeerReport>,
     cleaned_at: Instant,
@@ -102,6 +104,8 @@
     pub demand: Arc<Notify>,
     /// Metrics.
     pub metrics: Metrics,
+    /// Receives access to the peer transport once the node has joined.
+    pub tunnels: Tunnels,
 }
 
 /// Runs the control thread until the node has drained.
@@ -114,7 +118,7 @@
     channels: Channels,
     shutdown: impl Future<Output = ()>,
 ) {
-    let Channels { updates, samples, peer_reports, demand, metrics } = channels;
+    let Channels { updates, samples, peer_reports, demand, metrics, tunnels } = channels;
     let (feeds, changes, loaded) = Feeds::start::<R, S>(&settings, &store, &metrics);
     let (progress, joining) = mpsc::channel(1);
     let join = join::join(settings.clone(), store.clone(), metrics.clone(), progress);
@@ -139,6 +143,7 @@
         metrics,
         rollouts: Rollouts::new(Incarnation(rand::random())),
         splits: Splits::default(),
+        tunnels,
         peer_reports,
         cleaned_at: Instant::now(),
     };
@@ -186,6 +191,7 @@
     fn finish_join(&mut self, mut membership: Membership, listing: &Listing) {
         membership.apply_registrations(&listing.rows, true);
         self.feeds.set_nodes_revision(listing.rows.revision);
+        self.tunnels.attach(membership.net());
         self.membership = Some(membership);
         if listing.complete {
             self.sync.start(Instant::now());
--- a/crates/relay/src/control/gossip.rs
+++ b/crates/relay/src/control/gossip.rs
@@ -17,7 +17,8 @@
 };
 
 impl<R: Records, S: Store> Control<R, S> {
-    pub(super) fn publish_update(&mut self, Update { load, crashes }: Update) {
+    pub(super) fn publish_update(&mut self, update: Update) {
+        let Update { load, crashes, partitions } = update;
         self.adopt_restarts(&load.restarts);
         let Some(membership) = &mut self.membership else { return };
         if !load.is_empty() {
@@ -27,6 +28,9 @@
         if !crashes.is_empty() {
             membership.broadcast(&PeerMessage::Crashes(crashes));
         }
+        if let Some(services) = partitions {
+            membership.broadcast(&PeerMessage::Partitions(services));
+        }
     }
 
     pub(super) fn handle_peer_event(&mut self, event: Received) {
@@ -44,6 +48,9 @@
                 }
                 self.forward_load(relayed.origin, relayed.load);
             }
+            PeerMessage::Partitions(services) => {
+                self.report(PeerReport::Partitions { from, services });
+            }
             PeerMessage::Crashes(crashes) => self.report(PeerReport::Crashes(crashes)),
             PeerMessage::CatalogPush(push) => self.apply_gossiped_catalog(push),
             message @ (PeerMessage::Table(_)
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -294,6 +294,11 @@
         stale
     }
 
+    /// Returns the peer transport.
+    pub(super) fn net(&self) -> PeerNet {
+        self.net.clone()
+    }
+
     /// Returns the name of this node.
     pub(super) fn name(&self) -> &CompactString {
         &self.local_node.name
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod drain;
 mod load;
+mod partition;
 mod health;
 mod lease;
 mod pause;
@@ -13,10 +14,16 @@
     health::Health,
     lease::Lease,
     load::Load,
+    partition::Check,
 };
 
 use {
-    self::{drain::Announcement, load::PeerLoads, rate_limit::AdvertisedLimit},
+    self::{
+        drain::Announcement,
+        load::PeerLoads,
+        partition::{Path, PeerPartitions},
+        rate_limit::AdvertisedLimit,
+    },
     crate::{
         fanout::Scope,
         pool::{Connection, Pool},
@@ -46,6 +53,10 @@
     inner: Rc<RefCell<Inner>>,
     changed: Rc<Notify>,
     lost: Rc<Notify>,
+    /// Notified when a check of a path has ended or a partition has ended.
+    partitions_changed: Rc<Notify>,
+    /// Notified when the partitions have to be reported to peers.
+    partitions_dirty: Rc<Notify>,
     random: Rc<RefCell<SmallRng>>,
 }
 
@@ -70,6 +81,10 @@
     scope: Scope,
     /// Unlisted runners found at known addresses, with the time of the last identity check.
     identity_checks: FxHashMap<CompactString, Instant>,
+    /// Paths to the services some of whose runners fail.
+    paths: FxHashMap<CompactString, Path>,
+    /// Partitions reported by peers, by node.
+    peer_partitions: FxHashMap<CompactString, PeerPartitions>,
 }
 
 struct Runner {
@@ -117,7 +132,14 @@
     /// Creates an empty fleet whose random tie-breaking uses this seed.
     pub fn seeded(seed: u64) -> Fleet {
         let random = Rc::new(RefCell::new(SmallRng::seed_from_u64(seed)));
-        Fleet { inner: Rc::default(), changed: Rc::default(), lost: Rc::default(), random }
+        Fleet {
+            inner: Rc::default(),
+            changed: Rc::default(),
+            lost: Rc::default(),
+            partitions_changed: Rc::default(),
+            partitions_dirty: Rc::default(),
+            random,
+        }
     }
 
     /// Sets this node's failure domain.
@@ -149,6 +171,7 @@
             let service = runner.registration.service.clone();
             inner.services.entry(service).or_default().push(key);
         }
+        inner.paths.retain(|service, _| inner.services.contains_key(service));
         inner.divide_limits(Instant::now());
     }
 
@@ -174,7 +197,10 @@
         connection: Connection,
         limit: Option<Duration>,
     ) {
-        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
+        // A direct connection of before a partition hangs, and one through a node is a detour after it.
+        let is_stale = connection.is_tunneled() != self.is_partitioned(key);
+        let mut inner = self.inner.borrow_mut();
+        if let Some(runner) = inner.runners.get_mut(key).filter(|_| !is_stale) {
             runner.pool.put(Instant::now(), connection, limit);
         }
     }
@@ -213,8 +239,10 @@
 
     /// Records a response from a runner.
     pub fn record_response(&self, key: RunnerKey, now: Instant) {
-        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
+        let inner = &mut *self.inner.borrow_mut();
+        if let Some(runner) = inner.runners.get_mut(key) {
             runner.health.record_response(now);
+            inner.clear_lost_responses(key);
         }
     }
 
@@ -287,6 +315,11 @@
         inner.runners.get(key).is_some_and(|runner| runner.is_idle(Instant::now()))
     }
 
+    /// Returns whether a runner is listed at an address.
+    pub fn is_listed(&self, address: SocketAddr) -> bool {
+        self.inner.borrow().runners.values().any(|r| r.registration.address == address)
+    }
+
     /// Returns the service of a listed runner.
     pub fn service(&self, key: RunnerKey) -> Option<CompactString> {
         Some(self.inner.borrow().runners.get(key)?.registration.service.clone())
@@ -337,7 +370,11 @@
         let Some(runner) = self.runners.get_mut(key) else { return };
         runner.health.record_failure(now);
         runner.pool.clear();
-        self.failures.push(runner.registration.id.clone());
+        let id = runner.registration.id.clone();
+        if self.withhold_failure(key, now) {
+            return;
+        }
+        self.failures.push(id);
         self.suspect_neighbours(key, now);
     }
 
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -185,6 +185,7 @@
                     self.report_sample(endpoint.key, false);
                     self.runs += u32::from(!from_replica);
                     self.lost = Some(error);
+                    self.traffic.client.record_lost_response(&endpoint);
                     self.mark_failed(endpoint.key);
                     if is_suspect && error == SendError::Disconnected {
                         self.traffic.record_crash(&self.call, &endpoint, self.sent_at).await;
@@ -256,6 +257,7 @@
     /// cancels the run.
     fn abandon(&mut self, run: Run, reason: RunEnd) {
         let key = run.endpoint().key;
+        self.traffic.client.record_lost_response(run.endpoint());
         self.report_sample(key, false);
         log::warn!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
             position = self.position.unwrap_or_default(),
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -78,7 +78,8 @@
             Ok(admitted) => self.read_and_serve(parts, body, admitted, start).await,
             Err((rejection, id)) => self.reject(rejection, id.as_deref()),
         };
-        if self.drain.is_draining() {
+        // Callers of a partitioned node get the addresses of others when they connect again.
+        if self.drain.is_draining() || self.traffic.client.fleet.is_confirmed_partitioned() {
             let close = header::HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
@@ -135,7 +136,8 @@
 
     fn addresses(&self) -> Response<ResponseBody> {
         let view = self.traffic.published.load();
-        let mut nodes: Vec<SocketAddr> = view.nodes.iter().map(address).collect();
+        let nodes = self.traffic.client.fleet.connected_nodes(&view.nodes);
+        let mut nodes: Vec<SocketAddr> = nodes.into_iter().map(address).collect();
         if nodes.len() > MAX_ADDRESSES {
             let start = rand::rng().random_range(0..nodes.len());
             nodes.rotate_left(start);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,4 +34,5 @@
 pub mod fanout;
 pub mod store;
 pub mod table_sync;
+pub mod tunnel;
 pub mod view;
--- a/crates/relay/src/load_sync.rs
+++ b/crates/relay/src/load_sync.rs
@@ -23,6 +23,14 @@
     pub load: Load,
     /// Requests that have crashed runners.
     pub crashes: Vec<CrashReport>,
+    /// Services from which this node is partitioned; `None` if unchanged.
+    pub partitions: Option<Vec<CompactString>>,
+}
+
+impl Update {
+    fn is_empty(&self) -> bool {
+        self.load.is_empty() && self.crashes.is_empty() && self.partitions.is_none()
+    }
 }
 
 /// Update from a peer.
@@ -37,6 +45,13 @@
     },
     /// Requests that have crashed runners.
     Crashes(Vec<CrashReport>),
+    /// Services from which a peer is partitioned.
+    Partitions {
+        /// Peer.
+        from: CompactString,
+        /// Services.
+        services: Vec<CompactString>,
+    },
 }
 
 /// Channels between the traffic thread and the control thread.
@@ -53,6 +68,7 @@
 pub async fn sync(fleet: Fleet, budgets: Budgets, quarantine: Quarantine, mut channels: Channels) {
     let changed = fleet.changes();
     let crashed = quarantine.changes();
+    let partitioned = fleet.partition_changes();
     let mut refresh = interval(REFRESH_INTERVAL);
     refresh.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -65,9 +81,13 @@
             () = crashed.notified() => {
                 Update { crashes: quarantine.take_update(), ..Update::default() }
             }
+            () = partitioned.notified() => {
+                Update { partitions: Some(fleet.partitions()), ..Update::default() }
+            }
             _ = refresh.tick() => Update {
                 load: Load { budgets: budgets.snapshot(), ..fleet.snapshot() },
                 crashes: quarantine.snapshot(),
+                partitions: Some(fleet.partitions()).filter(|services| !services.is_empty()),
             },
             Some(report) = channels.peer_reports.recv() => {
                 match report {
@@ -76,12 +96,14 @@
                         budgets.apply(&from, &load.budgets);
                     }
                     PeerReport::Crashes(crashes) => quarantine.apply(&crashes),
+                    PeerReport::Partitions { from, services } => {
+                        fleet.apply_peer_partitions(&from, services);
+                    }
                 }
                 continue;
             }
         };
-        let is_empty = update.load.is_empty() && update.crashes.is_empty();
-        if !is_empty && channels.updates.send(update).is_err() {
+        if !update.is_empty() && channels.updates.send(update).is_err() {
             return;
         }
     }
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -46,8 +46,13 @@
 /// Run of a suspect or quarantined request completed.
 pub const QUARANTINE_ENDED: &str = "request no longer suspected of crashing runners";
 
+/// This node cannot reach any runner of a service.
+pub const PARTITIONED: &str = "partitioned from the runners of a service";
+/// The runners of a service can be reached again.
+pub const PARTITION_ENDED: &str = "no longer partitioned from the runners of a service";
+
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 21] = [
+pub const ALL: [&str; 23] = [
     REJECTED,
     RUN_STARTED,
     RUN_LOST,
@@ -69,4 +74,6 @@
     RUNNER_DRAINING,
     QUARANTINED,
     QUARANTINE_ENDED,
+    PARTITIONED,
+    PARTITION_ENDED,
 ];
--- a/crates/relay/src/metrics/volume.rs
+++ b/crates/relay/src/metrics/volume.rs
@@ -103,7 +103,9 @@
 fn kind(message: &PeerMessage) -> MessageKind {
     match message {
         PeerMessage::Heartbeat(_) => MessageKind::Heartbeat,
-        PeerMessage::Load(_) | PeerMessage::RelayedLoad(_) => MessageKind::Load,
+        PeerMessage::Load(_) | PeerMessage::RelayedLoad(_) | PeerMessage::Partitions(_) => {
+            MessageKind::Load
+        }
         PeerMessage::Revision(_) | PeerMessage::CatalogPull(_) | PeerMessage::CatalogPush(_) => {
             MessageKind::Catalogue
         }
--- a/crates/relay/src/network.rs
+++ b/crates/relay/src/network.rs
@@ -1,6 +1,11 @@
 //! Transport for outgoing connections.
 
 use {
+    crate::{
+        tunnel::{self, Tunnels},
+        view::NodeAddress,
+    },
+    bilberryfront_peer::tunnel::Tunnel,
     socket2::{SockRef, TcpKeepalive},
     std::{io, net::SocketAddr, time::Duration},
     tokio::{
@@ -8,6 +13,7 @@
         net::TcpStream,
         time::timeout,
     },
+    tokio_util::either::Either,
 };
 
 /// `TCP_USER_TIMEOUT`, to detect a runner that is powered off or partitioned.
@@ -28,23 +34,61 @@
         address: SocketAddr,
         limit: Duration,
     ) -> impl Future<Output = io::Result<Self::Stream>>;
+
+    /// Connects through another node within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`io::ErrorKind::ConnectionRefused`] if the node was reached, and the connection was refused
+    /// there.
+    fn connect_through(
+        &self,
+        node: &NodeAddress,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> impl Future<Output = io::Result<Self::Stream>>;
+
+    /// Releases what connections through other nodes need, once they have ended.
+    fn close_tunnels(&self) {}
 }
 
-/// TCP with detection of unreachable peers.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Tcp;
-
-impl Network for Tcp {
-    type Stream = TcpStream;
-
-    async fn connect(&self, address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
-        let stream = timeout(limit, TcpStream::connect(address)).await??;
-        stream.set_nodelay(true)?;
-        let socket = SockRef::from(&stream);
-        let keepalive =
-            TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
-        socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
-        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
-        Ok(stream)
+/// TCP with detection of unreachable peers, and tunnels through other nodes.
+#[derive(Clone, Default)]
+pub struct Transport {
+    /// Tunnels; none can be opened by default.
+    pub tunnels: Tunnels,
+}
+
+impl Network for Transport {
+    type Stream = Either<TcpStream, Tunnel>;
+
+    async fn connect(&self, address: SocketAddr, limit: Duration) -> io::Result<Self::Stream> {
+        Ok(Either::Left(connect_tcp(address, limit).await?))
     }
+
+    async fn connect_through(
+        &self,
+        node: &NodeAddress,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> io::Result<Self::Stream> {
+        let connecting = tunnel::connect(&self.tunnels, node, address);
+        Ok(Either::Right(timeout(limit, connecting).await??))
+    }
+
+    fn close_tunnels(&self) {
+        self.tunnels.close();
+    }
+}
+
+/// Opens a TCP connection within `limit`.
+pub async fn connect_tcp(address: SocketAddr, limit: Duration) -> io::Result<TcpStream> {
+    let stream = timeout(limit, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(&stream);
+    let keepalive =
+        TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    Ok(stream)
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -10,11 +10,12 @@
         load_sync::{self, Channels},
         log_messages::SERVING,
         metrics::Metrics,
-        network::Tcp,
+        network::Transport,
         records::Records,
         server::{self, Purpose},
         settings::Settings,
         store::Store,
+        tunnel::{self, Tunnels},
         view::{Published, Registration},
     },
     compact_str::CompactString,
@@ -86,9 +87,11 @@
     let (report_sender, report_receiver) = unbounded_channel();
     let metrics = Metrics::default();
     let demand = Arc::new(Notify::new());
+    let tunnels = Tunnels::default();
     let work = {
         let (metrics, signal) = (metrics.clone(), demand.clone());
         let (settings, published, drain) = (settings.clone(), published.clone(), drain.clone());
+        let tunnels = tunnels.clone();
         let runtime = runtime()?;
         move || {
             let shutdown = async move { _ = ended.await };
@@ -98,6 +101,7 @@
                 peer_reports: report_sender,
                 demand: signal,
                 metrics,
+                tunnels,
             };
             let control =
                 control::run(settings, records, store(), published, drain, channels, shutdown);
@@ -110,8 +114,14 @@
         .spawn(work)
         .map_err(system("start the control thread"))?;
     let bounds = &settings.bounds;
-    let mut traffic =
-        Traffic::new(dialect, Tcp, published, bounds.retry_allowance(), bounds.exposure_bound());
+    let network = Transport { tunnels: tunnels.clone() };
+    let mut traffic = Traffic::new(
+        dialect,
+        network,
+        published,
+        bounds.retry_allowance(),
+        bounds.exposure_bound(),
+    );
     traffic.client.fleet.set_domain(&settings.domain);
     traffic.samples = Some(sample_sender.clone());
     traffic.set_metrics(&metrics);
@@ -138,7 +148,7 @@
 
 async fn serve<D: Dialect>(
     settings: &Settings,
-    handler: Handler<D, Tcp>,
+    handler: Handler<D, Transport>,
     channels: Channels,
 ) -> Result<()> {
     let (close, closed) = watch::channel(false);
@@ -161,6 +171,9 @@
     let quarantine = handler.traffic.quarantine.clone();
     tokio::task::spawn_local(load_sync::sync(fleet, budgets, quarantine, channels));
     tokio::task::spawn_local(handle_signals(handler.drain.clone()));
+    tokio::task::spawn_local(tunnel::serve(handler.traffic.clone()));
+    let client = handler.traffic.client.clone();
+    tokio::task::spawn_local(async move { client.recover().await });
     log::info!(name = settings.name.as_str(), domain = settings.domain.as_str(),
         callers:% = settings.listen.callers; "{SERVING}");
     let at = handler.drain.started().await;
@@ -169,7 +182,7 @@
 }
 
 /// Applies published views to the fleet.
-async fn apply_views<D: Dialect>(traffic: Traffic<D, Tcp>, name: CompactString) {
+async fn apply_views<D: Dialect>(traffic: Traffic<D, Transport>, name: CompactString) {
     let mut signal = traffic.published.watch();
     let mut applied: Option<Arc<Vec<Registration>>> = None;
     loop {
@@ -204,7 +217,7 @@
 /// Waits until the node may exit: it accepts connections until no caller needs it, and closes them once
 /// they are idle, at most until the kill deadline.
 async fn wait_drained<D: Dialect>(
-    handler: &Handler<D, Tcp>,
+    handler: &Handler<D, Transport>,
     name: &str,
     at: Instant,
     close: &watch::Sender<bool>,
@@ -225,7 +238,7 @@
 
 /// Waits until no request is in flight and the address responses that list this node have expired, at
 /// most until the accept deadline.
-async fn wait_unused<D: Dialect>(handler: &Handler<D, Tcp>, name: &str, at: Instant) {
+async fn wait_unused<D: Dialect>(handler: &Handler<D, Transport>, name: &str, at: Instant) {
     let ttl = ADDRESSES_TTL.min(handler.max_addresses_ttl);
     let mut closing = Closing::new(&handler.drain, at, ttl);
     let is_due = |closing: &mut Closing| {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -11,7 +11,11 @@
     },
     hyper_util::rt::TokioIo,
     std::{net::SocketAddr, time::Duration},
-    tokio::{task::AbortHandle, time::Instant},
+    tokio::{
+        io::{AsyncRead, AsyncWrite},
+        task::AbortHandle,
+        time::Instant,
+    },
 };
 
 /// Result with a [`SendError`].
@@ -48,20 +52,34 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    tunneled: bool,
 }
 
 impl Connection {
     /// Connects to a runner.
     pub async fn connect<N: Network>(network: &N, address: SocketAddr) -> Result<Connection> {
         let connecting = network.connect(address, CONNECT_TIMEOUT).await;
-        let stream = connecting.map_err(|_| SendError::Unsent)?;
+        Connection::over(connecting.map_err(|_| SendError::Unsent)?, false).await
+    }
+
+    /// Starts a connection over an open stream. `tunneled` states whether it runs through another node.
+    pub async fn over(
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        tunneled: bool,
+    ) -> Result<Connection> {
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| SendError::Unsent)?;
         let run = async move {
             // Errors are reported by the request or by the next use of the connection.
             _ = connection.await;
         };
-        Ok(Connection { sender, task: tokio::task::spawn_local(run).abort_handle() })
+        let task = tokio::task::spawn_local(run).abort_handle();
+        Ok(Connection { sender, task, tunneled })
+    }
+
+    /// Returns whether the connection runs through another node.
+    pub fn is_tunneled(&self) -> bool {
+        self.tunneled
     }
 
     /// Sends a request and waits until `until` for the response head.
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -1,5 +1,6 @@
 //! HTTP client for runners.
 
+mod connect;
 mod restart;
 
 use {
@@ -125,6 +126,7 @@
             Err(error) => {
                 log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
                     "{RESPONSE_LOST}{error}");
+                self.record_lost_response(endpoint);
                 return SendOutcome::Lost(error);
             }
         };
@@ -271,6 +273,9 @@
     /// Returns whether the runner's process has ended: a new connection is refused or closed at once.
     /// A broken connection alone is no evidence of a crash.
     pub async fn has_crashed(&self, endpoint: &Endpoint) -> bool {
+        if self.fleet.is_partitioned(endpoint.key) {
+            return false;
+        }
         match self.network.connect(endpoint.address, CRASH_CHECK_TIMEOUT).await {
             Ok(mut stream) => {
                 let closed = timeout(CRASH_CLOSE_TIMEOUT, stream.read_u8()).await;
@@ -336,7 +341,7 @@
                 Err(error) => return Err(error),
             }
         }
-        let mut connection = Connection::connect(&self.network, endpoint.address).await?;
+        let mut connection = self.connect(endpoint).await?;
         let response = connection.send(request(), deadline).await?;
         Ok((response, connection))
     }
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -211,6 +211,8 @@
     partition: Rc<Cell<Option<Partition>>>,
     /// Tasks that carry the bytes of open connections.
     links: Rc<RefCell<Vec<Link>>>,
+    /// Names of the nodes through which connections were opened.
+    tunnel_nodes: Rc<RefCell<Vec<String>>>,
 }
 
 struct Link {
@@ -275,6 +277,18 @@
             _ => Err(io::ErrorKind::ConnectionRefused.into()),
         }
     }
+
+    async fn connect_through(
+        &self,
+        node: &NodeAddress,
+        address: SocketAddr,
+        _: Duration,
+    ) -> io::Result<DuplexStream> {
+        self.tunnel_nodes.borrow_mut().push(node.name.to_string());
+        let runner = self.runners.borrow().get(&address).cloned();
+        let runner = runner.filter(|runner| !runner.is_crashed.get());
+        Ok(accept(runner.ok_or(io::ErrorKind::ConnectionRefused)?))
+    }
 }
 
 fn accept(runner: Rc<Runner>) -> DuplexStream {
