Send brittle runners only what they have room for

A runner may state, in Server-Brittle, how many rejections for lack of room it bears in a second before it falls over. The statement was not decoded, and nodes sent on: six nodes that overload three such plain runners had 433 requests rejected by one of them in one second.

While a service's runners state that, a node counts its own calls at a plain runner against its part of the slots, and the load that all nodes report at an engine against all of them, and doesn't send what probably has no room. A rejection pauses the runner for this node, for as long as keeps the rejections of all nodes below the stated number.

The test was red before: 433 in a second, of 3 allowed.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -120,6 +120,8 @@
     /// Requests per second that the runner accepts from all nodes together, if it advertises a
     /// limit.
     pub rate_limit: Option<f64>,
+    /// Rejections per second, for lack of room, that the runner bears, if it is brittle.
+    pub max_rejections: Option<u32>,
     /// Whether the runner announces that it is draining.
     pub draining: bool,
     /// Time for which the runner rejects requests of this node, given in a rejection.
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -1,5 +1,6 @@
 //! Runners as known to the traffic thread: registrations, load and health.
 
+mod brittle;
 mod choose;
 mod drain;
 mod load;
@@ -19,6 +20,7 @@
 
 use {
     self::{
+        brittle::Brittle,
         drain::Announcement,
         load::PeerLoads,
         partition::{Path, PeerPartitions},
@@ -103,6 +105,8 @@
     dirty: bool,
     /// Rate limit that the runner advertises for all nodes together.
     limit: Option<AdvertisedLimit>,
+    /// Statement of the runner that it bears few rejections.
+    brittle: Option<Brittle>,
     /// Announcement by the runner that it is draining.
     drain: Option<Announcement>,
     /// Time until which the runner rejects requests of this node.
@@ -173,6 +177,7 @@
         }
         inner.paths.retain(|service, _| inner.services.contains_key(service));
         inner.divide_limits(Instant::now());
+        inner.divide_brittle_rooms();
     }
 
     /// Returns whether a list of registrations has been applied.
@@ -359,6 +364,7 @@
             peer_loads: PeerLoads::default(),
             dirty: false,
             limit: None,
+            brittle: None,
             drain: None,
             paused_until: None,
         };
--- a/crates/relay/src/fleet/choose.rs
+++ b/crates/relay/src/fleet/choose.rs
@@ -144,6 +144,7 @@
         let runner = &self.runners[key];
         let registration = &runner.registration;
         runner.accepts_requests(now)
+            && runner.has_room(criteria.memory == 0, now)
             && !criteria.except.contains(&key)
             && criteria.version.is_none_or(|v| v.allows(&registration.version))
     }
--- a/crates/relay/src/fleet/rate_limit.rs
+++ b/crates/relay/src/fleet/rate_limit.rs
@@ -70,6 +70,7 @@
             inner.me.clone_from(me);
             inner.nodes.clone_from(nodes);
             inner.divide_limits(Instant::now());
+            inner.divide_brittle_rooms();
         }
     }
 
@@ -180,10 +181,10 @@
         }
     }
 
-    /// Returns the nodes that share a runner's limit: at most `count`, selected by rendezvous
+    /// Returns the nodes that share a runner's limit or room: at most `count`, selected by rendezvous
     /// hashing from the nodes that mainly use the runner's failure domain, or from all nodes if
     /// there are none.
-    fn owners(&self, runner: &Runner, count: usize) -> BTreeSet<&CompactString> {
+    pub(super) fn owners(&self, runner: &Runner, count: usize) -> BTreeSet<&CompactString> {
         let domains = self.domains(&runner.registration.service);
         let domain = &runner.registration.domain;
         let hash = |name: &CompactString| xxh64(name.as_bytes(), runner.address_hash);
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -51,8 +51,13 @@
 /// The runners of a service can be reached again.
 pub const PARTITION_ENDED: &str = "no longer partitioned from the runners of a service";
 
+/// Runner states that it bears few rejections.
+pub const BRITTLE: &str = "the runner bears few rejections";
+/// Runner no longer states that it bears few rejections.
+pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
+
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 23] = [
+pub const ALL: [&str; 25] = [
     REJECTED,
     RUN_STARTED,
     RUN_LOST,
@@ -76,4 +81,6 @@
     QUARANTINE_ENDED,
     PARTITIONED,
     PARTITION_ENDED,
+    BRITTLE,
+    BRITTLE_ENDED,
 ];
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -168,6 +168,9 @@
         if is_own && head.draining {
             self.fleet.set_draining(endpoint.key);
         }
+        if is_own {
+            self.fleet.set_brittle(endpoint.key, head.max_rejections);
+        }
         if is_own && (head.rate_limit.is_some() || !head.not_run) {
             self.fleet.set_rate_limit(endpoint.key, head.rate_limit);
         }
@@ -357,7 +360,7 @@
         let now = Instant::now();
         match head.misdirected {
             true => self.fleet.record_replacement(endpoint.key, now),
-            false => self.fleet.record_overload(endpoint.key, now),
+            false => self.fleet.record_rejection(endpoint.key),
         }
         let read = Limited::new(body, MAX_REJECTION_BYTES).collect();
         if let Ok(Ok(_)) = timeout(REJECTION_TIMEOUT, read).await {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,5 +1,7 @@
 //! Requests through the relay in the platform protocol, with in-memory runners on a paused clock.
 
+#[path = "relay/brittle.rs"]
+mod brittle;
 #[path = "relay/calls.rs"]
 mod calls;
 #[path = "relay/crashes.rs"]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -137,6 +137,14 @@
     pub(crate) rate_limit: Cell<Option<f64>>,
     /// Whether the responses announce that the runner leaves.
     pub(crate) is_leaving: Cell<bool>,
+    /// Number of requests that run at the same time; further ones are rejected.
+    pub(crate) capacity: Cell<Option<usize>>,
+    /// Number of rejections per second that the responses state as the most that the runner bears.
+    pub(crate) max_rejections: Cell<Option<u32>>,
+    /// Number of running requests.
+    pub(crate) running: Cell<usize>,
+    /// Times at which requests were rejected for lack of capacity.
+    pub(crate) rejections: RefCell<Vec<Instant>>,
     /// `Retry-After` value of rejections.
     pub(crate) retry_after: Cell<Option<&'static str>>,
     /// Requests received so far, without queries of the runner's state.
@@ -171,6 +179,10 @@
             restarted: RefCell::default(),
             rate_limit: Cell::new(None),
             is_leaving: Cell::new(false),
+            capacity: Cell::new(None),
+            max_rejections: Cell::new(None),
+            running: Cell::new(0),
+            rejections: RefCell::default(),
             retry_after: Cell::new(None),
             requests: RefCell::default(),
             connections: RefCell::default(),
@@ -189,6 +201,16 @@
         Some(requests.last()?.headers.get(name)?.to_str().ok()?.to_owned())
     }
 
+    /// Returns the largest number of rejections for lack of capacity within a second.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn peak_rejections(&self) -> usize {
+        let times = self.rejections.borrow();
+        let within = |from: &Instant| {
+            times.iter().filter(|at| *at >= from && **at < *from + Duration::from_secs(1)).count()
+        };
+        times.iter().map(within).max().unwrap_or_default()
+    }
+
     /// Returns the number of requests received.
     pub(crate) fn request_count(&self) -> usize {
         self.requests.borrow().len()
@@ -311,6 +333,22 @@
     serving.connections.borrow_mut().push(task.abort_handle());
 }
 
+/// Counts a request as running until it is dropped.
+struct Running(Rc<Runner>);
+
+impl Running {
+    fn new(runner: &Rc<Runner>) -> Running {
+        runner.running.set(runner.running.get() + 1);
+        Running(runner.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
 type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
 
 async fn respond(runner: &Rc<Runner>, request: Request<Incoming>) -> io::Result<Response<Body>> {
@@ -346,7 +384,13 @@
         });
     }
     let is_resumed = parts.headers.contains_key("kv-from");
+    let is_full = runner.capacity.get().is_some_and(|capacity| runner.running.get() >= capacity);
+    if is_full {
+        runner.rejections.borrow_mut().push(Instant::now());
+    }
+    let _running = Running::new(runner);
     let script = match runner.resume_script.borrow().clone() {
+        _ if is_full => Script::NotRun,
         Some(script) if is_resumed => script,
         _ => runner.script.borrow().clone(),
     };
@@ -387,6 +431,9 @@
     if let Some(seconds) = runner.retry_after.get().filter(|_| is_rejected) {
         headers.insert("retry-after", seconds.parse().unwrap());
     }
+    if let Some(count) = runner.max_rejections.get() {
+        headers.insert("server-brittle", count.into());
+    }
     if let Some(limit) = runner.rate_limit.get() {
         headers.insert("server-limit", limit.to_string().parse().unwrap());
     }
