Test connections through other nodes, and how partitions begin and end

Through a real instance: a stream arrives event by event, only listed runners are reached, and the end of either side is passed on. On a paused clock: a partition ends after several direct connections, an outage of all runners is none, and address responses leave partitioned nodes out unless all of them are partitioned.

--- a/tests/relay/partitions.rs
+++ b/tests/relay/partitions.rs
@@ -1,6 +1,11 @@
 //! Nodes that are partitioned from the runners.
 
-use super::support::{Deployment, ENGINES, PLAIN, Partition, Script, StreamEnd, ms, run_local};
+use {
+    super::support::{
+        Deployment, ENGINES, PLAIN, Partition, Script, StreamEnd, ms, node_address, run_local,
+    },
+    tokio::time::sleep,
+};
 
 const EVENTS: Script = Script::Events { last: 30, gap: ms(30), end: StreamEnd::Complete };
 const DOMAINS: [&str; 6] = ["a", "a", "b", "b", "c", "c"];
@@ -35,7 +40,7 @@
         run_local(async {
             let engines = Deployment::new(ENGINES, &DOMAINS, &EVENTS);
             let cut = async {
-                tokio::time::sleep(ms(300)).await;
+                sleep(ms(300)).await;
                 engines.partition(Some(partition));
             };
             let (received, ()) = tokio::join!(engines.serve("/stream/1", &[]), cut);
@@ -60,3 +65,72 @@
     })
     .await;
 }
+
+/// Guards against a node that goes on using detours after its path is back, and against one that takes a
+/// single reachable runner for the end of the partition.
+#[tokio::test(start_paused = true)]
+async fn partition_ends_after_several_direct_connections() {
+    run_local(async {
+        let plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
+        let client = plain.traffic.client.clone();
+        let recovery = tokio::task::spawn_local(async move { client.recover().await });
+        plain.partition(Some(Partition::Refuse));
+        for _ in 0..5 {
+            assert_eq!(plain.serve("/look/1", &[]).await.status, 200);
+        }
+        let fleet = &plain.traffic.client.fleet;
+        assert_eq!(fleet.partitions(), [PLAIN]);
+        sleep(ms(2_000)).await;
+        assert_eq!(fleet.partitions(), [PLAIN], "still partitioned");
+        plain.partition(None);
+        sleep(ms(500)).await;
+        assert!(fleet.partitions().is_empty());
+        let before = plain.tunnel_count();
+        for _ in 0..5 {
+            assert_eq!(plain.serve("/look/1", &[]).await.status, 200);
+        }
+        assert_eq!(plain.tunnel_count(), before);
+        recovery.abort();
+    })
+    .await;
+}
+
+/// Guards against a node that counts as partitioned while the runners themselves are down.
+#[tokio::test(start_paused = true)]
+async fn outage_of_all_runners_is_no_partition() {
+    run_local(async {
+        let plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
+        plain.runners.iter().for_each(|runner| runner.crash());
+        for _ in 0..5 {
+            assert_eq!(plain.serve("/look/1", &[]).await.status, 503);
+        }
+        assert!(plain.traffic.client.fleet.partitions().is_empty());
+    })
+    .await;
+}
+
+/// Guards against callers that are sent to partitioned nodes, and against none at all if every node is
+/// partitioned.
+#[tokio::test(start_paused = true)]
+async fn address_responses_leave_partitioned_nodes_out_unless_all_are() {
+    run_local(async {
+        let nodes = [node_address("n1", 1, "a"), node_address("n2", 2, "a")];
+        let plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
+        let fleet = &plain.traffic.client.fleet;
+        let listed = || {
+            let connected = fleet.connected_nodes(&nodes).into_iter();
+            connected.map(|node| node.name.to_string()).collect::<Vec<_>>()
+        };
+        assert_eq!(listed(), ["n1", "n2"]);
+        fleet.apply_peer_partitions(&"n2".into(), vec![PLAIN.into()]);
+        assert_eq!(listed(), ["n1"]);
+        sleep(ms(3_000)).await;
+        assert_eq!(listed(), ["n1", "n2"], "the report has expired");
+        plain.partition(Some(Partition::Refuse));
+        assert_eq!(plain.serve("/look/1", &[]).await.status, 200);
+        assert_eq!(listed(), ["n2"]);
+        fleet.apply_peer_partitions(&"n2".into(), vec![PLAIN.into()]);
+        assert_eq!(listed(), ["n1", "n2"]);
+    })
+    .await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -143,6 +143,8 @@
     pub(crate) max_rejections: Cell<Option<u32>>,
     /// Number of running requests.
     pub(crate) running: Cell<usize>,
+    /// Number of streams that generate events.
+    pub(crate) streams: Rc<Cell<usize>>,
     /// Times at which requests were rejected for lack of capacity.
     pub(crate) rejections: RefCell<Vec<Instant>>,
     /// `Retry-After` value of rejections.
@@ -182,6 +184,7 @@
             capacity: Cell::new(None),
             max_rejections: Cell::new(None),
             running: Cell::new(0),
+            streams: Rc::default(),
             rejections: RefCell::default(),
             retry_after: Cell::new(None),
             requests: RefCell::default(),
@@ -201,6 +204,12 @@
         Some(requests.last()?.headers.get(name)?.to_str().ok()?.to_owned())
     }
 
+    /// Returns the number of streams whose caller is still connected.
+    #[allow(dead_code, reason = "used by the tests of tunnels only")]
+    pub(crate) fn running_streams(&self) -> usize {
+        self.streams.get()
+    }
+
     /// Returns the largest number of rejections for lack of capacity within a second.
     #[allow(dead_code, reason = "used by the in-memory tests only")]
     pub(crate) fn peak_rejections(&self) -> usize {
@@ -495,7 +504,9 @@
 ) -> Response<Body> {
     // The body type must be `Send`, and `Runner` is not, so a local task checks `is_unresponsive`.
     let (sender, mut receiver) = tokio::sync::mpsc::channel::<io::Result<Frame<Bytes>>>(1);
-    tokio::task::spawn_local(async move {
+    let streams = runner.streams.clone();
+    runner.streams.set(runner.streams.get() + 1);
+    let generate = async move {
         for id in after + 1..=last {
             sleep(gap).await;
             if runner.is_unresponsive.get() {
@@ -517,6 +528,10 @@
                 _ = sender.send(Err(io::ErrorKind::ConnectionReset.into())).await;
             }
         }
+    };
+    tokio::task::spawn_local(async move {
+        generate.await;
+        streams.set(streams.get() - 1);
     });
     let frames = stream! {
         while let Some(frame) = receiver.recv().await {
@@ -667,6 +682,11 @@
         self.net.set_partition(partition);
     }
 
+    /// Returns the number of connections that the node has opened through others.
+    pub(crate) fn tunnel_count(&self) -> usize {
+        self.net.tunnel_nodes.borrow().len()
+    }
+
     /// Returns the number of requests that all runners have received.
     pub(crate) fn request_count(&self) -> usize {
         self.runners.iter().map(|r| r.request_count()).sum()
--- /dev/null
+++ b/tests/tunnels.rs
@@ -0,0 +1,168 @@
+//! Connections to runners through an instance that runs as a process, from a peer of it.
+
+#[path = "relay/process.rs"]
+#[allow(dead_code, reason = "shared with the other tests of the program")]
+mod process;
+#[path = "relay/support.rs"]
+#[allow(dead_code, reason = "shared with the in-memory tests")]
+mod support;
+
+use {
+    base64::{Engine, engine::general_purpose::STANDARD},
+    bilberryfront::peer::{PeerConfig, PeerNet, tunnel::Tunnel},
+    compact_str::CompactString,
+    process::{Instance, Platform, wait_until},
+    rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair, KeyUsagePurpose},
+    serde_json::Value,
+    std::{
+        fs,
+        net::{Ipv4Addr, SocketAddr},
+    },
+    support::{Script, StreamEnd, ms, run_local},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        time::timeout,
+    },
+};
+
+/// First bytes of the responses of the instance.
+const CONNECTED: u8 = 0;
+const REFUSED: u8 = 1;
+const UNREACHABLE: u8 = 2;
+
+/// An instance, and a peer of it in this process.
+struct Peers {
+    platform: Platform,
+    instance: Instance,
+    net: PeerNet,
+    /// Address of the instance for peers.
+    address: SocketAddr,
+}
+
+impl Peers {
+    async fn new() -> Peers {
+        let platform = Platform::new().await;
+        let instance = platform.start("n1");
+        wait_until("the instance is ready", async || instance.ready().await).await;
+        let settings = fs::read_to_string(platform.folder.path().join("n1.jsonc")).unwrap();
+        let settings: Value = serde_json::from_str(settings.split_once('\n').unwrap().1).unwrap();
+        let address = settings["listen"]["peers"].as_str().unwrap().parse().unwrap();
+        let (net, _) = PeerNet::start(&config(&platform, "n2")).unwrap();
+        Peers { platform, instance, net, address }
+    }
+
+    /// Opens a tunnel to an address; returns it with the first byte of the response.
+    async fn open(&self, to: SocketAddr) -> (Tunnel, u8) {
+        let name = CompactString::from("n1");
+        let mut tunnel = self.net.open_tunnel(&name, self.address).await.unwrap();
+        let text = to.to_string();
+        tunnel.write_u8(text.len() as u8).await.unwrap();
+        tunnel.write_all(text.as_bytes()).await.unwrap();
+        let reply = tunnel.read_u8().await.unwrap();
+        (tunnel, reply)
+    }
+}
+
+/// Returns the configuration of a peer with a certificate of the authority in the store.
+fn config(platform: &Platform, name: &str) -> PeerConfig {
+    let row = platform.store.value("bilberryfront", "authority").unwrap();
+    let authority: Value = serde_json::from_slice(&STANDARD.decode(row).unwrap()).unwrap();
+    let text = |field: &str| authority[field].as_str().unwrap().to_owned();
+    let mut params = CertificateParams::default();
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+    let issuer = Issuer::new(params, KeyPair::from_pem(&text("key")).unwrap());
+    let key = KeyPair::generate().unwrap();
+    let certificate = CertificateParams::new([name.to_owned()]).unwrap();
+    PeerConfig {
+        name: name.into(),
+        listen: (Ipv4Addr::LOCALHOST, 0).into(),
+        certificate: certificate.signed_by(&key, &issuer).unwrap().pem().into_bytes(),
+        key: key.serialize_pem().into_bytes(),
+        authority: text("certificate").into_bytes(),
+        ephemeral: true,
+    }
+}
+
+fn request(id: &str) -> String {
+    format!(
+        "POST /stream/1 HTTP/1.1\r\nhost: r\r\nx-bilberryfront-attempt-id: {id}\r\n\
+         content-length: 2\r\n\r\n{{}}"
+    )
+}
+
+/// Guards against requests that are changed, cut or delayed to their end on the way through another
+/// instance.
+#[tokio::test]
+async fn instance_carries_a_stream_of_a_peer_event_by_event() {
+    run_local(async {
+        let peers = Peers::new().await;
+        let runner = peers.platform.runners[0].clone();
+        let (mut tunnel, reply) = peers.open(runner.address).await;
+        assert_eq!(reply, CONNECTED);
+        tunnel.write_all(request("t1").as_bytes()).await.unwrap();
+        let mut text = String::new();
+        let mut reads = 0;
+        while !text.contains("id: 30\n") {
+            let mut bytes = [0; 4_096];
+            let count = timeout(ms(2_000), tunnel.read(&mut bytes)).await.unwrap().unwrap();
+            assert_ne!(count, 0, "{text}");
+            text.push_str(std::str::from_utf8(&bytes[..count]).unwrap());
+            reads += 1;
+        }
+        assert!(reads >= 20, "{reads} reads");
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+        assert_eq!(runner.header("x-bilberryfront-attempt-id").as_deref(), Some("t1"));
+        assert!(!runner.requests.borrow()[0].headers.contains_key("x-forwarded-for"));
+    })
+    .await;
+}
+
+/// Guards against instances that let their peers reach any host, and against a reply for a runner that
+/// is down which suggests that the instance is partitioned.
+#[tokio::test]
+async fn instance_connects_peers_only_to_listed_runners() {
+    run_local(async {
+        let peers = Peers::new().await;
+        let (_, reply) = peers.open(peers.platform.handle.addr).await;
+        assert_eq!(reply, UNREACHABLE);
+        // Nothing listens there.
+        let free = process::free_tcp_address();
+        let row = serde_json::json!({"service": support::PLAIN, "address": free, "zone": "a",
+            "version": "v1", "slots": 8, "state": "ready", "seq": 1, "born": 1});
+        peers.platform.put("servers", "down", &row);
+        wait_until("the runner is listed", async || peers.open(free).await.1 == REFUSED).await;
+    })
+    .await;
+}
+
+/// Guards against runners that work on requests whose caller has left, and against a broken response
+/// that looks complete.
+#[tokio::test]
+async fn instance_passes_the_end_of_either_side_on() {
+    run_local(async {
+        let peers = Peers::new().await;
+        let runner = peers.platform.runners[0].clone();
+        let gap = ms(20);
+        runner.script.replace(Script::Events { last: 500, gap, end: StreamEnd::Complete });
+        let (mut tunnel, _) = peers.open(runner.address).await;
+        tunnel.write_all(request("t1").as_bytes()).await.unwrap();
+        let mut bytes = [0; 4_096];
+        tunnel.read(&mut bytes).await.unwrap();
+        assert_eq!(runner.running_streams(), 1);
+        drop(tunnel);
+        wait_until("the runner's stream ends", async || runner.running_streams() == 0).await;
+
+        let (mut tunnel, _) = peers.open(runner.address).await;
+        tunnel.write_all(request("t2").as_bytes()).await.unwrap();
+        tunnel.read(&mut bytes).await.unwrap();
+        let mut instance = peers.instance;
+        instance.process.kill();
+        let rest = async {
+            while tunnel.read(&mut bytes).await.is_ok_and(|count| count > 0) {}
+            tunnel.read(&mut bytes).await
+        };
+        assert!(timeout(ms(10_000), rest).await.unwrap().is_err());
+    })
+    .await;
+}
