Keep quarantined requests in the store

Where all instances were killed at the same time, none remembered which requests crash runners, and the first ones crashed three more. The node that quarantines a request now writes a row to the nodes' table, which every node reads at its start anyway, and deletes it when a run of the request completes. One write per quarantined request; expired rows are ignored by their age.

The new test was red before: after all three instances had restarted, the request ran again.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -9,6 +9,7 @@
 mod join;
 mod members;
 mod own_rows;
+mod quarantine_rows;
 pub mod registry;
 mod rollouts;
 pub mod schedule;
@@ -190,6 +191,7 @@
 
     fn finish_join(&mut self, mut membership: Membership, listing: &Listing) {
         membership.apply_registrations(&listing.rows, true);
+        self.apply_quarantined(&listing.rows.rows);
         self.feeds.set_nodes_revision(listing.rows.revision);
         self.tunnels.attach(membership.net());
         self.membership = Some(membership);
--- a/crates/relay/src/control/gossip.rs
+++ b/crates/relay/src/control/gossip.rs
@@ -18,7 +18,8 @@
 
 impl<R: Records, S: Store> Control<R, S> {
     pub(super) fn publish_update(&mut self, update: Update) {
-        let Update { load, crashes, partitions } = update;
+        let Update { load, crashes, quarantined, partitions } = update;
+        self.write_quarantined(&quarantined);
         self.adopt_restarts(&load.restarts);
         let Some(membership) = &mut self.membership else { return };
         if !load.is_empty() {
@@ -80,7 +81,7 @@
     }
 
     /// Sends a report of a peer to the traffic thread.
-    fn report(&self, report: PeerReport) {
+    pub(super) fn report(&self, report: PeerReport) {
         // The receiver exists as long as the process.
         _ = self.peer_reports.send(report);
     }
--- a/crates/relay/src/control/tables.rs
+++ b/crates/relay/src/control/tables.rs
@@ -47,6 +47,9 @@
 
     fn apply_nodes(&mut self, change: &Change) {
         self.observe_own_rows(change);
+        if let Change::Snapshot(rows) | Change::Rows(rows) = change {
+            self.apply_quarantined(&rows.rows);
+        }
         let Some(membership) = &mut self.membership else { return };
         match change {
             Change::Snapshot(rows) => membership.apply_registrations(rows, true),
--- a/crates/relay/src/load_sync.rs
+++ b/crates/relay/src/load_sync.rs
@@ -23,13 +23,18 @@
     pub load: Load,
     /// Requests that have crashed runners.
     pub crashes: Vec<CrashReport>,
+    /// Requests that this node has quarantined or cleared, for the store.
+    pub quarantined: Vec<CrashReport>,
     /// Services from which this node is partitioned; `None` if unchanged.
     pub partitions: Option<Vec<CompactString>>,
 }
 
 impl Update {
     fn is_empty(&self) -> bool {
-        self.load.is_empty() && self.crashes.is_empty() && self.partitions.is_none()
+        self.load.is_empty()
+            && self.crashes.is_empty()
+            && self.quarantined.is_empty()
+            && self.partitions.is_none()
     }
 }
 
@@ -79,7 +84,8 @@
                 Update { load, ..Update::default() }
             }
             () = crashed.notified() => {
-                Update { crashes: quarantine.take_update(), ..Update::default() }
+                let (crashes, quarantined) = (quarantine.take_update(), quarantine.take_stored());
+                Update { crashes, quarantined, ..Update::default() }
             }
             () = partitioned.notified() => {
                 Update { partitions: Some(fleet.partitions()), ..Update::default() }
@@ -87,6 +93,7 @@
             _ = refresh.tick() => Update {
                 load: Load { budgets: budgets.snapshot(), ..fleet.snapshot() },
                 crashes: quarantine.snapshot(),
+                quarantined: quarantine.take_stored(),
                 partitions: Some(fleet.partitions()).filter(|services| !services.is_empty()),
             },
             Some(report) = channels.peer_reports.recv() => {
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -48,6 +48,8 @@
     entries: FxHashMap<RequestId, Entry>,
     /// Requests cleared since the last report to peers.
     cleared: Vec<RequestId>,
+    /// Changes of quarantined requests by this node that the store does not have yet.
+    stored: Vec<CrashReport>,
     /// Recent crashes found by this node.
     recent: VecDeque<(u64, Instant)>,
     /// Time after its last crash after which this node runs a quarantined request again.
@@ -69,6 +71,7 @@
         let inner = Inner {
             entries: FxHashMap::default(),
             cleared: Vec::new(),
+            stored: Vec::new(),
             recent: VecDeque::new(),
             expiry,
         };
@@ -132,6 +135,8 @@
             if inner.entries[&id].runners.len() >= MAX_CRASHES {
                 log::warn!(request = call.head.id.as_str(), route = call.route.name.as_str(),
                     fingerprint = display(id).as_str(); "{QUARANTINED}");
+                let report = inner.entries[&id].report(id, now);
+                inner.stored.push(report);
                 self.quarantined.notify_waiters();
             }
         }
@@ -140,7 +145,15 @@
     /// Records a complete response to a request, which clears it.
     pub fn record_response(&self, call: &Call) {
         let mut inner = self.inner.borrow_mut();
-        if !inner.entries.is_empty() && inner.clear(fingerprint(call)) {
+        if inner.entries.is_empty() {
+            return;
+        }
+        let id = fingerprint(call);
+        let crashes = inner.entries.get(&id).map_or(0, |entry| entry.runners.len());
+        if crashes >= MAX_CRASHES {
+            inner.stored.push(CrashReport { id, runners: Vec::new(), age_ms: 0 });
+        }
+        if inner.clear(id) {
             self.changed.notify_one();
         }
     }
@@ -164,6 +177,12 @@
         cleared.chain(changed).take(MAX_ENTRIES).collect()
     }
 
+    /// Takes the quarantined requests that the store does not have yet; those without runners are to be
+    /// deleted there.
+    pub fn take_stored(&self) -> Vec<CrashReport> {
+        std::mem::take(&mut self.inner.borrow_mut().stored)
+    }
+
     /// Returns the quarantined requests, for peers that have started or missed an update.
     pub fn snapshot(&self) -> Vec<CrashReport> {
         let inner = self.inner.borrow();
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -166,6 +166,33 @@
     .await;
 }
 
+/// Guards against instances that all forget at the same time which requests crash runners.
+#[tokio::test]
+async fn instances_that_restart_together_still_reject_a_crashing_request() {
+    run_local(async {
+        let mut engines = Engines::new(8).await;
+        let mut instances = start_instances(&engines.platform, 3).await;
+        while engines.crashes.len() < MAX_CRASHES {
+            for instance in &instances {
+                _ = post_body(instance.callers, "/stream/1", "k1", CRASHING).await;
+                engines.step().await;
+            }
+        }
+        sleep(NOTICE).await;
+        instances.iter_mut().for_each(|instance| instance.process.kill());
+        let instances = start_instances(&engines.platform, 3).await;
+        sleep(RESTART_DELAY).await;
+        engines.step().await;
+        let start = Instant::now();
+        for instance in &instances {
+            let response = post_body(instance.callers, "/stream/1", "k1", CRASHING).await;
+            assert_eq!(response.map(|r| r.status), Some(503));
+        }
+        assert_eq!(engines.sends_since(start), 0);
+    })
+    .await;
+}
+
 /// Guards against blaming a popular request for runners that crash by themselves.
 #[tokio::test]
 async fn popular_request_is_served_while_runners_crash_by_themselves() {
