End a check of the path to a service with the first runner that is reached

The check waited for all of its connections, up to 150 ms where a failure domain doesn't answer, while requests waited for its result.

--- a/crates/relay/src/runner_client/connect.rs
+++ b/crates/relay/src/runner_client/connect.rs
@@ -8,7 +8,11 @@
         network::Network,
         pool::{Connection, SendError},
     },
-    futures_util::future::join_all,
+    futures_util::{
+        StreamExt,
+        future::{self, join_all},
+        stream::FuturesUnordered,
+    },
     std::{io, time::Duration},
     tokio::time::sleep,
 };
@@ -96,7 +100,9 @@
             let (client, endpoint) = (self.clone(), endpoint.clone());
             tokio::task::spawn_local(async move {
                 let attempts = targets.iter().map(|target| client.check(target));
-                let is_reachable = join_all(attempts).await.contains(&true);
+                let mut attempts = attempts.collect::<FuturesUnordered<_>>();
+                // The first runner that is reached decides, since others may be down.
+                let is_reachable = attempts.any(future::ready).await;
                 client.fleet.end_check(endpoint.key, is_reachable);
             });
         }
