--- a/crates/relay/src/runner_client/connect.rs
+++ b/crates/relay/src/runner_client/connect.rs
@@ -100,7 +100,7 @@
             let (client, endpoint) = (self.clone(), endpoint.clone());
             tokio::task::spawn_local(async move {
                 let attempts = targets.iter().map(|target| client.check(target));
-                let mut attempts = attempts.collect::<FuturesUnordered<_>>();
+                let attempts = attempts.collect::<FuturesUnordered<_>>();
                 // The first runner that is reached decides, since others may be down.
                 let is_reachable = attempts.any(future::ready).await;
                 client.fleet.end_check(endpoint.key, is_reachable);
