Tunnel through nodes that hold the runner's shard

Found by reading: where a service is divided into shards, most nodes do not list a given runner and would refuse to connect to it, so that a partitioned node's three attempts at random nodes mostly failed (15 in 16 with 16 shards). Nodes whose position has most in common with the runner's come first there. Not run at that size; the choice has a test.

--- a/crates/relay/src/fleet/partition.rs
+++ b/crates/relay/src/fleet/partition.rs
@@ -8,11 +8,12 @@
     super::{Endpoint, Fleet, Inner, RunnerKey},
     crate::{
         log_messages::{PARTITION_ENDED, PARTITIONED},
+        shards,
         view::NodeAddress,
     },
     compact_str::CompactString,
     rand::seq::SliceRandom,
-    std::{rc::Rc, time::Duration},
+    std::{cmp::Reverse, rc::Rc, time::Duration},
     tokio::{sync::Notify, time::Instant},
 };
 
@@ -256,12 +257,19 @@
         let inner = self.inner.borrow();
         let now = Instant::now();
         let service = inner.runners.get(endpoint.key).map(|r| r.registration.service.as_str());
+        let held = service.and_then(|service| inner.services.get(service)).map_or(0, Vec::len);
+        let position = shards::shard(&endpoint.id);
+        // Other nodes do not know the runner if its service is divided.
+        let common = |node: &NodeAddress| match shards::may_be_divided(held) {
+            true => shards::common_shards(shards::shard(&node.name), position),
+            false => 1,
+        };
         let is_candidate = |node: &&NodeAddress| {
             node.name != inner.me && !inner.is_peer_partitioned(&node.name, service, now)
         };
         let mut nodes: Vec<&NodeAddress> = inner.nodes.iter().filter(is_candidate).collect();
         nodes.shuffle(&mut *self.random.borrow_mut());
-        nodes.sort_by_key(|node| node.domain != endpoint.domain);
+        nodes.sort_by_key(|node| (Reverse(common(node)), node.domain != endpoint.domain));
         nodes.into_iter().take(TUNNEL_NODES).cloned().collect()
     }
 }
--- a/crates/relay/src/shards.rs
+++ b/crates/relay/src/shards.rs
@@ -31,6 +31,16 @@
     a % count == b % count
 }
 
+/// Returns the largest number of shards for which two positions are in the same shard.
+pub fn common_shards(a: u32, b: u32) -> u32 {
+    (1 << (a ^ b).trailing_zeros().min(MAX_SHARDS.ilog2())).min(MAX_SHARDS)
+}
+
+/// Returns whether a service of which a node holds so many runners may be divided.
+pub fn may_be_divided(runners: usize) -> bool {
+    runners as f64 >= MIN_RUNNERS as f64 * MERGE_SHARE
+}
+
 /// Number of shards of each divided service.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ShardCounts(BTreeMap<CompactString, u32>);
--- a/crates/relay/tests/large_fleet.rs
+++ b/crates/relay/tests/large_fleet.rs
@@ -5,11 +5,12 @@
     bilberryfront_relay::{
         fanout::Scope,
         fleet::{Criteria, Endpoint, Fleet, Lease, Load},
-        view::{Registration, State},
+        shards::{MAX_SHARDS, is_same_shard, shard},
+        view::{NodeAddress, Registration, State},
     },
     compact_str::{CompactString, format_compact},
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::{net::SocketAddr, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::time::{Instant, advance},
 };
 
@@ -208,3 +209,25 @@
     assert!(node.is_ejected(engine(50)));
     assert_ne!(node.choose(&criteria(7)).unwrap().domain, "a");
 }
+
+/// Guards against a partitioned node that connects through nodes which do not know the runner, because its
+/// service is divided into shards.
+#[test]
+fn tunnels_run_through_nodes_that_hold_the_shard_of_the_runner() {
+    let fleet = Fleet::seeded(7);
+    fleet.update(&registrations());
+    let node = |index: usize| NodeAddress {
+        name: name(index),
+        domain: DOMAINS[index % DOMAINS.len()].into(),
+        callers: SocketAddr::from(([10, 9, 0, 0], index as u16)),
+        peers: SocketAddr::from(([10, 9, 0, 1], index as u16)),
+    };
+    let count = NODES * DOMAINS.len();
+    fleet.set_nodes(&name(0), &Arc::new((0..count).map(node).collect()));
+    for id in ["a-1", "b-2", "c-3", "d-4", "e-5"] {
+        let runner = fleet.find(id).unwrap();
+        let nodes = fleet.tunnel_nodes(&runner);
+        let holds = |name: &str| is_same_shard(shard(name), shard(id), MAX_SHARDS / 4);
+        assert!(!nodes.is_empty() && nodes.iter().all(|node| holds(&node.name)), "{id}");
+    }
+}
