--- a/crates/relay/src/fleet/partition.rs
+++ b/crates/relay/src/fleet/partition.rs
@@ -28,6 +28,8 @@
 /// Number of direct connections that succeed one after the other, after which a partition has ended. A
 /// single one may be to the only runner that is reachable.
 const RECOVERED_CONNECTIONS: u32 = 3;
+/// Time for which connections through other nodes are not attempted after none succeeded.
+const NO_TUNNELS_TIME: Duration = Duration::from_millis(300);
 /// Age at which a peer's report of its partitions expires; peers repeat theirs every second.
 const REPORT_TTL: Duration = Duration::from_millis(2_500);
 /// Number of other nodes through which a connection is attempted.
@@ -47,6 +49,8 @@
     is_partitioned: bool,
     /// Whether another node has reached a runner during the partition, so that the runners are not down.
     is_confirmed: bool,
+    /// Time until which connections through other nodes are not attempted, since none succeeded.
+    no_tunnels_until: Option<Instant>,
     /// Number of direct connections established one after the other during the partition.
     recovered: u32,
 }
@@ -205,10 +209,27 @@
             .collect()
     }
 
+    /// Returns whether connections through other nodes to a runner's service have just failed.
+    pub fn has_no_tunnels(&self, key: RunnerKey) -> bool {
+        let now = Instant::now();
+        let inner = &mut *self.inner.borrow_mut();
+        let until = inner.path(key).and_then(|(_, path)| path.no_tunnels_until);
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Records that no other node could connect this one to a runner.
+    pub fn record_no_tunnel(&self, key: RunnerKey) {
+        let until = Instant::now() + NO_TUNNELS_TIME;
+        if let Some((_, path)) = self.inner.borrow_mut().path(key) {
+            path.no_tunnels_until = Some(until);
+        }
+    }
+
     /// Records that another node has connected this one to a runner.
     pub fn confirm_partition(&self, key: RunnerKey) {
         let inner = &mut *self.inner.borrow_mut();
         let Some((_, path)) = inner.path(key) else { return };
+        path.no_tunnels_until = None;
         if path.is_partitioned && !std::mem::replace(&mut path.is_confirmed, true) {
             self.partitions_dirty.notify_one();
         }
--- a/crates/relay/src/runner_client/connect.rs
+++ b/crates/relay/src/runner_client/connect.rs
@@ -78,6 +78,9 @@
     }
 
     async fn connect_through_node(&self, endpoint: &Endpoint) -> Result<Connection, SendError> {
+        if self.fleet.has_no_tunnels(endpoint.key) {
+            return Err(SendError::Unsent);
+        }
         for node in self.fleet.tunnel_nodes(endpoint) {
             let connecting = self.network.connect_through(&node, endpoint.address, TUNNEL_TIMEOUT);
             match connecting.await {
@@ -85,12 +88,15 @@
                     self.fleet.confirm_partition(endpoint.key);
                     return Connection::over(stream, true).await;
                 }
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => break,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    return Err(SendError::Unsent);
+                }
                 Err(error) => {
                     log::debug!(node = node.name.as_str(); "cannot connect through a node: {error}");
                 }
             }
         }
+        self.fleet.record_no_tunnel(endpoint.key);
         Err(SendError::Unsent)
     }
 
--- a/tests/relay/partitions.rs
+++ b/tests/relay/partitions.rs
@@ -4,7 +4,7 @@
     super::support::{
         Deployment, ENGINES, PLAIN, Partition, Script, StreamEnd, ms, node_address, run_local,
     },
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep},
 };
 
 const EVENTS: Script = Script::Events { last: 30, gap: ms(30), end: StreamEnd::Complete };
@@ -134,3 +134,21 @@
     })
     .await;
 }
+
+/// Guards against requests that wait for one other node after the other, although none reaches the
+/// runners.
+#[tokio::test(start_paused = true)]
+async fn requests_are_rejected_at_once_while_no_node_reaches_the_runners() {
+    run_local(async {
+        let plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
+        plain.partition(Some(Partition::Refuse));
+        plain.fail_tunnels();
+        assert_eq!(plain.serve("/look/1", &[]).await.status, 503);
+        for _ in 0..5 {
+            let start = Instant::now();
+            assert_eq!(plain.serve("/look/1", &[]).await.status, 503);
+            assert!(start.elapsed() < ms(5), "{:?}", start.elapsed());
+        }
+    })
+    .await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -244,6 +244,8 @@
     links: Rc<RefCell<Vec<Link>>>,
     /// Names of the nodes through which connections were opened.
     tunnel_nodes: Rc<RefCell<Vec<String>>>,
+    /// Whether the other nodes do not reach the runners either.
+    tunnels_fail: Rc<Cell<bool>>,
 }
 
 struct Link {
@@ -313,8 +315,12 @@
         &self,
         node: &NodeAddress,
         address: SocketAddr,
-        _: Duration,
+        limit: Duration,
     ) -> io::Result<DuplexStream> {
+        if self.tunnels_fail.get() {
+            sleep(limit).await;
+            return Err(io::ErrorKind::HostUnreachable.into());
+        }
         self.tunnel_nodes.borrow_mut().push(node.name.to_string());
         let runner = self.runners.borrow().get(&address).cloned();
         let runner = runner.filter(|runner| !runner.is_crashed.get());
@@ -682,6 +688,11 @@
         self.net.set_partition(partition);
     }
 
+    /// Makes all connections through other nodes fail.
+    pub(crate) fn fail_tunnels(&self) {
+        self.net.tunnels_fail.set(true);
+    }
+
     /// Returns the number of connections that the node has opened through others.
     pub(crate) fn tunnel_count(&self) -> usize {
         self.net.tunnel_nodes.borrow().len()
