Try direct connections until another node has reached a runner

After all runners of a service had been down, a node that had found itself partitioned used connections through others to the new ones, and reported a partition, until three direct connections had succeeded. As long as no other node has reached a runner, the runners may be down: direct connections are attempted first, and one that succeeds ends the partition. The test of an outage goes on after its end (red before: a tunnel to a runner that is back).

--- a/crates/relay/src/fleet/partition.rs
+++ b/crates/relay/src/fleet/partition.rs
@@ -5,7 +5,7 @@
 //! connections through other nodes until direct ones succeed again.
 
 use {
-    super::{Endpoint, Fleet, Inner, RunnerKey},
+    super::{Endpoint, Fleet, Health, Inner, RunnerKey},
     crate::{
         log_messages::{PARTITION_ENDED, PARTITIONED},
         shards,
@@ -105,7 +105,7 @@
             return;
         }
         path.recovered += 1;
-        if path.recovered >= RECOVERED_CONNECTIONS {
+        if !path.is_confirmed || path.recovered >= RECOVERED_CONNECTIONS {
             inner.end_partition(&service);
             self.partitions_dirty.notify_one();
         }
@@ -194,6 +194,13 @@
         inner.paths.values().any(|path| path.is_partitioned && path.is_confirmed)
     }
 
+    /// Returns whether connections to a runner have to run through another node. Until one of them has
+    /// succeeded, the runners may be down, and direct connections are attempted first.
+    pub fn needs_tunnel(&self, key: RunnerKey) -> bool {
+        let inner = &mut *self.inner.borrow_mut();
+        inner.path(key).is_some_and(|(_, path)| path.is_partitioned && path.is_confirmed)
+    }
+
     /// Returns whether this node is partitioned from a runner's service.
     pub fn is_partitioned(&self, key: RunnerKey) -> bool {
         self.inner.borrow_mut().path(key).is_some_and(|(_, path)| path.is_partitioned)
@@ -357,7 +364,7 @@
         for key in self.services.get(service).into_iter().flatten() {
             let runner = &mut self.runners[*key];
             runner.pool.clear();
-            runner.health = Default::default();
+            runner.health = Health::default();
         }
     }
 
--- a/crates/relay/src/runner_client/connect.rs
+++ b/crates/relay/src/runner_client/connect.rs
@@ -58,7 +58,10 @@
 
     /// Connects to a runner.
     pub(super) async fn connect(&self, endpoint: &Endpoint) -> Result<Connection, SendError> {
-        if !self.fleet.is_partitioned(endpoint.key) {
+        if self.fleet.has_no_tunnels(endpoint.key) {
+            return Err(SendError::Unsent);
+        }
+        if !self.fleet.needs_tunnel(endpoint.key) {
             match Connection::connect(&self.network, endpoint.address).await {
                 Ok(connection) => {
                     self.fleet.record_connected(endpoint.key);
@@ -78,9 +81,6 @@
     }
 
     async fn connect_through_node(&self, endpoint: &Endpoint) -> Result<Connection, SendError> {
-        if self.fleet.has_no_tunnels(endpoint.key) {
-            return Err(SendError::Unsent);
-        }
         for node in self.fleet.tunnel_nodes(endpoint) {
             let connecting = self.network.connect_through(&node, endpoint.address, TUNNEL_TIMEOUT);
             match connecting.await {
