Send notices on crashes and partitions over the relays of load reports

Notices now go to the node's own failure domain and to one relay of each other one, over connections that exist.

--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -196,8 +196,7 @@
             | PeerMessage::Table(_)
             | PeerMessage::TablePull(_)
             | PeerMessage::StoreReport(_)
-            | PeerMessage::Crashes(_)
-            | PeerMessage::Partitions(_) => {}
+            | PeerMessage::Notice(_) => {}
             PeerMessage::MembersPull => {
                 let table = self.claims();
                 self.send(from, PeerMessage::MembersPush(table), out);
--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -42,9 +42,29 @@
     TablePull(TablePull),
     /// State of a reader of the store.
     StoreReport(StoreReport),
+    /// A notice for all nodes.
+    Notice(Notice),
+}
+
+/// A notice for all nodes, sent to those of the origin's failure domain and to one of each other domain.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Notice {
+    /// Originating node.
+    pub origin: CompactString,
+    /// Whether the receiver forwards it within its failure domain.
+    pub forward: bool,
+    /// Content.
+    pub content: NoticeContent,
+}
+
+/// Content of a [`Notice`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub enum NoticeContent {
     /// Requests that have crashed runners.
     Crashes(Vec<CrashReport>),
-    /// Services from whose runners the sender is partitioned, while other nodes reach them.
+    /// Services from whose runners the origin is partitioned, while other nodes reach them.
     Partitions(Vec<CompactString>),
 }
 
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -7,7 +7,7 @@
     crate::{PeerError, Result},
     bilberryfront_decide::member::{
         MAX_MEMBERS, MAX_UPDATES, PeerMessage,
-        message::{Heartbeat, RelayedLoad},
+        message::{Heartbeat, NoticeContent, RelayedLoad},
     },
     bytes::Bytes,
     compact_str::CompactString,
@@ -185,8 +185,10 @@
             let longest = runners.max(budgets).max(load.failed.len()).max(load.restarts.len());
             longest > LOADS_LIMIT
         }
-        PeerMessage::Partitions(services) => services.len() > LOADS_LIMIT,
-        PeerMessage::Crashes(crashes) => crashes.len() > CRASHES_LIMIT,
+        PeerMessage::Notice(notice) => match &notice.content {
+            NoticeContent::Crashes(crashes) => crashes.len() > CRASHES_LIMIT,
+            NoticeContent::Partitions(services) => services.len() > LOADS_LIMIT,
+        },
         _ => false,
     }
 }
--- a/crates/relay/src/control/gossip.rs
+++ b/crates/relay/src/control/gossip.rs
@@ -9,7 +9,7 @@
     },
     bilberryfront_decide::member::{
         PeerMessage,
-        message::{CatalogPush, Load, Restart},
+        message::{CatalogPush, Load, Notice, NoticeContent, Restart},
     },
     bilberryfront_peer::Received,
     compact_str::CompactString,
@@ -18,7 +18,7 @@
 
 impl<R: Records, S: Store> Control<R, S> {
     pub(super) fn publish_update(&mut self, update: Update) {
-        let Update { load, crashes, quarantined, partitions } = update;
+        let Update { load, crashes, repeated, quarantined, partitions } = update;
         self.write_quarantined(&quarantined);
         self.adopt_restarts(&load.restarts);
         let Some(membership) = &mut self.membership else { return };
@@ -27,10 +27,13 @@
             membership.send_load(&load, |id| self.registry.domain(id));
         }
         if !crashes.is_empty() {
-            membership.broadcast(&PeerMessage::Crashes(crashes));
+            membership.send_notice(NoticeContent::Crashes(crashes));
+        }
+        if !repeated.is_empty() {
+            membership.repeat_notice(NoticeContent::Crashes(repeated));
         }
         if let Some(services) = partitions {
-            membership.broadcast(&PeerMessage::Partitions(services));
+            membership.send_notice(NoticeContent::Partitions(services));
         }
     }
 
@@ -49,10 +52,7 @@
                 }
                 self.forward_load(relayed.origin, relayed.load);
             }
-            PeerMessage::Partitions(services) => {
-                self.report(PeerReport::Partitions { from, services });
-            }
-            PeerMessage::Crashes(crashes) => self.report(PeerReport::Crashes(crashes)),
+            PeerMessage::Notice(notice) => self.handle_notice(notice),
             PeerMessage::CatalogPush(push) => self.apply_gossiped_catalog(push),
             message @ (PeerMessage::Table(_)
             | PeerMessage::TablePull(_)
@@ -61,6 +61,17 @@
         }
     }
 
+    fn handle_notice(&self, notice: Notice) {
+        if let Some(membership) = &self.membership {
+            membership.forward_notice(&notice);
+        }
+        let Notice { origin: from, content, .. } = notice;
+        self.report(match content {
+            NoticeContent::Crashes(crashes) => PeerReport::Crashes(crashes),
+            NoticeContent::Partitions(services) => PeerReport::Partitions { from, services },
+        });
+    }
+
     fn handle_membership_event(&mut self, event: Received) {
         if let Some(membership) = &mut self.membership {
             let failed = membership.receive(Instant::now(), event, self.row.as_ref());
--- a/crates/relay/src/control/members/send.rs
+++ b/crates/relay/src/control/members/send.rs
@@ -9,7 +9,7 @@
     },
     bilberryfront_decide::member::{
         Node, PeerMessage, Target,
-        message::{Hint, HintKind, Load, NodeState, RelayedLoad},
+        message::{Hint, HintKind, Load, NodeState, Notice, NoticeContent, RelayedLoad},
     },
     compact_str::CompactString,
     std::collections::BTreeMap,
@@ -169,6 +169,31 @@
         }
     }
 
+    /// Sends a notice to all nodes.
+    pub(in crate::control) fn send_notice(&self, content: NoticeContent) {
+        let origin = self.local_node.name.clone();
+        let Fanout { local, relays } = &self.routes.fanout;
+        let mut notice = Notice { origin, forward: false, content };
+        self.send(local, &PeerMessage::Notice(notice.clone()));
+        notice.forward = true;
+        let relays: Vec<Target> = relays.iter().map(|relay| relay.target.clone()).collect();
+        self.send(&relays, &PeerMessage::Notice(notice));
+    }
+
+    /// Sends a notice to the heartbeat targets, some of which may have missed it.
+    pub(in crate::control) fn repeat_notice(&self, content: NoticeContent) {
+        let notice = Notice { origin: self.local_node.name.clone(), forward: false, content };
+        self.send(&self.members.targets(), &PeerMessage::Notice(notice));
+    }
+
+    /// Forwards a notice within this node's failure domain if its sender requests that.
+    pub(in crate::control) fn forward_notice(&self, notice: &Notice) {
+        if notice.forward {
+            let notice = Notice { forward: false, ..notice.clone() };
+            self.broadcast_local(&PeerMessage::Notice(notice));
+        }
+    }
+
     /// Gossips failures of runners.
     pub(in crate::control) fn gossip_failures(&mut self, now: Instant, runners: &[CompactString]) {
         for runner in runners {
--- a/crates/relay/src/load_sync.rs
+++ b/crates/relay/src/load_sync.rs
@@ -23,6 +23,8 @@
     pub load: Load,
     /// Requests that have crashed runners.
     pub crashes: Vec<CrashReport>,
+    /// Quarantined requests, for nodes that have started or missed a report.
+    pub repeated: Vec<CrashReport>,
     /// Requests that this node has quarantined or cleared, for the store.
     pub quarantined: Vec<CrashReport>,
     /// Services from which this node is partitioned; `None` if unchanged.
@@ -33,6 +35,7 @@
     fn is_empty(&self) -> bool {
         self.load.is_empty()
             && self.crashes.is_empty()
+            && self.repeated.is_empty()
             && self.quarantined.is_empty()
             && self.partitions.is_none()
     }
@@ -92,7 +95,8 @@
             }
             _ = refresh.tick() => Update {
                 load: Load { budgets: budgets.snapshot(), ..fleet.snapshot() },
-                crashes: quarantine.snapshot(),
+                crashes: quarantine.take_update(),
+                repeated: quarantine.snapshot(),
                 quarantined: quarantine.take_stored(),
                 partitions: Some(fleet.partitions()).filter(|services| !services.is_empty()),
             },
--- a/crates/relay/src/metrics/volume.rs
+++ b/crates/relay/src/metrics/volume.rs
@@ -31,7 +31,7 @@
     Membership,
     Move,
     Store,
-    Quarantine,
+    Notice,
 }
 
 /// Outcome of a poll of the store.
@@ -103,9 +103,7 @@
 fn kind(message: &PeerMessage) -> MessageKind {
     match message {
         PeerMessage::Heartbeat(_) => MessageKind::Heartbeat,
-        PeerMessage::Load(_) | PeerMessage::RelayedLoad(_) | PeerMessage::Partitions(_) => {
-            MessageKind::Load
-        }
+        PeerMessage::Load(_) | PeerMessage::RelayedLoad(_) => MessageKind::Load,
         PeerMessage::Revision(_) | PeerMessage::CatalogPull(_) | PeerMessage::CatalogPush(_) => {
             MessageKind::Catalogue
         }
@@ -114,7 +112,7 @@
         | PeerMessage::Claims(_)
         | PeerMessage::Leave(_) => MessageKind::Membership,
         PeerMessage::Move(_) => MessageKind::Move,
-        PeerMessage::Crashes(_) => MessageKind::Quarantine,
+        PeerMessage::Notice(_) => MessageKind::Notice,
         PeerMessage::Table(_) | PeerMessage::TablePull(_) | PeerMessage::StoreReport(_) => {
             MessageKind::Store
         }
