--- a/crates/peer/src/receiver.rs
+++ b/crates/peer/src/receiver.rs
@@ -63,7 +63,10 @@
                 Err(_) => return,
             },
             tunnel = connection.accept_bi() => match tunnel {
-                Ok(tunnel) => shared.accept_tunnel(tunnel),
+                Ok(tunnel) => {
+                    connection.set_max_concurrent_bi_streams(VarInt::from_u32(tls::MAX_TUNNELS));
+                    shared.accept_tunnel(tunnel);
+                }
                 Err(_) => return,
             },
         }
--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -32,8 +32,11 @@
 const SESSIONS_PER_SERVER: usize = 8;
 /// Maximum concurrent incoming streams per connection, with one message each.
 const MAX_STREAMS: u32 = 16;
-/// Maximum concurrent incoming tunnels per connection.
-const MAX_TUNNELS: u32 = 512;
+/// Maximum concurrent incoming tunnels per connection, before the first one; quinn allocates state for
+/// all of them.
+const INITIAL_TUNNELS: u32 = 1;
+/// Maximum concurrent incoming tunnels per connection, after the first one.
+pub const MAX_TUNNELS: u32 = 512;
 /// Receive window per tunnel.
 const TUNNEL_WINDOW_BYTES: u32 = 64 * 1024;
 /// Receive window of all tunnels of a connection.
@@ -158,7 +161,7 @@
     transport
         .max_idle_timeout(Some(idle))
         .max_concurrent_uni_streams(VarInt::from_u32(MAX_STREAMS))
-        .max_concurrent_bidi_streams(VarInt::from_u32(MAX_TUNNELS))
+        .max_concurrent_bidi_streams(VarInt::from_u32(INITIAL_TUNNELS))
         .receive_window(VarInt::from_u32(WINDOW_BYTES))
         .stream_receive_window(VarInt::from_u32(WINDOW_BYTES))
         .send_window(u64::from(WINDOW_BYTES))
