Pause the recovery of partitions while no runner is ready

Found by reading: with a partition from a service whose runners all drain, the task that tries direct connections had none to make and started over at once, without ever yielding, so that the node answered nothing any more. Its test hung before.

--- a/crates/relay/src/fleet/partition.rs
+++ b/crates/relay/src/fleet/partition.rs
@@ -177,11 +177,16 @@
         }
     }
 
+    /// Returns whether this node is partitioned from a service.
+    pub fn has_partition(&self) -> bool {
+        self.inner.borrow().paths.values().any(|path| path.is_partitioned)
+    }
+
     /// Waits until this node is partitioned from a service.
     pub async fn wait_partitioned(&self) {
         loop {
             let changed = self.partitions_changed.notified();
-            if self.inner.borrow().paths.values().any(|path| path.is_partitioned) {
+            if self.has_partition() {
                 return;
             }
             changed.await;
--- a/crates/relay/src/runner_client/connect.rs
+++ b/crates/relay/src/runner_client/connect.rs
@@ -39,7 +39,7 @@
             let runners = self.fleet.partitioned_runners();
             let attempts = runners.iter().map(|endpoint| self.reconnect(endpoint));
             let is_connected = join_all(attempts).await.contains(&true);
-            if self.fleet.partitioned_runners().is_empty() {
+            if !self.fleet.has_partition() {
                 self.network.close_tunnels();
             } else if !is_connected {
                 sleep(RECOVERY_INTERVAL).await;
--- a/tests/relay/partitions.rs
+++ b/tests/relay/partitions.rs
@@ -4,7 +4,7 @@
     super::support::{
         Deployment, ENGINES, PLAIN, Partition, Script, StreamEnd, ms, node_address, run_local,
     },
-    tokio::time::{Instant, sleep},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 const EVENTS: Script = Script::Events { last: 30, gap: ms(30), end: StreamEnd::Complete };
@@ -116,6 +116,27 @@
     .await;
 }
 
+/// Guards against a node that is busy with nothing else while it is partitioned from a service without
+/// any ready runner.
+#[tokio::test(start_paused = true)]
+async fn recovery_pauses_while_no_runner_is_ready() {
+    run_local(async {
+        let plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
+        let client = plain.traffic.client.clone();
+        let recovery = tokio::task::spawn_local(async move { client.recover().await });
+        plain.partition(Some(Partition::Refuse));
+        assert_eq!(plain.serve("/look/1", &[]).await.status, 200);
+        let fleet = &plain.traffic.client.fleet;
+        for runner in &plain.runners {
+            fleet.set_draining(fleet.find(&runner.id).unwrap().key);
+        }
+        sleep(ms(1_000)).await;
+        assert_eq!(fleet.partitions(), [PLAIN]);
+        recovery.abort();
+    })
+    .await;
+}
+
 /// Guards against callers that are sent to partitioned nodes, and against none at all if every node is
 /// partitioned.
 #[tokio::test(start_paused = true)]
