End a check of a path also if its runner was removed meanwhile

Found by reading: the end of a check looked the service up by the runner that had caused it. If that one was removed during the check, the check never ended, and all requests on new connections to the service waited for ever. The new test hung before.

--- a/crates/relay/src/fleet/partition.rs
+++ b/crates/relay/src/fleet/partition.rs
@@ -68,8 +68,13 @@
     NotDue,
     /// One is running.
     Running,
-    /// The caller has to connect to these runners and call [`Fleet::end_check`].
-    Due(Vec<Endpoint>),
+    /// The caller has to connect to runners of the service and call [`Fleet::end_check`].
+    Due {
+        /// Service.
+        service: CompactString,
+        /// Runners.
+        targets: Vec<Endpoint>,
+    },
 }
 
 impl Path {
@@ -143,13 +148,14 @@
             return Check::NotDue;
         }
         path.is_checking = true;
-        Check::Due(inner.checked_runners(&service, &mut *self.random.borrow_mut()))
+        let targets = inner.checked_runners(&service, &mut *self.random.borrow_mut());
+        Check::Due { service, targets }
     }
 
-    /// Ends a check with its result.
-    pub fn end_check(&self, key: RunnerKey, is_reachable: bool) {
+    /// Ends a check of the path to a service with its result.
+    pub fn end_check(&self, service: &CompactString, is_reachable: bool) {
         let inner = &mut *self.inner.borrow_mut();
-        if let Some((service, path)) = inner.path(key) {
+        if let Some(path) = inner.paths.get_mut(service) {
             path.is_checking = false;
             path.checked_at = Some(Instant::now());
             match is_reachable {
@@ -158,7 +164,7 @@
                     inner.failures.extend(withheld);
                     self.changed.notify_one();
                 }
-                false => inner.begin_partition(&service),
+                false => inner.begin_partition(service),
             }
         }
         self.partitions_changed.notify_waiters();
--- a/crates/relay/src/runner_client/connect.rs
+++ b/crates/relay/src/runner_client/connect.rs
@@ -102,14 +102,14 @@
 
     /// Checks the path to a runner's service in the background if that is due.
     fn start_check(&self, endpoint: &Endpoint) {
-        if let Check::Due(targets) = self.fleet.begin_check(endpoint.key) {
-            let (client, endpoint) = (self.clone(), endpoint.clone());
+        if let Check::Due { service, targets } = self.fleet.begin_check(endpoint.key) {
+            let client = self.clone();
             tokio::task::spawn_local(async move {
                 let attempts = targets.iter().map(|target| client.check(target));
                 let attempts = attempts.collect::<FuturesUnordered<_>>();
                 // The first runner that is reached decides, since others may be down.
                 let is_reachable = attempts.any(future::ready).await;
-                client.fleet.end_check(endpoint.key, is_reachable);
+                client.fleet.end_check(&service, is_reachable);
             });
         }
     }
--- a/tests/relay/partitions.rs
+++ b/tests/relay/partitions.rs
@@ -116,6 +116,25 @@
     .await;
 }
 
+/// Guards against requests that wait for ever for a check whose first runner has been removed meanwhile.
+#[tokio::test(start_paused = true)]
+async fn requests_do_not_wait_for_a_check_of_a_removed_runner() {
+    run_local(async {
+        let mut plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
+        plain.partition(Some(Partition::Hang));
+        let waiting = plain.clone();
+        let first = tokio::task::spawn_local(async move { waiting.serve("/look/1", &[]).await });
+        // During the check, which follows two connections that take 250 ms each.
+        sleep(ms(600)).await;
+        plain.runners.truncate(2);
+        plain.publish();
+        first.await.unwrap();
+        let received = timeout(ms(2_000), plain.serve("/look/1", &[])).await;
+        assert_eq!(received.unwrap().status, 200);
+    })
+    .await;
+}
+
 /// Guards against a node that is busy with nothing else while it is partitioned from a service without
 /// any ready runner.
 #[tokio::test(start_paused = true)]
