Give up keep-alive probes to runners after two again

A runner that is silent for a second is not cut with it either: probes begin after 1 s, and two of them fail after 3 s.

--- a/crates/relay/src/network.rs
+++ b/crates/relay/src/network.rs
@@ -16,11 +16,12 @@
     tokio_util::either::Either,
 };
 
-/// `TCP_USER_TIMEOUT`, to detect a runner that is powered off or partitioned. It also decides when
-/// keep-alive probes give up, whatever their number.
+/// `TCP_USER_TIMEOUT`, to detect a runner that is powered off or partitioned.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Keep-alive idle time and interval.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Unanswered keep-alive probes before the connection is closed.
+const KEEPALIVE_PROBES: u32 = 2;
 
 /// Transport that opens connections; tests replace it with an in-memory one.
 pub trait Network: Clone + 'static {
@@ -87,7 +88,7 @@
     let socket = SockRef::from(&stream);
     let keepalive =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
-    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     Ok(stream)
 }
