Log crashes of runners with the parts of the request's prompt

The head now keeps the ids of the prompt's shared parts, and each crash that is attributed to a request is logged with account and parts. This distinguishes a shared part from runners that end by themselves; nothing is decided by it yet.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -27,6 +27,8 @@
     pub size: Option<Size>,
     /// Hash of the prompt, for cache affinity.
     pub prompt: Option<u64>,
+    /// Ids of the prompt's parts that other prompts may share, in order.
+    pub prefix: Vec<u64>,
     /// Headers forwarded unchanged.
     pub headers: HeaderMap,
 }
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -14,7 +14,7 @@
         catalog::{Engine, Kind},
         dialect::{Dialect, SendOptions},
         fleet::{Criteria, Endpoint, Fleet, RunnerKey, Version},
-        log_messages::{ERROR_RETURNED, REJECTED},
+        log_messages::{ERROR_RETURNED, REJECTED, RUNNER_CRASHED},
         metrics::{Metrics, Outcome},
         network::Network,
         quarantine::Quarantine,
@@ -231,6 +231,10 @@
     async fn record_crash(&self, call: &Call, endpoint: &Endpoint, sent_at: Instant) {
         let Some(incarnation) = self.client.fleet.incarnation(endpoint.key) else { return };
         if self.client.has_crashed(endpoint).await {
+            let account = call.account.as_ref().map_or("", |account| account.name.as_str());
+            log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), account,
+                prefix = display_ids(&call.head.prefix).as_str(),
+                sent = sent_at.elapsed().as_millis() as u64; "{RUNNER_CRASHED}");
             self.quarantine.record_crash(call, incarnation, sent_at);
         }
     }
@@ -277,6 +281,12 @@
     }
 }
 
+/// Returns the ids of the parts of a prompt in hexadecimal.
+fn display_ids(ids: &[u64]) -> String {
+    let ids: Vec<String> = ids.iter().map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
+
 /// Returns the outcome of an attempt without events that has just ended.
 fn summarize(call: &Call, ok: bool) -> AttemptSummary {
     AttemptSummary { ok, first: ok.then(|| call.start.elapsed()), pace: None }
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -41,6 +41,8 @@
 /// Runner announces in a response that it is draining.
 pub const RUNNER_DRAINING: &str = "the runner announces that it leaves";
 
+/// A runner has crashed while it ran a request.
+pub const RUNNER_CRASHED: &str = "runner crashed while running a request";
 /// Request quarantined, since it has crashed several runners.
 pub const QUARANTINED: &str = "request quarantined: it crashes runners";
 /// Run of a suspect or quarantined request completed.
@@ -57,7 +59,7 @@
 pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 25] = [
+pub const ALL: [&str; 26] = [
     REJECTED,
     RUN_STARTED,
     RUN_LOST,
@@ -77,6 +79,7 @@
     RATE_LIMITED,
     RATE_UNLIMITED,
     RUNNER_DRAINING,
+    RUNNER_CRASHED,
     QUARANTINED,
     QUARANTINE_ENDED,
     PARTITIONED,
