Test that parts of prompts which crash their runners are quarantined

They vary the part's position, the first part's share of sound runs, the number of crashing parts, the time of the crash, and take away the store and the instances.

--- a/tests/relay/process.rs
+++ b/tests/relay/process.rs
@@ -107,13 +107,18 @@
 
     /// Puts a catalogue into the store in which one account has these keys.
     pub(crate) fn put_catalog(&self, version: u64, keys: &[&str]) {
+        self.put("op", "config", &Platform::catalog(version, keys));
+    }
+
+    /// Returns a catalogue in which one account has these keys.
+    pub(crate) fn catalog(version: u64, keys: &[&str]) -> Value {
         let route = |name: &str, kind: &str, service: &str, resumable: bool| {
             json!({"name": name, "host": "desk.example", "prefix": format!("/{name}/"),
                 "kind": kind, "timeout_ms": 20_000, "target_latency_ms": 4_000,
                 "target_gap_ms": 700, "priority": 1, "service": service, "max_attempts": 5,
                 "resumable": resumable})
         };
-        let config = json!({
+        json!({
             "version": version,
             "routes": [route("stream", "streaming", ENGINES, true),
                 route("lodge", "non_idempotent", PLAIN, false)],
@@ -124,8 +129,7 @@
             "limits": {"max_header_bytes": 16_384, "max_body_bytes": 65_536,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
             "tenants": [{"name": "desk", "api_keys": keys}],
-        });
-        self.put("op", "config", &config);
+        })
     }
 
     pub(crate) fn put(&self, table: &str, key: &str, value: &Value) {
@@ -221,13 +225,24 @@
     path: &str,
     key: &str,
     body: &str,
+) -> Option<Received> {
+    post_prompt(callers, path, key, body, "a1:200,b7:4800").await
+}
+
+/// Sends a request whose prompt has these parts.
+pub(crate) async fn post_prompt(
+    callers: SocketAddr,
+    path: &str,
+    key: &str,
+    body: &str,
+    parts: &str,
 ) -> Option<Received> {
     let request = Request::post(path)
         .header("host", "desk.example")
         .header("x-bilberryfront-attempt-id", "a1")
         .header("x-bilberryfront-deadline-ms", "20000")
         .header("x-bilberryfront-token-counts", "5000,100")
-        .header("x-bilberryfront-prompt-prefix", "a1:200,b7:4800")
+        .header("x-bilberryfront-prompt-prefix", parts)
         .header("authorization", format!("Bearer {key}"));
     send(callers, request.body(Full::from(body.to_owned())).unwrap()).await
 }
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -90,6 +90,31 @@
     Truncated,
 }
 
+/// Part of a prompt that crashes the runners that begin to respond to it.
+#[derive(Clone, Debug)]
+pub(crate) struct CrashingPart {
+    /// Id of the part; never the last one of a prompt.
+    pub(crate) id: String,
+    /// Time from the arrival of the request to the crash.
+    pub(crate) delay: Duration,
+    /// Whether resumed runs crash their runner as well.
+    pub(crate) on_resume: bool,
+}
+
+impl CrashingPart {
+    fn crashes(&self, headers: &HeaderMap) -> bool {
+        let is_resumed = headers.contains_key("last-event-id");
+        (self.on_resume || !is_resumed) && shared_parts(headers).any(|id| id == self.id)
+    }
+}
+
+/// Returns the ids of all parts of a request's prompt but the last.
+pub(crate) fn shared_parts(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    let parts = headers.get("x-bilberryfront-prompt-prefix").and_then(|v| v.to_str().ok());
+    let shared = parts.and_then(|v| v.rsplit_once(',')).map_or("", |(shared, _)| shared);
+    shared.split(',').filter_map(|part| Some(part.split_once(':')?.0))
+}
+
 /// A request that a runner has received.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -130,6 +155,8 @@
     pub(crate) is_crashed: Cell<bool>,
     /// Body of the requests that crash the runner, shortly after their response has started.
     pub(crate) crash_body: RefCell<Option<Bytes>>,
+    /// Parts of prompts that crash the runner.
+    pub(crate) crashing_parts: RefCell<Vec<CrashingPart>>,
     /// Instance id of the process that was started later at the same address, and the model that it
     /// reports.
     pub(crate) restarted: RefCell<Option<(&'static str, &'static str)>>,
@@ -178,6 +205,7 @@
             is_unresponsive: Cell::new(false),
             is_crashed: Cell::new(false),
             crash_body: RefCell::default(),
+            crashing_parts: RefCell::default(),
             restarted: RefCell::default(),
             rate_limit: Cell::new(None),
             is_leaving: Cell::new(false),
@@ -385,16 +413,22 @@
     }
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-    let crashes = runner.crash_body.borrow().as_ref() == Some(&body);
+    let crash_delay = match runner.crash_body.borrow().as_ref() == Some(&body) {
+        true => Some(CRASH_DELAY),
+        false => {
+            let crashing = runner.crashing_parts.borrow();
+            crashing.iter().find(|part| part.crashes(&parts.headers)).map(|part| part.delay)
+        }
+    };
     runner.requests.borrow_mut().push(ReceivedRequest {
         at: Instant::now(),
         headers: parts.headers.clone(),
         body,
     });
-    if crashes {
+    if let Some(delay) = crash_delay {
         let runner = runner.clone();
         tokio::task::spawn_local(async move {
-            sleep(CRASH_DELAY).await;
+            sleep(delay).await;
             runner.crash();
         });
     }
