Quarantine what prompts that crash runners have in common

Crashes were attributed to a request as a whole (account, method, path and body), so that each new request was allowed three crashes of its own: the logs show ten requests with one account and ten fingerprints, three to five runners each, and none that completed.

Each crash is now recorded with the prompts that the runner held, and exchanged between the nodes: those to which it had responded for at most a second, and those that waited. A part of a prompt is judged by all crashes since its last sound run (a second of events, or a complete response, from the beginning on one runner): from four crashes of two requests and 1.5 s on, from eight and 3 s if it had sound runs within ten minutes, as a sound part would have been refuted by then. What is quarantined is the pattern that the crashed prompts with the part have in common, with the account if it is always the same, so that prompts with a part of the pattern are served; among several, the one that explains most crashes, unless more specific ones explain them. Two crashes that no pattern explains widen it. Peers adopt patterns at once, repeat them each second, and keep them in the store; a sound run clears them. Peer protocol 8.

One of them now starts 36 engines: twelve are all gone 0.9 s after the start, and crashed ones are not registered again while the store is away; it fails on with 36 as well.

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -64,6 +64,8 @@
 pub enum NoticeContent {
     /// Requests that have crashed runners.
     Crashes(Vec<CrashReport>),
+    /// Evidence on prompts that crash runners, and quarantined patterns of prompts.
+    Prompts(PromptReport),
     /// Services from whose runners the origin is partitioned, while other nodes reach them.
     Partitions(Vec<CompactString>),
 }
@@ -90,6 +92,126 @@
     pub age_ms: u32,
 }
 
+/// Evidence on prompts that crash runners, and quarantined patterns of prompts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct PromptReport {
+    /// Crashes of runners.
+    pub crashes: Vec<PromptCrash>,
+    /// Parts with sound runs that refute crashes.
+    pub sound: Vec<SoundPart>,
+    /// Quarantined patterns.
+    pub patterns: Vec<PatternReport>,
+}
+
+/// A runner that crashed while it held a request, unless it had responded to the request for long.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct PromptCrash {
+    /// Hash of the runner's incarnation.
+    pub runner: u64,
+    /// Time since the request was sent to the runner, in milliseconds.
+    pub sent_ms: u32,
+    /// Age of the crash in milliseconds.
+    pub age_ms: u32,
+    /// Prompt.
+    pub prompt: Prompt,
+    /// Whether the response had begun.
+    pub begun: bool,
+    /// Parts of the prompt with sound runs before the crash.
+    pub sound: Vec<SoundPart>,
+}
+
+/// Shared parts of a request's prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Prompt {
+    /// Hash of the account.
+    pub account: u64,
+    /// Hash of the method, path and body.
+    pub request: u64,
+    /// Ids of the parts that other prompts may share, sorted.
+    pub parts: Vec<u64>,
+}
+
+/// A part of a prompt that a runner has processed without crashing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct SoundPart {
+    /// Id of the part.
+    pub id: u64,
+    /// Time since the start of the response, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What prompts that crash runners have in common.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct PromptPattern {
+    /// Hash of the account; `None` if the account varies.
+    pub account: Option<u64>,
+    /// Ids of the parts that all of them have, sorted.
+    pub parts: Vec<u64>,
+}
+
+/// A quarantined pattern, or one that is no longer quarantined.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct PatternReport {
+    /// Pattern.
+    pub pattern: PromptPattern,
+    /// Age of the first crash in milliseconds.
+    pub since_ms: u32,
+    /// Age of the last crash in milliseconds.
+    pub age_ms: u32,
+    /// Whether a sound run has shown that the pattern does not crash runners.
+    pub cleared: bool,
+}
+
+impl PromptReport {
+    /// Returns whether there is nothing to report.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.sound.is_empty() && self.patterns.is_empty()
+    }
+}
+
+impl PromptPattern {
+    /// Returns the pattern of a single prompt.
+    pub fn of(prompt: &Prompt) -> PromptPattern {
+        PromptPattern { account: Some(prompt.account), parts: prompt.parts.clone() }
+    }
+
+    /// Returns whether a prompt has all that the pattern consists of.
+    pub fn matches(&self, account: u64, has_part: impl Fn(u64) -> bool) -> bool {
+        self.account.is_none_or(|own| own == account) && self.parts.iter().all(|id| has_part(*id))
+    }
+
+    /// Returns whether each prompt that matches `other` matches this pattern too.
+    pub fn generalizes(&self, other: &PromptPattern) -> bool {
+        let has_account = self.account.is_none() || self.account == other.account;
+        has_account && self.parts.iter().all(|id| other.parts.binary_search(id).is_ok())
+    }
+
+    /// Returns what the pattern and a prompt have in common.
+    pub fn intersect(&self, prompt: &Prompt) -> PromptPattern {
+        let parts = self.parts.iter().copied();
+        PromptPattern {
+            account: self.account.filter(|account| *account == prompt.account),
+            parts: parts.filter(|id| prompt.parts.binary_search(id).is_ok()).collect(),
+        }
+    }
+
+    /// Returns the number of conditions.
+    pub fn len(&self) -> usize {
+        self.parts.len() + usize::from(self.account.is_some())
+    }
+
+    /// Returns whether the pattern has no condition.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
 /// A replicated table of the platform's store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Deserialize, Serialize)]
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -7,7 +7,7 @@
     crate::{PeerError, Result},
     bilberryfront_decide::member::{
         MAX_MEMBERS, MAX_UPDATES, PeerMessage,
-        message::{Heartbeat, NoticeContent, RelayedLoad},
+        message::{Heartbeat, NoticeContent, PromptReport, RelayedLoad},
     },
     bytes::Bytes,
     compact_str::CompactString,
@@ -15,7 +15,7 @@
 };
 
 /// Protocol version.
-pub const VERSION: u8 = 7;
+pub const VERSION: u8 = 8;
 /// Maximum size of a [`Class::Control`] frame, in bytes.
 pub const CONTROL_LIMIT: usize = 256 * 1024;
 /// Maximum size of a [`Class::Catalog`] frame, in bytes.
@@ -37,6 +37,10 @@
 
 /// Maximum requests per report on crashes.
 pub const CRASHES_LIMIT: usize = 256;
+/// Maximum entries of each kind per report on prompts.
+pub const PROMPTS_LIMIT: usize = 256;
+/// Maximum parts per prompt in a report.
+pub const PARTS_LIMIT: usize = 64;
 
 /// An encoded message.
 #[derive(Clone, Debug)]
@@ -187,8 +191,17 @@
         }
         PeerMessage::Notice(notice) => match &notice.content {
             NoticeContent::Crashes(crashes) => crashes.len() > CRASHES_LIMIT,
+            NoticeContent::Prompts(report) => has_too_many_prompts(report),
             NoticeContent::Partitions(services) => services.len() > LOADS_LIMIT,
         },
         _ => false,
     }
 }
+
+fn has_too_many_prompts(report: &PromptReport) -> bool {
+    let PromptReport { crashes, sound, patterns } = report;
+    let longest = crashes.len().max(sound.len()).max(patterns.len());
+    let prompts = crashes.iter().map(|crash| crash.prompt.parts.len().max(crash.sound.len()));
+    let parts = prompts.chain(patterns.iter().map(|report| report.pattern.parts.len()));
+    longest > PROMPTS_LIMIT || parts.max().is_some_and(|count| count > PARTS_LIMIT)
+}
--- a/crates/relay/src/control/gossip.rs
+++ b/crates/relay/src/control/gossip.rs
@@ -18,8 +18,8 @@
 
 impl<R: Records, S: Store> Control<R, S> {
     pub(super) fn publish_update(&mut self, update: Update) {
-        let Update { load, crashes, repeated, quarantined, partitions } = update;
-        self.write_quarantined(&quarantined);
+        let Update { load, crashes, repeated, quarantined, partitions, prompts, .. } = update;
+        self.write_quarantined(&quarantined, &update.patterns);
         self.adopt_restarts(&load.restarts);
         let Some(membership) = &mut self.membership else { return };
         if !load.is_empty() {
@@ -32,6 +32,12 @@
         if !repeated.is_empty() {
             membership.repeat_notice(NoticeContent::Crashes(repeated));
         }
+        if !prompts.is_empty() {
+            membership.send_notice(NoticeContent::Prompts(prompts));
+        }
+        if !update.repeated_patterns.is_empty() {
+            membership.repeat_notice(NoticeContent::Prompts(update.repeated_patterns));
+        }
         if let Some(services) = partitions {
             membership.send_notice(NoticeContent::Partitions(services));
         }
@@ -68,6 +74,7 @@
         let Notice { origin: from, content, .. } = notice;
         self.report(match content {
             NoticeContent::Crashes(crashes) => PeerReport::Crashes(crashes),
+            NoticeContent::Prompts(report) => PeerReport::Prompts(report),
             NoticeContent::Partitions(services) => PeerReport::Partitions { from, services },
         });
     }
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -227,16 +227,27 @@
     }
 
     /// Attributes the crash of a runner, if it has crashed, to a request that was sent to it at
-    /// `sent_at`.
-    async fn record_crash(&self, call: &Call, endpoint: &Endpoint, sent_at: Instant) {
+    /// `sent_at`. `age` is the time for which it had responded; `None` if the response had not begun, in
+    /// which case other requests are suspected rather than this one.
+    async fn record_crash(
+        &self,
+        call: &Call,
+        endpoint: &Endpoint,
+        sent_at: Instant,
+        age: Option<Duration>,
+    ) {
         let Some(incarnation) = self.client.fleet.incarnation(endpoint.key) else { return };
-        if self.client.has_crashed(endpoint).await {
-            let account = call.account.as_ref().map_or("", |account| account.name.as_str());
-            log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), account,
-                prefix = display_ids(&call.head.prefix).as_str(),
-                sent = sent_at.elapsed().as_millis() as u64; "{RUNNER_CRASHED}");
+        if !self.client.has_crashed(endpoint).await {
+            return;
+        }
+        let account = call.account.as_ref().map_or("", |account| account.name.as_str());
+        log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), account,
+            prefix = display_ids(&call.head.prefix).as_str(), begun = age.is_some(),
+            sent = sent_at.elapsed().as_millis() as u64; "{RUNNER_CRASHED}");
+        if age.is_some() {
             self.quarantine.record_crash(call, incarnation, sent_at);
         }
+        self.quarantine.record_prompt_crash(call, incarnation, sent_at, age);
     }
 
     /// Calls `work` with the prefill rate of a service.
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -12,6 +12,7 @@
         runner_client::{SendOutcome, is_failure},
     },
     http::Response,
+    std::time::Duration,
     tokio::time::Instant,
 };
 
@@ -42,6 +43,7 @@
                 return match traffic.client.read_body(reply, &endpoint, deadline).await {
                     Ok((parts, bytes)) => {
                         traffic.quarantine.record_response(call);
+                        traffic.quarantine.record_sound_run(call, sent_at);
                         traffic.report_sample(
                             call,
                             key,
@@ -50,7 +52,7 @@
                         Response::from_parts(parts, bytes.into())
                     }
                     Err(error) => {
-                        traffic.record_crash(call, &endpoint, sent_at).await;
+                        traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
                         traffic.report_sample(call, key, summarize(call, false));
                         traffic.reject(call, rejection_of(error))
                     }
@@ -62,7 +64,7 @@
             SendOutcome::Lost(error) => {
                 if error == SendError::Disconnected {
                     fleet.record_failure(key, Instant::now());
-                    traffic.record_crash(call, &endpoint, sent_at).await;
+                    traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
                 }
                 traffic.report_sample(call, key, summarize(call, false));
                 return traffic.reject(call, rejection_of(error));
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -22,6 +22,7 @@
         metrics::{Part, Resume},
         network::Network,
         pool::SendError,
+        quarantine::SOUND_TIME,
         rejection::Rejection,
         runner_client::{SendOutcome, is_failure},
     },
@@ -59,6 +60,8 @@
     first_event_at: Option<Instant>,
     /// Source from which the current run was resumed.
     resumed: Resume,
+    /// Progress of the current run.
+    progress: RunProgress,
     /// Replica of the last run with the runner that holds it.
     last_replica: Option<(Endpoint, ReplicaRef)>,
     /// Error response of a runner, returned if no runner succeeds.
@@ -67,6 +70,25 @@
     lost: Option<SendError>,
 }
 
+/// Progress of a run.
+struct RunProgress {
+    /// Time of the first event.
+    start: Instant,
+    /// Time spent waiting for events; time spent on a slow caller says nothing about the runner.
+    waited: Duration,
+    /// Whether the run began at the beginning of the response.
+    is_whole: bool,
+    /// Whether the run is recorded as sound.
+    is_recorded: bool,
+}
+
+impl RunProgress {
+    fn new(is_whole: bool) -> RunProgress {
+        let (start, waited) = (Instant::now(), Duration::ZERO);
+        RunProgress { start, waited, is_whole, is_recorded: false }
+    }
+}
+
 /// A run whose response has started.
 struct StartedRun {
     parts: Parts,
@@ -136,6 +158,7 @@
             reached_runner: false,
             first_event_at: None,
             resumed: Resume::Anew,
+            progress: RunProgress::new(false),
             last_replica: None,
             failure: None,
             lost: None,
@@ -168,6 +191,7 @@
                             .prefill_rate(&self.call.service, |rate| rate.observe(tokens, took));
                     }
                     self.resumed = if from_replica { Resume::Replica } else { Resume::Anew };
+                    self.progress = RunProgress::new(!from_replica && self.position.is_none());
                     self.log_started(&started.run, from_replica);
                     return Ok(*started);
                 }
@@ -187,8 +211,10 @@
                     self.lost = Some(error);
                     self.traffic.client.record_lost_response(&endpoint);
                     self.mark_failed(endpoint.key);
-                    if is_suspect && error == SendError::Disconnected {
-                        self.traffic.record_crash(&self.call, &endpoint, self.sent_at).await;
+                    if error == SendError::Disconnected && is_suspect {
+                        self.record_crash(&endpoint, Some(Duration::ZERO)).await;
+                    } else if error == SendError::Disconnected {
+                        self.record_crash_later(endpoint.clone());
                     }
                 }
                 AttemptOutcome::Quarantined => {
@@ -216,11 +242,17 @@
                         return;
                     }
                     self.renew_replica(&mut run);
+                    let waiting = Instant::now();
                     next = run.next(self.stall_timeout(), self.position).await;
+                    self.progress.waited += waiting.elapsed();
+                    if next.is_ok() && self.progress.waited >= SOUND_TIME {
+                        self.record_sound_run();
+                    }
                 }
                 Err(RunEnd::Whole) => {
                     self.log_ended(&run);
                     self.traffic.quarantine.record_response(&self.call);
+                    self.record_sound_run();
                     self.report_sample(run.endpoint().key, true);
                     run.release_connection(&self.traffic.client.fleet);
                     return sender.finish();
@@ -230,7 +262,7 @@
                     let endpoint = run.endpoint().clone();
                     self.abandon(run, reason);
                     if reason == RunEnd::Cut {
-                        self.traffic.record_crash(&self.call, &endpoint, self.sent_at).await;
+                        self.record_crash(&endpoint, Some(self.progress.waited)).await;
                     }
                     if !self.is_resumable() {
                         return self.log_broken();
@@ -248,6 +280,26 @@
         }
     }
 
+    async fn record_crash(&self, endpoint: &Endpoint, age: Option<Duration>) {
+        self.traffic.record_crash(&self.call, endpoint, self.sent_at, age).await;
+    }
+
+    /// Records a crash of a runner that had not begun to respond, without delaying the next attempt.
+    fn record_crash_later(&self, endpoint: Endpoint) {
+        let (traffic, call, sent_at) = (self.traffic.clone(), self.call.clone(), self.sent_at);
+        tokio::task::spawn_local(async move {
+            traffic.record_crash(&call, &endpoint, sent_at, None).await;
+        });
+    }
+
+    /// Records that the current run is sound, unless it was resumed.
+    fn record_sound_run(&mut self) {
+        let is_known = std::mem::replace(&mut self.progress.is_recorded, true);
+        if self.progress.is_whole && !is_known {
+            self.traffic.quarantine.record_sound_run(&self.call, self.progress.start);
+        }
+    }
+
     async fn forward(&mut self, sender: &BodySender, event: Event) -> bool {
         self.position = event.id.or(self.position);
         sender.push(event.bytes).await
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -14,6 +14,7 @@
     },
     bytes::Bytes,
     http::{Response, response::Parts},
+    std::time::Duration,
     tokio::time::Instant,
 };
 
@@ -106,6 +107,7 @@
             match traffic.client.read_body(reply, endpoint, deadline).await {
                 Ok((parts, bytes)) => {
                     traffic.quarantine.record_response(call);
+                    traffic.quarantine.record_sound_run(call, sent_at);
                     if !is_failure(parts.status) {
                         return Some((parts, bytes));
                     }
@@ -113,7 +115,7 @@
                 }
                 Err(error) => {
                     progress.lost = Some(error);
-                    traffic.record_crash(call, endpoint, sent_at).await;
+                    traffic.record_crash(call, endpoint, sent_at, Some(Duration::ZERO)).await;
                 }
             }
         }
@@ -126,7 +128,7 @@
                 SendError::Timeout => fleet.record_overload(key, Instant::now()),
                 SendError::Unsent | SendError::Disconnected => {
                     fleet.record_failure(key, Instant::now());
-                    traffic.record_crash(call, endpoint, sent_at).await;
+                    traffic.record_crash(call, endpoint, sent_at, Some(Duration::ZERO)).await;
                 }
             }
         }
--- a/crates/relay/src/load_sync.rs
+++ b/crates/relay/src/load_sync.rs
@@ -2,12 +2,12 @@
 
 use {
     crate::{budget::Budgets, fleet::Fleet, quarantine::Quarantine, rollouts::RolloutSample},
-    bilberryfront_decide::member::message::{CrashReport, Load},
+    bilberryfront_decide::member::message::{CrashReport, Load, PatternReport, PromptReport},
     compact_str::CompactString,
     std::time::Duration,
     tokio::{
         sync::mpsc,
-        time::{MissedTickBehavior, interval, sleep},
+        time::{Instant, MissedTickBehavior, interval, sleep, sleep_until},
     },
 };
 
@@ -27,6 +27,12 @@
     pub repeated: Vec<CrashReport>,
     /// Requests that this node has quarantined or cleared, for the store.
     pub quarantined: Vec<CrashReport>,
+    /// Evidence on prompts that crash runners, and changed patterns.
+    pub prompts: PromptReport,
+    /// Quarantined patterns, for nodes that have started or missed a report.
+    pub repeated_patterns: PromptReport,
+    /// Patterns that this node has quarantined or cleared, for the store.
+    pub patterns: Vec<PatternReport>,
     /// Services from which this node is partitioned; `None` if unchanged.
     pub partitions: Option<Vec<CompactString>>,
 }
@@ -37,6 +43,9 @@
             && self.crashes.is_empty()
             && self.repeated.is_empty()
             && self.quarantined.is_empty()
+            && self.prompts.is_empty()
+            && self.repeated_patterns.is_empty()
+            && self.patterns.is_empty()
             && self.partitions.is_none()
     }
 }
@@ -53,6 +62,8 @@
     },
     /// Requests that have crashed runners.
     Crashes(Vec<CrashReport>),
+    /// Evidence on prompts that crash runners, and quarantined patterns.
+    Prompts(PromptReport),
     /// Services from which a peer is partitioned.
     Partitions {
         /// Peer.
@@ -80,25 +91,27 @@
     let mut refresh = interval(REFRESH_INTERVAL);
     refresh.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
+        let judgement = quarantine.next_judgement();
         let update = tokio::select! {
             () = changed.notified() => {
                 sleep(BATCH_DELAY).await;
                 let load = Load { budgets: budgets.take_update(), ..fleet.take_update() };
                 Update { load, ..Update::default() }
             }
-            () = crashed.notified() => {
-                let (crashes, quarantined) = (quarantine.take_update(), quarantine.take_stored());
-                Update { crashes, quarantined, ..Update::default() }
+            () = crashed.notified() => quarantine_update(&quarantine),
+            () = sleep_until(judgement.unwrap_or_else(Instant::now)), if judgement.is_some() => {
+                quarantine.judge();
+                quarantine_update(&quarantine)
             }
             () = partitioned.notified() => {
                 Update { partitions: Some(fleet.partitions()), ..Update::default() }
             }
             _ = refresh.tick() => Update {
                 load: Load { budgets: budgets.snapshot(), ..fleet.snapshot() },
-                crashes: quarantine.take_update(),
                 repeated: quarantine.snapshot(),
-                quarantined: quarantine.take_stored(),
+                repeated_patterns: quarantine.pattern_snapshot(),
                 partitions: Some(fleet.partitions()).filter(|services| !services.is_empty()),
+                ..quarantine_update(&quarantine)
             },
             Some(report) = channels.peer_reports.recv() => {
                 match report {
@@ -107,6 +120,7 @@
                         budgets.apply(&from, &load.budgets);
                     }
                     PeerReport::Crashes(crashes) => quarantine.apply(&crashes),
+                    PeerReport::Prompts(report) => quarantine.apply_prompts(&report),
                     PeerReport::Partitions { from, services } => {
                         fleet.apply_peer_partitions(&from, services);
                     }
@@ -119,3 +133,14 @@
         }
     }
 }
+
+/// Takes the changes of the quarantine.
+fn quarantine_update(quarantine: &Quarantine) -> Update {
+    Update {
+        crashes: quarantine.take_update(),
+        quarantined: quarantine.take_stored(),
+        prompts: quarantine.take_prompt_update(),
+        patterns: quarantine.take_stored_patterns(),
+        ..Update::default()
+    }
+}
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -48,6 +48,11 @@
 /// Run of a suspect or quarantined request completed.
 pub const QUARANTINE_ENDED: &str = "request no longer suspected of crashing runners";
 
+/// Prompts quarantined, since something that they have in common has crashed several runners.
+pub const PROMPTS_QUARANTINED: &str = "prompts quarantined: a part of them crashes runners";
+/// A runner has processed a prompt that was quarantined.
+pub const PROMPTS_CLEARED: &str = "prompts no longer suspected of crashing runners";
+
 /// This node cannot reach any runner of a service.
 pub const PARTITIONED: &str = "partitioned from the runners of a service";
 /// The runners of a service can be reached again.
@@ -59,7 +64,7 @@
 pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 26] = [
+pub const ALL: [&str; 28] = [
     REJECTED,
     RUN_STARTED,
     RUN_LOST,
@@ -82,6 +87,8 @@
     RUNNER_CRASHED,
     QUARANTINED,
     QUARANTINE_ENDED,
+    PROMPTS_QUARANTINED,
+    PROMPTS_CLEARED,
     PARTITIONED,
     PARTITION_ENDED,
     BRITTLE,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -3,11 +3,17 @@
 //! A request is suspect after a runner has crashed while running it, and quarantined after
 //! [`MAX_CRASHES`] of them, counted by all nodes together. A completed run clears it. After the
 //! quarantine has expired, the request may run again; another crash renews the quarantine.
+//!
+//! Requests that only share a part of their prompts are compared in [`prompts`].
 
+mod evidence;
 mod fingerprint;
+mod patterns;
+mod prompts;
 
+pub use self::evidence::{MIN_CRASHES, SOUND_TIME};
 use {
-    self::fingerprint::fingerprint,
+    self::{fingerprint::fingerprint, prompts::Prompts},
     crate::{
         call::Call,
         catalog::Kind,
@@ -53,6 +59,7 @@
     stored: Vec<CrashReport>,
     /// Recent crashes found by this node.
     recent: VecDeque<(u64, Instant)>,
+    prompts: Prompts,
     /// Time after its last crash after which this node runs a quarantined request again.
     expiry: Duration,
 }
@@ -76,6 +83,7 @@
             cleared: Vec::new(),
             stored: Vec::new(),
             recent: VecDeque::new(),
+            prompts: Prompts::default(),
             expiry,
         };
         Quarantine {
@@ -90,9 +98,7 @@
     /// Returns the time for which a request is still quarantined, if it is.
     pub fn time_left(&self, call: &Call) -> Option<Duration> {
         let inner = self.inner.borrow();
-        let entry = inner.find(call)?;
-        let left = (entry.last + inner.expiry).saturating_duration_since(Instant::now());
-        (entry.runners.len() >= MAX_CRASHES && !left.is_zero()).then_some(left)
+        inner.request_time_left(call).max(inner.prompts.time_left(call, inner.expiry))
     }
 
     /// Returns whether a request should run without others beside it.
@@ -100,14 +106,15 @@
         self.inner.borrow().find(call).is_some_and(|entry| entry.runners.len() >= SUSPECT_CRASHES)
     }
 
-    /// Returns the number of quarantined requests.
+    /// Returns the number of quarantined requests and patterns of prompts.
     pub fn len(&self) -> usize {
         let inner = self.inner.borrow();
         let now = Instant::now();
-        inner.entries.values().filter(|entry| inner.is_quarantined(entry, now)).count()
+        let requests = inner.entries.values().filter(|entry| inner.is_quarantined(entry, now));
+        requests.count() + inner.prompts.len(inner.expiry)
     }
 
-    /// Returns whether no request is quarantined.
+    /// Returns whether nothing is quarantined.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
@@ -206,8 +213,7 @@
                 inner.entries.remove(id);
                 continue;
             }
-            let age = Duration::from_millis(u64::from(*age_ms));
-            let Some(at) = now.checked_sub(age) else { continue };
+            let Some(at) = instant_of(*age_ms, now) else { continue };
             if !inner.add(*id, runners, at) {
                 continue;
             }
@@ -235,6 +241,17 @@
         self.entries.get(&fingerprint(call))
     }
 
+    fn request_time_left(&self, call: &Call) -> Option<Duration> {
+        let entry = self.find(call)?;
+        let left = (entry.last + self.expiry).saturating_duration_since(Instant::now());
+        (entry.runners.len() >= MAX_CRASHES && !left.is_zero()).then_some(left)
+    }
+
+    /// Returns the number of runners that crashed within [`OUTAGE_WINDOW`].
+    fn recent_crashes(&self, now: Instant) -> usize {
+        self.recent.iter().filter(|(_, at)| now < *at + OUTAGE_WINDOW).count()
+    }
+
     fn is_quarantined(&self, entry: &Entry, now: Instant) -> bool {
         entry.runners.len() >= MAX_CRASHES && now < entry.last + self.expiry
     }
@@ -302,9 +319,7 @@
 
 impl Entry {
     fn report(&self, id: RequestId, now: Instant) -> CrashReport {
-        let age = now.saturating_duration_since(self.last).as_millis();
-        let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
-        CrashReport { id, runners: self.runners.clone(), age_ms }
+        CrashReport { id, runners: self.runners.clone(), age_ms: age_ms(self.last, now) }
     }
 }
 
@@ -314,6 +329,16 @@
     is_repeatable && call.route.attempts > 1
 }
 
+/// Returns the age of `at` in milliseconds.
+fn age_ms(at: Instant, now: Instant) -> u32 {
+    u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Returns the time that was `age_ms` milliseconds ago; `None` if this host was not running then.
+fn instant_of(age_ms: u32, now: Instant) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(u64::from(age_ms)))
+}
+
 fn display(id: RequestId) -> String {
     format!("{:016x}{:032x}", id.account, id.request)
 }
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -140,8 +140,9 @@
                 line.number("ready").unwrap_or_default()
             )
         }
-        "Quarantined" => "Rejected, not run: earlier attempts of the same request crashed the runners that ran \
-             it, so it is quarantined. `request quarantined` in the instances' logs has its fingerprint."
+        "Quarantined" => "Rejected, not run: earlier attempts of the same request, or requests that share parts of \
+             its prompt, crashed the runners that ran them, so it is quarantined. `request quarantined` or `prompts \
+             quarantined` in the instances' logs has the fingerprint or the parts."
             .into(),
         "Lost" => format!(
             "Ended without a response: {runner} had the request, and its connection failed after {waited} ms. \
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -19,6 +19,8 @@
 
 const INSTANCES: usize = 3;
 const ENGINE_COUNT: usize = 12;
+/// Number of engines if crashed ones cannot be registered again.
+const LARGE_ENGINE_COUNT: usize = 36;
 /// Streams of 1.8 s.
 const EVENTS: Script = Script::Events { last: 60, gap: ms(30), end: StreamEnd::Complete };
 /// Time until a crashed runner is replaced.
@@ -62,6 +64,10 @@
 
 impl Engines {
     async fn new(crashing: &[CrashingPart]) -> Engines {
+        Engines::with_count(crashing, ENGINE_COUNT).await
+    }
+
+    async fn with_count(crashing: &[CrashingPart], count: usize) -> Engines {
         let crashing = crashing.to_vec();
         let mut engines =
             Engines { platform: Platform::new().await, crashing, crashes: Vec::new() };
@@ -70,7 +76,7 @@
             runner.script.replace(EVENTS);
             runner.crashing_parts.replace(engines.crashing.clone());
         }
-        while engines.platform.runners.len() < ENGINE_COUNT + 1 {
+        while engines.platform.runners.len() < count + 1 {
             engines.start_engine().await;
         }
         engines
@@ -291,7 +297,7 @@
 #[tokio::test]
 async fn crashing_part_is_quarantined_while_the_store_is_unavailable() {
     run_local(async {
-        let mut engines = Engines::new(&[crashing_part("dead")]).await;
+        let mut engines = Engines::with_count(&[crashing_part("dead")], LARGE_ENGINE_COUNT).await;
         let instances = start_instances(&engines.platform, 0..INSTANCES).await;
         engines.platform.reject_store_requests(true);
         let load = Load { sound_interval: ms(200), ..MIDDLE };
@@ -321,11 +327,23 @@
         let start = Instant::now();
         engines.apply(MIDDLE, &instances, ms(2_000)).await;
         assert_eq!(engines.sends_since(start), 0, "after restarts in turn");
+    })
+    .await;
+}
+
+/// Guards against instances that all forget, when they are replaced at the same time, which parts crash
+/// runners.
+#[tokio::test]
+async fn crashing_part_stays_quarantined_after_all_instances_are_replaced() {
+    run_local(async {
+        let mut engines = Engines::new(&[crashing_part("dead")]).await;
+        let mut instances = start_instances(&engines.platform, 0..INSTANCES).await;
+        engines.apply(MIDDLE, &instances, ms(5_000)).await;
         instances.iter_mut().for_each(|instance| instance.process.kill());
         let instances = start_instances(&engines.platform, 10..10 + INSTANCES).await;
         let start = Instant::now();
         engines.apply(MIDDLE, &instances, ms(2_000)).await;
-        assert_eq!(engines.sends_since(start), 0, "after a restart of all");
+        assert_eq!(engines.sends_since(start), 0);
     })
     .await;
 }
