Clear a request that crashes runners only by a run from its beginning

Streams beside such a request were lost again and again: a request that crashes its runner half a second after its first event is resumed on another runner, behind the event that crashes them, and completes there.

A completed run clears a request only if it began at the beginning of the response, on one runner. The sound runs of parts follow the same rule already. Calls are not resumed, so their complete responses still clear them. Ruled out: counting a resumed run as evidence against the request, which would blame long requests for runners that crash by themselves. The popular request beside such runners is served as before.

--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -251,7 +251,10 @@
                 }
                 Err(RunEnd::Whole) => {
                     self.log_ended(&run);
-                    self.traffic.quarantine.record_response(&self.call);
+                    // A resumed run may have begun behind what crashes runners.
+                    if self.progress.is_whole {
+                        self.traffic.quarantine.record_response(&self.call);
+                    }
                     self.record_sound_run();
                     self.report_sample(run.endpoint().key, true);
                     run.release_connection(&self.traffic.client.fleet);
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -28,6 +28,8 @@
 /// Engines behind instances; engines that crash are replaced by others.
 struct Engines {
     platform: Platform,
+    /// Time from the arrival of a crashing request to the crash, if resumed runs do not crash.
+    crash_delay: Option<Duration>,
     /// Time of each crash, with whether its engine is replaced.
     crashes: Vec<(usize, Instant, bool)>,
 }
@@ -36,7 +38,8 @@
     /// Starts engines in addition to those of [`Platform::new`], all of which crash on
     /// [`CRASHING`].
     async fn new(count: usize) -> Engines {
-        let mut engines = Engines { platform: Platform::new().await, crashes: Vec::new() };
+        let platform = Platform::new().await;
+        let mut engines = Engines { platform, crash_delay: None, crashes: Vec::new() };
         for _ in 0..count {
             engines.start_engine().await;
         }
@@ -54,6 +57,7 @@
     fn arm(&self) {
         for runner in self.platform.runners.iter().filter(|r| r.service == ENGINES) {
             runner.crash_body.replace(Some(Bytes::from_static(CRASHING.as_bytes())));
+            runner.crash_delay.set(self.crash_delay);
         }
     }
 
@@ -246,3 +250,29 @@
     })
     .await;
 }
+
+/// Guards against a request that is cleared although it crashes runners, because a resumed run of it
+/// completes on another one, behind the event that crashes them.
+#[tokio::test]
+async fn request_that_crashes_runners_late_is_rejected_by_all_instances() {
+    run_local(async {
+        let mut engines = Engines::new(8).await;
+        engines.crash_delay = Some(ms(530));
+        engines.arm();
+        let instances = start_instances(&engines.platform, 3).await;
+        for round in 0..70_usize {
+            let callers = instances[round % instances.len()].callers;
+            if round % 4 == 0 {
+                _ = tokio::task::spawn_local(post_body(callers, "/stream/1", "k1", CRASHING));
+            }
+            engines.step().await;
+            sleep(ms(100)).await;
+        }
+        let crashes = engines.crashes.len();
+        assert!(crashes >= MAX_CRASHES, "{crashes} crashes");
+        let third = engines.crashes[MAX_CRASHES - 1].1;
+        let sends = engines.sends_since(third + NOTICE);
+        assert!(sends <= MAX_SENDS, "{sends} sends after the third of {crashes} crashes");
+    })
+    .await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -155,6 +155,8 @@
     pub(crate) is_crashed: Cell<bool>,
     /// Body of the requests that crash the runner, shortly after their response has started.
     pub(crate) crash_body: RefCell<Option<Bytes>>,
+    /// Time from the arrival of a request with `crash_body` to the crash, if resumed runs do not crash.
+    pub(crate) crash_delay: Cell<Option<Duration>>,
     /// Parts of prompts that crash the runner.
     pub(crate) crashing_parts: RefCell<Vec<CrashingPart>>,
     /// Instance id of the process that was started later at the same address, and the model that it
@@ -205,6 +207,7 @@
             is_unresponsive: Cell::new(false),
             is_crashed: Cell::new(false),
             crash_body: RefCell::default(),
+            crash_delay: Cell::new(None),
             crashing_parts: RefCell::default(),
             restarted: RefCell::default(),
             rate_limit: Cell::new(None),
@@ -413,8 +416,10 @@
     }
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let is_resumed = parts.headers.contains_key("last-event-id");
     let crash_delay = match runner.crash_body.borrow().as_ref() == Some(&body) {
-        true => Some(CRASH_DELAY),
+        true if is_resumed && runner.crash_delay.get().is_some() => None,
+        true => Some(runner.crash_delay.get().unwrap_or(CRASH_DELAY)),
         false => {
             let crashing = runner.crashing_parts.borrow();
             crashing.iter().find(|part| part.crashes(&parts.headers)).map(|part| part.delay)
@@ -432,7 +437,7 @@
             runner.crash();
         });
     }
-    let is_resumed = parts.headers.contains_key("kv-from");
+    let has_copy = parts.headers.contains_key("kv-from");
     let is_full = runner.capacity.get().is_some_and(|capacity| runner.running.get() >= capacity);
     if is_full {
         runner.rejections.borrow_mut().push(Instant::now());
@@ -440,7 +445,7 @@
     let _running = Running::new(runner);
     let script = match runner.resume_script.borrow().clone() {
         _ if is_full => Script::NotRun,
-        Some(script) if is_resumed => script,
+        Some(script) if has_copy => script,
         _ => runner.script.borrow().clone(),
     };
     let id = parts.headers["x-bilberryfront-attempt-id"].clone();
