Retry responses without a length that end before their first event

A caller got an empty stream as complete when the runner crashed between its head and its first event, and the response had neither a length nor chunks: the end of the connection then looks like the end of the response. It would also have cleared the request that crashed the runner. A response that ends within an event was broken off already, and one that ends after an event without a length stays complete (second test).

--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -20,6 +20,9 @@
     connection: Connection,
     body: Incoming,
     splitter: Splitter,
+    /// Whether the end of the connection is the end of a complete response: it has a length or chunks,
+    /// or at least one event.
+    may_end: bool,
     lease: Lease,
     replica: Option<Replica>,
     idle_timeout: Option<Duration>,
@@ -30,7 +33,7 @@
 pub(super) enum RunEnd {
     /// The stream is complete.
     Whole,
-    /// Connection error, or end of stream within an event.
+    /// Connection error, or end of stream within an event or, without a length, before the first one.
     Cut,
     /// No event within the timeout.
     Silent,
@@ -41,11 +44,12 @@
 impl Run {
     /// Creates a run from a response head and its unread body.
     pub(super) fn new(reply: Reply, lease: Lease, replica: Option<Replica>) -> (Parts, Run) {
-        let Reply { mut parts, head, body, connection } = reply;
+        let Reply { mut parts, head, body, framed, connection } = reply;
         // The events of later runs change the length.
         parts.headers.remove(header::CONTENT_LENGTH);
         let splitter = Splitter::default();
-        (parts, Run { connection, body, splitter, lease, replica, idle_timeout: head.idle })
+        let (may_end, idle_timeout) = (framed, head.idle);
+        (parts, Run { connection, body, splitter, may_end, lease, replica, idle_timeout })
     }
 
     /// Returns the next event after `position`, or why there is none within `timeout`.
@@ -57,11 +61,14 @@
         let until = Instant::now() + timeout;
         loop {
             match self.splitter.take() {
-                Ok(Some(event)) => match check_continuity(&event, position) {
-                    Continuity::Next => return Ok(event),
-                    Continuity::Duplicate => continue,
-                    Continuity::Gap => return Err(RunEnd::Disorder),
-                },
+                Ok(Some(event)) => {
+                    self.may_end = true;
+                    match check_continuity(&event, position) {
+                        Continuity::Next => return Ok(event),
+                        Continuity::Duplicate => continue,
+                        Continuity::Gap => return Err(RunEnd::Disorder),
+                    }
+                }
                 Ok(None) => {}
                 Err(_) => return Err(RunEnd::Disorder),
             }
@@ -69,7 +76,7 @@
             match frame {
                 Some(Ok(frame)) => self.push_frame(&frame),
                 Some(Err(_)) => return Err(RunEnd::Cut),
-                None if self.splitter.is_partial() => return Err(RunEnd::Cut),
+                None if self.splitter.is_partial() || !self.may_end => return Err(RunEnd::Cut),
                 None => return Err(RunEnd::Whole),
             }
         }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -78,6 +78,8 @@
     pub head: ResponseHead,
     /// Body.
     pub body: Incoming,
+    /// Whether the body has a length or chunks; otherwise it ends with the connection.
+    pub framed: bool,
     /// Connection, which can be reused after the body.
     pub connection: Connection,
 }
@@ -153,9 +155,11 @@
                 "response unsigned or for another request: connection closed");
             return SendOutcome::Lost(SendError::Disconnected);
         }
+        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+        let framed = framing.iter().any(|name| parts.headers.contains_key(name));
         headers::strip(&mut parts.headers);
         self.fleet.record_response(endpoint.key, Instant::now());
-        SendOutcome::Answered(Box::new(Reply { parts, head, body, connection }))
+        SendOutcome::Answered(Box::new(Reply { parts, head, body, framed, connection }))
     }
 
     /// Applies the backpressure signals of a response: pause, drain announcement and rate limit. A
@@ -183,7 +187,7 @@
         endpoint: &Endpoint,
         deadline: Instant,
     ) -> Result<(Parts, Bytes), SendError> {
-        let Reply { parts, head, body, connection } = *reply;
+        let Reply { parts, head, body, connection, .. } = *reply;
         let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let read = timeout_at(deadline, read).await;
         let runner = endpoint.id.as_str();
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -422,3 +422,39 @@
     })
     .await;
 }
+
+/// Guards against a response without a length that is returned as complete although its runner ended
+/// before the first event, or within one.
+#[tokio::test(start_paused = true)]
+async fn a_response_without_a_length_that_is_broken_off_is_resumed() {
+    for broken in ["", "id: 1\ndata: token 1\n\nid: 2\nda"] {
+        run_local(async {
+            let deployment = Deployment::new(ENGINES, &["a", "a"], &EVENTS);
+            deployment.runners.iter().for_each(|r| _ = r.script.replace(Script::Unframed(broken)));
+            let restore = async {
+                while deployment.request_count() == 0 {
+                    sleep(ms(1)).await;
+                }
+                deployment.runners.iter().for_each(|r| _ = r.script.replace(EVENTS));
+            };
+            let (received, ()) = tokio::join!(deployment.serve("/stream/1", &PROMPT), restore);
+            assert_eq!((received.status, received.is_complete), (200, true), "{broken:?}");
+            assert_eq!(received.event_ids(), all(20), "{broken:?}");
+        })
+        .await;
+    }
+}
+
+/// Guards against a response without a length that is taken for broken off although it is complete.
+#[tokio::test(start_paused = true)]
+async fn a_response_without_a_length_that_ends_after_an_event_is_complete() {
+    run_local(async {
+        let events = Script::Unframed("id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n");
+        let deployment = Deployment::new(ENGINES, &["a", "a"], &events);
+        let received = deployment.serve("/stream/1", &PROMPT).await;
+        assert_eq!((received.status, received.is_complete), (200, true));
+        assert_eq!(received.event_ids(), all(2));
+        assert_eq!(deployment.request_count(), 1);
+    })
+    .await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -37,7 +37,7 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncRead, AsyncWrite, DuplexStream},
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream},
         task::{AbortHandle, LocalSet},
         time::{Instant, sleep},
     },
@@ -77,6 +77,9 @@
     Close,
     /// Reads the request and never responds.
     Hang,
+    /// Sends a response head with neither a length nor chunks, these bytes, and closes the connection.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    Unframed(&'static str),
 }
 
 /// End of a stream.
@@ -367,6 +370,10 @@
 
 /// Serves a connection to a runner.
 pub(crate) fn serve(runner: Rc<Runner>, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
+    if let Script::Unframed(text) = *runner.script.borrow() {
+        tokio::task::spawn_local(respond_unframed(runner.clone(), stream, text));
+        return;
+    }
     let serving = runner.clone();
     let service = service_fn(move |request| {
         let runner = runner.clone();
@@ -379,6 +386,25 @@
     serving.connections.borrow_mut().push(task.abort_handle());
 }
 
+/// Responds to one request without a length.
+async fn respond_unframed(
+    runner: Rc<Runner>,
+    mut stream: impl AsyncRead + AsyncWrite + Unpin,
+    text: &'static str,
+) {
+    let mut buffer = [0; 4096];
+    // The request fits into one read.
+    if stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+        let (at, headers, body) = (Instant::now(), HeaderMap::new(), Bytes::new());
+        runner.requests.borrow_mut().push(ReceivedRequest { at, headers, body });
+        let id = &runner.id;
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nx-bilberryfront-attempt-id: a1\r\nx-bilberryfront-server-stamp: {id}\r\n\r\n"
+        );
+        _ = stream.write_all(format!("{head}{text}").as_bytes()).await;
+    }
+}
+
 /// Counts a request as running until it is dropped.
 struct Running(Rc<Runner>);
 
@@ -473,6 +499,7 @@
         }
         Script::Close => return Err(io::ErrorKind::ConnectionReset.into()),
         Script::Hang => std::future::pending().await,
+        Script::Unframed(_) => unreachable!("responses without a length are not sent by hyper"),
     };
     let headers = response.headers_mut();
     headers.entry("x-bilberryfront-attempt-id").or_insert(id);
