Consider registered nodes dead that nobody has heard of, if they are most

After all instances of a small system were replaced twice under new names, the third generation did not get to know each other: address responses of two of three instances left one out for more than 20 s. The six registrations of ended nodes remain listed for ten minutes and count as heartbeat targets; with more than eight nodes in all, heartbeats go to a few neighbours on rings, nearly all of them ended, and gossip and anti-entropy do not get through.

If registered nodes of which nothing was heard for 4 s are at least half of the topology, they are asked for a heartbeat once and taken out of it; a heartbeat or a claim brings a node back.

The tests with 100 and 400 nodes that start together pass unchanged.

--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -49,6 +49,8 @@
 pub const PING_DELAY: Duration = Duration::from_millis(900);
 /// Time after which a suspect is removed from address responses, unless the suspicion is refuted.
 pub const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time after which a registered node of which nothing was heard may be considered dead.
+pub const UNKNOWN_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for which other nodes may refute a suspicion before it is gossiped.
 pub const REFUTE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Retention of unlisted dead nodes, so that stale gossip cannot revive them.
--- a/crates/decide/src/member/record.rs
+++ b/crates/decide/src/member/record.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         CONFIRM_TIMEOUT, PING_DELAY, REFUTE_TIMEOUT, SILENCE_TIMEOUT, TOMBSTONE_RETENTION,
+        UNKNOWN_TIMEOUT,
         message::{Claim, Moment, NodeIncarnation, NodeLocation, NodeState, Usage},
     },
     crate::{
@@ -189,10 +190,15 @@
         Some(self.last_heartbeat.unwrap_or(watched).max(watched).max(self.since))
     }
 
+    /// Returns whether nothing was heard of the node for [`UNKNOWN_TIMEOUT`].
+    pub(super) fn is_unheard(&self, now: Instant) -> bool {
+        self.state == NodeState::Unknown && now >= self.since + UNKNOWN_TIMEOUT
+    }
+
     /// Restarts the current timeout.
     pub(super) fn restart_timeout(&mut self, now: Instant) {
         self.watched_since = self.watched_since.map(|_| now);
-        if self.state == NodeState::Suspect {
+        if matches!(self.state, NodeState::Unknown | NodeState::Suspect) {
             self.since = now;
         }
     }
--- a/crates/decide/src/member/rounds.rs
+++ b/crates/decide/src/member/rounds.rs
@@ -38,6 +38,7 @@
         if now < self.heartbeat_at {
             return;
         }
+        self.end_unheard(now, out);
         if std::mem::take(&mut self.ring_is_stale) {
             self.rebuild_ring(now);
         }
@@ -82,6 +83,20 @@
         self.sweep_at = deadlines.fold(now + SILENCE_TIMEOUT, Instant::min);
     }
 
+    /// Considers registered nodes dead of which nothing was heard, if they are so many that most
+    /// heartbeats go to them. They are asked for a heartbeat, since they may just have other targets.
+    fn end_unheard(&mut self, now: Instant, out: &mut Vec<Output>) {
+        let unheard = self.records.iter().filter(|(_, record)| record.is_unheard(now));
+        let unheard: Vec<CompactString> = unheard.map(|(name, _)| name.clone()).collect();
+        if unheard.is_empty() || 2 * unheard.len() < self.topology_size() {
+            return;
+        }
+        let to = unheard.iter().take(MAX_MESH).filter_map(|name| self.target(name)).collect();
+        let message = PeerMessage::Claims(vec![self.own_claim()]);
+        out.push(Output::Send { to, message });
+        unheard.iter().for_each(|name| self.apply_event(now, name, NodeEvent::Ended, out));
+    }
+
     /// Marks a node as suspect and notifies its other watchers. The link may have failed in one
     /// direction only, so the suspicion is gossiped only after the watchers had time to refute it.
     pub(super) fn suspect(&mut self, now: Instant, name: &CompactString, out: &mut Vec<Output>) {
