--- a/crates/relay/src/quarantine/evidence.rs
+++ b/crates/relay/src/quarantine/evidence.rs
@@ -130,8 +130,7 @@
                 if self.crashes.len() >= MAX_CRASHES {
                     self.crashes.pop_front();
                 }
-                let (begun, waiting) = (Vec::new(), Vec::new());
-                self.crashes.push_back(Crash { runner, at, begun, waiting });
+                self.crashes.push_back(Crash::new(runner, at));
                 self.crashes.back_mut().expect("the crash was added")
             }
         };
@@ -148,17 +147,14 @@
         if self.sound.len() >= MAX_SOUND && !self.sound.contains_key(&part) {
             self.forget_older_half();
         }
-        let before = self.sound.insert(part, start);
-        if before.is_some_and(|before| before > start) {
-            self.sound.extend(before.map(|before| (part, before)));
+        let before = self.sound.get(&part).copied();
+        if before.is_some_and(|before| before >= start) {
             return false;
         }
+        self.sound.insert(part, start);
         let is_refuted =
             |crash: &&Crash| crash.at <= start && before.is_none_or(|before| crash.at > before);
-        self.crashes
-            .iter()
-            .filter(is_refuted)
-            .any(|crash| crash.prompts_with(part).next().is_some())
+        self.crashes.iter().filter(is_refuted).any(|crash| crash.has_part(part))
     }
 
     /// Returns the start of the last sound run of a part, if it is remembered.
@@ -190,13 +186,14 @@
         Judgement::Open(times.filter(|at| *at > now).min())
     }
 
-    /// Returns the pattern of the crashes with a part, if they are enough evidence.
+    /// Returns the pattern of the crashes with a part, if they are enough evidence against it. A part that
+    /// mostly waited is not the cause.
     fn suspect(&self, part: u64, unexplained: &[&Crash], now: Instant) -> Option<Suspicion> {
         let sound = self.last_sound(part, now);
         let is_evidence = |crash: &&Crash| {
             crash.at + SETTLE_TIME <= now
                 && sound.is_none_or(|start| crash.at > start)
-                && crash.prompts_with(part).next().is_some()
+                && crash.has_part(part)
         };
         let crashes: Vec<&Crash> = self.crashes.iter().filter(is_evidence).collect();
         let unexplained: Vec<&Crash> = unexplained.iter().copied().filter(is_evidence).collect();
@@ -235,11 +232,20 @@
 }
 
 impl Crash {
+    fn new(runner: u64, at: Instant) -> Crash {
+        Crash { runner, at, begun: Vec::new(), waiting: Vec::new() }
+    }
+
     /// Returns whether the response to a prompt with this part had begun.
     fn has_begun(&self, part: u64) -> bool {
         self.begun.iter().any(|prompt| has_part(prompt, part))
     }
 
+    /// Returns whether the runner held a prompt with this part.
+    fn has_part(&self, part: u64) -> bool {
+        self.prompts_with(part).next().is_some()
+    }
+
     fn prompts(&self) -> impl Iterator<Item = &Prompt> {
         self.begun.iter().chain(&self.waiting)
     }
--- a/crates/relay/src/quarantine/prompts.rs
+++ b/crates/relay/src/quarantine/prompts.rs
@@ -84,8 +84,7 @@
 
     /// Records a sound run; returns whether there is something to report.
     fn record_sound(&mut self, prompt: &Prompt, start: Instant) -> bool {
-        let cleared = self.patterns.clear(prompt, start);
-        for pattern in cleared {
+        for pattern in self.patterns.clear(prompt, start) {
             log::info!(pattern = display(&pattern).as_str(); "{PROMPTS_CLEARED}");
             let report = PatternReport { pattern, since_ms: 0, age_ms: 0, cleared: true };
             self.report.patterns.push(report.clone());
@@ -149,9 +148,11 @@
             }
         }
         self.apply_sound(&report.sound, now);
-        let patterns = report.patterns.iter();
-        let added = patterns.filter(|report| self.apply_pattern(report, expiry, now)).count();
-        added > 0
+        let mut is_changed = false;
+        for pattern in &report.patterns {
+            is_changed |= self.apply_pattern(pattern, expiry, now);
+        }
+        is_changed
     }
 
     fn apply_sound(&mut self, sound: &[SoundPart], now: Instant) {
