Ignore crashes of runners that had crashed before the request was sent

A sound request was quarantined for ten minutes after it had been sent to three runners that other requests had crashed before, if something still accepted its connections and closed them: the check for a crash then finds the runner gone, and the crash was attributed to each request that arrived after it. A node now remembers for 10 s when it first found each runner crashed, and a request that was sent later is not blamed.

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -39,6 +39,8 @@
 const SUSPECT_TIME: Duration = Duration::from_secs(600);
 /// Window in which crashes of several runners count as an outage, not as caused by a request.
 const OUTAGE_WINDOW: Duration = Duration::from_millis(100);
+/// Time for which a crashed runner may still be listed.
+const CRASH_RETENTION: Duration = Duration::from_secs(10);
 /// Maximum number of remembered requests.
 pub const MAX_ENTRIES: usize = 256;
 
@@ -57,7 +59,7 @@
     cleared: Vec<RequestId>,
     /// Changes of quarantined requests by this node that the store does not have yet.
     stored: Vec<CrashReport>,
-    /// Recent crashes found by this node.
+    /// Recent crashes found by this node: runner and time.
     recent: VecDeque<(u64, Instant)>,
     prompts: Prompts,
     /// Time after its last crash after which this node runs a quarantined request again.
@@ -135,7 +137,7 @@
     pub fn record_crash(&self, call: &Call, runner: u64, sent_at: Instant) {
         let now = Instant::now();
         let mut inner = self.inner.borrow_mut();
-        if inner.is_outage(runner, sent_at, now) {
+        if !inner.is_evidence(runner, sent_at, now) {
             return;
         }
         let id = fingerprint(call);
@@ -256,14 +258,21 @@
         entry.runners.len() >= MAX_CRASHES && now < entry.last + self.expiry
     }
 
-    /// Records the crash of a runner; returns whether another runner has crashed just before, after
-    /// the request was sent: a request that crashes one runner after the other is no outage.
-    fn is_outage(&mut self, runner: u64, sent_at: Instant, now: Instant) -> bool {
-        self.recent.retain(|(_, at)| now < *at + OUTAGE_WINDOW);
-        if self.recent.iter().all(|(known, _)| *known != runner) {
+    /// Records the crash of a runner; returns whether a request that was sent to it at `sent_at` may have
+    /// caused it. The runner must not have crashed before that, nor another one just now: a request that
+    /// crashes one runner after the other is no outage.
+    fn is_evidence(&mut self, runner: u64, sent_at: Instant, now: Instant) -> bool {
+        self.recent.retain(|(_, at)| now < *at + CRASH_RETENTION);
+        let crash = self.recent.iter().find(|(known, _)| *known == runner);
+        let crashed_at = crash.map(|(_, at)| *at);
+        if crashed_at.is_none() {
             self.recent.push_back((runner, now));
         }
-        self.recent.iter().any(|(known, at)| *known != runner && *at > sent_at)
+        let is_outage = self
+            .recent
+            .iter()
+            .any(|(known, at)| *known != runner && *at > sent_at && now < *at + OUTAGE_WINDOW);
+        crashed_at.is_none_or(|at| sent_at <= at) && !is_outage
     }
 
     /// Adds crashed runners to an entry; returns whether one of them was not known.
--- a/tests/relay/crashes.rs
+++ b/tests/relay/crashes.rs
@@ -1,12 +1,12 @@
 //! Requests that crash the runners that run them.
 
 use {
-    super::support::{Deployment, ENGINES, PLAIN, Runner, Script, StreamEnd, ms, run_local},
-    bilberryfront_relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME},
+    super::support::{Deployment, ENGINES, PLAIN, Runner, Script, StreamEnd, call, ms, run_local},
+    bilberryfront_relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME, Quarantine},
     bytes::Bytes,
     futures_util::future::join_all,
     std::rc::Rc,
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep},
 };
 
 const EVENTS: Script = Script::Events { last: 30, gap: ms(30), end: StreamEnd::Complete };
@@ -68,3 +68,22 @@
     })
     .await;
 }
+
+/// Guards against blaming a request that is sent to runners which have already crashed, if something
+/// accepts and closes its connections.
+#[tokio::test(start_paused = true)]
+async fn request_is_not_blamed_for_runners_that_had_crashed_before() {
+    let quarantine = Quarantine::default();
+    let (cause, late) = (call("/stream/1", &[]), call("/stream/2", &[]));
+    for runner in 0..MAX_CRASHES as u64 {
+        let sent_at = Instant::now();
+        sleep(ms(300)).await;
+        quarantine.record_crash(&cause, runner, sent_at);
+        sleep(ms(300)).await;
+        let sent_at = Instant::now();
+        sleep(ms(5)).await;
+        quarantine.record_crash(&late, runner, sent_at);
+    }
+    assert!(quarantine.time_left(&cause).is_some());
+    assert!(quarantine.time_left(&late).is_none());
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -833,7 +833,8 @@
     RowCodec.parse_catalog(text.as_bytes()).unwrap()
 }
 
-fn call(path: &str, headers: &[(&'static str, &'static str)]) -> Call {
+/// Returns a request in the platform protocol.
+pub(crate) fn call(path: &str, headers: &[(&'static str, &'static str)]) -> Call {
     let mut request = Request::post(path).header("host", "desk.example");
     request = request.header("x-bilberryfront-attempt-id", "a1");
     for (name, value) in headers {
