--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -14,10 +14,10 @@
         catalog::{Engine, Kind},
         dialect::{Dialect, SendOptions},
         fleet::{Criteria, Endpoint, Fleet, RunnerKey, Version},
-        log_messages::{ERROR_RETURNED, REJECTED, RUNNER_CRASHED},
+        log_messages::{ERROR_RETURNED, NO_CRASH, REJECTED, RUNNER_CRASHED},
         metrics::{Metrics, Outcome},
         network::Network,
-        quarantine::Quarantine,
+        quarantine::{self, Quarantine},
         rejection::Rejection,
         rollouts::{
             RolloutSample,
@@ -237,16 +237,17 @@
         age: Option<Duration>,
     ) {
         let Some(incarnation) = self.client.fleet.incarnation(endpoint.key) else { return };
-        if !self.client.has_crashed(endpoint).await {
+        if let Some(cause) = self.client.why_not_crashed(endpoint).await {
+            log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
+                cause = cause; "{NO_CRASH}");
             return;
         }
+        let is_evidence = age.is_some() && self.quarantine.record_crash(call, incarnation, sent_at);
         let account = call.account.as_ref().map_or("", |account| account.name.as_str());
         log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), account,
+            fingerprint = quarantine::display_fingerprint(call).as_str(),
             prefix = display_ids(&call.head.prefix).as_str(), begun = age.is_some(),
-            sent = sent_at.elapsed().as_millis() as u64; "{RUNNER_CRASHED}");
-        if age.is_some() {
-            self.quarantine.record_crash(call, incarnation, sent_at);
-        }
+            evidence = is_evidence, sent = sent_at.elapsed().as_millis() as u64; "{RUNNER_CRASHED}");
         self.quarantine.record_prompt_crash(call, incarnation, sent_at, age);
     }
 
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -43,6 +43,8 @@
 
 /// A runner has crashed while it ran a request.
 pub const RUNNER_CRASHED: &str = "runner crashed while running a request";
+/// A response was lost, and its runner is not found to have crashed.
+pub const NO_CRASH: &str = "the runner of a lost response has not crashed";
 /// Request quarantined, since it has crashed several runners.
 pub const QUARANTINED: &str = "request quarantined: it crashes runners";
 /// Run of a suspect or quarantined request completed.
@@ -64,7 +66,7 @@
 pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 28] = [
+pub const ALL: [&str; 29] = [
     REJECTED,
     RUN_STARTED,
     RUN_LOST,
@@ -85,6 +87,7 @@
     RATE_UNLIMITED,
     RUNNER_DRAINING,
     RUNNER_CRASHED,
+    NO_CRASH,
     QUARANTINED,
     QUARANTINE_ENDED,
     PROMPTS_QUARANTINED,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -133,12 +133,12 @@
     }
 
     /// Records that a runner, identified by a hash of its incarnation, has crashed while running a
-    /// request that was sent to it at `sent_at`.
-    pub fn record_crash(&self, call: &Call, runner: u64, sent_at: Instant) {
+    /// request that was sent to it at `sent_at`; returns whether that is evidence against the request.
+    pub fn record_crash(&self, call: &Call, runner: u64, sent_at: Instant) -> bool {
         let now = Instant::now();
         let mut inner = self.inner.borrow_mut();
         if !inner.is_evidence(runner, sent_at, now) {
-            return;
+            return false;
         }
         let id = fingerprint(call);
         if inner.add(id, &[runner], now) {
@@ -154,6 +154,7 @@
                 self.quarantined.notify_waiters();
             }
         }
+        true
     }
 
     /// Records a complete response to a request, which clears it.
@@ -348,6 +349,11 @@
     now.checked_sub(Duration::from_millis(u64::from(age_ms)))
 }
 
+/// Returns the fingerprint of a request for logs.
+pub fn display_fingerprint(call: &Call) -> String {
+    display(fingerprint(call))
+}
+
 fn display(id: RequestId) -> String {
     format!("{:016x}{:032x}", id.account, id.request)
 }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -121,8 +121,9 @@
         let (response, connection) = match self.exchange(endpoint, request, deadline).await {
             Ok(exchanged) => exchanged,
             Err(SendError::Unsent) => {
-                log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
-                    "cannot connect to the runner");
+                let partitioned = self.fleet.is_partitioned(endpoint.key);
+                log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
+                    partitioned; "cannot connect to the runner");
                 return SendOutcome::Unsent;
             }
             Err(error) => {
@@ -277,18 +278,21 @@
         }
     }
 
-    /// Returns whether the runner's process has ended: a new connection is refused or closed at once.
-    /// A broken connection alone is no evidence of a crash.
-    pub async fn has_crashed(&self, endpoint: &Endpoint) -> bool {
+    /// Returns why a runner does not count as crashed; `None` if its process has ended, since a new
+    /// connection is refused or closed at once. A broken connection alone is no evidence of a crash.
+    pub async fn why_not_crashed(&self, endpoint: &Endpoint) -> Option<&'static str> {
         if self.fleet.is_partitioned(endpoint.key) {
-            return false;
+            return Some("partitioned");
         }
         match self.network.connect(endpoint.address, CRASH_CHECK_TIMEOUT).await {
             Ok(mut stream) => {
                 let closed = timeout(CRASH_CLOSE_TIMEOUT, stream.read_u8()).await;
-                closed.is_ok_and(|read| read.is_err())
+                let has_crashed = closed.is_ok_and(|read| read.is_err());
+                (!has_crashed).then_some("accepts connections")
+            }
+            Err(error) => {
+                (error.kind() == io::ErrorKind::TimedOut).then_some("connection timed out")
             }
-            Err(error) => error.kind() != io::ErrorKind::TimedOut,
         }
     }
 
--- a/crates/relay/src/runner_client/connect.rs
+++ b/crates/relay/src/runner_client/connect.rs
@@ -92,7 +92,8 @@
                     return Err(SendError::Unsent);
                 }
                 Err(error) => {
-                    log::debug!(node = node.name.as_str(); "cannot connect through a node: {error}");
+                    log::info!(runner = endpoint.id.as_str(), node = node.name.as_str();
+                        "cannot connect through another instance: {error}");
                 }
             }
         }
