Address nodes by their names also where their registrations are unknown

Callers of some partitioned instances of a large deployment had nearly all of their requests rejected as not run, for as long as the partition lasted. Only the readers of a failure domain, two of 27 nodes there, follow the table of registrations; the others know nodes that started after them from heartbeats only. For those, an address was made up with the URL as the name and the callers' port as the one for peers, although heartbeats carry both. A connection through such a node failed at once; a node with such entries also did not leave partitioned nodes out of address responses, and ranked nodes for rate limits and rollouts by other names than its peers.

Deployments with two instances a domain don't show it, since both are readers.

The test's fields did not exist before.

--- a/crates/decide/src/member/table.rs
+++ b/crates/decide/src/member/table.rs
@@ -16,8 +16,12 @@
 /// A node that accepts requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Address {
+    /// Name.
+    pub name: CompactString,
     /// Base URL for callers.
     pub url: CompactString,
+    /// Peer address, `IP:PORT`.
+    pub peer: CompactString,
     /// Failure domain.
     pub domain: CompactString,
 }
@@ -58,7 +62,7 @@
         let others = others.filter_map(|(n, r)| Some((n, r.location.as_ref()?)));
         let mut nodes: Vec<_> = me.into_iter().chain(others).collect();
         nodes.sort_by_cached_key(|(n, p)| (p.domain != *own, xxh64(n.as_bytes(), seed)));
-        nodes.into_iter().map(|(_, p)| address(p)).collect()
+        nodes.into_iter().map(|(name, p)| address(name, p)).collect()
     }
 
     /// Returns the draining nodes with the start of their drain, in the order of these times.
@@ -68,7 +72,7 @@
         let others = others.filter_map(|(n, r)| Some((r.since, n, r.location.as_ref()?)));
         let mut nodes: Vec<_> = me.into_iter().chain(others).collect();
         nodes.sort_by_key(|&(since, name, _)| (since, name));
-        nodes.into_iter().map(|(since, _, p)| (since, address(p))).collect()
+        nodes.into_iter().map(|(since, name, p)| (since, address(name, p))).collect()
     }
 
     /// Returns the usage of limits by the other nodes.
@@ -143,6 +147,7 @@
     }
 }
 
-fn address(location: &NodeLocation) -> Address {
-    Address { url: location.url.clone(), domain: location.domain.clone() }
+fn address(name: &CompactString, location: &NodeLocation) -> Address {
+    let NodeLocation { domain, url, peer } = location.clone();
+    Address { name: name.clone(), url, peer, domain }
 }
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -205,6 +205,19 @@
     assert_eq!(domains, ["domain-a", "domain-a", "domain-a", "domain-b", "domain-b"]);
 }
 
+/// Guards against nodes that are only known from heartbeats, as most are in a large system, being
+/// addressed without their names and peer addresses.
+#[test]
+fn addresses_of_unlisted_nodes_have_their_names_and_peer_addresses() {
+    let now = Instant::now();
+    let mut a = member(now, "a1");
+    let beat = heartbeat(incarnation(1, 1), 1, NodeState::Ready);
+    let beat = Heartbeat { location: Some(location("b1")), ..beat };
+    a.on_heartbeat(now, "b1", &beat, &mut Vec::new());
+    let NodeLocation { domain, url, peer } = location("b1");
+    assert_eq!(a.addresses()[1], Address { name: "b1".into(), url, peer, domain });
+}
+
 /// A node dies but stays listed. It must become suspect after [`SILENCE_TIMEOUT`] and be removed
 /// from the addresses after [`CONFIRM_TIMEOUT`].
 #[test]
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -19,11 +19,9 @@
     bilberryfront_peer::{PeerConfig, PeerError, PeerNet, Received},
     bilberryfront_wire::instance::{Instance, InstanceKind, InstanceState},
     bytes::Bytes,
-    compact_str::{CompactString, format_compact},
-    rustc_hash::FxHashMap,
+    compact_str::CompactString,
     std::{
         collections::{BTreeMap, BTreeSet},
-        net::SocketAddr,
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::{sync::mpsc, time::Instant},
@@ -39,8 +37,6 @@
 const LISTED_DRAINING_DIVISOR: usize = 3;
 /// Minimum number of draining nodes in address responses, as one may crash.
 const MIN_LISTED_DRAINING: usize = 2;
-/// Scheme of the URLs for callers in the membership.
-const SCHEME: &str = "http://";
 
 /// Started transport with its membership.
 pub(super) struct Joined {
@@ -103,7 +99,7 @@
     };
     let (net, events) = PeerNet::start(&config)?;
     let life = NodeIncarnation { epoch: unix_millis(), incarnation: Incarnation(rand::random()) };
-    let own_node = Me { name: local_node.name.clone(), life, location: location(&local_node) };
+    let own_node = Me { name: local_node.name.clone(), life, location: local_node.location() };
     let start = Instant::now();
     let members = Members::new(rand::random(), start, own_node);
     let membership = Membership {
@@ -225,7 +221,7 @@
         if !self.draining {
             local.push(self.local_node.name.clone());
         }
-        let ready = self.known_nodes(self.members.addresses());
+        let ready = node_addresses(self.members.addresses());
         let local_ready = ready.iter().filter(|node| node.domain == self.local_node.domain).count();
         self.scope = Scope::new(&self.local_node.name, ready.len(), local_ready);
         let (ranking, domains) = (Ranking::new(local), domains.len());
@@ -245,35 +241,17 @@
         let listing_time = Drain::listing_time(self.grace);
         let listed = draining.into_iter().rev().take(count);
         let listed = listed.filter(|(since, _)| now < *since + listing_time);
-        (self.known_nodes(listed.map(|(_, address)| address).collect()), next_ready)
-    }
-
-    fn known_nodes(&self, addresses: Vec<Address>) -> Vec<NodeAddress> {
-        let known = self.listed.values().chain([&self.local_node]).map(|node| (node.callers, node));
-        let known: FxHashMap<SocketAddr, &NodeAddress> = known.collect();
-        let node = |a: Address| {
-            let callers: SocketAddr = a.url.strip_prefix(SCHEME)?.parse().ok()?;
-            let unlisted = || NodeAddress {
-                name: a.url.clone(),
-                domain: a.domain.clone(),
-                callers,
-                peers: callers,
-            };
-            Some(known.get(&callers).map_or_else(unlisted, |node| (*node).clone()))
-        };
-        addresses.into_iter().filter_map(node).collect()
+        (node_addresses(listed.map(|(_, address)| address)), next_ready)
     }
 
     /// Returns the running nodes of this node's failure domain that are not registered.
     pub(super) fn unlisted(&self) -> Vec<NodeAddress> {
         let address = |node: Node| {
-            let NodeLocation { domain, url, peer } = node.location?;
-            let callers = url.strip_prefix(SCHEME)?.parse().ok()?;
             let is_running = matches!(node.state, NodeState::Starting | NodeState::Ready);
-            let is_local = domain == self.local_node.domain;
-            let address =
-                NodeAddress { name: node.name, domain, callers, peers: peer.parse().ok()? };
-            (is_running && is_local).then_some(address)
+            let location = node.location.filter(|_| is_running)?;
+            let NodeLocation { domain, url, peer } = location;
+            let address = NodeAddress::of_member(&Address { name: node.name, url, peer, domain })?;
+            (address.domain == self.local_node.domain).then_some(address)
         };
         let own = (!self.draining).then(|| self.local_node.clone());
         let running = self.members.nodes().filter_map(address).chain(own);
@@ -351,7 +329,7 @@
 }
 
 fn instance(node: &NodeAddress) -> Instance {
-    let NodeLocation { domain, url, peer } = location(node);
+    let NodeLocation { domain, url, peer } = node.location();
     Instance {
         name: node.name.clone(),
         kind: InstanceKind::Node,
@@ -365,12 +343,8 @@
     }
 }
 
-fn location(node: &NodeAddress) -> NodeLocation {
-    NodeLocation {
-        domain: node.domain.clone(),
-        url: format_compact!("{SCHEME}{}", node.callers),
-        peer: format_compact!("{}", node.peers),
-    }
+fn node_addresses(addresses: impl IntoIterator<Item = Address>) -> Vec<NodeAddress> {
+    addresses.into_iter().filter_map(|address| NodeAddress::of_member(&address)).collect()
 }
 
 /// Returns the time in milliseconds since the Unix epoch. It only orders the incarnations of a node,
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -3,13 +3,19 @@
 use {
     crate::{catalog::Catalog, fanout::Scope, settings::Settings},
     arc_swap::ArcSwap,
-    bilberryfront_decide::mover::MoveId,
-    compact_str::CompactString,
+    bilberryfront_decide::{
+        member::{Address, message::NodeLocation},
+        mover::MoveId,
+    },
+    compact_str::{CompactString, format_compact},
     rustc_hash::FxHashMap,
     std::{net::SocketAddr, sync::Arc},
     tokio::{sync::watch, time::Instant},
 };
 
+/// Scheme of the URLs for callers in the membership.
+const SCHEME: &str = "http://";
+
 /// Registration of a runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Registration {
@@ -66,6 +72,25 @@
             peers: settings.listen.peers,
         }
     }
+
+    /// Returns the addresses of a member; `None` if they cannot be parsed.
+    pub fn of_member(address: &Address) -> Option<NodeAddress> {
+        Some(NodeAddress {
+            name: address.name.clone(),
+            domain: address.domain.clone(),
+            callers: address.url.strip_prefix(SCHEME)?.parse().ok()?,
+            peers: address.peer.parse().ok()?,
+        })
+    }
+
+    /// Returns the addresses for the membership.
+    pub fn location(&self) -> NodeLocation {
+        NodeLocation {
+            domain: self.domain.clone(),
+            url: format_compact!("{SCHEME}{}", self.callers),
+            peer: format_compact!("{}", self.peers),
+        }
+    }
 }
 
 /// Split of a service's requests during a rollout.
