--- a/tests/relay/partitions.rs
+++ b/tests/relay/partitions.rs
@@ -4,11 +4,17 @@
     super::support::{
         Deployment, ENGINES, PLAIN, Partition, Script, StreamEnd, ms, node_address, run_local,
     },
+    bilberryfront_relay::view::NodeAddress,
+    std::time::Duration,
     tokio::time::{Instant, sleep, timeout},
 };
 
 const EVENTS: Script = Script::Events { last: 30, gap: ms(30), end: StreamEnd::Complete };
 const DOMAINS: [&str; 6] = ["a", "a", "b", "b", "c", "c"];
+/// Nodes of a failure domain of a large system.
+const DOMAIN_NODES: u8 = 27;
+/// Time that a partitioned node takes to find that it does not reach a runner.
+const TUNNEL_DELAY: Duration = ms(150);
 
 /// Guards against a node that rejects its callers' requests while it is partitioned from the runners,
 /// although other nodes reach them.
@@ -190,7 +196,7 @@
         for partition in [Partition::Refuse, Partition::Hang] {
             let plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
             plain.partition(Some(partition));
-            plain.fail_tunnels();
+            plain.fail_tunnels(true);
             for _ in 0..2 {
                 assert_eq!(plain.serve("/look/1", &[]).await.status, 503);
             }
@@ -203,3 +209,77 @@
     })
     .await;
 }
+
+/// Returns the nodes of a large system.
+fn large_system() -> Vec<NodeAddress> {
+    let domain = |(index, domain): (u8, &'static str)| {
+        let first = index * DOMAIN_NODES;
+        (first..first + DOMAIN_NODES)
+            .map(move |node| node_address(&format!("n{}", node + 1), node + 1, domain))
+    };
+    [(0, "a"), (1, "b"), (2, "c")].into_iter().flat_map(domain).collect()
+}
+
+/// Checks that a partitioned node serves its callers although `partitioned` other nodes are as well, none
+/// of which has reported that.
+async fn check_large_partition(runners: &[&'static str], partitioned: fn(&NodeAddress) -> bool) {
+    for partition in [Partition::Refuse, Partition::Hang] {
+        for (service, path, script) in
+            [(ENGINES, "/stream/1", &EVENTS), (PLAIN, "/look/1", &Script::Respond(200, "done"))]
+        {
+            run_local(async {
+                let deployment = Deployment::new(service, runners, script);
+                let nodes = large_system();
+                let cut: Vec<_> = nodes.iter().filter(|n| partitioned(n)).cloned().collect();
+                deployment.publish_nodes(nodes);
+                deployment.partition_nodes(&cut, TUNNEL_DELAY);
+                deployment.partition(Some(partition));
+                let mut served = 0;
+                for _ in 0..40 {
+                    served += usize::from(deployment.serve(path, &[]).await.status == 200);
+                    sleep(ms(200)).await;
+                }
+                assert!(served >= 38, "{partition:?} {path}: {served} of 40 served");
+            })
+            .await;
+        }
+    }
+}
+
+/// Guards against callers of a partitioned node whose requests fail because the other nodes of its failure
+/// domain are partitioned as well.
+#[tokio::test(start_paused = true)]
+async fn requests_are_served_while_a_whole_domain_is_partitioned() {
+    check_large_partition(&["a"; 3], |node| node.domain == "a").await;
+}
+
+/// Guards against callers of a partitioned node whose requests fail because most other nodes are
+/// partitioned as well.
+#[tokio::test(start_paused = true)]
+async fn requests_are_served_while_one_node_in_five_reaches_the_runners() {
+    check_large_partition(&DOMAINS, |node| {
+        node.callers.ip().to_string().ends_with(|c| !"49".contains(c))
+    })
+    .await;
+}
+
+/// Guards against a stream that is aborted long before its deadline because no other node reaches the
+/// runners for a moment.
+#[tokio::test(start_paused = true)]
+async fn streams_continue_after_a_moment_in_which_no_node_reaches_the_runners() {
+    for partition in [Partition::Refuse, Partition::Hang] {
+        run_local(async {
+            let engines = Deployment::new(ENGINES, &DOMAINS, &EVENTS);
+            let cut = async {
+                sleep(ms(300)).await;
+                engines.fail_tunnels(true);
+                engines.partition(Some(partition));
+                sleep(ms(2_000)).await;
+                engines.fail_tunnels(false);
+            };
+            let (received, ()) = tokio::join!(engines.serve("/stream/1", &[]), cut);
+            assert_eq!(received.event_ids(), (1..=30).collect::<Vec<u64>>(), "{partition:?}");
+        })
+        .await;
+    }
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -280,6 +280,8 @@
     tunnel_nodes: Rc<RefCell<Vec<String>>>,
     /// Whether the other nodes do not reach the runners either.
     tunnels_fail: Rc<Cell<bool>>,
+    /// Names of other nodes that do not reach the runners either, after this time.
+    partitioned_nodes: Rc<RefCell<HashMap<String, Duration>>>,
 }
 
 struct Link {
@@ -355,6 +357,11 @@
             sleep(limit).await;
             return Err(io::ErrorKind::HostUnreachable.into());
         }
+        let partitioned = self.partitioned_nodes.borrow().get(node.name.as_str()).copied();
+        if let Some(delay) = partitioned {
+            sleep(delay.min(limit)).await;
+            return Err(io::ErrorKind::HostUnreachable.into());
+        }
         self.tunnel_nodes.borrow_mut().push(node.name.to_string());
         let runner = self.runners.borrow().get(&address).cloned();
         let runner = runner.filter(|runner| !runner.is_crashed.get());
@@ -754,9 +761,16 @@
         self.net.set_partition(partition);
     }
 
-    /// Makes all connections through other nodes fail.
-    pub(crate) fn fail_tunnels(&self) {
-        self.net.tunnels_fail.set(true);
+    /// Sets whether all connections through other nodes fail.
+    pub(crate) fn fail_tunnels(&self, enabled: bool) {
+        self.net.tunnels_fail.set(enabled);
+    }
+
+    /// Partitions other nodes from all runners. Connections through them fail after `delay`.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn partition_nodes(&self, nodes: &[NodeAddress], delay: Duration) {
+        let names = nodes.iter().map(|node| (node.name.to_string(), delay));
+        self.net.partitioned_nodes.borrow_mut().extend(names);
     }
 
     /// Returns the number of connections that the node has opened through others.
