Try nodes of several domains at once, and spend no attempts without a path

Callers of a partitioned node had their requests rejected as not run, and running streams aborted, although other nodes reached the runners. The node asked three others, one after the other, which it preferred in the runner's failure domain: with the whole domain partitioned, all of them were partitioned too, every time. After that, everything failed at once for 300 ms, in which a request spent all of its attempts, and runners counted as failed that were not the cause. A node that was partitioned itself and found connections refused said that the runner refuses them.

Nodes that fail to connect for a peer check their own path. If no node is left, a new request is rejected at once, as another node may serve it; a stream that has begun waits for a path until its deadline, without attempts or budget spent.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -2,6 +2,7 @@
 
 mod brittle;
 mod choose;
+mod detour;
 mod drain;
 mod load;
 mod partition;
@@ -12,6 +13,7 @@
 
 pub use self::{
     choose::{Criteria, Version},
+    detour::DetourResult,
     health::Health,
     lease::Lease,
     load::Load,
@@ -220,12 +222,10 @@
 
     /// Returns the runner that is registered at this endpoint's address, in any incarnation.
     pub fn find_by_address(&self, endpoint: &Endpoint) -> Option<Endpoint> {
-        let inner = self.inner.borrow();
-        if inner.runners.contains_key(endpoint.key) {
-            return Some(endpoint.clone());
+        match self.inner.borrow().runners.contains_key(endpoint.key) {
+            true => Some(endpoint.clone()),
+            false => self.find_address(endpoint.address),
         }
-        let here = |(_, r): &(RunnerKey, &Runner)| r.registration.address == endpoint.address;
-        inner.runners.iter().find(here).map(|(key, _)| inner.endpoint(key))
     }
 
     /// Returns whether the runner accepts requests and has not failed since its last response.
@@ -320,9 +320,11 @@
         inner.runners.get(key).is_some_and(|runner| runner.is_idle(Instant::now()))
     }
 
-    /// Returns whether a runner is listed at an address.
-    pub fn is_listed(&self, address: SocketAddr) -> bool {
-        self.inner.borrow().runners.values().any(|r| r.registration.address == address)
+    /// Returns the runner that is registered at an address.
+    pub fn find_address(&self, address: SocketAddr) -> Option<Endpoint> {
+        let inner = self.inner.borrow();
+        let here = |(_, r): &(RunnerKey, &Runner)| r.registration.address == address;
+        inner.runners.iter().find(here).map(|(key, _)| inner.endpoint(key))
     }
 
     /// Returns the service of a listed runner.
--- a/crates/relay/src/fleet/partition.rs
+++ b/crates/relay/src/fleet/partition.rs
@@ -5,15 +5,14 @@
 //! connections through other nodes until direct ones succeed again.
 
 use {
-    super::{Endpoint, Fleet, Health, Inner, RunnerKey},
+    super::{Endpoint, Fleet, Health, Inner, RunnerKey, detour::Detours},
     crate::{
         log_messages::{PARTITION_ENDED, PARTITIONED},
-        shards,
         view::NodeAddress,
     },
     compact_str::CompactString,
     rand::seq::SliceRandom,
-    std::{cmp::Reverse, rc::Rc, time::Duration},
+    std::{rc::Rc, time::Duration},
     tokio::{sync::Notify, time::Instant},
 };
 
@@ -28,12 +27,8 @@
 /// Number of direct connections that succeed one after the other, after which a partition has ended. A
 /// single one may be to the only runner that is reachable.
 const RECOVERED_CONNECTIONS: u32 = 3;
-/// Time for which connections through other nodes are not attempted after none succeeded.
-const NO_TUNNELS_TIME: Duration = Duration::from_millis(300);
 /// Age at which a peer's report of its partitions expires; peers repeat theirs every second.
 const REPORT_TTL: Duration = Duration::from_millis(2_500);
-/// Number of other nodes through which a connection is attempted.
-const TUNNEL_NODES: usize = 3;
 
 /// Path from this node to the runners of a service. It exists only while some of them fail.
 #[derive(Debug, Default)]
@@ -49,8 +44,8 @@
     is_partitioned: bool,
     /// Whether another node has reached a runner during the partition, so that the runners are not down.
     is_confirmed: bool,
-    /// Time until which connections through other nodes are not attempted, since none succeeded.
-    no_tunnels_until: Option<Instant>,
+    /// Connections through other nodes during the partition.
+    pub(super) detours: Detours,
     /// Number of direct connections established one after the other during the partition.
     recovered: u32,
 }
@@ -227,27 +222,10 @@
             .collect()
     }
 
-    /// Returns whether connections through other nodes to a runner's service have just failed.
-    pub fn has_no_tunnels(&self, key: RunnerKey) -> bool {
-        let now = Instant::now();
-        let inner = &mut *self.inner.borrow_mut();
-        let until = inner.path(key).and_then(|(_, path)| path.no_tunnels_until);
-        until.is_some_and(|until| now < until)
-    }
-
-    /// Records that no other node could connect this one to a runner.
-    pub fn record_no_tunnel(&self, key: RunnerKey) {
-        let until = Instant::now() + NO_TUNNELS_TIME;
-        if let Some((_, path)) = self.inner.borrow_mut().path(key) {
-            path.no_tunnels_until = Some(until);
-        }
-    }
-
     /// Records that another node has connected this one to a runner.
     pub fn confirm_partition(&self, key: RunnerKey) {
         let inner = &mut *self.inner.borrow_mut();
         let Some((_, path)) = inner.path(key) else { return };
-        path.no_tunnels_until = None;
         if path.is_partitioned && !std::mem::replace(&mut path.is_confirmed, true) {
             self.partitions_dirty.notify_one();
         }
@@ -290,32 +268,11 @@
         let connected: Vec<&NodeAddress> = nodes.iter().filter(is_connected).collect();
         if connected.is_empty() { nodes.iter().collect() } else { connected }
     }
-
-    /// Returns nodes that probably reach a runner, best first.
-    pub fn tunnel_nodes(&self, endpoint: &Endpoint) -> Vec<NodeAddress> {
-        let inner = self.inner.borrow();
-        let now = Instant::now();
-        let service = inner.runners.get(endpoint.key).map(|r| r.registration.service.as_str());
-        let held = service.and_then(|service| inner.services.get(service)).map_or(0, Vec::len);
-        let position = shards::shard(&endpoint.id);
-        // Other nodes do not know the runner if its service is divided.
-        let common = |node: &NodeAddress| match shards::may_be_divided(held) {
-            true => shards::common_shards(shards::shard(&node.name), position),
-            false => 1,
-        };
-        let is_candidate = |node: &&NodeAddress| {
-            node.name != inner.me && !inner.is_peer_partitioned(&node.name, service, now)
-        };
-        let mut nodes: Vec<&NodeAddress> = inner.nodes.iter().filter(is_candidate).collect();
-        nodes.shuffle(&mut *self.random.borrow_mut());
-        nodes.sort_by_key(|node| (Reverse(common(node)), node.domain != endpoint.domain));
-        nodes.into_iter().take(TUNNEL_NODES).cloned().collect()
-    }
 }
 
 impl Inner {
     /// Returns the path to a runner's service if some runners of it fail.
-    fn path(&mut self, key: RunnerKey) -> Option<(CompactString, &mut Path)> {
+    pub(super) fn path(&mut self, key: RunnerKey) -> Option<(CompactString, &mut Path)> {
         if self.paths.is_empty() {
             return None;
         }
@@ -396,7 +353,12 @@
         first.into_iter().take(CHECKED_RUNNERS).map(|key| self.endpoint(key)).collect()
     }
 
-    fn is_peer_partitioned(&self, node: &str, service: Option<&str>, now: Instant) -> bool {
+    pub(super) fn is_peer_partitioned(
+        &self,
+        node: &str,
+        service: Option<&str>,
+        now: Instant,
+    ) -> bool {
         self.peer_partitions.get(node).is_some_and(|report| {
             let is_affected = service.is_none_or(|s| report.services.iter().any(|r| r == s));
             now < report.at + REPORT_TTL && is_affected
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -61,6 +61,8 @@
             SendOutcome::NotRun => reached_runner = true,
             SendOutcome::Withheld => {}
             SendOutcome::Unsent => fleet.record_failure(key, Instant::now()),
+            // Other runners of the service cannot be reached either.
+            SendOutcome::NoPath => break,
             SendOutcome::Lost(error) => {
                 if error == SendError::Disconnected {
                     fleet.record_failure(key, Instant::now());
@@ -79,6 +81,6 @@
 fn rejection_of(error: SendError) -> Rejection {
     match error {
         SendError::Timeout => Rejection::Timeout,
-        SendError::Unsent | SendError::Disconnected => Rejection::Lost,
+        SendError::Unsent | SendError::NoPath | SendError::Disconnected => Rejection::Lost,
     }
 }
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -56,6 +56,8 @@
     sent_at: Instant,
     /// Whether a send has reached a runner.
     reached_runner: bool,
+    /// Whether the last retry that was taken from the budget was not used, as there was no path.
+    has_unused_retry: bool,
     /// Time of the first event.
     first_event_at: Option<Instant>,
     /// Source from which the current run was resumed.
@@ -111,6 +113,7 @@
     Failure(Parts, Bytes),
     NotRun,
     Unsent,
+    NoPath,
     Withheld,
     Lost(LostRun),
     /// The request was quarantined while the attempt waited for the first event.
@@ -156,6 +159,7 @@
             sends: 0,
             sent_at: Instant::now(),
             reached_runner: false,
+            has_unused_retry: false,
             first_event_at: None,
             resumed: Resume::Anew,
             progress: RunProgress::new(false),
@@ -179,7 +183,7 @@
             let from_replica = replica.is_some();
             self.sends += 1;
             self.sent_at = Instant::now();
-            match self.attempt(&endpoint, replica, end).await {
+            match self.attempt(&endpoint, replica.clone(), end).await {
                 AttemptOutcome::Started(started) => {
                     self.reached_runner = true;
                     self.runs += u32::from(!from_replica);
@@ -204,6 +208,17 @@
                 AttemptOutcome::NotRun => self.reached_runner = true,
                 AttemptOutcome::Withheld => {}
                 AttemptOutcome::Unsent => self.mark_failed(endpoint.key),
+                AttemptOutcome::NoPath => {
+                    // A new stream may succeed through another node; one that has begun cannot.
+                    let fleet = &self.traffic.client.fleet;
+                    if !self.reached_runner || !fleet.wait_for_path(&endpoint, end).await {
+                        break;
+                    }
+                    self.sends -= 1;
+                    self.has_unused_retry = true;
+                    self.last_replica = replica.map(|replica| (endpoint, replica));
+                    continue;
+                }
                 AttemptOutcome::Lost(LostRun { error, is_suspect }) => {
                     self.reached_runner = true;
                     self.report_sample(endpoint.key, false);
@@ -362,6 +377,7 @@
                 SendOutcome::Answered(reply) => reply,
                 SendOutcome::NotRun => return AttemptOutcome::NotRun,
                 SendOutcome::Unsent => return AttemptOutcome::Unsent,
+                SendOutcome::NoPath => return AttemptOutcome::NoPath,
                 SendOutcome::Withheld => return AttemptOutcome::Withheld,
                 SendOutcome::Lost(error) => return lost(error, false),
             };
@@ -395,7 +411,7 @@
 
     /// Returns whether the limits allow another send, and takes it from the retry budget if an
     /// earlier one has reached a runner.
-    fn may_send(&self, end: Instant) -> bool {
+    fn may_send(&mut self, end: Instant) -> bool {
         if self.sends == 0 {
             return true;
         }
@@ -403,8 +419,9 @@
         let is_safe = self.lost.is_none() || self.is_resumable();
         let has_sends_left = self.sends < MAX_SENDS && Instant::now() < end;
         let is_quarantined = self.traffic.quarantine.time_left(&self.call).is_some();
-        let has_budget = || !self.reached_runner || self.traffic.take_retry(&self.call.service);
-        !is_quarantined && has_runs_left && is_safe && has_sends_left && has_budget()
+        let may_send = !is_quarantined && has_runs_left && is_safe && has_sends_left;
+        let is_free = !self.reached_runner || std::mem::take(&mut self.has_unused_retry);
+        may_send && (is_free || self.traffic.take_retry(&self.call.service))
     }
 
     fn is_resumable(&self) -> bool {
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -68,6 +68,10 @@
         progress.tried.push(endpoint.key);
         let sent_at = Instant::now();
         let sent = traffic.client.send(call, &endpoint, &options, deadline).await;
+        if matches!(sent, SendOutcome::NoPath) {
+            // Other runners of the service cannot be reached either.
+            break;
+        }
         let attempt = Attempt { endpoint: &endpoint, sent_at, deadline };
         let response = evaluate(traffic, call, &mut progress, sent, &attempt).await;
         if progress.tried.len() == 1 && progress.runs == 1 {
@@ -119,14 +123,14 @@
                 }
             }
         }
-        SendOutcome::NotRun | SendOutcome::Withheld => {}
+        SendOutcome::NotRun | SendOutcome::Withheld | SendOutcome::NoPath => {}
         SendOutcome::Unsent => fleet.record_failure(key, Instant::now()),
         SendOutcome::Lost(error) => {
             progress.runs += 1;
             progress.lost = Some(error);
             match error {
                 SendError::Timeout => fleet.record_overload(key, Instant::now()),
-                SendError::Unsent | SendError::Disconnected => {
+                SendError::Unsent | SendError::NoPath | SendError::Disconnected => {
                     fleet.record_failure(key, Instant::now());
                     traffic.record_crash(call, endpoint, sent_at, Some(Duration::ZERO)).await;
                 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -38,6 +38,9 @@
     /// No request was sent.
     #[error("cannot connect")]
     Unsent,
+    /// No request was sent, as this node is partitioned from the runners, and no other node reaches them.
+    #[error("no path to the runners")]
+    NoPath,
     /// Connection error after the request was sent.
     #[error("connection closed before the response was complete")]
     Disconnected,
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -63,6 +63,8 @@
     NotRun,
     /// No connection could be established, so nothing was sent.
     Unsent,
+    /// Nothing was sent, because there is no path to the runner at the moment.
+    NoPath,
     /// Nothing was sent, because the runner is draining, paused, or has no rate limit left for this
     /// node.
     Withheld,
@@ -120,11 +122,13 @@
         }
         let (response, connection) = match self.exchange(endpoint, request, deadline).await {
             Ok(exchanged) => exchanged,
-            Err(SendError::Unsent) => {
-                let partitioned = self.fleet.is_partitioned(endpoint.key);
-                log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
-                    partitioned; "cannot connect to the runner");
-                return SendOutcome::Unsent;
+            Err(error @ (SendError::Unsent | SendError::NoPath)) => {
+                log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
+                    "cannot connect to the runner: {error}");
+                return match error {
+                    SendError::NoPath => SendOutcome::NoPath,
+                    _ => SendOutcome::Unsent,
+                };
             }
             Err(error) => {
                 log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
--- a/crates/relay/src/tunnel.rs
+++ b/crates/relay/src/tunnel.rs
@@ -6,10 +6,7 @@
 
 use {
     crate::{
-        dialect::Dialect,
-        fleet::Fleet,
-        flow::Traffic,
-        network::{Transport, connect_tcp},
+        dialect::Dialect, flow::Traffic, network::Transport, runner_client::RunnerClient,
         view::NodeAddress,
     },
     bilberryfront_peer::{
@@ -110,20 +107,23 @@
     let Ok(net) = attached.wait_for(Option::is_some).await.map(|net| net.clone()) else { return };
     let Some(mut incoming) = net.map(|net| net.accept_tunnels()) else { return };
     while let Some(tunnel) = incoming.recv().await {
-        let (fleet, guard) = (traffic.client.fleet.clone(), traffic.track_in_flight());
+        let (client, guard) = (traffic.client.clone(), traffic.track_in_flight());
         tokio::task::spawn_local(async move {
             // Errors concern this connection only, and its two ends see them.
-            _ = carry(&fleet, tunnel).await;
+            _ = carry(&client, tunnel).await;
             drop(guard);
         });
     }
 }
 
-async fn carry(fleet: &Fleet, mut tunnel: Tunnel) -> io::Result<()> {
+async fn carry<D: Dialect>(
+    client: &RunnerClient<D, Transport>,
+    mut tunnel: Tunnel,
+) -> io::Result<()> {
     let address = timeout(REQUEST_TIMEOUT, read_address(&mut tunnel)).await??;
-    let connected = match fleet.is_listed(address) {
-        true => connect_tcp(address, CONNECT_TIMEOUT).await,
-        false => Err(io::ErrorKind::HostUnreachable.into()),
+    let connected = match client.fleet.find_address(address) {
+        Some(endpoint) => client.connect_for_peer(&endpoint, CONNECT_TIMEOUT).await,
+        None => Err(io::ErrorKind::HostUnreachable.into()),
     };
     let reply = match &connected {
         Ok(_) => Reply::Connected,
--- a/tests/relay/partitions.rs
+++ b/tests/relay/partitions.rs
@@ -5,7 +5,6 @@
         Deployment, ENGINES, PLAIN, Partition, Script, StreamEnd, ms, node_address, run_local,
     },
     bilberryfront_relay::view::NodeAddress,
-    std::time::Duration,
     tokio::time::{Instant, sleep, timeout},
 };
 
@@ -13,8 +12,6 @@
 const DOMAINS: [&str; 6] = ["a", "a", "b", "b", "c", "c"];
 /// Nodes of a failure domain of a large system.
 const DOMAIN_NODES: u8 = 27;
-/// Time that a partitioned node takes to find that it does not reach a runner.
-const TUNNEL_DELAY: Duration = ms(150);
 
 /// Guards against a node that rejects its callers' requests while it is partitioned from the runners,
 /// although other nodes reach them.
@@ -232,7 +229,7 @@
                 let nodes = large_system();
                 let cut: Vec<_> = nodes.iter().filter(|n| partitioned(n)).cloned().collect();
                 deployment.publish_nodes(nodes);
-                deployment.partition_nodes(&cut, TUNNEL_DELAY);
+                deployment.partition_nodes(&cut, partition);
                 deployment.partition(Some(partition));
                 let mut served = 0;
                 for _ in 0..40 {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -45,6 +45,8 @@
 
 /// Buffer of an in-memory connection in each direction, in bytes.
 const WINDOW: usize = 64 << 10;
+/// Time after which a node gives up connecting to a runner for another one.
+const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time from the arrival of a request that crashes its runner to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(50);
 /// Service of the inference engines.
@@ -280,8 +282,8 @@
     tunnel_nodes: Rc<RefCell<Vec<String>>>,
     /// Whether the other nodes do not reach the runners either.
     tunnels_fail: Rc<Cell<bool>>,
-    /// Names of other nodes that do not reach the runners either, after this time.
-    partitioned_nodes: Rc<RefCell<HashMap<String, Duration>>>,
+    /// How the connections of other nodes, by name, fail.
+    partitioned_nodes: Rc<RefCell<HashMap<String, Partition>>>,
 }
 
 struct Link {
@@ -358,9 +360,14 @@
             return Err(io::ErrorKind::HostUnreachable.into());
         }
         let partitioned = self.partitioned_nodes.borrow().get(node.name.as_str()).copied();
-        if let Some(delay) = partitioned {
-            sleep(delay.min(limit)).await;
-            return Err(io::ErrorKind::HostUnreachable.into());
+        match partitioned {
+            // The node has not noticed yet that it is partitioned.
+            Some(Partition::Refuse) => return Err(io::ErrorKind::ConnectionRefused.into()),
+            Some(Partition::Hang) => {
+                sleep(PEER_CONNECT_TIMEOUT.min(limit)).await;
+                return Err(io::ErrorKind::HostUnreachable.into());
+            }
+            None => {}
         }
         self.tunnel_nodes.borrow_mut().push(node.name.to_string());
         let runner = self.runners.borrow().get(&address).cloned();
@@ -766,10 +773,10 @@
         self.net.tunnels_fail.set(enabled);
     }
 
-    /// Partitions other nodes from all runners. Connections through them fail after `delay`.
+    /// Partitions other nodes from all runners.
     #[allow(dead_code, reason = "used by the in-memory tests only")]
-    pub(crate) fn partition_nodes(&self, nodes: &[NodeAddress], delay: Duration) {
-        let names = nodes.iter().map(|node| (node.name.to_string(), delay));
+    pub(crate) fn partition_nodes(&self, nodes: &[NodeAddress], partition: Partition) {
+        let names = nodes.iter().map(|node| (node.name.to_string(), partition));
         self.net.partitioned_nodes.borrow_mut().extend(names);
     }
 
