Show in tests which crashes of runners are not held against their requests

Six tests, red on this code and listed: crashes at the same moment are taken for an outage, crashes found through other nodes do not count at all, any crash of a long stream counts, reports renew what peers know already, and a part that was sound once needs eight crashes.

--- a/crates/relay/tests/quarantine.rs
+++ b/crates/relay/tests/quarantine.rs
@@ -75,3 +75,25 @@
     quarantine.apply(&[report(1, &[10])]);
     assert_eq!(quarantine.len(), 1);
 }
+
+/// Guards against a quarantine that never ends, and reports without end, because nodes that know different
+/// crashes of a request renew it with each other's reports.
+#[tokio::test(start_paused = true)]
+async fn reports_of_known_crashes_do_not_renew_a_quarantine() {
+    let nodes = [Quarantine::default(), Quarantine::default()];
+    nodes[0].apply(&[report(1, &[6, 7, 8])]);
+    nodes[1].apply(&[report(1, &[7, 8, 9])]);
+    for _ in 0..60 {
+        let snapshots = nodes.each_ref().map(Quarantine::snapshot);
+        // Time that the reports take.
+        advance(Duration::from_millis(20)).await;
+        nodes[0].apply(&snapshots[1]);
+        nodes[1].apply(&snapshots[0]);
+        advance(Duration::from_secs(1)).await;
+    }
+    for node in &nodes {
+        assert_eq!(node.take_update(), []);
+        let age = node.snapshot()[0].age_ms;
+        assert!(age > 60_000, "{age} ms since the last crash");
+    }
+}
--- a/crates/relay/tests/quarantined_prompts.rs
+++ b/crates/relay/tests/quarantined_prompts.rs
@@ -234,3 +234,41 @@
     }
     assert_eq!(node.patterns().await, [(Some(ACCOUNT), vec![CRASHING])]);
 }
+
+/// Guards against pattern quarantines that never end because nodes renew them with each other's reports.
+#[tokio::test(start_paused = true)]
+async fn repeated_patterns_do_not_renew_a_quarantine() {
+    let mut nodes = [Node::new(), Node::new()];
+    for _ in 0..MIN_CRASHES {
+        nodes[0].crash(&[&[CRASHING]]).await;
+    }
+    assert_eq!(nodes[0].patterns().await.len(), 1);
+    let age = |node: &Node| node.quarantine.pattern_snapshot().patterns[0].age_ms;
+    let before = age(&nodes[0]);
+    for _ in 0..120 {
+        let snapshots = nodes.each_ref().map(|node| node.quarantine.pattern_snapshot());
+        // Time that the reports take.
+        advance(Duration::from_millis(20)).await;
+        nodes[0].quarantine.apply_prompts(&snapshots[1]);
+        nodes[1].quarantine.apply_prompts(&snapshots[0]);
+        advance(Duration::from_millis(480)).await;
+    }
+    let passed = age(&nodes[0]) - before;
+    assert!(passed >= 60_000, "{passed} ms have passed");
+}
+
+/// Guards against a part that crashes runners on and on because it was sound before, for example with an
+/// earlier version of the model.
+#[tokio::test(start_paused = true)]
+async fn part_that_was_sound_before_is_quarantined_in_time() {
+    let mut node = Node::new();
+    node.sound(&[CRASHING], GAP);
+    let mut crashes = 0;
+    while node.quarantine.pattern_snapshot().patterns.is_empty() {
+        node.crash(&[&[CRASHING]]).await;
+        advance(GAP).await;
+        node.quarantine.judge();
+        crashes += 1;
+        assert!(crashes <= MIN_CRASHES + 1, "{crashes} crashes, one in {:?}", 2 * GAP);
+    }
+}
--- a/tests/crashing_parts.rs
+++ b/tests/crashing_parts.rs
@@ -82,6 +82,14 @@
         engines
     }
 
+    /// Makes these parts crash all engines from now on.
+    fn arm(&mut self, crashing: &[CrashingPart]) {
+        self.crashing = crashing.to_vec();
+        for runner in &self.platform.runners {
+            runner.crashing_parts.replace(self.crashing.clone());
+        }
+    }
+
     async fn start_engine(&mut self) {
         let index = self.platform.runners.len();
         let domain = ["a", "b", "c"][index % 3];
@@ -373,3 +381,18 @@
     })
     .await;
 }
+
+/// Guards against a part that crashes runners on and on because it was sound before, for example with an
+/// earlier version of the model.
+#[tokio::test]
+async fn part_that_was_sound_before_is_quarantined() {
+    run_local(async {
+        let mut engines = Engines::new(&[]).await;
+        let instances = start_instances(&engines.platform, 0..2 * INSTANCES).await;
+        let load = Load { crashing: |i| (i % 6 == 0).then(|| "a1:200,dead:100".into()), ..MIDDLE };
+        engines.apply(load, &instances, ms(6_000)).await;
+        engines.arm(&[crashing_part("dead")]);
+        engines.check(load, &instances).await;
+    })
+    .await;
+}
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -24,6 +24,8 @@
 /// Crashes of runners after which a request may not reach runners more than [`MAX_SENDS`] times.
 const MAX_CRASHES: usize = 3;
 const MAX_SENDS: usize = 3;
+/// Number of copies of a request that are sent at the same time.
+const COPIES: usize = 4;
 
 /// Engines behind instances; engines that crash are replaced by others.
 struct Engines {
@@ -276,3 +278,31 @@
     })
     .await;
 }
+
+/// Guards against a request that crashes runner after runner because several callers send it at the same
+/// time.
+#[tokio::test]
+async fn copies_of_a_request_at_the_same_time_are_rejected_by_all_instances() {
+    run_local(async {
+        let mut engines = Engines::new(12).await;
+        let instances = start_instances(&engines.platform, 6).await;
+        for round in 0..100_usize {
+            if round % 4 == 0 {
+                for copy in 0..COPIES {
+                    let callers = instances[(round + copy) % instances.len()].callers;
+                    _ = tokio::task::spawn_local(post_body(callers, "/stream/1", "k1", CRASHING));
+                }
+            }
+            engines.step().await;
+            sleep(ms(100)).await;
+        }
+        let crashes = engines.crashes.len();
+        assert!(crashes >= MAX_CRASHES, "{crashes} crashes");
+        let third = engines.crashes[MAX_CRASHES - 1].1;
+        let sends = engines.sends_since(third + NOTICE);
+        let seen = format!("{sends} sends after the third of {crashes} crashes");
+        println!("{seen}");
+        assert!(sends <= MAX_SENDS && crashes <= MAX_CRASHES * COPIES, "{seen}");
+    })
+    .await;
+}
--- a/tests/relay/crashes.rs
+++ b/tests/relay/crashes.rs
@@ -1,7 +1,9 @@
 //! Requests that crash the runners that run them.
 
 use {
-    super::support::{Deployment, ENGINES, PLAIN, Runner, Script, StreamEnd, call, ms, run_local},
+    super::support::{
+        Deployment, ENGINES, PLAIN, Partition, Runner, Script, StreamEnd, call, ms, run_local,
+    },
     bilberryfront_relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME, Quarantine},
     bytes::Bytes,
     futures_util::future::join_all,
@@ -87,3 +89,65 @@
     assert!(quarantine.time_left(&cause).is_some());
     assert!(quarantine.time_left(&late).is_none());
 }
+
+/// Guards against crashes that are discarded as an outage although another request, or another copy of the
+/// same one, crashed another runner at the same time.
+#[tokio::test(start_paused = true)]
+async fn requests_that_crash_runners_at_the_same_time_are_quarantined() {
+    let quarantine = Quarantine::default();
+    let (one, other) = (call("/stream/1", &[]), call("/stream/2", &[]));
+    for round in 0..2 {
+        let sent_at = Instant::now();
+        sleep(ms(300)).await;
+        for (runner, request) in [(0, &one), (1, &one), (2, &other)] {
+            quarantine.record_crash(request, round * 3 + runner, sent_at);
+            sleep(ms(10)).await;
+        }
+    }
+    assert!(quarantine.time_left(&one).is_some());
+    let sent_at = Instant::now();
+    sleep(ms(300)).await;
+    quarantine.record_crash(&other, 9, sent_at);
+    assert!(quarantine.time_left(&other).is_some());
+}
+
+/// Guards against a sound stream that is quarantined because it ran on several runners that crashed by
+/// themselves.
+#[tokio::test(start_paused = true)]
+async fn stream_is_not_blamed_for_crashes_long_after_its_first_event() {
+    run_local(async {
+        let long = Script::Events { last: 300, gap: ms(30), end: StreamEnd::Complete };
+        let deployment = Deployment::new(ENGINES, &["a"; 6], &long);
+        let crash = async {
+            for _ in 0..MAX_CRASHES {
+                sleep(ms(1_500)).await;
+                let running = deployment.runners.iter().find(|r| r.running_streams() > 0);
+                running.expect("the stream runs").crash();
+            }
+        };
+        let (received, ()) = tokio::join!(deployment.serve("/stream/1", &[]), crash);
+        assert_eq!(received.event_ids().len(), 300);
+        assert!(deployment.traffic.quarantine.is_empty());
+    })
+    .await;
+}
+
+/// Guards against crashes that a node does not notice because it is partitioned and reaches the runners
+/// only through others.
+#[tokio::test(start_paused = true)]
+async fn request_is_quarantined_by_a_partitioned_node() {
+    for partition in [Partition::Refuse, Partition::Hang] {
+        run_local(async {
+            let deployment = Deployment::new(ENGINES, &["a"; 8], &EVENTS);
+            deployment.partition(Some(partition));
+            assert_eq!(deployment.serve("/stream/2", &[]).await.status, 200);
+            let before = deployment.request_count();
+            deployment.runners.iter().for_each(arm);
+            for _ in 0..4 {
+                deployment.serve("/stream/1", &[]).await;
+            }
+            assert_eq!(deployment.request_count() - before, MAX_CRASHES, "{partition:?}");
+        })
+        .await;
+    }
+}
