Find crashes of runners also through other nodes

A request that crashes the runners that run it was sent to all runners of a service by a node that reaches them through other nodes only: the check whether a lost response was a crash never ran while the node was partitioned. It uses another node now, as requests do.

Evidence: request_is_quarantined_by_a_partitioned_node reached 8 of 8 runners and reaches three.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -23,7 +23,7 @@
             RolloutSample,
             exposure::{Bound, Exposure},
         },
-        runner_client::RunnerClient,
+        runner_client::{CrashCheck, RunnerClient},
         view::{Published, Rule, View},
     },
     bilberryfront_decide::mover::Choice,
@@ -237,9 +237,10 @@
         age: Option<Duration>,
     ) {
         let Some(incarnation) = self.client.fleet.incarnation(endpoint.key) else { return };
-        if let Some(cause) = self.client.why_not_crashed(endpoint).await {
-            log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
-                cause = cause; "{NO_CRASH}");
+        let check = self.client.check_crash(endpoint).await;
+        if check != CrashCheck::Crashed {
+            log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
+                "{NO_CRASH}{check:?}");
             return;
         }
         let is_evidence = age.is_some() && self.quarantine.record_crash(call, incarnation, sent_at);
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -43,8 +43,8 @@
 
 /// A runner has crashed while it ran a request.
 pub const RUNNER_CRASHED: &str = "runner crashed while running a request";
-/// A response was lost, and its runner is not found to have crashed.
-pub const NO_CRASH: &str = "the runner of a lost response has not crashed";
+/// A response was lost, and its runner is not found to have crashed; followed by the reason.
+pub const NO_CRASH: &str = "the runner of a lost response has not crashed: ";
 /// Request quarantined, since it has crashed several runners.
 pub const QUARANTINED: &str = "request quarantined: it crashes runners";
 /// Run of a suspect or quarantined request completed.
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -50,6 +50,8 @@
 const REPLICATE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Timeout of the connection that shows whether a runner has crashed.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+/// Timeout of that connection through another node.
+const TUNNEL_CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time within which that connection is closed if something else accepts it.
 const CRASH_CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Consecutive failed probes after which a runner counts as lost.
@@ -72,6 +74,17 @@
     Lost(SendError),
 }
 
+/// Result of a check whether a runner has crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashCheck {
+    /// Its host refuses connections, or closes them at once.
+    Crashed,
+    /// It accepts connections.
+    Running,
+    /// It cannot be reached.
+    Unreachable,
+}
+
 /// A response whose body is not read yet.
 pub struct Reply {
     /// Head.
@@ -282,22 +295,32 @@
         }
     }
 
-    /// Returns why a runner does not count as crashed; `None` if its process has ended, since a new
-    /// connection is refused or closed at once. A broken connection alone is no evidence of a crash.
-    pub async fn why_not_crashed(&self, endpoint: &Endpoint) -> Option<&'static str> {
-        if self.fleet.is_partitioned(endpoint.key) {
-            return Some("partitioned");
-        }
-        match self.network.connect(endpoint.address, CRASH_CHECK_TIMEOUT).await {
+    /// Checks with a new connection whether a runner's process has ended. A broken connection alone is no
+    /// evidence of a crash.
+    pub async fn check_crash(&self, endpoint: &Endpoint) -> CrashCheck {
+        match self.connect_for_check(endpoint).await {
             Ok(mut stream) => {
                 let closed = timeout(CRASH_CLOSE_TIMEOUT, stream.read_u8()).await;
-                let has_crashed = closed.is_ok_and(|read| read.is_err());
-                (!has_crashed).then_some("accepts connections")
-            }
-            Err(error) => {
-                (error.kind() == io::ErrorKind::TimedOut).then_some("connection timed out")
+                match closed.is_ok_and(|read| read.is_err()) {
+                    true => CrashCheck::Crashed,
+                    false => CrashCheck::Running,
+                }
             }
+            Err(error) => match error.kind() {
+                io::ErrorKind::TimedOut | io::ErrorKind::HostUnreachable => CrashCheck::Unreachable,
+                _ => CrashCheck::Crashed,
+            },
+        }
+    }
+
+    async fn connect_for_check(&self, endpoint: &Endpoint) -> io::Result<N::Stream> {
+        if self.fleet.needs_tunnel(endpoint.key) {
+            return timeout(TUNNEL_CHECK_TIMEOUT, self.connect_through_nodes(endpoint)).await?;
+        }
+        if self.fleet.is_partitioned(endpoint.key) {
+            return Err(io::ErrorKind::HostUnreachable.into());
         }
+        self.network.connect(endpoint.address, CRASH_CHECK_TIMEOUT).await
     }
 
     /// Requests the identity of the runner at an address.
