Count crashes at the same moment against the requests that ran there

A request that crashed runners went on to crash more after its third one: a crash was discarded as an outage if any other runner had crashed within 100 ms before, even if that one ran the same request, or another request of the kind. With several callers or several such requests, whose runs take equally long, crashes fall together.

An outage now takes four runners within 100 ms, as it does for parts of prompts already, and runners that ran the request itself are not among them. requests_that_crash_runners_at_the_same_time_are_quarantined was red. Ruled out: dropping the check, as requests_are_not_blamed_for_an_outage then has nothing that holds it.

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -39,6 +39,8 @@
 const SUSPECT_TIME: Duration = Duration::from_secs(600);
 /// Window in which crashes of several runners count as an outage, not as caused by a request.
 const OUTAGE_WINDOW: Duration = Duration::from_millis(100);
+/// Crashes within [`OUTAGE_WINDOW`] from which an outage is assumed. Fewer may have several causes.
+const MIN_OUTAGE_CRASHES: usize = 4;
 /// Time for which a crashed runner may still be listed.
 const CRASH_RETENTION: Duration = Duration::from_secs(10);
 /// Maximum number of remembered requests.
@@ -59,13 +61,21 @@
     cleared: Vec<RequestId>,
     /// Changes of quarantined requests by this node that the store does not have yet.
     stored: Vec<CrashReport>,
-    /// Recent crashes found by this node: runner and time.
-    recent: VecDeque<(u64, Instant)>,
+    /// Recent crashes found by this node.
+    recent: VecDeque<RecentCrash>,
     prompts: Prompts,
     /// Time after its last crash after which this node runs a quarantined request again.
     expiry: Duration,
 }
 
+/// A crash found by this node.
+struct RecentCrash {
+    runner: u64,
+    at: Instant,
+    /// Requests that the runner ran.
+    requests: Vec<RequestId>,
+}
+
 /// Crashes that one request has caused.
 struct Entry {
     /// Hashes of the last crashed runners, at most [`MAX_CRASHES`].
@@ -137,10 +147,10 @@
     pub fn record_crash(&self, call: &Call, runner: u64, sent_at: Instant) -> bool {
         let now = Instant::now();
         let mut inner = self.inner.borrow_mut();
-        if !inner.is_evidence(runner, sent_at, now) {
+        let id = fingerprint(call);
+        if !inner.is_evidence(id, runner, sent_at, now) {
             return false;
         }
-        let id = fingerprint(call);
         if inner.add(id, &[runner], now) {
             let entry = inner.entries.get_mut(&id).expect("the entry was added");
             // The node that saw a single crash sees the next one as well if it tries again.
@@ -252,7 +262,7 @@
 
     /// Returns the number of runners that crashed within [`OUTAGE_WINDOW`].
     fn recent_crashes(&self, now: Instant) -> usize {
-        self.recent.iter().filter(|(_, at)| now < *at + OUTAGE_WINDOW).count()
+        self.recent.iter().filter(|crash| now < crash.at + OUTAGE_WINDOW).count()
     }
 
     fn is_quarantined(&self, entry: &Entry, now: Instant) -> bool {
@@ -260,20 +270,22 @@
     }
 
     /// Records the crash of a runner; returns whether a request that was sent to it at `sent_at` may have
-    /// caused it. The runner must not have crashed before that, nor another one just now: a request that
-    /// crashes one runner after the other is no outage.
-    fn is_evidence(&mut self, runner: u64, sent_at: Instant, now: Instant) -> bool {
-        self.recent.retain(|(_, at)| now < *at + CRASH_RETENTION);
-        let crash = self.recent.iter().find(|(known, _)| *known == runner);
-        let crashed_at = crash.map(|(_, at)| *at);
-        if crashed_at.is_none() {
-            self.recent.push_back((runner, now));
+    /// caused it. The runner must not have crashed before that, nor several others just now on which the
+    /// request did not run.
+    fn is_evidence(&mut self, id: RequestId, runner: u64, sent_at: Instant, now: Instant) -> bool {
+        self.recent.retain(|crash| now < crash.at + CRASH_RETENTION);
+        let is_other = |crash: &&RecentCrash| {
+            let is_recent = crash.at > sent_at && now < crash.at + OUTAGE_WINDOW;
+            crash.runner != runner && is_recent && !crash.requests.contains(&id)
+        };
+        let is_outage = self.recent.iter().filter(is_other).count() + 1 >= MIN_OUTAGE_CRASHES;
+        let known = self.recent.iter_mut().find(|crash| crash.runner == runner);
+        match known {
+            Some(crash) if sent_at > crash.at => return false,
+            Some(crash) => crash.requests.push(id),
+            None => self.recent.push_back(RecentCrash { runner, at: now, requests: vec![id] }),
         }
-        let is_outage = self
-            .recent
-            .iter()
-            .any(|(known, at)| *known != runner && *at > sent_at && now < *at + OUTAGE_WINDOW);
-        crashed_at.is_none_or(|at| sent_at <= at) && !is_outage
+        !is_outage
     }
 
     /// Adds crashed runners to an entry; returns whether one of them was not known.
--- a/crates/relay/src/quarantine/prompts.rs
+++ b/crates/relay/src/quarantine/prompts.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Quarantine, age_ms,
+        MIN_OUTAGE_CRASHES, Quarantine, age_ms,
         evidence::{Evidence, Judgement, Lost, SOUND_TIME},
         fingerprint::{account_hash, prompt_of},
         instant_of,
@@ -23,8 +23,6 @@
 /// Range of the random delay of reports that other nodes may make as well, so that most of them are
 /// superseded by the first one.
 const REPORT_JITTER: Duration = Duration::from_millis(100);
-/// Crashes within [`super::OUTAGE_WINDOW`] from which an outage is assumed, which is no evidence.
-const MIN_OUTAGE_CRASHES: usize = 4;
 /// Maximum entries of each kind per report.
 const MAX_REPORTED: usize = 64;
 
