Hold crashes against a request only in the first second of its response

A sound stream was aborted and its request rejected for ten minutes after three of its runners had crashed by themselves: a crash counted at any age of the response, though a request that crashes its runner does so when it begins. Parts of prompts are judged by the first second already.

stream_is_not_blamed_for_crashes_long_after_its_first_event was red (aborted after event 147 of 300).

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -17,7 +17,7 @@
         log_messages::{ERROR_RETURNED, NO_CRASH, REJECTED, RUNNER_CRASHED},
         metrics::{Metrics, Outcome},
         network::Network,
-        quarantine::{self, Quarantine},
+        quarantine::{self, Quarantine, SOUND_TIME},
         rejection::Rejection,
         rollouts::{
             RolloutSample,
@@ -243,7 +243,9 @@
                 "{NO_CRASH}{check:?}");
             return;
         }
-        let is_evidence = age.is_some() && self.quarantine.record_crash(call, incarnation, sent_at);
+        // A request that crashes its runner does so when it begins.
+        let is_suspect = age.is_some_and(|age| age <= SOUND_TIME);
+        let is_evidence = is_suspect && self.quarantine.record_crash(call, incarnation, sent_at);
         let account = call.account.as_ref().map_or("", |account| account.name.as_str());
         log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), account,
             fingerprint = quarantine::display_fingerprint(call).as_str(),
