Do not renew a quarantine with reports of known crashes

The time that reports take moved the time of the last crash forward, so that the quarantine of a request, or of a pattern, lasts longer than stated, or for ever where reports take a second.

A later crash renews a quarantine after 5 s only. Two tests were red: after 60 s of repeated reports that take 20 ms, the last crash was 60.0 s old (61.2 s), that of a pattern 57.6 s (60 s).

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -35,6 +35,9 @@
 /// Upper bound of the random part of [`QUARANTINE_TIME`], as a share of it, so that nodes do not try
 /// the request again at the same time.
 const EXPIRY_JITTER: f64 = 0.2;
+/// Time after the last crash within which another one does not renew a quarantine. Reports of the same crash
+/// differ by the time that they take.
+const MIN_RENEWAL: Duration = Duration::from_secs(5);
 /// Time after its last crash for which a request that is not quarantined is remembered.
 const SUSPECT_TIME: Duration = Duration::from_secs(600);
 /// Window in which crashes of several runners count as an outage, not as caused by a request.
@@ -298,8 +301,9 @@
         let before = entry.last;
         let mut is_changed = false;
         for runner in runners.iter().take(MAX_CRASHES) {
-            // An older report on a full entry is about crashes that were replaced by later ones.
-            let is_outdated = entry.runners.len() >= MAX_CRASHES && at <= before;
+            // A report on a full entry is mostly about crashes that led to the quarantine, but the entry has
+            // only some of them.
+            let is_outdated = entry.runners.len() >= MAX_CRASHES && at <= before + MIN_RENEWAL;
             if !entry.runners.contains(runner) && !is_outdated {
                 entry.runners.push(*runner);
                 is_changed = true;
--- a/crates/relay/src/quarantine/patterns.rs
+++ b/crates/relay/src/quarantine/patterns.rs
@@ -1,6 +1,7 @@
 //! Quarantined patterns of prompts.
 
 use {
+    super::MIN_RENEWAL,
     bilberryfront_decide::member::message::{PatternReport, Prompt, PromptPattern},
     std::time::Duration,
     tokio::time::Instant,
@@ -61,7 +62,9 @@
         let found = self.known.iter_mut().find(|known| known.pattern == pattern);
         if let Some(known) = found {
             let was_quarantined = now < known.last + expiry;
-            known.last = known.last.max(last);
+            if last > known.last + MIN_RENEWAL {
+                known.last = last;
+            }
             return !was_quarantined && now < known.last + expiry;
         }
         self.known.retain(|known| !pattern.generalizes(&known.pattern));
