Judge a part that was sound before from the fifth crash

A part of prompts that turned deadly after sound runs, as with a new model version, crashed eight runners before it was judged; the rule counts sends from the fifth crash on.

part_that_was_sound_before_is_quarantined_in_time was red (open after 5 crashes in 5 s). Ruled out: four crashes for all parts, as two_crashing_parts_are_told_apart then blames the part that both have in common.

--- a/crates/relay/src/quarantine/evidence.rs
+++ b/crates/relay/src/quarantine/evidence.rs
@@ -17,8 +17,11 @@
 pub const SOUND_TIME: Duration = Duration::from_secs(1);
 /// Crashes from which a part without earlier sound runs is judged.
 pub const MIN_CRASHES: usize = 4;
-/// Crashes from which a part with earlier sound runs is judged; enough to judge two parts behind it first.
-const MIN_CRASHES_KNOWN: usize = 2 * MIN_CRASHES;
+/// Crashes from which a part with earlier sound runs is judged.
+const MIN_CRASHES_KNOWN: usize = MIN_CRASHES + 1;
+/// As [`MIN_CRASHES_KNOWN`], if parts without sound runs may be the cause; enough to judge two of them
+/// first.
+const MIN_CRASHES_BESIDE_UNKNOWN: usize = 2 * MIN_CRASHES;
 /// Crashes that no quarantined pattern explains from which a part is judged.
 const MIN_UNEXPLAINED: usize = 2;
 /// Distinct requests among the crashes from which a part is judged.
@@ -198,6 +201,9 @@
         let crashes: Vec<&Crash> = self.crashes.iter().filter(is_evidence).collect();
         let unexplained: Vec<&Crash> = unexplained.iter().copied().filter(is_evidence).collect();
         let (min_crashes, delay) = match sound {
+            Some(_) if self.has_unknown_parts(&crashes, part, now) => {
+                (MIN_CRASHES_BESIDE_UNKNOWN, JUDGE_DELAY_KNOWN)
+            }
             Some(_) => (MIN_CRASHES_KNOWN, JUDGE_DELAY_KNOWN),
             None => (MIN_CRASHES, JUDGE_DELAY),
         };
@@ -222,6 +228,13 @@
         })
     }
 
+    /// Returns whether each crash lost a prompt with `part` and another part that has no sound run.
+    fn has_unknown_parts(&self, crashes: &[&Crash], part: u64, now: Instant) -> bool {
+        let is_unknown = |id: &u64| *id != part && self.last_sound(*id, now).is_none();
+        let has_unknown = |prompt: &Prompt| prompt.parts.iter().any(is_unknown);
+        crashes.iter().all(|crash| crash.prompts_with(part).any(has_unknown))
+    }
+
     fn forget_older_half(&mut self) {
         let mut starts: Vec<Instant> = self.sound.values().copied().collect();
         let middle = starts.len() / 2;
