Do not blame what crashing prompts have in common while evidence is missing

Sound requests were rejected for ten minutes when runners crashed quickly beside load: two parts at once, and one at varying positions. What all crashed prompts share was quarantined instead of the cause, for three reasons that traces of failing tests show: - A node that found four crashes within 100 ms dropped its evidence on further ones, other nodes did not. A crash with the prompts of one of them then seemed to be unexplained. Crashes of a burst count once when they are judged, so the check is not needed. - A general pattern went first if specific ones left two crashes unexplained. It now waits while they explain half. - After a pattern was quarantined, two unexplained crashes before it, or of requests that it cancelled, widened it. Only crashes a second later do now. Also, a request that was sent to a runner after its crash was blamed if only peers knew of the crash.

--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -263,11 +263,6 @@
         (entry.runners.len() >= MAX_CRASHES && !left.is_zero()).then_some(left)
     }
 
-    /// Returns the number of runners that crashed within [`OUTAGE_WINDOW`].
-    fn recent_crashes(&self, now: Instant) -> usize {
-        self.recent.iter().filter(|crash| now < crash.at + OUTAGE_WINDOW).count()
-    }
-
     fn is_quarantined(&self, entry: &Entry, now: Instant) -> bool {
         entry.runners.len() >= MAX_CRASHES && now < entry.last + self.expiry
     }
@@ -276,6 +271,9 @@
     /// caused it. The runner must not have crashed before that, nor several others just now on which the
     /// request did not run.
     fn is_evidence(&mut self, id: RequestId, runner: u64, sent_at: Instant, now: Instant) -> bool {
+        if self.prompts.crash_time(runner).is_some_and(|at| sent_at > at) {
+            return false;
+        }
         self.recent.retain(|crash| now < crash.at + CRASH_RETENTION);
         let is_other = |crash: &&RecentCrash| {
             let is_recent = crash.at > sent_at && now < crash.at + OUTAGE_WINDOW;
--- a/crates/relay/src/quarantine/evidence.rs
+++ b/crates/relay/src/quarantine/evidence.rs
@@ -93,14 +93,16 @@
 }
 
 impl Suspicion {
-    /// Returns whether more specific patterns explain nearly all of the crashes.
+    /// Returns whether more specific patterns explain at least half of the crashes, so that they are to
+    /// be quarantined first. For the others, the prompt that is the cause may not be known.
     fn is_refined_by(&self, others: &[Suspicion]) -> bool {
         let is_finer = |other: &&Suspicion| {
             other.pattern != self.pattern && self.pattern.generalizes(&other.pattern)
         };
         let finer: Vec<&Suspicion> = others.iter().filter(is_finer).collect();
         let is_left = |runner: &&u64| !finer.iter().any(|other| other.explained.contains(runner));
-        self.unexplained.iter().filter(is_left).count() < MIN_UNEXPLAINED
+        let left = self.unexplained.iter().filter(is_left).count();
+        left < MIN_UNEXPLAINED || 2 * left <= self.unexplained.len()
     }
 }
 
@@ -145,6 +147,11 @@
         is_new
     }
 
+    /// Returns when a runner crashed.
+    pub(super) fn crash_time(&self, runner: u64) -> Option<Instant> {
+        Some(self.crashes.iter().find(|crash| crash.runner == runner)?.at)
+    }
+
     /// Records a sound run of a part that started at `start`; returns whether it refutes a crash.
     pub(super) fn add_sound(&mut self, part: u64, start: Instant) -> bool {
         if self.sound.len() >= MAX_SOUND && !self.sound.contains_key(&part) {
@@ -174,8 +181,10 @@
         let mut parts: Vec<u64> = prompts.flat_map(|prompt| &prompt.parts).copied().collect();
         parts.sort_unstable();
         parts.dedup();
-        let suspicions: Vec<Suspicion> =
-            parts.into_iter().filter_map(|part| self.suspect(part, &crashes, now)).collect();
+        let suspicions: Vec<Suspicion> = parts
+            .into_iter()
+            .filter_map(|part| self.suspect(part, &crashes, patterns, now))
+            .collect();
         let is_due = |suspicion: &&Suspicion| {
             suspicion.judged_at <= now && !suspicion.is_refined_by(&suspicions)
         };
@@ -191,7 +200,13 @@
 
     /// Returns the pattern of the crashes with a part, if they are enough evidence against it. A part that
     /// mostly waited is not the cause.
-    fn suspect(&self, part: u64, unexplained: &[&Crash], now: Instant) -> Option<Suspicion> {
+    fn suspect(
+        &self,
+        part: u64,
+        unexplained: &[&Crash],
+        patterns: &Patterns,
+        now: Instant,
+    ) -> Option<Suspicion> {
         let sound = self.last_sound(part, now);
         let is_evidence = |crash: &&Crash| {
             crash.at + SETTLE_TIME <= now
@@ -215,6 +230,14 @@
             return None;
         }
         let pattern = common_pattern(&crashes, unexplained.last()?, part)?;
+        // Requests that are cancelled by a new quarantine may still crash their runners.
+        let is_later = |crash: &&&Crash| {
+            let quarantined_at = patterns.quarantined_at(&pattern);
+            quarantined_at.is_none_or(|at| crash.at > at + SOUND_TIME)
+        };
+        if unexplained.iter().filter(is_later).count() < MIN_UNEXPLAINED {
+            return None;
+        }
         let times = || crashes.iter().map(|crash| crash.at);
         let (since, last) = (times().min()?, times().max()?);
         let explained = self.crashes.iter().filter(|crash| crash.is_explained_by(&pattern));
--- a/crates/relay/src/quarantine/patterns.rs
+++ b/crates/relay/src/quarantine/patterns.rs
@@ -23,6 +23,8 @@
     since: Instant,
     /// Last crash.
     last: Instant,
+    /// Time at which this node learned of the quarantine.
+    added: Instant,
 }
 
 impl Patterns {
@@ -49,6 +51,12 @@
         Some(&known.find(|known| known.matches(prompt.account, &prompt.parts))?.pattern)
     }
 
+    /// Returns when the last of the patterns that a pattern generalizes was quarantined.
+    pub(super) fn quarantined_at(&self, pattern: &PromptPattern) -> Option<Instant> {
+        let finer = self.known.iter().filter(|known| pattern.generalizes(&known.pattern));
+        finer.map(|known| known.added).max()
+    }
+
     /// Adds a pattern or renews its quarantine, and removes those that it generalizes; returns whether
     /// it was not quarantined.
     pub(super) fn add(
@@ -75,7 +83,7 @@
             let oldest = oldest.map(|(index, _)| index);
             oldest.into_iter().for_each(|index| _ = self.known.swap_remove(index));
         }
-        self.known.push(Quarantined { pattern, since, last });
+        self.known.push(Quarantined { pattern, since, last, added: now });
         now < last + expiry
     }
 
--- a/crates/relay/src/quarantine/prompts.rs
+++ b/crates/relay/src/quarantine/prompts.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        MIN_OUTAGE_CRASHES, Quarantine, age_ms,
+        Quarantine, age_ms,
         evidence::{Evidence, Judgement, Lost, SOUND_TIME},
         fingerprint::{account_hash, prompt_of},
         instant_of,
@@ -52,6 +52,11 @@
         self.patterns.len(expiry)
     }
 
+    /// Returns when a runner crashed, if this node or a peer has reported that.
+    pub(super) fn crash_time(&self, runner: u64) -> Option<Instant> {
+        self.evidence.crash_time(runner)
+    }
+
     /// Records a request that was lost in a crash; returns whether it was not known.
     fn record_lost(&mut self, lost: &Lost<'_>, expiry: Duration) -> bool {
         if !self.add_lost(lost, expiry) {
@@ -209,9 +214,6 @@
         }
         let inner = &mut *self.inner.borrow_mut();
         let at = Instant::now();
-        if inner.recent_crashes(at) >= MIN_OUTAGE_CRASHES {
-            return;
-        }
         let prompt = &prompt_of(call);
         let lost = Lost { runner, sent_at, at, prompt, begun: age.is_some() };
         if inner.prompts.record_lost(&lost, inner.expiry) {
