Check the path to a service on signs of a partition from elsewhere

Calls that may run only once ended with a timeout in the first seconds of a partition: an instance learned of it only from failures of its own, for each service by itself, and with one or two requests a second sent each of them into an open connection that hangs. Now a partition from one service has the paths to the others checked, and so has a peer's report of one, unless a runner of the service has responded within half a second.

open_connections_are_not_used_after_signs_of_a_partition was red in both halves.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -61,6 +61,8 @@
     partitions_changed: Rc<Notify>,
     /// Notified when the partitions have to be reported to peers.
     partitions_dirty: Rc<Notify>,
+    /// Notified when the path to a service is suspected.
+    paths_suspected: Rc<Notify>,
     random: Rc<RefCell<SmallRng>>,
 }
 
@@ -144,6 +146,7 @@
             lost: Rc::default(),
             partitions_changed: Rc::default(),
             partitions_dirty: Rc::default(),
+            paths_suspected: Rc::default(),
             random,
         }
     }
--- a/crates/relay/src/fleet/partition.rs
+++ b/crates/relay/src/fleet/partition.rs
@@ -24,6 +24,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 /// Time for which a check that reached a runner shows that failures are not caused by the path.
 const CHECK_VALIDITY: Duration = Duration::from_secs(1);
+/// Time for which a response of any runner shows that the path to its service works.
+const RESPONSE_VALIDITY: Duration = Duration::from_millis(500);
 /// Number of direct connections that succeed one after the other, after which a partition has ended. A
 /// single one may be to the only runner that is reachable.
 const RECOVERED_CONNECTIONS: u32 = 3;
@@ -37,6 +39,8 @@
     lost: Vec<RunnerKey>,
     /// Runners to which no connection could be established, without any success since.
     refused: Vec<RunnerKey>,
+    /// Whether this node is partitioned from another service, or a peer from this one.
+    is_suspected: bool,
     /// Ids of runners whose failure is not reported to peers during a check.
     withheld: Vec<CompactString>,
     is_checking: bool,
@@ -74,6 +78,9 @@
 
 impl Path {
     fn is_suspect(&self) -> bool {
+        if self.is_suspected {
+            return true;
+        }
         let mut failed = [self.lost.as_slice(), &self.refused].concat();
         failed.sort_unstable();
         failed.dedup();
@@ -89,7 +96,8 @@
     fn is_idle(&self, now: Instant) -> bool {
         let is_checked = self.checked_at.is_some_and(|at| now < at + CHECK_VALIDITY);
         let has_failures = !self.lost.is_empty() || !self.refused.is_empty();
-        !has_failures && !is_checked && !self.is_checking && !self.is_partitioned
+        let is_suspect = has_failures || self.is_suspected;
+        !is_suspect && !is_checked && !self.is_checking && !self.is_partitioned
     }
 }
 
@@ -152,6 +160,7 @@
         let inner = &mut *self.inner.borrow_mut();
         if let Some(path) = inner.paths.get_mut(service) {
             path.is_checking = false;
+            path.is_suspected = false;
             path.checked_at = Some(Instant::now());
             match is_reachable {
                 true => {
@@ -159,7 +168,11 @@
                     inner.failures.extend(withheld);
                     self.changed.notify_one();
                 }
-                false => inner.begin_partition(service),
+                false => {
+                    inner.begin_partition(service);
+                    inner.suspect_other_paths(service);
+                    self.paths_suspected.notify_one();
+                }
             }
         }
         self.partitions_changed.notify_waiters();
@@ -243,18 +256,40 @@
         self.partitions_dirty.clone()
     }
 
-    /// Applies a peer's report of the services from which it is partitioned.
+    /// Applies a peer's report of the services from which it is partitioned. This node may be as well
+    /// without having noticed.
     pub fn apply_peer_partitions(&self, from: &CompactString, services: Vec<CompactString>) {
-        let reports = &mut self.inner.borrow_mut().peer_partitions;
+        let inner = &mut *self.inner.borrow_mut();
+        let now = Instant::now();
+        for service in &services {
+            let is_new = !inner.is_peer_partitioned(from, Some(service), now);
+            if is_new && !inner.has_responded(service, now) {
+                inner.suspect_path(service, now);
+                self.paths_suspected.notify_one();
+            }
+        }
         match services.is_empty() {
-            true => _ = reports.remove(from),
+            true => _ = inner.peer_partitions.remove(from),
             false => {
-                let report = PeerPartitions { services, at: Instant::now() };
-                _ = reports.insert(from.clone(), report);
+                let report = PeerPartitions { services, at: now };
+                _ = inner.peer_partitions.insert(from.clone(), report);
             }
         }
     }
 
+    /// Waits until the path to a service is suspected of being partitioned, without failures of its own.
+    pub async fn wait_suspected(&self) {
+        self.paths_suspected.notified().await;
+    }
+
+    /// Returns one runner of each service whose path is suspected.
+    pub fn suspected_runners(&self) -> Vec<Endpoint> {
+        let inner = self.inner.borrow();
+        let suspected = inner.paths.iter().filter(|(_, path)| path.is_suspected);
+        let first = |service| inner.services.get(service)?.first().map(|key| inner.endpoint(*key));
+        suspected.filter_map(|(service, _)| first(service)).collect()
+    }
+
     /// Returns the nodes of `nodes` that are not partitioned from any service, or all of them if each
     /// one is.
     pub fn connected_nodes<'a>(&self, nodes: &'a [NodeAddress]) -> Vec<&'a NodeAddress> {
@@ -306,6 +341,33 @@
         is_doubtful
     }
 
+    /// Marks the path to a service for a check, unless it was checked recently.
+    fn suspect_path(&mut self, service: &CompactString, now: Instant) {
+        if !self.services.contains_key(service) {
+            return;
+        }
+        let path = self.paths.entry(service.clone()).or_default();
+        let is_checked = path.checked_at.is_some_and(|at| now < at + CHECK_VALIDITY);
+        path.is_suspected = !is_checked && !path.is_checking && !path.is_partitioned;
+        self.drop_idle_path(service);
+    }
+
+    /// Returns whether a runner of a service has responded recently.
+    fn has_responded(&self, service: &str, now: Instant) -> bool {
+        let mut keys = self.services.get(service).into_iter().flatten();
+        keys.any(|key| {
+            let last_seen = self.runners[*key].health.last_seen();
+            last_seen.is_some_and(|last_seen| now < last_seen + RESPONSE_VALIDITY)
+        })
+    }
+
+    /// Marks the paths to all services but one for a check.
+    fn suspect_other_paths(&mut self, partitioned: &CompactString) {
+        let others = self.services.keys().filter(|service| *service != partitioned);
+        let now = Instant::now();
+        others.cloned().collect::<Vec<_>>().iter().for_each(|s| self.suspect_path(s, now));
+    }
+
     fn drop_idle_path(&mut self, service: &str) {
         let now = Instant::now();
         if self.paths.get(service).is_some_and(|path| path.is_idle(now)) {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -173,7 +173,9 @@
     tokio::task::spawn_local(handle_signals(handler.drain.clone()));
     tokio::task::spawn_local(tunnel::serve(handler.traffic.clone()));
     let client = handler.traffic.client.clone();
-    tokio::task::spawn_local(async move { client.recover().await });
+    tokio::task::spawn_local(
+        async move { tokio::join!(client.recover(), client.check_suspected()) },
+    );
     log::info!(name = settings.name.as_str(), domain = settings.domain.as_str(),
         callers:% = settings.listen.callers; "{SERVING}");
     let at = handler.drain.started().await;
--- a/crates/relay/src/runner_client/connect.rs
+++ b/crates/relay/src/runner_client/connect.rs
@@ -52,6 +52,14 @@
         }
     }
 
+    /// Checks the paths that are suspected although no request has failed; runs until cancelled.
+    pub async fn check_suspected(&self) {
+        loop {
+            self.fleet.wait_suspected().await;
+            self.fleet.suspected_runners().iter().for_each(|endpoint| self.start_check(endpoint));
+        }
+    }
+
     async fn reconnect(&self, endpoint: &Endpoint) -> bool {
         let is_connected = self.network.connect(endpoint.address, CHECK_TIMEOUT).await.is_ok();
         match is_connected {
--- a/tests/relay/partitions.rs
+++ b/tests/relay/partitions.rs
@@ -280,3 +280,38 @@
         .await;
     }
 }
+
+/// Guards against calls that are sent on open connections, and may not be sent again, although the node or a
+/// peer has already found a partition.
+#[tokio::test(start_paused = true)]
+async fn open_connections_are_not_used_after_signs_of_a_partition() {
+    for is_reported in [false, true] {
+        run_local(async {
+            let deployment = Deployment::new(ENGINES, &DOMAINS, &EVENTS)
+                .with_runner(PLAIN, &Script::Respond(200, "done"));
+            let client = deployment.traffic.client.clone();
+            let checks = tokio::task::spawn_local(async move { client.check_suspected().await });
+            // Leaves an idle connection.
+            assert_eq!(deployment.serve("/lodge/1", &[]).await.status, 200);
+            deployment.partition(Some(Partition::Hang));
+            let fleet = &deployment.traffic.client.fleet;
+            match is_reported {
+                true => {
+                    sleep(ms(550)).await;
+                    fleet.apply_peer_partitions(&"n2".into(), vec![PLAIN.into()]);
+                    fleet.apply_peer_partitions(&"n2".into(), Vec::new());
+                }
+                false => {
+                    let streams = deployment.clone();
+                    tokio::task::spawn_local(async move { streams.serve("/stream/1", &[]).await });
+                    fleet.wait_partitioned().await;
+                }
+            }
+            sleep(ms(200)).await;
+            let received = deployment.serve("/lodge/1", &[]).await;
+            assert_eq!(received.status, 200, "reported by a peer: {is_reported}");
+            checks.abort();
+        })
+        .await;
+    }
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -660,6 +660,14 @@
         deployment
     }
 
+    /// Adds a runner of another service.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn with_runner(mut self, service: &'static str, script: &Script) -> Deployment {
+        self.add(self.runners.len() as u8, service, "a", script);
+        self.publish();
+        self
+    }
+
     fn add(&mut self, index: u8, service: &'static str, domain: &'static str, script: &Script) {
         let address = SocketAddr::from(([127, 0, 0, index + 1], 8_000));
         let id = format!("r-{index}");
