Leave out nodes that may not know the runner when many are tried

With 16 nodes tried instead of three, a partitioned node of a system whose services are divided also asked nodes that hold another shard. They answer that they do not reach the runner, and counted as failed for all runners of the service. tunnels_run_through_nodes_that_hold_the_shard_of_the_runner failed since the nodes are more than three; only nodes that hold the runner as likely as the best three are tried now.

--- a/crates/relay/src/fleet/detour.rs
+++ b/crates/relay/src/fleet/detour.rs
@@ -12,6 +12,8 @@
 
 /// Maximum number of nodes that are tried for one connection.
 const MAX_NODES: usize = 16;
+/// Number of nodes that hold the runner most likely, which decide on the others.
+const MIN_HOLDERS: usize = 3;
 /// Time for which a node is not tried again after it did not reach a runner.
 const RETRY_TIME: Duration = Duration::from_millis(300);
 
@@ -96,6 +98,9 @@
         };
         let mut nodes: Vec<&NodeAddress> = inner.nodes.iter().filter(is_candidate).collect();
         nodes.shuffle(&mut *self.random.borrow_mut());
+        nodes.sort_by_key(|node| Reverse(common(node)));
+        let least = nodes.iter().take(MIN_HOLDERS).last().map_or(0, |node| common(node));
+        nodes.retain(|node| common(node) >= least);
         let mut tried = FxHashMap::<&str, usize>::default();
         for node in inner.nodes.iter().filter(|n| detours.tier(&n.name) == Tier::Failed) {
             *tried.entry(&node.domain).or_default() += 1;
