Wait for a direct connection if those through other nodes fail first

While it is open whether the runners are down, both are attempted at once, and a failure of the nodes ended the attempt although the direct connection could still succeed. Also satisfies the linter.

--- a/crates/relay/src/fleet/detour.rs
+++ b/crates/relay/src/fleet/detour.rs
@@ -99,7 +99,7 @@
         let mut nodes: Vec<&NodeAddress> = inner.nodes.iter().filter(is_candidate).collect();
         nodes.shuffle(&mut *self.random.borrow_mut());
         nodes.sort_by_key(|node| Reverse(common(node)));
-        let least = nodes.iter().take(MIN_HOLDERS).last().map_or(0, |node| common(node));
+        let least = nodes.iter().take(MIN_HOLDERS).next_back().map_or(0, |node| common(node));
         nodes.retain(|node| common(node) >= least);
         let mut tried = FxHashMap::<&str, usize>::default();
         for node in inner.nodes.iter().filter(|n| detours.tier(&n.name) == Tier::Failed) {
--- a/crates/relay/src/runner_client/connect.rs
+++ b/crates/relay/src/runner_client/connect.rs
@@ -81,7 +81,7 @@
         let result = match self.fleet.is_partitioned(endpoint.key) {
             true => tokio::select! {
                 result = &mut direct => result,
-                tunneled = self.connect_tunneled_later(endpoint) => return tunneled,
+                Ok(connection) = self.connect_tunneled_later(endpoint) => return Ok(connection),
             },
             false => direct.await,
         };
