--- a/crates/standins/src/feed_store.rs
+++ b/crates/standins/src/feed_store.rs
@@ -84,6 +84,8 @@
 }
 
 /// A stand-in for the row store. Clones share their state.
+///
+/// Faults of calls are limited by paths that begin like `/api/rows-feed?table=op`.
 #[derive(Clone, Default)]
 pub struct FeedStore {
     faults: Arc<FaultInjector>,
@@ -119,6 +121,11 @@
         Handle::start(listen, router, self.faults.clone())
     }
 
+    /// Returns another access to the same rows, with faults of its own.
+    pub fn with_own_faults(&self) -> FeedStore {
+        FeedStore { faults: Arc::default(), ..self.clone() }
+    }
+
     /// Writes a row without a condition; `None` removes it.
     pub fn put(&self, table: &str, key: &str, value: Option<String>) {
         let row = Row {
@@ -238,7 +245,8 @@
         let more = rows.len() > MAX_PAGE_ROWS;
         state.respond(rows.into_iter().take(MAX_PAGE_ROWS).collect(), more)
     };
-    with_faults(&store.faults, "/api/rows-get", execute).await
+    let path = format!("/api/rows-get?table={}", text(&query, "table"));
+    with_faults(&store.faults, &path, execute).await
 }
 
 async fn feed(Extension(store): Extension<FeedStore>, uri: Uri) -> Response {
@@ -267,7 +275,8 @@
         }
         state.respond(state.changed_since(table, after), false)
     };
-    with_faults(&store.faults, "/api/rows-feed", execute).await
+    let path = format!("/api/rows-feed?table={table}");
+    with_faults(&store.faults, &path, execute).await
 }
 
 fn query(uri: &Uri) -> HashMap<String, String> {
--- a/tests/relay/process.rs
+++ b/tests/relay/process.rs
@@ -142,11 +142,23 @@
         service: &'static str,
         domain: &'static str,
         script: Script,
+    ) {
+        self.start_version(id, service, domain, "v1", script).await;
+    }
+
+    /// Starts a runner of a version.
+    pub(crate) async fn start_version(
+        &mut self,
+        id: &str,
+        service: &'static str,
+        domain: &'static str,
+        version: &'static str,
+        script: Script,
     ) {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let runner = Rc::new(Runner::new(id, address, service, domain, script));
-        let registration = json!({"service": service, "address": address, "zone": domain, "version": "v1",
+        let registration = json!({"service": service, "address": address, "zone": domain, "version": version,
             "slots": 8, "state": "ready", "seq": 1, "born": 1});
         self.put("servers", id, &registration);
         self.runners.push(runner.clone());
@@ -160,7 +172,12 @@
     }
 
     pub(crate) fn start(&self, name: &str) -> Instance {
-        let (path, listen) = self.settings(name);
+        self.start_in(name, "a", self.handle.addr)
+    }
+
+    /// Starts an instance in a failure domain that reaches the store at an address of its own.
+    pub(crate) fn start_in(&self, name: &str, domain: &str, store: SocketAddr) -> Instance {
+        let (path, listen) = self.settings_in(name, domain, store);
         let mut command = Command::new(env!("CARGO_BIN_EXE_bilberryfront"));
         command.arg("relay").arg("--settings").arg(path);
         let process = Process::start(&mut command).unwrap();
@@ -171,6 +188,10 @@
     /// Writes the settings of an instance; returns the path of the file and the addresses on which
     /// the instance will listen.
     pub(crate) fn settings(&self, name: &str) -> (PathBuf, Listen) {
+        self.settings_in(name, "a", self.handle.addr)
+    }
+
+    fn settings_in(&self, name: &str, domain: &str, store: SocketAddr) -> (PathBuf, Listen) {
         let listen = Listen {
             callers: free_tcp_address(),
             health: free_tcp_address(),
@@ -178,12 +199,13 @@
             metrics: free_tcp_address(),
         };
         let settings = json!({
-            "name": name, "domain": "a",
+            "name": name, "domain": domain,
             "listen": {"callers": listen.callers, "health": listen.health,
                 "addresses": listen.addresses, "peers": free_udp_address(),
                 "metrics": listen.metrics},
-            "store": self.handle.addr,
-            "bounds": {"grace": self.grace.as_secs(), "keep": 5, "ratio": 0.8, "slack": 50, "window": 10},
+            "store": store,
+            "bounds": {"grace": self.grace.as_secs(), "keep": 5, "ratio": 0.8, "slack": 50, "window": 10,
+                "exposure": 0.1, "trials": 50},
         });
         let path = self.folder.path().join(format!("{name}.jsonc"));
         fs::write(&path, format!("// an instance\n{settings}")).unwrap();
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -62,6 +62,9 @@
     /// Sends a complete response with this status and body after a delay.
     #[allow(dead_code, reason = "used by the tests of the program only")]
     RespondAfter(u16, &'static str, Duration),
+    /// Responds like a version, a share of whose responses are bad.
+    #[allow(dead_code, reason = "used by the tests of rollouts only")]
+    Version(BadShares),
     /// Rejects the request with the header that states that it was not executed.
     NotRun,
     /// Streams events up to the id `last`, then ends the stream as `end` states.
@@ -84,6 +87,18 @@
     Unframed(&'static str),
 }
 
+/// Shares of the responses of a version that are bad.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct BadShares {
+    /// Failures.
+    pub(crate) failed: f64,
+    /// Responses that take four times as long as the others.
+    pub(crate) slow: f64,
+}
+
+/// Time that a version takes for a call.
+const CALL_TIME: Duration = Duration::from_millis(15);
+
 /// End of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StreamEnd {
@@ -183,6 +198,8 @@
     pub(crate) rejections: RefCell<Vec<Instant>>,
     /// `Retry-After` value of rejections.
     pub(crate) retry_after: Cell<Option<&'static str>>,
+    /// Times at which bad responses of [`Script::Version`] were sent.
+    pub(crate) bad: RefCell<Vec<Instant>>,
     /// Requests received so far, without queries of the runner's state.
     pub(crate) requests: RefCell<Vec<ReceivedRequest>>,
     /// Tasks that serve the open connections.
@@ -223,6 +240,7 @@
             streams: Rc::default(),
             rejections: RefCell::default(),
             retry_after: Cell::new(None),
+            bad: RefCell::default(),
             requests: RefCell::default(),
             connections: RefCell::default(),
         }
@@ -496,6 +514,14 @@
             sleep(delay).await;
             complete_response(status, text)
         }
+        Script::Version(BadShares { failed, slow }) => {
+            let (is_failed, is_slow) = (rand::random_bool(failed), rand::random_bool(slow));
+            sleep(CALL_TIME * if is_slow { 4 } else { 1 }).await;
+            if is_failed || is_slow {
+                runner.bad.borrow_mut().push(Instant::now());
+            }
+            complete_response(if is_failed { 500 } else { 200 }, "lodged")
+        }
         Script::NotRun => {
             let mut response = complete_response(503, "");
             response.headers_mut().insert("x-bilberryfront-not-executed", "1".parse().unwrap());
--- /dev/null
+++ b/tests/rollouts.rs
@@ -0,0 +1,191 @@
+//! Rollouts of versions, some of them bad, through instances that run as processes.
+
+#[path = "relay/process.rs"]
+#[allow(dead_code, reason = "shared with the other tests of the program")]
+mod process;
+#[path = "relay/support.rs"]
+#[allow(dead_code, reason = "shared with the in-memory tests")]
+mod support;
+
+use {
+    base64::{Engine, engine::general_purpose::STANDARD},
+    process::{Instance, Platform, post, wait_until},
+    serde_json::{Value, json},
+    std::time::Duration,
+    support::{BadShares, PLAIN, Runner, Script, ms, run_local},
+    tokio::time::{Instant, sleep},
+};
+
+const INSTANCES: usize = 6;
+/// Time between two calls.
+const CALL_INTERVAL: Duration = Duration::from_millis(36);
+/// Time from the order to its deadline.
+const ROLLOUT_TIME: Duration = Duration::from_secs(20);
+/// Number of bad responses after which requests to the new version must stop.
+const MAX_BAD: usize = 50;
+/// Time until they must have stopped.
+const ROLLBACK_TIME: Duration = Duration::from_secs(5);
+/// Bound on the requests for the new version until the deadline.
+const EXPOSURE: (f64, f64) = (0.1, 50.0);
+
+const GOOD: BadShares = BadShares { failed: 0.0, slow: 0.0 };
+
+/// What happens to the instances during the rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Disruption {
+    None,
+    /// All of them are killed and started again, one after the other.
+    Restarts,
+    /// Half of them are told to stop, so that address responses do not list them, and still serve
+    /// callers.
+    Stops,
+}
+
+/// What became of a rollout.
+#[derive(Debug)]
+struct Outcome {
+    state: Option<String>,
+    /// Requests for both versions, and for the new one, before the deadline.
+    all: usize,
+    new: usize,
+    bad: usize,
+    /// Time from the order to the last request for the new version.
+    #[allow(dead_code, reason = "for messages")]
+    stopped: Option<Duration>,
+    /// Requests that reached the new version later than [`ROLLBACK_TIME`] after the last bad response
+    /// that is allowed.
+    late: usize,
+}
+
+impl Outcome {
+    fn is_within_bound(&self) -> bool {
+        let (share, slack) = EXPOSURE;
+        self.new as f64 <= share * self.all as f64 + slack
+    }
+}
+
+fn state(platform: &Platform) -> Option<String> {
+    let value = platform.store.value("status", &format!("rollout/{PLAIN}"))?;
+    let status: Value = serde_json::from_slice(&STANDARD.decode(value).unwrap()).unwrap();
+    status["state"].as_str().map(str::to_owned)
+}
+
+/// Plays a rollout to its deadline or its end.
+async fn play(old: BadShares, new: BadShares, disruption: Disruption) -> Outcome {
+    let mut platform = Platform::new().await;
+    platform.store.put("servers", "p1", None);
+    for (index, domain) in ["a", "b", "c"].into_iter().enumerate() {
+        let names = [format!("old{index}"), format!("new{index}")];
+        platform.start_version(&names[0], PLAIN, domain, "v1", Script::Version(old)).await;
+        platform.start_version(&names[1], PLAIN, domain, "v2", Script::Version(new)).await;
+    }
+    let start_one = |index: usize| {
+        platform.start_in(&format!("n{index}"), ["a", "b", "c"][index % 3], platform.handle.addr)
+    };
+    let mut instances: Vec<Instance> = (0..INSTANCES).map(start_one).collect();
+    for instance in &instances {
+        let is_known = async || instance.resolve().await.len() == INSTANCES;
+        wait_until("each instance knows all", is_known).await;
+    }
+    let order = json!({"service": PLAIN, "to": "v2", "duration_s": ROLLOUT_TIME.as_secs_f64()});
+    platform.put("op", &format!("rollout/{PLAIN}"), &order);
+    let start = Instant::now();
+    if disruption == Disruption::Stops {
+        instances.iter().step_by(2).for_each(|instance| instance.process.terminate());
+    }
+    let mut next_restart = 0;
+    for index in 0.. {
+        let is_over = state(&platform).is_some_and(|state| state != "running");
+        if start.elapsed() > ROLLOUT_TIME || is_over {
+            break;
+        }
+        let restart_at = ms(2_000) + ms(1_500) * next_restart as u32;
+        if disruption == Disruption::Restarts
+            && start.elapsed() > restart_at
+            && next_restart < INSTANCES
+        {
+            instances[next_restart] = start_one(next_restart);
+            next_restart += 1;
+        }
+        let callers = instances[index % INSTANCES].callers;
+        tokio::task::spawn_local(async move {
+            _ = post(callers, "/lodge/1", "k1").await;
+        });
+        sleep(CALL_INTERVAL).await;
+    }
+    let state = state(&platform);
+    sleep(ms(1_000)).await;
+    let of =
+        |version: &'static str| platform.runners.iter().filter(move |r| r.id.starts_with(version));
+    let sent = |runner: &Runner| {
+        let requests = runner.requests.borrow();
+        requests.iter().map(|r| r.at).filter(|at| *at >= start).collect::<Vec<_>>()
+    };
+    let new: Vec<Instant> = of("new").flat_map(|runner| sent(runner)).collect();
+    let mut bad: Vec<Instant> = of("new").flat_map(|runner| runner.bad.borrow().clone()).collect();
+    bad.sort_unstable();
+    let is_late = |at: &Instant| bad.get(MAX_BAD - 1).is_some_and(|b| *at > *b + ROLLBACK_TIME);
+    Outcome {
+        state,
+        all: of("old").map(|runner| sent(runner).len()).sum::<usize>() + new.len(),
+        bad: bad.len(),
+        stopped: new.iter().max().map(|at| *at - start),
+        late: new.iter().filter(|at| is_late(at)).count(),
+        new: new.len(),
+    }
+}
+
+/// Asserts that a bad version is rolled back, and gets no more requests than it may.
+async fn assert_rolled_back(old: BadShares, new: BadShares, disruption: Disruption) {
+    let outcome = play(old, new, disruption).await;
+    assert_eq!(outcome.late, 0, "{outcome:?}");
+    assert!(outcome.bad < MAX_BAD, "{outcome:?}");
+    assert!(outcome.is_within_bound(), "{outcome:?}");
+    assert_eq!(outcome.state.as_deref(), Some("rolled_back"), "{outcome:?}");
+}
+
+/// Guards against a version that always fails and gets requests until the deadline because the old
+/// version fails as well, though less.
+#[tokio::test]
+async fn failing_version_is_stopped_while_the_old_one_fails_too() {
+    let old = BadShares { failed: 0.3, ..GOOD };
+    let new = BadShares { failed: 1.0, ..GOOD };
+    run_local(assert_rolled_back(old, new, Disruption::None)).await;
+}
+
+/// Guards against a slow version that is completed because some runners of the old one are as slow.
+#[tokio::test]
+async fn slow_version_is_stopped_while_some_old_runners_are_slow() {
+    let old = BadShares { slow: 0.2, ..GOOD };
+    let new = BadShares { slow: 1.0, ..GOOD };
+    run_local(assert_rolled_back(old, new, Disruption::None)).await;
+}
+
+/// Guards against a version whose failures are forgotten when the instances restart.
+#[tokio::test]
+async fn failing_version_is_stopped_while_all_instances_restart() {
+    let old = BadShares { failed: 0.15, ..GOOD };
+    let new = BadShares { failed: 0.6, ..GOOD };
+    run_local(assert_rolled_back(old, new, Disruption::Restarts)).await;
+}
+
+/// Guards against instances that address responses do not list, and that use a share of the bound that
+/// is meant for others.
+#[tokio::test]
+async fn failing_version_is_stopped_while_half_of_the_instances_stop() {
+    let old = BadShares { failed: 0.15, ..GOOD };
+    let new = BadShares { failed: 0.6, ..GOOD };
+    run_local(assert_rolled_back(old, new, Disruption::Stops)).await;
+}
+
+/// Guards against a good version that is rolled back because of failures that both versions have.
+#[tokio::test]
+async fn good_version_is_completed_while_both_fail() {
+    run_local(async {
+        let both = BadShares { failed: 0.15, ..GOOD };
+        let outcome = play(both, both, Disruption::None).await;
+        assert!(outcome.is_within_bound(), "{outcome:?}");
+        assert_eq!(outcome.state.as_deref(), Some("completed"), "{outcome:?}");
+    })
+    .await;
+}
