Check the store through nodes that do not read it

Callers saw requests refused as an older version of the catalogue says, longer than the bound after it was acknowledged.

Cause: readers vouch for the store without evidence. While a long poll is pending (held for 5 s, given up 1.5 s later), they report the store as available with the digests of what they have, and every other node relies on that. If the store falls silent for the readers of all domains, nobody asks it, though it would answer the rest. Class: a failure detector that takes the absence of a failure for evidence of health.

Readers now name one node of their domain in turn, each 0.3 of the time within which a change must be in force, that asks the store once for later operators' rows. If there is no response within 300 ms, it passes the check on once. What a check finds goes round as other changes do, and a reader whose own pending poll does not bring it within 300 ms repeats its polls without a wait, which shows within 1.5 s that they are lost. Nodes in domains without other nodes than readers do not check; a node that the store does not answer is not in touch there. The bound is a new setting, `bounds.apply_ms`.

Ruled out by arithmetic, not played: shorter polls by all readers, 10 calls a second at six readers and 2 s, also where no node could check; a row in the reports with the age of the last response, which is the poll's wait while nothing changes.

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -294,6 +294,8 @@
     pub digests: Vec<TableDigest>,
     /// Divided services.
     pub services: Vec<DividedService>,
+    /// Node that should check whether the store has later rows than the reader.
+    pub checker: Option<CompactString>,
 }
 
 /// A service whose registrations are divided into shards.
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -124,7 +124,8 @@
     let (progress, joining) = mpsc::channel(1);
     let join = join::join(settings.clone(), store.clone(), metrics.clone(), progress);
     tokio::task::spawn_local(join);
-    let sync = TableSync::new(rand::random(), settings.name.clone(), R::registered_service);
+    let (me, apply_time) = (settings.name.clone(), settings.bounds.apply_time());
+    let sync = TableSync::new(rand::random(), me, R::registered_service, apply_time);
     let control = Control {
         records,
         store,
--- a/crates/relay/src/control/feed.rs
+++ b/crates/relay/src/control/feed.rs
@@ -22,8 +22,9 @@
 /// well, because the store may reject a single table only.
 pub const STANDBY_BACKOFF_MAX: Duration = Duration::from_millis(3_200);
 
-/// Age from which a pending poll is abandoned after an outage or a restoration of the store. A store
-/// that dropped the request never responds to it, and the timeout of a poll is long.
+/// Age from which a pending poll is abandoned after an outage or a restoration of the store, or if a peer
+/// has a change that it has not brought. A store that dropped the request never responds to it, and the
+/// timeout of a poll is long.
 const STALE_POLL_AGE: Duration = Duration::from_millis(500);
 
 /// Event of a watched table.
@@ -67,7 +68,7 @@
     /// Revision up to which the table is known, if it is; may be advanced by others.
     pub revision: Rc<Cell<Option<Revision>>>,
     /// Number of recoveries detected, shared by all watchers. An outage counts once for each watcher
-    /// that detects its end, a restoration once.
+    /// that detects its end, a restoration and a change that the polls have not brought once.
     pub recoveries: watch::Sender<u32>,
     /// Metrics.
     pub metrics: Metrics,
@@ -86,8 +87,8 @@
         }
     }
 
-    /// Polls until the receiver is dropped. The first poll and those after a failure do not wait for
-    /// changes, so that the response shows immediately whether the store is available.
+    /// Polls until the receiver is dropped. The first poll and those after a failure or an abandoned poll
+    /// do not wait for changes, so that the response shows immediately whether the store is available.
     async fn watch(&self, sender: &mpsc::Sender<FeedEvent<T>>) {
         let mut failures = 0;
         let mut first = true;
@@ -97,7 +98,10 @@
             let poll_start = Instant::now();
             let resumed = self.revision.get().is_some();
             let wait = if first || failures > 0 { Duration::ZERO } else { self.wait.get() };
-            let Some(response) = self.poll_unless_stale(wait).await else { continue };
+            let Some(response) = self.poll_unless_stale(wait).await else {
+                first = true;
+                continue;
+            };
             first = false;
             self.metrics.count_store_poll(self.name, outcome(&response));
             for change in self.changes(response, &mut failures) {
@@ -179,7 +183,8 @@
     }
 }
 
-fn outcome(response: &Result<Rows>) -> PollOutcome {
+/// Returns the outcome of a poll, for metrics.
+pub(super) fn outcome(response: &Result<Rows>) -> PollOutcome {
     match response {
         Ok(rows) if rows.rows.is_empty() => PollOutcome::Unchanged,
         Ok(_) => PollOutcome::Changed,
--- a/crates/relay/src/control/feeds.rs
+++ b/crates/relay/src/control/feeds.rs
@@ -2,19 +2,22 @@
 
 use {
     super::{
-        feed::{FeedEvent, FeedWatcher, PROBE_BACKOFF_MAX, STANDBY_BACKOFF_MAX},
+        feed::{self, Change, FeedEvent, FeedWatcher, PROBE_BACKOFF_MAX, STANDBY_BACKOFF_MAX},
         join,
     },
     crate::{
         metrics::Metrics,
         records::Records,
         settings::Settings,
-        store::{Result, Revision, Rows, Store},
+        store::{Result, Revision, Rows, Store, StoreError},
         table_sync::TableSync,
     },
     bilberryfront_decide::member::message::TableId,
     std::{cell::Cell, rc::Rc, time::Duration},
-    tokio::sync::{Notify, mpsc, watch},
+    tokio::{
+        sync::{Notify, mpsc, watch},
+        time::timeout,
+    },
 };
 
 /// Long-poll wait for operators' rows; limits the time until a lost response is detected.
@@ -35,6 +38,8 @@
 /// Minimum interval of polls for runner registrations, as a share of the time within which new
 /// requests to a draining runner must stop. The rest is reserved for repeating a failed poll.
 const RUNNERS_SHARE: f64 = 0.45;
+/// Time after which a check is passed on to another node.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// Capacity of the event channel.
 const EVENTS: usize = 64;
 
@@ -47,10 +52,14 @@
     Nodes,
 }
 
-/// Contents of a table that was read directly, before the replication provides it.
-pub(super) struct Loaded {
-    pub(super) table: TableId,
-    pub(super) rows: Result<Rows>,
+/// Rows that were read without a watcher.
+pub(super) enum Loaded {
+    /// Contents of a table, before the replication provides it.
+    Table(TableId, Result<Rows>),
+    /// Change of the operators' table that a check has found.
+    Check(Change),
+    /// The store has not responded to a check in time.
+    CheckFailed,
 }
 
 /// Handles that control the watchers.
@@ -67,6 +76,8 @@
     era: Cell<u64>,
     runners_wait: Rc<Cell<Duration>>,
     load: Rc<Notify>,
+    /// Revision from which the operators' table is to be checked.
+    check: watch::Sender<Option<Revision>>,
 }
 
 impl Feeds {
@@ -87,6 +98,7 @@
             era: Cell::default(),
             runners_wait: Rc::new(Cell::new(RUNNERS_WAIT_MIN)),
             load: Rc::default(),
+            check: watch::Sender::new(None),
         };
         let watch = |name, table, min_interval, wait: &Rc<Cell<Duration>>| {
             let (revision, max_backoff, active) = match table {
@@ -125,9 +137,22 @@
             let load = load(store.clone(), name, table, feeds.load.clone(), loader.clone());
             tokio::task::spawn_local(load);
         }
+        let check =
+            check(store.clone(), R::ORDERS, feeds.check.subscribe(), loader, metrics.clone());
+        tokio::task::spawn_local(check);
         (feeds, events, loaded)
     }
 
+    /// Checks once whether the store has later rows of the operators' table than at a revision.
+    pub(super) fn check(&self, revision: Option<Revision>) {
+        self.check.send_replace(revision);
+    }
+
+    /// Repeats the polls that have been pending for some time.
+    pub(super) fn repeat_polls(&self) {
+        self.recoveries.send_modify(|count| *count += 1);
+    }
+
     /// Reads once each table that is needed to serve requests.
     pub(super) fn load_once(&self) {
         self.load.notify_waiters();
@@ -185,8 +210,53 @@
     loop {
         requested.notified().await;
         let rows = store.read(name).await;
-        if loader.send(Loaded { table, rows }).await.is_err() {
+        if loader.send(Loaded::Table(table, rows)).await.is_err() {
             return;
         }
     }
 }
+
+/// Checks the operators' table each time it is requested. The table is not read if the store does not
+/// respond to this node.
+async fn check<S: Store>(
+    store: S,
+    name: &'static str,
+    mut requested: watch::Receiver<Option<Revision>>,
+    loader: mpsc::Sender<Loaded>,
+    metrics: Metrics,
+) {
+    while requested.changed().await.is_ok() {
+        let Some(revision) = *requested.borrow_and_update() else { continue };
+        let response = store.feed(name, revision, Duration::ZERO);
+        tokio::pin!(response);
+        let response = match timeout(CHECK_TIMEOUT, &mut response).await {
+            Ok(response) => response,
+            Err(_) => {
+                if loader.send(Loaded::CheckFailed).await.is_err() {
+                    return;
+                }
+                response.await
+            }
+        };
+        metrics.count_store_poll(name, feed::outcome(&response));
+        let change = match response {
+            Err(StoreError::Compacted | StoreError::Restored) => {
+                store.read(name).await.map(Change::Snapshot)
+            }
+            rows => rows.map(Change::Rows),
+        };
+        match change {
+            Ok(change) => {
+                if loader.send(Loaded::Check(change)).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => {
+                log::debug!(table = name; "check failed: {error}");
+                if loader.send(Loaded::CheckFailed).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- a/crates/relay/src/control/tables.rs
+++ b/crates/relay/src/control/tables.rs
@@ -31,14 +31,22 @@
     }
 
     /// Applies a table that was read directly.
-    pub(super) fn apply_loaded(&mut self, Loaded { table, rows }: Loaded) {
-        match rows {
-            Ok(rows) => {
-                let mut out = Vec::new();
-                self.sync.on_load(Instant::now(), table, rows, &mut out);
+    pub(super) fn apply_loaded(&mut self, loaded: Loaded) {
+        let (now, mut out) = (Instant::now(), Vec::new());
+        match loaded {
+            Loaded::Table(table, Ok(rows)) => {
+                self.sync.on_load(now, table, rows, &mut out);
+                self.apply_actions(out);
+            }
+            Loaded::Check(change) => {
+                self.sync.on_check(now, change, &mut out);
+                self.apply_actions(out);
+            }
+            Loaded::CheckFailed => {
+                self.sync.on_check_failed(&mut out);
                 self.apply_actions(out);
             }
-            Err(error) => {
+            Loaded::Table(_, Err(error)) => {
                 log::warn!("{error}");
                 self.set_cut_off(true);
             }
@@ -104,6 +112,8 @@
                         membership.send_to(&to, &message);
                     }
                 }
+                Action::Check => self.feeds.check(self.sync.revision(TableId::Operators)),
+                Action::RepeatPolls => self.feeds.repeat_polls(),
                 Action::Apply { table, rows, grace } => self.apply_rows(table, &rows, grace),
                 Action::Release { keys, .. } => {
                     if self.registry.release(&keys) {
--- a/crates/relay/src/readers.rs
+++ b/crates/relay/src/readers.rs
@@ -62,6 +62,11 @@
         self.0.is_empty()
     }
 
+    /// Returns all nodes by rank.
+    pub fn names(&self) -> &[CompactString] {
+        &self.0
+    }
+
     /// Returns the nodes that should read the store.
     pub fn readers(&self) -> &[CompactString] {
         &self.0[..self.0.len().min(READERS)]
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -58,6 +58,8 @@
     pub grace: f64,
     /// Time within which new requests to a draining runner must stop, in milliseconds.
     pub leave_ms: f64,
+    /// Time within which a change of the catalogue must be in force, in milliseconds.
+    pub apply_ms: f64,
     /// Maximum time to live of an address response.
     pub keep: f64,
     /// Retries per request.
@@ -78,6 +80,7 @@
         Bounds {
             grace: 5.0,
             leave_ms: 2_000.0,
+            apply_ms: 2_000.0,
             keep: 2.0,
             ratio: 0.2,
             slack: 10.0,
@@ -109,6 +112,11 @@
         seconds(self.grace)
     }
 
+    /// Returns the time within which a change of the catalogue must be in force.
+    pub fn apply_time(&self) -> Duration {
+        seconds(self.apply_ms / 1_000.0)
+    }
+
     /// Returns the time within which new requests to a draining runner must stop.
     pub fn drain_reaction_time(&self) -> Duration {
         seconds(self.leave_ms / 1_000.0)
--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -14,7 +14,7 @@
         control::feed::Change,
         log_messages::STORE_RESTORED,
         mirror::{Mirror, ServiceOf},
-        readers::{Election, Ranking},
+        readers::{Election, READERS, Ranking},
         shards::{self, ShardCounts},
         store::{Condition, Revision, Row, Rows},
     },
@@ -60,6 +60,10 @@
         /// Time for which removed runners are kept, because they may register again.
         grace: Duration,
     },
+    /// Check once whether the store has later rows of the operators' table.
+    Check,
+    /// Repeat the pending polls: the store may not respond to them any more.
+    RepeatPolls,
     /// Delete rows that this node no longer holds, although they are still in the table.
     Release {
         /// Table.
@@ -69,6 +73,13 @@
     },
 }
 
+/// Time from an update by a node that does not read the store until the pending poll of a reader that
+/// has not brought the change is repeated.
+const OVERTAKEN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Share of the time within which changes must be applied that lies between two checks of the
+/// operators' table by nodes that do not read it.
+const CHECK_SHARE: f64 = 0.3;
+
 /// State of one table.
 #[derive(Debug, Default)]
 struct Table {
@@ -114,6 +125,15 @@
     served: bool,
     reported_at: Option<Instant>,
     exchanged_at: Option<Instant>,
+    /// Interval of the checks that this node requests.
+    check_interval: Duration,
+    checked_at: Option<Instant>,
+    /// Number of requested checks, which go to each node in turn.
+    checks: usize,
+    /// Whether the last check is passed on to another node if the store does not respond to this one.
+    passes_check: bool,
+    /// Time at which a peer had operators' rows that this reader's poll has not brought yet.
+    overtaken_at: Option<Instant>,
     /// Time at which the store was last available to this node or, by its report, to a reader.
     available_at: Option<Instant>,
     /// Whether the store is unavailable to this node and to all readers.
@@ -137,8 +157,13 @@
 
 impl TableSync {
     /// Creates the state of a node without any rows. `service_of` decodes the service of a
-    /// registration.
-    pub fn new(seed: u64, me: CompactString, service_of: ServiceOf) -> TableSync {
+    /// registration; changes of the operators' rows must be applied within `apply_time`.
+    pub fn new(
+        seed: u64,
+        me: CompactString,
+        service_of: ServiceOf,
+        apply_time: Duration,
+    ) -> TableSync {
         let mut tables: [Table; TableId::ALL.len()] = Default::default();
         tables[index(TableId::Runners)].mirror = Mirror::of_registrations(service_of);
         TableSync {
@@ -152,6 +177,11 @@
             served: false,
             reported_at: None,
             exchanged_at: None,
+            check_interval: apply_time.mul_f64(CHECK_SHARE) * READERS as u32,
+            checked_at: None,
+            checks: 0,
+            passes_check: false,
+            overtaken_at: None,
             available_at: None,
             outage: false,
             rejected: false,
@@ -238,6 +268,7 @@
         if !self.polling {
             self.responsive = false;
             self.served = false;
+            self.overtaken_at = None;
             self.tables.iter_mut().for_each(|table| table.failed = false);
         }
         self.update_outage(now);
@@ -248,6 +279,10 @@
         if self.polling && self.is_loaded() {
             self.report(now, out);
         }
+        if self.overtaken_at.is_some_and(|at| now >= at + OVERTAKEN_TIMEOUT) {
+            self.overtaken_at = None;
+            out.push(Action::RepeatPolls);
+        }
         if !self.polling && self.election.is_started() && !self.is_loaded() {
             self.pull_missing(now, out);
         }
@@ -260,6 +295,7 @@
         self.rejected |= failed;
         if table == TableId::Operators {
             self.responsive = !failed;
+            self.overtaken_at = None;
         }
         // Rollout statuses change rarely, so polls of them alone do not show whether the store is
         // available.
@@ -327,9 +363,47 @@
         self.apply_held(now, table, rows, was_whole, Duration::ZERO, out);
     }
 
+    /// Handles rows of the operators' table that a check has read from the store. If the node's copy
+    /// lacked them, the readers do not get changes from the store.
+    pub fn on_check(&mut self, now: Instant, change: Change, out: &mut Vec<Action>) {
+        let table = TableId::Operators;
+        let Table { mirror, whole, .. } = &mut self.tables[index(table)];
+        let was_whole = *whole;
+        let (rows, revision) = match change {
+            Change::Unavailable | Change::Available => return,
+            Change::Snapshot(snapshot) => {
+                let revision = snapshot.revision;
+                *whole = true;
+                (mirror.replace(now, snapshot), revision)
+            }
+            Change::Rows(Rows { rows, revision }) => {
+                let rows = mirror.merge(now, rows);
+                mirror.confirm(revision);
+                (rows, revision)
+            }
+        };
+        if rows.is_empty() {
+            return;
+        }
+        log::warn!(rows = rows.len() as u64, revision:%; "the readers lack rows of the operators' table");
+        let grace = self.grace_left(now);
+        self.broadcast(table, revision, grace, &rows, out);
+        self.apply_held(now, table, rows, was_whole, grace, out);
+    }
+
     /// Handles a row of the operators' table that was received by gossip.
     pub fn on_gossip(&mut self, now: Instant, row: Row) {
-        self.tables[index(TableId::Operators)].mirror.merge(now, vec![row]);
+        let changed = self.tables[index(TableId::Operators)].mirror.merge(now, vec![row]);
+        if !changed.is_empty() {
+            self.mark_overtaken(now);
+        }
+    }
+
+    /// Records that the polls of this node should have brought a change of the operators' rows.
+    fn mark_overtaken(&mut self, now: Instant) {
+        if self.polling {
+            self.overtaken_at.get_or_insert(now);
+        }
     }
 
     /// Handles a message from a peer.
@@ -379,6 +453,9 @@
         if !rows.is_empty() && !self.ranking.contains(from) {
             self.broadcast(table, revision, grace, &rows, out);
         }
+        if !rows.is_empty() && table == TableId::Operators {
+            self.mark_overtaken(now);
+        }
         if !rows.is_empty() || matches!(extent, Extent::Whole | Extent::Shard) {
             self.apply_held(now, table, rows, was_whole, grace, out);
         }
--- a/crates/relay/src/table_sync/exchange.rs
+++ b/crates/relay/src/table_sync/exchange.rs
@@ -3,7 +3,7 @@
 use {
     super::{Action, Backoff, Table, TableSync, division::division, index},
     crate::{
-        readers::REPORT_INTERVAL,
+        readers::{READERS, REPORT_INTERVAL},
         shards,
         store::{Revision, Row},
     },
@@ -74,6 +74,10 @@
         self.election.record_report(now, from, rank, report.available);
         self.rejected |= !report.available;
         self.update_outage(now);
+        if report.checker.as_ref() == Some(&self.me) && !self.polling {
+            self.passes_check = report.available;
+            out.push(Action::Check);
+        }
         if !report.available {
             return;
         }
@@ -182,8 +186,48 @@
         }));
     }
 
+    /// Passes a check on to another node, as the store does not respond to this one. That node does not
+    /// pass it on again.
+    pub fn on_check_failed(&mut self, out: &mut Vec<Action>) {
+        let standby = self.standby();
+        let own = standby.iter().position(|name| *name == self.me);
+        let next = own.and_then(|own| standby.get((own + standby.len() / 2) % standby.len()));
+        let next = next.filter(|name| **name != self.me).cloned();
+        if let Some(next) = next.filter(|_| std::mem::take(&mut self.passes_check)) {
+            let report = StoreReport {
+                available: false,
+                digests: Vec::new(),
+                services: Vec::new(),
+                checker: Some(next.clone()),
+            };
+            out.push(Action::Send(next, PeerMessage::StoreReport(report)));
+        }
+    }
+
+    /// Returns the nodes of this node's failure domain that are not readers, by rank.
+    fn standby(&self) -> &[CompactString] {
+        &self.ranking.names()[self.ranking.readers().len()..]
+    }
+
+    /// Returns the node that should check the store next, if a check is due: each node of the failure
+    /// domain that is not a reader in turn.
+    fn next_checker(&mut self, now: Instant) -> Option<CompactString> {
+        let rank = self.rank();
+        if !self.served || self.standby().is_empty() || rank >= READERS {
+            return None;
+        }
+        // The readers request their checks at different times.
+        self.checked_at.get_or_insert(now + self.check_interval * rank as u32 / READERS as u32);
+        if !is_due(&mut self.checked_at, now, self.check_interval) {
+            return None;
+        }
+        self.checks += 1;
+        let standby = self.standby();
+        standby.get((READERS * self.checks + rank) % standby.len()).cloned()
+    }
+
     /// Returns the report of this node for the nodes at the position `shard`.
-    fn store_report(&self, shard: u32) -> StoreReport {
+    fn store_report(&self, shard: u32, checker: Option<CompactString>) -> StoreReport {
         let digest = |table| {
             let revision = self.revision(table)?;
             let mirror = &self.tables[index(table)].mirror;
@@ -196,14 +240,16 @@
             shards,
         };
         let services = self.services.iter().map(divided).collect();
-        StoreReport { available: self.served, digests, services }
+        StoreReport { available: self.served, digests, services, checker }
     }
 
     pub(super) fn report(&mut self, now: Instant, out: &mut Vec<Action>) {
         if is_due(&mut self.reported_at, now, REPORT_INTERVAL) {
             let count = self.services.max();
+            let checker = self.next_checker(now);
             out.extend((0..count).map(|shard| {
-                let message = PeerMessage::StoreReport(self.store_report(shard));
+                let report = self.store_report(shard, checker.clone());
+                let message = PeerMessage::StoreReport(report);
                 match count {
                     1 => Action::Broadcast(message),
                     _ => Action::SendToShard { shard, count, message },
@@ -211,7 +257,7 @@
             }));
         }
         if self.served && is_due(&mut self.exchanged_at, now, EXCHANGE_INTERVAL) {
-            let report = self.store_report(self.shard);
+            let report = self.store_report(self.shard, None);
             out.push(Action::Exchange(PeerMessage::StoreReport(report)));
         }
     }
--- a/crates/relay/tests/table_sync.rs
+++ b/crates/relay/tests/table_sync.rs
@@ -7,7 +7,7 @@
 mod world;
 
 use {
-    self::world::{BACKOFF, WAIT, World},
+    self::world::{APPLY_TIME, BACKOFF, WAIT, World},
     bilberryfront_decide::member::message::TableId,
     bilberryfront_relay::{
         mirror::Mirror,
@@ -25,6 +25,8 @@
 const RUNNERS: usize = 100;
 const DOMAINS: usize = 2;
 const TABLES: usize = TableId::ALL.len();
+/// Least interval of checks of the operators' table in a failure domain.
+const CHECK_INTERVAL: Duration = Duration::from_millis(600);
 const SECOND: Duration = Duration::from_secs(1);
 
 /// Load: no changes. The number of calls to the store does not depend on the number of nodes.
@@ -33,7 +35,8 @@
     for size in SIZES {
         let mut world = World::settled(size, RUNNERS).await;
         world.run(20 * SECOND).await;
-        let limit = (DOMAINS * READERS * TABLES) as f64 * 20.0 / WAIT.as_secs_f64();
+        let checks = DOMAINS as f64 * 20.0 / CHECK_INTERVAL.as_secs_f64();
+        let limit = (DOMAINS * READERS * TABLES) as f64 * 20.0 / WAIT.as_secs_f64() + checks;
         assert!(f64::from(world.store.calls) <= limit, "{} calls of {size}", world.store.calls);
         let rate = world.sent / 20 / size;
         assert!(rate <= 6, "{rate} messages a second and node");
@@ -91,6 +94,30 @@
     }
 }
 
+/// Guards against a change that waits for the timeout of the readers' polls while the store is silent
+/// for them and serves other nodes.
+#[tokio::test(start_paused = true)]
+async fn change_is_found_while_the_store_is_silent_for_the_readers() {
+    for size in SIZES {
+        let mut world = World::settled(size, RUNNERS).await;
+        world.readers().into_iter().for_each(|reader| world.nodes[reader].silent = true);
+        // The other domain hears nothing either.
+        world.nodes.iter_mut().filter(|n| n.domain == 1).for_each(|n| n.silent = true);
+        (0..size).step_by(3).for_each(|index| world.nodes[index].silent = true);
+        let revision = world.store.put(TableId::Operators, "config");
+        let key = |n: &world::Node| n.domain == 1 || n.has(TableId::Operators, "config", revision);
+        let elapsed = world.until("changed", key).await;
+        assert!(elapsed <= APPLY_TIME, "{elapsed:?}");
+        let other = world.store.put(TableId::Operators, "config");
+        let key = |n: &world::Node| n.has(TableId::Operators, "config", other);
+        let elapsed = world.until("changed again", key).await;
+        assert!(elapsed <= 2 * SECOND, "{elapsed:?}");
+        world.run(3 * SECOND).await;
+        let is_reading = |n: &world::Node| n.domain == 0 && !n.silent && n.sync.is_polling();
+        assert!(world.nodes.iter().any(is_reading), "a node with access reads for all");
+    }
+}
+
 /// Guards against a domain without updates while the store rejects all its nodes.
 #[tokio::test(start_paused = true)]
 async fn rejected_domain_gets_changes_from_another_domain() {
--- a/crates/relay/tests/table_sync/shards.rs
+++ b/crates/relay/tests/table_sync/shards.rs
@@ -94,7 +94,7 @@
     let reader = ranking.readers()[0].clone();
     let me = format_compact!("node-{}", if reader == "node-7" { 8 } else { 7 });
     let (start, mut out) = (Instant::now(), Vec::new());
-    let mut sync = TableSync::new(1, me, |_, _| Some("llm".into()));
+    let mut sync = TableSync::new(1, me, |_, _| Some("llm".into()), Duration::from_secs(2));
     sync.set_ranking(ranking);
     sync.start(start);
     let digest = |table| {
@@ -102,7 +102,7 @@
         TableDigest { table, revision, hash: 1, shard_hash: 2 }
     };
     let digests: Vec<TableDigest> = TableId::ALL.into_iter().map(digest).collect();
-    let report = StoreReport { available: true, digests, services: Vec::new() };
+    let report = StoreReport { available: true, digests, services: Vec::new(), checker: None };
     for tick in 0..60 {
         let now = start + INTERVAL * tick;
         if tick % 8 == 4 {
--- a/crates/relay/tests/table_sync/world.rs
+++ b/crates/relay/tests/table_sync/world.rs
@@ -24,6 +24,10 @@
 /// Long-poll wait, and delay between two rejected polls.
 pub(crate) const WAIT: Duration = Duration::from_secs(4);
 pub(crate) const BACKOFF: Duration = Duration::from_millis(800);
+/// Time without a response after which a poll fails, in addition to its wait.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time within which changes of the operators' table must be applied.
+pub(crate) const APPLY_TIME: Duration = Duration::from_secs(2);
 /// Nodes of the second domain.
 const OTHERS: usize = 3;
 
@@ -38,6 +42,8 @@
     pub(crate) dead: bool,
     /// Whether the store rejects this node.
     pub(crate) rejected: bool,
+    /// Whether the store does not respond to this node.
+    pub(crate) silent: bool,
     polls: [Poll; 3],
 }
 
@@ -47,6 +53,8 @@
     down: bool,
     due: Instant,
     revision: Option<Revision>,
+    /// Whether the store does not respond to the pending poll.
+    lost: bool,
 }
 
 #[derive(Default)]
@@ -88,18 +96,18 @@
             store.put(TableId::Runners, &format_compact!("r{index}"));
         }
         store.put(TableId::Operators, "config");
-        let poll = Poll { active: false, down: false, due: now, revision: None };
+        let poll = Poll { active: false, down: false, due: now, revision: None, lost: false };
         let domain = |domain: usize, size: usize| {
             let names = (0..size).map(|i| format_compact!("node-{domain}-{i}"));
             let ranking = Ranking::new(names.clone());
             let node = move |(seed, name): (usize, CompactString)| {
                 let service = |_: &str, _: &[u8]| Some("llm".into());
-                let mut sync = TableSync::new(seed as u64, name.clone(), service);
+                let mut sync = TableSync::new(seed as u64, name.clone(), service, APPLY_TIME);
                 sync.start(now);
                 sync.set_ranking(ranking.clone());
                 let (rows, removed) = (BTreeMap::new(), Vec::new());
-                let (dead, rejected, polls) = (false, false, [poll; 3]);
-                Node { name, domain, sync, rows, removed, dead, rejected, polls }
+                let (dead, rejected, silent, polls) = (false, false, false, [poll; 3]);
+                Node { name, domain, sync, rows, removed, dead, rejected, silent, polls }
             };
             names.enumerate().map(node).collect::<Vec<_>>()
         };
@@ -157,7 +165,7 @@
     fn repair(&mut self) {
         self.store.down = false;
         self.unreachable.clear();
-        self.nodes.iter_mut().for_each(|node| node.rejected = false);
+        self.nodes.iter_mut().for_each(|node| (node.rejected, node.silent) = (false, false));
     }
 
     /// Returns the indices of the first domain's readers by rank.
@@ -238,15 +246,20 @@
             return None;
         }
         if !poll.active {
-            *poll =
-                Poll { active: true, down: false, due: now, revision: node.sync.revision(table) };
+            let revision = node.sync.revision(table);
+            *poll = Poll { active: true, down: false, due: now, revision, lost: false };
         }
-        let is_failing = self.store.down || node.rejected;
+        if node.silent && !poll.lost {
+            poll.lost = true;
+            poll.due = poll.due.max(now) + RESPONSE_TIMEOUT;
+        }
+        let is_failing = self.store.down || node.rejected || poll.lost;
         let changed = poll.revision.is_none_or(|known| self.store.has_changed(table, known));
         if now < poll.due && (poll.down || is_failing || !changed) {
             return None;
         }
         self.store.calls += 1;
+        poll.lost = node.silent;
         if is_failing {
             poll.due = now + BACKOFF;
             return (!std::mem::replace(&mut poll.down, true)).then(|| vec![Change::Unavailable]);
@@ -266,6 +279,25 @@
         Some(changes)
     }
 
+    /// Checks the operators' table for a node.
+    fn check(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        self.store.calls += 1;
+        let Some(known) = node.sync.revision(TableId::Operators) else { return };
+        if self.store.down || node.rejected || node.silent {
+            let mut out = Vec::new();
+            node.sync.on_check_failed(&mut out);
+            return self.carry_out(index, out);
+        }
+        let change = match self.store.has_history(known) {
+            true => Change::Rows(self.store.rows(TableId::Operators, Some(known))),
+            false => Change::Snapshot(self.store.rows(TableId::Operators, None)),
+        };
+        let mut out = Vec::new();
+        node.sync.on_check(Instant::now(), change, &mut out);
+        self.carry_out(index, out);
+    }
+
     fn carry_out(&mut self, index: usize, actions: Vec<Action>) {
         let Node { name: from, domain, .. } = &self.nodes[index];
         let (from, domain) = (from.clone(), *domain);
@@ -307,6 +339,13 @@
                         self.nodes[index].apply(table, row, grace);
                     }
                 }
+                Action::Check => self.check(index),
+                Action::RepeatPolls => {
+                    let now = Instant::now();
+                    self.nodes[index].polls.iter_mut().for_each(|poll| {
+                        poll.due = if poll.lost { now + RESPONSE_TIMEOUT } else { now };
+                    });
+                }
                 Action::Release { table, keys } => {
                     for key in keys {
                         self.nodes[index].rows.remove(&(table, key));
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -27,6 +27,7 @@
     let times = [
         ("grace", bounds.grace),
         ("leave_ms", bounds.leave_ms),
+        ("apply_ms", bounds.apply_ms),
         ("keep", bounds.keep),
         ("window", bounds.window),
     ];
--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -89,6 +89,7 @@
                 shard_hash: 8,
             }],
             services: vec![DividedService { service: "llm".into(), shards: 16 }],
+            checker: Some(name()),
         }),
     ]
 }
