Pause requests to a new version after 25 bad responses

A bad version got requests long after its 50th bad response while the old version failed too.

Cause: only a verdict ended the requests, and the sequential test counts bad events alone. At the hypothesis of 150 times as many, each bad event of the old version takes back more than three of the new one's, whatever made it. Class: a bound that depends on a detector's power.

The nodes now count the new version's bad requests of all nodes and pause its requests at 25, whether or not there is a finding; the platform tolerates 50. The number travels with the reports, so that a node that has restarted pauses as well. A node that lacks the evidence for a pause does not complete the version. Changes of a rollout's phase and pauses are logged with the number of bad requests.

--- a/crates/decide/src/mover/evidence.rs
+++ b/crates/decide/src/mover/evidence.rs
@@ -75,10 +75,10 @@
 
 impl Tally {
     fn record(&mut self, sample: &Sample<'_>) {
-        let share = sample.choice.share.fraction();
-        if share <= 0.0 || share >= 1.0 {
+        if !sample.choice.is_random() {
             return;
         }
+        let share = sample.choice.share.fraction();
         if sample.choice.new {
             self.new += 1;
             self.runners |= 1 << (sample.runner % 64);
@@ -151,6 +151,8 @@
     pub old: u32,
     /// Requests that ended on the new version.
     pub new: u32,
+    /// Requests among `old` that could have been assigned to the new version.
+    pub control: u32,
     /// Runners of the new version, as a bit set like [`Tally::runners`].
     pub runners: u64,
     /// Accounts served by the new version, as a bit set like [`Tally::runners`].
@@ -166,6 +168,7 @@
     pub fn add(&mut self, other: &Counts) {
         self.old += other.old;
         self.new += other.new;
+        self.control += other.control;
         self.runners |= other.runners;
         self.accounts |= other.accounts;
         self.bad.iter_mut().zip(&other.bad).for_each(|(a, b)| a.add(b));
@@ -182,6 +185,8 @@
     pub sequence: u64,
     /// By route.
     pub routes: BTreeMap<CompactString, Counts>,
+    /// Requests of the new version with bad events.
+    pub bad: u32,
 }
 
 impl Evidence {
@@ -219,10 +224,12 @@
             counts.accounts |= 1 << (sample.account % 64);
         } else {
             counts.old += 1;
+            counts.control += u32::from(sample.choice.is_random());
             let pairs = counts.usual.iter_mut().zip(latencies);
             pairs.for_each(|(usual, latency)| latency.into_iter().for_each(|l| usual.record(l)));
         }
         let bad = [!sample.ok, slow[0], slow[1]];
+        self.evidence.bad += u32::from(sample.choice.new && bad.contains(&true));
         let tallies = counts.bad.iter_mut().zip(bad).filter(|(_, bad)| *bad);
         tallies.for_each(|(tally, _)| tally.record(sample));
         self.evidence.sequence += 1;
@@ -233,6 +240,7 @@
         for counts in self.evidence.routes.values_mut() {
             *counts = Counts { usual: counts.usual, ..Counts::default() };
         }
+        self.evidence.bad = 0;
     }
 
     /// Returns the counters.
@@ -263,6 +271,11 @@
         }
     }
 
+    /// Returns the number of requests of the new version with bad events.
+    pub fn bad(&self) -> u32 {
+        self.nodes.values().map(|evidence| evidence.bad).sum()
+    }
+
     /// Returns the sum over nodes by route, if it changed since the last call.
     pub fn take_changed(&mut self) -> Option<BTreeMap<CompactString, Counts>> {
         std::mem::take(&mut self.changed).then(|| self.routes())
--- a/crates/decide/src/mover/split.rs
+++ b/crates/decide/src/mover/split.rs
@@ -34,6 +34,13 @@
     pub share: Share,
 }
 
+impl Choice {
+    /// Returns whether the request could have been assigned to either version.
+    pub fn is_random(&self) -> bool {
+        self.share != Share::NONE && self.share != Share::ALL
+    }
+}
+
 impl Split {
     /// Returns the share at `now`.
     pub fn share(&self, now: Instant) -> Share {
--- a/crates/decide/src/mover/update.rs
+++ b/crates/decide/src/mover/update.rs
@@ -39,6 +39,8 @@
     pub verdict: Option<Verdict>,
     /// The sender's counters, if they changed since its last message.
     pub evidence: Option<Evidence>,
+    /// Number of requests of the new version with bad events, at all nodes that the sender knows of.
+    pub bad: u32,
 }
 
 /// Age of the information that a share is based on.
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -1,7 +1,7 @@
 //! State machine of one rollout.
 
 use {
-    super::{RolloutOrder, RolloutStatus, exposure::CANARY_SHARE},
+    super::{RolloutOrder, RolloutStatus, comparison, exposure::CANARY_SHARE},
     crate::{
         store::Revision,
         view::{Rule, Split},
@@ -38,6 +38,9 @@
 const MIN_FINISHED: u32 = 12;
 /// Number of bad events beyond the new version's share that are attributed to chance.
 const CHANCE_EVENTS: f64 = 2.0;
+/// Number of requests of the new version with bad events, at all nodes, after which it gets no more. The
+/// platform tolerates 50 bad responses; the rest covers requests in flight and reports under way.
+const MAX_BAD: u32 = 25;
 /// Evaluation interval.
 const EVALUATE_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval of messages to peers.
@@ -95,6 +98,8 @@
     recorded_at: Instant,
     collector: Collector,
     pool: PooledEvidence,
+    /// Number of requests of the new version with bad events, at all nodes; a lower bound.
+    bad: u32,
     routes: BTreeMap<CompactString, Counts>,
     judge: SequentialTest,
     verdict: Option<Verdict>,
@@ -125,6 +130,7 @@
             recorded_at: now,
             collector: Collector::default(),
             pool: PooledEvidence::default(),
+            bad: 0,
             routes: BTreeMap::new(),
             judge: SequentialTest::new(now, order.time),
             verdict: None,
@@ -211,6 +217,7 @@
         if let Some(evidence) = &update.evidence {
             self.pool.merge(update.from, evidence);
         }
+        self.set_bad(now, update.bad);
         if let Some(verdict) = &update.verdict {
             self.roll_back(now, verdict.clone());
         }
@@ -218,6 +225,7 @@
 
     pub(super) fn split(&self) -> Split {
         let rule = match self.phase {
+            Phase::Canary if self.is_paused() => Rule::OnlyOld,
             Phase::Canary => Rule::Canary,
             Phase::Completed => Rule::OnlyNew,
             Phase::RolledBack => Rule::OnlyOld,
@@ -240,7 +248,8 @@
     fn transition(&mut self, signal: Signal) {
         let Some(next) = CHART.next(self.phase, signal) else { return };
         log::info!(service = self.order.service.as_str(), to = self.order.to.as_str(),
-            served = self.served(); "rollout phase changed from {:?} to {next:?}", self.phase);
+            served = self.served(), bad = self.bad;
+            "rollout phase changed from {:?} to {next:?}", self.phase);
         self.phase = next;
     }
 
@@ -255,6 +264,22 @@
         }
     }
 
+    /// Raises the number of bad requests of the new version to the one that a node knows.
+    fn set_bad(&mut self, now: Instant, bad: u32) {
+        let was_paused = self.is_paused();
+        self.bad = self.bad.max(bad);
+        if self.is_paused() && !was_paused {
+            log::warn!(service = self.order.service.as_str(), to = self.order.to.as_str(),
+                served = self.served(), bad = self.bad; "requests to the new version paused");
+            self.report_at = now;
+        }
+    }
+
+    /// Returns whether the new version gets no requests until there is a verdict or the deadline is near.
+    fn is_paused(&self) -> bool {
+        self.bad >= MAX_BAD
+    }
+
     fn evaluate(&mut self, now: Instant, nodes: usize) {
         if now < self.evaluate_at || self.phase != Phase::Canary {
             return;
@@ -264,10 +289,13 @@
         if let Some(routes) = self.pool.take_changed() {
             self.routes = routes;
         }
+        self.set_bad(now, self.pool.bad());
         let found = self.judge.evaluate(now, &self.routes, nodes);
-        if let Some(found) = found {
-            let verdict = Verdict { cause: found.cause, route: found.route, node: self.me };
-            return self.roll_back(now, verdict);
+        let found = found.map(|found| (found.cause, found.route));
+        let is_last_look = self.is_paused() || now >= self.at(COMPLETE_SHARE);
+        let compare = || is_last_look.then(|| comparison::find_worse(&self.routes)).flatten();
+        if let Some((cause, route)) = found.or_else(compare) {
+            return self.roll_back(now, Verdict { cause, route, node: self.me });
         }
         if now >= self.at(FINAL_SHARE) && !self.is_healthy(now, 1) {
             let route = CompactString::default();
@@ -278,7 +306,11 @@
     /// Returns whether the new version has runners, is not suspect, and has finished at least
     /// `need` requests.
     fn is_healthy(&self, now: Instant, need: u32) -> bool {
-        let suspect = self.judge.is_suspect(now) && self.is_worse();
+        // A node that has restarted may lack the evidence for which the requests were paused.
+        let suspect = match self.is_paused() {
+            true => self.pool.bad() < MAX_BAD,
+            false => self.judge.is_suspect(now) && self.is_worse(),
+        };
         self.runners > 0 && !suspect && self.served() >= need
     }
 
@@ -316,6 +348,7 @@
             id: self.id(),
             verdict: self.verdict.clone(),
             evidence: Some(self.collector.evidence().clone()),
+            bad: self.bad,
         })
     }
 
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -21,6 +21,9 @@
 const BOUND: Bound = Bound { share: 0.1, slack: 50.0 };
 const STEP: Duration = Duration::from_millis(50);
 const TIME: Duration = Duration::from_secs(12);
+const LONG_TIME: Duration = Duration::from_secs(32);
+/// Number of bad responses of the new version after which the platform requires a rollback.
+const MAX_BAD: u32 = 50;
 /// Requests per second of each node.
 const RATE: f64 = 5.0;
 
@@ -65,18 +68,29 @@
     /// Number of requests since the order, and of those sent to the new version.
     all: u32,
     new: u32,
+    /// Number of failed requests of the new version.
+    bad: u32,
 }
 
 fn rollout_order() -> RolloutOrder {
-    RolloutOrder { service: "llm".into(), to: "v2".into(), time: TIME }
+    order_of(TIME)
+}
+
+fn order_of(time: Duration) -> RolloutOrder {
+    RolloutOrder { service: "llm".into(), to: "v2".into(), time }
 }
 
 impl World {
     fn new(seed: u64, failure_rates: FailureRates) -> World {
+        World::lasting(TIME, seed, failure_rates)
+    }
+
+    /// Creates a world with an order whose deadline is after `time`.
+    fn lasting(time: Duration, seed: u64, failure_rates: FailureRates) -> World {
         let now = Instant::now();
         let node = |i: u64| {
             let mut rollouts = Rollouts::new(Incarnation(i + 1));
-            rollouts.apply_order(now, ORDERED_AT, rollout_order());
+            rollouts.apply_order(now, ORDERED_AT, order_of(time));
             Node {
                 rollouts,
                 known: None,
@@ -97,6 +111,7 @@
             messages: Vec::new(),
             all: 0,
             new: 0,
+            bad: 0,
         }
     }
 
@@ -164,11 +179,13 @@
             && self.failure_rates.route.is_none_or(|only| only == route);
         let failure_rate =
             if choice.new && is_failing { self.failure_rates.new } else { self.failure_rates.old };
+        let ok = !self.rng.random_bool(failure_rate);
+        self.bad += u32::from(choice.new && !ok && split.rule != Rule::OnlyNew);
         let sample = RolloutSample {
             service: "llm".into(),
             route: route.into(),
             choice,
-            ok: !self.rng.random_bool(failure_rate),
+            ok,
             first: Some(Duration::from_millis(self.rng.random_range(900..1_400))),
             pace: None,
             runner: self.rng.random_range(0..4),
@@ -225,6 +242,40 @@
     }
 }
 
+/// Guards against a version that gets more than [`MAX_BAD`] bad responses before it is found to be bad,
+/// because the old version fails as well.
+#[tokio::test(start_paused = true)]
+async fn failing_version_is_stopped_while_the_old_one_fails_too() {
+    for (old, new) in [(0.3, 1.0), (0.15, 0.6), (0.15, 0.5)] {
+        for seed in 0..20 {
+            let failure_rates = FailureRates { old, new, ..HEALTHY };
+            let mut world = World::lasting(LONG_TIME, seed, failure_rates);
+            world.run(LONG_TIME).await;
+            assert_eq!(world.phase(), Some(Phase::RolledBack), "{old}, {new}, seed {seed}");
+            assert!(world.bad < MAX_BAD, "{old}, {new}, seed {seed}: {} bad", world.bad);
+            assert!(world.within_bound(), "{} of {}", world.new, world.all);
+        }
+    }
+}
+
+/// Guards against a good version that is rolled back because its requests were paused: both versions
+/// fail so often that it has as many bad responses as a bad one.
+#[tokio::test(start_paused = true)]
+async fn good_version_is_completed_after_a_pause() {
+    let (mut completed, mut paused) = (0, 0);
+    for seed in 0..20 {
+        let failure_rates = FailureRates { old: 0.7, new: 0.7, ..HEALTHY };
+        let mut world = World::lasting(LONG_TIME, seed, failure_rates);
+        world.run(Duration::from_secs(20)).await;
+        paused += u32::from(world.rules().iter().all(|rule| *rule == Rule::OnlyOld));
+        world.run(Duration::from_secs(12)).await;
+        completed += u32::from(world.phase() == Some(Phase::Completed));
+        assert!(world.bad < MAX_BAD, "seed {seed}: {} bad", world.bad);
+    }
+    assert!(completed >= 19, "{completed} of 20");
+    assert!(paused >= 19, "{paused} of 20");
+}
+
 /// Requests fail on both versions alike, as in an outage behind the runners. Guards against
 /// attributing these failures to the new version.
 #[tokio::test(start_paused = true)]
@@ -292,6 +343,7 @@
             node: Incarnation(1),
         }),
         evidence: None,
+        bad: 0,
     };
     node.handle_peer_update(Instant::now(), &update);
     assert_eq!(node.splits()["llm"].rule, Rule::OnlyOld);
