Measure slowness of a new version against the old one's median as well

A version four times as slow as the old one was completed, and got all traffic, while a fifth of the old one's responses were as slow.

Cause: a latency counted as bad above the old version's mean and two deviations of the logarithm. The fifth that was slow lifted that to five times the usual. Class: a threshold that moves with what it should find.

The statistics now hold a histogram, which is summed over nodes like the moments, and a latency is bad above 2.5 times the median, too. Any bound on latencies keeps the test valid, as it depends on earlier requests only.

Ruled out without a run: fewer deviations, as they are lifted by the slow part as well.

--- a/crates/decide/src/mover/evidence.rs
+++ b/crates/decide/src/mover/evidence.rs
@@ -38,6 +38,15 @@
 const DEVIATIONS: f64 = 2.0;
 /// Additional factor on that bound, for cold caches on new runners.
 const SLACK: f64 = 1.25;
+/// Multiple of the old version's median above which a latency is bad as well. Unlike the mean and the
+/// deviation, the median hardly changes if some of the old runners are slow.
+const MEDIAN_RATIO: f64 = 2.5;
+/// Buckets of a histogram of latencies, from 1 ms on; each is [`BUCKET_RATIO`] times as long as the one
+/// before.
+const BUCKETS: usize = 32;
+const BUCKET_RATIO: f64 = std::f64::consts::SQRT_2;
+/// Lower limit of the first bucket, in seconds.
+const FIRST_BUCKET: f64 = 1e-3;
 
 /// A request that ended on its first attempt. Later attempts are not sampled: they are pinned to a
 /// version, so their version wasn't chosen at random.
@@ -103,13 +112,14 @@
     }
 }
 
-/// Statistics of the old version's latencies: moments of the logarithm of the seconds.
+/// Statistics of the old version's latencies: moments of the logarithm of the seconds, and a histogram.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
 pub struct LatencyStats {
     count: f64,
     sum: f64,
     squares: f64,
+    buckets: [u32; BUCKETS],
 }
 
 impl LatencyStats {
@@ -119,8 +129,11 @@
                 count: self.count / 2.0,
                 sum: self.sum / 2.0,
                 squares: self.squares / 2.0,
+                buckets: self.buckets.map(|count| count / 2),
             };
         }
+        let bucket = (latency.as_secs_f64() / FIRST_BUCKET).log(BUCKET_RATIO);
+        self.buckets[(bucket as usize).min(BUCKETS - 1)] += 1;
         let log = latency.as_secs_f64().max(1e-6).ln();
         self.count += 1.0;
         self.sum += log;
@@ -131,6 +144,21 @@
         self.count += other.count;
         self.sum += other.sum;
         self.squares += other.squares;
+        self.buckets.iter_mut().zip(other.buckets).for_each(|(a, b)| *a = a.saturating_add(b));
+    }
+
+    /// Returns the median in seconds, interpolated within its bucket.
+    fn median(&self) -> f64 {
+        let half = self.buckets.iter().map(|count| f64::from(*count)).sum::<f64>() / 2.0;
+        let mut below = 0.0;
+        for (bucket, count) in self.buckets.into_iter().map(f64::from).enumerate() {
+            if count > 0.0 && below + count >= half {
+                let position = bucket as f64 + (half - below) / count;
+                return FIRST_BUCKET * BUCKET_RATIO.powf(position);
+            }
+            below += count;
+        }
+        f64::INFINITY
     }
 
     /// Returns whether `latency` is significantly above the old version's. The bound depends on
@@ -139,6 +167,7 @@
         let mean = self.sum / self.count;
         let deviation = (self.squares / self.count - mean * mean).max(0.0).sqrt();
         let bound = (mean + DEVIATIONS * deviation).exp() * SLACK;
+        let bound = bound.min(self.median() * MEDIAN_RATIO);
         self.count >= MIN_LATENCIES && latency.as_secs_f64() > bound
     }
 }
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -47,12 +47,14 @@
     route: Option<&'static str>,
     /// Time after the start from which the new version has its own failure rate.
     from: Duration,
+    /// Probabilities that a response of the old and of the new version takes four times as long.
+    slow: [f64; 2],
 }
 
 /// Revision of the order.
 const ORDERED_AT: Revision = Revision::new(0, 10);
 const HEALTHY: FailureRates =
-    FailureRates { old: 0.02, new: 0.02, route: None, from: Duration::ZERO };
+    FailureRates { old: 0.02, new: 0.02, route: None, from: Duration::ZERO, slow: [0.0; 2] };
 const FAILING: FailureRates = FailureRates { new: 0.6, ..HEALTHY };
 
 struct World {
@@ -179,14 +181,16 @@
             && self.failure_rates.route.is_none_or(|only| only == route);
         let failure_rate =
             if choice.new && is_failing { self.failure_rates.new } else { self.failure_rates.old };
+        let is_slow = self.rng.random_bool(self.failure_rates.slow[usize::from(choice.new)]);
+        let first = Duration::from_millis(self.rng.random_range(900..1_400));
         let ok = !self.rng.random_bool(failure_rate);
-        self.bad += u32::from(choice.new && !ok && split.rule != Rule::OnlyNew);
+        self.bad += u32::from(choice.new && (!ok || is_slow) && split.rule != Rule::OnlyNew);
         let sample = RolloutSample {
             service: "llm".into(),
             route: route.into(),
             choice,
             ok,
-            first: Some(Duration::from_millis(self.rng.random_range(900..1_400))),
+            first: Some(first * if is_slow { 4 } else { 1 }),
             pace: None,
             runner: self.rng.random_range(0..4),
         };
@@ -258,6 +262,20 @@
     }
 }
 
+/// Guards against a slow version that is completed because some responses of the old one are as slow.
+#[tokio::test(start_paused = true)]
+async fn slow_version_is_stopped_while_some_responses_of_the_old_one_are_slow() {
+    for (old, new) in [(0.0, 1.0), (0.2, 1.0), (0.2, 0.7)] {
+        for seed in 0..20 {
+            let failure_rates = FailureRates { slow: [old, new], ..HEALTHY };
+            let mut world = World::lasting(LONG_TIME, seed, failure_rates);
+            world.run(LONG_TIME).await;
+            assert_eq!(world.phase(), Some(Phase::RolledBack), "{old}, {new}, seed {seed}");
+            assert!(world.bad < MAX_BAD, "{old}, {new}, seed {seed}: {} bad", world.bad);
+        }
+    }
+}
+
 /// Guards against a good version that is rolled back because its requests were paused: both versions
 /// fail so often that it has as many bad responses as a bad one.
 #[tokio::test(start_paused = true)]
