Give nodes that restart during a rollout no slack of its bound

Cause: each process uses an equal part of the slack and forgets at its end how much it has used, so that restarting all nodes gives out the slack again. Class: an amount for the whole system that is counted per process.

A node that finds the order in the store when it starts uses the share of its own requests only. That needs no messages and nothing that is stored.

Ruled out by reasoning: a count of all nodes' assignments in the reports, which all nodes that restart in turn lose with their peers' memory.

--- a/crates/relay/src/control/catalog.rs
+++ b/crates/relay/src/control/catalog.rs
@@ -21,6 +21,7 @@
                 self.apply_rollout_order(row);
             }
         }
+        self.rollouts.mark_loaded();
     }
 
     /// Applies a catalogue from the store or a peer if it supersedes the current one: responses may
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -71,12 +71,19 @@
     me: Incarnation,
     rollouts: BTreeMap<CompactString, Rollout>,
     statuses: BTreeMap<CompactString, (Revision, RolloutStatus)>,
+    /// Whether the orders that were stored before this node started have been applied.
+    loaded: bool,
 }
 
 impl Rollouts {
     /// Creates the state without any rollouts.
     pub fn new(me: Incarnation) -> Rollouts {
-        Rollouts { me, rollouts: BTreeMap::new(), statuses: BTreeMap::new() }
+        Rollouts { me, rollouts: BTreeMap::new(), statuses: BTreeMap::new(), loaded: false }
+    }
+
+    /// Marks the orders that were stored before this node started as applied.
+    pub fn mark_loaded(&mut self) {
+        self.loaded = true;
     }
 
     /// Applies an order with its store revision.
@@ -88,7 +95,7 @@
         log::info!(service = order.service.as_str(), to = order.to.as_str(), revision:%,
             time = order.time.as_millis() as u64; "rollout ordered");
         let service = order.service.clone();
-        let mut rollout = Rollout::new(now, self.me, revision, order);
+        let mut rollout = Rollout::new(now, self.me, revision, order, !self.loaded);
         if let Some((written, status)) = self.statuses.get(&service) {
             rollout.apply_status(now, *written, status);
         }
--- a/crates/relay/src/rollouts/exposure.rs
+++ b/crates/relay/src/rollouts/exposure.rs
@@ -1,8 +1,8 @@
 //! Exposure of a new version: the requests that it gets during its rollout.
 //!
 //! The bound is global: a share of all requests during the rollout plus a fixed slack. Each node
-//! applies the share to its own requests and uses an equal part of the slack, so the bound holds
-//! without coordination.
+//! applies the share to its own requests, and each one that has followed the rollout from its start
+//! uses an equal part of the slack, so the bound holds without coordination.
 
 use {
     crate::view::{Rule, Split},
@@ -42,7 +42,7 @@
         let share = match split.rule {
             Rule::OnlyOld => Share::NONE,
             Rule::OnlyNew => Share::ALL,
-            Rule::Canary if self.has_budget(bound, nodes) => CANARY_SHARE,
+            Rule::Canary if self.has_budget(split, bound, nodes) => CANARY_SHARE,
             Rule::Canary => Share::NONE,
         };
         let new = share.holds(hash);
@@ -50,8 +50,9 @@
         Choice { id: Some(split.id), new, share }
     }
 
-    fn has_budget(&self, bound: &Bound, nodes: usize) -> bool {
-        let slack = bound.slack / nodes.max(1) as f64;
+    fn has_budget(&self, split: &Split, bound: &Bound, nodes: usize) -> bool {
+        // A node that has restarted has used its part already.
+        let slack = if split.has_slack { bound.slack / nodes.max(1) as f64 } else { 0.0 };
         let allowed = bound.share * f64::from(self.all) + slack;
         f64::from(self.new) + 1.0 <= allowed * MARGIN
     }
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -91,6 +91,8 @@
     /// Number and content of the order that this one replaced.
     replaced: Option<(u64, RolloutOrder)>,
     start: Instant,
+    /// Whether the order was stored before this node started.
+    is_late: bool,
     phase: Phase,
     /// Phase in the stored status, if that belongs to this rollout.
     recorded: Option<Phase>,
@@ -119,11 +121,13 @@
         me: Incarnation,
         revision: Revision,
         order: RolloutOrder,
+        is_late: bool,
     ) -> Rollout {
         Rollout {
             me,
             revision,
             start: now,
+            is_late,
             phase: CHART.initial(),
             replaced: None,
             recorded: None,
@@ -230,7 +234,7 @@
             Phase::Completed => Rule::OnlyNew,
             Phase::RolledBack => Rule::OnlyOld,
         };
-        Split { id: self.id(), to: self.order.to.clone(), rule }
+        Split { id: self.id(), to: self.order.to.clone(), rule, has_slack: !self.is_late }
     }
 
     pub(super) fn tick(&mut self, now: Instant, rank: usize, nodes: usize) -> Vec<Action> {
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -102,6 +102,8 @@
     pub to: CompactString,
     /// Rule.
     pub rule: Rule,
+    /// Whether this node may use a part of the bound's slack.
+    pub has_slack: bool,
 }
 
 /// Share of the requests that the new version gets.
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -58,6 +58,7 @@
 const FAILING: FailureRates = FailureRates { new: 0.6, ..HEALTHY };
 
 struct World {
+    time: Duration,
     nodes: Vec<Node>,
     rng: SmallRng,
     start: Instant,
@@ -92,6 +93,7 @@
         let now = Instant::now();
         let node = |i: u64| {
             let mut rollouts = Rollouts::new(Incarnation(i + 1));
+            rollouts.mark_loaded();
             rollouts.apply_order(now, ORDERED_AT, order_of(time));
             Node {
                 rollouts,
@@ -102,6 +104,7 @@
             }
         };
         World {
+            time,
             nodes: (0..6).map(node).collect(),
             rng: SmallRng::seed_from_u64(seed),
             start: now,
@@ -117,6 +120,31 @@
         }
     }
 
+    /// Replaces the process of a node. It finds the order and the status in the store.
+    fn restart(&mut self, i: usize) {
+        let now = Instant::now();
+        let mut rollouts = Rollouts::new(Incarnation(self.rng.random()));
+        rollouts.apply_order(now, ORDERED_AT, order_of(self.time));
+        let known = self.store.clone().map(|(revision, status)| {
+            rollouts.apply_status(now, revision, status);
+            revision
+        });
+        rollouts.mark_loaded();
+        let (isolated, dead) = (false, false);
+        self.nodes[i] = Node { rollouts, known, exposure: Exposure::default(), isolated, dead };
+    }
+
+    /// Runs to the deadline, and restarts all nodes in turn, several times, in the first 0.6 of it.
+    async fn run_with_restarts(&mut self, rounds: u32) {
+        let count = self.nodes.len();
+        let pause = self.time.mul_f64(0.6) / (rounds * count as u32);
+        for restart in 0..rounds as usize * count {
+            self.run(pause).await;
+            self.restart(restart % count);
+        }
+        self.run(self.start + self.time - Instant::now()).await;
+    }
+
     async fn run(&mut self, time: Duration) {
         let end = Instant::now() + time;
         while Instant::now() < end {
@@ -294,6 +322,16 @@
     assert!(paused >= 19, "{paused} of 20");
 }
 
+/// Guards against nodes that restart, and then use another part of the bound's slack.
+#[tokio::test(start_paused = true)]
+async fn nodes_that_restart_keep_to_the_bound() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, HEALTHY);
+        world.run_with_restarts(3).await;
+        assert!(world.within_bound(), "seed {seed}: {} of {}", world.new, world.all);
+    }
+}
+
 /// Requests fail on both versions alike, as in an outage behind the runners. Guards against
 /// attributing these failures to the new version.
 #[tokio::test(start_paused = true)]
