Share the age of a rollout's order between nodes

A rollout was still running at its deadline after all nodes had restarted: neither completed nor rolled back.

Cause: the order states a duration, and a node takes the time at which it reads the order for the start. After a restart its deadline is late by the time since the order. Class: a relative time without its origin.

Reports carry the time since the order that the sender knows; the earliest start wins. Only if all nodes restart at the same moment the order's age is lost, and their rollout ends late.

--- a/crates/decide/src/mover/track.rs
+++ b/crates/decide/src/mover/track.rs
@@ -315,6 +315,7 @@
             id,
             verdict: self.standing.verdict().cloned(),
             evidence: has_changed.then(|| evidence.clone()),
+            elapsed_ms: 0,
             bad: self.pool.bad(),
         }));
     }
--- a/crates/decide/src/mover/update.rs
+++ b/crates/decide/src/mover/update.rs
@@ -39,6 +39,9 @@
     pub verdict: Option<Verdict>,
     /// The sender's counters, if they changed since its last message.
     pub evidence: Option<Evidence>,
+    /// Time since the order of a move whose start is not stored, as far as the sender knows, in
+    /// milliseconds; otherwise 0.
+    pub elapsed_ms: u64,
     /// Number of requests of the new version with bad events, at all nodes that the sender knows of.
     pub bad: u32,
 }
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -90,6 +90,7 @@
     order: RolloutOrder,
     /// Number and content of the order that this one replaced.
     replaced: Option<(u64, RolloutOrder)>,
+    /// Time of the order, as far as this node knows.
     start: Instant,
     /// Whether the order was stored before this node started.
     is_late: bool,
@@ -222,6 +223,7 @@
             self.pool.merge(update.from, evidence);
         }
         self.set_bad(now, update.bad);
+        self.set_elapsed(now, Duration::from_millis(update.elapsed_ms));
         if let Some(verdict) = &update.verdict {
             self.roll_back(now, verdict.clone());
         }
@@ -268,6 +270,13 @@
         }
     }
 
+    /// Applies the time since the order that a peer knows; nodes that started later know less.
+    fn set_elapsed(&mut self, now: Instant, elapsed: Duration) {
+        if let Some(start) = now.checked_sub(elapsed.min(self.order.time)) {
+            self.start = self.start.min(start);
+        }
+    }
+
     /// Raises the number of bad requests of the new version to the one that a node knows.
     fn set_bad(&mut self, now: Instant, bad: u32) {
         let was_paused = self.is_paused();
@@ -352,6 +361,7 @@
             id: self.id(),
             verdict: self.verdict.clone(),
             evidence: Some(self.collector.evidence().clone()),
+            elapsed_ms: (now - self.start).as_millis() as u64,
             bad: self.bad,
         })
     }
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -332,6 +332,19 @@
     }
 }
 
+/// Guards against a rollout that is not over at its deadline, because nodes that restart take the time
+/// of their start for that of the order.
+#[tokio::test(start_paused = true)]
+async fn rollout_ends_before_the_deadline_while_all_nodes_restart() {
+    for (failure_rates, phase) in [(HEALTHY, Phase::Completed), (FAILING, Phase::RolledBack)] {
+        for seed in 0..20 {
+            let mut world = World::lasting(LONG_TIME, seed, failure_rates);
+            world.run_with_restarts(2).await;
+            assert_eq!(world.phase(), Some(phase), "seed {seed}");
+        }
+    }
+}
+
 /// Requests fail on both versions alike, as in an outage behind the runners. Guards against
 /// attributing these failures to the new version.
 #[tokio::test(start_paused = true)]
@@ -399,6 +412,7 @@
             node: Incarnation(1),
         }),
         evidence: None,
+        elapsed_ms: 0,
         bad: 0,
     };
     node.handle_peer_update(Instant::now(), &update);
