Request a catalogue from another peer if the first does not respond

Callers of single instances saw an old catalogue for a second or more after the others had the new one.

Cause: a request for an announced catalogue was marked as pending before it was known whether it could be sent, and for 1 s the announcements of all other peers were dropped. They are sent once, so that the next occasion was a heartbeat after that second. A peer that died, is cut off or has no known address thus cost 1 to 1.5 s each time. Class: one pending request without an alternative.

A request that cannot be sent is not pending.

Evidence: both new tests of the membership failed before.

--- a/crates/decide/src/member.rs
+++ b/crates/decide/src/member.rs
@@ -7,6 +7,7 @@
 pub mod drain;
 mod merge;
 pub mod message;
+mod pull;
 mod record;
 mod ring;
 mod rounds;
@@ -26,6 +27,7 @@
         message::{
             Claim, Heartbeat, Hint, Moment, NodeIncarnation, NodeLocation, NodeState, Update, Usage,
         },
+        pull::Pull,
         record::Record,
         ring::Ring,
         updates::UpdateQueue,
@@ -58,8 +60,6 @@
 /// Maximum number of known nodes.
 pub const MAX_MEMBERS: usize = 2_048;
 
-/// Timeout of a catalogue pull.
-const PULL_TIMEOUT: Duration = Duration::from_secs(1);
 /// First interval of anti-entropy after the start, when nodes that start at the same time do not get
 /// each other's gossip yet; doubles up to the regular interval.
 const FIRST_SYNC_INTERVAL: Duration = Duration::from_secs(1);
@@ -141,8 +141,8 @@
     sync_interval: Duration,
     /// Time of the last heartbeat.
     last_sent: Instant,
-    /// Revision and time of the last catalogue pull.
-    pull: Option<(CatalogRevision, Instant)>,
+    /// Last catalogue pull.
+    pull: Option<Pull>,
     rng: SmallRng,
 }
 
@@ -356,21 +356,6 @@
         self.updates.hint(now, hint);
     }
 
-    fn pull_if_newer(
-        &mut self,
-        now: Instant,
-        from: &str,
-        revision: CatalogRevision,
-        out: &mut Vec<Output>,
-    ) {
-        let is_pending =
-            self.pull.is_some_and(|(r, at)| !revision.supersedes(r) && now < at + PULL_TIMEOUT);
-        if revision.supersedes(self.revision) && !is_pending {
-            self.pull = Some((revision, now));
-            self.send(from, PeerMessage::CatalogPull(self.revision), out);
-        }
-    }
-
     fn send(&self, to: &str, message: PeerMessage, out: &mut Vec<Output>) {
         if let Some(target) = self.target(to) {
             out.push(Output::Send { to: vec![target], message });
--- a/crates/decide/src/member/rounds.rs
+++ b/crates/decide/src/member/rounds.rs
@@ -35,6 +35,7 @@
         if now >= self.sweep_at {
             self.sweep(now, out);
         }
+        self.repeat_pull(now, out);
         if now < self.heartbeat_at {
             return;
         }
--- a/crates/decide/tests/member.rs
+++ b/crates/decide/tests/member.rs
@@ -548,6 +548,47 @@
     assert_eq!(out, [Output::PushCatalog(to[0].clone())]);
 }
 
+/// Guards against an old catalogue that stays in force for seconds because the first peer that announced
+/// the new one has died, and others that announce it are not asked.
+#[test]
+fn a_revision_is_pulled_from_another_peer_if_the_first_does_not_respond() {
+    let now = Instant::now();
+    let mut a = pair(now);
+    a.apply_list(now, &list(2, &["a", "b", "c"]));
+    let mut out = Vec::new();
+    let life = heartbeat(incarnation(1, 2), 1, NodeState::Ready);
+    a.on_heartbeat(now, "c", &life, &mut Vec::new());
+    a.receive(now, "b", &PeerMessage::Revision(4.into()), &mut out);
+    a.receive(now, "c", &PeerMessage::Revision(4.into()), &mut out);
+    let asked = |out: &[Output]| -> Vec<CompactString> {
+        let is_pull = |message: &PeerMessage| matches!(message, PeerMessage::CatalogPull(_));
+        let pulls = out.iter().filter_map(|output| match output {
+            Output::Send { to, message } if is_pull(message) => Some(to[0].name.clone()),
+            _ => None,
+        });
+        pulls.collect()
+    };
+    assert_eq!(asked(&out), ["b"]);
+    let now = run(&mut a, now, Duration::from_millis(400), &mut out);
+    assert_eq!(asked(&out), ["b", "c"]);
+    a.set_revision(4.into(), &mut out);
+    run(&mut a, now, Duration::from_secs(1), &mut out);
+    assert_eq!(asked(&out), ["b", "c"]);
+}
+
+/// Guards against a request that cannot be sent, as the peer's address is not known, and that keeps others
+/// from being sent.
+#[test]
+fn a_revision_is_pulled_although_a_peer_without_an_address_announced_it_first() {
+    let now = Instant::now();
+    let mut a = pair(now);
+    let mut out = Vec::new();
+    a.receive(now, "unknown", &PeerMessage::Revision(4.into()), &mut out);
+    a.receive(now, "b", &PeerMessage::Revision(4.into()), &mut out);
+    let to = vec![Target { name: "b".into(), address: "b:1".into() }];
+    assert_eq!(out, [Output::Send { to, message: PeerMessage::CatalogPull(0.into()) }]);
+}
+
 #[test]
 fn a_hint_reaches_every_node_once() {
     let mut net = Net::new(20);
