Compare catalogues by their content

A changed catalogue with the same 32-bit hash as the one in force would have been ignored for good. Found by reading; no run has shown it, and no test tries to find two such catalogues.

--- a/crates/relay/src/control/catalog.rs
+++ b/crates/relay/src/control/catalog.rs
@@ -29,9 +29,8 @@
     /// lost one again.
     pub(super) fn apply_catalog(&mut self, row: &Row) {
         let Some(value) = &row.value else { return };
-        let hash = xxh32(value, 0);
         let current = self.row.as_ref().map(|(current, _)| *current).unwrap_or_default();
-        if self.row.is_some() && hash == current.hash {
+        if self.row.as_ref().is_some_and(|(_, known)| known == value) {
             return;
         }
         let catalog = match self.records.parse_catalog(value) {
@@ -41,7 +40,7 @@
             }
         };
         let version = catalog.version;
-        let revision = CatalogRevision { version, row: row.revision, hash };
+        let revision = CatalogRevision { version, row: row.revision, hash: xxh32(value, 0) };
         if self.row.is_some() && !revision.supersedes(current) {
             return log::warn!(version, revision:% = row.revision, current = current.version;
                 "outdated catalogue ignored");
