Divide the bounds of the whole system among all nodes that may serve callers

A bad version got more requests, and runners more retries, than the bounds allow while many nodes were cut off, draining or starting.

Cause: the slack was divided by the number of nodes in address responses. Those that drain, start or are cut off are not among them and go on serving; a node that is cut off from all others found itself alone and used the slack of all. Class: a share by a view of the membership that the shares of others do not follow.

The exposure bound is divided among all registered or running nodes.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -70,6 +70,8 @@
     sync: TableSync,
     feeds: Feeds,
     nodes: Arc<Vec<NodeAddress>>,
+    /// Number of nodes that may serve callers.
+    senders: usize,
     /// Time at which a node is expected to be ready, if none is.
     next_ready: Option<Instant>,
     scope: Scope,
@@ -139,6 +141,7 @@
         sync,
         feeds,
         nodes: Arc::default(),
+        senders: 1,
         next_ready: None,
         scope: Scope::default(),
         cut_off: false,
@@ -225,11 +228,11 @@
         }
         let failed = membership.tick(now, self.row.as_ref());
         let changed = membership.changed_nodes(now);
-        if let Some(Nodes { listed, next_ready, ranking, domains, scope }) = changed {
+        if let Some(Nodes { listed, next_ready, senders, ranking, domains, scope }) = changed {
             self.scope = scope;
             self.sync.set_ranking(ranking);
             self.feeds.set_readers(domains * READERS);
-            self.set_nodes(listed, next_ready);
+            self.set_nodes(listed, next_ready, senders);
         }
         self.forward_failures(failed);
         self.step_sync(now);
@@ -237,7 +240,10 @@
         self.clean_up(now);
     }
 
-    fn set_nodes(&mut self, nodes: Vec<NodeAddress>, next_ready: Option<Instant>) {
+    fn set_nodes(&mut self, nodes: Vec<NodeAddress>, next_ready: Option<Instant>, senders: usize) {
+        if std::mem::replace(&mut self.senders, senders) != senders {
+            self.publish();
+        }
         if *self.nodes != nodes || self.next_ready != next_ready {
             log::info!(nodes = nodes.len() as u64, draining = next_ready.is_some();
                 "nodes in address responses changed");
@@ -280,6 +286,7 @@
             runners: self.registry.runners(),
             listed: self.registry.is_loaded(),
             nodes: self.nodes.clone(),
+            senders: self.senders,
             next_ready: self.next_ready,
             scope: self.scope,
             splits: self.splits.clone(),
--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -73,6 +73,8 @@
     pub(super) listed: Vec<NodeAddress>,
     /// Time at which a node is expected to be ready, if none is and the listed ones are draining.
     pub(super) next_ready: Option<Instant>,
+    /// Number of nodes that may serve callers, including this one.
+    pub(super) senders: usize,
     /// Nodes of this node's failure domain by rank.
     pub(super) ranking: Ranking,
     /// Number of failure domains.
@@ -229,7 +231,19 @@
             true => self.draining_nodes(now),
             false => (ready, None),
         };
-        Some(Nodes { listed, next_ready, ranking, domains, scope: self.scope })
+        let senders = self.sender_count();
+        Some(Nodes { listed, next_ready, senders, ranking, domains, scope: self.scope })
+    }
+
+    /// Returns the number of nodes that are registered or running, including this one. One that is
+    /// considered dead may only be cut off.
+    fn sender_count(&self) -> usize {
+        let is_running =
+            |node: &Node| !matches!(node.state, NodeState::Gone | NodeState::Forgotten);
+        let unlisted = |node: &Node| !self.listed.contains_key(&node.name);
+        let running = self.members.nodes().filter(|node| is_running(node) && unlisted(node));
+        let own = usize::from(!self.listed.contains_key(&self.local_node.name));
+        self.listed.len() + running.count() + own
     }
 
     /// Returns the draining nodes that stay longest, for address responses, and the time at which the
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -179,7 +179,7 @@
         let split = view.splits.get(service)?;
         let mut exposures = self.exposures.borrow_mut();
         let exposure = exposures.entry(service.clone()).or_default();
-        Some(exposure.choose(split, &self.bound, view.nodes.len(), rand::rng().random()))
+        Some(exposure.choose(split, &self.bound, view.senders, rand::rng().random()))
     }
 
     /// Reports the outcome of a first attempt to the control thread during a rollout.
@@ -222,7 +222,7 @@
 
     /// Takes one retry from the service's budget; returns false if it is exhausted.
     fn take_retry(&self, service: &str) -> bool {
-        let nodes = self.published.load().nodes.len();
+        let nodes = self.published.load().shares();
         self.budgets.try_take(service, nodes)
     }
 
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -131,6 +131,9 @@
     pub listed: bool,
     /// Nodes listed in address responses, including this one.
     pub nodes: Arc<Vec<NodeAddress>>,
+    /// Number of nodes that may serve callers, including this one and those that are not in address
+    /// responses: they drain, start, or are only cut off from this node.
+    pub senders: usize,
     /// While no node is known to be ready: the time at which one is expected to be. `nodes` are draining
     /// then.
     pub next_ready: Option<Instant>,
@@ -143,6 +146,15 @@
 }
 
 impl View {
+    /// Returns the number of nodes among which limits of the whole system are divided. A node that finds
+    /// less than half of the others ready may itself be cut off, and the others still serve.
+    pub fn shares(&self) -> usize {
+        match self.nodes.len() {
+            nodes if nodes * 2 < self.senders => self.senders,
+            nodes => nodes,
+        }
+    }
+
     /// Returns whether address responses may list the node with this name while it drains. Without any
     /// node in this view, other nodes may still list it.
     pub fn lists_draining(&self, name: &str) -> bool {
--- /dev/null
+++ b/tests/relay/rollouts.rs
@@ -0,0 +1,81 @@
+//! Requests during a rollout, through one node.
+
+use {
+    super::support::{Deployment, PLAIN, Script, node_address, run_local},
+    bilberryfront_decide::mover::MoveId,
+    bilberryfront_relay::view::{Registration, Rule, Split, View},
+    std::sync::Arc,
+};
+
+/// Numbers of runners of the new and of the old version.
+const RUNNERS: (usize, usize) = (2, 2);
+/// Number of nodes, of which only one is in address responses.
+const NODES: usize = 6;
+
+/// Returns a node during a rollout. The first runners have the new version, and respond with `status`.
+fn start_rollout(status: u16) -> Deployment {
+    let (new, old) = RUNNERS;
+    let deployment =
+        Deployment::new(PLAIN, &["a"; RUNNERS.0 + RUNNERS.1], &Script::Respond(200, "ok"));
+    assert_eq!(deployment.runners.len(), new + old);
+    for runner in &deployment.runners[..new] {
+        *runner.script.borrow_mut() = Script::Respond(status, "ok");
+    }
+    deployment.publish_nodes(vec![node_address("n1", 1, "a")]);
+    update(&deployment, |index, registration| {
+        registration.version = if index < new { "v2" } else { "v1" }.into();
+    });
+    deployment
+}
+
+/// Publishes changed registrations.
+fn update(deployment: &Deployment, change: impl Fn(usize, &mut Registration)) {
+    let view = View::clone(&deployment.traffic.published.load());
+    let mut runners = view.runners.to_vec();
+    runners.iter_mut().enumerate().for_each(|(index, registration)| change(index, registration));
+    deployment.traffic.client.fleet.update(&runners);
+    let split = Split { id: MoveId(1), to: "v2".into(), rule: Rule::Canary, has_slack: true };
+    let splits = Arc::new([(PLAIN.into(), split)].into_iter().collect());
+    let runners = Arc::new(runners);
+    deployment.traffic.published.store(View { senders: NODES, runners, splits, ..view });
+}
+
+/// Returns the number of requests that the new version has received.
+fn new_requests(deployment: &Deployment) -> usize {
+    deployment.runners[..RUNNERS.0].iter().map(|runner| runner.request_count()).sum()
+}
+
+/// Guards against a node that uses the parts of others, which are not in address responses because they
+/// drain, start or are cut off, but assign requests as well.
+#[tokio::test(start_paused = true)]
+async fn node_uses_its_part_of_the_exposure_bound_only() {
+    run_local(async {
+        let deployment = start_rollout(200);
+        for _ in 0..300 {
+            deployment.serve("/look/1", &[]).await;
+        }
+        let allowed = 0.1 * 300.0 + 50.0 / NODES as f64;
+        let new = new_requests(&deployment);
+        assert!(new > 0 && new as f64 <= allowed, "{new} requests, {allowed} allowed");
+    })
+    .await;
+}
+
+/// Guards against a node that is cut off from the others and uses their parts of the retry budget.
+#[tokio::test(start_paused = true)]
+async fn node_uses_its_part_of_the_retry_budget_only() {
+    run_local(async {
+        let deployment = start_rollout(500);
+        update(&deployment, |_, registration| registration.version = "v1".into());
+        for runner in &deployment.runners {
+            *runner.script.borrow_mut() = Script::Respond(500, "no");
+        }
+        for _ in 0..120 {
+            deployment.serve("/look/1", &[]).await;
+        }
+        let allowed = 0.8 * 120.0 + 100.0 / NODES as f64;
+        let retries = deployment.request_count() - 120;
+        assert!(retries as f64 <= allowed, "{retries} retries, {allowed} allowed");
+    })
+    .await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -743,6 +743,7 @@
             catalog: Some(Arc::new(catalog())),
             runners: Arc::new(runners),
             listed: true,
+            senders: nodes.len(),
             nodes,
             next_ready: None,
             scope: Scope::System,
