Retry a request that failed on a new version on the old one

Callers got an error of a new version that was on trial, although the old one would have served them, and each of their requests brought up to four further bad responses of the new one that no statistics counted.

Cause: retries were pinned to the version that the first attempt was assigned to. During the trial they go to the old version now; after its completion to the new one, as before.

Evidence: 60 idempotent calls, a new version that always fails: all are served; before, the first one that was assigned to it returned its 500.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -160,7 +160,7 @@
     /// Selects a runner that is not in `except`, according to the rollout of the service.
     fn choose_runner(&self, call: &Call, except: &[RunnerKey]) -> Option<Endpoint> {
         let view = self.published.load();
-        let version = version_constraint(&view, call);
+        let version = version_constraint(&view, call, !except.is_empty());
         let fleet = &self.client.fleet;
         let endpoint = fleet.choose(&Criteria { version, ..self.criteria(call, except) });
         match (endpoint, version) {
@@ -308,13 +308,13 @@
 }
 
 /// Returns the version constraint of a request. A version that was rolled back gets no request,
-/// even if the request was assigned to it before.
-fn version_constraint<'a>(view: &'a View, call: &Call) -> Option<Version<'a>> {
+/// even if the request was assigned to it before, and one that is not completed gets no retry.
+fn version_constraint<'a>(view: &'a View, call: &Call, is_retry: bool) -> Option<Version<'a>> {
     let split = view.splits.get(&call.service)?;
     let new = call.version.is_some_and(|choice| choice.new);
     match split.rule {
         Rule::OnlyNew => Some(Version::Only(&split.to)),
-        Rule::Canary if new => Some(Version::Only(&split.to)),
+        Rule::Canary if new && !is_retry => Some(Version::Only(&split.to)),
         Rule::Canary | Rule::OnlyOld => Some(Version::Except(&split.to)),
     }
 }
--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -66,7 +66,7 @@
         let criteria = self.traffic.criteria(&self.call, &except);
         let avoid_domain = Some(endpoint.domain.as_str());
         let view = self.traffic.published.load();
-        let version = version_constraint(&view, &self.call);
+        let version = version_constraint(&view, &self.call, !self.failed.is_empty());
         let criteria = Criteria { avoid_domain, version, stable: true, ..criteria };
         self.traffic.client.fleet.choose(&criteria)
     }
--- a/tests/relay/rollouts.rs
+++ b/tests/relay/rollouts.rs
@@ -3,8 +3,12 @@
 use {
     super::support::{Deployment, PLAIN, Script, node_address, run_local},
     bilberryfront_decide::mover::MoveId,
-    bilberryfront_relay::view::{Registration, Rule, Split, View},
+    bilberryfront_relay::{
+        rollouts::RolloutSample,
+        view::{Registration, Rule, Split, View},
+    },
     std::sync::Arc,
+    tokio::sync::mpsc,
 };
 
 /// Numbers of runners of the new and of the old version.
@@ -79,3 +83,22 @@
     })
     .await;
 }
+
+/// Guards against callers that get an error of the new version, and against a version that gets more bad
+/// responses than requests were assigned to it, because retries stay with it.
+#[tokio::test(start_paused = true)]
+async fn request_that_fails_on_the_new_version_is_retried_on_the_old_one() {
+    run_local(async {
+        let (sender, mut samples) = mpsc::unbounded_channel::<RolloutSample>();
+        let mut deployment = start_rollout(500);
+        deployment.traffic.samples = Some(sender);
+        for _ in 0..60 {
+            assert_eq!(deployment.serve("/look/1", &[]).await.status, 200);
+        }
+        let assigned = std::iter::from_fn(|| samples.try_recv().ok());
+        let assigned = assigned.filter(|sample| sample.choice.new).count();
+        assert!(assigned > 0);
+        assert_eq!(new_requests(&deployment), assigned);
+    })
+    .await;
+}
