Do not count results of the old version for the new one

A bad version could be found late, or be completed, because good results of the old one counted for it: if none of its runners was available, its requests went to the old version and were reported with their assignment.

Results on a runner of another version than the assigned one are dropped now.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -335,6 +335,11 @@
         Some(self.inner.borrow().runners.get(key)?.registration.service.clone())
     }
 
+    /// Returns the software version of a listed runner.
+    pub fn version(&self, key: RunnerKey) -> Option<CompactString> {
+        Some(self.inner.borrow().runners.get(key)?.registration.version.clone())
+    }
+
     /// Returns the number of runners of a service to which this node may send a request now.
     pub fn ready_count(&self, service: &str) -> usize {
         let now = Instant::now();
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -182,9 +182,17 @@
         Some(exposure.choose(split, &self.bound, view.senders, rand::rng().random()))
     }
 
-    /// Reports the outcome of a first attempt to the control thread during a rollout.
+    /// Reports the outcome of a first attempt to the control thread during a rollout, unless the runner
+    /// has another version than the one that the request was assigned to.
     fn report_sample(&self, call: &Call, runner: RunnerKey, attempt: AttemptSummary) {
         let (Some(choice), Some(samples)) = (call.version, &self.samples) else { return };
+        let view = self.published.load();
+        let target = view.splits.get(&call.service).map(|split| &split.to);
+        // The version of a runner that was removed meanwhile is unknown.
+        let version = self.client.fleet.version(runner);
+        if version.is_some_and(|version| (Some(&version) == target) != choice.new) {
+            return;
+        }
         let sample = RolloutSample {
             service: call.service.clone(),
             route: call.route.name.clone(),
--- a/tests/relay/rollouts.rs
+++ b/tests/relay/rollouts.rs
@@ -5,7 +5,7 @@
     bilberryfront_decide::mover::MoveId,
     bilberryfront_relay::{
         rollouts::RolloutSample,
-        view::{Registration, Rule, Split, View},
+        view::{Registration, Rule, Split, State, View},
     },
     std::sync::Arc,
     tokio::sync::mpsc,
@@ -102,3 +102,26 @@
     })
     .await;
 }
+
+/// Guards against a good result of the old version that counts for the new one, all of whose runners are
+/// unavailable.
+#[tokio::test(start_paused = true)]
+async fn request_that_ran_on_another_version_is_no_sample() {
+    run_local(async {
+        let (sender, mut samples) = mpsc::unbounded_channel::<RolloutSample>();
+        let mut deployment = start_rollout(200);
+        deployment.traffic.samples = Some(sender);
+        update(&deployment, |index, registration| {
+            if index < RUNNERS.0 {
+                registration.state = State::Draining;
+            }
+        });
+        for _ in 0..60 {
+            assert_eq!(deployment.serve("/look/1", &[]).await.status, 200);
+        }
+        let reported: Vec<_> = std::iter::from_fn(|| samples.try_recv().ok()).collect();
+        assert!(reported.iter().any(|sample| !sample.choice.new));
+        assert!(!reported.iter().any(|sample| sample.choice.new));
+    })
+    .await;
+}
