Tell lost responses from failures of a new version

A bad version was completed while a third of the nodes reached no runner: their requests failed on both versions, and their failures, in proportion to the shares, outweighed those that the new version itself caused.

Cause: one kind of failure for whatever made it. Class: evidence that is pooled over causes.

A response that the version gave, or that it gave too late, is a failure; a lost connection or runner is a kind of its own, tested separately and not counted for the pause.

Ruled out: leaving lost responses out, as nothing would stop a version that crashes its runners.

--- a/crates/decide/examples/moves/load.rs
+++ b/crates/decide/examples/moves/load.rs
@@ -216,7 +216,7 @@
             let sample = Sample {
                 choice,
                 route: ROUTES[request.route].0,
-                ok: request.ok,
+                response: request.ok.into(),
                 first: request.ok.then(|| Duration::from_secs_f64(request.first)),
                 pace: request.ok.then(|| Duration::from_secs_f64(request.pace)),
                 runner: rng.random_range(0..scene.site.runners),
--- a/crates/decide/src/mover.rs
+++ b/crates/decide/src/mover.rs
@@ -21,7 +21,7 @@
 pub mod verdict;
 
 pub use {
-    evidence::Sample,
+    evidence::{Response, Sample},
     next::{Next, Waiting},
     record::{Move, MoveId, MoveRow},
     schedule::{DeadlineTooClose, Weights},
--- a/crates/decide/src/mover/evidence.rs
+++ b/crates/decide/src/mover/evidence.rs
@@ -2,7 +2,7 @@
 //!
 //! A request is assigned to the new version at random with a known probability, the share. If both
 //! versions are equally good, the new version's fraction of the *bad events* (a failure, a late
-//! first token, a low token rate) equals the share, regardless of load, time of day or callers,
+//! first token, a low token rate, a lost response) equals the share, regardless of load, time of day or callers,
 //! which affect both versions alike. Each bad event therefore multiplies a likelihood ratio: of the
 //! hypothesis that bad events are `r` times as frequent on the new version, to the hypothesis that
 //! they are at most [`TOLERANCE`] times as frequent. The logarithms are summed over requests and
@@ -25,7 +25,7 @@
 /// Combined route for those beyond [`MAX_ROUTES`].
 pub const OTHER: &str = "other";
 /// Kinds of bad event.
-pub const METRICS: usize = 3;
+pub const METRICS: usize = 4;
 /// Maximum number of node incarnations whose counters are kept for one move; further ones are
 /// ignored.
 pub const MAX_NODES: usize = 64;
@@ -48,6 +48,24 @@
 /// Lower limit of the first bucket, in seconds.
 const FIRST_BUCKET: f64 = 1e-3;
 
+/// What came of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Response {
+    /// The version succeeded.
+    Success,
+    /// The version failed, or did not respond in time.
+    Failure,
+    /// The connection or the runner failed, which may have other causes than the version.
+    Lost,
+}
+
+impl From<bool> for Response {
+    /// Returns the response of a version that succeeded or failed.
+    fn from(ok: bool) -> Response {
+        if ok { Response::Success } else { Response::Failure }
+    }
+}
+
 /// A request that ended on its first attempt. Later attempts are not sampled: they are pinned to a
 /// version, so their version wasn't chosen at random.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -56,8 +74,8 @@
     pub choice: Choice,
     /// Class and prompt size, or path: the categories that may fail independently.
     pub route: &'a str,
-    /// Whether it succeeded. Requests cancelled by the caller are not sampled.
-    pub ok: bool,
+    /// Response. Requests cancelled by the caller are not sampled.
+    pub response: Response,
     /// Time to the first token or the response head.
     pub first: Option<Duration>,
     /// Mean time between tokens.
@@ -186,7 +204,7 @@
     pub runners: u64,
     /// Accounts served by the new version, as a bit set like [`Tally::runners`].
     pub accounts: u64,
-    /// Failures, late first tokens and low token rates.
+    /// Failures, late first tokens, low token rates and lost responses.
     pub bad: [Tally; METRICS],
     /// The old version's times to the first token, and times between tokens.
     pub usual: [LatencyStats; 2],
@@ -214,7 +232,7 @@
     pub sequence: u64,
     /// By route.
     pub routes: BTreeMap<CompactString, Counts>,
-    /// Requests of the new version with bad events.
+    /// Requests of the new version with bad events other than a lost response.
     pub bad: u32,
 }
 
@@ -257,8 +275,9 @@
             let pairs = counts.usual.iter_mut().zip(latencies);
             pairs.for_each(|(usual, latency)| latency.into_iter().for_each(|l| usual.record(l)));
         }
-        let bad = [!sample.ok, slow[0], slow[1]];
-        self.evidence.bad += u32::from(sample.choice.new && bad.contains(&true));
+        let is_lost = sample.response == Response::Lost;
+        let bad = [sample.response == Response::Failure, slow[0], slow[1], is_lost];
+        self.evidence.bad += u32::from(sample.choice.new && !is_lost && bad.contains(&true));
         let tallies = counts.bad.iter_mut().zip(bad).filter(|(_, bad)| *bad);
         tallies.for_each(|(tally, _)| tally.record(sample));
         self.evidence.sequence += 1;
--- a/crates/decide/src/mover/standing.rs
+++ b/crates/decide/src/mover/standing.rs
@@ -56,6 +56,8 @@
     SlowFirst,
     /// Token rates are low more often on the new version.
     SlowPace,
+    /// Responses are lost more often on the new version.
+    Lost,
 }
 
 /// The decision to roll a move back.
--- a/crates/decide/src/mover/status.rs
+++ b/crates/decide/src/mover/status.rs
@@ -70,7 +70,7 @@
 }
 
 impl Side {
-    fn new(ended: u32, [failed, late, slow]: [u32; METRICS]) -> Side {
+    fn new(ended: u32, [failed, late, slow, _]: [u32; METRICS]) -> Side {
         Side { ended, failed, late, slow }
     }
 }
--- a/crates/decide/src/mover/verdict.rs
+++ b/crates/decide/src/mover/verdict.rs
@@ -35,7 +35,7 @@
 const SUSPECT_SCORE: f64 = 4.0;
 /// Fraction of a bad event that a good request compensates, by kind. On a good version, failures
 /// are rare, while a few percent of the requests are late or slow.
-const GOOD_CREDIT: [f64; METRICS] = [0.1, 0.25, 0.25];
+const GOOD_CREDIT: [f64; METRICS] = [0.1, 0.25, 0.25, 0.1];
 /// Score at which a suspicion is cleared by good requests on the same route.
 const CLEARED_SCORE: f64 = 1.0;
 /// Duration of the first suspicion; each further one is twice as long, up to [`MAX_SUSPICION`].
@@ -43,7 +43,9 @@
 /// Maximum duration of a suspicion.
 const MAX_SUSPICION: Duration = Duration::from_secs(160);
 
-const CAUSES: [Cause; METRICS] = [Cause::Failing, Cause::SlowFirst, Cause::SlowPace];
+/// Causes by kind of bad event.
+pub const CAUSES: [Cause; METRICS] =
+    [Cause::Failing, Cause::SlowFirst, Cause::SlowPace, Cause::Lost];
 
 /// Test of one kind of bad event on one route.
 #[derive(Clone, Debug)]
--- a/crates/decide/tests/mover/drive.rs
+++ b/crates/decide/tests/mover/drive.rs
@@ -121,7 +121,7 @@
         let sample = Sample {
             choice,
             route,
-            ok: !fails && !self.rng.random_bool(0.003),
+            response: (!fails && !self.rng.random_bool(0.003)).into(),
             first: Some(first),
             pace: Some(Duration::from_millis(20)),
             runner: self.rng.random_range(0..20),
--- a/crates/decide/tests/mover/lattice.rs
+++ b/crates/decide/tests/mover/lattice.rs
@@ -127,7 +127,7 @@
             &Sample {
                 choice,
                 route: "r",
-                ok: false,
+                response: false.into(),
                 first: latency,
                 pace: latency,
                 runner: number,
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -17,6 +17,7 @@
         log_messages::{ERROR_RETURNED, NO_CRASH, REJECTED, RUNNER_CRASHED},
         metrics::{Metrics, Outcome},
         network::Network,
+        pool::SendError,
         quarantine::{self, Quarantine, SOUND_TIME},
         rejection::Rejection,
         rollouts::{
@@ -26,7 +27,7 @@
         runner_client::{CrashCheck, RunnerClient},
         view::{Published, Rule, View},
     },
-    bilberryfront_decide::mover::Choice,
+    bilberryfront_decide::mover::{Choice, Response as VersionResponse},
     compact_str::CompactString,
     http::Response,
     rand::Rng,
@@ -197,7 +198,7 @@
             service: call.service.clone(),
             route: call.route.name.clone(),
             choice,
-            ok: attempt.ok,
+            response: attempt.response,
             first: attempt.first,
             pace: attempt.pace,
             runner: runner.data().as_ffi(),
@@ -285,10 +286,10 @@
 }
 
 /// Outcome of the first attempt of a request.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct AttemptSummary {
-    /// Whether the attempt succeeded.
-    ok: bool,
+    /// Response of the version.
+    response: VersionResponse,
     /// Time to the first event or the response.
     first: Option<Duration>,
     /// Mean time between events.
@@ -311,8 +312,17 @@
 }
 
 /// Returns the outcome of an attempt without events that has just ended.
-fn summarize(call: &Call, ok: bool) -> AttemptSummary {
-    AttemptSummary { ok, first: ok.then(|| call.start.elapsed()), pace: None }
+fn summarize(call: &Call, response: VersionResponse) -> AttemptSummary {
+    let is_success = response == VersionResponse::Success;
+    AttemptSummary { response, first: is_success.then(|| call.start.elapsed()), pace: None }
+}
+
+/// Returns what a send without a response says about the version. One that takes too long is bad.
+fn lost_response(error: SendError) -> VersionResponse {
+    match error {
+        SendError::Timeout => VersionResponse::Failure,
+        SendError::Unsent | SendError::NoPath | SendError::Disconnected => VersionResponse::Lost,
+    }
 }
 
 /// Returns the version constraint of a request. A version that was rolled back gets no request,
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -1,7 +1,7 @@
 //! Flow of requests that must not run more than once.
 
 use {
-    super::{Traffic, send_options, summarize},
+    super::{Traffic, lost_response, send_options, summarize},
     crate::{
         body::ResponseBody,
         call::Call,
@@ -47,13 +47,13 @@
                         traffic.report_sample(
                             call,
                             key,
-                            summarize(call, !is_failure(parts.status)),
+                            summarize(call, (!is_failure(parts.status)).into()),
                         );
                         Response::from_parts(parts, bytes.into())
                     }
                     Err(error) => {
                         traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
-                        traffic.report_sample(call, key, summarize(call, false));
+                        traffic.report_sample(call, key, summarize(call, lost_response(error)));
                         traffic.reject(call, rejection_of(error))
                     }
                 };
@@ -68,7 +68,7 @@
                     fleet.record_failure(key, Instant::now());
                     traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
                 }
-                traffic.report_sample(call, key, summarize(call, false));
+                traffic.report_sample(call, key, summarize(call, lost_response(error)));
                 return traffic.reject(call, rejection_of(error));
             }
         }
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -26,6 +26,7 @@
         rejection::Rejection,
         runner_client::{SendOutcome, is_failure},
     },
+    bilberryfront_decide::mover::Response as VersionResponse,
     bytes::Bytes,
     http::{Response, response::Parts},
     std::time::Duration,
@@ -201,7 +202,7 @@
                 }
                 AttemptOutcome::Failure(parts, bytes) => {
                     self.reached_runner = true;
-                    self.report_sample(endpoint.key, false);
+                    self.report_sample(endpoint.key, VersionResponse::Failure);
                     self.runs += 1;
                     self.failure = Some((parts, bytes));
                 }
@@ -221,7 +222,7 @@
                 }
                 AttemptOutcome::Lost(LostRun { error, is_suspect }) => {
                     self.reached_runner = true;
-                    self.report_sample(endpoint.key, false);
+                    self.report_sample(endpoint.key, VersionResponse::Lost);
                     self.runs += u32::from(!from_replica);
                     self.lost = Some(error);
                     self.traffic.client.record_lost_response(&endpoint);
@@ -271,7 +272,7 @@
                         self.traffic.quarantine.record_response(&self.call);
                     }
                     self.record_sound_run();
-                    self.report_sample(run.endpoint().key, true);
+                    self.report_sample(run.endpoint().key, VersionResponse::Success);
                     run.release_connection(&self.traffic.client.fleet);
                     return sender.finish();
                 }
@@ -328,7 +329,7 @@
     fn abandon(&mut self, run: Run, reason: RunEnd) {
         let key = run.endpoint().key;
         self.traffic.client.record_lost_response(run.endpoint());
-        self.report_sample(key, false);
+        self.report_sample(key, VersionResponse::Lost);
         log::warn!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
             position = self.position.unwrap_or_default(),
             holder = run.replica().map_or("", |b| b.holder().id.as_str());
@@ -429,14 +430,18 @@
     }
 
     /// Reports the outcome of the first send to the control thread during a rollout.
-    fn report_sample(&self, key: RunnerKey, ok: bool) {
+    fn report_sample(&self, key: RunnerKey, response: VersionResponse) {
         if self.sends > 1 {
             return;
         }
         let events = self.position.unwrap_or_default() - self.call.head.resume.unwrap_or_default();
         let pace = self.first_event_at.map(|at| at.elapsed().div_f64(events.max(1) as f64));
         let first = self.first_event_at.map(|at| at - self.call.start);
-        self.traffic.report_sample(&self.call, key, super::AttemptSummary { ok, first, pace });
+        self.traffic.report_sample(
+            &self.call,
+            key,
+            super::AttemptSummary { response, first, pace },
+        );
     }
 
     fn size(&self) -> Size {
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -1,7 +1,7 @@
 //! Flow of idempotent requests.
 
 use {
-    super::{Traffic, send_options, summarize},
+    super::{Traffic, lost_response, send_options, summarize},
     crate::{
         body::ResponseBody,
         call::Call,
@@ -75,7 +75,8 @@
         let attempt = Attempt { endpoint: &endpoint, sent_at, deadline };
         let response = evaluate(traffic, call, &mut progress, sent, &attempt).await;
         if progress.tried.len() == 1 && progress.runs == 1 {
-            traffic.report_sample(call, endpoint.key, summarize(call, response.is_some()));
+            let outcome = progress.lost.map_or(response.is_some().into(), lost_response);
+            traffic.report_sample(call, endpoint.key, summarize(call, outcome));
         }
         if let Some((parts, bytes)) = response {
             return Response::from_parts(parts, bytes.into());
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -18,7 +18,7 @@
     crate::{store::Revision, view::Splits},
     bilberryfront_decide::{
         id::Incarnation,
-        mover::{Choice, MoveUpdate, Sample},
+        mover::{Choice, MoveUpdate, Response, Sample},
     },
     compact_str::CompactString,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -56,8 +56,8 @@
     pub route: CompactString,
     /// Version assignment.
     pub choice: Choice,
-    /// Whether it succeeded.
-    pub ok: bool,
+    /// Response.
+    pub response: Response,
     /// Time to the first event or the response.
     pub first: Option<Duration>,
     /// Mean time between events.
@@ -127,7 +127,7 @@
             rollout.observe(&Sample {
                 choice: sample.choice,
                 route: &sample.route,
-                ok: sample.ok,
+                response: sample.response,
                 first: sample.first,
                 pace: sample.pace,
                 runner: sample.runner,
--- a/crates/relay/src/rollouts/comparison.rs
+++ b/crates/relay/src/rollouts/comparison.rs
@@ -8,7 +8,8 @@
 use {
     bilberryfront_decide::mover::{
         Cause,
-        evidence::{Counts, METRICS, Tally},
+        evidence::{Counts, Tally},
+        verdict::CAUSES,
     },
     compact_str::CompactString,
     std::collections::BTreeMap,
@@ -18,8 +19,6 @@
 /// rejected.
 const MAX_CHANCE: f64 = 1e-3;
 
-const CAUSES: [Cause; METRICS] = [Cause::Failing, Cause::SlowFirst, Cause::SlowPace];
-
 /// Returns the kind of bad event and the route on which the new version is worse; the route is empty
 /// for the total of all routes.
 pub(super) fn find_worse(
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -3,7 +3,7 @@
 use {
     bilberryfront_decide::{
         id::Incarnation,
-        mover::{Cause, MoveUpdate, Verdict},
+        mover::{Cause, MoveUpdate, Response, Verdict},
     },
     bilberryfront_relay::{
         rollouts::{
@@ -24,8 +24,10 @@
 const LONG_TIME: Duration = Duration::from_secs(32);
 /// Number of bad responses of the new version after which the platform requires a rollback.
 const MAX_BAD: u32 = 50;
-/// Requests per second of each node.
+/// Requests per second of each of six nodes.
 const RATE: f64 = 5.0;
+/// Number of nodes of a large system, in which each one has few requests.
+const LARGE: u64 = 82;
 
 /// A node with its rollouts and the requests that it assigned.
 struct Node {
@@ -36,6 +38,8 @@
     /// Whether the node has no connection to the store and to its peers.
     isolated: bool,
     dead: bool,
+    /// Whether the node reaches no runner, so that all its requests fail.
+    is_partitioned: bool,
 }
 
 /// Probabilities that a request fails.
@@ -59,6 +63,8 @@
 
 struct World {
     time: Duration,
+    /// Requests per second of each node.
+    rate: f64,
     nodes: Vec<Node>,
     rng: SmallRng,
     start: Instant,
@@ -90,6 +96,11 @@
 
     /// Creates a world with an order whose deadline is after `time`.
     fn lasting(time: Duration, seed: u64, failure_rates: FailureRates) -> World {
+        World::of(6, time, seed, failure_rates)
+    }
+
+    /// Creates a world with this number of nodes.
+    fn of(count: u64, time: Duration, seed: u64, failure_rates: FailureRates) -> World {
         let now = Instant::now();
         let node = |i: u64| {
             let mut rollouts = Rollouts::new(Incarnation(i + 1));
@@ -101,11 +112,13 @@
                 exposure: Exposure::default(),
                 isolated: false,
                 dead: false,
+                is_partitioned: false,
             }
         };
         World {
             time,
-            nodes: (0..6).map(node).collect(),
+            nodes: (0..count).map(node).collect(),
+            rate: RATE * 6.0 / count.clamp(6, LARGE / 2) as f64,
             rng: SmallRng::seed_from_u64(seed),
             start: now,
             failure_rates,
@@ -130,8 +143,9 @@
             revision
         });
         rollouts.mark_loaded();
-        let (isolated, dead) = (false, false);
-        self.nodes[i] = Node { rollouts, known, exposure: Exposure::default(), isolated, dead };
+        let exposure = Exposure::default();
+        let (isolated, dead, is_partitioned) = (false, false, false);
+        self.nodes[i] = Node { rollouts, known, exposure, isolated, dead, is_partitioned };
     }
 
     /// Runs to the deadline, and restarts all nodes in turn, several times, in the first 0.6 of it.
@@ -195,11 +209,12 @@
     }
 
     fn send_request(&mut self, i: usize, now: Instant) {
-        if !self.rng.random_bool(RATE * STEP.as_secs_f64()) {
+        if !self.rng.random_bool(self.rate * STEP.as_secs_f64()) {
             return;
         }
         let split = self.split(i);
-        let choice = self.nodes[i].exposure.choose(&split, &BOUND, 6, self.rng.random());
+        let (count, hash) = (self.nodes.len(), self.rng.random());
+        let choice = self.nodes[i].exposure.choose(&split, &BOUND, count, hash);
         if split.rule != Rule::OnlyNew {
             self.all += 1;
             self.new += u32::from(choice.new);
@@ -211,13 +226,18 @@
             if choice.new && is_failing { self.failure_rates.new } else { self.failure_rates.old };
         let is_slow = self.rng.random_bool(self.failure_rates.slow[usize::from(choice.new)]);
         let first = Duration::from_millis(self.rng.random_range(900..1_400));
-        let ok = !self.rng.random_bool(failure_rate);
-        self.bad += u32::from(choice.new && (!ok || is_slow) && split.rule != Rule::OnlyNew);
+        let ok = !self.nodes[i].is_partitioned && !self.rng.random_bool(failure_rate);
+        // The version gives no response to a partitioned node.
+        let is_response = choice.new && !self.nodes[i].is_partitioned;
+        self.bad += u32::from(is_response && (!ok || is_slow) && split.rule != Rule::OnlyNew);
         let sample = RolloutSample {
             service: "llm".into(),
             route: route.into(),
             choice,
-            ok,
+            response: match self.nodes[i].is_partitioned {
+                true => Response::Lost,
+                false => ok.into(),
+            },
             first: Some(first * if is_slow { 4 } else { 1 }),
             pace: None,
             runner: self.rng.random_range(0..4),
@@ -290,6 +310,35 @@
     }
 }
 
+/// Guards against evidence that is dropped, or that partitioned nodes outweigh, in a large system.
+#[tokio::test(start_paused = true)]
+async fn failing_version_is_stopped_in_a_large_system() {
+    for (old, new, partitioned) in [(0.15, 0.5, 0), (0.02, 0.5, 27), (0.15, 1.0, 27)] {
+        for seed in 0..2 {
+            let failure_rates = FailureRates { old, new, ..HEALTHY };
+            let mut world = World::of(LARGE, LONG_TIME, seed, failure_rates);
+            world.nodes[..partitioned].iter_mut().for_each(|node| node.is_partitioned = true);
+            world.run(LONG_TIME).await;
+            assert_eq!(world.phase(), Some(Phase::RolledBack), "{old}, {new}, seed {seed}");
+            assert!(world.bad < MAX_BAD, "{old}, {new}, seed {seed}: {} bad", world.bad);
+            assert!(world.within_bound(), "{} of {}", world.new, world.all);
+        }
+    }
+}
+
+/// Guards against a good version that is not completed in time in a large system, while a third of the
+/// nodes reaches no runner.
+#[tokio::test(start_paused = true)]
+async fn good_version_is_completed_in_a_large_system() {
+    for seed in 0..2 {
+        let mut world = World::of(LARGE, LONG_TIME, seed, HEALTHY);
+        world.nodes[..27].iter_mut().for_each(|node| node.is_partitioned = true);
+        world.run(LONG_TIME).await;
+        assert_eq!(world.phase(), Some(Phase::Completed), "seed {seed}");
+        assert!(world.within_bound(), "{} of {}", world.new, world.all);
+    }
+}
+
 /// Guards against a slow version that is completed because some responses of the old one are as slow.
 #[tokio::test(start_paused = true)]
 async fn slow_version_is_stopped_while_some_responses_of_the_old_one_are_slow() {
--- a/src/control/moves.rs
+++ b/src/control/moves.rs
@@ -62,7 +62,7 @@
         Sample {
             choice: self.choice,
             route: &self.route,
-            ok: result.ok,
+            response: result.ok.into(),
             first: result.first,
             pace: result.pace,
             runner: result.runner,
--- a/src/output/human/moves.rs
+++ b/src/output/human/moves.rs
@@ -95,6 +95,7 @@
         Cause::Failing => "the new version fails more often",
         Cause::SlowFirst => "the new version's first tokens are late more often",
         Cause::SlowPace => "the new version's tokens are slow more often",
+        Cause::Lost => "the new version's responses are lost more often",
     };
     let place = match verdict.route.as_str() {
         "" => String::new(),
