Do not let an unlisted node wait for all others before it stores a status

A verdict was not stored before the deadline if only nodes that are not in address responses reached the store: a node that does not find itself among the listed ones waited 0.3 s for each of them, 25 s at 82 nodes.

No node waits longer than 1.2 s now.

Evidence: the test of an order of 32 s found no final status at the deadline before.

--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -47,6 +47,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay before each further node writes, if the status has not been stored.
 const WRITER_STAGGER: Duration = Duration::from_millis(300);
+/// Maximum number of these delays: one of the first nodes in address responses writes the status, unless
+/// none of them reaches the store.
+const MAX_STAGGERS: usize = 4;
 /// Delay before the write of a status is retried.
 const WRITE_RETRY_DELAY: Duration = Duration::from_millis(700);
 
@@ -375,7 +378,10 @@
     fn write(&mut self, now: Instant, rank: usize) -> Option<Action> {
         let (phase, due) = self.due(now)?;
         let due = due.max(self.recorded_at);
-        if self.is_over() || now < due + WRITER_STAGGER * rank as u32 || now < self.write_at {
+        if self.is_over()
+            || now < due + WRITER_STAGGER * rank.min(MAX_STAGGERS) as u32
+            || now < self.write_at
+        {
             return None;
         }
         self.write_at = now + WRITE_RETRY_DELAY;
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -339,6 +339,26 @@
     }
 }
 
+/// Guards against a verdict that is not stored before the deadline, because the nodes that can store it
+/// are not in address responses and wait for all those that are.
+#[tokio::test(start_paused = true)]
+async fn unlisted_node_of_a_large_system_stores_a_status_in_time() {
+    let mut node = Rollouts::new(Incarnation(1));
+    node.mark_loaded();
+    node.apply_order(Instant::now(), ORDERED_AT, order_of(LONG_TIME));
+    let end = Instant::now() + LONG_TIME;
+    let mut written = None;
+    while Instant::now() < end && written != Some(Phase::RolledBack) {
+        for action in node.tick(Instant::now(), LARGE as usize, LARGE as usize) {
+            if let Action::Write(status) = action {
+                written = Some(status.phase);
+            }
+        }
+        advance(STEP).await;
+    }
+    assert_eq!(written, Some(Phase::RolledBack), "no request was served");
+}
+
 /// Guards against a slow version that is completed because some responses of the old one are as slow.
 #[tokio::test(start_paused = true)]
 async fn slow_version_is_stopped_while_some_responses_of_the_old_one_are_slow() {
