Repeat a reader's overtaken polls once, until one of them ends

While changes came in quick succession, a reader to which the store was silent repeated its polls with each of them, before any could time out, and went on reporting the store as available.

Evidence: the test of silent readers, extended by five changes 0.7 s apart, failed before.

--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -92,6 +92,14 @@
     pull: Option<Backoff>,
 }
 
+/// Polls of the operators' table that lag behind a peer.
+#[derive(Clone, Copy, Debug)]
+struct Overtaken {
+    at: Instant,
+    /// Whether the polls were repeated. Until one of them ends, further changes do not repeat them.
+    repeated: bool,
+}
+
 /// Time of the last request, and the time until the next one.
 #[derive(Clone, Copy, Debug)]
 struct Backoff {
@@ -132,8 +140,8 @@
     checks: usize,
     /// Whether the last check is passed on to another node if the store does not respond to this one.
     passes_check: bool,
-    /// Time at which a peer had operators' rows that this reader's poll has not brought yet.
-    overtaken_at: Option<Instant>,
+    /// Set while a peer has operators' rows that this reader's poll has not brought yet.
+    overtaken: Option<Overtaken>,
     /// Time at which the store was last available to this node or, by its report, to a reader.
     available_at: Option<Instant>,
     /// Whether the store is unavailable to this node and to all readers.
@@ -181,7 +189,7 @@
             checked_at: None,
             checks: 0,
             passes_check: false,
-            overtaken_at: None,
+            overtaken: None,
             available_at: None,
             outage: false,
             rejected: false,
@@ -268,7 +276,7 @@
         if !self.polling {
             self.responsive = false;
             self.served = false;
-            self.overtaken_at = None;
+            self.overtaken = None;
             self.tables.iter_mut().for_each(|table| table.failed = false);
         }
         self.update_outage(now);
@@ -279,8 +287,10 @@
         if self.polling && self.is_loaded() {
             self.report(now, out);
         }
-        if self.overtaken_at.is_some_and(|at| now >= at + OVERTAKEN_TIMEOUT) {
-            self.overtaken_at = None;
+        if let Some(Overtaken { at, repeated }) = &mut self.overtaken
+            && now >= *at + OVERTAKEN_TIMEOUT
+            && !std::mem::replace(repeated, true)
+        {
             out.push(Action::RepeatPolls);
         }
         if !self.polling && self.election.is_started() && !self.is_loaded() {
@@ -295,7 +305,7 @@
         self.rejected |= failed;
         if table == TableId::Operators {
             self.responsive = !failed;
-            self.overtaken_at = None;
+            self.overtaken = None;
         }
         // Rollout statuses change rarely, so polls of them alone do not show whether the store is
         // available.
@@ -402,7 +412,7 @@
     /// Records that the polls of this node should have brought a change of the operators' rows.
     fn mark_overtaken(&mut self, now: Instant) {
         if self.polling {
-            self.overtaken_at.get_or_insert(now);
+            self.overtaken.get_or_insert(Overtaken { at: now, repeated: false });
         }
     }
 
--- a/crates/relay/tests/table_sync.rs
+++ b/crates/relay/tests/table_sync.rs
@@ -112,7 +112,11 @@
         let key = |n: &world::Node| n.has(TableId::Operators, "config", other);
         let elapsed = world.until("changed again", key).await;
         assert!(elapsed <= 2 * SECOND, "{elapsed:?}");
-        world.run(3 * SECOND).await;
+        // Further changes must not keep the readers' repeated polls from ending.
+        for _ in 0..5 {
+            world.run(Duration::from_millis(700)).await;
+            world.store.put(TableId::Operators, "config");
+        }
         let is_reading = |n: &world::Node| n.domain == 0 && !n.silent && n.sync.is_polling();
         assert!(world.nodes.iter().any(is_reading), "a node with access reads for all");
     }
