Keep the evidence of as many processes as there may be nodes

At more than 64 nodes, or after eleven restarts of six, a verdict rested on the processes that had reported first; bad responses that the others saw were dropped.

The limit is that of the members now, 2,048. It bounds the memory: up to 5 KB a process with nine routes, some 2 KB with four; at 985 nodes 2 MB of the 260 that a small instance has, at twice the size 4 MB. Reports go to at most 100 nodes, as before.

Evidence: the test of 328 processes, the last 82 of which saw a bad response, failed before.

--- a/crates/decide/src/mover/evidence.rs
+++ b/crates/decide/src/mover/evidence.rs
@@ -10,7 +10,7 @@
 
 use {
     super::split::Choice,
-    crate::id::Incarnation,
+    crate::{id::Incarnation, member::MAX_MEMBERS},
     compact_str::CompactString,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, time::Duration},
@@ -26,9 +26,9 @@
 pub const OTHER: &str = "other";
 /// Kinds of bad event.
 pub const METRICS: usize = 4;
-/// Maximum number of node incarnations whose counters are kept for one move; further ones are
-/// ignored.
-pub const MAX_NODES: usize = 64;
+/// Maximum number of node incarnations whose counters are kept for one move, a few KB each; further
+/// ones are ignored.
+pub const MAX_NODES: usize = MAX_MEMBERS;
 
 /// Minimum number of latencies, over all nodes, for a bound on good latencies.
 const MIN_LATENCIES: f64 = 12.0;
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -3,7 +3,7 @@
 use {
     bilberryfront_decide::{
         id::Incarnation,
-        mover::{Cause, MoveUpdate, Response, Verdict},
+        mover::{Cause, Choice, MoveUpdate, Response, Sample, Share, Verdict, evidence::Collector},
     },
     bilberryfront_relay::{
         rollouts::{
@@ -339,6 +339,38 @@
     }
 }
 
+/// Guards against evidence that is dropped because many processes have reported already, such as those
+/// of nodes that restart again and again.
+#[tokio::test(start_paused = true)]
+async fn evidence_of_many_processes_counts() {
+    let mut node = Rollouts::new(Incarnation(0));
+    node.mark_loaded();
+    node.apply_order(Instant::now(), ORDERED_AT, rollout_order());
+    let id = node.splits()["llm"].id;
+    for process in 1..=4 * LARGE {
+        let mut collector = Collector::default();
+        let choice = Choice { id: Some(id), new: true, share: Share(2_500) };
+        let response = (process <= 3 * LARGE).into();
+        let (first, pace, runner, account) = (None, None, process, 0);
+        let sample = Sample { choice, route: "check", response, first, pace, runner, account };
+        collector.observe(&sample, &BTreeMap::new());
+        let update = MoveUpdate {
+            from: Incarnation(process),
+            sequence: 1,
+            acks: Vec::new(),
+            entry: "llm".into(),
+            id,
+            verdict: None,
+            evidence: Some(collector.evidence().clone()),
+            elapsed_ms: 0,
+            bad: 0,
+        };
+        node.handle_peer_update(Instant::now(), &update);
+    }
+    node.tick(Instant::now(), 0, 1);
+    assert_eq!(node.splits()["llm"].rule, Rule::OnlyOld, "{LARGE} bad responses");
+}
+
 /// Guards against a verdict that is not stored before the deadline, because the nodes that can store it
 /// are not in address responses and wait for all those that are.
 #[tokio::test(start_paused = true)]
