Reject a new version at the last look with a chance of 0.01

A version that is completed although it is bad gets all requests. At 0.001 the comparison of proportions missed too many of them while the old version fails as well.

--- a/crates/relay/src/rollouts/comparison.rs
+++ b/crates/relay/src/rollouts/comparison.rs
@@ -17,7 +17,7 @@
 
 /// Probability with which a version that is no worse has this many of the bad events, below which it is
 /// rejected.
-const MAX_CHANCE: f64 = 1e-3;
+const MAX_CHANCE: f64 = 1e-2;
 
 /// Returns the kind of bad event and the route on which the new version is worse; the route is empty
 /// for the total of all routes.
