--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -9,6 +9,10 @@
 
 use {
     base64::{Engine, engine::general_purpose::STANDARD},
+    bilberryfront_standins::{
+        faults::{Faults, Lose},
+        server::Handle,
+    },
     process::{Instance, Platform, post, wait_until},
     serde_json::{Value, json},
     std::time::Duration,
@@ -36,6 +40,8 @@
     None,
     /// All of them are killed and started again, one after the other.
     Restarts,
+    /// The store does not respond to half of them.
+    Silence,
     /// Half of them are told to stop, so that address responses do not list them, and still serve
     /// callers.
     Stops,
@@ -79,8 +85,11 @@
         platform.start_version(&names[0], PLAIN, domain, "v1", Script::Version(old)).await;
         platform.start_version(&names[1], PLAIN, domain, "v2", Script::Version(new)).await;
     }
+    let stores: Vec<Handle> = (0..INSTANCES)
+        .map(|_| platform.store.with_own_faults().start("127.0.0.1:0".parse().unwrap()).unwrap())
+        .collect();
     let start_one = |index: usize| {
-        platform.start_in(&format!("n{index}"), ["a", "b", "c"][index % 3], platform.handle.addr)
+        platform.start_in(&format!("n{index}"), ["a", "b", "c"][index % 3], stores[index].addr)
     };
     let mut instances: Vec<Instance> = (0..INSTANCES).map(start_one).collect();
     for instance in &instances {
@@ -90,6 +99,13 @@
     let order = json!({"service": PLAIN, "to": "v2", "duration_s": ROLLOUT_TIME.as_secs_f64()});
     platform.put("op", &format!("rollout/{PLAIN}"), &order);
     let start = Instant::now();
+    if disruption == Disruption::Silence {
+        sleep(ms(200)).await;
+        let lose = Lose { effect: false, hang: true, path: "".into(), once: false };
+        for store in stores.iter().step_by(2) {
+            store.faults.set(Faults { lose: Some(lose.clone()), ..Faults::default() });
+        }
+    }
     if disruption == Disruption::Stops {
         instances.iter().step_by(2).for_each(|instance| instance.process.terminate());
     }
@@ -169,6 +185,15 @@
     run_local(assert_rolled_back(old, new, Disruption::Restarts)).await;
 }
 
+/// Guards against a verdict that is not stored because the instances that should store it get no
+/// responses of the store.
+#[tokio::test]
+async fn failing_version_is_stopped_while_the_store_is_silent_for_half_of_the_instances() {
+    let old = BadShares { failed: 0.15, ..GOOD };
+    let new = BadShares { failed: 0.6, ..GOOD };
+    run_local(assert_rolled_back(old, new, Disruption::Silence)).await;
+}
+
 /// Guards against instances that address responses do not list, and that use a share of the bound that
 /// is meant for others.
 #[tokio::test]
@@ -178,14 +203,23 @@
     run_local(assert_rolled_back(old, new, Disruption::Stops)).await;
 }
 
+/// Asserts that a version that is no worse than the old one is completed.
+async fn assert_completed(both: BadShares, disruption: Disruption) {
+    let outcome = play(both, both, disruption).await;
+    assert!(outcome.is_within_bound(), "{outcome:?}");
+    assert_eq!(outcome.state.as_deref(), Some("completed"), "{outcome:?}");
+}
+
 /// Guards against a good version that is rolled back because of failures that both versions have.
 #[tokio::test]
 async fn good_version_is_completed_while_both_fail() {
-    run_local(async {
-        let both = BadShares { failed: 0.15, ..GOOD };
-        let outcome = play(both, both, Disruption::None).await;
-        assert!(outcome.is_within_bound(), "{outcome:?}");
-        assert_eq!(outcome.state.as_deref(), Some("completed"), "{outcome:?}");
-    })
-    .await;
+    let both = BadShares { failed: 0.15, ..GOOD };
+    run_local(assert_completed(both, Disruption::None)).await;
+}
+
+/// Guards against a good version whose rollout is not over at its deadline, as restarted instances take
+/// the time of their start for that of the order.
+#[tokio::test]
+async fn good_version_is_completed_while_all_instances_restart() {
+    run_local(assert_completed(GOOD, Disruption::Restarts)).await;
 }
