Judge lost responses of a new version more strictly at the last look

A good version was rolled back at the deadline while a third of the nodes reached no runner: lost responses come in bursts and differ between the versions by chance.

The comparison of proportions demands 0.001 for them, and they no longer make a version suspect by their number alone; the sequential test still finds a version that loses its responses.

--- a/crates/relay/src/rollouts/comparison.rs
+++ b/crates/relay/src/rollouts/comparison.rs
@@ -8,7 +8,7 @@
 use {
     bilberryfront_decide::mover::{
         Cause,
-        evidence::{Counts, Tally},
+        evidence::{Counts, METRICS, Tally},
         verdict::CAUSES,
     },
     compact_str::CompactString,
@@ -16,8 +16,8 @@
 };
 
 /// Probability with which a version that is no worse has this many of the bad events, below which it is
-/// rejected.
-const MAX_CHANCE: f64 = 1e-2;
+/// rejected, by kind. Lost responses come in bursts, so that they are less independent.
+const MAX_CHANCE: [f64; METRICS] = [1e-2, 1e-2, 1e-2, 1e-3];
 
 /// Returns the kind of bad event and the route on which the new version is worse; the route is empty
 /// for the total of all routes.
@@ -27,16 +27,18 @@
     let mut total = Counts::default();
     routes.values().for_each(|counts| total.add(counts));
     let all = CompactString::default();
-    let cells = routes.iter().chain([(&all, &total)]).flat_map(|(route, counts)| {
-        counts.bad.iter().zip(CAUSES).map(move |(tally, cause)| (route, counts, tally, cause))
-    });
-    let worse = cells.into_iter().find(|(_, counts, tally, _)| is_worse(counts, tally));
-    worse.map(|(route, _, _, cause)| (cause, route.clone()))
+    let cells = routes
+        .iter()
+        .chain([(&all, &total)])
+        .flat_map(|(route, counts)| (0..METRICS).map(move |metric| (route, counts, metric)));
+    let worse = cells.into_iter().find(|(_, counts, metric)| is_worse(counts, *metric));
+    worse.map(|(route, _, metric)| (CAUSES[metric], route.clone()))
 }
 
-/// Returns whether the new version has significantly more bad events than the old one.
-fn is_worse(counts: &Counts, tally: &Tally) -> bool {
-    chance([counts.new, counts.control], [tally.new, tally.old]) < MAX_CHANCE
+/// Returns whether the new version has significantly more bad events of a kind than the old one.
+fn is_worse(counts: &Counts, metric: usize) -> bool {
+    let Tally { new, old, .. } = counts.bad[metric];
+    chance([counts.new, counts.control], [new, old]) < MAX_CHANCE[metric]
 }
 
 /// Returns the probability that the first of two groups has at least its number of bad events if all bad
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -13,7 +13,7 @@
             MoveId, MoveUpdate, Sample,
             evidence::{Collector, Counts, PooledEvidence, TOLERANCE, Tally},
             standing::{Cause, Verdict},
-            verdict::SequentialTest,
+            verdict::{CAUSES, SequentialTest},
         },
     },
     compact_str::CompactString,
@@ -331,11 +331,15 @@
     }
 
     /// Returns whether the new version has more than its share of bad events. An outage behind the
-    /// runners affects both versions alike.
+    /// runners affects both versions alike. Lost responses have too many other causes for this.
     fn is_worse(&self) -> bool {
         let part = CANARY_SHARE.fraction() * TOLERANCE;
         let excess = |t: &Tally| f64::from(t.new) > f64::from(t.old + t.new) * part + CHANCE_EVENTS;
-        self.routes.values().any(|counts| counts.bad.iter().any(excess))
+        let is_caused = |(_, cause): &(&Tally, Cause)| *cause != Cause::Lost;
+        let caused = |counts: &Counts| {
+            counts.bad.iter().zip(CAUSES).filter(is_caused).any(|(t, _)| excess(t))
+        };
+        self.routes.values().any(caused)
     }
 
     /// Returns the number of finished requests of the new version on all nodes.
