--- a/crates/relay/src/control/feeds.rs
+++ b/crates/relay/src/control/feeds.rs
@@ -245,18 +245,15 @@
             }
             rows => rows.map(Change::Rows),
         };
-        match change {
-            Ok(change) => {
-                if loader.send(Loaded::Check(change)).await.is_err() {
-                    return;
-                }
-            }
-            Err(error) => {
+        let result = change.map_or_else(
+            |error| {
                 log::debug!(table = name; "check failed: {error}");
-                if loader.send(Loaded::CheckFailed).await.is_err() {
-                    return;
-                }
-            }
+                Loaded::CheckFailed
+            },
+            Loaded::Check,
+        );
+        if loader.send(result).await.is_err() {
+            return;
         }
     }
 }
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -3,9 +3,9 @@
 //! Each node has a state machine per service. During the rollout the new version gets a bounded
 //! share of the requests ([`exposure`]). The nodes exchange their results and compare both versions
 //! with a sequential test. Requests to the new version are paused after a number of bad responses,
-//! whether or not there is a finding. Any node may stop sending requests to the new version on its own. Only
-//! completion needs the store, because the old runners stop then: the first final status written to
-//! the store is authoritative.
+//! whether or not there is a finding. Any node may stop sending requests to the new version on its
+//! own. Only completion needs the store, because the old runners stop then: the first final status
+//! written to the store is authoritative.
 
 mod comparison;
 pub mod exposure;
