--- a/crates/relay/src/table_sync.rs
+++ b/crates/relay/src/table_sync.rs
@@ -339,19 +339,7 @@
                     "row of the store ignored: a later revision is known");
             }
         }
-        let (rows, revision) = match change {
-            Change::Unavailable | Change::Available => return,
-            Change::Snapshot(snapshot) => {
-                let revision = snapshot.revision;
-                *whole = true;
-                (mirror.replace(now, snapshot), revision)
-            }
-            Change::Rows(Rows { rows, revision }) => {
-                let rows = mirror.merge(now, rows);
-                mirror.confirm(revision);
-                (rows, revision)
-            }
-        };
+        let Some((rows, revision)) = self.merge(now, table, change) else { return };
         if rows.is_empty() && loaded && was_whole {
             return;
         }
@@ -365,6 +353,30 @@
         self.apply_held(now, table, rows, was_whole, grace, out);
     }
 
+    /// Merges a change that was read from the store; returns the rows that changed, and the revision up
+    /// to which they are complete.
+    fn merge(
+        &mut self,
+        now: Instant,
+        table: TableId,
+        change: Change,
+    ) -> Option<(Vec<Row>, Revision)> {
+        let Table { mirror, whole, .. } = &mut self.tables[index(table)];
+        match change {
+            Change::Unavailable | Change::Available => None,
+            Change::Snapshot(snapshot) => {
+                let revision = snapshot.revision;
+                *whole = true;
+                Some((mirror.replace(now, snapshot), revision))
+            }
+            Change::Rows(Rows { rows, revision }) => {
+                let rows = mirror.merge(now, rows);
+                mirror.confirm(revision);
+                Some((rows, revision))
+            }
+        }
+    }
+
     /// Handles a table that was read directly.
     pub fn on_load(&mut self, now: Instant, table: TableId, rows: Rows, out: &mut Vec<Action>) {
         let Table { mirror, whole, .. } = &mut self.tables[index(table)];
@@ -377,21 +389,8 @@
     /// lacked them, the readers do not get changes from the store.
     pub fn on_check(&mut self, now: Instant, change: Change, out: &mut Vec<Action>) {
         let table = TableId::Operators;
-        let Table { mirror, whole, .. } = &mut self.tables[index(table)];
-        let was_whole = *whole;
-        let (rows, revision) = match change {
-            Change::Unavailable | Change::Available => return,
-            Change::Snapshot(snapshot) => {
-                let revision = snapshot.revision;
-                *whole = true;
-                (mirror.replace(now, snapshot), revision)
-            }
-            Change::Rows(Rows { rows, revision }) => {
-                let rows = mirror.merge(now, rows);
-                mirror.confirm(revision);
-                (rows, revision)
-            }
-        };
+        let was_whole = self.tables[index(table)].whole;
+        let Some((rows, revision)) = self.merge(now, table, change) else { return };
         if rows.is_empty() {
             return;
         }
