Log why a stream gets no other attempt

An aborted stream and a request rejected with 504 did not tell whether the retry budget, the number of attempts, the deadline or the lack of a runner forbade another attempt, and a run that was left before its first event because of failed probes was not logged at all. Both are logged now; no decision changes.

--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -71,6 +71,8 @@
     failure: Option<(Parts, Bytes)>,
     /// Error of the last run that may have started.
     lost: Option<SendError>,
+    /// Why the last attempt was not followed by another.
+    no_attempt: Option<NoAttempt>,
 }
 
 /// Progress of a run.
@@ -108,6 +110,25 @@
     Rejected(Rejection),
 }
 
+/// Why there is no other attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NoAttempt {
+    /// The request is quarantined.
+    Quarantined,
+    /// The maximum number of runs or sends is reached.
+    Exhausted,
+    /// The deadline has passed.
+    Deadline,
+    /// The request may have run and must not run again.
+    Unsafe,
+    /// The retry budget is exhausted.
+    Budget,
+    /// No runner can be selected.
+    NoRunner,
+    /// There is no path to the runners.
+    NoPath,
+}
+
 /// Outcome of one send.
 enum AttemptOutcome {
     Started(Box<StartedRun>),
@@ -167,6 +188,7 @@
             last_replica: None,
             failure: None,
             lost: None,
+            no_attempt: None,
         }
     }
 
@@ -180,7 +202,10 @@
         while self.may_send(end) {
             let next =
                 cached.take().map(|endpoint| (endpoint, None)).or_else(|| self.next_endpoint());
-            let Some((endpoint, replica)) = next else { break };
+            let Some((endpoint, replica)) = next else {
+                self.no_attempt = Some(NoAttempt::NoRunner);
+                break;
+            };
             let from_replica = replica.is_some();
             self.sends += 1;
             self.sent_at = Instant::now();
@@ -213,6 +238,7 @@
                     // A new stream may succeed through another node; one that has begun cannot.
                     let fleet = &self.traffic.client.fleet;
                     if !self.reached_runner || !fleet.wait_for_path(&endpoint, end).await {
+                        self.no_attempt = Some(NoAttempt::NoPath);
                         break;
                     }
                     self.sends -= 1;
@@ -235,6 +261,7 @@
                 }
                 AttemptOutcome::Quarantined => {
                     self.lost = Some(SendError::Disconnected);
+                    self.no_attempt = Some(NoAttempt::Quarantined);
                     break;
                 }
             }
@@ -243,6 +270,9 @@
                 self.failed.push(endpoint.key);
             }
         }
+        if self.position == self.call.head.resume && self.sends > 0 {
+            self.log_not_started();
+        }
         Err(self.final_failure())
     }
 
@@ -284,6 +314,7 @@
                         self.record_crash(&endpoint, Some(self.progress.waited)).await;
                     }
                     if !self.is_resumable() {
+                        self.no_attempt = Some(NoAttempt::Unsafe);
                         return self.log_broken();
                     }
                     match self.start_run().await {
@@ -405,7 +436,11 @@
         };
         tokio::select! {
             tried = send => tried,
-            () = self.traffic.client.wait_until_lost(&self.call, endpoint) => lost(SendError::Timeout, false),
+            sign = self.traffic.client.wait_until_lost(&self.call, endpoint) => {
+                log::warn!(request = id.as_str(), runner = endpoint.id.as_str();
+                    "{RESPONSE_LOST}{sign:?}, before the first event");
+                lost(SendError::Timeout, false)
+            }
             () = self.traffic.quarantine.wait_until_quarantined(&self.call) => AttemptOutcome::Quarantined,
         }
     }
@@ -416,13 +451,26 @@
         if self.sends == 0 {
             return true;
         }
+        self.no_attempt = self.find_limit(end);
+        let is_free = !self.reached_runner || std::mem::take(&mut self.has_unused_retry);
+        if self.no_attempt.is_none() && !is_free && !self.traffic.take_retry(&self.call.service) {
+            self.no_attempt = Some(NoAttempt::Budget);
+        }
+        self.no_attempt.is_none()
+    }
+
+    /// Returns the limit, other than the retry budget, that forbids another send.
+    fn find_limit(&self, end: Instant) -> Option<NoAttempt> {
+        let is_quarantined = self.traffic.quarantine.time_left(&self.call).is_some();
         let has_runs_left = self.runs < self.call.route.attempts.max(1);
         let is_safe = self.lost.is_none() || self.is_resumable();
-        let has_sends_left = self.sends < MAX_SENDS && Instant::now() < end;
-        let is_quarantined = self.traffic.quarantine.time_left(&self.call).is_some();
-        let may_send = !is_quarantined && has_runs_left && is_safe && has_sends_left;
-        let is_free = !self.reached_runner || std::mem::take(&mut self.has_unused_retry);
-        may_send && (is_free || self.traffic.take_retry(&self.call.service))
+        match () {
+            () if is_quarantined => Some(NoAttempt::Quarantined),
+            () if !has_runs_left || self.sends >= MAX_SENDS => Some(NoAttempt::Exhausted),
+            () if !is_safe => Some(NoAttempt::Unsafe),
+            () if Instant::now() >= end => Some(NoAttempt::Deadline),
+            () => None,
+        }
     }
 
     fn is_resumable(&self) -> bool {
--- a/crates/relay/src/flow/generation/logging.rs
+++ b/crates/relay/src/flow/generation/logging.rs
@@ -8,6 +8,7 @@
         metrics::Outcome,
         network::Network,
     },
+    compact_str::{CompactString, format_compact},
 };
 
 impl<D: Dialect, N: Network> Generation<D, N> {
@@ -30,7 +31,17 @@
     pub(super) fn log_broken(&self) {
         self.traffic.metrics.count_request(self.call.route.kind, Outcome::Aborted, None);
         log::warn!(request = self.call.head.id.as_str(), sends = self.sends, runs = self.runs,
-            position = self.position.unwrap_or_default();
+            position = self.position.unwrap_or_default(), reason = self.reason().as_str();
             "{STREAM_ABORTED}: no runner can resume it");
     }
+
+    /// Logs that no run has started.
+    pub(super) fn log_not_started(&self) {
+        log::info!(request = self.call.head.id.as_str(), sends = self.sends, runs = self.runs,
+            reason = self.reason().as_str(); "no other attempt to start the stream");
+    }
+
+    fn reason(&self) -> CompactString {
+        self.no_attempt.map_or_else(CompactString::default, |reason| format_compact!("{reason:?}"))
+    }
 }
