Test streams while sound runners are silent

Six instances in four failure domains and twelve engines run as before, but engines can be paused: they neither read nor send, their connections stay open, and they go on where they were. A run of a stand-in ends as soon as its connection is closed, and its times are kept, so that double work and runs without a caller are seen.

--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -18,7 +18,7 @@
         view::{NodeAddress, Published, Registration, Splits, State, View},
     },
     bytes::Bytes,
-    http::{HeaderMap, Request, Response, StatusCode},
+    http::{HeaderMap, HeaderValue, Request, Response, StatusCode},
     http_body_util::{BodyExt, StreamBody},
     hyper::{
         body::{Frame, Incoming},
@@ -32,12 +32,16 @@
         convert::Infallible,
         io,
         net::SocketAddr,
+        ops::RangeInclusive,
+        pin::Pin,
         rc::Rc,
         sync::Arc,
+        task::{Context, Poll, Waker, ready},
         time::Duration,
     },
     tokio::{
-        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream},
+        io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf},
+        sync::mpsc::Sender,
         task::{AbortHandle, LocalSet},
         time::{Instant, sleep},
     },
@@ -76,6 +80,14 @@
         /// End of the stream after the last event.
         end: StreamEnd,
     },
+    /// Streams as many events as the request states, after its prompt is prefilled.
+    #[allow(dead_code, reason = "used by some of the test programs only")]
+    Generate {
+        /// Time before the first event of a run that does not start from a replica.
+        prefill: Duration,
+        /// Time before each event.
+        gap: Duration,
+    },
     /// Sends a response with the attempt id of another request.
     WrongAttempt,
     /// Reads the request and closes the connection.
@@ -147,6 +159,26 @@
     pub(crate) body: Bytes,
 }
 
+/// A time span that may not have ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Span {
+    /// Start.
+    #[allow(dead_code, reason = "used by some of the test programs only")]
+    pub(crate) start: Instant,
+    /// End.
+    pub(crate) end: Option<Instant>,
+}
+
+impl Span {
+    fn new() -> Span {
+        Span { start: Instant::now(), end: None }
+    }
+
+    fn end(&mut self) {
+        self.end = Some(Instant::now());
+    }
+}
+
 /// An in-memory runner.
 pub(crate) struct Runner {
     /// Instance id.
@@ -171,6 +203,10 @@
     pub(crate) generated_events: Cell<u32>,
     /// Whether the runner is unresponsive: it accepts no connections and sends no responses.
     pub(crate) is_unresponsive: Cell<bool>,
+    /// Times at which the runner was paused; see [`Runner::pause`].
+    pub(crate) pauses: RefCell<Vec<Span>>,
+    /// Tasks that go on when the pause ends.
+    paused_tasks: RefCell<Vec<Waker>>,
     /// Whether the process has crashed.
     pub(crate) is_crashed: Cell<bool>,
     /// Body of the requests that crash the runner, shortly after their response has started.
@@ -194,6 +230,8 @@
     pub(crate) running: Cell<usize>,
     /// Number of streams that generate events.
     pub(crate) streams: Rc<Cell<usize>>,
+    /// Runs of streams, with the attempt id of their request.
+    pub(crate) runs: RefCell<Vec<(String, Span)>>,
     /// Times at which requests were rejected for lack of capacity.
     pub(crate) rejections: RefCell<Vec<Instant>>,
     /// `Retry-After` value of rejections.
@@ -227,6 +265,8 @@
             released_copies: Cell::new(0),
             generated_events: Cell::new(0),
             is_unresponsive: Cell::new(false),
+            pauses: RefCell::default(),
+            paused_tasks: RefCell::default(),
             is_crashed: Cell::new(false),
             crash_body: RefCell::default(),
             crash_delay: Cell::new(None),
@@ -238,6 +278,7 @@
             max_rejections: Cell::new(None),
             running: Cell::new(0),
             streams: Rc::default(),
+            runs: RefCell::default(),
             rejections: RefCell::default(),
             retry_after: Cell::new(None),
             bad: RefCell::default(),
@@ -252,6 +293,35 @@
         self.connections.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
+    /// Pauses the runner: it neither reads nor sends nor generates anything, but its connections
+    /// stay open and new ones are accepted.
+    #[allow(dead_code, reason = "used by some of the test programs only")]
+    pub(crate) fn pause(&self) {
+        self.pauses.borrow_mut().push(Span::new());
+    }
+
+    /// Ends the pause. The runner goes on where it was.
+    #[allow(dead_code, reason = "used by some of the test programs only")]
+    pub(crate) fn unpause(&self) {
+        self.pauses.borrow_mut().last_mut().expect("the runner is paused").end();
+        self.paused_tasks.take().into_iter().for_each(Waker::wake);
+    }
+
+    /// Returns ready unless the runner is paused.
+    fn poll_unpaused(&self, context: &Context<'_>) -> Poll<()> {
+        let is_paused = self.pauses.borrow().last().is_some_and(|pause| pause.end.is_none());
+        if is_paused {
+            self.paused_tasks.borrow_mut().push(context.waker().clone());
+            return Poll::Pending;
+        }
+        Poll::Ready(())
+    }
+
+    /// Waits until the runner is not paused.
+    async fn unpaused(&self) {
+        std::future::poll_fn(|context| self.poll_unpaused(context)).await;
+    }
+
     /// Returns a header of the last request.
     pub(crate) fn header(&self, name: &str) -> Option<String> {
         let requests = self.requests.borrow();
@@ -400,8 +470,47 @@
     client
 }
 
+/// A connection that carries nothing while its runner is paused.
+struct Pausable<S> {
+    runner: Rc<Runner>,
+    stream: S,
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Pausable<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        ready!(self.runner.poll_unpaused(context));
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Pausable<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.runner.poll_unpaused(context));
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.runner.poll_unpaused(context));
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.runner.poll_unpaused(context));
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
 /// Serves a connection to a runner.
 pub(crate) fn serve(runner: Rc<Runner>, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
+    let stream = Pausable { runner: runner.clone(), stream };
     if let Script::Unframed(text) = *runner.script.borrow() {
         tokio::task::spawn_local(respond_unframed(runner.clone(), stream, text));
         return;
@@ -453,6 +562,29 @@
     }
 }
 
+/// A run of a stream, which ends when it is dropped.
+struct ActiveRun {
+    runner: Rc<Runner>,
+    /// Position in the runner's runs.
+    index: usize,
+}
+
+impl ActiveRun {
+    fn new(runner: &Rc<Runner>, id: &HeaderValue) -> ActiveRun {
+        runner.streams.set(runner.streams.get() + 1);
+        let mut runs = runner.runs.borrow_mut();
+        runs.push((id.to_str().unwrap().to_owned(), Span::new()));
+        ActiveRun { runner: runner.clone(), index: runs.len() - 1 }
+    }
+}
+
+impl Drop for ActiveRun {
+    fn drop(&mut self) {
+        self.runner.streams.set(self.runner.streams.get() - 1);
+        self.runner.runs.borrow_mut()[self.index].1.end();
+    }
+}
+
 type Body = http_body_util::combinators::UnsyncBoxBody<Bytes, io::Error>;
 
 async fn respond(runner: &Rc<Runner>, request: Request<Incoming>) -> io::Result<Response<Body>> {
@@ -528,9 +660,16 @@
             response
         }
         Script::Events { last, gap, end } => {
-            let header = parts.headers.get("last-event-id").and_then(|v| v.to_str().ok());
-            let after = header.and_then(|v| v.parse().ok()).unwrap_or(0);
-            events(runner.clone(), after, last, gap, end)
+            let after = resume_position(&parts.headers);
+            events(ActiveRun::new(runner, &id), after, last, gap, end)
+        }
+        Script::Generate { prefill, gap } => {
+            let run = ActiveRun::new(runner, &id);
+            if !has_copy {
+                sleep(prefill).await;
+            }
+            let after = resume_position(&parts.headers);
+            events(run, after, output_tokens(&parts.headers), gap, StreamEnd::Complete)
         }
         Script::WrongAttempt => {
             let mut response = complete_response(200, "somebody else's");
@@ -561,6 +700,18 @@
     Ok(response)
 }
 
+/// Returns the id of the event after which a request resumes its stream.
+fn resume_position(headers: &HeaderMap) -> u64 {
+    let header = headers.get("last-event-id").and_then(|v| v.to_str().ok());
+    header.and_then(|v| v.parse().ok()).unwrap_or(0)
+}
+
+/// Returns the number of output tokens that a request states.
+fn output_tokens(headers: &HeaderMap) -> u64 {
+    let header = headers.get("x-bilberryfront-token-counts").and_then(|v| v.to_str().ok());
+    header.and_then(|v| v.split_once(',')?.1.parse().ok()).expect("the request has token counts")
+}
+
 /// Returns the state report, with one run for the last request and its number of generated events.
 fn report(runner: &Runner) -> String {
     let generated = runner.generated_events.get();
@@ -582,7 +733,10 @@
 async fn copy_cache(runner: &Runner, request: Request<Incoming>) -> String {
     let body = request.into_body().collect().await.unwrap().to_bytes();
     let request: serde_json::Value = serde_json::from_slice(&body).unwrap();
-    assert_eq!((request["id"].as_str(), request["last"].as_bool()), (Some("a1"), Some(false)));
+    let id = request["id"].as_str().unwrap();
+    let is_id = |request: &ReceivedRequest| request.headers["x-bilberryfront-attempt-id"] == id;
+    assert!(runner.requests.borrow().iter().any(is_id), "copy of the unknown request {id}");
+    assert_eq!(request["last"].as_bool(), Some(false));
     runner.copy_targets.borrow_mut().push(request["to"].as_str().unwrap().to_owned());
     r#"{"handle":"h1","created":5}"#.into()
 }
@@ -607,43 +761,15 @@
     http_body_util::Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
-fn events(
-    runner: Rc<Runner>,
-    after: u64,
-    last: u64,
-    gap: Duration,
-    end: StreamEnd,
-) -> Response<Body> {
-    // The body type must be `Send`, and `Runner` is not, so a local task checks `is_unresponsive`.
+fn events(run: ActiveRun, after: u64, last: u64, gap: Duration, end: StreamEnd) -> Response<Body> {
+    // The body type must be `Send`, and `Runner` is not, so a local task generates the events.
     let (sender, mut receiver) = tokio::sync::mpsc::channel::<io::Result<Frame<Bytes>>>(1);
-    let streams = runner.streams.clone();
-    runner.streams.set(runner.streams.get() + 1);
-    let generate = async move {
-        for id in after + 1..=last {
-            sleep(gap).await;
-            if runner.is_unresponsive.get() {
-                std::future::pending::<Infallible>().await;
-            }
-            let text = format!("id: {id}\ndata: token {id}\n\n");
-            if sender.send(Ok(Frame::data(text.into()))).await.is_err() {
-                return;
-            }
-        }
-        match end {
-            StreamEnd::Complete => {}
-            StreamEnd::Truncated => {
-                _ = sender.send(Ok(Frame::data(Bytes::from_static(b"id: 9")))).await;
-            }
-            StreamEnd::Reset => {
-                _ = sender.send(Ok(Frame::data(Bytes::from_static(b"id: 9")))).await;
-                sleep(Duration::from_millis(1)).await;
-                _ = sender.send(Err(io::ErrorKind::ConnectionReset.into())).await;
-            }
-        }
-    };
     tokio::task::spawn_local(async move {
-        generate.await;
-        streams.set(streams.get() - 1);
+        // The body is dropped when its connection is closed.
+        tokio::select! {
+            () = generate(&run.runner, &sender, after + 1..=last, gap, end) => {}
+            () = sender.closed() => {}
+        }
     });
     let frames = stream! {
         while let Some(frame) = receiver.recv().await {
@@ -653,6 +779,37 @@
     Response::new(StreamBody::new(frames).boxed_unsync())
 }
 
+async fn generate(
+    runner: &Runner,
+    sender: &Sender<io::Result<Frame<Bytes>>>,
+    ids: RangeInclusive<u64>,
+    gap: Duration,
+    end: StreamEnd,
+) {
+    for id in ids {
+        sleep(gap).await;
+        runner.unpaused().await;
+        if runner.is_unresponsive.get() {
+            std::future::pending::<Infallible>().await;
+        }
+        let text = format!("id: {id}\ndata: token {id}\n\n");
+        if sender.send(Ok(Frame::data(text.into()))).await.is_err() {
+            return;
+        }
+    }
+    match end {
+        StreamEnd::Complete => {}
+        StreamEnd::Truncated => {
+            _ = sender.send(Ok(Frame::data(Bytes::from_static(b"id: 9")))).await;
+        }
+        StreamEnd::Reset => {
+            _ = sender.send(Ok(Frame::data(Bytes::from_static(b"id: 9")))).await;
+            sleep(Duration::from_millis(1)).await;
+            _ = sender.send(Err(io::ErrorKind::ConnectionReset.into())).await;
+        }
+    }
+}
+
 /// Runners, and a node that forwards requests to them.
 #[derive(Clone)]
 pub(crate) struct Deployment {
