Keep a silent run until another one has started

Callers saw streams that ended without their last event, and requests that were rejected with 504 long before their deadline, while sound runners fell silent for about a second.

Cause: a run without events for 0.6 of the allowed gap was left and its connection closed before it was known whether another attempt was allowed and possible. Runs that fall silent at the same moment share one retry budget; it was spent at once, on attempts at runners that were silent too, and every other stream was cut although its run would have continued. The same before the first event: two failed probes ended the attempt, and then the budget refused the next one. An irreversible act on an unreliable failure detector.

Now a run that is silent, or an attempt whose runner does not respond, is kept. Another attempt is made beside it, as early as before, but only at a runner that responds to a probe, and only then is it taken from the budget. The first to bring an event wins, and the others are cancelled. Without any other attempt the stream waits, until its deadline at most. A replica that was not used is given back to the run that continues. Two failed hedges delay the next one by 250 ms, and hedges leave half of the sends to failures; attempts that a race cancels count as attempts, as their runs may have started.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -73,6 +73,11 @@
 }
 
 impl Call {
+    /// Returns the size of the generation; zero for a plain service.
+    pub fn size(&self) -> Size {
+        self.head.size.unwrap_or(Size { prompt: 0, output: 0 })
+    }
+
     /// Returns the caller's deadline.
     pub fn caller_deadline(&self) -> Option<Instant> {
         self.head.timeout.map(|p| self.start + p)
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -266,6 +266,13 @@
         self.lost.notify_waiters();
     }
 
+    /// Marks a runner as suspect, unless it has responded recently. This is not reported to peers.
+    pub fn mark_suspect(&self, key: RunnerKey, now: Instant) {
+        if let Some(runner) = self.inner.borrow_mut().runners.get_mut(key) {
+            runner.health.mark_suspect(now);
+        }
+    }
+
     /// Records that another runner, or another incarnation, responded at the runner's address. This
     /// is not reported to peers and makes no other runner suspect: after an outage of a failure
     /// domain it shows that the domain is available again.
--- /dev/null
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -0,0 +1,215 @@
+//! One send of a stream's request, up to the first event of the run.
+
+use {
+    super::{
+        replica::Replica,
+        run::{Run, RunEnd},
+    },
+    crate::{
+        call::Call,
+        dialect::{Dialect, ReplicaRef, SendOptions},
+        events::Event,
+        fleet::{Endpoint, Lease, Load},
+        flow::Traffic,
+        log_messages::{ATTEMPT_SUSPECT, RESPONSE_LOST},
+        network::Network,
+        pool::SendError,
+        runner_client::{LossSign, SendOutcome, is_failure},
+    },
+    bytes::Bytes,
+    http::response::Parts,
+    std::{cell::Cell, convert::Infallible, rc::Rc},
+    tokio::{sync::mpsc, time::Instant},
+};
+
+/// A send that has been decided on.
+#[derive(Clone, Debug)]
+pub(super) struct Plan {
+    /// Number of the send, from 1.
+    pub(super) number: u32,
+    /// Receiver.
+    pub(super) endpoint: Endpoint,
+    /// Replica on the receiver from which the run is resumed.
+    pub(super) from_replica: Option<ReplicaRef>,
+    /// Runner to which the run is replicated.
+    pub(super) holder: Option<Endpoint>,
+    /// Id of the last event delivered to the caller.
+    pub(super) position: Option<u64>,
+    /// Whether other attempts or a silent run are under way.
+    pub(super) is_hedge: bool,
+    /// Time of the decision.
+    pub(super) sent_at: Instant,
+}
+
+/// One send and all that it needs.
+pub(super) struct Attempt<D, N> {
+    pub(super) traffic: Traffic<D, N>,
+    pub(super) call: Rc<Call>,
+    pub(super) plan: Plan,
+    /// Deadline of the first event.
+    pub(super) end: Instant,
+    /// Receives whether the attempt is suspect.
+    pub(super) signs: mpsc::UnboundedSender<Suspicion>,
+    /// Set when the request is sent.
+    pub(super) is_sent: Rc<Cell<bool>>,
+}
+
+/// Change of the suspicion that an attempt is lost.
+#[derive(Clone, Debug)]
+pub(super) struct Suspicion {
+    /// Number of the send.
+    pub(super) number: u32,
+    /// Runner.
+    pub(super) endpoint: Endpoint,
+    /// Why the attempt is suspect; `None` if its runner responds again.
+    pub(super) sign: Option<LossSign>,
+}
+
+/// A run whose response has started.
+pub(super) struct StartedRun {
+    pub(super) parts: Parts,
+    pub(super) run: Run,
+    /// First event; `None` if the run ended without one.
+    pub(super) first: Option<Event>,
+}
+
+/// Outcome of one send.
+pub(super) enum AttemptOutcome {
+    Started(Box<StartedRun>),
+    Failure(Parts, Bytes),
+    NotRun,
+    Unsent,
+    NoPath,
+    Withheld,
+    Lost(LostRun),
+    /// The request was quarantined while the attempt waited for the first event.
+    Quarantined,
+    /// The runner did not respond to a probe; nothing was sent.
+    Unresponsive,
+    /// The retry budget is exhausted; nothing was sent.
+    NoBudget,
+}
+
+/// A send that was lost before the first event.
+pub(super) struct LostRun {
+    pub(super) error: SendError,
+    /// Whether the runner may have crashed because of this request: the response had started, or no
+    /// other request was on the runner.
+    pub(super) is_suspect: bool,
+}
+
+impl<D: Dialect, N: Network> Attempt<D, N> {
+    /// Sends the request and waits for the first event. Dropping the future cancels the run.
+    pub(super) async fn run(self) -> (Plan, AttemptOutcome) {
+        let was_idle = self.traffic.client.fleet.is_idle(self.plan.endpoint.key);
+        // Taken before the runner is probed, so that streams which are silent together spread out.
+        let (lease, replica) = self.lease();
+        if let Some(outcome) = self.check().await {
+            return (self.plan, outcome);
+        }
+        self.is_sent.set(true);
+        let outcome = tokio::select! {
+            outcome = self.send(lease, replica, was_idle) => outcome,
+            never = self.watch() => match never {},
+            () = self.traffic.quarantine.wait_until_quarantined(&self.call) => AttemptOutcome::Quarantined,
+        };
+        (self.plan, outcome)
+    }
+
+    /// Leases the memory of the runner and of the replica's holder.
+    fn lease(&self) -> (Lease, Option<Replica>) {
+        let (fleet, plan, size) = (&self.traffic.client.fleet, &self.plan, self.call.size());
+        let memory = size.total();
+        let unread = if plan.from_replica.is_some() { 0 } else { size.prompt };
+        let lease = fleet.lease(plan.endpoint.clone(), Load { running: 1, memory, unread });
+        let replicated = Load { memory, ..Load::default() };
+        let holder = plan.holder.clone();
+        let id = &self.call.head.id;
+        (lease, holder.map(|p| Replica::streamed(fleet.lease(p, replicated), id)))
+    }
+
+    /// Checks a hedge before it is sent: its runner must respond, since a silence often affects many
+    /// runners, and the budget must allow it.
+    async fn check(&self) -> Option<AttemptOutcome> {
+        if !self.plan.is_hedge {
+            return None;
+        }
+        if !self.traffic.client.is_responsive(&self.plan.endpoint).await {
+            return Some(AttemptOutcome::Unresponsive);
+        }
+        (!self.traffic.take_retry(&self.call.service)).then_some(AttemptOutcome::NoBudget)
+    }
+
+    async fn send(&self, lease: Lease, replica: Option<Replica>, was_idle: bool) -> AttemptOutcome {
+        let Attempt { traffic, call, plan, end, .. } = self;
+        let (client, endpoint) = (&traffic.client, &plan.endpoint);
+        let options = SendOptions {
+            runner: endpoint.id.clone(),
+            left: call.caller_deadline().map(|e| e.saturating_duration_since(Instant::now())),
+            resume: plan.position,
+            replica_to: plan.holder.as_ref().map(|p| p.address),
+            from_replica: plan.from_replica.clone(),
+            earlier: plan.number - 1,
+        };
+        let lost = |error, has_started| {
+            AttemptOutcome::Lost(LostRun { error, is_suspect: has_started || was_idle })
+        };
+        let id = &call.head.id;
+        let reply = match client.send(call, endpoint, &options, *end).await {
+            SendOutcome::Answered(reply) if is_failure(reply.parts.status) => {
+                return match client.read_body(reply, endpoint, *end).await {
+                    Ok((parts, bytes)) => AttemptOutcome::Failure(parts, bytes),
+                    Err(error) => lost(error, true),
+                };
+            }
+            SendOutcome::Answered(reply) => reply,
+            SendOutcome::NotRun => return AttemptOutcome::NotRun,
+            SendOutcome::Unsent => return AttemptOutcome::Unsent,
+            SendOutcome::NoPath => return AttemptOutcome::NoPath,
+            SendOutcome::Withheld => return AttemptOutcome::Withheld,
+            SendOutcome::Lost(error) => return lost(error, false),
+        };
+        let (parts, mut run) = Run::new(*reply, lease, replica);
+        let timeout = end.saturating_duration_since(Instant::now());
+        match run.next(timeout, plan.position).await {
+            Ok(first) => {
+                run.mark_started();
+                AttemptOutcome::Started(Box::new(StartedRun { parts, run, first: Some(first) }))
+            }
+            Err(RunEnd::Whole) => {
+                AttemptOutcome::Started(Box::new(StartedRun { parts, run, first: None }))
+            }
+            Err(reason) => {
+                log::warn!(request = id.as_str(), runner = endpoint.id.as_str();
+                    "{RESPONSE_LOST}{reason:?}, before the first event");
+                let error = match reason {
+                    RunEnd::Silent => SendError::Timeout,
+                    _ => SendError::Disconnected,
+                };
+                lost(error, true)
+            }
+        }
+    }
+
+    /// Reports when the attempt becomes suspect, and when its runner responds again.
+    async fn watch(&self) -> Infallible {
+        let (client, endpoint) = (&self.traffic.client, &self.plan.endpoint);
+        loop {
+            let sign = client.wait_until_lost(&self.call, endpoint).await;
+            log::warn!(request = self.call.head.id.as_str(), runner = endpoint.id.as_str();
+                "{ATTEMPT_SUSPECT}{sign:?}, before the first event");
+            self.report(Some(sign));
+            if sign == LossSign::EventsMissing {
+                std::future::pending::<()>().await;
+            }
+            client.wait_until_responsive(&self.call, endpoint).await;
+            self.report(None);
+        }
+    }
+
+    fn report(&self, sign: Option<LossSign>) {
+        let (number, endpoint) = (self.plan.number, self.plan.endpoint.clone());
+        // The receiver lives as long as the attempt is polled.
+        _ = self.signs.send(Suspicion { number, endpoint, sign });
+    }
+}
--- a/crates/relay/src/flow/generation/logging.rs
+++ b/crates/relay/src/flow/generation/logging.rs
@@ -1,10 +1,15 @@
 //! Log messages about a stream.
 
 use {
-    super::{Generation, run::Run},
+    super::{
+        Generation,
+        run::{Run, RunEnd},
+    },
     crate::{
         dialect::Dialect,
-        log_messages::{RUN_STARTED, STREAM_ABORTED, STREAM_COMPLETED},
+        log_messages::{
+            RUN_CONTINUED, RUN_LOST, RUN_SILENT, RUN_STARTED, STREAM_ABORTED, STREAM_COMPLETED,
+        },
         metrics::Outcome,
         network::Network,
     },
@@ -21,6 +26,26 @@
             "{RUN_STARTED}");
     }
 
+    pub(super) fn log_silent(&self, run: &Run) {
+        log::warn!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
+            position = self.position.unwrap_or_default(),
+            holder = run.replica().map_or("", |b| b.holder().id.as_str());
+            "{RUN_SILENT}");
+    }
+
+    pub(super) fn log_continued(&self, run: &Run) {
+        log::info!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
+            position = self.position.unwrap_or_default();
+            "{RUN_CONTINUED}");
+    }
+
+    pub(super) fn log_lost(&self, run: &Run, reason: RunEnd) {
+        log::warn!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
+            position = self.position.unwrap_or_default(),
+            holder = run.replica().map_or("", |b| b.holder().id.as_str());
+            "{RUN_LOST}{reason:?}");
+    }
+
     pub(super) fn log_ended(&self, run: &Run) {
         let took = self.call.start.elapsed().as_millis() as u64;
         log::info!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -1,10 +1,10 @@
 //! Selection of runners for streams and their replicas.
 
 use {
-    super::{Generation, replica::Replica, run::Run},
+    super::{Generation, race::Race, replica::Replica, run::Run},
     crate::{
         dialect::{Dialect, ReplicaRef},
-        fleet::{Criteria, Endpoint, Load},
+        fleet::{Criteria, Endpoint, Load, RunnerKey},
         flow::version_constraint,
         network::Network,
     },
@@ -17,32 +17,44 @@
     /// runner. Replicas are addressed by endpoint, so a replica may still exist if the holder has a
     /// new id; if it does not, the runner rejects the request. A holder that is only suspect is
     /// used as well: a failed attempt takes less time than prefilling the prompt again.
-    pub(super) fn next_endpoint(&mut self) -> Option<(Endpoint, Option<ReplicaRef>)> {
+    pub(super) fn next_endpoint(&mut self, race: &Race) -> Option<(Endpoint, Option<ReplicaRef>)> {
+        if let Some(active) = &race.silent {
+            self.salvage_replica(&active.run);
+        }
         let fleet = &self.traffic.client.fleet;
         if let Some((endpoint, from_replica)) = self.last_replica.take() {
-            match fleet.find_by_address(&endpoint).filter(|holder| fleet.is_available(holder.key)) {
+            let is_usable = |holder: &Endpoint| {
+                fleet.is_available(holder.key) && !race.unresponsive.contains(&holder.key)
+            };
+            match fleet.find_by_address(&endpoint).filter(is_usable) {
                 Some(holder) => return Some((holder, Some(from_replica))),
+                // The silent run may continue and need it again.
+                None if race.silent.is_some() => {
+                    self.last_replica = Some((endpoint, from_replica));
+                }
                 None => log::info!(request = self.call.head.id.as_str(),
                     runner = endpoint.id.as_str(); "replica holder lost or draining"),
             }
         }
-        Some((self.choose()?, None))
+        let endpoint = if race.is_empty() { self.choose() } else { self.choose_hedge(race) };
+        Some((endpoint?, None))
     }
 
     /// Requests a new replica if there is none or its holder is lost or draining.
     pub(super) fn renew_replica(&self, run: &mut Run) {
         let client = &self.traffic.client;
         let is_usable = |replica: &Replica| {
-            replica.is_recent() || client.fleet.is_available(replica.holder().key)
+            let is_available = client.fleet.is_available(replica.holder().key);
+            !replica.is_taken() && (replica.is_recent() || is_available)
         };
         if run.replica().is_some_and(is_usable) {
             return;
         }
-        let Some(holder) = self.choose_replica_endpoint(run.endpoint()) else { return };
+        let Some(holder) = self.choose_replica_endpoint(run.endpoint(), &[]) else { return };
         let Some(replica_ttl) = self.traffic.engine(&self.call).map(|e| e.replica_ttl) else {
             return;
         };
-        let memory = self.size().total();
+        let memory = self.call.size().total();
         let lease = client.fleet.lease(holder, Load { memory, ..Load::default() });
         let (id, source) = (self.call.head.id.clone(), run.endpoint().clone());
         run.set_replica(Some(Replica::requested(client.clone(), lease, id, source, replica_ttl)));
@@ -55,18 +67,29 @@
             .or_else(|| self.traffic.choose_runner(&self.call, &[]))
     }
 
+    /// Selects a runner that has not failed this stream, is not ejected, and has no attempt of the race.
+    fn choose_hedge(&self, race: &Race) -> Option<Endpoint> {
+        let except = [self.failed.as_slice(), &race.excluded()].concat();
+        let endpoint = self.traffic.choose_runner(&self.call, &except)?;
+        (!self.traffic.client.fleet.is_ejected(endpoint.key)).then_some(endpoint)
+    }
+
     /// Selects the runner that will hold the replica: in another failure domain, and if possible
     /// one of the prompt's preferred runners, on which other nodes look up the cached prompt.
-    pub(super) fn choose_replica_endpoint(&self, endpoint: &Endpoint) -> Option<Endpoint> {
+    pub(super) fn choose_replica_endpoint(
+        &self,
+        endpoint: &Endpoint,
+        excluded: &[RunnerKey],
+    ) -> Option<Endpoint> {
         if !self.is_resumable() || !self.traffic.engine(&self.call)?.replication {
             return None;
         }
-        let mut except = self.failed.clone();
-        except.push(endpoint.key);
+        let is_retry = !self.failed.is_empty() || !excluded.is_empty();
+        let except = [self.failed.as_slice(), excluded, &[endpoint.key]].concat();
         let criteria = self.traffic.criteria(&self.call, &except);
         let avoid_domain = Some(endpoint.domain.as_str());
         let view = self.traffic.published.load();
-        let version = version_constraint(&view, &self.call, !self.failed.is_empty());
+        let version = version_constraint(&view, &self.call, is_retry);
         let criteria = Criteria { avoid_domain, version, stable: true, ..criteria };
         self.traffic.client.fleet.choose(&criteria)
     }
@@ -93,7 +116,7 @@
         else {
             return false;
         };
-        let unread = if cached_tokens { 0 } else { self.size().prompt };
+        let unread = if cached_tokens { 0 } else { self.call.size().prompt };
         let left = end.saturating_duration_since(Instant::now());
         let is_too_late =
             self.traffic.prefill_rate(&self.call.service, |rate| rate.exceeds(unread, left));
--- /dev/null
+++ b/crates/relay/src/flow/generation/race.rs
@@ -0,0 +1,356 @@
+//! Race of a silent run and the attempts that may replace it. A silence is no proof of a failure: a run
+//! or an attempt is kept until another run has started, and the first to bring an event wins.
+
+use {
+    super::{
+        ActiveRun, FinalFailure, Generation, NoAttempt,
+        attempt::{Attempt, AttemptOutcome, LostRun, Plan, StartedRun, Suspicion},
+        run::RunEnd,
+    },
+    crate::{
+        dialect::{Dialect, ReplicaRef},
+        events::Event,
+        fleet::{Endpoint, RunnerKey},
+        metrics::{Resume, Silence},
+        network::Network,
+        pool::SendError,
+    },
+    bilberryfront_decide::mover::Response as VersionResponse,
+    futures_util::{StreamExt, stream::FuturesUnordered},
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::{
+        sync::mpsc,
+        time::{Instant, sleep_until},
+    },
+};
+
+/// Interval at which a hedge is considered again while none is possible.
+const HEDGE_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of hedges that may fail without a run before the next one is delayed: if several runners do not
+/// respond or have no room, most of them may be in that state.
+const MAX_FAILURES: u32 = 2;
+/// Maximum number of attempts under way at the same time.
+const MAX_ATTEMPTS: usize = 3;
+
+/// End of a race.
+pub(super) enum RaceEnd {
+    /// A run has started.
+    Started(Box<Winner>),
+    /// The silent run continues, with this event or its regular end.
+    Continued(Box<ActiveRun>, Result<Event, RunEnd>),
+    /// No run is left, and no other attempt is allowed or possible.
+    Failed(FinalFailure),
+}
+
+/// A run that has started.
+pub(super) struct Winner {
+    pub(super) parts: http::response::Parts,
+    pub(super) active: ActiveRun,
+    /// First event; `None` if the run ended without one.
+    pub(super) first: Option<Event>,
+}
+
+/// State of a race.
+pub(super) struct Race {
+    /// Run that fell silent.
+    pub(super) silent: Option<Box<ActiveRun>>,
+    /// Attempts under way.
+    pub(super) pending: Vec<Pending>,
+    /// Runners that did not respond to a probe.
+    pub(super) unresponsive: Vec<RunnerKey>,
+    /// Number of hedges that have failed without a run since the last delay.
+    failures: u32,
+    /// Time before which no other hedge is considered.
+    retry_at: Instant,
+}
+
+/// An attempt under way.
+pub(super) struct Pending {
+    plan: Plan,
+    is_suspect: bool,
+    /// Whether the request was sent; until then, the runner is only probed.
+    is_sent: Rc<Cell<bool>>,
+}
+
+impl Pending {
+    fn is_fresh(&self) -> bool {
+        self.plan.from_replica.is_none()
+    }
+}
+
+impl Race {
+    fn new(silent: Option<Box<ActiveRun>>) -> Race {
+        let (pending, unresponsive, retry_at) = (Vec::new(), Vec::new(), Instant::now());
+        Race { silent, pending, unresponsive, failures: 0, retry_at }
+    }
+
+    /// Returns whether nothing is under way.
+    pub(super) fn is_empty(&self) -> bool {
+        self.silent.is_none() && self.pending.is_empty()
+    }
+
+    /// Returns whether another attempt is needed: each one under way is suspect.
+    fn needs_attempt(&self) -> bool {
+        self.pending.len() < MAX_ATTEMPTS && self.pending.iter().all(|p| p.is_suspect)
+    }
+
+    /// Returns whether another attempt is considered now.
+    fn is_due(&self) -> bool {
+        self.needs_attempt() && (self.is_empty() || Instant::now() >= self.retry_at)
+    }
+
+    fn delay(&mut self) {
+        self.retry_at = Instant::now() + HEDGE_INTERVAL;
+    }
+
+    fn end_delay(&mut self) {
+        self.unresponsive.clear();
+        self.failures = 0;
+    }
+
+    /// Counts a hedge that has failed without a run.
+    fn record_failure(&mut self) {
+        self.failures += 1;
+        if self.failures >= MAX_FAILURES {
+            self.delay();
+        }
+    }
+
+    /// Returns the number of runs from the prompt that may start.
+    pub(super) fn fresh_count(&self) -> u32 {
+        self.pending.iter().filter(|p| p.is_fresh()).count() as u32
+    }
+
+    /// Returns the runners that another attempt must not use.
+    pub(super) fn excluded(&self) -> Vec<RunnerKey> {
+        let silent = self.silent.iter().map(|active| active.run.endpoint().key);
+        let pending = self.pending.iter().map(|p| p.plan.endpoint.key);
+        silent.chain(pending).chain(self.unresponsive.iter().copied()).collect()
+    }
+
+    /// Adds an attempt and returns the flag that it sets when it sends the request.
+    fn add(&mut self, plan: Plan) -> Rc<Cell<bool>> {
+        let is_sent = Rc::new(Cell::new(false));
+        self.pending.push(Pending { plan, is_suspect: false, is_sent: is_sent.clone() });
+        is_sent
+    }
+
+    fn suspect(&mut self, suspicion: &Suspicion) {
+        let attempt = self.pending.iter_mut().find(|p| p.plan.number == suspicion.number);
+        if let Some(attempt) = attempt {
+            attempt.is_suspect = suspicion.sign.is_some();
+        }
+    }
+}
+
+impl<D: Dialect, N: Network> Generation<D, N> {
+    /// Starts attempts until a run starts, or until `silent` continues.
+    pub(super) async fn race(&mut self, silent: Option<Box<ActiveRun>>) -> RaceEnd {
+        let end = self.call.deadline();
+        let (signs, mut suspicions) = mpsc::unbounded_channel();
+        let mut race = Race::new(silent);
+        let mut attempts = FuturesUnordered::new();
+        loop {
+            if race.is_due() {
+                match self.next_plan(&race, end) {
+                    Some(plan) => {
+                        let is_sent = race.add(plan.clone());
+                        let (traffic, call) = (self.traffic.clone(), self.call.clone());
+                        let signs = signs.clone();
+                        attempts.push(Attempt { traffic, call, plan, end, signs, is_sent }.run());
+                    }
+                    None if race.is_empty() => return RaceEnd::Failed(self.final_failure()),
+                    None => race.delay(),
+                }
+            }
+            tokio::select! {
+                biased;
+                next = next_event(&mut race.silent, self.position) => match next {
+                    Ok(_) | Err(RunEnd::Whole) => return self.continue_run(race, next),
+                    Err(reason) => {
+                        if let Some(active) = race.silent.take() {
+                            self.salvage_replica(&active.run);
+                            self.end_run(*active, reason).await;
+                        }
+                    }
+                },
+                Some((plan, outcome)) = attempts.next() => {
+                    race.pending.retain(|p| p.plan.number != plan.number);
+                    match outcome {
+                        AttemptOutcome::Started(started) => {
+                            return self.replace_run(race, &plan, *started).await;
+                        }
+                        outcome => {
+                            if let Some(failure) = self.record_outcome(&mut race, plan, outcome).await {
+                                return RaceEnd::Failed(failure);
+                            }
+                        }
+                    }
+                }
+                Some(suspicion) = suspicions.recv() => {
+                    race.suspect(&suspicion);
+                    if suspicion.sign.is_some() {
+                        self.record_failure(&suspicion.endpoint);
+                    }
+                }
+                () = sleep_until(race.retry_at), if race.needs_attempt() => race.end_delay(),
+                () = sleep_until(end), if race.pending.is_empty() => {
+                    self.no_attempt = Some(NoAttempt::Deadline);
+                    if let Some(active) = race.silent.take() {
+                        self.end_run(*active, RunEnd::Silent).await;
+                    }
+                    return RaceEnd::Failed(self.final_failure());
+                }
+            }
+        }
+    }
+
+    /// Ends a race that the silent run has won.
+    fn continue_run(&mut self, mut race: Race, next: Result<Event, RunEnd>) -> RaceEnd {
+        let active = race.silent.take().expect("the event is of the silent run");
+        self.count_cancelled(&race);
+        let unsent = race.pending.into_iter().filter(|p| !p.is_sent.get());
+        let reference = unsent.filter_map(|p| p.plan.from_replica).next();
+        let unused = self.last_replica.take().map(|(_, reference)| reference);
+        if let Some(reference) = unused.or(reference) {
+            active.run.restore_replica(reference);
+        }
+        self.log_continued(&active.run);
+        self.traffic.metrics.count_silence(Silence::Continued);
+        RaceEnd::Continued(active, next)
+    }
+
+    /// Ends a race that another run has won. The silent run is cancelled.
+    async fn replace_run(&mut self, mut race: Race, plan: &Plan, started: StartedRun) -> RaceEnd {
+        if let Some(active) = race.silent.take() {
+            self.end_run(*active, RunEnd::Silent).await;
+        }
+        self.last_replica = None;
+        self.count_cancelled(&race);
+        for attempt in race.pending.iter().filter(|p| p.is_sent.get()) {
+            let (key, number) = (attempt.plan.endpoint.key, attempt.plan.number);
+            self.report_sample(key, number, VersionResponse::Lost);
+            self.failed.push(key);
+        }
+        let StartedRun { parts, run, first } = started;
+        let is_fresh = plan.from_replica.is_none();
+        self.reached_runner = true;
+        self.runs += u32::from(is_fresh);
+        self.first_event_at.get_or_insert_with(Instant::now);
+        if plan.number == 1 && self.call.head.resume.is_none() {
+            let (tokens, took) = (self.call.size().prompt, self.call.start.elapsed());
+            self.traffic.prefill_rate(&self.call.service, |rate| rate.observe(tokens, took));
+        }
+        let source = if is_fresh { Resume::Anew } else { Resume::Replica };
+        let is_whole = is_fresh && self.position.is_none();
+        let active = ActiveRun::new(run, plan, source, is_whole);
+        self.log_started(&active.run, !is_fresh);
+        RaceEnd::Started(Box::new(Winner { parts, active, first }))
+    }
+
+    /// Keeps a reference that was not used.
+    fn keep_replica(&mut self, endpoint: Endpoint, reference: Option<ReplicaRef>) {
+        if let Some(reference) = reference {
+            self.last_replica = Some((endpoint, reference));
+        }
+    }
+
+    /// Counts attempts that the end of the race cancels. Their runs may have started.
+    fn count_cancelled(&mut self, race: &Race) {
+        let sent = race.pending.iter().filter(|p| p.is_sent.get());
+        self.runs += sent.filter(|p| p.is_fresh()).count() as u32;
+    }
+
+    /// Records an attempt that has ended without a run. Returns a failure if no other attempt may be made.
+    async fn record_outcome(
+        &mut self,
+        race: &mut Race,
+        plan: Plan,
+        outcome: AttemptOutcome,
+    ) -> Option<FinalFailure> {
+        let Plan { endpoint, from_replica, number, sent_at, is_hedge, .. } = plan;
+        let is_fresh = from_replica.is_none();
+        if is_hedge {
+            race.record_failure();
+        }
+        match outcome {
+            AttemptOutcome::Started(_) => unreachable!("a started run ends the race"),
+            AttemptOutcome::Failure(parts, bytes) => {
+                self.reached_runner = true;
+                self.report_sample(endpoint.key, number, VersionResponse::Failure);
+                self.runs += 1;
+                self.failure = Some((parts, bytes));
+            }
+            AttemptOutcome::NotRun => self.reached_runner = true,
+            AttemptOutcome::Withheld => {}
+            AttemptOutcome::Unsent => self.mark_failed(endpoint.key),
+            AttemptOutcome::Unresponsive | AttemptOutcome::NoBudget => {
+                self.sends -= 1;
+                match outcome {
+                    AttemptOutcome::NoBudget => {
+                        self.no_attempt = Some(NoAttempt::Budget);
+                        race.delay();
+                    }
+                    _ => race.unresponsive.push(endpoint.key),
+                }
+                self.keep_replica(endpoint, from_replica);
+                return None;
+            }
+            AttemptOutcome::NoPath => {
+                self.sends -= 1;
+                self.has_unused_retry = is_hedge || self.reached_runner;
+                self.keep_replica(endpoint.clone(), from_replica);
+                if race.is_empty() {
+                    // A new stream may succeed through another node; one that has begun cannot.
+                    let fleet = &self.traffic.client.fleet;
+                    if !self.reached_runner
+                        || !fleet.wait_for_path(&endpoint, self.call.deadline()).await
+                    {
+                        self.no_attempt = Some(NoAttempt::NoPath);
+                        return Some(self.final_failure());
+                    }
+                } else {
+                    race.unresponsive.push(endpoint.key);
+                }
+                return None;
+            }
+            AttemptOutcome::Lost(LostRun { error, is_suspect }) => {
+                self.reached_runner = true;
+                self.report_sample(endpoint.key, number, VersionResponse::Lost);
+                self.runs += u32::from(is_fresh);
+                self.lost = Some(error);
+                self.record_failure(&endpoint);
+                if error == SendError::Disconnected && is_suspect {
+                    self.record_crash(&endpoint, sent_at, Some(Duration::ZERO)).await;
+                } else if error == SendError::Disconnected {
+                    self.record_crash_later(endpoint.clone(), sent_at);
+                }
+            }
+            AttemptOutcome::Quarantined => {
+                self.no_attempt = Some(NoAttempt::Quarantined);
+                if race.silent.is_none() {
+                    self.lost = Some(SendError::Disconnected);
+                    return Some(self.final_failure());
+                }
+            }
+        }
+        // A runner without the replica may still prefill the prompt.
+        if is_fresh {
+            self.failed.push(endpoint.key);
+        }
+        None
+    }
+}
+
+/// Returns the next event of the silent run; pending if there is none.
+async fn next_event(
+    silent: &mut Option<Box<ActiveRun>>,
+    position: Option<u64>,
+) -> Result<Event, RunEnd> {
+    /// The deadline of the race ends the wait.
+    const UNLIMITED: Duration = Duration::from_secs(3_600);
+    match silent {
+        Some(active) => active.run.next(UNLIMITED, position).await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/relay/src/flow/generation/replica.rs
+++ b/crates/relay/src/flow/generation/replica.rs
@@ -12,7 +12,11 @@
         runner_client::RunnerClient,
     },
     compact_str::CompactString,
-    std::{cell::RefCell, rc::Rc, time::Duration},
+    std::{
+        cell::{Cell, RefCell},
+        rc::Rc,
+        time::Duration,
+    },
     tokio::{
         sync::Notify,
         time::{Instant, sleep},
@@ -30,6 +34,8 @@
     lease: Lease,
     /// Time of the replication request; `None` for a streamed replica.
     requested_at: Option<Instant>,
+    /// Whether the reference was taken, so that the replica serves another run.
+    is_taken: Cell<bool>,
     state: Rc<State>,
 }
 
@@ -46,7 +52,7 @@
     pub(super) fn streamed(lease: Lease, id: &CompactString) -> Replica {
         let reference = ReplicaRef { address: lease.endpoint.address, handle: id.clone() };
         let state = State { reference: RefCell::new(Some(reference)), ..State::default() };
-        Replica { lease, requested_at: None, state: Rc::new(state) }
+        Replica { lease, requested_at: None, is_taken: Cell::new(false), state: Rc::new(state) }
     }
 
     /// Requests a replica with the time to live `replica_ttl` from the runner at `source`.
@@ -58,7 +64,8 @@
         replica_ttl: Duration,
     ) -> Replica {
         let state = Rc::<State>::default();
-        let replica = Replica { lease, requested_at: Some(Instant::now()), state: state.clone() };
+        let (requested_at, is_taken) = (Some(Instant::now()), Cell::new(false));
+        let replica = Replica { lease, requested_at, is_taken, state: state.clone() };
         let holder = replica.holder().clone();
         tokio::task::spawn_local(async move {
             tokio::select! {
@@ -87,8 +94,20 @@
     /// Takes the reference to the replica with its holder, if the replica is complete.
     pub(super) fn take(&self) -> Option<(Endpoint, ReplicaRef)> {
         let reference = self.state.reference.borrow_mut().take()?;
+        self.is_taken.set(true);
         Some((self.lease.endpoint.clone(), reference))
     }
+
+    /// Puts a reference back that was taken and not used.
+    pub(super) fn restore(&self, reference: ReplicaRef) {
+        self.state.reference.borrow_mut().get_or_insert(reference);
+        self.is_taken.set(false);
+    }
+
+    /// Returns whether the replica serves another run.
+    pub(super) fn is_taken(&self) -> bool {
+        self.is_taken.get()
+    }
 }
 
 impl Drop for Replica {
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -4,8 +4,14 @@
 pub const REJECTED: &str = "rejected: ";
 /// First event of a run received.
 pub const RUN_STARTED: &str = "run started";
+/// Run without events for too long; it is kept until another run starts.
+pub const RUN_SILENT: &str = "run silent";
+/// Silent run continued before another one started.
+pub const RUN_CONTINUED: &str = "silent run continued";
 /// Run lost; followed by the reason.
 pub const RUN_LOST: &str = "run lost: ";
+/// Attempt suspected to be lost before its first event; followed by the reason.
+pub const ATTEMPT_SUSPECT: &str = "attempt suspect: ";
 /// Last event of a stream forwarded.
 pub const STREAM_COMPLETED: &str = "stream completed";
 /// Stream aborted before its end.
@@ -66,10 +72,13 @@
 pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 29] = [
+pub const ALL: [&str; 32] = [
     REJECTED,
     RUN_STARTED,
+    RUN_SILENT,
+    RUN_CONTINUED,
     RUN_LOST,
+    ATTEMPT_SUSPECT,
     STREAM_COMPLETED,
     STREAM_ABORTED,
     RESPONSE_LOST,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -68,6 +68,22 @@
     Anew,
 }
 
+/// How the silence of a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelValue)]
+pub enum Silence {
+    /// The run continued.
+    Continued,
+    /// Another run has started, or the deadline has passed.
+    Replaced,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct SilenceLabels {
+    end: Silence,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 struct RequestLabels {
@@ -115,6 +131,7 @@
     latency: Family<KindLabels, Histogram>,
     refused: Family<CauseLabels, Counter>,
     resumed: Family<ResumeLabels, Counter>,
+    silences: Family<SilenceLabels, Counter>,
     limited: Family<SendLabels, Counter>,
     pause: Family<ResumeLabels, Histogram>,
     store: Counter,
@@ -136,6 +153,7 @@
             latency: Family::new_with_constructor(histogram),
             refused: Family::default(),
             resumed: Family::default(),
+            silences: Family::default(),
             limited: Family::default(),
             pause: Family::new_with_constructor(histogram),
             store: Counter::default(),
@@ -158,6 +176,7 @@
         );
         registry.register("refusals", "Refusals by cause", m.refused.clone());
         registry.register("resumes", "Lost runs that went on at another runner", m.resumed.clone());
+        registry.register("silences", "Silent runs by how the silence ended", m.silences.clone());
         registry.register(
             "limited_sends",
             "Requests sent to runners that limit their rate",
@@ -236,6 +255,11 @@
         self.pause.get_or_create(&ResumeLabels { from }).observe(pause.as_secs_f64());
     }
 
+    /// Counts a silent run.
+    pub fn count_silence(&self, end: Silence) {
+        self.silences.get_or_create(&SilenceLabels { end }).inc();
+    }
+
     /// Counts a store outage.
     pub fn count_store_failure(&self) {
         self.store.inc();
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -271,6 +271,27 @@
         LossSign::Unresponsive
     }
 
+    /// Waits until the runner of a request responds to probes.
+    pub async fn wait_until_responsive(&self, call: &Call, endpoint: &Endpoint) {
+        while self.progress(call, endpoint).await.is_none() {
+            sleep(PROBE_INTERVAL).await;
+        }
+    }
+
+    /// Returns whether a runner has responded just now, or responds to a probe. One that does not is
+    /// marked as suspect.
+    pub async fn is_responsive(&self, endpoint: &Endpoint) -> bool {
+        if self.fleet.last_seen(endpoint.key).is_some_and(|at| at.elapsed() < PROBE_TIMEOUT) {
+            return true;
+        }
+        let response = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await;
+        if response.is_none() {
+            self.record_lost_response(endpoint);
+            self.fleet.mark_suspect(endpoint.key, Instant::now());
+        }
+        response.is_some()
+    }
+
     /// Requests the progress of a request from its runner; `None` on failure.
     async fn progress(&self, call: &Call, endpoint: &Endpoint) -> Option<Progress> {
         let body = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await?;
--- /dev/null
+++ b/tests/relay/race_review.rs
@@ -0,0 +1,236 @@
+//! Races of a silent run and the attempts beside it: limits, replicas and rollouts.
+
+use {
+    super::support::{
+        Deployment, ENGINES, Runner, Script, StreamEnd, call, ms, node_address, run_local,
+    },
+    bilberryfront_decide::mover::{MoveId, Response as VersionResponse},
+    bilberryfront_relay::{
+        budget::{Allowance, Budgets},
+        call::Call,
+        rollouts::RolloutSample,
+        view::{Registration, Rule, Split, State, View},
+    },
+    http_body_util::BodyExt,
+    std::{rc::Rc, sync::Arc, time::Duration},
+    tokio::{sync::mpsc, time::sleep},
+};
+
+/// Headers of a prompt whose last segment is `b7`.
+const PROMPT: [(&str, &str); 2] = [
+    ("x-bilberryfront-token-counts", "5000,100"),
+    ("x-bilberryfront-prompt-prefix", "a1:200,b7:4800"),
+];
+
+fn events(last: u64, gap: Duration) -> Script {
+    Script::Events { last, gap, end: StreamEnd::Complete }
+}
+
+/// Returns the runner that has received a request, and the other runners.
+fn split(deployment: &Deployment) -> (Rc<Runner>, Vec<Rc<Runner>>) {
+    let (used, rest): (Vec<_>, Vec<_>) =
+        deployment.runners.iter().cloned().partition(|r| r.request_count() > 0);
+    (used[0].clone(), rest)
+}
+
+/// Returns a request to a resumable route with this maximum number of attempts.
+fn call_with_attempts(attempts: u32) -> Call {
+    let mut call = call("/stream/1", &PROMPT);
+    Arc::make_mut(&mut call.route).attempts = attempts;
+    call
+}
+
+/// Publishes changed registrations, and a rollout to version `v2` if `is_rollout`.
+fn update(deployment: &Deployment, is_rollout: bool, change: impl Fn(usize, &mut Registration)) {
+    let view = View::clone(&deployment.traffic.published.load());
+    let mut runners = view.runners.to_vec();
+    runners.iter_mut().enumerate().for_each(|(index, registration)| change(index, registration));
+    deployment.traffic.client.fleet.update(&runners);
+    let split = Split { id: MoveId(1), to: "v2".into(), rule: Rule::Canary, has_slack: true };
+    let splits = is_rollout.then_some((ENGINES.into(), split)).into_iter().collect();
+    let (runners, splits) = (Arc::new(runners), Arc::new(splits));
+    deployment.traffic.published.store(View { runners, splits, ..view });
+}
+
+/// Guards against a stream that runs on more runners than its route allows: attempts that were cancelled
+/// because the silent run continued have run as well.
+#[tokio::test(start_paused = true)]
+async fn cancelled_attempts_count_as_attempts() {
+    run_local(async {
+        let deployment =
+            Deployment::new(ENGINES, &["a", "b", "c", "d", "a", "b"], &events(6, ms(600)));
+        for runner in &deployment.runners {
+            *runner.resume_script.borrow_mut() = Some(Script::NotRun);
+        }
+        let response = deployment.traffic.serve(call_with_attempts(2)).await;
+        response.into_body().collect().await.unwrap();
+        let is_run = |runner: &&Rc<Runner>| {
+            runner.requests.borrow().iter().any(|r| !r.headers.contains_key("kv-from"))
+        };
+        let count = deployment.runners.iter().filter(is_run).count();
+        assert!(count <= 2, "the request ran on {count} runners");
+    })
+    .await;
+}
+
+/// Guards against a silence that costs a stream its replica. The holder is silent as well, so nothing was
+/// resumed from the replica; it must be kept, and not be requested anew with the whole cache. The run
+/// continues while another runner is probed, or after that.
+#[tokio::test(start_paused = true)]
+async fn replica_is_kept_if_its_run_continues() {
+    for silence in [500, 650, 800, 1_400] {
+        run_local(async {
+            let script = events(4, ms(silence));
+            let deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"], &script);
+            let response = deployment.send("/stream/1", &PROMPT).await;
+            let (first, rest) = split(&deployment);
+            rest.iter().for_each(|runner| runner.is_unresponsive.set(true));
+            response.into_body().collect().await.unwrap();
+            let copies = first.copy_targets.borrow().len();
+            assert_eq!(copies, 0, "replicas requested at a silence of {silence} ms");
+        })
+        .await;
+    }
+}
+
+/// Guards against a single silence that uses up the sends of a stream and the retry budget: runners without
+/// room reject one attempt after the other at once. When the run is lost later, the stream must be resumed.
+#[tokio::test(start_paused = true)]
+async fn rejected_attempts_in_a_silence_leave_sends_for_a_failure() {
+    run_local(async {
+        let deployment =
+            Deployment::new(ENGINES, &["a", "b", "c", "d"].repeat(5), &events(6, ms(600)));
+        let response = deployment.send("/stream/1", &PROMPT).await;
+        let (first, rest) = split(&deployment);
+        rest.iter().for_each(|runner| *runner.script.borrow_mut() = Script::NotRun);
+        rest.iter().for_each(|runner| *runner.resume_script.borrow_mut() = Some(Script::NotRun));
+        let loss = async {
+            sleep(ms(700)).await;
+            let rejected = deployment.request_count() - 1;
+            rest.iter().for_each(|runner| *runner.script.borrow_mut() = events(6, ms(40)));
+            first.crash();
+            rejected
+        };
+        let (rejected, body) = tokio::join!(loss, response.into_body().collect());
+        assert!(rejected <= 2, "{rejected} attempts were rejected within a silence of 180 ms");
+        assert!(body.is_ok(), "the stream was not resumed after its runner had crashed");
+    })
+    .await;
+}
+
+/// Guards against streams that fall silent together and all choose the same runner, because its load
+/// counts only once it has been probed.
+#[tokio::test(start_paused = true)]
+async fn streams_that_are_silent_together_use_different_runners() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "a", "b", "b", "b"], &events(200, ms(40)));
+        deployment.traffic.client.fleet.set_domain(&"a".into());
+        let set_others = |state: State| {
+            update(&deployment, false, |index, registration| {
+                registration.state = if index == 0 { State::Ready } else { state };
+            });
+        };
+        set_others(State::Draining);
+        let mut bodies = Vec::new();
+        for _ in 0..8 {
+            bodies.push(deployment.send("/stream/1", &PROMPT).await.into_body());
+        }
+        assert_eq!(deployment.runners[0].request_count(), 8);
+        deployment.runners[0].is_unresponsive.set(true);
+        set_others(State::Ready);
+        let reading = bodies.into_iter().map(|body| tokio::task::spawn_local(body.collect()));
+        let _reading: Vec<_> = reading.collect();
+        sleep(ms(1_000)).await;
+        let counts: Vec<usize> =
+            deployment.runners[1..].iter().map(|r| r.request_count()).collect();
+        assert_eq!(counts.iter().sum::<usize>(), 8, "{counts:?}");
+        assert!(counts.iter().all(|count| *count <= 4), "resumed at the runners: {counts:?}");
+    })
+    .await;
+}
+
+/// Starts a rollout to the first two of four engines, and sends requests until one of the new version has
+/// received one.
+async fn start_at_new_version(
+    deployment: &Deployment,
+) -> http::Response<bilberryfront_relay::body::ResponseBody> {
+    deployment.publish_nodes(vec![node_address("n1", 1, "a")]);
+    update(deployment, true, |index, registration| {
+        registration.version = if index < 2 { "v2" } else { "v1" }.into();
+    });
+    for _ in 0..200 {
+        let response = deployment.send("/stream/1", &PROMPT).await;
+        if deployment.runners[..2].iter().any(|runner| runner.request_count() > 0) {
+            return response;
+        }
+    }
+    panic!("no request was assigned to the new version");
+}
+
+/// Guards against a bad version that is not noticed: its runners do not deliver the events that they
+/// generate, and each request is served by the old version in the end.
+#[tokio::test(start_paused = true)]
+async fn replaced_first_attempt_is_a_sample_of_its_version() {
+    run_local(async {
+        let (sender, mut samples) = mpsc::unbounded_channel::<RolloutSample>();
+        let mut deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"], &events(5, ms(40)));
+        deployment.traffic.samples = Some(sender);
+        for runner in &deployment.runners[..2] {
+            *runner.script.borrow_mut() = Script::Hang;
+            runner.generated_events.set(12);
+        }
+        start_at_new_version(&deployment).await.into_body().collect().await.unwrap();
+        let mut new = std::iter::from_fn(|| samples.try_recv().ok()).filter(|s| s.choice.new);
+        let sample = new.next().expect("the new version got a request and lost it");
+        assert_eq!(sample.response, VersionResponse::Lost);
+    })
+    .await;
+}
+
+/// Guards against a run of the old version that is replicated to a runner of the new one, from which the
+/// stream would be resumed there.
+#[tokio::test(start_paused = true)]
+async fn retry_at_the_old_version_is_replicated_to_it() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"], &events(5, ms(40)));
+        for runner in &deployment.runners[..2] {
+            *runner.script.borrow_mut() = events(5, ms(900));
+            *runner.resume_script.borrow_mut() = Some(Script::NotRun);
+        }
+        let response = start_at_new_version(&deployment).await;
+        let before: Vec<usize> = deployment.runners.iter().map(|r| r.request_count()).collect();
+        response.into_body().collect().await.unwrap();
+        let new: Vec<String> =
+            deployment.runners[..2].iter().map(|r| r.address.to_string()).collect();
+        for (runner, before) in deployment.runners.iter().zip(before).skip(2) {
+            for request in &runner.requests.borrow()[before..] {
+                let holder = request.headers["x-bilberryfront-kv-backup"].to_str().unwrap();
+                assert!(!new.iter().any(|address| address == holder), "replicated to {holder}");
+            }
+        }
+    })
+    .await;
+}
+
+/// Guards against an early 503 or 504 although the first attempt may still be served: no retry is left, and
+/// the runner responds after a silence.
+#[tokio::test(start_paused = true)]
+async fn first_event_is_awaited_without_a_budget() {
+    for path in ["/stream/1", "/fixed/1"] {
+        run_local(async {
+            let mut deployment = Deployment::new(ENGINES, &["a", "b"], &events(5, ms(6_000)));
+            let allowance = Allowance { ratio: 0.0, slack: 0.0, window: Duration::from_secs(10) };
+            deployment.traffic.budgets = Budgets::new(allowance);
+            let loss = async {
+                sleep(ms(100)).await;
+                deployment.runners.iter().for_each(|runner| runner.is_unresponsive.set(true));
+                sleep(ms(3_000)).await;
+                deployment.runners.iter().for_each(|runner| runner.is_unresponsive.set(false));
+            };
+            let (response, ()) = tokio::join!(deployment.send(path, &PROMPT), loss);
+            assert_eq!(response.status(), 200, "{path}");
+            assert_eq!(deployment.request_count(), 1, "{path}");
+        })
+        .await;
+    }
+}
