Explain silences of runs, and why an aborted stream was not resumed

explain took the time from the loss of a run to the next start; a silent run is now lost only when the next one has started. It takes the time from the beginning of the silence, says if the run continued, and names the limit that forbade another attempt. The fixture of the test has one more lost run at e1, so that it expects three.

--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -6,9 +6,9 @@
         line::{Line, Logs},
     },
     bilberryfront_relay::log_messages::{
-        CATALOG_APPLIED, ERROR_RETURNED, REJECTED, REJECTED_BY_RUNNER, RUN_LOST, RUN_STARTED,
-        RUNNER_ERROR, RUNNER_REMOVED, SERVING, STORE_RECOVERED, STORE_RESPONSE_LOST,
-        STORE_RESTORED, STORE_UNAVAILABLE, STREAM_ABORTED, STREAM_COMPLETED,
+        CATALOG_APPLIED, ERROR_RETURNED, REJECTED, REJECTED_BY_RUNNER, RUN_CONTINUED, RUN_LOST,
+        RUN_SILENT, RUN_STARTED, RUNNER_ERROR, RUNNER_REMOVED, SERVING, STORE_RECOVERED,
+        STORE_RESPONSE_LOST, STORE_RESTORED, STORE_UNAVAILABLE, STREAM_ABORTED, STREAM_COMPLETED,
     },
     jiff::SignedDuration,
 };
@@ -26,23 +26,24 @@
     if let Some(line) = own.iter().rfind(|line| line.message == ERROR_RETURNED) {
         return of_failure(own, line);
     }
-    let broken = own.iter().any(|line| line.message.starts_with(STREAM_ABORTED));
+    let broken = own.iter().rfind(|line| line.message.starts_with(STREAM_ABORTED));
     let ended = own.iter().any(|line| line.message == STREAM_COMPLETED);
     let pauses = own.iter().enumerate().filter_map(|(i, line)| pause(own, i, line));
     let worst = pauses.max_by_key(|(pause, _)| *pause);
     match (broken, worst, ended) {
-        (true, _, _) => {
+        (Some(line), _, _) => {
             let lost = own.iter().filter(|l| l.message.starts_with(RUN_LOST)).count();
             format!(
-                "The stream was aborted: {lost} runs were lost, and no runner could resume it. The caller \
-                 can see that it is incomplete and may resume it with the last event's id."
+                "The stream was aborted: {lost} runs were lost, and no runner could resume it{}. The caller \
+                 can see that it is incomplete and may resume it with the last event's id.",
+                no_attempt(line)
             )
         }
-        (false, Some((pause, cause)), _) if pause >= LONG_PAUSE => cause,
-        (false, Some(_), true) => {
+        (None, Some((pause, cause)), _) if pause >= LONG_PAUSE => cause,
+        (None, Some(_), true) => {
             "Served completely; lost runs were resumed from a replica in time.".into()
         }
-        (false, None, true) => "Served completely by its first run.".into(),
+        (None, None, true) => "Served completely by its first run.".into(),
         _ => of_missing_outcome(logs, own),
     }
 }
@@ -84,13 +85,40 @@
     }
 }
 
-/// Returns the pause after a lost run, and its explanation.
+/// Returns why an aborted stream got no other attempt.
+fn no_attempt(line: &Line) -> &'static str {
+    match line.text("reason") {
+        Some("Budget") => ", as the retry budget was exhausted",
+        Some("Exhausted") => ", as all attempts had been made",
+        Some("Deadline") => " before its deadline",
+        Some("Unsafe") => ", as it must not run twice",
+        Some("NoRunner") => ", as there was none",
+        Some("NoPath") => ", as there was no path to any",
+        Some("Quarantined") => ", as the request was quarantined",
+        _ => "",
+    }
+}
+
+/// Returns the pause after a lost or silent run, and its explanation.
 fn pause(own: &[&Line], index: usize, line: &Line) -> Option<(SignedDuration, String)> {
-    let reason = line.message.strip_prefix(RUN_LOST)?;
+    let reason = match line.message.strip_prefix(RUN_LOST) {
+        Some(reason) => reason,
+        None if line.message == RUN_SILENT => "Silent",
+        None => return None,
+    };
     let runner = line.text("runner").unwrap_or("unknown");
+    let position = line.number("position").unwrap_or_default();
     let after = &own[index + 1..];
-    let next = after.iter().find(|line| line.message == RUN_STARTED)?;
+    let next = after.iter().find(|l| [RUN_STARTED, RUN_CONTINUED].contains(&l.message.as_str()))?;
     let pause = next.order.duration_since(line.order);
+    if next.message == RUN_CONTINUED {
+        let cause = format!(
+            "The stream paused: runner {runner} was silent after event {position}, and continued {} ms after \
+             the silence was noticed. No other run had started by then.",
+            pause.as_millis()
+        );
+        return Some((pause, cause));
+    }
     let copied = next.fields.get("from_replica").and_then(serde_json::Value::as_bool) == Some(true);
     let refused = after.iter().any(|line| {
         line.message == REJECTED_BY_RUNNER
@@ -106,9 +134,8 @@
         "the replica's holder was lost too, so the prompt was prefilled again"
     };
     let cause = format!(
-        "The stream paused: runner {runner} was lost ({reason}) after event {}, and {why}. The next event arrived \
-         {} ms after the runner was abandoned.",
-        line.number("position").unwrap_or_default(),
+        "The stream paused: runner {runner} was lost ({reason}) after event {position}, and {why}. The next event \
+         arrived {} ms after that was noticed.",
         pause.as_millis()
     );
     Some((pause, cause))
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -28,6 +28,11 @@
     line(millis, &format!("{}Silent", log_messages::RUN_LOST), fields)
 }
 
+fn run_silent(millis: i64, request: &str) -> String {
+    let fields = json!({"request": request, "runner": "e1", "position": 7});
+    line(millis, log_messages::RUN_SILENT, fields)
+}
+
 fn run_started(millis: i64, request: &str, from_replica: bool) -> String {
     let fields =
         json!({"request": request, "runner": "e2", "from_replica": from_replica, "position": 38});
@@ -44,10 +49,22 @@
         run_lost(2_000, "copied"),
         run_started(2_010, "copied", true),
         run_lost(2_000, "read-again"),
+        run_silent(2_100, "silent"),
+        run_silent(2_100, "replaced"),
+        run_lost(2_800, "replaced"),
+        run_started(2_800, "replaced", false),
+        line(3_000, log_messages::RUN_CONTINUED, json!({"request": "silent", "runner": "e1"})),
         run_started(3_200, "read-again", false),
         line(3_300, log_messages::RUNNER_REMOVED, json!({"runner": "e1"})),
         line(4_000, log_messages::STREAM_COMPLETED, json!({"request": "copied"})),
         line(4_000, log_messages::STREAM_COMPLETED, json!({"request": "read-again"})),
+        line(4_000, log_messages::STREAM_COMPLETED, json!({"request": "silent"})),
+        line(4_000, log_messages::STREAM_COMPLETED, json!({"request": "replaced"})),
+        line(
+            4_100,
+            log_messages::STREAM_ABORTED,
+            json!({"request": "aborted", "reason": "Budget"}),
+        ),
         "no log line".into(),
         line(5_000, "rejected: Lost", json!({"request": "call", "waited": 18, "ready": 4})),
         line(6_000, "rejected: NotRun { retry: 300ms }", json!({"request": "full", "ready": 0})),
@@ -99,6 +116,9 @@
     for (id, cause) in [
         ("copied", "resumed from a replica in time"),
         ("read-again", "the replica's holder was lost too, so the prompt was prefilled again"),
+        ("silent", "was silent after event 7, and continued 900 ms after"),
+        ("replaced", "arrived 700 ms after that was noticed"),
+        ("aborted", "as the retry budget was exhausted"),
         ("call", "It may have run"),
         ("full", "no runner of the service was listed"),
         ("denied", "while n1 had catalogue 9 for 1000 ms: the instance was behind"),
@@ -107,7 +127,7 @@
         ("new", "had just started"),
         ("failing", "status 500: each of the runners p1, p2 ran it and failed"),
         ("cut-short", "n1 restarted 1500 ms after"),
-        ("e1", "2 were lost, 0 requests were rejected. Its entry was removed."),
+        ("e1", "3 were lost, 0 requests were rejected. Its entry was removed."),
         ("9", "came into force at n1 first"),
     ] {
         let output = explain(&folder, id, &[]);
