Let in-memory runners be silent for a while

A runner, or its streams alone, can stand still and go on where it was; control requests can be answered late, and prompts take a time to read. A run ends with its caller's connection, not with its next event.

--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -43,7 +43,7 @@
         io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf},
         sync::mpsc::Sender,
         task::{AbortHandle, LocalSet},
-        time::{Instant, sleep},
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -147,6 +147,30 @@
     shared.split(',').filter_map(|part| Some(part.split_once(':')?.0))
 }
 
+/// Time in which a runner, or a part of it, stands still; afterwards it goes on where it was.
+#[derive(Debug, Default)]
+pub(crate) struct Silence(Cell<Option<Instant>>);
+
+impl Silence {
+    /// Starts a silence.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn start(&self, time: Duration) {
+        self.0.set(Some(Instant::now() + time));
+    }
+
+    /// Returns whether the silence has not ended yet.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn is_active(&self) -> bool {
+        self.0.get().is_some_and(|end| Instant::now() < end)
+    }
+
+    async fn wait(&self) {
+        while let Some(end) = self.0.get().filter(|end| Instant::now() < *end) {
+            sleep_until(end).await;
+        }
+    }
+}
+
 /// A request that a runner has received.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -207,6 +231,14 @@
     pub(crate) pauses: RefCell<Vec<Span>>,
     /// Tasks that go on when the pause ends.
     paused_tasks: RefCell<Vec<Waker>>,
+    /// Silence of the process: it reads and sends nothing, and its connections stay open.
+    pub(crate) silence: Rc<Silence>,
+    /// Silence of the streams alone: control requests are answered.
+    pub(crate) stream_silence: Rc<Silence>,
+    /// Time from a control request to its response.
+    pub(crate) probe_delay: Cell<Duration>,
+    /// Time from the arrival of a request without a KV copy to its run.
+    pub(crate) prefill_time: Cell<Duration>,
     /// Whether the process has crashed.
     pub(crate) is_crashed: Cell<bool>,
     /// Body of the requests that crash the runner, shortly after their response has started.
@@ -267,6 +299,10 @@
             is_unresponsive: Cell::new(false),
             pauses: RefCell::default(),
             paused_tasks: RefCell::default(),
+            silence: Rc::default(),
+            stream_silence: Rc::default(),
+            probe_delay: Cell::default(),
+            prefill_time: Cell::default(),
             is_crashed: Cell::new(false),
             crash_body: RefCell::default(),
             crash_delay: Cell::new(None),
@@ -591,6 +627,10 @@
     if runner.is_unresponsive.get() {
         std::future::pending::<Infallible>().await;
     }
+    runner.silence.wait().await;
+    if request.uri().path().starts_with("/api/") {
+        sleep(runner.probe_delay.get()).await;
+    }
     match request.uri().path() {
         "/api/report" => return Ok(json_response(report(runner))),
         "/api/kv-events" => return Ok(json_response(cache_events(runner))),
@@ -661,7 +701,8 @@
         }
         Script::Events { last, gap, end } => {
             let after = resume_position(&parts.headers);
-            events(ActiveRun::new(runner, &id), after, last, gap, end)
+            let prefill = if has_copy { Duration::ZERO } else { runner.prefill_time.get() };
+            events(ActiveRun::new(runner, &id), after, last, (prefill, gap), end)
         }
         Script::Generate { prefill, gap } => {
             let run = ActiveRun::new(runner, &id);
@@ -669,7 +710,8 @@
                 sleep(prefill).await;
             }
             let after = resume_position(&parts.headers);
-            events(run, after, output_tokens(&parts.headers), gap, StreamEnd::Complete)
+            let (last, times) = (output_tokens(&parts.headers), (Duration::ZERO, gap));
+            events(run, after, last, times, StreamEnd::Complete)
         }
         Script::WrongAttempt => {
             let mut response = complete_response(200, "somebody else's");
@@ -761,13 +803,23 @@
     http_body_util::Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
 }
 
-fn events(run: ActiveRun, after: u64, last: u64, gap: Duration, end: StreamEnd) -> Response<Body> {
+fn events(
+    run: ActiveRun,
+    after: u64,
+    last: u64,
+    (prefill, gap): (Duration, Duration),
+    end: StreamEnd,
+) -> Response<Body> {
     // The body type must be `Send`, and `Runner` is not, so a local task generates the events.
     let (sender, mut receiver) = tokio::sync::mpsc::channel::<io::Result<Frame<Bytes>>>(1);
     tokio::task::spawn_local(async move {
+        let generate = async {
+            sleep(prefill).await;
+            generate(&run.runner, &sender, after + 1..=last, gap, end).await;
+        };
         // The body is dropped when its connection is closed.
         tokio::select! {
-            () = generate(&run.runner, &sender, after + 1..=last, gap, end) => {}
+            () = generate => {}
             () = sender.closed() => {}
         }
     });
@@ -789,6 +841,8 @@
     for id in ids {
         sleep(gap).await;
         runner.unpaused().await;
+        runner.silence.wait().await;
+        runner.stream_silence.wait().await;
         if runner.is_unresponsive.get() {
             std::future::pending::<Infallible>().await;
         }
