--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -20,6 +20,8 @@
 mod race_review;
 #[path = "relay/rollouts.rs"]
 mod rollouts;
+#[path = "relay/silences.rs"]
+mod silences;
 #[path = "relay/streams.rs"]
 mod streams;
 #[path = "relay/support.rs"]
