--- a/tests/relay/silences.rs
+++ b/tests/relay/silences.rs
@@ -1001,30 +1001,103 @@
     .await;
 }
 
-/// Guards against a request that runs on more runners than its route allows, because attempts that lose
-/// against its silent run are not counted.
+/// Guards against a stream that is cut because the budget was exhausted when its runner fell silent for good,
+/// although it allows a retry again before the deadline.
 #[tokio::test(start_paused = true)]
-async fn attempts_beside_a_silent_run_count_as_runs() {
+async fn run_is_replaced_as_soon_as_the_budget_allows_it() {
     run_local(async {
-        let deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"].repeat(4), &LONG);
-        for runner in &deployment.runners {
-            runner.resume_script.replace(Some(Script::NotRun));
-        }
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &EVENTS);
+        exhaust_budget(&deployment);
+        let exhausted_at = Instant::now();
         let mut stream = Stream::start(&deployment, "/stream/1").await;
-        stream.rest.iter().for_each(|r| r.prefill_time.set(ms(5_000)));
+        stream.first.silence.start(FOREVER);
+        assert!(stream.next().await);
+        // The window of the budget is 10 s.
+        assert!(exhausted_at.elapsed() < ms(11_500), "{:?}", exhausted_at.elapsed());
+        assert!(stream.finish().await);
+        assert_eq!(stream.ids, all(LAST));
+    })
+    .await;
+}
+
+/// Makes a run fall silent ten times, each time beside an attempt that loses. No replica can be used.
+async fn survive_silences(deployment: &Deployment) -> Stream {
+    for runner in &deployment.runners {
+        runner.resume_script.replace(Some(Script::NotRun));
+    }
+    let mut stream = Stream::start(deployment, "/stream/1").await;
+    stream.rest.iter().for_each(|r| r.prefill_time.set(ms(5_000)));
+    for _ in 0..10 {
+        // All runners that the request has run on are silent, so that each attempt uses another.
+        let used = deployment.runners.iter().filter(|r| r.request_count() > 0);
+        used.for_each(|r| r.silence.start(ms(700)));
         for _ in 0..10 {
-            // All runners that the request has run on are silent, so that each attempt uses another.
-            let used = deployment.runners.iter().filter(|r| r.request_count() > 0);
-            used.for_each(|r| r.silence.start(ms(700)));
+            assert!(stream.next().await);
+        }
+    }
+    assert_eq!(stream.first.running_streams(), 1);
+    stream
+}
+
+/// Returns the number of runners that have run a request from its prompt.
+fn used_count(runners: &[Rc<Runner>]) -> usize {
+    let is_used = |r: &&Rc<Runner>| {
+        let requests = r.requests.borrow();
+        requests.iter().any(|request| !request.headers.contains_key("kv-from"))
+    };
+    runners.iter().filter(is_used).count()
+}
+
+/// Guards against a stream that is cut when its runner crashes, because attempts that lost against its run
+/// in earlier silences count as its runs.
+#[tokio::test(start_paused = true)]
+async fn stream_is_resumed_after_attempts_that_lost() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"].repeat(4), &LONG);
+        let mut stream = survive_silences(&deployment).await;
+        stream.rest.iter().for_each(|r| r.prefill_time.set(ms(100)));
+        stream.first.crash();
+        assert!(stream.finish().await, "not resumed");
+        assert_eq!(stream.ids, all(LONG_LAST));
+        // The runner that has crashed does not count.
+        let used = used_count(&stream.rest);
+        assert!(used <= 5, "the request ran on {used} other runners");
+    })
+    .await;
+}
+
+/// Guards against a stream that waits for a run that is silent for good, because the attempts beside its
+/// run in earlier silences have used up its sends.
+#[tokio::test(start_paused = true)]
+async fn run_that_is_silent_for_good_is_replaced_after_many_silences() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &LONG);
+        let mut stream = Stream::start(&deployment, "/stream/1").await;
+        for _ in 0..8 {
+            stream.rest.iter().for_each(|r| r.stream_silence.start(ms(700)));
+            stream.first.silence.start(ms(600));
             for _ in 0..10 {
-                assert!(stream.next().await);
+                assert!(stream.next().await, "cut after event {:?}", stream.ids.last());
             }
         }
-        let is_run = |r: &&Rc<Runner>| {
-            let requests = r.requests.borrow();
-            requests.iter().any(|request| !request.headers.contains_key("kv-from"))
-        };
-        let used = deployment.runners.iter().filter(is_run).count();
+        stream.first.silence.start(FOREVER);
+        let silent_at = Instant::now();
+        assert!(stream.next().await, "cut after {:?}", silent_at.elapsed());
+        assert!(silent_at.elapsed() < ms(700), "{:?}", silent_at.elapsed());
+        assert!(stream.finish().await);
+        assert_eq!(stream.ids, all(LONG_LAST));
+    })
+    .await;
+}
+
+/// Guards against a request that runs on more runners than its route allows, because attempts that lose
+/// against its silent run are not counted.
+#[tokio::test(start_paused = true)]
+async fn attempts_beside_a_silent_run_count_as_runs() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"].repeat(4), &LONG);
+        let mut stream = survive_silences(&deployment).await;
+        let used = used_count(&deployment.runners);
         assert!(used <= 5, "the request ran on {used} runners");
         assert!(stream.finish().await);
         assert_eq!(stream.ids, all(LONG_LAST));
