Let silent runners of the tests neither read nor write

The silences of silences.rs use the pauses of the in-memory runners, in which a runner does not notice either that a connection is closed. Runs are counted after the end of all pauses, which a cancelled one does not survive.

--- a/tests/relay/silences.rs
+++ b/tests/relay/silences.rs
@@ -102,8 +102,11 @@
     }
 }
 
-/// Returns the number of runs whose caller is connected.
-fn runs(deployment: &Deployment) -> usize {
+/// Ends all pauses, since a paused runner does not notice that a connection is closed, and returns the number
+/// of runs whose connection is open.
+async fn runs(deployment: &Deployment) -> usize {
+    deployment.runners.iter().filter(|r| r.is_paused()).for_each(|r| r.unpause());
+    sleep(CLOSING).await;
     deployment.runners.iter().map(|runner| runner.running_streams()).sum()
 }
 
@@ -117,7 +120,7 @@
 }
 
 fn silence(runners: &[Rc<Runner>], time: Duration) {
-    runners.iter().for_each(|runner| runner.silence.start(time));
+    runners.iter().for_each(|runner| runner.pause_for(time));
 }
 
 fn spawn(
@@ -134,7 +137,7 @@
     let (mut since, mut longest) = (None, Duration::ZERO);
     loop {
         let runners = deployment.runners.iter();
-        let active = runners.filter(|r| !r.silence.is_active() && !r.stream_silence.is_active());
+        let active = runners.filter(|r| !r.is_silent());
         let count: usize = active.map(|r| r.running_streams()).sum();
         since = if count > 1 { since.or(Some(Instant::now())) } else { None };
         longest = longest.max(since.map_or(Duration::ZERO, |at: Instant| at.elapsed()));
@@ -189,10 +192,10 @@
         Stream::start(&deployment, "/stream/1").await
     }
 
-    fn silence(&self, runner: &Runner, time: Duration) {
+    fn silence(&self, runner: &Rc<Runner>, time: Duration) {
         match self.is_probed {
-            true => runner.stream_silence.start(time),
-            false => runner.silence.start(time),
+            true => runner.pause_streams_for(time),
+            false => runner.pause_for(time),
         }
     }
 }
@@ -211,8 +214,7 @@
                 let is_complete = stream.finish().await;
                 drop(overlap);
                 assert_eq!((&stream.ids, is_complete), (&all(LAST), true), "{case:?} {time:?}");
-                sleep(CLOSING).await;
-                assert_eq!(runs(&stream.deployment), 0, "{case:?} {time:?}");
+                assert_eq!(runs(&stream.deployment).await, 0, "{case:?} {time:?}");
                 let loads = stream.deployment.traffic.client.fleet.snapshot().runners;
                 assert!(loads.is_empty(), "{case:?} {time:?}: {loads:?}");
                 match stream.rest.iter().any(|r| r.request_count() > 0) {
@@ -238,8 +240,7 @@
                 case.silence(&stream.first, STALL + prefill + ms(10 + shift));
                 let is_complete = stream.finish().await;
                 assert_eq!((&stream.ids, is_complete), (&all(LAST), true), "{prefill:?} {shift}");
-                sleep(CLOSING).await;
-                assert_eq!(runs(&stream.deployment), 0);
+                assert_eq!(runs(&stream.deployment).await, 0);
             })
             .await;
         }
@@ -255,8 +256,7 @@
                 let mut stream = case.start().await;
                 case.silence(&stream.first, time);
                 assert!(stream.next().await);
-                sleep(CLOSING).await;
-                assert_eq!(runs(&stream.deployment), 1, "{case:?} {time:?}");
+                assert_eq!(runs(&stream.deployment).await, 1, "{case:?} {time:?}");
                 assert!(stream.next().await);
             })
             .await;
@@ -271,12 +271,11 @@
     run_local(async {
         let case = Case { is_probed: false, has_replica: false, prefill: ms(2_000) };
         let mut stream = case.start().await;
-        stream.first.silence.start(ms(1_000));
+        stream.first.pause_for(ms(1_000));
         let silent_at = Instant::now();
         assert!(stream.next().await);
         assert!(silent_at.elapsed() < ms(1_050), "{:?}", silent_at.elapsed());
-        sleep(CLOSING).await;
-        assert_eq!((stream.first.running_streams(), runs(&stream.deployment)), (1, 1));
+        assert_eq!((stream.first.running_streams(), runs(&stream.deployment).await), (1, 1));
         assert!(stream.finish().await);
         assert_eq!(stream.ids, all(LAST));
         assert_eq!(stream.first.request_count(), 1);
@@ -292,12 +291,12 @@
         for time in (380..1_400).step_by(20).map(ms) {
             run_local(async {
                 let stream = case.start().await;
-                stream.first.silence.start(FOREVER);
+                stream.first.pause_for(FOREVER);
                 sleep(time).await;
                 let Stream { deployment, response, .. } = stream;
                 drop(response);
                 sleep(ms(20)).await;
-                assert_eq!(runs(&deployment), 0, "{case:?} {time:?}");
+                assert_eq!(runs(&deployment).await, 0, "{case:?} {time:?}");
                 let loads = deployment.traffic.client.fleet.snapshot().runners;
                 assert!(loads.is_empty(), "{case:?} {time:?}: {loads:?}");
                 assert_eq!(deployment.traffic.in_flight.get(), 0);
@@ -317,12 +316,12 @@
             let request = spawn(&deployment, "/stream/1", &PROMPT);
             sleep(ms(1)).await;
             let (first, rest) = first_runner(&deployment);
-            first.silence.start(FOREVER);
-            rest.iter().for_each(|runner| runner.stream_silence.start(FOREVER));
+            first.pause_for(FOREVER);
+            rest.iter().for_each(|runner| runner.pause_streams_for(FOREVER));
             sleep(time).await;
             request.abort();
             sleep(ms(20)).await;
-            assert_eq!(runs(&deployment), 0, "{time:?}");
+            assert_eq!(runs(&deployment).await, 0, "{time:?}");
             let loads = deployment.traffic.client.fleet.snapshot().runners;
             assert!(loads.is_empty(), "{time:?}: {loads:?}");
         })
@@ -390,11 +389,11 @@
             let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &LONG);
             let mut stream = Stream::start(&deployment, "/stream/1").await;
             let (first, holder) = (stream.first.clone(), stream.holder());
-            first.silence.start(time);
-            holder.stream_silence.start(ms(2_500));
+            first.pause_for(time);
+            holder.pause_streams_for(ms(2_500));
             assert!(stream.next().await);
             assert_eq!(holder.request_count(), 1, "resumed from the replica");
-            assert_eq!((first.running_streams(), runs(&deployment)), (1, 1), "{time:?}");
+            assert_eq!((first.running_streams(), runs(&deployment).await), (1, 1), "{time:?}");
             sleep(ms(500)).await;
             first.crash();
             let crashed_at = Instant::now();
@@ -536,7 +535,7 @@
                 let request = spawn(&deployment, path, &PROMPT);
                 sleep(ms(1)).await;
                 let (first, rest) = first_runner(&deployment);
-                first.silence.start(time);
+                first.pause_for(time);
                 // A request that may not be resumed waits although other runners respond.
                 if path == "/stream/1" {
                     silence(&rest, FOREVER);
@@ -561,14 +560,13 @@
             let request = spawn(&deployment, "/stream/1", &PROMPT);
             sleep(ms(1)).await;
             let (first, rest) = first_runner(&deployment);
-            first.silence.start(FOREVER);
+            first.pause_for(FOREVER);
             silence(&rest, time);
             // The first probes fail at 1.5 s; a suspect runner is not used for 1.2 s.
             let limit = time.max(ms(1_500)) + ms(1_700) + ms(40 * LAST);
             let received = timeout(limit, request).await.expect("served in time").unwrap();
             assert_eq!((received.status, received.event_ids()), (200, all(LAST)), "{time:?}");
-            sleep(CLOSING).await;
-            assert_eq!(runs(&deployment), 0);
+            assert_eq!(runs(&deployment).await, 0);
         })
         .await;
     }
@@ -582,8 +580,8 @@
         let request = spawn(&deployment, "/stream/1", &PROMPT);
         sleep(ms(1)).await;
         let (first, rest) = first_runner(&deployment);
-        first.silence.start(ms(2_500));
-        first.stream_silence.start(ms(8_000));
+        first.pause_for(ms(2_500));
+        first.pause_streams_for(ms(8_000));
         silence(&rest, ms(3_500));
         let received = request.await.unwrap();
         assert_eq!((received.status, received.event_ids()), (200, all(LAST)));
@@ -604,16 +602,15 @@
             let slow = async {
                 sleep(ms(1)).await;
                 let (first, rest) = first_runner(&deployment);
-                first.silence.start(time);
+                first.pause_for(time);
                 rest[0].prefill_time.set(ms(1_000));
                 first
             };
             let start = Instant::now();
             let (response, first) = tokio::join!(request, slow);
             assert!(start.elapsed() <= time.max(ms(50)) + ms(10), "{:?} {time:?}", start.elapsed());
-            sleep(CLOSING).await;
             let is_first = first.running_streams() == 1;
-            assert_eq!(runs(&deployment), 1, "{time:?}");
+            assert_eq!(runs(&deployment).await, 1, "{time:?}");
             assert!(is_first || time > ms(2_500), "{time:?}");
             let body = response.into_body().collect().await.unwrap().to_bytes();
             assert_eq!(body.iter().filter(|b| **b == b':').count(), 2 * LAST as usize);
@@ -664,9 +661,9 @@
                 let request = spawn(&deployment, path, &headers);
                 sleep(ms(1)).await;
                 let (first, rest) = first_runner(&deployment);
-                first.silence.start(FOREVER);
+                first.pause_for(FOREVER);
                 match has_others {
-                    true => rest.iter().for_each(|r| r.stream_silence.start(FOREVER)),
+                    true => rest.iter().for_each(|r| r.pause_streams_for(FOREVER)),
                     false => silence(&rest, FOREVER),
                 }
                 let received = request.await.unwrap();
@@ -674,8 +671,7 @@
                 let limit = ms(deadline.parse().unwrap());
                 let took = start.elapsed();
                 assert!(limit <= took && took <= limit + ms(160), "{path} {took:?} of {limit:?}");
-                sleep(CLOSING).await;
-                assert_eq!(runs(&deployment), 0);
+                assert_eq!(runs(&deployment).await, 0);
                 assert!(deployment.traffic.client.fleet.snapshot().runners.is_empty());
             })
             .await;
@@ -714,12 +710,12 @@
         let deployment = Deployment::new(ENGINES, &["a", "b"], &LONG);
         let mut stream = Stream::start(&deployment, "/stream/1").await;
         let (first, other) = (stream.first.clone(), stream.rest[0].clone());
-        first.silence.start(ms(2_000));
+        first.pause_for(ms(2_000));
         while stream.ids.len() < 80 {
             assert!(stream.next().await);
         }
         assert_eq!(other.running_streams(), 1);
-        other.silence.start(FOREVER);
+        other.pause_for(FOREVER);
         let silent_at = Instant::now();
         assert!(stream.next().await, "the stream is cut after {:?}", silent_at.elapsed());
         assert!(silent_at.elapsed() < ms(1_000), "{:?}", silent_at.elapsed());
@@ -756,7 +752,7 @@
         let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &EVENTS);
         let start = Instant::now();
         let mut stream = Stream::start(&deployment, "/fixed/1").await;
-        stream.first.silence.start(FOREVER);
+        stream.first.pause_for(FOREVER);
         assert!(!stream.finish().await);
         let took = start.elapsed();
         assert!(ms(20_000) <= took && took < ms(20_200), "{took:?}");
@@ -803,7 +799,7 @@
         run_local(async {
             let (deployment, mut samples) = rollout();
             let mut stream = Stream::start(&deployment, "/stream/1").await;
-            stream.deployment.runners.iter().for_each(|r| r.silence.start(ms(1_000)));
+            stream.deployment.runners.iter().for_each(|r| r.pause_for(ms(1_000)));
             assert!(stream.finish().await);
             let is_new = deployment.runners[..3].iter().any(|r| r.id == stream.first.id);
             let is_replaced = stream.rest.iter().any(|r| r.request_count() > 0);
@@ -821,7 +817,7 @@
         run_local(async {
             let (deployment, mut samples) = rollout();
             let mut stream = Stream::start(&deployment, "/stream/1").await;
-            stream.first.silence.start(FOREVER);
+            stream.first.pause_for(FOREVER);
             assert!(stream.finish().await);
             let is_new = deployment.runners[..3].iter().any(|r| r.id == stream.first.id);
             assert_eq!(responses(&mut samples), [(is_new, VersionResponse::Lost)]);
@@ -840,7 +836,7 @@
             let request = spawn(&deployment, "/stream/1", &PROMPT);
             sleep(ms(1)).await;
             let (first, _) = first_runner(&deployment);
-            first.silence.start(FOREVER);
+            first.pause_for(FOREVER);
             let received = request.await.unwrap();
             assert_eq!((received.status, received.event_ids()), (200, all(LAST)));
             let is_new = deployment.runners[..3].iter().any(|r| r.id == first.id);
@@ -920,7 +916,7 @@
             }
             assert!(quarantine.is_suspect(&request));
             let mut stream = Stream::start(&deployment, "/stream/1").await;
-            stream.first.silence.start(time);
+            stream.first.pause_for(time);
             if is_cleared {
                 silence(&stream.rest, time);
             }
@@ -940,7 +936,7 @@
         run_local(async {
             let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &EVENTS);
             let mut stream = Stream::start(&deployment, "/stream/1").await;
-            stream.first.silence.start(time);
+            stream.first.pause_for(time);
             if is_back {
                 silence(&stream.rest, time);
             }
@@ -989,7 +985,7 @@
         let deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"].repeat(4), &LONG);
         let mut stream = Stream::start(&deployment, "/stream/1").await;
         stream.rest.iter().for_each(|r| r.capacity.set(Some(0)));
-        stream.first.silence.start(ms(1_000));
+        stream.first.pause_for(ms(1_000));
         assert!(stream.next().await, "cut in the silence");
         assert!(retries(&deployment) <= 4, "{} retries", retries(&deployment));
         stream.rest.iter().for_each(|r| r.capacity.set(None));
@@ -1010,7 +1006,7 @@
         exhaust_budget(&deployment);
         let exhausted_at = Instant::now();
         let mut stream = Stream::start(&deployment, "/stream/1").await;
-        stream.first.silence.start(FOREVER);
+        stream.first.pause_for(FOREVER);
         assert!(stream.next().await);
         // The window of the budget is 10 s.
         assert!(exhausted_at.elapsed() < ms(11_500), "{:?}", exhausted_at.elapsed());
@@ -1030,7 +1026,7 @@
     for _ in 0..10 {
         // All runners that the request has run on are silent, so that each attempt uses another.
         let used = deployment.runners.iter().filter(|r| r.request_count() > 0);
-        used.for_each(|r| r.silence.start(ms(700)));
+        used.for_each(|r| r.pause_for(ms(700)));
         for _ in 0..10 {
             assert!(stream.next().await);
         }
@@ -1074,13 +1070,13 @@
         let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &LONG);
         let mut stream = Stream::start(&deployment, "/stream/1").await;
         for _ in 0..8 {
-            stream.rest.iter().for_each(|r| r.stream_silence.start(ms(700)));
-            stream.first.silence.start(ms(600));
+            stream.rest.iter().for_each(|r| r.pause_streams_for(ms(700)));
+            stream.first.pause_for(ms(600));
             for _ in 0..10 {
                 assert!(stream.next().await, "cut after event {:?}", stream.ids.last());
             }
         }
-        stream.first.silence.start(FOREVER);
+        stream.first.pause_for(FOREVER);
         let silent_at = Instant::now();
         assert!(stream.next().await, "cut after {:?}", silent_at.elapsed());
         assert!(silent_at.elapsed() < ms(700), "{:?}", silent_at.elapsed());
@@ -1113,8 +1109,8 @@
         let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &LONG);
         let mut stream = Stream::start(&deployment, "/stream/1").await;
         for _ in 0..14 {
-            stream.rest.iter().for_each(|r| r.stream_silence.start(ms(700)));
-            stream.first.silence.start(ms(600));
+            stream.rest.iter().for_each(|r| r.pause_streams_for(ms(700)));
+            stream.first.pause_for(ms(600));
             for _ in 0..10 {
                 assert!(stream.next().await, "cut after event {:?}", stream.ids.last());
             }
@@ -1159,8 +1155,7 @@
                 assert_eq!((received.status, received.is_complete), (200, true), "seed {seed}");
                 assert_eq!(received.event_ids(), all(120), "seed {seed}");
             }
-            sleep(CLOSING).await;
-            assert_eq!(runs(&deployment), 0, "seed {seed}");
+            assert_eq!(runs(&deployment).await, 0, "seed {seed}");
             let loads = deployment.traffic.client.fleet.snapshot().runners;
             assert!(loads.is_empty(), "seed {seed}: {loads:?}");
         })
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -147,30 +147,6 @@
     shared.split(',').filter_map(|part| Some(part.split_once(':')?.0))
 }
 
-/// Time in which a runner, or a part of it, stands still; afterwards it goes on where it was.
-#[derive(Debug, Default)]
-pub(crate) struct Silence(Cell<Option<Instant>>);
-
-impl Silence {
-    /// Starts a silence.
-    #[allow(dead_code, reason = "used by the in-memory tests only")]
-    pub(crate) fn start(&self, time: Duration) {
-        self.0.set(Some(Instant::now() + time));
-    }
-
-    /// Returns whether the silence has not ended yet.
-    #[allow(dead_code, reason = "used by the in-memory tests only")]
-    pub(crate) fn is_active(&self) -> bool {
-        self.0.get().is_some_and(|end| Instant::now() < end)
-    }
-
-    async fn wait(&self) {
-        while let Some(end) = self.0.get().filter(|end| Instant::now() < *end) {
-            sleep_until(end).await;
-        }
-    }
-}
-
 /// A request that a runner has received.
 #[derive(Clone, Debug)]
 pub(crate) struct ReceivedRequest {
@@ -231,13 +207,11 @@
     pub(crate) pauses: RefCell<Vec<Span>>,
     /// Tasks that go on when the pause ends.
     paused_tasks: RefCell<Vec<Waker>>,
-    /// Silence of the process: it reads and sends nothing, and its connections stay open.
-    pub(crate) silence: Rc<Silence>,
-    /// Silence of the streams alone: control requests are answered.
-    pub(crate) stream_silence: Rc<Silence>,
+    /// Time until which the streams alone generate nothing; control requests are answered.
+    pub(crate) streams_paused_until: Cell<Option<Instant>>,
     /// Time from a control request to its response.
     pub(crate) probe_delay: Cell<Duration>,
-    /// Time from the arrival of a request without a KV copy to its run.
+    /// Time before the first event of a run of [`Script::Events`] that does not start from a replica.
     pub(crate) prefill_time: Cell<Duration>,
     /// Whether the process has crashed.
     pub(crate) is_crashed: Cell<bool>,
@@ -299,8 +273,7 @@
             is_unresponsive: Cell::new(false),
             pauses: RefCell::default(),
             paused_tasks: RefCell::default(),
-            silence: Rc::default(),
-            stream_silence: Rc::default(),
+            streams_paused_until: Cell::new(None),
             probe_delay: Cell::default(),
             prefill_time: Cell::default(),
             is_crashed: Cell::new(false),
@@ -343,10 +316,52 @@
         self.paused_tasks.take().into_iter().for_each(Waker::wake);
     }
 
+    /// Pauses the runner for a time, or for a longer one if it is paused.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn pause_for(self: &Rc<Runner>, time: Duration) {
+        if self.is_paused() {
+            self.unpause();
+        }
+        self.pause();
+        let (runner, index) = (self.clone(), self.pauses.borrow().len());
+        tokio::task::spawn_local(async move {
+            sleep(time).await;
+            if runner.is_paused() && runner.pauses.borrow().len() == index {
+                runner.unpause();
+            }
+        });
+    }
+
+    /// Pauses the streams alone for a time.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn pause_streams_for(&self, time: Duration) {
+        self.streams_paused_until.set(Some(Instant::now() + time));
+    }
+
+    /// Returns whether the runner, or its streams alone, are paused.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn is_silent(&self) -> bool {
+        let until = self.streams_paused_until.get();
+        self.is_paused() || until.is_some_and(|until| Instant::now() < until)
+    }
+
+    /// Returns whether the runner is paused.
+    pub(crate) fn is_paused(&self) -> bool {
+        self.pauses.borrow().last().is_some_and(|pause| pause.end.is_none())
+    }
+
+    /// Waits until the streams are not paused.
+    async fn streams_unpaused(&self) {
+        self.unpaused().await;
+        while let Some(until) = self.streams_paused_until.get().filter(|at| Instant::now() < *at) {
+            sleep_until(until).await;
+            self.unpaused().await;
+        }
+    }
+
     /// Returns ready unless the runner is paused.
     fn poll_unpaused(&self, context: &Context<'_>) -> Poll<()> {
-        let is_paused = self.pauses.borrow().last().is_some_and(|pause| pause.end.is_none());
-        if is_paused {
+        if self.is_paused() {
             self.paused_tasks.borrow_mut().push(context.waker().clone());
             return Poll::Pending;
         }
@@ -627,7 +642,6 @@
     if runner.is_unresponsive.get() {
         std::future::pending::<Infallible>().await;
     }
-    runner.silence.wait().await;
     if request.uri().path().starts_with("/api/") {
         sleep(runner.probe_delay.get()).await;
     }
@@ -840,9 +854,7 @@
 ) {
     for id in ids {
         sleep(gap).await;
-        runner.unpaused().await;
-        runner.silence.wait().await;
-        runner.stream_silence.wait().await;
+        runner.streams_unpaused().await;
         if runner.is_unresponsive.get() {
             std::future::pending::<Infallible>().await;
         }
