Test that a replica is used when its holder responds again

The holder of the replica, and all others, are silent for a moment while the run is silent for good.

--- a/tests/relay/silences.rs
+++ b/tests/relay/silences.rs
@@ -47,7 +47,6 @@
     deployment: Deployment,
     response: Response<ResponseBody>,
     ids: Vec<u64>,
-    started_at: Instant,
     /// Runner that started it.
     first: Rc<Runner>,
     rest: Vec<Rc<Runner>>,
@@ -62,8 +61,8 @@
         let runners = deployment.runners.iter().cloned().zip(before);
         let (used, rest): (Vec<_>, Vec<_>) = runners.partition(|(r, n)| r.request_count() > *n);
         let (first, rest) = (used[0].0.clone(), rest.into_iter().map(|(r, _)| r).collect());
-        let (deployment, ids, started_at) = (deployment.clone(), Vec::new(), Instant::now());
-        let mut stream = Stream { deployment, response, ids, started_at, first, rest };
+        let (deployment, ids) = (deployment.clone(), Vec::new());
+        let mut stream = Stream { deployment, response, ids, first, rest };
         while stream.ids.len() < 5 {
             assert!(stream.next().await);
         }
@@ -374,7 +373,7 @@
             let crashed_at = Instant::now();
             assert!(stream.finish().await);
             assert_eq!(stream.ids, all(LONG_LAST));
-            check_resumed(&stream, crashed_at);
+            assert!(is_resumed(&stream, crashed_at), "{time:?}: from the prompt");
         })
         .await;
     }
@@ -399,19 +398,45 @@
             let crashed_at = Instant::now();
             assert!(stream.finish().await);
             assert_eq!(stream.ids, all(LONG_LAST));
-            check_resumed(&stream, crashed_at);
+            assert!(is_resumed(&stream, crashed_at), "{time:?}: from the prompt");
         })
         .await;
     }
 }
 
-/// Checks that the first request after a crash resumes the stream from a replica.
-fn check_resumed(stream: &Stream, crashed_at: Instant) {
+/// Returns whether the first request after the loss of a run resumes the stream from a replica.
+fn is_resumed(stream: &Stream, lost_at: Instant) -> bool {
     let requests = stream.rest.iter().flat_map(|r| r.requests.borrow().clone());
-    let resumed = requests.filter(|request| request.at >= crashed_at).min_by_key(|r| r.at);
-    let resumed = resumed.expect("the stream is resumed");
-    let time = crashed_at - stream.started_at;
-    assert!(resumed.headers.contains_key("kv-from"), "crash at {time:?}: from the prompt");
+    let resumed = requests.filter(|request| request.at >= lost_at).min_by_key(|r| r.at);
+    resumed.expect("the stream is resumed").headers.contains_key("kv-from")
+}
+
+/// Guards against a stream that reads its prompt again because the holder of its replica was silent for a
+/// moment as well.
+#[tokio::test(start_paused = true)]
+async fn replica_is_used_when_its_holder_responds_again() {
+    let mut from_prompt = Vec::new();
+    for time in (440..2_500).step_by(40).map(ms) {
+        run_local(async {
+            let deployment = Deployment::new(ENGINES, &["a", "b", "c"].repeat(3), &EVENTS);
+            let mut stream = Stream::start(&deployment, "/stream/1").await;
+            silence(&stream.rest, time);
+            stream.first.pause_for(FOREVER);
+            let silent_at = Instant::now();
+            assert!(stream.next().await);
+            let gap = silent_at.elapsed();
+            assert!(gap < time.max(STALL) + ms(700), "{time:?}: {gap:?}");
+            assert!(stream.finish().await);
+            assert_eq!(stream.ids, all(LAST));
+            if !is_resumed(&stream, silent_at) {
+                from_prompt.push(time);
+            }
+        })
+        .await;
+    }
+    // Another runner may be probed at the moment at which all of them respond again: for 150 ms after the
+    // holder, and then the next probes follow after 250 ms.
+    assert!(from_prompt.len() <= 52 / 3, "{} of 52: {from_prompt:?}", from_prompt.len());
 }
 
 /// Guards against a copy that occupies memory of its holder after the stream has ended, because an attempt
@@ -464,7 +489,7 @@
             let crashed_at = Instant::now();
             assert!(stream.finish().await, "{time:?}");
             assert_eq!(stream.ids, all(LAST));
-            check_resumed(&stream, crashed_at);
+            assert!(is_resumed(&stream, crashed_at), "{time:?}: from the prompt");
             assert_eq!(deployment.request_count(), 2, "{time:?}");
         })
         .await;
