Keep a silent runner of an idempotent request

An attempt that was not the last one was cut after 0.6 of the latency objective: its connection was closed, and only then the retry budget was asked. If it refused, the caller got 504 at once, although the runner would have responded. If it agreed, the first runner's work was lost, and the request depended on the second one, which may be silent as well.

The first attempt now stays pending while another one is made beside it. The first complete response wins, and the others are cancelled. Another attempt needs a retry, counts against the route's attempts, and is not made at a runner that is ejected already, as it is probably silent too. If none is possible, the request waits, and asks again, until its deadline. A runner stays ejected for other requests as long as it does not respond to anybody. A failure of a runner is held back for one more hedge delay at most.

Before (route with an objective of 100 ms and a deadline of 800 ms), the tests of calls.rs failed like this; all of tests/relay.rs pass now (75): - no retry left, runners respond after 300 ms: 504 after 60 ms, now 200; - the first runner responds after 200 ms, the second after 2 s: 504 after two attempts, now 200 after 200 ms; - 20 requests while both runners are silent for 500 ms: 40 sends, now at most 21. a_failure_is_not_held_back_for_a_silent_runner passed before as well: it guards the new waiting.

--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -12,24 +12,32 @@
         rejection::Rejection,
         runner_client::{SendOutcome, is_failure},
     },
+    bilberryfront_decide::mover::Response as VersionResponse,
     bytes::Bytes,
+    futures_util::{StreamExt, stream::FuturesUnordered},
     http::{Response, response::Parts},
-    std::time::Duration,
-    tokio::time::Instant,
+    std::{pin::pin, time::Duration},
+    tokio::time::{Instant, sleep, timeout},
 };
 
-/// Share of the latency objective after which the request is sent to another runner.
+/// Share of the latency objective after which the request is sent to another runner as well.
 const HEDGE_SHARE: f64 = 0.6;
-/// Maximum number of runners that are tried while each of them rejects the request.
+/// Maximum number of runners that are tried.
 const MAX_RUNNERS: usize = 5;
 
-/// State of a request between two attempts.
+/// State of a request.
 #[derive(Default)]
 struct Progress {
     tried: Vec<RunnerKey>,
+    /// Runner of the first attempt while that has not ended.
+    first: Option<RunnerKey>,
+    /// Number of attempts that have not ended.
+    pending: u32,
     /// Whether an attempt has reached a runner.
     reached_runner: bool,
-    /// Number of attempts that may have run.
+    /// Whether an attempt had no path to its runner.
+    no_path: bool,
+    /// Number of ended attempts that may have run.
     runs: u32,
     /// Error response of a runner, returned if no runner succeeds.
     failure: Option<(Parts, Bytes)>,
@@ -37,62 +45,157 @@
     lost: Option<SendError>,
 }
 
-/// One send.
-struct Attempt<'a> {
-    endpoint: &'a Endpoint,
+/// An attempt that has ended.
+struct Attempt {
+    endpoint: Endpoint,
     sent_at: Instant,
-    deadline: Instant,
+    result: AttemptResult,
 }
 
-/// Tries one runner after another until one succeeds.
+/// How an attempt ended.
+enum AttemptResult {
+    /// Complete response.
+    Complete(Parts, Bytes),
+    /// Response whose body is incomplete.
+    Incomplete(SendError),
+    /// No response.
+    Ended(SendOutcome),
+}
+
+/// Tries one runner after another until one succeeds. One that is silent is kept beside the next one,
+/// and the first response wins.
 pub(super) async fn serve<D: Dialect, N: Network>(
     traffic: &Traffic<D, N>,
     call: &Call,
 ) -> Response<ResponseBody> {
     let mut progress = Progress::default();
-    let end = call.deadline();
-    let attempts = call.route.attempts.max(1);
-    while progress.runs < attempts && progress.tried.len() < MAX_RUNNERS && Instant::now() < end {
-        if progress.lost.is_some() && traffic.quarantine.time_left(call).is_some() {
-            break;
-        }
-        let Some(endpoint) = traffic.choose_runner(call, &progress.tried) else { break };
-        if progress.reached_runner && !traffic.take_retry(&call.service) {
-            break;
-        }
-        let last =
-            progress.runs + 1 == attempts || traffic.client.fleet.ready_count(&call.service) < 2;
-        let deadline = if last { end } else { hedge_deadline(call, end) };
-        let _lease = traffic.client.fleet.lease_call(endpoint.clone());
-        let options = send_options(call, &endpoint, progress.tried.len());
-        progress.tried.push(endpoint.key);
-        let sent_at = Instant::now();
-        let sent = traffic.client.send(call, &endpoint, &options, deadline).await;
-        if matches!(sent, SendOutcome::NoPath) {
-            // Other runners of the service cannot be reached either.
-            break;
+    let mut pending = FuturesUnordered::new();
+    let response = loop {
+        if let Some(endpoint) = next_runner(traffic, call, &progress) {
+            let earlier = progress.tried.len();
+            if earlier == 0 {
+                progress.first = Some(endpoint.key);
+            }
+            progress.tried.push(endpoint.key);
+            progress.pending += 1;
+            pending.push(attempt(traffic, call, endpoint, earlier));
         }
-        let attempt = Attempt { endpoint: &endpoint, sent_at, deadline };
-        let response = evaluate(traffic, call, &mut progress, sent, &attempt).await;
-        if progress.tried.len() == 1 && progress.runs == 1 {
-            let outcome = progress.lost.map_or(response.is_some().into(), lost_response);
-            traffic.report_sample(call, endpoint.key, summarize(call, outcome));
+        let ended = tokio::select! {
+            biased;
+            ended = pending.next() => ended,
+            // A failure is not held back for a runner that remains silent.
+            () = sleep(hedge_delay(call)) => match progress.failure {
+                Some(_) => break None,
+                None => continue,
+            },
+        };
+        let Some(ended) = ended else { break None };
+        progress.pending -= 1;
+        if let Some(runner) = progress.first.take_if(|runner| *runner == ended.endpoint.key)
+            && let Some(response) = sample_response(&ended.result)
+        {
+            traffic.report_sample(call, runner, summarize(call, response));
         }
-        if let Some((parts, bytes)) = response {
-            return Response::from_parts(parts, bytes.into());
+        let response = evaluate(traffic, call, &mut progress, ended).await;
+        if response.is_some() {
+            break response;
         }
+    };
+    if let Some(runner) = progress.first {
+        let response = lost_response(SendError::Timeout);
+        traffic.report_sample(call, runner, summarize(call, response));
     }
-    match progress.failure {
+    match response.or(progress.failure.take()) {
         Some((parts, bytes)) => Response::from_parts(parts, bytes.into()),
         None => traffic.reject(call, rejection_of(traffic, call, &progress)),
     }
 }
 
-/// Returns the deadline of an attempt that is not the last one.
-fn hedge_deadline(call: &Call, end: Instant) -> Instant {
-    let now = Instant::now();
-    let share = call.route.objective.mul_f64(HEDGE_SHARE);
-    (now + share).min(now + end.saturating_duration_since(now) / 2)
+/// Returns the runner of the next attempt, if there is one, and takes a retry from the budget if the
+/// request may have reached a runner.
+fn next_runner<D: Dialect, N: Network>(
+    traffic: &Traffic<D, N>,
+    call: &Call,
+    progress: &Progress,
+) -> Option<Endpoint> {
+    let is_excluded = progress.no_path
+        || progress.runs + progress.pending >= call.route.attempts.max(1)
+        || progress.tried.len() >= MAX_RUNNERS
+        || Instant::now() >= call.deadline()
+        || progress.lost.is_some() && traffic.quarantine.time_left(call).is_some();
+    if is_excluded {
+        return None;
+    }
+    let endpoint = traffic.choose_runner(call, &progress.tried)?;
+    let is_hedge = progress.pending > 0;
+    // A runner that is probably silent as well would only use up the budget.
+    if is_hedge && traffic.client.fleet.is_ejected(endpoint.key) {
+        return None;
+    }
+    let is_retry = is_hedge || progress.reached_runner;
+    (!is_retry || traffic.take_retry(&call.service)).then_some(endpoint)
+}
+
+/// Returns the time after which another attempt is made beside those that have not ended.
+fn hedge_delay(call: &Call) -> Duration {
+    let left = call.deadline().saturating_duration_since(Instant::now());
+    call.route.objective.mul_f64(HEDGE_SHARE).min(left / 2)
+}
+
+/// Sends a request to a runner and waits for the response.
+async fn attempt<D: Dialect, N: Network>(
+    traffic: &Traffic<D, N>,
+    call: &Call,
+    endpoint: Endpoint,
+    earlier: usize,
+) -> Attempt {
+    let _lease = traffic.client.fleet.lease_call(endpoint.clone());
+    let sent_at = Instant::now();
+    let result = receive(traffic, call, &endpoint, earlier).await;
+    Attempt { endpoint, sent_at, result }
+}
+
+/// Waits for the response of a runner. While it is silent, other requests prefer other runners.
+async fn receive<D: Dialect, N: Network>(
+    traffic: &Traffic<D, N>,
+    call: &Call,
+    endpoint: &Endpoint,
+    earlier: usize,
+) -> AttemptResult {
+    let (fleet, sent_at) = (&traffic.client.fleet, Instant::now());
+    let mut response = pin!(exchange(traffic, call, endpoint, earlier));
+    if let Ok(result) = timeout(hedge_delay(call), &mut response).await {
+        return result;
+    }
+    log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
+        "no response yet: the request may be sent to another runner as well");
+    fleet.record_overload(endpoint.key, Instant::now());
+    traffic.client.record_lost_response(endpoint);
+    loop {
+        if let Ok(result) = timeout(hedge_delay(call), &mut response).await {
+            return result;
+        }
+        if fleet.last_seen(endpoint.key).is_none_or(|last_seen| last_seen < sent_at) {
+            fleet.record_overload(endpoint.key, Instant::now());
+        }
+    }
+}
+
+async fn exchange<D: Dialect, N: Network>(
+    traffic: &Traffic<D, N>,
+    call: &Call,
+    endpoint: &Endpoint,
+    earlier: usize,
+) -> AttemptResult {
+    let (client, deadline) = (&traffic.client, call.deadline());
+    let options = send_options(call, endpoint, earlier);
+    match client.send(call, endpoint, &options, deadline).await {
+        SendOutcome::Answered(reply) => match client.read_body(reply, endpoint, deadline).await {
+            Ok((parts, bytes)) => AttemptResult::Complete(parts, bytes),
+            Err(error) => AttemptResult::Incomplete(error),
+        },
+        ended => AttemptResult::Ended(ended),
+    }
 }
 
 /// Evaluates an attempt and returns its response if that is final.
@@ -100,47 +203,56 @@
     traffic: &Traffic<D, N>,
     call: &Call,
     progress: &mut Progress,
-    sent: SendOutcome,
-    attempt: &Attempt<'_>,
+    attempt: Attempt,
 ) -> Option<(Parts, Bytes)> {
-    let Attempt { endpoint, sent_at, deadline } = *attempt;
+    let Attempt { endpoint, sent_at, result } = attempt;
     let (fleet, key) = (&traffic.client.fleet, endpoint.key);
-    progress.reached_runner |= !matches!(sent, SendOutcome::Unsent | SendOutcome::Withheld);
-    match sent {
-        SendOutcome::Answered(reply) => {
+    progress.reached_runner |=
+        !matches!(result, AttemptResult::Ended(SendOutcome::Unsent | SendOutcome::Withheld));
+    match result {
+        AttemptResult::Complete(parts, bytes) => {
             progress.runs += 1;
-            match traffic.client.read_body(reply, endpoint, deadline).await {
-                Ok((parts, bytes)) => {
-                    traffic.quarantine.record_response(call);
-                    traffic.quarantine.record_sound_run(call, sent_at);
-                    if !is_failure(parts.status) {
-                        return Some((parts, bytes));
-                    }
-                    progress.failure = Some((parts, bytes));
-                }
-                Err(error) => {
-                    progress.lost = Some(error);
-                    traffic.record_crash(call, endpoint, sent_at, Some(Duration::ZERO)).await;
-                }
+            traffic.quarantine.record_response(call);
+            traffic.quarantine.record_sound_run(call, sent_at);
+            if !is_failure(parts.status) {
+                return Some((parts, bytes));
             }
+            progress.failure = Some((parts, bytes));
+        }
+        AttemptResult::Incomplete(error) => {
+            progress.runs += 1;
+            progress.lost = Some(error);
+            traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
         }
-        SendOutcome::NotRun | SendOutcome::Withheld | SendOutcome::NoPath => {}
-        SendOutcome::Unsent => fleet.record_failure(key, Instant::now()),
-        SendOutcome::Lost(error) => {
+        AttemptResult::Ended(SendOutcome::Lost(error)) => {
             progress.runs += 1;
             progress.lost = Some(error);
             match error {
                 SendError::Timeout => fleet.record_overload(key, Instant::now()),
                 SendError::Unsent | SendError::NoPath | SendError::Disconnected => {
                     fleet.record_failure(key, Instant::now());
-                    traffic.record_crash(call, endpoint, sent_at, Some(Duration::ZERO)).await;
+                    traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
                 }
             }
         }
+        AttemptResult::Ended(SendOutcome::Unsent) => fleet.record_failure(key, Instant::now()),
+        AttemptResult::Ended(SendOutcome::NoPath) => progress.no_path = true,
+        AttemptResult::Ended(_) => {}
     }
     None
 }
 
+/// Returns what an attempt says about its version; `None` if it has not run.
+fn sample_response(result: &AttemptResult) -> Option<VersionResponse> {
+    match result {
+        AttemptResult::Complete(parts, _) => Some((!is_failure(parts.status)).into()),
+        AttemptResult::Incomplete(error) | AttemptResult::Ended(SendOutcome::Lost(error)) => {
+            Some(lost_response(*error))
+        }
+        AttemptResult::Ended(_) => None,
+    }
+}
+
 fn rejection_of<D: Dialect, N: Network>(
     traffic: &Traffic<D, N>,
     call: &Call,
--- a/tests/relay/calls.rs
+++ b/tests/relay/calls.rs
@@ -3,7 +3,7 @@
 use {
     super::support::{Deployment, PLAIN, Script, ms, run_local},
     bilberryfront_relay::budget::{Allowance, Budgets},
-    tokio::time::Instant,
+    tokio::time::{Instant, sleep},
 };
 
 /// Guards against a duplicated effect: the runner reads a non-idempotent call and the connection
@@ -151,3 +151,77 @@
     })
     .await;
 }
+
+/// Guards against a lookup that is given up although its runner would have responded in time: all
+/// runners are silent for a while, and no retry is left in the budget.
+#[tokio::test(start_paused = true)]
+async fn an_idempotent_request_waits_for_its_runner_if_there_is_no_retry() {
+    run_local(async {
+        let script = Script::RespondAfter(200, "yes", ms(300));
+        let mut deployment = Deployment::new(PLAIN, &["a", "b"], &script);
+        let allowance = Allowance { ratio: 0.0, slack: 0.0, window: ms(10_000) };
+        deployment.traffic.budgets = Budgets::new(allowance);
+        let start = Instant::now();
+        let received = deployment.serve("/look/1", &[]).await;
+        assert_eq!((received.status, deployment.request_count()), (200, 1));
+        assert_eq!(start.elapsed(), ms(300));
+    })
+    .await;
+}
+
+/// Guards against a lookup whose first runner is left as silent, although it responds before the second
+/// one does, and against a run that continues after the response of the other.
+#[tokio::test(start_paused = true)]
+async fn the_first_response_to_an_idempotent_request_wins() {
+    for (first, second) in [(200, 2_000), (2_000, 100)] {
+        run_local(async {
+            let script = Script::RespondAfter(200, "yes", ms(first));
+            let deployment = Deployment::new(PLAIN, &["a", "b"], &script);
+            let start = Instant::now();
+            let (received, ()) = tokio::join!(deployment.serve("/look/1", &[]), async {
+                sleep(ms(30)).await;
+                let other = deployment.runners.iter().find(|r| r.request_count() == 0).unwrap();
+                *other.script.borrow_mut() = Script::RespondAfter(200, "yes", ms(second));
+            });
+            assert_eq!((received.status, deployment.request_count()), (200, 2));
+            assert_eq!(start.elapsed(), ms(first.min(second + 60)));
+            sleep(ms(1)).await;
+            assert!(deployment.runners.iter().all(|runner| runner.running.get() == 0));
+        })
+        .await;
+    }
+}
+
+/// Guards against lookups that use up the retry budget in a silence of all runners: none of them
+/// responds to another request either.
+#[tokio::test(start_paused = true)]
+async fn idempotent_requests_are_not_sent_to_further_silent_runners() {
+    run_local(async {
+        let script = Script::RespondAfter(200, "yes", ms(500));
+        let deployment = Deployment::new(PLAIN, &["a", "b"], &script);
+        let lookups = (0..20).map(|_| deployment.serve("/look/1", &[]));
+        let received = futures_util::future::join_all(lookups).await;
+        assert!(received.iter().all(|received| received.status == 200));
+        // The first request finds a runner silent before the other one is known to be.
+        assert!(deployment.request_count() <= 21, "{} requests", deployment.request_count());
+    })
+    .await;
+}
+
+/// Guards against the failure of a runner that is held back until the deadline of a lookup, while
+/// another runner is silent.
+#[tokio::test(start_paused = true)]
+async fn a_failure_is_not_held_back_for_a_silent_runner() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a", "b"], &Script::Hang);
+        let start = Instant::now();
+        let (received, ()) = tokio::join!(deployment.serve("/look/1", &[]), async {
+            sleep(ms(30)).await;
+            let other = deployment.runners.iter().find(|r| r.request_count() == 0).unwrap();
+            *other.script.borrow_mut() = Script::Respond(500, "no");
+        });
+        assert_eq!((received.status, deployment.request_count()), (500, 2));
+        assert!(start.elapsed() <= ms(120), "took {:?}", start.elapsed());
+    })
+    .await;
+}
