Count attempts beside a silent run, and keep its replica

Faults of the race between a silent run and the attempts beside it, found by a review and by tests on the paused clock before it landed. Callers would have seen streams that read their prompt again, or that are cut by a real failure after several silences.

- A replica was taken when a hedge was planned, and lost or never released if the hedge was not sent.
It is taken when the request is sent; a hedge that is not sent yet is planned anew if the silent run crashes.
- Sends that lost against a run which continued used up the limits.
They don't count as sends any more, and the last attempt of the route is left for a failure of the silent run.
- Hedges that are rejected used a retry each without a pause.
After two of them, and after two runners that do not respond, the next one waits.
- The time of a silence was missing in the age of a run, so that a later crash was held against its request.
- A crash beside other attempts was checked before these were polled again.
- With an exhausted budget, runners were probed for nothing.
- A hedge did not use a runner that had failed the stream before, even if no other one was left.

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -81,6 +81,11 @@
         self.with(service, |budget| budget.try_take(Instant::now(), nodes))
     }
 
+    /// Returns whether one of `nodes` nodes could take a retry.
+    pub fn has_retry(&self, service: &str, nodes: usize) -> bool {
+        self.with(service, |budget| budget.has_retry(Instant::now(), nodes))
+    }
+
     /// Returns the use of all budgets with requests or retries in the window, for peers.
     pub fn snapshot(&self) -> Vec<BudgetUse> {
         self.report(|budget| budget.has_requests(Instant::now()))
@@ -129,18 +134,22 @@
 
     /// Takes one retry, as one of `nodes` nodes; returns false if the budget is exhausted.
     pub fn try_take(&mut self, now: Instant, nodes: usize) -> bool {
+        let free = self.has_retry(now, nodes);
+        if free {
+            self.current_bucket(now).retries += 1;
+            self.dirty = true;
+        }
+        free
+    }
+
+    fn has_retry(&mut self, now: Instant, nodes: usize) -> bool {
         self.peers.retain(|_, peer| now < peer.at + PEER_REPORT_TTL);
         let (own_requests, own_retries) = self.own_use(now);
         let requests = own_requests + self.peers.values().map(|p| p.requests).sum::<u32>();
         let retries = own_retries + self.peers.values().map(|p| p.retries).sum::<u32>();
         let share = (self.peers.len() + 1) as f64 / nodes.max(self.peers.len() + 1) as f64;
         let allowed = self.allowance.ratio * f64::from(requests) + self.allowance.slack * share;
-        let free = f64::from(retries) + 1.0 <= allowed * MARGIN;
-        if free {
-            self.current_bucket(now).retries += 1;
-            self.dirty = true;
-        }
-        free
+        f64::from(retries) + 1.0 <= allowed * MARGIN
     }
 
     /// Returns this node's use of the budget, for peers.
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -235,6 +235,12 @@
         self.budgets.try_take(service, nodes)
     }
 
+    /// Returns whether the service's budget has a retry left.
+    fn has_retry(&self, service: &str) -> bool {
+        let nodes = self.published.load().shares();
+        self.budgets.has_retry(service, nodes)
+    }
+
     /// Attributes the crash of a runner, if it has crashed, to a request that was sent to it at
     /// `sent_at`. `age` is the time for which it had responded; `None` if the response had not begun, in
     /// which case other requests are suspected rather than this one.
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -11,6 +11,7 @@
     self::{
         attempt::Plan,
         race::{Race, RaceEnd, Winner},
+        replica::{AvailableReplica, Replica},
         run::{Run, RunEnd},
     },
     super::Traffic,
@@ -18,7 +19,7 @@
         body::{self, BodySender, ResponseBody},
         call::Call,
         catalog::Kind,
-        dialect::{Dialect, ReplicaRef},
+        dialect::Dialect,
         events::Event,
         fleet::{Endpoint, RunnerKey},
         metrics::{Part, Resume, Silence},
@@ -56,7 +57,9 @@
     failed: Vec<RunnerKey>,
     /// Number of runs that started from the prompt.
     runs: u32,
-    /// Number of sends.
+    /// Number of the last send.
+    number: u32,
+    /// Number of sends, without those that lost against a silent run which continued.
     sends: u32,
     /// Whether a send has reached a runner.
     reached_runner: bool,
@@ -64,8 +67,8 @@
     has_unused_retry: bool,
     /// Time of the first event.
     first_event_at: Option<Instant>,
-    /// Replica of the last run, or of the silent one, with the runner that holds it.
-    last_replica: Option<(Endpoint, ReplicaRef)>,
+    /// Replica of the last run.
+    last_replica: Option<AvailableReplica>,
     /// Error response of a runner, returned if no runner succeeds.
     failure: Option<(Parts, Bytes)>,
     /// Error of the last run that may have started.
@@ -172,6 +175,7 @@
             cached: None,
             failed: Vec::new(),
             runs: 0,
+            number: 0,
             sends: 0,
             reached_runner: false,
             has_unused_retry: false,
@@ -236,8 +240,8 @@
             self.record_failure(active.run.endpoint());
             return self.race(Some(Box::new(active))).await;
         }
-        self.salvage_replica(&active.run);
-        self.end_run(active, reason).await;
+        self.salvage_replica(&active.run, false);
+        self.end_run(active, reason, true).await;
         self.race(None).await
     }
 
@@ -253,16 +257,21 @@
         active.run.release_connection(&self.traffic.client.fleet);
     }
 
-    async fn record_crash(&self, endpoint: &Endpoint, sent_at: Instant, age: Option<Duration>) {
-        self.traffic.record_crash(&self.call, endpoint, sent_at, age).await;
-    }
-
-    /// Records a crash of a runner that had not begun to respond, without delaying the next attempt.
-    fn record_crash_later(&self, endpoint: Endpoint, sent_at: Instant) {
-        let (traffic, call) = (self.traffic.clone(), self.call.clone());
-        tokio::task::spawn_local(async move {
-            traffic.record_crash(&call, &endpoint, sent_at, None).await;
-        });
+    /// Records a crash of a runner; see [`Traffic::record_crash`]. The next attempt waits for it if
+    /// nothing else is under way and the runner had begun to respond.
+    async fn record_crash(
+        &self,
+        endpoint: &Endpoint,
+        sent_at: Instant,
+        age: Option<Duration>,
+        is_alone: bool,
+    ) {
+        let (traffic, call, endpoint) = (self.traffic.clone(), self.call.clone(), endpoint.clone());
+        let record = async move { traffic.record_crash(&call, &endpoint, sent_at, age).await };
+        match is_alone && age.is_some() {
+            true => record.await,
+            false => _ = tokio::task::spawn_local(record),
+        }
     }
 
     /// Records that the run is sound, unless it was resumed.
@@ -279,7 +288,7 @@
     }
 
     /// Ends a run: closes its connection, which cancels it, and records the loss.
-    async fn end_run(&mut self, active: ActiveRun, reason: RunEnd) {
+    async fn end_run(&mut self, active: ActiveRun, reason: RunEnd, is_alone: bool) {
         let (key, endpoint) = (active.key(), active.run.endpoint().clone());
         self.report_sample(key, active.number, VersionResponse::Lost);
         self.log_lost(&active.run, reason);
@@ -290,7 +299,8 @@
             RunEnd::Silent => self.traffic.metrics.count_silence(Silence::Replaced),
             RunEnd::Cut => {
                 self.record_failure(&endpoint);
-                self.record_crash(&endpoint, active.sent_at, Some(active.waited)).await;
+                let age = Some(active.waited);
+                self.record_crash(&endpoint, active.sent_at, age, is_alone).await;
             }
             RunEnd::Whole | RunEnd::Disorder => self.record_failure(&endpoint),
         }
@@ -302,9 +312,12 @@
         self.mark_failed(endpoint.key);
     }
 
-    /// Keeps the replica of a run that ends, so that another run can be resumed from it.
-    fn salvage_replica(&mut self, run: &Run) {
-        self.last_replica = self.last_replica.take().or_else(|| run.take_replica());
+    /// Keeps the replica of a run that ends, unless an attempt is about to use it.
+    fn salvage_replica(&mut self, run: &Run, is_planned: bool) {
+        if let Some(replica) = run.replica().and_then(Replica::available) {
+            replica.take();
+            self.last_replica = (!is_planned).then_some(replica);
+        }
     }
 
     /// Decides on another attempt beside those of the race.
@@ -318,9 +331,10 @@
             return None;
         };
         self.sends += 1;
+        self.number += 1;
         let holder = self.choose_replica_endpoint(&endpoint, &race.excluded());
         Some(Plan {
-            number: self.sends,
+            number: self.number,
             endpoint,
             from_replica,
             holder,
@@ -337,19 +351,27 @@
             return true;
         }
         self.no_attempt = self.find_limit(race, end);
-        if self.no_attempt.is_none() && race.is_empty() {
-            let is_free = !self.reached_runner || std::mem::take(&mut self.has_unused_retry);
-            if !is_free && !self.traffic.take_retry(&self.call.service) {
-                self.no_attempt = Some(NoAttempt::Budget);
-            }
+        if self.no_attempt.is_none() && !self.may_retry(race) {
+            self.no_attempt = Some(NoAttempt::Budget);
         }
         self.no_attempt.is_none()
     }
 
+    fn may_retry(&mut self, race: &Race) -> bool {
+        if !race.is_empty() {
+            return self.traffic.has_retry(&self.call.service);
+        }
+        let is_free = !self.reached_runner || std::mem::take(&mut self.has_unused_retry);
+        is_free || self.traffic.take_retry(&self.call.service)
+    }
+
     /// Returns the limit, other than the retry budget, that forbids another send.
     fn find_limit(&self, race: &Race, end: Instant) -> Option<NoAttempt> {
         let is_quarantined = self.traffic.quarantine.time_left(&self.call).is_some();
-        let has_runs_left = self.runs + race.fresh_count() < self.call.route.attempts.max(1);
+        let attempts = self.call.route.attempts.max(1);
+        // A silent run may continue; if it fails later, the last attempt is needed.
+        let reserved = u32::from(race.silent.is_some() && attempts > 2);
+        let has_runs_left = self.runs + race.fresh_count() + reserved < attempts;
         let is_first = self.lost.is_none() && self.first_event_at.is_none() && race.is_empty();
         let is_safe = is_first || self.is_resumable();
         let max_sends = if race.is_empty() { MAX_SENDS } else { MAX_HEDGED_SENDS };
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -2,12 +2,12 @@
 
 use {
     super::{
-        replica::Replica,
+        replica::{AvailableReplica, Replica},
         run::{Run, RunEnd},
     },
     crate::{
         call::Call,
-        dialect::{Dialect, ReplicaRef, SendOptions},
+        dialect::{Dialect, SendOptions},
         events::Event,
         fleet::{Endpoint, Lease, Load},
         flow::Traffic,
@@ -19,18 +19,21 @@
     bytes::Bytes,
     http::response::Parts,
     std::{cell::Cell, convert::Infallible, rc::Rc},
-    tokio::{sync::mpsc, time::Instant},
+    tokio::{
+        sync::mpsc,
+        time::{Instant, timeout_at},
+    },
 };
 
 /// A send that has been decided on.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(super) struct Plan {
     /// Number of the send, from 1.
     pub(super) number: u32,
     /// Receiver.
     pub(super) endpoint: Endpoint,
     /// Replica on the receiver from which the run is resumed.
-    pub(super) from_replica: Option<ReplicaRef>,
+    pub(super) from_replica: Option<AvailableReplica>,
     /// Runner to which the run is replicated.
     pub(super) holder: Option<Endpoint>,
     /// Id of the last event delivered to the caller.
@@ -134,7 +137,8 @@
         if !self.plan.is_hedge {
             return None;
         }
-        if !self.traffic.client.is_responsive(&self.plan.endpoint).await {
+        let probe = self.traffic.client.is_responsive(&self.plan.endpoint);
+        if !timeout_at(self.end, probe).await.unwrap_or(false) {
             return Some(AttemptOutcome::Unresponsive);
         }
         (!self.traffic.take_retry(&self.call.service)).then_some(AttemptOutcome::NoBudget)
@@ -148,7 +152,7 @@
             left: call.caller_deadline().map(|e| e.saturating_duration_since(Instant::now())),
             resume: plan.position,
             replica_to: plan.holder.as_ref().map(|p| p.address),
-            from_replica: plan.from_replica.clone(),
+            from_replica: plan.from_replica.as_ref().map(AvailableReplica::take),
             earlier: plan.number - 1,
         };
         let lost = |error, has_started| {
--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -1,9 +1,14 @@
 //! Selection of runners for streams and their replicas.
 
 use {
-    super::{Generation, race::Race, replica::Replica, run::Run},
+    super::{
+        Generation,
+        race::Race,
+        replica::{AvailableReplica, Replica},
+        run::Run,
+    },
     crate::{
-        dialect::{Dialect, ReplicaRef},
+        dialect::Dialect,
         fleet::{Criteria, Endpoint, Load, RunnerKey},
         flow::version_constraint,
         network::Network,
@@ -17,23 +22,25 @@
     /// runner. Replicas are addressed by endpoint, so a replica may still exist if the holder has a
     /// new id; if it does not, the runner rejects the request. A holder that is only suspect is
     /// used as well: a failed attempt takes less time than prefilling the prompt again.
-    pub(super) fn next_endpoint(&mut self, race: &Race) -> Option<(Endpoint, Option<ReplicaRef>)> {
-        if let Some(active) = &race.silent {
-            self.salvage_replica(&active.run);
-        }
+    pub(super) fn next_endpoint(
+        &mut self,
+        race: &Race,
+    ) -> Option<(Endpoint, Option<AvailableReplica>)> {
         let fleet = &self.traffic.client.fleet;
-        if let Some((endpoint, from_replica)) = self.last_replica.take() {
+        let silent = race.silent.as_ref().and_then(|active| active.run.replica());
+        let replica = self.last_replica.take().or_else(|| silent.and_then(Replica::available));
+        if let Some(replica) = replica {
             let is_usable = |holder: &Endpoint| {
-                fleet.is_available(holder.key) && !race.unresponsive.contains(&holder.key)
+                let is_silent = race.unresponsive.contains(&holder.key) && !race.is_empty();
+                let is_paused = fleet.paused_until(holder.key).is_some();
+                fleet.is_available(holder.key) && !is_silent && (!is_paused || race.is_empty())
             };
-            match fleet.find_by_address(&endpoint).filter(is_usable) {
-                Some(holder) => return Some((holder, Some(from_replica))),
+            match fleet.find_by_address(replica.holder()).filter(is_usable) {
+                Some(holder) => return Some((holder, Some(replica))),
                 // The silent run may continue and need it again.
-                None if race.silent.is_some() => {
-                    self.last_replica = Some((endpoint, from_replica));
-                }
+                None if race.silent.is_some() => {}
                 None => log::info!(request = self.call.head.id.as_str(),
-                    runner = endpoint.id.as_str(); "replica holder lost or draining"),
+                    runner = replica.holder().id.as_str(); "replica holder lost or draining"),
             }
         }
         let endpoint = if race.is_empty() { self.choose() } else { self.choose_hedge(race) };
@@ -67,11 +74,16 @@
             .or_else(|| self.traffic.choose_runner(&self.call, &[]))
     }
 
-    /// Selects a runner that has not failed this stream, is not ejected, and has no attempt of the race.
+    /// Selects a runner that is not ejected and has no attempt of the race, and if possible has not failed
+    /// this stream.
     fn choose_hedge(&self, race: &Race) -> Option<Endpoint> {
-        let except = [self.failed.as_slice(), &race.excluded()].concat();
-        let endpoint = self.traffic.choose_runner(&self.call, &except)?;
-        (!self.traffic.client.fleet.is_ejected(endpoint.key)).then_some(endpoint)
+        let excluded = race.excluded();
+        let fleet = &self.traffic.client.fleet;
+        let choose = |except: &[RunnerKey]| {
+            let endpoint = self.traffic.choose_runner(&self.call, except);
+            endpoint.filter(|endpoint| !fleet.is_ejected(endpoint.key))
+        };
+        choose(&[self.failed.as_slice(), &excluded].concat()).or_else(|| choose(&excluded))
     }
 
     /// Selects the runner that will hold the replica: in another failure domain, and if possible
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -5,12 +5,13 @@
     super::{
         ActiveRun, FinalFailure, Generation, NoAttempt,
         attempt::{Attempt, AttemptOutcome, LostRun, Plan, StartedRun, Suspicion},
+        replica::AvailableReplica,
         run::RunEnd,
     },
     crate::{
-        dialect::{Dialect, ReplicaRef},
+        dialect::Dialect,
         events::Event,
-        fleet::{Endpoint, RunnerKey},
+        fleet::RunnerKey,
         metrics::{Resume, Silence},
         network::Network,
         pool::SendError,
@@ -26,9 +27,9 @@
 
 /// Interval at which a hedge is considered again while none is possible.
 const HEDGE_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of hedges that may fail without a run before the next one is delayed: if several runners do not
-/// respond or have no room, most of them may be in that state.
-const MAX_FAILURES: u32 = 2;
+/// Number of runners that do not respond, or reject the request, from which the next hedge is delayed:
+/// most of them may be in that state.
+const MAX_FAILURES: usize = 2;
 /// Maximum number of attempts under way at the same time.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -56,12 +57,13 @@
     pub(super) silent: Option<Box<ActiveRun>>,
     /// Attempts under way.
     pub(super) pending: Vec<Pending>,
-    /// Runners that did not respond to a probe.
+    /// Runners that have not responded to a probe since the last delay.
     pub(super) unresponsive: Vec<RunnerKey>,
-    /// Number of hedges that have failed without a run since the last delay.
-    failures: u32,
+    /// Number of hedges that were sent and ended without a run.
+    rejections: usize,
     /// Time before which no other hedge is considered.
     retry_at: Instant,
+    start: Instant,
 }
 
 /// An attempt under way.
@@ -80,8 +82,15 @@
 
 impl Race {
     fn new(silent: Option<Box<ActiveRun>>) -> Race {
-        let (pending, unresponsive, retry_at) = (Vec::new(), Vec::new(), Instant::now());
-        Race { silent, pending, unresponsive, failures: 0, retry_at }
+        let (pending, unresponsive, now) = (Vec::new(), Vec::new(), Instant::now());
+        Race { silent, pending, unresponsive, rejections: 0, retry_at: now, start: now }
+    }
+
+    /// Takes the silent run, with the time for which it was waited for.
+    fn take_silent(&mut self) -> Option<Box<ActiveRun>> {
+        let mut active = self.silent.take()?;
+        active.waited += self.start.elapsed();
+        Some(active)
     }
 
     /// Returns whether nothing is under way.
@@ -103,15 +112,22 @@
         self.retry_at = Instant::now() + HEDGE_INTERVAL;
     }
 
-    fn end_delay(&mut self) {
-        self.unresponsive.clear();
-        self.failures = 0;
+    /// Returns whether an attempt that is not sent yet is to resume from a replica.
+    fn has_unsent_replica(&self) -> bool {
+        self.pending.iter().any(|p| !p.is_fresh() && !p.is_sent.get())
     }
 
-    /// Counts a hedge that has failed without a run.
-    fn record_failure(&mut self) {
-        self.failures += 1;
-        if self.failures >= MAX_FAILURES {
+    fn add_unresponsive(&mut self, key: RunnerKey) {
+        self.unresponsive.push(key);
+        if self.unresponsive.len() >= MAX_FAILURES {
+            self.delay();
+        }
+    }
+
+    /// Counts a hedge that was sent and ended without a run.
+    fn count_rejection(&mut self) {
+        self.rejections += 1;
+        if self.rejections >= MAX_FAILURES {
             self.delay();
         }
     }
@@ -168,9 +184,14 @@
                 next = next_event(&mut race.silent, self.position) => match next {
                     Ok(_) | Err(RunEnd::Whole) => return self.continue_run(race, next),
                     Err(reason) => {
-                        if let Some(active) = race.silent.take() {
-                            self.salvage_replica(&active.run);
-                            self.end_run(*active, reason).await;
+                        if let Some(active) = race.take_silent() {
+                            if race.pending.iter().all(|p| !p.is_sent.get()) {
+                                // Planned anew, as the replica may be used without a probe now.
+                                attempts.clear();
+                                self.sends -= race.pending.drain(..).len() as u32;
+                            }
+                            self.salvage_replica(&active.run, race.has_unsent_replica());
+                            self.end_run(*active, reason, race.is_empty()).await;
                         }
                     }
                 },
@@ -193,11 +214,11 @@
                         self.record_failure(&suspicion.endpoint);
                     }
                 }
-                () = sleep_until(race.retry_at), if race.needs_attempt() => race.end_delay(),
+                () = sleep_until(race.retry_at), if race.needs_attempt() => race.unresponsive.clear(),
                 () = sleep_until(end), if race.pending.is_empty() => {
-                    self.no_attempt = Some(NoAttempt::Deadline);
-                    if let Some(active) = race.silent.take() {
-                        self.end_run(*active, RunEnd::Silent).await;
+                    self.no_attempt.get_or_insert(NoAttempt::Deadline);
+                    if let Some(active) = race.take_silent() {
+                        self.end_run(*active, RunEnd::Silent, false).await;
                     }
                     return RaceEnd::Failed(self.final_failure());
                 }
@@ -207,14 +228,9 @@
 
     /// Ends a race that the silent run has won.
     fn continue_run(&mut self, mut race: Race, next: Result<Event, RunEnd>) -> RaceEnd {
-        let active = race.silent.take().expect("the event is of the silent run");
+        let active = race.take_silent().expect("the event is of the silent run");
         self.count_cancelled(&race);
-        let unsent = race.pending.into_iter().filter(|p| !p.is_sent.get());
-        let reference = unsent.filter_map(|p| p.plan.from_replica).next();
-        let unused = self.last_replica.take().map(|(_, reference)| reference);
-        if let Some(reference) = unused.or(reference) {
-            active.run.restore_replica(reference);
-        }
+        self.sends -= race.pending.len() as u32;
         self.log_continued(&active.run);
         self.traffic.metrics.count_silence(Silence::Continued);
         RaceEnd::Continued(active, next)
@@ -222,8 +238,8 @@
 
     /// Ends a race that another run has won. The silent run is cancelled.
     async fn replace_run(&mut self, mut race: Race, plan: &Plan, started: StartedRun) -> RaceEnd {
-        if let Some(active) = race.silent.take() {
-            self.end_run(*active, RunEnd::Silent).await;
+        if let Some(active) = race.take_silent() {
+            self.end_run(*active, RunEnd::Silent, false).await;
         }
         self.last_replica = None;
         self.count_cancelled(&race);
@@ -248,11 +264,10 @@
         RaceEnd::Started(Box::new(Winner { parts, active, first }))
     }
 
-    /// Keeps a reference that was not used.
-    fn keep_replica(&mut self, endpoint: Endpoint, reference: Option<ReplicaRef>) {
-        if let Some(reference) = reference {
-            self.last_replica = Some((endpoint, reference));
-        }
+    /// Keeps a replica that was not used, if its run has ended.
+    fn keep_replica(&mut self, race: &Race, replica: Option<AvailableReplica>) {
+        let unused = replica.filter(|_| race.silent.is_none());
+        self.last_replica = unused.or_else(|| self.last_replica.take());
     }
 
     /// Counts attempts that the end of the race cancels. Their runs may have started.
@@ -270,9 +285,6 @@
     ) -> Option<FinalFailure> {
         let Plan { endpoint, from_replica, number, sent_at, is_hedge, .. } = plan;
         let is_fresh = from_replica.is_none();
-        if is_hedge {
-            race.record_failure();
-        }
         match outcome {
             AttemptOutcome::Started(_) => unreachable!("a started run ends the race"),
             AttemptOutcome::Failure(parts, bytes) => {
@@ -291,15 +303,15 @@
                         self.no_attempt = Some(NoAttempt::Budget);
                         race.delay();
                     }
-                    _ => race.unresponsive.push(endpoint.key),
+                    _ => race.add_unresponsive(endpoint.key),
                 }
-                self.keep_replica(endpoint, from_replica);
+                self.keep_replica(race, from_replica);
                 return None;
             }
             AttemptOutcome::NoPath => {
                 self.sends -= 1;
                 self.has_unused_retry = is_hedge || self.reached_runner;
-                self.keep_replica(endpoint.clone(), from_replica);
+                self.keep_replica(race, from_replica);
                 if race.is_empty() {
                     // A new stream may succeed through another node; one that has begun cannot.
                     let fleet = &self.traffic.client.fleet;
@@ -310,7 +322,7 @@
                         return Some(self.final_failure());
                     }
                 } else {
-                    race.unresponsive.push(endpoint.key);
+                    race.add_unresponsive(endpoint.key);
                 }
                 return None;
             }
@@ -320,10 +332,9 @@
                 self.runs += u32::from(is_fresh);
                 self.lost = Some(error);
                 self.record_failure(&endpoint);
-                if error == SendError::Disconnected && is_suspect {
-                    self.record_crash(&endpoint, sent_at, Some(Duration::ZERO)).await;
-                } else if error == SendError::Disconnected {
-                    self.record_crash_later(endpoint.clone(), sent_at);
+                if error == SendError::Disconnected {
+                    let age = is_suspect.then_some(Duration::ZERO);
+                    self.record_crash(&endpoint, sent_at, age, race.is_empty()).await;
                 }
             }
             AttemptOutcome::Quarantined => {
@@ -334,6 +345,9 @@
                 }
             }
         }
+        if is_hedge {
+            race.count_rejection();
+        }
         // A runner without the replica may still prefill the prompt.
         if is_fresh {
             self.failed.push(endpoint.key);
--- a/crates/relay/src/flow/generation/replica.rs
+++ b/crates/relay/src/flow/generation/replica.rs
@@ -34,8 +34,14 @@
     lease: Lease,
     /// Time of the replication request; `None` for a streamed replica.
     requested_at: Option<Instant>,
-    /// Whether the reference was taken, so that the replica serves another run.
-    is_taken: Cell<bool>,
+    state: Rc<State>,
+}
+
+/// A complete replica, which can be used once.
+#[derive(Clone)]
+pub(super) struct AvailableReplica {
+    holder: Endpoint,
+    reference: ReplicaRef,
     state: Rc<State>,
 }
 
@@ -43,16 +49,31 @@
 struct State {
     /// Reference to the replica; `None` until it is complete.
     reference: RefCell<Option<ReplicaRef>>,
+    /// Whether the reference was taken.
+    is_taken: Cell<bool>,
     /// Notified when the run has ended.
     ended: Notify,
 }
 
+impl AvailableReplica {
+    /// Returns the runner that holds the replica.
+    pub(super) fn holder(&self) -> &Endpoint {
+        &self.holder
+    }
+
+    /// Takes the reference, in order to use it. The replica is not released any more.
+    pub(super) fn take(&self) -> ReplicaRef {
+        self.state.is_taken.set(true);
+        self.state.reference.borrow_mut().take().unwrap_or_else(|| self.reference.clone())
+    }
+}
+
 impl Replica {
     /// Returns the replica that the runner streams for the attempt `id`.
     pub(super) fn streamed(lease: Lease, id: &CompactString) -> Replica {
         let reference = ReplicaRef { address: lease.endpoint.address, handle: id.clone() };
         let state = State { reference: RefCell::new(Some(reference)), ..State::default() };
-        Replica { lease, requested_at: None, is_taken: Cell::new(false), state: Rc::new(state) }
+        Replica { lease, requested_at: None, state: Rc::new(state) }
     }
 
     /// Requests a replica with the time to live `replica_ttl` from the runner at `source`.
@@ -64,8 +85,7 @@
         replica_ttl: Duration,
     ) -> Replica {
         let state = Rc::<State>::default();
-        let (requested_at, is_taken) = (Some(Instant::now()), Cell::new(false));
-        let replica = Replica { lease, requested_at, is_taken, state: state.clone() };
+        let replica = Replica { lease, requested_at: Some(Instant::now()), state: state.clone() };
         let holder = replica.holder().clone();
         tokio::task::spawn_local(async move {
             tokio::select! {
@@ -91,22 +111,16 @@
         self.requested_at.is_some_and(|at| at.elapsed() < RETRY_DELAY)
     }
 
-    /// Takes the reference to the replica with its holder, if the replica is complete.
-    pub(super) fn take(&self) -> Option<(Endpoint, ReplicaRef)> {
-        let reference = self.state.reference.borrow_mut().take()?;
-        self.is_taken.set(true);
-        Some((self.lease.endpoint.clone(), reference))
-    }
-
-    /// Puts a reference back that was taken and not used.
-    pub(super) fn restore(&self, reference: ReplicaRef) {
-        self.state.reference.borrow_mut().get_or_insert(reference);
-        self.is_taken.set(false);
+    /// Returns the replica if it is complete and not taken.
+    pub(super) fn available(&self) -> Option<AvailableReplica> {
+        let reference = self.state.reference.borrow().clone()?;
+        let holder = self.lease.endpoint.clone();
+        Some(AvailableReplica { holder, reference, state: self.state.clone() })
     }
 
-    /// Returns whether the replica serves another run.
+    /// Returns whether the replica was taken, so that it serves another run.
     pub(super) fn is_taken(&self) -> bool {
-        self.is_taken.get()
+        self.state.is_taken.get()
     }
 }
 
--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -3,7 +3,6 @@
 use {
     super::replica::Replica,
     crate::{
-        dialect::ReplicaRef,
         events::{Event, Splitter},
         fleet::{Endpoint, Fleet, Lease},
         pool::Connection,
@@ -96,18 +95,6 @@
         self.replica.as_ref()
     }
 
-    /// Takes the reference to the replica with its holder, if the replica is complete.
-    pub(super) fn take_replica(&self) -> Option<(Endpoint, ReplicaRef)> {
-        self.replica.as_ref().and_then(Replica::take)
-    }
-
-    /// Puts a reference back that was taken and not used.
-    pub(super) fn restore_replica(&self, reference: ReplicaRef) {
-        if let Some(replica) = &self.replica {
-            replica.restore(reference);
-        }
-    }
-
     pub(super) fn set_replica(&mut self, replica: Option<Replica>) {
         self.replica = replica;
     }
