--- a/tests/relay/race_review.rs
+++ b/tests/relay/race_review.rs
@@ -2,7 +2,7 @@
 
 use {
     super::support::{
-        Deployment, ENGINES, Runner, Script, StreamEnd, call, ms, node_address, run_local,
+        Deployment, ENGINES, PLAIN, Runner, Script, StreamEnd, call, ms, node_address, run_local,
     },
     bilberryfront_decide::mover::{MoveId, Response as VersionResponse},
     bilberryfront_relay::{
@@ -13,7 +13,10 @@
     },
     http_body_util::BodyExt,
     std::{rc::Rc, sync::Arc, time::Duration},
-    tokio::{sync::mpsc, time::sleep},
+    tokio::{
+        sync::mpsc,
+        time::{Instant, sleep},
+    },
 };
 
 /// Headers of a prompt whose last segment is `b7`.
@@ -234,3 +237,68 @@
         .await;
     }
 }
+
+/// Guards against an early 504 of a call whose runner takes longer than the hedge delay of 60 ms, when no
+/// retry is left: the runner responds long before the timeout of the route.
+#[tokio::test(start_paused = true)]
+async fn slow_call_is_awaited_without_a_budget() {
+    run_local(async {
+        let script = Script::RespondAfter(200, "yes", ms(300));
+        let mut deployment = Deployment::new(PLAIN, &["a", "b"], &script);
+        let allowance = Allowance { ratio: 0.0, slack: 0.0, window: Duration::from_secs(10) };
+        deployment.traffic.budgets = Budgets::new(allowance);
+        let received = deployment.serve("/look/1", &[]).await;
+        assert_eq!((received.status, deployment.request_count()), (200, 1));
+    })
+    .await;
+}
+
+/// Guards against a late event of a silent run that continues while the end of another attempt is examined:
+/// the check whether its runner has crashed may take 50 ms.
+#[tokio::test(start_paused = true)]
+async fn lost_attempt_does_not_delay_a_run_that_continues() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &events(3, ms(600)));
+        let start = Instant::now();
+        let mut body = deployment.send("/stream/1", &PROMPT).await.into_body();
+        body.frame().await.unwrap().unwrap();
+        let (_, rest) = split(&deployment);
+        let loss = async {
+            sleep(ms(590)).await;
+            assert_eq!(rest[0].request_count(), 1, "the silent run was not hedged");
+            rest[0].is_unresponsive.set(true);
+            rest[0].connections.borrow_mut().drain(..).for_each(|task| task.abort());
+        };
+        let (frame, ()) = tokio::join!(body.frame(), loss);
+        frame.unwrap().unwrap();
+        let at = start.elapsed();
+        assert!(at < ms(1_210), "the event of 1,200 ms was forwarded after {at:?}");
+    })
+    .await;
+}
+
+/// Guards against blaming a request for runners whose hosts freeze and are lost two seconds later: a request
+/// that crashes its runner does so when it begins.
+#[tokio::test(start_paused = true)]
+async fn request_is_not_blamed_for_a_crash_after_a_silence() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c", "d", "e"], &events(20, ms(30)));
+        for _ in 0..3 {
+            let before: Vec<usize> = deployment.runners.iter().map(|r| r.request_count()).collect();
+            let body = deployment.send("/stream/1", &PROMPT).await.into_body();
+            let mut runners = deployment.runners.iter().zip(before);
+            let (first, _) = runners.find(|(r, count)| r.request_count() > *count).unwrap();
+            let loss = async {
+                sleep(ms(200)).await;
+                deployment.runners.iter().for_each(|runner| runner.is_unresponsive.set(true));
+                sleep(ms(2_000)).await;
+                deployment.runners.iter().for_each(|runner| runner.is_unresponsive.set(false));
+                first.crash();
+            };
+            let (body, ()) = tokio::join!(body.collect(), loss);
+            assert!(body.is_ok(), "the stream was not resumed");
+        }
+        assert!(deployment.traffic.quarantine.is_empty());
+    })
+    .await;
+}
