Test a silence without end after attempts that lost

survive_silences leaves a stream whose attempts lost in ten silences; its runner then falls silent for good. One runner that has run the request before, or the reserved one after a longer silence, would not exceed the limit.

--- a/tests/relay/silences.rs
+++ b/tests/relay/silences.rs
@@ -1088,6 +1088,25 @@
     .await;
 }
 
+/// Guards against a stream that waits for a run that is silent for good until it is cut, because attempts
+/// that lost against its run in earlier silences count as its runs.
+#[tokio::test(start_paused = true)]
+async fn run_that_is_silent_for_good_is_replaced_after_attempts_that_lost() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"].repeat(4), &LONG);
+        let mut stream = survive_silences(&deployment).await;
+        stream.rest.iter().for_each(|r| r.prefill_time.set(ms(100)));
+        stream.first.pause_for(FOREVER);
+        let silent_at = Instant::now();
+        assert!(stream.next().await, "cut after {:?}", silent_at.elapsed());
+        assert!(stream.finish().await);
+        assert_eq!(stream.ids, all(LONG_LAST));
+        let used = used_count(&deployment.runners);
+        assert!(used <= 5, "the request ran on {used} runners");
+    })
+    .await;
+}
+
 /// Guards against a stream that waits for a run that is silent for good, because the attempts beside its
 /// run in earlier silences have used up its sends.
 #[tokio::test(start_paused = true)]
