--- a/tests/relay/silences.rs
+++ b/tests/relay/silences.rs
@@ -954,6 +954,34 @@
     }
 }
 
+/// Guards against a prompt that counts as sound because its runner was silent for a second; it has generated
+/// events for a fraction of it. A run that has generated events for a second is sound in spite of a silence.
+#[tokio::test(start_paused = true)]
+async fn silence_is_no_sound_time() {
+    for (events, is_sound) in [(8, false), (40, true)] {
+        run_local(async {
+            let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &LONG);
+            let quarantine = &deployment.traffic.quarantine;
+            let sent_at = Instant::now();
+            sleep(ms(300)).await;
+            let request = call("/stream/1", &PROMPT);
+            quarantine.record_prompt_crash(&request, 101, sent_at, Some(Duration::ZERO));
+            let mut stream = Stream::start(&deployment, "/stream/1").await;
+            silence(&deployment.runners, ms(1_500));
+            while stream.ids.len() < events {
+                assert!(stream.next().await);
+            }
+            assert_eq!(deployment.request_count(), 1);
+            drop(stream);
+            sleep(ms(5_000)).await;
+            quarantine.judge();
+            let sound = quarantine.take_prompt_update().sound;
+            assert_eq!(!sound.is_empty(), is_sound, "after {events} events: {sound:?}");
+        })
+        .await;
+    }
+}
+
 /// Guards against a runner that stays ejected although its run went on, and against one that is used again
 /// although its run was replaced.
 #[tokio::test(start_paused = true)]
