Do not prefill a prompt again if its first runner responds

At the end of a silence of all runners, the runner of the first attempt and the one that was probed for another respond at the same moment.

The runners of suspect attempts are probed beside that of the hedge; if one responds as well, the hedge is not sent. A silent run is waited for 100 ms then. If an attempt responds again although another has been sent, the one that has worked for less time is cancelled.

Also, from tests that failed before: - the last attempt of the route is left for a failure during the first two seconds of a silence only; a run that was silent for good was cut at its deadline after 9.2 s; - the time of a silence counts for the age of a run, not for its soundness.

--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -90,6 +90,8 @@
     start: Instant,
     /// Time spent waiting for events; time spent on a slow caller says nothing about the runner.
     waited: Duration,
+    /// Time of its silences.
+    silent: Duration,
     /// Whether the run began at the beginning of the response.
     is_whole: bool,
     /// Whether the run is recorded as sound.
@@ -99,8 +101,17 @@
 impl ActiveRun {
     fn new(run: Run, plan: &Plan, source: Resume, is_whole: bool) -> ActiveRun {
         let (number, sent_at) = (plan.number, plan.sent_at);
-        let (start, waited) = (Instant::now(), Duration::ZERO);
-        ActiveRun { run, number, sent_at, source, start, waited, is_whole, is_recorded: false }
+        ActiveRun {
+            run,
+            number,
+            sent_at,
+            source,
+            start: Instant::now(),
+            waited: Duration::ZERO,
+            silent: Duration::ZERO,
+            is_whole,
+            is_recorded: false,
+        }
     }
 
     fn key(&self) -> RunnerKey {
@@ -299,7 +310,7 @@
             RunEnd::Silent => self.traffic.metrics.count_silence(Silence::Replaced),
             RunEnd::Cut => {
                 self.record_failure(&endpoint);
-                let age = Some(active.waited);
+                let age = Some(active.waited + active.silent);
                 self.record_crash(&endpoint, active.sent_at, age, is_alone).await;
             }
             RunEnd::Whole | RunEnd::Disorder => self.record_failure(&endpoint),
@@ -370,7 +381,7 @@
         let is_quarantined = self.traffic.quarantine.time_left(&self.call).is_some();
         let attempts = self.call.route.attempts.max(1);
         // A silent run may continue; if it fails later, the last attempt is needed.
-        let reserved = u32::from(race.silent.is_some() && attempts > 2);
+        let reserved = u32::from(race.reserves_attempt() && attempts > 2);
         let has_runs_left = self.runs + race.fresh_count() + reserved < attempts;
         let is_first = self.lost.is_none() && self.first_event_at.is_none() && race.is_empty();
         let is_safe = is_first || self.is_resumable();
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -9,7 +9,7 @@
         call::Call,
         dialect::{Dialect, SendOptions},
         events::Event,
-        fleet::{Endpoint, Lease, Load},
+        fleet::{Endpoint, Lease, Load, RunnerKey},
         flow::Traffic,
         log_messages::{ATTEMPT_SUSPECT, RESPONSE_LOST},
         network::Network,
@@ -17,14 +17,18 @@
         runner_client::{LossSign, SendOutcome, is_failure},
     },
     bytes::Bytes,
+    futures_util::future::join_all,
     http::response::Parts,
-    std::{cell::Cell, convert::Infallible, rc::Rc},
+    std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration},
     tokio::{
-        sync::mpsc,
-        time::{Instant, timeout_at},
+        sync::{Notify, mpsc},
+        time::{Instant, timeout, timeout_at},
     },
 };
 
+/// Time for which the suspects' responses are waited for after the runner's own.
+const SUSPECT_TIME: Duration = Duration::from_millis(20);
+
 /// A send that has been decided on.
 #[derive(Clone)]
 pub(super) struct Plan {
@@ -55,6 +59,10 @@
     pub(super) signs: mpsc::UnboundedSender<Suspicion>,
     /// Set when the request is sent.
     pub(super) is_sent: Rc<Cell<bool>>,
+    /// Notified if the attempt is to be cancelled.
+    pub(super) cancelled: Rc<Notify>,
+    /// Runners of the silent run or of the suspect attempts.
+    pub(super) suspects: Vec<Endpoint>,
 }
 
 /// Change of the suspicion that an attempt is lost.
@@ -91,6 +99,10 @@
     Unresponsive,
     /// The retry budget is exhausted; nothing was sent.
     NoBudget,
+    /// This runner of a suspect attempt, or of the silent run, responds again; nothing was sent.
+    Unneeded(RunnerKey),
+    /// Another attempt is preferred.
+    Cancelled,
 }
 
 /// A send that was lost before the first event.
@@ -115,6 +127,7 @@
             outcome = self.send(lease, replica, was_idle) => outcome,
             never = self.watch() => match never {},
             () = self.traffic.quarantine.wait_until_quarantined(&self.call) => AttemptOutcome::Quarantined,
+            () = self.cancelled.notified() => AttemptOutcome::Cancelled,
         };
         (self.plan, outcome)
     }
@@ -132,16 +145,45 @@
     }
 
     /// Checks a hedge before it is sent: its runner must respond, since a silence often affects many
-    /// runners, and the budget must allow it.
+    /// runners, and the budget must allow it. A prompt is not prefilled again if a suspect responds.
     async fn check(&self) -> Option<AttemptOutcome> {
         if !self.plan.is_hedge {
             return None;
         }
-        let probe = self.traffic.client.is_responsive(&self.plan.endpoint);
-        if !timeout_at(self.end, probe).await.unwrap_or(false) {
-            return Some(AttemptOutcome::Unresponsive);
+        match timeout_at(self.end, self.probe()).await {
+            Ok((true, Some(key))) => Some(AttemptOutcome::Unneeded(key)),
+            Ok((true, None)) => {
+                let is_allowed = self.traffic.take_retry(&self.call.service);
+                (!is_allowed).then_some(AttemptOutcome::NoBudget)
+            }
+            Ok((false, _)) | Err(_) => Some(AttemptOutcome::Unresponsive),
+        }
+    }
+
+    /// Probes the runner and the suspects. Returns whether the runner responds, and a suspect that does so
+    /// as well, without waiting for those that remain silent.
+    async fn probe(&self) -> (bool, Option<RunnerKey>) {
+        let mut runner = pin!(self.traffic.client.is_responsive(&self.plan.endpoint));
+        let mut suspect = pin!(self.find_responsive());
+        tokio::select! {
+            biased;
+            is_responsive = &mut runner => {
+                let found = timeout(SUSPECT_TIME, suspect).await;
+                (is_responsive, found.unwrap_or_default())
+            }
+            found = &mut suspect => (runner.await, found),
+        }
+    }
+
+    /// Returns a suspect that responds to a probe.
+    async fn find_responsive(&self) -> Option<RunnerKey> {
+        if self.plan.from_replica.is_some() {
+            return None;
         }
-        (!self.traffic.take_retry(&self.call.service)).then_some(AttemptOutcome::NoBudget)
+        let probes = self.suspects.iter().map(async |suspect| {
+            self.traffic.client.is_responsive(suspect).await.then_some(suspect.key)
+        });
+        join_all(probes).await.into_iter().flatten().next()
     }
 
     async fn send(&self, lease: Lease, replica: Option<Replica>, was_idle: bool) -> AttemptOutcome {
--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -39,6 +39,7 @@
                 Some(holder) => return Some((holder, Some(replica))),
                 // The silent run may continue and need it again.
                 None if race.silent.is_some() => {}
+                None if !race.is_empty() => self.last_replica = Some(replica),
                 None => log::info!(request = self.call.head.id.as_str(),
                     runner = replica.holder().id.as_str(); "replica holder lost or draining"),
             }
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -11,16 +11,17 @@
     crate::{
         dialect::Dialect,
         events::Event,
-        fleet::RunnerKey,
+        fleet::{Endpoint, RunnerKey},
         metrics::{Resume, Silence},
         network::Network,
         pool::SendError,
+        runner_client::LossSign,
     },
     bilberryfront_decide::mover::Response as VersionResponse,
     futures_util::{StreamExt, stream::FuturesUnordered},
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::{
-        sync::mpsc,
+        sync::{Notify, mpsc},
         time::{Instant, sleep_until},
     },
 };
@@ -30,6 +31,10 @@
 /// Number of runners that do not respond, or reject the request, from which the next hedge is delayed:
 /// most of them may be in that state.
 const MAX_FAILURES: usize = 2;
+/// Time for which a silent run is waited for after its runner has responded to a probe.
+const RESPONSE_GRACE: Duration = Duration::from_millis(100);
+/// Time of a silence from which the last attempt of the route is used for a hedge as well.
+const RESERVE_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of attempts under way at the same time.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -61,20 +66,30 @@
     pub(super) unresponsive: Vec<RunnerKey>,
     /// Number of hedges that were sent and ended without a run.
     rejections: usize,
+    /// Whether the runner of the silent run has responded to a probe.
+    is_responsive: bool,
     /// Time before which no other hedge is considered.
     retry_at: Instant,
     start: Instant,
 }
 
 /// An attempt under way.
+#[derive(Clone)]
 pub(super) struct Pending {
     plan: Plan,
-    is_suspect: bool,
+    /// Since when and why the attempt is suspect; `None` if it is not.
+    suspect: Option<(Instant, LossSign)>,
     /// Whether the request was sent; until then, the runner is only probed.
     is_sent: Rc<Cell<bool>>,
+    /// Cancels the attempt.
+    cancelled: Rc<Notify>,
 }
 
 impl Pending {
+    fn new(plan: Plan) -> Pending {
+        Pending { plan, suspect: None, is_sent: Rc::default(), cancelled: Rc::default() }
+    }
+
     fn is_fresh(&self) -> bool {
         self.plan.from_replica.is_none()
     }
@@ -83,13 +98,14 @@
 impl Race {
     fn new(silent: Option<Box<ActiveRun>>) -> Race {
         let (pending, unresponsive, now) = (Vec::new(), Vec::new(), Instant::now());
-        Race { silent, pending, unresponsive, rejections: 0, retry_at: now, start: now }
+        let (rejections, is_responsive) = (0, false);
+        Race { silent, pending, unresponsive, rejections, is_responsive, retry_at: now, start: now }
     }
 
     /// Takes the silent run, with the time for which it was waited for.
     fn take_silent(&mut self) -> Option<Box<ActiveRun>> {
         let mut active = self.silent.take()?;
-        active.waited += self.start.elapsed();
+        active.silent += self.start.elapsed();
         Some(active)
     }
 
@@ -100,7 +116,7 @@
 
     /// Returns whether another attempt is needed: each one under way is suspect.
     fn needs_attempt(&self) -> bool {
-        self.pending.len() < MAX_ATTEMPTS && self.pending.iter().all(|p| p.is_suspect)
+        self.pending.len() < MAX_ATTEMPTS && self.pending.iter().all(|p| p.suspect.is_some())
     }
 
     /// Returns whether another attempt is considered now.
@@ -144,17 +160,55 @@
         silent.chain(pending).chain(self.unresponsive.iter().copied()).collect()
     }
 
-    /// Adds an attempt and returns the flag that it sets when it sends the request.
-    fn add(&mut self, plan: Plan) -> Rc<Cell<bool>> {
-        let is_sent = Rc::new(Cell::new(false));
-        self.pending.push(Pending { plan, is_suspect: false, is_sent: is_sent.clone() });
-        is_sent
+    /// Returns the runners of the silent run and of the attempts that continue if these respond again.
+    fn suspects(&self) -> Vec<Endpoint> {
+        let silent = self.silent.iter().filter(|_| !self.is_responsive);
+        let silent = silent.map(|active| active.run.endpoint().clone());
+        let is_unresponsive = |p: &&Pending| matches!(p.suspect, Some((_, LossSign::Unresponsive)));
+        let pending = self.pending.iter().filter(is_unresponsive);
+        silent.chain(pending.map(|p| p.plan.endpoint.clone())).collect()
+    }
+
+    /// Returns whether the last attempt of the route is left for a failure of the silent run.
+    pub(super) fn reserves_attempt(&self) -> bool {
+        self.silent.is_some() && self.start.elapsed() < RESERVE_TIME
+    }
+
+    /// Clears the suspicion of an attempt whose runner responds, or waits for the silent run once.
+    fn record_responsive(&mut self, key: RunnerKey) {
+        match self.pending.iter_mut().find(|p| p.plan.endpoint.key == key) {
+            Some(attempt) => attempt.suspect = None,
+            None => {
+                self.is_responsive = true;
+                self.retry_at = Instant::now() + RESPONSE_GRACE;
+            }
+        }
+    }
+
+    fn add(&mut self, attempt: &Pending) {
+        self.pending.push(attempt.clone());
     }
 
     fn suspect(&mut self, suspicion: &Suspicion) {
-        let attempt = self.pending.iter_mut().find(|p| p.plan.number == suspicion.number);
-        if let Some(attempt) = attempt {
-            attempt.is_suspect = suspicion.sign.is_some();
+        let number = suspicion.number;
+        let Some(index) = self.pending.iter().position(|p| p.plan.number == number) else { return };
+        if let Some(sign) = suspicion.sign {
+            self.pending[index].suspect = Some((Instant::now(), sign));
+        } else if let Some((suspect_at, _)) = self.pending[index].suspect.take() {
+            let work = suspect_at - self.pending[index].plan.sent_at;
+            self.cancel_rival(index, work);
+        }
+    }
+
+    /// Cancels one of two attempts whose runners respond: the one that has worked for less time. The
+    /// attempt at `index` has worked for `work` and was silent since.
+    fn cancel_rival(&self, index: usize, work: Duration) {
+        let is_rival = |p: &&Pending| p.suspect.is_none() && p.is_sent.get();
+        let others = self.pending.iter().enumerate().filter(|(other, _)| *other != index);
+        let Some(rival) = others.map(|(_, p)| p).find(is_rival) else { return };
+        match rival.plan.sent_at.elapsed() < work {
+            true => rival.cancelled.notify_one(),
+            false => self.pending[index].cancelled.notify_one(),
         }
     }
 }
@@ -170,10 +224,23 @@
             if race.is_due() {
                 match self.next_plan(&race, end) {
                     Some(plan) => {
-                        let is_sent = race.add(plan.clone());
+                        let suspects = race.suspects();
+                        let attempt = Pending::new(plan);
+                        race.add(&attempt);
+                        let Pending { plan, is_sent, cancelled, .. } = attempt;
                         let (traffic, call) = (self.traffic.clone(), self.call.clone());
                         let signs = signs.clone();
-                        attempts.push(Attempt { traffic, call, plan, end, signs, is_sent }.run());
+                        let attempt = Attempt {
+                            traffic,
+                            call,
+                            plan,
+                            end,
+                            signs,
+                            is_sent,
+                            cancelled,
+                            suspects,
+                        };
+                        attempts.push(attempt.run());
                     }
                     None if race.is_empty() => return RaceEnd::Failed(self.final_failure()),
                     None => race.delay(),
@@ -308,6 +375,16 @@
                 self.keep_replica(race, from_replica);
                 return None;
             }
+            AttemptOutcome::Unneeded(key) => {
+                self.sends -= 1;
+                race.record_responsive(key);
+                return None;
+            }
+            AttemptOutcome::Cancelled => {
+                self.report_sample(endpoint.key, number, VersionResponse::Lost);
+                self.runs += u32::from(is_fresh);
+                return None;
+            }
             AttemptOutcome::NoPath => {
                 self.sends -= 1;
                 self.has_unused_retry = is_hedge || self.reached_runner;
