Wait for the newest attempt of a call after a failure of another

If the first runner of an idempotent request fails while a newer attempt is under way, that one may still succeed: its response is waited for as long as it is the newest. Test in calls.rs.

--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -33,6 +33,8 @@
     first: Option<RunnerKey>,
     /// Number of attempts that have not ended.
     pending: u32,
+    /// Runner of the newest attempt while that has not ended.
+    newest: Option<RunnerKey>,
     /// Whether an attempt has reached a runner.
     reached_runner: bool,
     /// Whether an attempt had no path to its runner.
@@ -76,6 +78,7 @@
             if earlier == 0 {
                 progress.first = Some(endpoint.key);
             }
+            progress.newest = Some(endpoint.key);
             progress.tried.push(endpoint.key);
             progress.pending += 1;
             pending.push(attempt(traffic, call, endpoint, earlier));
@@ -83,14 +86,15 @@
         let ended = tokio::select! {
             biased;
             ended = pending.next() => ended,
-            // A failure is not held back for a runner that remains silent.
-            () = sleep(hedge_delay(call)) => match progress.failure {
-                Some(_) => break None,
-                None => continue,
+            () = sleep(hedge_delay(call)) => match (&progress.failure, progress.newest) {
+                // A failure of the newest attempt is not held back for runners that remain silent.
+                (Some(_), None) => break None,
+                _ => continue,
             },
         };
         let Some(ended) = ended else { break None };
         progress.pending -= 1;
+        progress.newest.take_if(|runner| *runner == ended.endpoint.key);
         if let Some(runner) = progress.first.take_if(|runner| *runner == ended.endpoint.key)
             && let Some(response) = sample_response(&ended.result)
         {
--- a/tests/relay/calls.rs
+++ b/tests/relay/calls.rs
@@ -208,6 +208,23 @@
     .await;
 }
 
+/// Guards against the failure of a slow runner that is returned although the request was sent to another
+/// one, which has not responded yet.
+#[tokio::test(start_paused = true)]
+async fn a_late_failure_does_not_end_the_next_attempt() {
+    run_local(async {
+        let script = Script::RespondAfter(500, "no", ms(80));
+        let deployment = Deployment::new(PLAIN, &["a", "b"], &script);
+        let (received, ()) = tokio::join!(deployment.serve("/look/1", &[]), async {
+            sleep(ms(30)).await;
+            let other = deployment.runners.iter().find(|r| r.request_count() == 0).unwrap();
+            *other.script.borrow_mut() = Script::RespondAfter(200, "yes", ms(300));
+        });
+        assert_eq!((received.status, deployment.request_count()), (200, 2));
+    })
+    .await;
+}
+
 /// Guards against the failure of a runner that is held back until the deadline of a lookup, while
 /// another runner is silent.
 #[tokio::test(start_paused = true)]
