Keep a silent runner of a completion until another is granted

`serve` ended the attempt at a runner that was silent for `stall_ms`, and closed its stream, before the core had granted another one. When all runners are silent for a while, the retry budget (10 and half of the running requests) is spent at once, and the completions beyond it are cut, although their runners go on.

The core gets a new event: a granted request asks for another runner. It is granted only at once, within budget and pace, and only a runner that is not suspect; the request otherwise keeps its runner, its slot and its admission. The driver asks every 250 ms, while it reads on. After three times the stall limit the runner counts as lost, as before. Silence before the first token and runners of a new version on trial are left at once, as before.

--- a/crates/decide/src/core.rs
+++ b/crates/decide/src/core.rs
@@ -78,7 +78,7 @@
     ///
     /// Each [`RunnerRequest`] is answered exactly once, by this step or a later one, with a grant
     /// or a rejection, unless it is cancelled first. A rejection ends the request and releases its
-    /// admission.
+    /// admission, except that of an [`Event::Replace`].
     pub fn step(&mut self, now: Instant, event: Event, out: &mut Vec<Action>) {
         match event {
             Event::Catalog { revision, doc } => self.apply_catalog(now, revision, &doc, out),
@@ -93,6 +93,7 @@
             }
             Event::LoadMissing { runner } => self.fleet.load_missing(now, runner),
             Event::Request(request) => self.submit(now, &request, out),
+            Event::Replace { request, done } => self.replace(now, &request, &done, out),
             Event::Cancel(ticket) => self.cancel(now, ticket, out),
             Event::Started(ticket) => self.started(ticket),
             Event::Done(done) => self.complete(now, &done, out),
--- a/crates/decide/src/core/admit.rs
+++ b/crates/decide/src/core/admit.rs
@@ -3,9 +3,9 @@
 use {
     super::{Core, Stage, TrackedRequest},
     crate::{
-        action::{Action, Grant, Reason},
+        action::{Action, Grant, Reason, Rejection},
         catalog::Entry,
-        event::{Purpose, RunnerRequest},
+        event::{Done, Purpose, RunnerRequest},
         fleet::Fleet,
         id::{EntryKey, PoolKey, RunnerKey, Ticket},
         limits::Scope,
@@ -75,6 +75,52 @@
         self.enqueue(now, entry, request, out);
     }
 
+    /// Grants another runner to a request whose runner is silent, if that is possible at once. Otherwise
+    /// the request keeps its runner, which may only be slow.
+    pub(super) fn replace(
+        &mut self,
+        now: Instant,
+        request: &RunnerRequest,
+        done: &Done,
+        out: &mut Vec<Action>,
+    ) {
+        match self.find_replacement(now, request) {
+            Ok((silent, runner)) => {
+                self.fleet.complete(now, silent, done);
+                self.grant(now, request, runner, out);
+            }
+            Err(reason) => {
+                let rejection = Rejection { ticket: request.ticket, reason, retry_after: None };
+                out.push(Action::Reject(rejection));
+            }
+        }
+    }
+
+    /// Returns the runner of a granted request and one that can replace it. A suspect one is probably silent
+    /// as well.
+    fn find_replacement(
+        &mut self,
+        now: Instant,
+        request: &RunnerRequest,
+    ) -> Result<(RunnerKey, RunnerKey), Reason> {
+        let tracked = self.requests.get(&request.ticket).ok_or(Reason::NoRunner)?;
+        let Stage::Running { runner: silent, .. } = tracked.stage else {
+            return Err(Reason::NoRunner);
+        };
+        let catalog = Arc::clone(&self.catalog);
+        let entry = catalog.entries.get(request.entry).ok_or(Reason::NoEntry)?;
+        if !self.entry_states.contains_key(request.entry) {
+            return Err(Reason::NoEntry);
+        }
+        self.refill_budget(now, request.entry, entry);
+        if !self.may_start(entry, request) {
+            return Err(Reason::NoBudget);
+        }
+        let runner =
+            self.find_runner(now, entry, request).filter(|key| self.fleet.is_healthy(*key));
+        Ok((silent, runner.filter(|key| *key != silent).ok_or(Reason::NoRunner)?))
+    }
+
     /// Queues a request and grants the queued requests that can start. Rejects the new request
     /// immediately if its expected wait exceeds the maximum, and sheds requests over the queue
     /// limit.
--- a/crates/decide/src/event.rs
+++ b/crates/decide/src/event.rs
@@ -40,6 +40,14 @@
     },
     /// A request needs a runner.
     Request(RunnerRequest),
+    /// The runner of a granted request is silent. Another one is granted if that is possible at once;
+    /// otherwise the request is rejected, and keeps its runner.
+    Replace {
+        /// The request for another runner.
+        request: RunnerRequest,
+        /// End of the request at its runner, which applies if another one is granted.
+        done: Done,
+    },
     /// A request no longer needs a runner, because its caller disconnected while it was queued or
     /// between two attempts. Ignored for a granted request, which ends by [`Event::Done`].
     Cancel(Ticket),
@@ -57,7 +65,7 @@
 /// A request for a runner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunnerRequest {
-    /// Identifier of the request; a [`Purpose::Retry`] reuses the ticket of the preceding [`Done`].
+    /// Identifier of the request; a [`Purpose::Retry`] reuses the ticket of the preceding attempt.
     pub ticket: Ticket,
     /// Requested entry.
     pub entry: EntryKey,
--- a/crates/decide/src/fleet.rs
+++ b/crates/decide/src/fleet.rs
@@ -6,7 +6,7 @@
         id::{PoolKey, RunnerKey, Ticket},
         location::Location,
         route::{Criteria, NodeView, Pool, Runners, name_hash},
-        runner::{Runner, RunnerChart, chart},
+        runner::{Runner, RunnerChart, State, chart},
     },
     bilberryfront_wire::{
         instance::{Instance, InstanceKind, InstanceList, InstanceState},
@@ -160,6 +160,11 @@
         self.pools[pool].pick(&self.runners, now, &mut self.rng, criteria)
     }
 
+    /// Returns whether the runner is known and not suspect.
+    pub(crate) fn is_healthy(&self, key: RunnerKey) -> bool {
+        self.runners.get(key).is_some_and(|runner| runner.state() == State::Healthy)
+    }
+
     /// Records a request granted to the runner.
     pub(crate) fn record_sent(&mut self, key: RunnerKey, ticket: Ticket, probe: bool) {
         let Some(runner) = self.runners.get_mut(key) else { return };
--- a/crates/decide/tests/routing/runners.rs
+++ b/crates/decide/tests/routing/runners.rs
@@ -4,9 +4,9 @@
     crate::fixture::{ENTRY, Fixture, V1, engine, grants, load_report, reasons},
     bilberryfront_decide::{
         Event,
-        action::{Grant, Reason},
+        action::{Action, Grant, Reason},
         catalog::Limits,
-        event::{Purpose, RunnerRequest, Verdict},
+        event::{Done, Purpose, RunnerRequest, Verdict},
     },
     bilberryfront_wire::{
         instance::{InstanceList, InstanceState},
@@ -224,3 +224,57 @@
     assert_eq!(reasons(&fixture.step(Event::Request(request))), [Reason::NoRunner]);
     assert!(fixture.core.runners().all(|(_, r)| r.entry == ENTRY));
 }
+
+/// Asks for another runner in place of a silent one.
+fn replace(fixture: &mut Fixture, grant: &Grant) -> Vec<Action> {
+    let request = RunnerRequest {
+        ticket: grant.ticket,
+        pin: Some(grant.version.clone()),
+        avoid: Some(grant.runner),
+        purpose: Purpose::Retry,
+        ..fixture.new_request(0)
+    };
+    let (verdict, first, tokens) = (Verdict::Stalled, None, 0);
+    let done = Done { ticket: grant.ticket, verdict, first, tokens, will_retry: true };
+    fixture.step(Event::Replace { request, done })
+}
+
+// Guards against requests that lose their silent runners when the budget allows no more retries: they keep
+// them, and their admission, and get another runner later.
+#[test]
+fn a_silent_runner_is_kept_until_another_one_is_granted() {
+    const REQUESTS: u32 = 8;
+    let mut fixture = fixture(2);
+    let all: Vec<Grant> = (0..REQUESTS).map(|_| fixture.expect_grant(0)).collect();
+    let silent: Vec<&Grant> = all.iter().filter(|grant| grant.runner == all[0].runner).collect();
+    let mut replaced = 0;
+    for grant in &silent {
+        let out = replace(&mut fixture, grant);
+        match grants(&out).pop() {
+            Some(other) => {
+                assert_ne!(other.runner, grant.runner);
+                replaced += 1;
+            }
+            None => assert_eq!(reasons(&out), [Reason::NoBudget]),
+        }
+    }
+    assert!((1..silent.len()).contains(&replaced), "{replaced} of {}", silent.len());
+    let last = silent.last().unwrap();
+    fixture.advance(1_000);
+    let other = grants(&replace(&mut fixture, last)).pop().expect("a grant");
+    assert_ne!(other.runner, last.runner);
+    let running: u32 = fixture.core.usage().iter().map(|(_, _, running)| running).sum();
+    assert_eq!(running, REQUESTS);
+}
+
+// Guards against a replacement by a runner that is silent as well, and against one of a request that has ended.
+#[test]
+fn a_silent_runner_is_not_replaced_by_a_suspect_one() {
+    let mut fixture = fixture(2);
+    let [first, second] = [fixture.expect_grant(0), fixture.expect_grant(0)];
+    assert_ne!(first.runner, second.runner);
+    fixture.done(second.ticket, Verdict::Stalled);
+    assert_eq!(reasons(&replace(&mut fixture, &first)), [Reason::NoRunner]);
+    fixture.done(first.ticket, Verdict::Ok);
+    assert_eq!(reasons(&replace(&mut fixture, &first)), [Reason::NoRunner]);
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -43,6 +43,8 @@
 pub enum Message {
     /// A request asks for a runner and waits for the answer.
     Request(RunnerRequest, oneshot::Sender<Result<Grant>>),
+    /// A granted request asks for another runner and waits for the answer; see [`Event::Replace`].
+    Replace(RunnerRequest, Done, oneshot::Sender<Result<Grant>>),
     /// Any other event.
     Event(Event),
 }
@@ -112,6 +114,17 @@
         self.send(Event::Done(done));
     }
 
+    /// Requests another runner for a granted request whose runner is silent. `done` is the end of the request
+    /// at that runner, which applies only if another one is granted.
+    pub async fn replace_runner(&self, request: RunnerRequest, done: Done) -> Result<Grant> {
+        let ticket = request.ticket;
+        let (sender, receiver) = oneshot::channel();
+        // The receiver is dropped only when the process exits.
+        _ = self.sender.send(Message::Replace(request, done, sender));
+        let stopped = Rejection { ticket, reason: Reason::NoRunner, retry_after: None };
+        receiver.await.unwrap_or(Err(stopped))
+    }
+
     /// Waits for a runner. If the returned future is dropped early, the request is withdrawn.
     pub async fn request_runner(&self, request: RunnerRequest) -> Result<Grant> {
         let ticket = request.ticket;
@@ -177,6 +190,10 @@
                     waiting.insert(request.ticket, answer);
                     Event::Request(request)
                 }
+                Message::Replace(request, done, answer) => {
+                    waiting.insert(request.ticket, answer);
+                    Event::Replace { request, done }
+                }
                 Message::Event(event) => event,
             };
             if let Event::Cancel(ticket) = event {
--- a/src/traffic/chooser.rs
+++ b/src/traffic/chooser.rs
@@ -51,6 +51,11 @@
         self.trial.take()
     }
 
+    /// Returns whether the new version was chosen.
+    pub fn is_new(&self) -> bool {
+        self.choice.new
+    }
+
     /// Changes the choice from the new version to the old one, and returns whether it was the new
     /// one. A caller that has received nothing yet need not be affected by a version that can't
     /// serve it.
--- a/src/traffic/lease.rs
+++ b/src/traffic/lease.rs
@@ -36,6 +36,8 @@
     /// Time spent waiting for tokens after the first; gives the mean time between tokens. It excludes
     /// back-pressure from a slow caller, which must not count against the runner.
     pub waited: Duration,
+    /// Whether the core has already granted another runner in place of this one.
+    pub is_replaced: bool,
     trial: Option<Trial>,
     control: Control,
     granted_at: Instant,
@@ -53,6 +55,7 @@
             will_retry: false,
             failed: false,
             waited: Duration::ZERO,
+            is_replaced: false,
             trial,
             control,
             granted_at: Instant::now(),
@@ -76,6 +79,12 @@
 }
 
 impl Lease {
+    /// Returns the end of the attempt for the core.
+    pub fn done(&self, verdict: Verdict, will_retry: bool) -> Done {
+        let (ticket, first, tokens) = (self.grant.ticket, self.first, self.tokens);
+        Done { ticket, verdict, first, tokens, will_retry }
+    }
+
     /// Returns the result of the attempt; `None` if the caller disconnected.
     fn result(&self) -> Option<AttemptResult> {
         let intervals = self.tokens.checked_sub(1).filter(|n| *n > 0);
@@ -96,13 +105,9 @@
         if let Some((trial, result)) = self.trial.take().zip(self.result()) {
             self.control.moves().report_attempt(trial, result);
         }
-        self.control.done(Done {
-            ticket: self.grant.ticket,
-            verdict: self.verdict,
-            first: self.first,
-            tokens: self.tokens,
-            will_retry: self.will_retry,
-        });
+        if !self.is_replaced {
+            self.control.done(self.done(self.verdict, self.will_retry));
+        }
     }
 }
 
--- a/src/traffic/stream.rs
+++ b/src/traffic/stream.rs
@@ -11,7 +11,7 @@
         chooser::Chooser,
         lease::Lease,
         problem::{self, Kind, not_run},
-        upstream::{Engines, Failure, RunnerEvent, Source},
+        upstream::{self, Engines, Failure, RunnerEvent, Source},
     },
     crate::{
         control::Control,
@@ -39,6 +39,12 @@
 /// `Retry-After` for a stream that ended early, if the core gives none.
 const RESUME_AFTER: Duration = Duration::from_secs(1);
 
+/// Interval at which another runner is requested while a runner is silent.
+const REPLACE_INTERVAL: Duration = Duration::from_millis(250);
+/// Multiple of the stall limit after which a silent runner is left without another one, so that the caller can
+/// resume elsewhere.
+const MAX_SILENCE_STALLS: u32 = 3;
+
 /// Drives one generation.
 pub struct Driver<E: Engines> {
     control: Control,
@@ -53,6 +59,8 @@
     avoid: Option<RunnerKey>,
     /// Whether a runner may have received the request.
     is_sent: bool,
+    /// Runner that was granted in place of a silent one.
+    replacement: Option<Grant>,
     /// When a runner was lost; `None` after the next token.
     lost_at: Option<Instant>,
     has_ended: bool,
@@ -77,6 +85,7 @@
             purpose: if is_resumed { Purpose::Resume } else { Purpose::First },
             avoid: None,
             is_sent: false,
+            replacement: None,
             lost_at: None,
             has_ended: false,
             control,
@@ -124,18 +133,12 @@
     }
 
     async fn start_attempt(&mut self) -> Option<Piece> {
-        let request = RunnerRequest {
-            ticket: self.ticket,
-            entry: self.job.entry,
-            account: self.job.account,
-            prefix: Some(self.job.prefix),
-            pin: self.generation.pin().or(self.chooser.version()).cloned(),
-            avoid: self.avoid,
-            purpose: self.purpose,
-        };
-        let grant = match self.control.request_runner(request).await {
-            Ok(grant) => grant,
-            Err(rejection) => return self.on_rejection(&rejection),
+        let grant = match self.replacement.take() {
+            Some(grant) => grant,
+            None => match self.control.request_runner(self.runner_request(self.avoid)).await {
+                Ok(grant) => grant,
+                Err(rejection) => return self.on_rejection(&rejection),
+            },
         };
         if self.purpose == Purpose::Retry {
             self.control.metrics().add(Counter::Resumes, 1);
@@ -155,6 +158,18 @@
         }
     }
 
+    fn runner_request(&self, avoid: Option<RunnerKey>) -> RunnerRequest {
+        RunnerRequest {
+            ticket: self.ticket,
+            entry: self.job.entry,
+            account: self.job.account,
+            prefix: Some(self.job.prefix),
+            pin: self.generation.pin().or(self.chooser.version()).cloned(),
+            avoid,
+            purpose: self.purpose,
+        }
+    }
+
     fn generate_request(&mut self, grant: &Grant) -> Generate {
         let attempt = self.generation.start_attempt(&grant.version);
         Generate {
@@ -173,7 +188,7 @@
     /// Reads until there is a piece for the caller, or the runner is lost.
     async fn read(&mut self, mut open: OpenAttempt<E::Stream>) -> Option<Piece> {
         let mut batch = Vec::new();
-        let mut event = open.wait(&self.job.limits).await;
+        let mut event = self.next_event(&mut open).await;
         loop {
             match event {
                 Ok(RunnerEvent::Token(attempt, token)) => {
@@ -202,12 +217,46 @@
             }
             event = match open.upstream.try_next() {
                 Some(event) => event,
-                None if batch.is_empty() => open.wait(&self.job.limits).await,
+                None if batch.is_empty() => self.next_event(&mut open).await,
                 None => return self.yield_batch(open, batch),
             };
         }
     }
 
+    /// Waits for the next event. A runner that falls silent between two tokens may only be slow: it is left
+    /// once another one is granted, or after [`MAX_SILENCE_STALLS`].
+    async fn next_event(
+        &mut self,
+        open: &mut OpenAttempt<E::Stream>,
+    ) -> upstream::Result<RunnerEvent> {
+        let mut event = open.wait(&self.job.limits).await;
+        let end = Instant::now() + millis(self.job.limits.stall_ms) * (MAX_SILENCE_STALLS - 1);
+        while event == Err(Failure::Lost(Verdict::Stalled))
+            && self.may_replace(&open.lease)
+            && Instant::now() < end
+        {
+            let request = self.runner_request(Some(open.lease.grant.runner));
+            let done = open.lease.done(Verdict::Stalled, true);
+            if let Ok(grant) = self.control.replace_runner(request, done).await {
+                open.lease.is_replaced = true;
+                self.replacement = Some(grant);
+                break;
+            }
+            event = open.wait_for(REPLACE_INTERVAL).await;
+        }
+        event
+    }
+
+    /// Returns whether a silent runner may be kept until another one is granted. A new version that is compared
+    /// with an old one is left at once.
+    fn may_replace(&self, lease: &Lease) -> bool {
+        let is_incomplete = self.generation.next() < self.job.max;
+        lease.first.is_some()
+            && is_incomplete
+            && self.generation.may_retry()
+            && !self.chooser.is_new()
+    }
+
     fn deliver(&mut self, open: &mut OpenAttempt<E::Stream>, token: Token) -> Delivered {
         open.lease.count_token();
         if let Some(lost_at) = self.lost_at.take() {
--- a/src/traffic/stream/open.rs
+++ b/src/traffic/stream/open.rs
@@ -25,10 +25,15 @@
         if let Some(event) = self.pending.take() {
             return event;
         }
-        let timeout = match self.lease.first {
+        self.wait_for(match self.lease.first {
             None => millis(limits.first_ms),
             Some(_) => millis(limits.stall_ms),
-        };
+        })
+        .await
+    }
+
+    /// Waits at most `timeout` for the next event.
+    pub(super) async fn wait_for(&mut self, timeout: Duration) -> Result<RunnerEvent> {
         let started_at = Instant::now();
         let event = self.upstream.next(timeout).await;
         if self.lease.first.is_some() {
--- a/tests/http_flow.rs
+++ b/tests/http_flow.rs
@@ -14,7 +14,7 @@
     collector::Collector,
     serde_json::json,
     std::{fs, time::Duration},
-    tokio::time::sleep,
+    tokio::time::{Instant, sleep},
 };
 
 #[path = "support/collector.rs"]
@@ -99,6 +99,22 @@
     assert!(matches!(&calls[..], [call] if whole(call)), "{calls:?}");
 }
 
+/// Guards against a stream that waits forever for its silent runner when there is no other: the runner is
+/// left after three times the stall limit.
+#[tokio::test]
+async fn runner_that_stays_silent_is_left() {
+    let limits = json!({"stall_ms": STALL.as_millis() as u64});
+    let fleet = fleet(json!({"limits": limits}), 1).await;
+    let stall = Some(After { tokens: 50, once: true });
+    fleet.faults(&fleet.runners[0], &Faults { stall, ..Faults::default() }).await.unwrap();
+    let start = Instant::now();
+    let (caller, nodes, request) = (Caller::new(CALLER_KEY), fleet.urls(), request("stall"));
+    let received = caller.stream(&nodes, &request, |_| {}).await.unwrap();
+    assert_eq!((received.tokens, received.resumes), (raw_http::TOKENS, 0));
+    let elapsed = start.elapsed();
+    assert!((3 * STALL..20 * STALL).contains(&elapsed), "took {elapsed:?}");
+}
+
 /// The memory of the node must stay bounded when many clients read only the heads of long responses.
 #[tokio::test]
 async fn non_reading_clients_use_bounded_memory() {
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -3,7 +3,7 @@
 use {
     bilberryfront_harness::{
         caller::{Caller, Received},
-        fleet::{CALLER_KEY, Fleet},
+        fleet::{CALLER_KEY, Fleet, catalog},
         http,
     },
     bilberryfront_standins::{
@@ -16,6 +16,7 @@
         problem::Run,
         runner::LoadReport,
     },
+    futures_util::future::join_all,
     std::time::Duration,
     tokio::{sync::watch, time::sleep},
 };
@@ -27,6 +28,11 @@
 
 use deployment::{PROMPT, TOKENS, expected, fleet, request};
 
+/// Number of simultaneous streams.
+const STREAMS: usize = 60;
+/// Time for which a runner is suspended; longer than the stall limit of the catalogue.
+const SUSPENSION: Duration = Duration::from_millis(2_500);
+
 /// Waits until the stream has received this many events.
 async fn wait_for_events(events: &mut watch::Receiver<u32>, count: u32) {
     events.wait_for(|e| *e >= count).await.unwrap();
@@ -101,6 +107,52 @@
     assert_eq!((received.tokens, received.resumes), (TOKENS, 0));
 }
 
+/// Guards against aborted completions while all runners are suspended for longer than the stall limit: those
+/// that may not be retried have to wait for their runners, which continue.
+#[tokio::test]
+async fn all_runners_are_suspended_for_a_while() {
+    let mut fleet = Fleet::new(programs::programs()).unwrap();
+    let tokens = TOKENS.to_string();
+    for name in ["runner-a", "runner-b"] {
+        let args = ["--entry", deployment::ENGINE, "--answer-tokens", &tokens];
+        let speed = ["--token-ms", "20", "--slots", "64"];
+        fleet.start("runner", name, &[args.as_slice(), &speed].concat()).unwrap();
+    }
+    let catalog = catalog(deployment::ENGINE, deployment::SERVICE);
+    fleet.apply(1, &catalog).await.unwrap();
+    fleet.start_node("node-a", "domain-a").await.unwrap();
+    fleet.ready().await.unwrap();
+    let (progress, mut events) = watch::channel(0);
+    let (caller, node, request) = (Caller::new(CALLER_KEY), fleet.urls().remove(0), request());
+    let streams = (0..STREAMS).map(async |_| {
+        let mut received = Received::default();
+        let mut on_text = |received: &Received| {
+            progress.send_replace(received.events);
+        };
+        caller.stream_once(&node, &request, &mut received, &mut on_text).await.unwrap();
+        received
+    });
+    let suspend = async {
+        wait_for_events(&mut events, 40).await;
+        fleet.runners.iter().for_each(|runner| runner.process.freeze());
+        sleep(SUSPENSION).await;
+        fleet.runners.iter().for_each(|runner| runner.process.thaw());
+    };
+    let (received, ()) = tokio::join!(join_all(streams), suspend);
+    for runner in &fleet.runners {
+        let log: RunnerLog =
+            http::get(fleet.client(), &format!("{}/admin/log", runner.url)).await.unwrap();
+        let mut n = std::collections::BTreeMap::new();
+        for call in &log.calls {
+            *n.entry((call.attempt, format!("{:?}", call.ended))).or_insert(0) += 1;
+        }
+        eprintln!("{n:?}");
+    }
+    let aborted = received.iter().filter(|received| received.text != expected()).count();
+    let problem = received.iter().find_map(|received| received.problem.as_ref());
+    assert_eq!(aborted, 0, "{problem:?}");
+}
+
 /// Guards against lost or repeated tokens when the caller's node is killed. The caller sends the id
 /// of its last event and the text that it has to the other node, which never received the request.
 #[tokio::test]
