Wait for an attempt only if its runner still reports it

Callers waited up to five seconds longer for their first event after a crash of runners. An attempt counted as alive when its runner responded to probes again, and another attempt beside it was cancelled. A runner that has restarted responds as well, but the request is lost, and its connection hangs until it times out. The progress of the request decides now: its runner has to report it.

The limit of six sends for hedges is gone: sends that runners with a new identity reject (421) used it up, and a silent run was then kept for 2.6 s although a replica was there.

The runners of the tests report their active runs for it.

--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -42,8 +42,6 @@
 const DEFAULT_STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of sends per stream.
 const MAX_SENDS: u32 = 12;
-/// Maximum number of sends after which hedges are made; the others are left for failures.
-const MAX_HEDGED_SENDS: u32 = MAX_SENDS / 2;
 
 /// State of one stream.
 struct Generation<D, N> {
@@ -385,10 +383,9 @@
         let has_runs_left = self.runs + race.fresh_count() + reserved < attempts;
         let is_first = self.lost.is_none() && self.first_event_at.is_none() && race.is_empty();
         let is_safe = is_first || self.is_resumable();
-        let max_sends = if race.is_empty() { MAX_SENDS } else { MAX_HEDGED_SENDS };
         match () {
             () if is_quarantined => Some(NoAttempt::Quarantined),
-            () if !has_runs_left || self.sends >= max_sends => Some(NoAttempt::Exhausted),
+            () if !has_runs_left || self.sends >= MAX_SENDS => Some(NoAttempt::Exhausted),
             () if !is_safe => Some(NoAttempt::Unsafe),
             () if Instant::now() >= end => Some(NoAttempt::Deadline),
             () => None,
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -72,7 +72,7 @@
     pub(super) number: u32,
     /// Runner.
     pub(super) endpoint: Endpoint,
-    /// Why the attempt is suspect; `None` if its runner responds again.
+    /// Why the attempt is suspect; `None` if its runner reports it again.
     pub(super) sign: Option<LossSign>,
 }
 
@@ -175,13 +175,13 @@
         }
     }
 
-    /// Returns a suspect that responds to a probe.
+    /// Returns a suspect that responds to a probe and reports the request.
     async fn find_responsive(&self) -> Option<RunnerKey> {
         if self.plan.from_replica.is_some() {
             return None;
         }
         let probes = self.suspects.iter().map(async |suspect| {
-            self.traffic.client.is_responsive(suspect).await.then_some(suspect.key)
+            self.traffic.client.is_reported(&self.call, suspect).await.then_some(suspect.key)
         });
         join_all(probes).await.into_iter().flatten().next()
     }
@@ -248,7 +248,7 @@
             if sign == LossSign::EventsMissing {
                 std::future::pending::<()>().await;
             }
-            client.wait_until_responsive(&self.call, endpoint).await;
+            client.wait_until_reported(&self.call, endpoint).await;
             self.report(None);
         }
     }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -271,13 +271,20 @@
         LossSign::Unresponsive
     }
 
-    /// Waits until the runner of a request responds to probes.
-    pub async fn wait_until_responsive(&self, call: &Call, endpoint: &Endpoint) {
-        while self.progress(call, endpoint).await.is_none() {
+    /// Waits until the runner of a request responds to a probe and reports the request.
+    pub async fn wait_until_reported(&self, call: &Call, endpoint: &Endpoint) {
+        while !self.is_reported(call, endpoint).await {
             sleep(PROBE_INTERVAL).await;
         }
     }
 
+    /// Returns whether the runner of a request responds to a probe and reports the request. One that has
+    /// restarted responds, but the request is lost.
+    pub async fn is_reported(&self, call: &Call, endpoint: &Endpoint) -> bool {
+        let progress = self.progress(call, endpoint).await;
+        progress.is_some_and(|progress| progress != Progress::Unknown)
+    }
+
     /// Returns whether a runner has responded just now, or responds to a probe. One that does not is
     /// marked as suspect.
     pub async fn is_responsive(&self, endpoint: &Endpoint) -> bool {
--- a/tests/relay/race_review.rs
+++ b/tests/relay/race_review.rs
@@ -302,3 +302,27 @@
     })
     .await;
 }
+
+/// Guards against a request that waits for a runner which has restarted: it responds to probes, but it has
+/// lost the request, whose connection hangs.
+#[tokio::test(start_paused = true)]
+async fn attempt_at_a_restarted_runner_is_not_waited_for() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &Script::Hang);
+        let start = Instant::now();
+        let restart = async {
+            sleep(ms(10)).await;
+            let (first, rest) = split(&deployment);
+            rest[0].prefill_time.set(ms(1_200));
+            *rest[0].script.borrow_mut() = events(3, ms(40));
+            first.is_unresponsive.set(true);
+            sleep(ms(2_000)).await;
+            first.is_unresponsive.set(false);
+            *first.restarted.borrow_mut() = Some(("r-new", "m"));
+        };
+        let (received, ()) = tokio::join!(deployment.serve("/stream/1", &PROMPT), restart);
+        assert_eq!(received.event_ids(), [1, 2, 3]);
+        assert!(start.elapsed() < ms(4_000), "took {:?}", start.elapsed());
+    })
+    .await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -768,13 +768,21 @@
     header.and_then(|v| v.split_once(',')?.1.parse().ok()).expect("the request has token counts")
 }
 
-/// Returns the state report, with one run for the last request and its number of generated events.
+/// Returns the state report, with the run `a1` and its number of generated events, and the active runs. A
+/// runner that has restarted reports none.
 fn report(runner: &Runner) -> String {
     let generated = runner.generated_events.get();
+    let runs = runner.runs.borrow();
+    let active = runs.iter().filter(|(id, run)| run.end.is_none() && id != "a1");
+    let active: String = active.map(|(id, _)| format!(r#",["{id}",5000,0,5]"#)).collect();
     let model = runner.restarted.borrow().map_or("m", |(_, model)| model);
+    let runs = match *runner.restarted.borrow() {
+        Some(_) => String::new(),
+        None => format!(r#"["a1",5000,{generated},5]{active}"#),
+    };
     format!(
         r#"{{"stage":"both","models":[{{"name":"{model}","version":1}}],"waiting":0,
-            "kv_total":55000,"running":1,"runs":[["a1",5000,{generated},5]]}}"#
+            "kv_total":55000,"running":1,"runs":[{runs}]}}"#
     )
 }
 
