--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -1,7 +1,12 @@
 //! Race of a silent run and the attempts that may replace it. A silence is no proof of a failure: a run
 //! or an attempt is kept until another run has started, and the first to bring an event wins.
 
+mod state;
+
+pub(super) use self::state::Race;
+
 use {
+    self::state::Pending,
     super::{
         ActiveRun, FinalFailure, Generation, NoAttempt,
         attempt::{Attempt, AttemptOutcome, LostRun, Plan, StartedRun, Suspicion},
@@ -11,33 +16,19 @@
     crate::{
         dialect::Dialect,
         events::Event,
-        fleet::{Endpoint, RunnerKey},
         metrics::{Resume, Silence},
         network::Network,
         pool::SendError,
-        runner_client::LossSign,
     },
     bilberryfront_decide::mover::Response as VersionResponse,
     futures_util::{StreamExt, stream::FuturesUnordered},
-    std::{cell::Cell, rc::Rc, time::Duration},
+    std::time::Duration,
     tokio::{
-        sync::{Notify, mpsc},
+        sync::mpsc,
         time::{Instant, sleep_until},
     },
 };
 
-/// Interval at which a hedge is considered again while none is possible.
-const HEDGE_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of runners that do not respond, or reject the request, from which the next hedge is delayed:
-/// most of them may be in that state.
-const MAX_FAILURES: usize = 2;
-/// Time for which a silent run is waited for after its runner has responded to a probe.
-const RESPONSE_GRACE: Duration = Duration::from_millis(100);
-/// Time of a silence from which the last attempt of the route is used for a hedge as well.
-const RESERVE_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of attempts under way at the same time.
-const MAX_ATTEMPTS: usize = 3;
-
 /// End of a race.
 pub(super) enum RaceEnd {
     /// A run has started.
@@ -56,163 +47,6 @@
     pub(super) first: Option<Event>,
 }
 
-/// State of a race.
-pub(super) struct Race {
-    /// Run that fell silent.
-    pub(super) silent: Option<Box<ActiveRun>>,
-    /// Attempts under way.
-    pub(super) pending: Vec<Pending>,
-    /// Runners that have not responded to a probe since the last delay.
-    pub(super) unresponsive: Vec<RunnerKey>,
-    /// Number of hedges that were sent and ended without a run.
-    rejections: usize,
-    /// Whether the runner of the silent run has responded to a probe.
-    is_responsive: bool,
-    /// Time before which no other hedge is considered.
-    retry_at: Instant,
-    start: Instant,
-}
-
-/// An attempt under way.
-#[derive(Clone)]
-pub(super) struct Pending {
-    plan: Plan,
-    /// Since when and why the attempt is suspect; `None` if it is not.
-    suspect: Option<(Instant, LossSign)>,
-    /// Whether the request was sent; until then, the runner is only probed.
-    is_sent: Rc<Cell<bool>>,
-    /// Cancels the attempt.
-    cancelled: Rc<Notify>,
-}
-
-impl Pending {
-    fn new(plan: Plan) -> Pending {
-        Pending { plan, suspect: None, is_sent: Rc::default(), cancelled: Rc::default() }
-    }
-
-    fn is_fresh(&self) -> bool {
-        self.plan.from_replica.is_none()
-    }
-}
-
-impl Race {
-    fn new(silent: Option<Box<ActiveRun>>) -> Race {
-        let (pending, unresponsive, now) = (Vec::new(), Vec::new(), Instant::now());
-        let (rejections, is_responsive) = (0, false);
-        Race { silent, pending, unresponsive, rejections, is_responsive, retry_at: now, start: now }
-    }
-
-    /// Takes the silent run, with the time for which it was waited for.
-    fn take_silent(&mut self) -> Option<Box<ActiveRun>> {
-        let mut active = self.silent.take()?;
-        active.silent += self.start.elapsed();
-        Some(active)
-    }
-
-    /// Returns whether nothing is under way.
-    pub(super) fn is_empty(&self) -> bool {
-        self.silent.is_none() && self.pending.is_empty()
-    }
-
-    /// Returns whether another attempt is needed: each one under way is suspect.
-    fn needs_attempt(&self) -> bool {
-        self.pending.len() < MAX_ATTEMPTS && self.pending.iter().all(|p| p.suspect.is_some())
-    }
-
-    /// Returns whether another attempt is considered now.
-    fn is_due(&self) -> bool {
-        self.needs_attempt() && (self.is_empty() || Instant::now() >= self.retry_at)
-    }
-
-    fn delay(&mut self) {
-        self.retry_at = Instant::now() + HEDGE_INTERVAL;
-    }
-
-    /// Returns whether an attempt that is not sent yet is to resume from a replica.
-    fn has_unsent_replica(&self) -> bool {
-        self.pending.iter().any(|p| !p.is_fresh() && !p.is_sent.get())
-    }
-
-    fn add_unresponsive(&mut self, key: RunnerKey) {
-        self.unresponsive.push(key);
-        if self.unresponsive.len() >= MAX_FAILURES {
-            self.delay();
-        }
-    }
-
-    /// Counts a hedge that was sent and ended without a run.
-    fn count_rejection(&mut self) {
-        self.rejections += 1;
-        if self.rejections >= MAX_FAILURES {
-            self.delay();
-        }
-    }
-
-    /// Returns the number of runs from the prompt that may start.
-    pub(super) fn fresh_count(&self) -> u32 {
-        self.pending.iter().filter(|p| p.is_fresh()).count() as u32
-    }
-
-    /// Returns the runners that another attempt must not use.
-    pub(super) fn excluded(&self) -> Vec<RunnerKey> {
-        let silent = self.silent.iter().map(|active| active.run.endpoint().key);
-        let pending = self.pending.iter().map(|p| p.plan.endpoint.key);
-        silent.chain(pending).chain(self.unresponsive.iter().copied()).collect()
-    }
-
-    /// Returns the runners of the silent run and of the attempts that continue if these respond again.
-    fn suspects(&self) -> Vec<Endpoint> {
-        let silent = self.silent.iter().filter(|_| !self.is_responsive);
-        let silent = silent.map(|active| active.run.endpoint().clone());
-        let is_unresponsive = |p: &&Pending| matches!(p.suspect, Some((_, LossSign::Unresponsive)));
-        let pending = self.pending.iter().filter(is_unresponsive);
-        silent.chain(pending.map(|p| p.plan.endpoint.clone())).collect()
-    }
-
-    /// Returns whether the last attempt of the route is left for a failure of the silent run.
-    pub(super) fn reserves_attempt(&self) -> bool {
-        self.silent.is_some() && self.start.elapsed() < RESERVE_TIME
-    }
-
-    /// Clears the suspicion of an attempt whose runner responds, or waits for the silent run once.
-    fn record_responsive(&mut self, key: RunnerKey) {
-        match self.pending.iter_mut().find(|p| p.plan.endpoint.key == key) {
-            Some(attempt) => attempt.suspect = None,
-            None => {
-                self.is_responsive = true;
-                self.retry_at = Instant::now() + RESPONSE_GRACE;
-            }
-        }
-    }
-
-    fn add(&mut self, attempt: &Pending) {
-        self.pending.push(attempt.clone());
-    }
-
-    fn suspect(&mut self, suspicion: &Suspicion) {
-        let number = suspicion.number;
-        let Some(index) = self.pending.iter().position(|p| p.plan.number == number) else { return };
-        if let Some(sign) = suspicion.sign {
-            self.pending[index].suspect = Some((Instant::now(), sign));
-        } else if let Some((suspect_at, _)) = self.pending[index].suspect.take() {
-            let work = suspect_at - self.pending[index].plan.sent_at;
-            self.cancel_rival(index, work);
-        }
-    }
-
-    /// Cancels one of two attempts whose runners respond: the one that has worked for less time. The
-    /// attempt at `index` has worked for `work` and was silent since.
-    fn cancel_rival(&self, index: usize, work: Duration) {
-        let is_rival = |p: &&Pending| p.suspect.is_none() && p.is_sent.get();
-        let others = self.pending.iter().enumerate().filter(|(other, _)| *other != index);
-        let Some(rival) = others.map(|(_, p)| p).find(is_rival) else { return };
-        match rival.plan.sent_at.elapsed() < work {
-            true => rival.cancelled.notify_one(),
-            false => self.pending[index].cancelled.notify_one(),
-        }
-    }
-}
-
 impl<D: Dialect, N: Network> Generation<D, N> {
     /// Starts attempts until a run starts, or until `silent` continues.
     pub(super) async fn race(&mut self, silent: Option<Box<ActiveRun>>) -> RaceEnd {
@@ -224,23 +58,7 @@
             if race.is_due() {
                 match self.next_plan(&race, end) {
                     Some(plan) => {
-                        let suspects = race.suspects();
-                        let attempt = Pending::new(plan);
-                        race.add(&attempt);
-                        let Pending { plan, is_sent, cancelled, .. } = attempt;
-                        let (traffic, call) = (self.traffic.clone(), self.call.clone());
-                        let signs = signs.clone();
-                        let attempt = Attempt {
-                            traffic,
-                            call,
-                            plan,
-                            end,
-                            signs,
-                            is_sent,
-                            cancelled,
-                            suspects,
-                        };
-                        attempts.push(attempt.run());
+                        attempts.push(self.start_attempt(&mut race, plan, &signs).run());
                     }
                     None if race.is_empty() => return RaceEnd::Failed(self.final_failure()),
                     None => race.delay(),
@@ -251,15 +69,12 @@
                 next = next_event(&mut race.silent, self.position) => match next {
                     Ok(_) | Err(RunEnd::Whole) => return self.continue_run(race, next),
                     Err(reason) => {
-                        if let Some(active) = race.take_silent() {
-                            if race.pending.iter().all(|p| !p.is_sent.get()) {
-                                // Planned anew, as the replica may be used without a probe now.
-                                attempts.clear();
-                                self.sends -= race.pending.drain(..).len() as u32;
-                            }
-                            self.salvage_replica(&active.run, race.has_unsent_replica());
-                            self.end_run(*active, reason, race.is_empty()).await;
+                        if !race.has_sent() {
+                            // Planned anew, as a replica may be used without a probe now.
+                            attempts.clear();
+                            self.sends -= race.pending.drain(..).len() as u32;
                         }
+                        self.lose_silent_run(&mut race, reason).await;
                     }
                 },
                 Some((plan, outcome)) = attempts.next() => {
@@ -293,6 +108,35 @@
         }
     }
 
+    /// Adds an attempt to a race.
+    fn start_attempt(
+        &self,
+        race: &mut Race,
+        plan: Plan,
+        signs: &mpsc::UnboundedSender<Suspicion>,
+    ) -> Attempt<D, N> {
+        let suspects = race.suspects();
+        let Pending { plan, is_sent, cancelled, .. } = race.add(plan);
+        Attempt {
+            traffic: self.traffic.clone(),
+            call: self.call.clone(),
+            plan,
+            end: self.call.deadline(),
+            signs: signs.clone(),
+            is_sent,
+            cancelled,
+            suspects,
+        }
+    }
+
+    /// Ends the silent run, which has broken, and keeps its replica.
+    async fn lose_silent_run(&mut self, race: &mut Race, reason: RunEnd) {
+        if let Some(active) = race.take_silent() {
+            self.salvage_replica(&active.run, race.has_unsent_replica());
+            self.end_run(*active, reason, race.is_empty()).await;
+        }
+    }
+
     /// Ends a race that the silent run has won.
     fn continue_run(&mut self, mut race: Race, next: Result<Event, RunEnd>) -> RaceEnd {
         let active = race.take_silent().expect("the event is of the silent run");
--- /dev/null
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -0,0 +1,191 @@
+//! State of a race: what is under way, and what has failed.
+
+use {
+    crate::{
+        fleet::{Endpoint, RunnerKey},
+        flow::generation::{
+            ActiveRun,
+            attempt::{Plan, Suspicion},
+        },
+        runner_client::LossSign,
+    },
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::{sync::Notify, time::Instant},
+};
+
+/// Interval at which a hedge is considered again while none is possible.
+const HEDGE_INTERVAL: Duration = Duration::from_millis(250);
+/// Number of runners that do not respond, or reject the request, from which the next hedge is delayed:
+/// most of them may be in that state.
+const MAX_FAILURES: usize = 2;
+/// Time for which a silent run is waited for after its runner has responded to a probe.
+const RESPONSE_GRACE: Duration = Duration::from_millis(100);
+/// Time of a silence from which the last attempt of the route is used for a hedge as well.
+const RESERVE_TIME: Duration = Duration::from_secs(2);
+/// Maximum number of attempts under way at the same time.
+const MAX_ATTEMPTS: usize = 3;
+
+/// State of a race.
+pub(in crate::flow::generation) struct Race {
+    /// Run that fell silent.
+    pub(in crate::flow::generation) silent: Option<Box<ActiveRun>>,
+    /// Attempts under way.
+    pub(in crate::flow::generation) pending: Vec<Pending>,
+    /// Runners that have not responded to a probe since the last delay.
+    pub(in crate::flow::generation) unresponsive: Vec<RunnerKey>,
+    /// Number of hedges that were sent and ended without a run.
+    rejections: usize,
+    /// Whether the runner of the silent run has responded to a probe.
+    is_responsive: bool,
+    /// Time before which no other hedge is considered.
+    pub(super) retry_at: Instant,
+    start: Instant,
+}
+
+/// An attempt under way.
+#[derive(Clone)]
+pub(in crate::flow::generation) struct Pending {
+    pub(super) plan: Plan,
+    /// Since when and why the attempt is suspect; `None` if it is not.
+    suspect: Option<(Instant, LossSign)>,
+    /// Whether the request was sent; until then, the runner is only probed.
+    pub(super) is_sent: Rc<Cell<bool>>,
+    /// Cancels the attempt.
+    pub(super) cancelled: Rc<Notify>,
+}
+
+impl Pending {
+    fn new(plan: Plan) -> Pending {
+        Pending { plan, suspect: None, is_sent: Rc::default(), cancelled: Rc::default() }
+    }
+
+    pub(super) fn is_fresh(&self) -> bool {
+        self.plan.from_replica.is_none()
+    }
+}
+
+impl Race {
+    pub(super) fn new(silent: Option<Box<ActiveRun>>) -> Race {
+        let (pending, unresponsive, now) = (Vec::new(), Vec::new(), Instant::now());
+        let (rejections, is_responsive) = (0, false);
+        Race { silent, pending, unresponsive, rejections, is_responsive, retry_at: now, start: now }
+    }
+
+    /// Takes the silent run, with the time for which it was waited for.
+    pub(super) fn take_silent(&mut self) -> Option<Box<ActiveRun>> {
+        let mut active = self.silent.take()?;
+        active.silent += self.start.elapsed();
+        Some(active)
+    }
+
+    /// Returns whether nothing is under way.
+    pub(in crate::flow::generation) fn is_empty(&self) -> bool {
+        self.silent.is_none() && self.pending.is_empty()
+    }
+
+    /// Returns whether another attempt is needed: each one under way is suspect.
+    pub(super) fn needs_attempt(&self) -> bool {
+        self.pending.len() < MAX_ATTEMPTS && self.pending.iter().all(|p| p.suspect.is_some())
+    }
+
+    /// Returns whether another attempt is considered now.
+    pub(super) fn is_due(&self) -> bool {
+        self.needs_attempt() && (self.is_empty() || Instant::now() >= self.retry_at)
+    }
+
+    pub(super) fn delay(&mut self) {
+        self.retry_at = Instant::now() + HEDGE_INTERVAL;
+    }
+
+    /// Returns whether an attempt has been sent.
+    pub(super) fn has_sent(&self) -> bool {
+        self.pending.iter().any(|p| p.is_sent.get())
+    }
+
+    /// Returns whether an attempt that is not sent yet is to resume from a replica.
+    pub(super) fn has_unsent_replica(&self) -> bool {
+        self.pending.iter().any(|p| !p.is_fresh() && !p.is_sent.get())
+    }
+
+    pub(super) fn add_unresponsive(&mut self, key: RunnerKey) {
+        self.unresponsive.push(key);
+        if self.unresponsive.len() >= MAX_FAILURES {
+            self.delay();
+        }
+    }
+
+    /// Counts a hedge that was sent and ended without a run.
+    pub(super) fn count_rejection(&mut self) {
+        self.rejections += 1;
+        if self.rejections >= MAX_FAILURES {
+            self.delay();
+        }
+    }
+
+    /// Returns the number of runs from the prompt that may start.
+    pub(in crate::flow::generation) fn fresh_count(&self) -> u32 {
+        self.pending.iter().filter(|p| p.is_fresh()).count() as u32
+    }
+
+    /// Returns the runners that another attempt must not use.
+    pub(in crate::flow::generation) fn excluded(&self) -> Vec<RunnerKey> {
+        let silent = self.silent.iter().map(|active| active.run.endpoint().key);
+        let pending = self.pending.iter().map(|p| p.plan.endpoint.key);
+        silent.chain(pending).chain(self.unresponsive.iter().copied()).collect()
+    }
+
+    /// Returns the runners of the silent run and of the attempts that continue if these respond again.
+    pub(super) fn suspects(&self) -> Vec<Endpoint> {
+        let silent = self.silent.iter().filter(|_| !self.is_responsive);
+        let silent = silent.map(|active| active.run.endpoint().clone());
+        let is_unresponsive = |p: &&Pending| matches!(p.suspect, Some((_, LossSign::Unresponsive)));
+        let pending = self.pending.iter().filter(is_unresponsive);
+        silent.chain(pending.map(|p| p.plan.endpoint.clone())).collect()
+    }
+
+    /// Returns whether the last attempt of the route is left for a failure of the silent run.
+    pub(in crate::flow::generation) fn reserves_attempt(&self) -> bool {
+        self.silent.is_some() && self.start.elapsed() < RESERVE_TIME
+    }
+
+    /// Clears the suspicion of an attempt whose runner responds, or waits for the silent run once.
+    pub(super) fn record_responsive(&mut self, key: RunnerKey) {
+        match self.pending.iter_mut().find(|p| p.plan.endpoint.key == key) {
+            Some(attempt) => attempt.suspect = None,
+            None => {
+                self.is_responsive = true;
+                self.retry_at = Instant::now() + RESPONSE_GRACE;
+            }
+        }
+    }
+
+    /// Adds an attempt and returns it.
+    pub(super) fn add(&mut self, plan: Plan) -> Pending {
+        self.pending.push(Pending::new(plan));
+        self.pending[self.pending.len() - 1].clone()
+    }
+
+    /// Records that an attempt became suspect, or that its runner reports it again.
+    pub(super) fn suspect(&mut self, suspicion: &Suspicion) {
+        let number = suspicion.number;
+        let Some(index) = self.pending.iter().position(|p| p.plan.number == number) else { return };
+        if let Some(sign) = suspicion.sign {
+            self.pending[index].suspect = Some((Instant::now(), sign));
+        } else if let Some((suspect_at, _)) = self.pending[index].suspect.take() {
+            let work = suspect_at - self.pending[index].plan.sent_at;
+            self.cancel_rival(index, work);
+        }
+    }
+
+    /// Cancels one of two attempts whose runners respond: the one that has worked for less time. The
+    /// attempt at `index` has worked for `work` and was silent since.
+    fn cancel_rival(&self, index: usize, work: Duration) {
+        let is_rival = |p: &&Pending| p.suspect.is_none() && p.is_sent.get();
+        let others = self.pending.iter().enumerate().filter(|(other, _)| *other != index);
+        let Some(rival) = others.map(|(_, p)| p).find(is_rival) else { return };
+        match rival.plan.sent_at.elapsed() < work {
+            true => rival.cancelled.notify_one(),
+            false => self.pending[index].cancelled.notify_one(),
+        }
+    }
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -16,8 +16,8 @@
 mod partitions;
 #[path = "relay/pauses.rs"]
 mod pauses;
-#[path = "relay/race_review.rs"]
-mod race_review;
+#[path = "relay/races.rs"]
+mod races;
 #[path = "relay/rollouts.rs"]
 mod rollouts;
 #[path = "relay/silences.rs"]
