Report first attempts as they proceed, and log what becomes of silent runners

A change of a rollout's phase logs how many requests wait for the new version, how many of the old one they are compared with, and how many bad responses are known in detail. A runner that falls silent while it holds requests is checked until its process responds again or turns out to have ended, and the result is logged. No decision depends on either yet.

The tests' stand-in can take its host down when it crashes.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -32,7 +32,7 @@
         metrics::Metrics,
         readers::READERS,
         records::Records,
-        rollouts::{RolloutSample, Rollouts},
+        rollouts::{Rollouts, trial::TrialReport},
         settings::Settings,
         store::Store,
         table_sync::TableSync,
@@ -92,15 +92,15 @@
     joining: mpsc::Receiver<join::Progress>,
     demand: Arc<Notify>,
     updates: mpsc::UnboundedReceiver<Update>,
-    samples: mpsc::UnboundedReceiver<RolloutSample>,
+    trials: mpsc::UnboundedReceiver<TrialReport>,
 }
 
 /// Channels to the traffic thread.
 pub struct Channels {
     /// Updates of this node for its peers.
     pub updates: mpsc::UnboundedReceiver<Update>,
-    /// Outcomes of requests during a rollout.
-    pub samples: mpsc::UnboundedReceiver<RolloutSample>,
+    /// First attempts of requests during a rollout.
+    pub trials: mpsc::UnboundedReceiver<TrialReport>,
     /// Updates of peers.
     pub peer_reports: mpsc::UnboundedSender<PeerReport>,
     /// Notified when a request waits for the catalogue or the runners.
@@ -121,7 +121,7 @@
     channels: Channels,
     shutdown: impl Future<Output = ()>,
 ) {
-    let Channels { updates, samples, peer_reports, demand, metrics, tunnels } = channels;
+    let Channels { updates, trials, peer_reports, demand, metrics, tunnels } = channels;
     let (feeds, changes, loaded) = Feeds::start::<R, S>(&settings, &store, &metrics);
     let (progress, joining) = mpsc::channel(1);
     let join = join::join(settings.clone(), store.clone(), metrics.clone(), progress);
@@ -152,7 +152,7 @@
         peer_reports,
         cleaned_at: Instant::now(),
     };
-    let inputs = Inputs { changes, loaded, joining, demand, updates, samples };
+    let inputs = Inputs { changes, loaded, joining, demand, updates, trials };
     control.run_loop(inputs, shutdown).await;
 }
 
@@ -180,7 +180,7 @@
                 () = inputs.demand.notified() => self.load_now(),
                 Some(event) = received.recv(), if placeholder.is_none() => self.handle_peer_event(event),
                 Some(update) = inputs.updates.recv() => self.publish_update(update),
-                Some(sample) = inputs.samples.recv() => self.rollouts.observe(&sample),
+                Some(report) = inputs.trials.recv() => self.rollouts.observe(&report),
                 _ = ticks.tick() => {
                     self.tick();
                     self.step_rollouts();
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -51,6 +51,10 @@
     /// Decodes the runner's identity from a load report; `None` if the runner is not an engine.
     fn identity(&self, body: &[u8]) -> Option<Identity>;
 
+    /// Decodes the start time of the runner's process from a load report, as in its registration; `None` if
+    /// it is not reported.
+    fn born(&self, body: &[u8]) -> Option<u64>;
+
     /// Returns the path of a runner's cache events.
     fn cache_path(&self) -> &'static str;
 
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -324,6 +324,18 @@
         Some(xxh64(runner.registration.id.as_bytes(), runner.registration.born))
     }
 
+    /// Returns the start time of a listed runner's incarnation; `None` if it was not reported by the runner.
+    pub fn born(&self, key: RunnerKey) -> Option<u64> {
+        let inner = self.inner.borrow();
+        let registration = &inner.runners.get(key)?.registration;
+        (!registration.assumed).then_some(registration.born)
+    }
+
+    /// Returns whether this incarnation of a runner is listed.
+    pub fn is_listed(&self, key: RunnerKey) -> bool {
+        self.inner.borrow().runners.contains_key(key)
+    }
+
     /// Returns whether no node has reported a request in flight on a runner.
     pub fn is_idle(&self, key: RunnerKey) -> bool {
         let inner = self.inner.borrow();
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -4,9 +4,10 @@
 mod at_most_once;
 pub mod prefill_rate;
 mod idempotent;
+mod silence;
 
 use {
-    self::prefill_rate::PrefillRate,
+    self::{prefill_rate::PrefillRate, silence::Silences},
     crate::{
         body::ResponseBody,
         budget::{Allowance, Budgets},
@@ -21,8 +22,8 @@
         quarantine::{self, Quarantine, SOUND_TIME},
         rejection::Rejection,
         rollouts::{
-            RolloutSample,
             exposure::{Bound, Exposure},
+            trial::{Trial, TrialReporter, TrialStart},
         },
         runner_client::{CrashCheck, RunnerClient},
         view::{Published, Rule, View},
@@ -38,7 +39,7 @@
         rc::Rc,
         time::Duration,
     },
-    tokio::{sync::mpsc, time::Instant},
+    tokio::time::Instant,
 };
 
 /// Minimum `Retry-After` of a rejected request.
@@ -60,12 +61,13 @@
     pub connections: Rc<Cell<usize>>,
     /// Metrics of this node.
     pub metrics: Metrics,
-    /// Sends outcomes of requests during a rollout to the control thread.
-    pub samples: Option<mpsc::UnboundedSender<RolloutSample>>,
+    /// Reports first attempts of requests during a rollout to the control thread.
+    pub trials: Option<TrialReporter>,
     /// Retry budgets by service.
     pub budgets: Budgets,
     /// Requests that crash runners.
     pub quarantine: Quarantine,
+    silences: Silences,
     exposures: Rc<RefCell<FxHashMap<CompactString, Exposure>>>,
     prefill_rates: Rc<RefCell<FxHashMap<CompactString, PrefillRate>>>,
     bound: Bound,
@@ -109,9 +111,10 @@
             in_flight: Rc::default(),
             connections: Rc::default(),
             metrics,
-            samples: None,
+            trials: None,
             budgets: Budgets::new(allowance),
             quarantine: Quarantine::default(),
+            silences: Silences::default(),
             exposures: Rc::default(),
             prefill_rates: Rc::default(),
             bound,
@@ -183,28 +186,18 @@
         Some(exposure.choose(split, &self.bound, view.senders, rand::rng().random()))
     }
 
-    /// Reports the outcome of a first attempt to the control thread during a rollout, unless the runner
-    /// has another version than the one that the request was assigned to.
-    fn report_sample(&self, call: &Call, runner: RunnerKey, attempt: AttemptSummary) {
-        let (Some(choice), Some(samples)) = (call.version, &self.samples) else { return };
+    /// Reports the start of a first attempt during a rollout, unless the runner has another version than
+    /// the one that the request was assigned to.
+    fn start_trial(&self, call: &Call, runner: RunnerKey) -> Option<Trial> {
+        let (choice, trials) = (call.version?, self.trials.as_ref()?);
         let view = self.published.load();
-        let target = view.splits.get(&call.service).map(|split| &split.to);
-        // The version of a runner that was removed meanwhile is unknown.
-        let version = self.client.fleet.version(runner);
-        if version.is_some_and(|version| (Some(&version) == target) != choice.new) {
-            return;
+        let target = &view.splits.get(&call.service)?.to;
+        if (self.client.fleet.version(runner)? == *target) != choice.new {
+            return None;
         }
-        let sample = RolloutSample {
-            service: call.service.clone(),
-            route: call.route.name.clone(),
-            choice,
-            response: attempt.response,
-            first: attempt.first,
-            pace: attempt.pace,
-            runner: runner.data().as_ffi(),
-        };
-        // The receiver exists as long as the process.
-        _ = samples.send(sample);
+        let (route, runner) = (call.route.name.clone(), runner.data().as_ffi());
+        let start = TrialStart { route, choice, runner, at: call.start };
+        Some(trials.start(&call.service, start))
     }
 
     /// Returns the selection criteria for a request.
@@ -291,17 +284,6 @@
     }
 }
 
-/// Outcome of the first attempt of a request.
-#[derive(Clone, Copy, Debug)]
-struct AttemptSummary {
-    /// Response of the version.
-    response: VersionResponse,
-    /// Time to the first event or the response.
-    first: Option<Duration>,
-    /// Mean time between events.
-    pace: Option<Duration>,
-}
-
 /// Classifies a response by its status and its signature.
 fn classify<D: Dialect>(response: &Response<ResponseBody>, dialect: &D) -> Outcome {
     match response.status() {
@@ -317,10 +299,13 @@
     ids.join(",")
 }
 
-/// Returns the outcome of an attempt without events that has just ended.
-fn summarize(call: &Call, response: VersionResponse) -> AttemptSummary {
-    let is_success = response == VersionResponse::Success;
-    AttemptSummary { response, first: is_success.then(|| call.start.elapsed()), pace: None }
+/// Reports the end of a first attempt without events.
+fn end_trial(trial: Option<Trial>, call: &Call, response: VersionResponse) {
+    let Some(trial) = trial else { return };
+    if response == VersionResponse::Success {
+        trial.respond(call.start.elapsed());
+    }
+    trial.end(response, None);
 }
 
 /// Returns what a send without a response says about the version. One that takes too long is bad.
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -1,7 +1,7 @@
 //! Flow of requests that must not run more than once.
 
 use {
-    super::{Traffic, lost_response, send_options, summarize},
+    super::{Traffic, end_trial, lost_response, send_options},
     crate::{
         body::ResponseBody,
         call::Call,
@@ -38,22 +38,19 @@
         let key = endpoint.key;
         let options = send_options(call, &endpoint, tried.len());
         let sent_at = Instant::now();
+        let trial = traffic.start_trial(call, key);
         match traffic.client.send(call, &endpoint, &options, deadline).await {
             SendOutcome::Answered(reply) => {
                 return match traffic.client.read_body(reply, &endpoint, deadline).await {
                     Ok((parts, bytes)) => {
                         traffic.quarantine.record_response(call);
                         traffic.quarantine.record_sound_run(call, sent_at);
-                        traffic.report_sample(
-                            call,
-                            key,
-                            summarize(call, (!is_failure(parts.status)).into()),
-                        );
+                        end_trial(trial, call, (!is_failure(parts.status)).into());
                         Response::from_parts(parts, bytes.into())
                     }
                     Err(error) => {
                         traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
-                        traffic.report_sample(call, key, summarize(call, lost_response(error)));
+                        end_trial(trial, call, lost_response(error));
                         traffic.reject(call, rejection_of(error))
                     }
                 };
@@ -64,11 +61,15 @@
             // Other runners of the service cannot be reached either.
             SendOutcome::NoPath => break,
             SendOutcome::Lost(error) => {
-                if error == SendError::Disconnected {
-                    fleet.record_failure(key, Instant::now());
-                    traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
+                match error {
+                    SendError::Disconnected => {
+                        fleet.record_failure(key, Instant::now());
+                        traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
+                    }
+                    SendError::Timeout => traffic.check_silence(call, &endpoint, sent_at),
+                    SendError::Unsent | SendError::NoPath => {}
                 }
-                traffic.report_sample(call, key, summarize(call, lost_response(error)));
+                end_trial(trial, call, lost_response(error));
                 return traffic.reject(call, rejection_of(error));
             }
         }
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -27,6 +27,7 @@
         pool::SendError,
         quarantine::SOUND_TIME,
         rejection::Rejection,
+        rollouts::trial::Trial,
     },
     bilberryfront_decide::mover::Response as VersionResponse,
     bytes::Bytes,
@@ -51,6 +52,8 @@
     cached: Option<Endpoint>,
     /// Id of the last event delivered to the caller.
     position: Option<u64>,
+    /// The first send while that has not ended, during a rollout.
+    trial: Option<Trial>,
     /// Runners that failed this stream; selected again only if there is no other.
     failed: Vec<RunnerKey>,
     /// Number of runs that started from the prompt.
@@ -180,6 +183,7 @@
         Generation {
             traffic,
             position: call.head.resume,
+            trial: None,
             call: Rc::new(call),
             cached: None,
             failed: Vec::new(),
@@ -246,6 +250,7 @@
         self.last_replica = None;
         if reason == RunEnd::Silent {
             self.log_silent(&active.run);
+            self.traffic.check_silence(&self.call, active.run.endpoint(), active.sent_at);
             self.record_failure(active.run.endpoint());
             return self.race(Some(Box::new(active))).await;
         }
@@ -262,7 +267,7 @@
             self.traffic.quarantine.record_response(&self.call);
         }
         self.record_sound_run(&mut active);
-        self.report_sample(active.key(), active.number, VersionResponse::Success);
+        self.end_trial(active.number, VersionResponse::Success);
         active.run.release_connection(&self.traffic.client.fleet);
     }
 
@@ -299,7 +304,7 @@
     /// Ends a run: closes its connection, which cancels it, and records the loss.
     async fn end_run(&mut self, active: ActiveRun, reason: RunEnd, is_alone: bool) {
         let (key, endpoint) = (active.key(), active.run.endpoint().clone());
-        self.report_sample(key, active.number, VersionResponse::Lost);
+        self.end_trial(active.number, VersionResponse::Lost);
         self.log_lost(&active.run, reason);
         self.failed.push(key);
         drop(active.run);
@@ -396,19 +401,12 @@
         self.call.route.kind == Kind::Resumable
     }
 
-    /// Reports the outcome of the first send to the control thread during a rollout.
-    fn report_sample(&self, key: RunnerKey, number: u32, response: VersionResponse) {
-        if number > 1 {
-            return;
-        }
+    /// Reports the end of the first send during a rollout.
+    fn end_trial(&mut self, number: u32, response: VersionResponse) {
+        let Some(trial) = self.trial.take_if(|_| number == 1) else { return };
         let events = self.position.unwrap_or_default() - self.call.head.resume.unwrap_or_default();
         let pace = self.first_event_at.map(|at| at.elapsed().div_f64(events.max(1) as f64));
-        let first = self.first_event_at.map(|at| at - self.call.start);
-        self.traffic.report_sample(
-            &self.call,
-            key,
-            super::AttemptSummary { response, first, pace },
-        );
+        trial.end(response, pace);
     }
 
     fn stall_timeout(&self) -> Duration {
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -72,6 +72,8 @@
     pub(super) number: u32,
     /// Runner.
     pub(super) endpoint: Endpoint,
+    /// Time of the send.
+    pub(super) sent_at: Instant,
     /// Why the attempt is suspect; `None` if its runner reports it again.
     pub(super) sign: Option<LossSign>,
 }
@@ -105,6 +107,14 @@
     Cancelled,
 }
 
+impl AttemptOutcome {
+    /// Returns whether the request may have run.
+    pub(super) fn has_run(&self) -> bool {
+        use AttemptOutcome::{Cancelled, Failure, Lost, Started};
+        matches!(self, Started(_) | Failure(..) | Lost(_) | Cancelled)
+    }
+}
+
 /// A send that was lost before the first event.
 pub(super) struct LostRun {
     pub(super) error: SendError,
@@ -254,8 +264,9 @@
     }
 
     fn report(&self, sign: Option<LossSign>) {
-        let (number, endpoint) = (self.plan.number, self.plan.endpoint.clone());
+        let Plan { number, sent_at, .. } = self.plan;
+        let endpoint = self.plan.endpoint.clone();
         // The receiver lives as long as the attempt is polled.
-        _ = self.signs.send(Suspicion { number, endpoint, sign });
+        _ = self.signs.send(Suspicion { number, endpoint, sent_at, sign });
     }
 }
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -19,6 +19,7 @@
         metrics::{Resume, Silence},
         network::Network,
         pool::SendError,
+        runner_client::LossSign,
     },
     bilberryfront_decide::mover::Response as VersionResponse,
     futures_util::{StreamExt, stream::FuturesUnordered},
@@ -95,6 +96,10 @@
                     if suspicion.sign.is_some() {
                         self.record_failure(&suspicion.endpoint);
                     }
+                    if suspicion.sign == Some(LossSign::Unresponsive) {
+                        let Suspicion { endpoint, sent_at, .. } = &suspicion;
+                        self.traffic.check_silence(&self.call, endpoint, *sent_at);
+                    }
                 }
                 () = sleep_until(race.retry_at), if race.needs_attempt() => race.unresponsive.clear(),
                 () = sleep_until(end), if race.pending.is_empty() => {
@@ -110,11 +115,14 @@
 
     /// Adds an attempt to a race.
     fn start_attempt(
-        &self,
+        &mut self,
         race: &mut Race,
         plan: Plan,
         signs: &mpsc::UnboundedSender<Suspicion>,
     ) -> Attempt<D, N> {
+        if plan.number == 1 {
+            self.trial = self.traffic.start_trial(&self.call, plan.endpoint.key);
+        }
         let suspects = race.suspects();
         let Pending { plan, is_sent, cancelled, .. } = race.add(plan);
         Attempt {
@@ -155,15 +163,17 @@
         self.last_replica = None;
         self.count_cancelled(&race);
         for attempt in race.pending.iter().filter(|p| p.is_sent.get()) {
-            let (key, number) = (attempt.plan.endpoint.key, attempt.plan.number);
-            self.report_sample(key, number, VersionResponse::Lost);
-            self.failed.push(key);
+            self.end_trial(attempt.plan.number, VersionResponse::Lost);
+            self.failed.push(attempt.plan.endpoint.key);
         }
         let StartedRun { parts, run, first } = started;
         let is_fresh = plan.from_replica.is_none();
         self.reached_runner = true;
         self.runs += u32::from(is_fresh);
         self.first_event_at.get_or_insert_with(Instant::now);
+        if let Some(trial) = self.trial.as_ref().filter(|_| plan.number == 1) {
+            trial.respond(self.call.start.elapsed());
+        }
         if plan.number == 1 && self.call.head.resume.is_none() {
             let (tokens, took) = (self.call.size().prompt, self.call.start.elapsed());
             self.traffic.prefill_rate(&self.call.service, |rate| rate.observe(tokens, took));
@@ -196,11 +206,12 @@
     ) -> Option<FinalFailure> {
         let Plan { endpoint, from_replica, number, sent_at, is_hedge, .. } = plan;
         let is_fresh = from_replica.is_none();
+        self.trial.take_if(|_| number == 1 && !outcome.has_run());
         match outcome {
             AttemptOutcome::Started(_) => unreachable!("a started run ends the race"),
             AttemptOutcome::Failure(parts, bytes) => {
                 self.reached_runner = true;
-                self.report_sample(endpoint.key, number, VersionResponse::Failure);
+                self.end_trial(number, VersionResponse::Failure);
                 self.runs += 1;
                 self.failure = Some((parts, bytes));
             }
@@ -225,7 +236,7 @@
                 return None;
             }
             AttemptOutcome::Cancelled => {
-                self.report_sample(endpoint.key, number, VersionResponse::Lost);
+                self.end_trial(number, VersionResponse::Lost);
                 self.runs += u32::from(is_fresh);
                 return None;
             }
@@ -249,7 +260,7 @@
             }
             AttemptOutcome::Lost(LostRun { error, is_suspect }) => {
                 self.reached_runner = true;
-                self.report_sample(endpoint.key, number, VersionResponse::Lost);
+                self.end_trial(number, VersionResponse::Lost);
                 self.runs += u32::from(is_fresh);
                 self.lost = Some(error);
                 self.record_failure(&endpoint);
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -1,7 +1,7 @@
 //! Flow of idempotent requests.
 
 use {
-    super::{Traffic, lost_response, send_options, summarize},
+    super::{Traffic, end_trial, lost_response, send_options},
     crate::{
         body::ResponseBody,
         call::Call,
@@ -10,6 +10,7 @@
         network::Network,
         pool::SendError,
         rejection::Rejection,
+        rollouts::trial::Trial,
         runner_client::{SendOutcome, is_failure},
     },
     bilberryfront_decide::mover::Response as VersionResponse,
@@ -31,6 +32,8 @@
     tried: Vec<RunnerKey>,
     /// Runner of the first attempt while that has not ended.
     first: Option<RunnerKey>,
+    /// The first attempt while that has not ended, during a rollout.
+    trial: Option<Trial>,
     /// Number of attempts that have not ended.
     pending: u32,
     /// Runner of the newest attempt while that has not ended.
@@ -77,6 +80,7 @@
             let earlier = progress.tried.len();
             if earlier == 0 {
                 progress.first = Some(endpoint.key);
+                progress.trial = traffic.start_trial(call, endpoint.key);
             }
             progress.newest = Some(endpoint.key);
             progress.tried.push(endpoint.key);
@@ -95,20 +99,18 @@
         let Some(ended) = ended else { break None };
         progress.pending -= 1;
         progress.newest.take_if(|runner| *runner == ended.endpoint.key);
-        if let Some(runner) = progress.first.take_if(|runner| *runner == ended.endpoint.key)
-            && let Some(response) = sample_response(&ended.result)
-        {
-            traffic.report_sample(call, runner, summarize(call, response));
+        if progress.first.take_if(|runner| *runner == ended.endpoint.key).is_some() {
+            let trial = progress.trial.take();
+            if let Some(response) = sample_response(&ended.result) {
+                end_trial(trial, call, response);
+            }
         }
         let response = evaluate(traffic, call, &mut progress, ended).await;
         if response.is_some() {
             break response;
         }
     };
-    if let Some(runner) = progress.first {
-        let response = lost_response(SendError::Timeout);
-        traffic.report_sample(call, runner, summarize(call, response));
-    }
+    end_trial(progress.trial.take(), call, lost_response(SendError::Timeout));
     match response.or(progress.failure.take()) {
         Some((parts, bytes)) => Response::from_parts(parts, bytes.into()),
         None => traffic.reject(call, rejection_of(traffic, call, &progress)),
@@ -232,7 +234,10 @@
             progress.runs += 1;
             progress.lost = Some(error);
             match error {
-                SendError::Timeout => fleet.record_overload(key, Instant::now()),
+                SendError::Timeout => {
+                    fleet.record_overload(key, Instant::now());
+                    traffic.check_silence(call, &endpoint, sent_at);
+                }
                 SendError::Unsent | SendError::NoPath | SendError::Disconnected => {
                     fleet.record_failure(key, Instant::now());
                     traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
--- a/crates/relay/src/load_sync.rs
+++ b/crates/relay/src/load_sync.rs
@@ -1,7 +1,7 @@
 //! Exchange of load updates between the traffic thread and peers.
 
 use {
-    crate::{budget::Budgets, fleet::Fleet, quarantine::Quarantine, rollouts::RolloutSample},
+    crate::{budget::Budgets, fleet::Fleet, quarantine::Quarantine},
     bilberryfront_decide::member::message::{CrashReport, Load, PatternReport, PromptReport},
     compact_str::CompactString,
     std::time::Duration,
@@ -77,8 +77,6 @@
 pub struct Channels {
     /// Updates of this node.
     pub updates: mpsc::UnboundedSender<Update>,
-    /// Outcomes of requests during a rollout.
-    pub samples: mpsc::UnboundedSender<RolloutSample>,
     /// Updates of peers.
     pub peer_reports: mpsc::UnboundedReceiver<PeerReport>,
 }
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -51,6 +51,8 @@
 pub const RUNNER_CRASHED: &str = "runner crashed while running a request";
 /// A response was lost, and its runner is not found to have crashed; followed by the reason.
 pub const NO_CRASH: &str = "the runner of a lost response has not crashed: ";
+/// What has become of a runner that fell silent while it held requests; followed by its fate.
+pub const SILENT_RUNNER: &str = "silent runner: ";
 /// Request quarantined, since it has crashed several runners.
 pub const QUARANTINED: &str = "request quarantined: it crashes runners";
 /// Run of a suspect or quarantined request completed.
@@ -72,7 +74,7 @@
 pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 32] = [
+pub const ALL: [&str; 33] = [
     REJECTED,
     RUN_STARTED,
     RUN_SILENT,
@@ -97,6 +99,7 @@
     RUNNER_DRAINING,
     RUNNER_CRASHED,
     NO_CRASH,
+    SILENT_RUNNER,
     QUARANTINED,
     QUARANTINE_ENDED,
     PROMPTS_QUARANTINED,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -12,6 +12,7 @@
         metrics::Metrics,
         network::Transport,
         records::Records,
+        rollouts::trial::TrialReporter,
         server::{self, Purpose},
         settings::Settings,
         store::Store,
@@ -83,7 +84,7 @@
     let (end, ended) = oneshot::channel::<()>();
     let (done, finished) = mpsc::channel::<()>();
     let (load_sender, load_receiver) = unbounded_channel();
-    let (sample_sender, sample_receiver) = unbounded_channel();
+    let (trial_sender, trial_receiver) = unbounded_channel();
     let (report_sender, report_receiver) = unbounded_channel();
     let metrics = Metrics::default();
     let demand = Arc::new(Notify::new());
@@ -97,7 +98,7 @@
             let shutdown = async move { _ = ended.await };
             let channels = control::Channels {
                 updates: load_receiver,
-                samples: sample_receiver,
+                trials: trial_receiver,
                 peer_reports: report_sender,
                 demand: signal,
                 metrics,
@@ -123,21 +124,13 @@
         bounds.exposure_bound(),
     );
     traffic.client.fleet.set_domain(&settings.domain);
-    traffic.samples = Some(sample_sender.clone());
+    traffic.trials = Some(TrialReporter::new(trial_sender));
     traffic.set_metrics(&metrics);
     let handler =
         Handler { traffic, drain, demand, max_addresses_ttl: settings.bounds.max_addresses_ttl() };
     LocalSet::new().block_on(
         &runtime()?,
-        serve(
-            settings,
-            handler,
-            Channels {
-                updates: load_sender,
-                samples: sample_sender,
-                peer_reports: report_receiver,
-            },
-        ),
+        serve(settings, handler, Channels { updates: load_sender, peer_reports: report_receiver }),
     )?;
     _ = end.send(());
     // Nothing is sent; the channel disconnects when the control thread ends.
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -10,16 +10,14 @@
 mod comparison;
 pub mod exposure;
 mod track;
+pub mod trial;
 
 pub use self::track::{Action, Phase};
 
 use {
-    self::track::Rollout,
+    self::{track::Rollout, trial::TrialReport},
     crate::{store::Revision, view::Splits},
-    bilberryfront_decide::{
-        id::Incarnation,
-        mover::{Choice, MoveUpdate, Response, Sample},
-    },
+    bilberryfront_decide::{id::Incarnation, mover::MoveUpdate},
     compact_str::CompactString,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::time::Instant,
@@ -47,25 +45,6 @@
     pub phase: Phase,
 }
 
-/// Outcome of a request during a rollout.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RolloutSample {
-    /// Service.
-    pub service: CompactString,
-    /// Route.
-    pub route: CompactString,
-    /// Version assignment.
-    pub choice: Choice,
-    /// Response.
-    pub response: Response,
-    /// Time to the first event or the response.
-    pub first: Option<Duration>,
-    /// Mean time between events.
-    pub pace: Option<Duration>,
-    /// Number that identifies the runner on this node.
-    pub runner: u64,
-}
-
 /// All rollouts.
 pub struct Rollouts {
     me: Incarnation,
@@ -121,18 +100,10 @@
         self.statuses.remove(service);
     }
 
-    /// Records the outcome of a request.
-    pub fn observe(&mut self, sample: &RolloutSample) {
-        if let Some(rollout) = self.rollouts.get_mut(&sample.service) {
-            rollout.observe(&Sample {
-                choice: sample.choice,
-                route: &sample.route,
-                response: sample.response,
-                first: sample.first,
-                pace: sample.pace,
-                runner: sample.runner,
-                account: 0,
-            });
+    /// Applies a report on the first attempt of a request.
+    pub fn observe(&mut self, report: &TrialReport) {
+        if let Some(rollout) = self.rollouts.get_mut(&report.service) {
+            rollout.observe(report.number, &report.event);
         }
     }
 
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -1,7 +1,11 @@
 //! State machine of one rollout.
 
 use {
-    super::{RolloutOrder, RolloutStatus, comparison, exposure::CANARY_SHARE},
+    super::{
+        RolloutOrder, RolloutStatus, comparison,
+        exposure::CANARY_SHARE,
+        trial::{TrialEvent, TrialStart},
+    },
     crate::{
         store::Revision,
         view::{Rule, Split},
@@ -87,6 +91,13 @@
     Broadcast(MoveUpdate),
 }
 
+/// A first attempt that has not ended.
+struct Trial {
+    start: TrialStart,
+    /// Time to the first event or the response.
+    first: Option<Duration>,
+}
+
 pub(super) struct Rollout {
     me: Incarnation,
     revision: Revision,
@@ -103,6 +114,8 @@
     /// Time at which the stored status was last read.
     recorded_at: Instant,
     collector: Collector,
+    /// First attempts that have not ended, by number.
+    trials: BTreeMap<u64, Trial>,
     pool: PooledEvidence,
     /// Number of requests of the new version with bad events, at all nodes; a lower bound.
     bad: u32,
@@ -119,6 +132,13 @@
     sequence: u64,
 }
 
+impl Trial {
+    /// Returns whether the attempt waits for the new version.
+    fn is_waiting(&self) -> bool {
+        self.start.choice.new && self.first.is_none()
+    }
+}
+
 impl Rollout {
     pub(super) fn new(
         now: Instant,
@@ -137,6 +157,7 @@
             recorded: None,
             recorded_at: now,
             collector: Collector::default(),
+            trials: BTreeMap::new(),
             pool: PooledEvidence::default(),
             bad: 0,
             routes: BTreeMap::new(),
@@ -212,9 +233,33 @@
         self.replaced = Some((former.revision.number, former.order.clone()));
     }
 
-    pub(super) fn observe(&mut self, sample: &Sample<'_>) {
-        if sample.choice.id == Some(self.id()) {
-            self.collector.observe(sample, &self.routes);
+    /// Applies what happened to the first attempt of a request.
+    pub(super) fn observe(&mut self, number: u64, event: &TrialEvent) {
+        match event {
+            TrialEvent::Started(start) if start.choice.id == Some(self.id()) => {
+                self.trials.insert(number, Trial { start: start.clone(), first: None });
+            }
+            TrialEvent::Started(_) => {}
+            TrialEvent::Responded(latency) => {
+                if let Some(trial) = self.trials.get_mut(&number) {
+                    trial.first = Some(*latency);
+                }
+            }
+            TrialEvent::Ended { response, pace } => {
+                if let Some(Trial { start, first }) = self.trials.remove(&number) {
+                    let sample = Sample {
+                        choice: start.choice,
+                        route: &start.route,
+                        response: *response,
+                        first,
+                        pace: *pace,
+                        runner: start.runner,
+                        account: 0,
+                    };
+                    self.collector.observe(&sample, &self.routes);
+                }
+            }
+            TrialEvent::Dropped => _ = self.trials.remove(&number),
         }
     }
 
@@ -256,8 +301,11 @@
 
     fn transition(&mut self, signal: Signal) {
         let Some(next) = CHART.next(self.phase, signal) else { return };
+        let waiting = self.trials.values().filter(|trial| trial.is_waiting());
         log::info!(service = self.order.service.as_str(), to = self.order.to.as_str(),
-            served = self.served(), bad = self.bad;
+            served = self.served(), bad = self.bad, known_bad = self.pool.bad(),
+            control = self.routes.values().map(|counts| counts.control).sum::<u32>(),
+            waiting = waiting.count();
             "rollout phase changed from {:?} to {next:?}", self.phase);
         self.phase = next;
     }
--- /dev/null
+++ b/crates/relay/src/rollouts/trial.rs
@@ -0,0 +1,109 @@
+//! First attempts of requests during a rollout, as the traffic thread reports them.
+
+use {
+    bilberryfront_decide::mover::{Choice, Response},
+    compact_str::CompactString,
+    std::{cell::Cell, rc::Rc, time::Duration},
+    tokio::{sync::mpsc, time::Instant},
+};
+
+/// Report on the first attempt of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TrialReport {
+    /// Service.
+    pub service: CompactString,
+    /// Number that identifies the attempt on this node.
+    pub number: u64,
+    /// What happened.
+    pub event: TrialEvent,
+}
+
+/// What happened to the first attempt of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum TrialEvent {
+    /// It is sent to a runner.
+    Started(TrialStart),
+    /// The first event or the response has arrived, this long after the request.
+    Responded(Duration),
+    /// It has ended.
+    Ended {
+        /// Response.
+        response: Response,
+        /// Mean time between events.
+        pace: Option<Duration>,
+    },
+    /// It has ended without a result, as it has not run or the caller has left.
+    Dropped,
+}
+
+/// Start of the first attempt of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TrialStart {
+    /// Route.
+    pub route: CompactString,
+    /// Version assignment.
+    pub choice: Choice,
+    /// Number that identifies the runner on this node.
+    pub runner: u64,
+    /// Arrival of the request.
+    pub at: Instant,
+}
+
+/// Sends reports to the control thread. Clones share the numbers.
+#[derive(Clone)]
+pub struct TrialReporter {
+    sender: mpsc::UnboundedSender<TrialReport>,
+    next: Rc<Cell<u64>>,
+}
+
+impl TrialReporter {
+    /// Creates a reporter.
+    pub fn new(sender: mpsc::UnboundedSender<TrialReport>) -> TrialReporter {
+        TrialReporter { sender, next: Rc::default() }
+    }
+
+    /// Reports the start of an attempt.
+    pub fn start(&self, service: &CompactString, start: TrialStart) -> Trial {
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let (service, sender) = (service.clone(), self.sender.clone());
+        let trial = Trial { service, number, sender, is_over: false };
+        trial.report(TrialEvent::Started(start));
+        trial
+    }
+}
+
+/// The first attempt of a request, while it is under way. Reported as dropped if it is not ended.
+pub struct Trial {
+    service: CompactString,
+    number: u64,
+    sender: mpsc::UnboundedSender<TrialReport>,
+    is_over: bool,
+}
+
+impl Trial {
+    /// Reports the first event or the response, `latency` after the request.
+    pub fn respond(&self, latency: Duration) {
+        self.report(TrialEvent::Responded(latency));
+    }
+
+    /// Reports the end.
+    pub fn end(mut self, response: Response, pace: Option<Duration>) {
+        self.is_over = true;
+        self.report(TrialEvent::Ended { response, pace });
+    }
+
+    fn report(&self, event: TrialEvent) {
+        let (service, number) = (self.service.clone(), self.number);
+        // The receiver exists as long as the process.
+        _ = self.sender.send(TrialReport { service, number, event });
+    }
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        if !self.is_over {
+            self.report(TrialEvent::Dropped);
+        }
+    }
+}
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -351,6 +351,28 @@
         }
     }
 
+    /// Checks whether the process of a silent runner, which was started at `born`, has ended. One that
+    /// accepts connections without a response may continue.
+    pub async fn check_incarnation(&self, endpoint: &Endpoint, born: Option<u64>) -> CrashCheck {
+        let start = Instant::now();
+        let report = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await;
+        let reported = report.as_ref().and_then(|body| self.dialect.born(body));
+        if let (Some(reported), Some(born)) = (reported, born)
+            && reported != born
+        {
+            self.fleet.record_replacement(endpoint.key, Instant::now());
+            return CrashCheck::Crashed;
+        }
+        let last_seen = self.fleet.last_seen(endpoint.key);
+        if report.is_some() || last_seen.is_some_and(|last_seen| last_seen >= start) {
+            return CrashCheck::Running;
+        }
+        match self.check_crash(endpoint).await {
+            CrashCheck::Running => CrashCheck::Unreachable,
+            check => check,
+        }
+    }
+
     async fn connect_for_check(&self, endpoint: &Endpoint) -> io::Result<N::Stream> {
         if self.fleet.needs_tunnel(endpoint.key) {
             return timeout(TUNNEL_CHECK_TIMEOUT, self.connect_through_nodes(endpoint)).await?;
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -7,8 +7,9 @@
     },
     bilberryfront_relay::{
         rollouts::{
-            Action, Phase, RolloutOrder, RolloutSample, RolloutStatus, Rollouts,
+            Action, Phase, RolloutOrder, RolloutStatus, Rollouts,
             exposure::{Bound, Exposure},
+            trial::{TrialEvent, TrialReport, TrialStart},
         },
         store::Revision,
         view::{Rule, Split},
@@ -74,6 +75,8 @@
     store_down: bool,
     final_writes: u32,
     messages: Vec<(usize, MoveUpdate)>,
+    /// Number of all requests.
+    requests: u32,
     /// Number of requests since the order, and of those sent to the new version.
     all: u32,
     new: u32,
@@ -127,6 +130,7 @@
             store_down: false,
             final_writes: 0,
             messages: Vec::new(),
+            requests: 0,
             all: 0,
             new: 0,
             bad: 0,
@@ -230,19 +234,25 @@
         // The version gives no response to a partitioned node.
         let is_response = choice.new && !self.nodes[i].is_partitioned;
         self.bad += u32::from(is_response && (!ok || is_slow) && split.rule != Rule::OnlyNew);
-        let sample = RolloutSample {
-            service: "llm".into(),
+        let response = match self.nodes[i].is_partitioned {
+            true => Response::Lost,
+            false => ok.into(),
+        };
+        let start = TrialStart {
             route: route.into(),
             choice,
-            response: match self.nodes[i].is_partitioned {
-                true => Response::Lost,
-                false => ok.into(),
-            },
-            first: Some(first * if is_slow { 4 } else { 1 }),
-            pace: None,
             runner: self.rng.random_range(0..4),
+            at: now,
         };
-        self.nodes[i].rollouts.observe(&sample);
+        for event in [
+            TrialEvent::Started(start),
+            TrialEvent::Responded(first * if is_slow { 4 } else { 1 }),
+            TrialEvent::Ended { response, pace: None },
+        ] {
+            let (service, number) = ("llm".into(), u64::from(self.requests));
+            self.nodes[i].rollouts.observe(&TrialReport { service, number, event });
+        }
+        self.requests += 1;
     }
 
     fn split(&self, i: usize) -> Split {
--- a/tests/relay/races.rs
+++ b/tests/relay/races.rs
@@ -2,21 +2,18 @@
 
 use {
     super::support::{
-        Deployment, ENGINES, PLAIN, Runner, Script, StreamEnd, call, ms, node_address, run_local,
+        Deployment, ENGINES, PLAIN, Runner, Script, StreamEnd, Trials, call, ms, node_address,
+        run_local,
     },
     bilberryfront_decide::mover::{MoveId, Response as VersionResponse},
     bilberryfront_relay::{
         budget::{Allowance, Budgets},
         call::Call,
-        rollouts::RolloutSample,
         view::{Registration, Rule, Split, State, View},
     },
     http_body_util::BodyExt,
     std::{rc::Rc, sync::Arc, time::Duration},
-    tokio::{
-        sync::mpsc,
-        time::{Instant, sleep},
-    },
+    tokio::time::{Instant, sleep},
 };
 
 /// Headers of a prompt whose last segment is `b7`.
@@ -175,17 +172,16 @@
 #[tokio::test(start_paused = true)]
 async fn replaced_first_attempt_is_a_sample_of_its_version() {
     run_local(async {
-        let (sender, mut samples) = mpsc::unbounded_channel::<RolloutSample>();
         let mut deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"], &events(5, ms(40)));
-        deployment.traffic.samples = Some(sender);
+        let mut trials = Trials::of(&mut deployment);
         for runner in &deployment.runners[..2] {
             *runner.script.borrow_mut() = Script::Hang;
             runner.generated_events.set(12);
         }
         start_at_new_version(&deployment).await.into_body().collect().await.unwrap();
-        let mut new = std::iter::from_fn(|| samples.try_recv().ok()).filter(|s| s.choice.new);
-        let sample = new.next().expect("the new version got a request and lost it");
-        assert_eq!(sample.response, VersionResponse::Lost);
+        let mut new = trials.take_ended().into_iter().filter(|(is_new, _)| *is_new);
+        let (_, response) = new.next().expect("the new version got a request and lost it");
+        assert_eq!(response, VersionResponse::Lost);
     })
     .await;
 }
--- a/tests/relay/rollouts.rs
+++ b/tests/relay/rollouts.rs
@@ -1,14 +1,10 @@
 //! Requests during a rollout, through one node.
 
 use {
-    super::support::{Deployment, PLAIN, Script, node_address, run_local},
+    super::support::{Deployment, PLAIN, Script, Trials, node_address, run_local},
     bilberryfront_decide::mover::MoveId,
-    bilberryfront_relay::{
-        rollouts::RolloutSample,
-        view::{Registration, Rule, Split, State, View},
-    },
+    bilberryfront_relay::view::{Registration, Rule, Split, State, View},
     std::sync::Arc,
-    tokio::sync::mpsc,
 };
 
 /// Numbers of runners of the new and of the old version.
@@ -89,14 +85,12 @@
 #[tokio::test(start_paused = true)]
 async fn request_that_fails_on_the_new_version_is_retried_on_the_old_one() {
     run_local(async {
-        let (sender, mut samples) = mpsc::unbounded_channel::<RolloutSample>();
         let mut deployment = start_rollout(500);
-        deployment.traffic.samples = Some(sender);
+        let mut trials = Trials::of(&mut deployment);
         for _ in 0..60 {
             assert_eq!(deployment.serve("/look/1", &[]).await.status, 200);
         }
-        let assigned = std::iter::from_fn(|| samples.try_recv().ok());
-        let assigned = assigned.filter(|sample| sample.choice.new).count();
+        let assigned = trials.take_ended().into_iter().filter(|(is_new, _)| *is_new).count();
         assert!(assigned > 0);
         assert_eq!(new_requests(&deployment), assigned);
     })
@@ -108,9 +102,8 @@
 #[tokio::test(start_paused = true)]
 async fn request_that_ran_on_another_version_is_no_sample() {
     run_local(async {
-        let (sender, mut samples) = mpsc::unbounded_channel::<RolloutSample>();
         let mut deployment = start_rollout(200);
-        deployment.traffic.samples = Some(sender);
+        let mut trials = Trials::of(&mut deployment);
         update(&deployment, |index, registration| {
             if index < RUNNERS.0 {
                 registration.state = State::Draining;
@@ -119,9 +112,9 @@
         for _ in 0..60 {
             assert_eq!(deployment.serve("/look/1", &[]).await.status, 200);
         }
-        let reported: Vec<_> = std::iter::from_fn(|| samples.try_recv().ok()).collect();
-        assert!(reported.iter().any(|sample| !sample.choice.new));
-        assert!(!reported.iter().any(|sample| sample.choice.new));
+        let reported = trials.take_ended();
+        assert!(reported.iter().any(|(is_new, _)| !is_new));
+        assert!(!reported.iter().any(|(is_new, _)| *is_new));
     })
     .await;
 }
--- a/tests/relay/silences.rs
+++ b/tests/relay/silences.rs
@@ -2,12 +2,12 @@
 
 use {
     super::support::{
-        Deployment, ENGINES, Received, Runner, Script, StreamEnd, call, ms, node_address, run_local,
+        Deployment, ENGINES, Received, Runner, Script, StreamEnd, Trials, call, ms, node_address,
+        run_local,
     },
     bilberryfront_decide::mover::{MoveId, Response as VersionResponse},
     bilberryfront_relay::{
         body::ResponseBody,
-        rollouts::RolloutSample,
         view::{Rule, Split, View},
     },
     futures_util::future::join_all,
@@ -16,7 +16,6 @@
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{rc::Rc, sync::Arc, time::Duration},
     tokio::{
-        sync::mpsc,
         task::JoinHandle,
         time::{Instant, sleep, timeout},
     },
@@ -803,18 +802,12 @@
     deployment.traffic.published.store(View { runners, splits, ..view });
 }
 
-/// Returns a node during a rollout, and the receiver of its samples.
-fn rollout() -> (Deployment, mpsc::UnboundedReceiver<RolloutSample>) {
-    let (sender, samples) = mpsc::unbounded_channel();
+/// Returns a node during a rollout, and the first attempts of its requests.
+fn rollout() -> (Deployment, Trials) {
     let mut deployment = Deployment::new(ENGINES, &["a", "b", "c", "a", "b", "c"], &EVENTS);
-    deployment.traffic.samples = Some(sender);
+    let trials = Trials::of(&mut deployment);
     start_rollout(&deployment, &[0, 1, 2]);
-    (deployment, samples)
-}
-
-fn responses(samples: &mut mpsc::UnboundedReceiver<RolloutSample>) -> Vec<(bool, VersionResponse)> {
-    let samples = std::iter::from_fn(|| samples.try_recv().ok());
-    samples.map(|sample| (sample.choice.new, sample.response)).collect()
+    (deployment, trials)
 }
 
 /// Guards against a silence that counts as a failure of the version although the run goes on and
@@ -823,14 +816,14 @@
 async fn silent_run_that_completes_is_a_success_of_its_version() {
     for _ in 0..30 {
         run_local(async {
-            let (deployment, mut samples) = rollout();
+            let (deployment, mut trials) = rollout();
             let mut stream = Stream::start(&deployment, "/stream/1").await;
             stream.deployment.runners.iter().for_each(|r| r.pause_for(ms(1_000)));
             assert!(stream.finish().await);
             let is_new = deployment.runners[..3].iter().any(|r| r.id == stream.first.id);
             let is_replaced = stream.rest.iter().any(|r| r.request_count() > 0);
             assert!(!is_replaced);
-            assert_eq!(responses(&mut samples), [(is_new, VersionResponse::Success)]);
+            assert_eq!(trials.take_ended(), [(is_new, VersionResponse::Success)]);
         })
         .await;
     }
@@ -841,12 +834,12 @@
 async fn silent_run_that_is_replaced_is_lost_by_its_version() {
     for _ in 0..30 {
         run_local(async {
-            let (deployment, mut samples) = rollout();
+            let (deployment, mut trials) = rollout();
             let mut stream = Stream::start(&deployment, "/stream/1").await;
             stream.first.pause_for(FOREVER);
             assert!(stream.finish().await);
             let is_new = deployment.runners[..3].iter().any(|r| r.id == stream.first.id);
-            assert_eq!(responses(&mut samples), [(is_new, VersionResponse::Lost)]);
+            assert_eq!(trials.take_ended(), [(is_new, VersionResponse::Lost)]);
         })
         .await;
     }
@@ -858,7 +851,7 @@
 async fn attempt_that_is_replaced_before_its_first_event_is_lost_by_its_version() {
     for _ in 0..30 {
         run_local(async {
-            let (deployment, mut samples) = rollout();
+            let (deployment, mut trials) = rollout();
             let request = spawn(&deployment, "/stream/1", &PROMPT);
             sleep(ms(1)).await;
             let (first, _) = first_runner(&deployment);
@@ -866,7 +859,7 @@
             let received = request.await.unwrap();
             assert_eq!((received.status, received.event_ids()), (200, all(LAST)));
             let is_new = deployment.runners[..3].iter().any(|r| r.id == first.id);
-            assert_eq!(responses(&mut samples), [(is_new, VersionResponse::Lost)]);
+            assert_eq!(trials.take_ended(), [(is_new, VersionResponse::Lost)]);
         })
         .await;
     }
@@ -879,7 +872,7 @@
     let mut moved = 0;
     for round in 0..300 {
         run_local(async {
-            let (deployment, _samples) = rollout();
+            let (deployment, _trials) = rollout();
             deployment
                 .runners
                 .iter()
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -2,6 +2,7 @@
 
 use {
     async_stream::stream,
+    bilberryfront_decide::mover::Response as VersionResponse,
     bilberryfront_platform::{Http, RowCodec},
     bilberryfront_relay::{
         body::ResponseBody,
@@ -14,7 +15,10 @@
         flow::Traffic,
         network::Network,
         records::Records,
-        rollouts::exposure::Bound,
+        rollouts::{
+            exposure::Bound,
+            trial::{TrialEvent, TrialReport, TrialReporter},
+        },
         view::{NodeAddress, Published, Registration, Splits, State, View},
     },
     bytes::Bytes,
@@ -41,7 +45,7 @@
     },
     tokio::{
         io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream, ReadBuf},
-        sync::mpsc::Sender,
+        sync::mpsc::{self, Sender},
         task::{AbortHandle, LocalSet},
         time::{Instant, sleep, sleep_until},
     },
@@ -219,6 +223,8 @@
     pub(crate) crash_body: RefCell<Option<Bytes>>,
     /// Time from the arrival of a request with `crash_body` to the crash, if resumed runs do not crash.
     pub(crate) crash_delay: Cell<Option<Duration>>,
+    /// Whether the host fails with the process: open connections hang, and new ones get no response.
+    pub(crate) is_dark_crash: Cell<bool>,
     /// Parts of prompts that crash the runner.
     pub(crate) crashing_parts: RefCell<Vec<CrashingPart>>,
     /// Instance id of the process that was started later at the same address, and the model that it
@@ -279,6 +285,7 @@
             is_crashed: Cell::new(false),
             crash_body: RefCell::default(),
             crash_delay: Cell::new(None),
+            is_dark_crash: Cell::new(false),
             crashing_parts: RefCell::default(),
             restarted: RefCell::default(),
             rate_limit: Cell::new(None),
@@ -302,6 +309,15 @@
         self.connections.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
+    /// Crashes the runner because of a request; see [`Runner::is_dark_crash`].
+    fn crash_by_request(&self) {
+        match self.is_dark_crash.get() {
+            true if self.is_paused() => {}
+            true => self.pause(),
+            false => self.crash(),
+        }
+    }
+
     /// Pauses the runner: it neither reads nor sends nor generates anything, but its connections
     /// stay open and new ones are accepted.
     #[allow(dead_code, reason = "used by some of the test programs only")]
@@ -678,7 +694,7 @@
         let runner = runner.clone();
         tokio::task::spawn_local(async move {
             sleep(delay).await;
-            runner.crash();
+            runner.crash_by_request();
         });
     }
     let has_copy = parts.headers.contains_key("kv-from");
@@ -1057,6 +1073,41 @@
     }
 }
 
+/// First attempts of requests during a rollout, as a node reports them.
+pub(crate) struct Trials {
+    reports: mpsc::UnboundedReceiver<TrialReport>,
+    /// Whether each attempt that has not ended is one of the new version, by number.
+    open: HashMap<u64, bool>,
+}
+
+impl Trials {
+    /// Receives the reports of a node from now on.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn of(deployment: &mut Deployment) -> Trials {
+        let (sender, reports) = mpsc::unbounded_channel();
+        deployment.traffic.trials = Some(TrialReporter::new(sender));
+        Trials { reports, open: HashMap::new() }
+    }
+
+    /// Takes the attempts that have ended with a result: whether they were of the new version, and the
+    /// responses.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn take_ended(&mut self) -> Vec<(bool, VersionResponse)> {
+        let mut ended = Vec::new();
+        while let Ok(TrialReport { number, event, .. }) = self.reports.try_recv() {
+            match event {
+                TrialEvent::Started(start) => _ = self.open.insert(number, start.choice.new),
+                TrialEvent::Responded(_) => {}
+                TrialEvent::Ended { response, .. } => {
+                    ended.push((self.open.remove(&number).expect("it was started"), response));
+                }
+                TrialEvent::Dropped => _ = self.open.remove(&number),
+            }
+        }
+        ended
+    }
+}
+
 /// Returns the addresses of a node.
 pub(crate) fn node_address(name: &str, index: u8, domain: &'static str) -> NodeAddress {
     let address = |port| SocketAddr::from(([10, 0, 0, index], port));
