--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -21,17 +21,35 @@
 const RESTART_DELAY: Duration = Duration::from_millis(1_500);
 /// Time within which all instances know of a request that has crashed its third runner.
 const NOTICE: Duration = Duration::from_secs(1);
+/// Time from a crash until all instances must act on it.
+const CONTACT: Duration = Duration::from_secs(3);
 /// Crashes of runners after which a request may not reach runners more than [`MAX_SENDS`] times.
 const MAX_CRASHES: usize = 3;
 const MAX_SENDS: usize = 3;
 /// Number of copies of a request that are sent at the same time.
 const COPIES: usize = 4;
 
+/// Time until the host of an engine that is down is back, with another engine.
+const DARK_TIME: Duration = Duration::from_millis(2_500);
+
+/// Which crashes take the host of an engine down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Dark {
+    None,
+    /// Those of every second engine.
+    Half,
+    All,
+}
+
 /// Engines behind instances; engines that crash are replaced by others.
 struct Engines {
     platform: Platform,
     /// Time from the arrival of a crashing request to the crash, if resumed runs do not crash.
     crash_delay: Option<Duration>,
+    /// Which crashes take the engine's host down; see [`Runner::is_dark_crash`].
+    ///
+    /// [`Runner::is_dark_crash`]: support::Runner::is_dark_crash
+    dark: Dark,
     /// Time of each crash, with whether its engine is replaced.
     crashes: Vec<(usize, Instant, bool)>,
 }
@@ -41,7 +59,8 @@
     /// [`CRASHING`].
     async fn new(count: usize) -> Engines {
         let platform = Platform::new().await;
-        let mut engines = Engines { platform, crash_delay: None, crashes: Vec::new() };
+        let mut engines =
+            Engines { platform, crash_delay: None, dark: Dark::None, crashes: Vec::new() };
         for _ in 0..count {
             engines.start_engine().await;
         }
@@ -57,9 +76,14 @@
     }
 
     fn arm(&self) {
-        for runner in self.platform.runners.iter().filter(|r| r.service == ENGINES) {
+        for (index, runner) in self.platform.runners.iter().enumerate() {
+            if runner.service != ENGINES {
+                continue;
+            }
             runner.crash_body.replace(Some(Bytes::from_static(CRASHING.as_bytes())));
             runner.crash_delay.set(self.crash_delay);
+            let is_half = self.dark == Dark::Half && index % 2 == 0;
+            runner.is_dark_crash.set(self.dark == Dark::All || is_half);
         }
     }
 
@@ -67,16 +91,23 @@
     async fn step(&mut self) {
         for (index, runner) in self.platform.runners.iter().enumerate() {
             let is_known = self.crashes.iter().any(|(known, ..)| *known == index);
-            if runner.is_crashed.get() && !is_known {
+            if (runner.is_crashed.get() || runner.is_paused()) && !is_known {
                 self.crashes.push((index, Instant::now(), false));
             }
         }
-        let is_due =
-            |(_, at, replaced): &(usize, Instant, bool)| !replaced && at.elapsed() >= RESTART_DELAY;
-        while let Some(position) = self.crashes.iter().position(is_due) {
+        let runners = &self.platform.runners;
+        let is_due = |(index, at, replaced): &(usize, Instant, bool)| {
+            let delay = if runners[*index].is_crashed.get() { RESTART_DELAY } else { DARK_TIME };
+            !replaced && at.elapsed() >= delay
+        };
+        let due: Vec<usize> =
+            (0..self.crashes.len()).filter(|position| is_due(&self.crashes[*position])).collect();
+        for position in due {
             self.crashes[position].2 = true;
-            let id = self.platform.runners[self.crashes[position].0].id.clone();
-            self.platform.store.put("servers", &id, None);
+            let runner = self.platform.runners[self.crashes[position].0].clone();
+            // Open connections of a host that was down hang on, and new ones are refused.
+            runner.is_crashed.set(true);
+            self.platform.store.put("servers", &runner.id, None);
             self.start_engine().await;
         }
     }
@@ -306,3 +337,48 @@
     })
     .await;
 }
+
+/// Sends a request that takes the engines' hosts down, by `callers` callers at a time, and checks that it
+/// is rejected in time.
+async fn check_dark_crashes(dark: Dark, callers: usize) {
+    let mut engines = Engines::new(12).await;
+    engines.dark = dark;
+    engines.arm();
+    let instances = start_instances(&engines.platform, 6).await;
+    for round in 0..160_usize {
+        if round % 4 == 0 {
+            for caller in 0..callers {
+                let callers = instances[(round / 4 + caller) % instances.len()].callers;
+                _ = tokio::task::spawn_local(post_body(callers, "/stream/1", "k1", CRASHING));
+            }
+        }
+        engines.step().await;
+        sleep(ms(100)).await;
+    }
+    let crashes = engines.crashes.len();
+    assert!(crashes >= MAX_CRASHES, "{crashes} crashes");
+    let third = engines.crashes[MAX_CRASHES - 1].1;
+    let sends = engines.sends_since(third + CONTACT);
+    let seen = format!("{sends} sends later than {CONTACT:?} after the third of {crashes} crashes");
+    println!("{seen}");
+    assert!(sends <= MAX_SENDS, "{seen}");
+}
+
+/// Guards against a request that is sent again and again because its crashes look like silences: the
+/// runners' hosts fail with them, so that no connection is closed or refused.
+#[tokio::test]
+async fn request_that_takes_hosts_down_is_rejected_by_all_instances() {
+    run_local(check_dark_crashes(Dark::All, 1)).await;
+}
+
+/// Guards against the same if several callers send the request at the same time.
+#[tokio::test]
+async fn copies_of_a_request_that_takes_hosts_down_are_rejected_by_all_instances() {
+    run_local(check_dark_crashes(Dark::All, COPIES)).await;
+}
+
+/// Guards against the same if only a part of the crashes look like silences.
+#[tokio::test]
+async fn request_that_takes_some_hosts_down_is_rejected_by_all_instances() {
+    run_local(check_dark_crashes(Dark::Half, 1)).await;
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -8,6 +8,8 @@
 mod crashes;
 #[path = "relay/drains.rs"]
 mod drains;
+#[path = "relay/endless.rs"]
+mod endless;
 #[path = "relay/endpoints.rs"]
 mod endpoints;
 #[path = "relay/limits.rs"]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -92,6 +92,16 @@
         /// Time before each event.
         gap: Duration,
     },
+    /// Streams events, and then the same bytes again and again until the connection is closed.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    Endless {
+        /// Number of events.
+        events: u64,
+        /// Bytes sent after the events.
+        piece: &'static str,
+        /// Time before each event and piece.
+        gap: Duration,
+    },
     /// Sends a response with the attempt id of another request.
     WrongAttempt,
     /// Reads the request and closes the connection.
@@ -734,6 +744,10 @@
             let prefill = if has_copy { Duration::ZERO } else { runner.prefill_time.get() };
             events(ActiveRun::new(runner, &id), after, last, (prefill, gap), end)
         }
+        Script::Endless { events, piece, gap } => {
+            let after = resume_position(&parts.headers);
+            endless(ActiveRun::new(runner, &id), after + 1..=events, piece, gap)
+        }
         Script::Generate { prefill, gap } => {
             let run = ActiveRun::new(runner, &id);
             if !has_copy {
@@ -869,6 +883,31 @@
     Response::new(StreamBody::new(frames).boxed_unsync())
 }
 
+/// Returns a stream of events, followed by `piece` without end.
+fn endless(
+    run: ActiveRun,
+    ids: RangeInclusive<u64>,
+    piece: &'static str,
+    gap: Duration,
+) -> Response<Body> {
+    let (sender, mut receiver) = mpsc::channel::<io::Result<Frame<Bytes>>>(16);
+    tokio::task::spawn_local(async move {
+        generate(&run.runner, &sender, ids, gap, StreamEnd::Complete).await;
+        while sender.send(Ok(Frame::data(Bytes::from_static(piece.as_bytes())))).await.is_ok() {
+            match gap {
+                Duration::ZERO => tokio::task::yield_now().await,
+                gap => sleep(gap).await,
+            }
+        }
+    });
+    let frames = stream! {
+        while let Some(frame) = receiver.recv().await {
+            yield frame;
+        }
+    };
+    Response::new(StreamBody::new(frames).boxed_unsync())
+}
+
 async fn generate(
     runner: &Runner,
     sender: &Sender<io::Result<Frame<Bytes>>>,
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -16,7 +16,7 @@
     process::{Instance, Platform, post, wait_until},
     serde_json::{Value, json},
     std::time::Duration,
-    support::{BadShares, PLAIN, Runner, Script, ms, run_local},
+    support::{BadShares, ENGINES, PLAIN, Runner, Script, ms, run_local},
     tokio::time::{Instant, sleep},
 };
 
@@ -32,6 +32,18 @@
 /// Bound on the requests for the new version until the deadline.
 const EXPOSURE: (f64, f64) = (0.1, 50.0);
 
+/// Number of restarts of each instance with [`Disruption::RepeatedRestarts`], and the time between two of
+/// different instances.
+const ROUNDS: usize = 5;
+const RESTART_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two streams.
+const STREAM_INTERVAL: Duration = Duration::from_millis(100);
+/// Time until the first event of the old version.
+const PREFILL: Duration = Duration::from_millis(200);
+/// The same of a version that is so slow that few of its streams have begun when it is judged.
+const SLOW_PREFILL: Duration = Duration::from_secs(18);
+
 const GOOD: BadShares = BadShares { failed: 0.0, slow: 0.0 };
 
 /// What happens to the instances during the rollout.
@@ -40,6 +52,8 @@
     None,
     /// All of them are killed and started again, one after the other.
     Restarts,
+    /// They are killed and started again in turn, [`ROUNDS`] times.
+    RepeatedRestarts,
     /// The store does not respond to half of them.
     Silence,
     /// Half of them are told to stop, so that address responses do not list them, and still serve
@@ -47,6 +61,21 @@
     Stops,
 }
 
+impl Disruption {
+    /// Returns whether the restart with this number is due, `elapsed` after the order.
+    fn is_due(self, number: usize, elapsed: Duration) -> bool {
+        match self {
+            Disruption::Restarts => {
+                number < INSTANCES && elapsed > ms(2_000) + ms(1_500) * number as u32
+            }
+            Disruption::RepeatedRestarts => {
+                number < INSTANCES * ROUNDS && elapsed > RESTART_INTERVAL * (number as u32 + 1)
+            }
+            Disruption::None | Disruption::Silence | Disruption::Stops => false,
+        }
+    }
+}
+
 /// What became of a rollout.
 #[derive(Debug)]
 struct Outcome {
@@ -56,11 +85,38 @@
     new: usize,
     bad: usize,
     /// Time from the order to the last request for the new version.
-    #[allow(dead_code, reason = "for messages")]
     stopped: Option<Duration>,
     /// Requests that reached the new version later than [`ROLLBACK_TIME`] after the last bad response
     /// that is allowed.
     late: usize,
+    /// Longest time from a request to its complete response, and the number of requests without one.
+    slowest: Duration,
+    failed: usize,
+}
+
+/// What is rolled out: a service with one kind of requests.
+#[derive(Clone)]
+struct Service {
+    name: &'static str,
+    path: &'static str,
+    /// Time between two requests.
+    interval: Duration,
+    /// Behaviour of the old and of the new version.
+    scripts: [Script; 2],
+}
+
+impl Service {
+    /// Calls that run at most once.
+    fn calls(old: BadShares, new: BadShares) -> Service {
+        let scripts = [Script::Version(old), Script::Version(new)];
+        Service { name: PLAIN, path: "/lodge/1", interval: CALL_INTERVAL, scripts }
+    }
+
+    /// Streams whose first events come after these times.
+    fn streams(old: Duration, new: Duration) -> Service {
+        let scripts = [old, new].map(|prefill| Script::Generate { prefill, gap: ms(1) });
+        Service { name: ENGINES, path: "/stream/1", interval: STREAM_INTERVAL, scripts }
+    }
 }
 
 impl Outcome {
@@ -70,20 +126,21 @@
     }
 }
 
-fn state(platform: &Platform) -> Option<String> {
-    let value = platform.store.value("status", &format!("rollout/{PLAIN}"))?;
+fn state(platform: &Platform, service: &str) -> Option<String> {
+    let value = platform.store.value("status", &format!("rollout/{service}"))?;
     let status: Value = serde_json::from_slice(&STANDARD.decode(value).unwrap()).unwrap();
     status["state"].as_str().map(str::to_owned)
 }
 
 /// Plays a rollout to its deadline or its end.
-async fn play(old: BadShares, new: BadShares, disruption: Disruption) -> Outcome {
+async fn play(service: Service, disruption: Disruption) -> Outcome {
+    let Service { name, path, interval, scripts: [old, new] } = service;
     let mut platform = Platform::new().await;
-    platform.store.put("servers", "p1", None);
+    ["e1", "e2", "p1"].into_iter().for_each(|id| platform.store.put("servers", id, None));
     for (index, domain) in ["a", "b", "c"].into_iter().enumerate() {
         let names = [format!("old{index}"), format!("new{index}")];
-        platform.start_version(&names[0], PLAIN, domain, "v1", Script::Version(old)).await;
-        platform.start_version(&names[1], PLAIN, domain, "v2", Script::Version(new)).await;
+        platform.start_version(&names[0], name, domain, "v1", old.clone()).await;
+        platform.start_version(&names[1], name, domain, "v2", new.clone()).await;
     }
     let stores: Vec<Handle> = (0..INSTANCES)
         .map(|_| platform.store.with_own_faults().start("127.0.0.1:0".parse().unwrap()).unwrap())
@@ -96,8 +153,8 @@
         let is_known = async || instance.resolve().await.len() == INSTANCES;
         wait_until("each instance knows all", is_known).await;
     }
-    let order = json!({"service": PLAIN, "to": "v2", "duration_s": ROLLOUT_TIME.as_secs_f64()});
-    platform.put("op", &format!("rollout/{PLAIN}"), &order);
+    let order = json!({"service": name, "to": "v2", "duration_s": ROLLOUT_TIME.as_secs_f64()});
+    platform.put("op", &format!("rollout/{name}"), &order);
     let start = Instant::now();
     if disruption == Disruption::Silence {
         sleep(ms(200)).await;
@@ -110,27 +167,30 @@
         instances.iter().step_by(2).for_each(|instance| instance.process.terminate());
     }
     let mut next_restart = 0;
+    let mut requests = Vec::new();
     for index in 0.. {
-        let is_over = state(&platform).is_some_and(|state| state != "running");
+        let is_over = state(&platform, name).is_some_and(|state| state != "running");
         if start.elapsed() > ROLLOUT_TIME || is_over {
             break;
         }
-        let restart_at = ms(2_000) + ms(1_500) * next_restart as u32;
-        if disruption == Disruption::Restarts
-            && start.elapsed() > restart_at
-            && next_restart < INSTANCES
-        {
-            instances[next_restart] = start_one(next_restart);
+        if disruption.is_due(next_restart, start.elapsed()) {
+            instances[next_restart % INSTANCES] = start_one(next_restart % INSTANCES);
             next_restart += 1;
         }
         let callers = instances[index % INSTANCES].callers;
-        tokio::task::spawn_local(async move {
-            _ = post(callers, "/lodge/1", "k1").await;
-        });
-        sleep(CALL_INTERVAL).await;
+        requests.push(tokio::task::spawn_local(async move {
+            let sent = Instant::now();
+            let response = post(callers, path, "k1").await;
+            response.is_some_and(|r| r.status == 200).then(|| sent.elapsed())
+        }));
+        sleep(interval).await;
     }
-    let state = state(&platform);
+    let state = state(&platform, name);
     sleep(ms(1_000)).await;
+    let mut responses = Vec::new();
+    for request in requests {
+        responses.push(request.await.unwrap());
+    }
     let of =
         |version: &'static str| platform.runners.iter().filter(move |r| r.id.starts_with(version));
     let sent = |runner: &Runner| {
@@ -148,12 +208,14 @@
         stopped: new.iter().max().map(|at| *at - start),
         late: new.iter().filter(|at| is_late(at)).count(),
         new: new.len(),
+        slowest: responses.iter().flatten().max().copied().unwrap_or_default(),
+        failed: responses.iter().filter(|response| response.is_none()).count(),
     }
 }
 
 /// Asserts that a bad version is rolled back, and gets no more requests than it may.
 async fn assert_rolled_back(old: BadShares, new: BadShares, disruption: Disruption) {
-    let outcome = play(old, new, disruption).await;
+    let outcome = play(Service::calls(old, new), disruption).await;
     assert_eq!(outcome.late, 0, "{outcome:?}");
     assert!(outcome.bad < MAX_BAD, "{outcome:?}");
     assert!(outcome.is_within_bound(), "{outcome:?}");
@@ -205,7 +267,7 @@
 
 /// Asserts that a version that is no worse than the old one is completed.
 async fn assert_completed(both: BadShares, disruption: Disruption) {
-    let outcome = play(both, both, disruption).await;
+    let outcome = play(Service::calls(both, both), disruption).await;
     assert!(outcome.is_within_bound(), "{outcome:?}");
     assert_eq!(outcome.state.as_deref(), Some("completed"), "{outcome:?}");
 }
@@ -223,3 +285,52 @@
 async fn good_version_is_completed_while_all_instances_restart() {
     run_local(assert_completed(GOOD, Disruption::Restarts)).await;
 }
+
+/// Guards against a slow version that is completed, or gets requests until the deadline, because its
+/// requests still wait when it is judged.
+#[tokio::test]
+async fn version_whose_requests_wait_is_stopped() {
+    run_local(async {
+        let outcome = play(Service::streams(PREFILL, SLOW_PREFILL), Disruption::None).await;
+        assert_eq!(outcome.state.as_deref(), Some("rolled_back"), "{outcome:?}");
+        assert!(outcome.stopped < Some(ROLLBACK_TIME), "{outcome:?}");
+        assert!(outcome.is_within_bound(), "{outcome:?}");
+    })
+    .await;
+}
+
+/// Guards against requests that wait at a version until its response comes, although it was rolled back.
+#[tokio::test]
+async fn requests_that_wait_at_a_rejected_version_are_served_by_the_old_one() {
+    run_local(async {
+        let outcome = play(Service::streams(PREFILL, SLOW_PREFILL), Disruption::None).await;
+        assert!(outcome.slowest < ROLLBACK_TIME + ms(2_000), "{outcome:?}");
+        assert_eq!(outcome.failed, 0, "{outcome:?}");
+    })
+    .await;
+}
+
+/// Guards against a good version of streams that is not completed.
+#[tokio::test]
+async fn good_version_of_streams_is_completed() {
+    run_local(async {
+        let outcome = play(Service::streams(PREFILL, PREFILL), Disruption::None).await;
+        assert_eq!(outcome.state.as_deref(), Some("completed"), "{outcome:?}");
+        assert!(outcome.is_within_bound(), "{outcome:?}");
+    })
+    .await;
+}
+
+/// Guards against a slow version that is completed because the processes which found it slow have ended.
+#[tokio::test]
+async fn slow_version_is_stopped_while_all_instances_restart_again_and_again() {
+    let new = BadShares { slow: 1.0, ..GOOD };
+    run_local(assert_rolled_back(GOOD, new, Disruption::RepeatedRestarts)).await;
+}
+
+/// Guards against a good version that is not completed because the evidence in its favour is lost with
+/// the processes that had it.
+#[tokio::test]
+async fn good_version_is_completed_while_all_instances_restart_again_and_again() {
+    run_local(assert_completed(GOOD, Disruption::RepeatedRestarts)).await;
+}
