Judge requests that wait for a version too long, not only those that ended

Cause: a result was recorded when the first attempt ended, so that just those requests were missing which would have told; one that had finished was enough to complete the version. Survivorship: observations censored by time were dropped instead of counted.

Now a request is judged when its first event comes, or when it has waited longer than the bound of good latencies, whichever is first, for both versions alike; the comparison of first tokens has its own denominators. Completion at the last look asks for four finished requests, or a tenth of those of the old version.

--- a/crates/decide/src/mover/evidence.rs
+++ b/crates/decide/src/mover/evidence.rs
@@ -26,6 +26,8 @@
 pub const OTHER: &str = "other";
 /// Kinds of bad event.
 pub const METRICS: usize = 4;
+/// Index of the late first tokens among the kinds of bad event.
+const SLOW_FIRST: usize = 1;
 /// Maximum number of node incarnations whose counters are kept for one move, a few KB each; further
 /// ones are ignored.
 pub const MAX_NODES: usize = MAX_MEMBERS;
@@ -86,6 +88,21 @@
     pub account: u64,
 }
 
+/// The wait of a request for its first token or the response head.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Wait<'a> {
+    /// Assignment to its version.
+    pub choice: Choice,
+    /// As [`Sample::route`].
+    pub route: &'a str,
+    /// Number that identifies the runner.
+    pub runner: u64,
+    /// Time of the wait.
+    pub time: Duration,
+    /// Whether the wait is over; otherwise the time is a lower bound.
+    pub is_over: bool,
+}
+
 /// Counters of one kind of bad event on one route.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 #[derive(Deserialize, Serialize)]
@@ -101,20 +118,20 @@
 }
 
 impl Tally {
-    fn record(&mut self, sample: &Sample<'_>) {
-        if !sample.choice.is_random() {
+    fn record(&mut self, choice: Choice, runner: u64) {
+        if !choice.is_random() {
             return;
         }
-        let share = sample.choice.share.fraction();
-        if sample.choice.new {
+        let share = choice.share.fraction();
+        if choice.new {
             self.new += 1;
-            self.runners |= 1 << (sample.runner % 64);
+            self.runners |= runner_bit(runner);
         } else {
             self.old += 1;
         }
         let likelihood = |ratio: f64| {
             let new = share * ratio / (1.0 - share + share * ratio);
-            if sample.choice.new { new } else { 1.0 - new }
+            if choice.new { new } else { 1.0 - new }
         };
         let null = likelihood(TOLERANCE);
         for (log, ratio) in self.logs.iter_mut().zip(RATIOS) {
@@ -200,6 +217,9 @@
     pub new: u32,
     /// Requests among `old` that could have been assigned to the new version.
     pub control: u32,
+    /// Requests, of those of the old version that could have been assigned to the new one and of the new
+    /// one, whose first token came or is late; they may not have ended.
+    pub judged: [u32; 2],
     /// Runners of the new version, as a bit set like [`Tally::runners`].
     pub runners: u64,
     /// Accounts served by the new version, as a bit set like [`Tally::runners`].
@@ -211,11 +231,21 @@
 }
 
 impl Counts {
+    /// Returns the numbers of requests that could have had a bad event of a kind: those of the old version
+    /// that could have been assigned to the new one, and those of the new one.
+    pub fn compared(&self, metric: usize) -> [u32; 2] {
+        match metric {
+            SLOW_FIRST => self.judged,
+            _ => [self.control, self.new],
+        }
+    }
+
     /// Adds another node's or route's counters.
     pub fn add(&mut self, other: &Counts) {
         self.old += other.old;
         self.new += other.new;
         self.control += other.control;
+        self.judged.iter_mut().zip(other.judged).for_each(|(a, b)| *a += b);
         self.runners |= other.runners;
         self.accounts |= other.accounts;
         self.bad.iter_mut().zip(&other.bad).for_each(|(a, b)| a.add(b));
@@ -255,34 +285,87 @@
     /// Records a request that ended. `pooled` is the evidence of all nodes, because a route with
     /// little traffic has too few latencies on one node.
     pub fn observe(&mut self, sample: &Sample<'_>, pooled: &BTreeMap<CompactString, Counts>) {
-        let routes = &mut self.evidence.routes;
-        let is_separate = routes.contains_key(sample.route) || routes.len() < MAX_ROUTES;
-        let route = CompactString::from(if is_separate { sample.route } else { OTHER });
-        let usual = pooled.get(&route).map(|c| c.usual);
-        let counts = routes.entry(route).or_default();
-        let latencies = [sample.first, sample.pace];
-        let slow: [bool; 2] = std::array::from_fn(|i| {
-            let usual = usual.as_ref().map(|u| &u[i]);
-            latencies[i].is_some_and(|l| usual.is_some_and(|u| u.is_exceeded_by(l)))
-        });
+        let &Sample { choice, route, runner, .. } = sample;
+        let wait = sample.first.map(|time| Wait { choice, route, runner, time, is_over: true });
+        let is_slow = wait.is_some_and(|wait| self.observe_wait(&wait, pooled));
+        self.observe_end(sample, is_slow, pooled);
+    }
+
+    /// Records the wait of a request for its first token, if that is over or has been too long; returns
+    /// whether it has been. To be called once at most with either result.
+    pub fn observe_wait(
+        &mut self,
+        wait: &Wait<'_>,
+        pooled: &BTreeMap<CompactString, Counts>,
+    ) -> bool {
+        let route = self.route(wait.route);
+        let usual = pooled.get(&route).map(|counts| counts.usual[0]);
+        let is_slow = usual.is_some_and(|usual| usual.is_exceeded_by(wait.time));
+        if !wait.is_over && !is_slow {
+            return false;
+        }
+        let counts = self.evidence.routes.entry(route).or_default();
+        if wait.choice.new {
+            counts.judged[1] += 1;
+            counts.runners |= runner_bit(wait.runner);
+            self.evidence.bad += u32::from(is_slow);
+        } else {
+            counts.judged[0] += u32::from(wait.choice.is_random());
+            if wait.is_over {
+                counts.usual[0].record(wait.time);
+            }
+        }
+        if is_slow {
+            counts.bad[SLOW_FIRST].record(wait.choice, wait.runner);
+        }
+        self.evidence.sequence += 1;
+        is_slow
+    }
+
+    /// Records the whole wait of a request of the old version that was recorded as late before it was over.
+    pub fn observe_late_token(&mut self, route: &str, time: Duration) {
+        let route = self.route(route);
+        self.evidence.routes.entry(route).or_default().usual[0].record(time);
+        self.evidence.sequence += 1;
+    }
+
+    /// Records the end of a request whose wait has been recorded. `is_bad` is whether it was too long.
+    pub fn observe_end(
+        &mut self,
+        sample: &Sample<'_>,
+        is_bad: bool,
+        pooled: &BTreeMap<CompactString, Counts>,
+    ) {
+        let route = self.route(sample.route);
+        let usual = pooled.get(&route).map(|counts| counts.usual[1]);
+        let is_slow = |pace| usual.is_some_and(|usual| usual.is_exceeded_by(pace));
+        let is_slow = sample.pace.is_some_and(is_slow);
+        let counts = self.evidence.routes.entry(route).or_default();
         if sample.choice.new {
             counts.new += 1;
-            counts.runners |= 1 << (sample.runner % 64);
+            counts.runners |= runner_bit(sample.runner);
             counts.accounts |= 1 << (sample.account % 64);
         } else {
             counts.old += 1;
             counts.control += u32::from(sample.choice.is_random());
-            let pairs = counts.usual.iter_mut().zip(latencies);
-            pairs.for_each(|(usual, latency)| latency.into_iter().for_each(|l| usual.record(l)));
+            sample.pace.into_iter().for_each(|pace| counts.usual[1].record(pace));
         }
         let is_lost = sample.response == Response::Lost;
-        let bad = [sample.response == Response::Failure, slow[0], slow[1], is_lost];
-        self.evidence.bad += u32::from(sample.choice.new && !is_lost && bad.contains(&true));
+        let bad = [sample.response == Response::Failure, false, is_slow, is_lost];
+        let is_new_bad = sample.choice.new && !is_bad && !is_lost && bad.contains(&true);
+        self.evidence.bad += u32::from(is_new_bad);
         let tallies = counts.bad.iter_mut().zip(bad).filter(|(_, bad)| *bad);
-        tallies.for_each(|(tally, _)| tally.record(sample));
+        tallies.for_each(|(tally, _)| tally.record(sample.choice, sample.runner));
         self.evidence.sequence += 1;
     }
 
+    /// Returns the route that a request is counted for.
+    fn route(&self, route: &str) -> CompactString {
+        let routes = &self.evidence.routes;
+        let is_separate = routes.contains_key(route) || routes.len() < MAX_ROUTES;
+        CompactString::from(if is_separate { route } else { OTHER })
+    }
+
     /// Resets the counters for a new move; keeps the latency statistics.
     pub fn reset(&mut self) {
         for counts in self.evidence.routes.values_mut() {
@@ -297,6 +380,11 @@
     }
 }
 
+/// Returns a runner's bit in [`Tally::runners`].
+fn runner_bit(runner: u64) -> u64 {
+    1 << (runner % 64)
+}
+
 /// All nodes' counters for one move.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct PooledEvidence {
--- a/crates/decide/src/mover/verdict.rs
+++ b/crates/decide/src/mover/verdict.rs
@@ -79,8 +79,9 @@
         }
         self.logs = tally.logs;
         let bad = f64::from(tally.new.saturating_sub(self.seen[0]));
-        let all = f64::from(counts.new.saturating_sub(self.seen[1]));
-        self.seen = [tally.new, counts.new];
+        let [_, new] = counts.compared(metric);
+        let all = f64::from(new.saturating_sub(self.seen[1]));
+        self.seen = [tally.new, new];
         self.score = (self.score + bad - GOOD_CREDIT[metric] * (all - bad).max(0.0)).max(0.0);
         self.is_suspect =
             self.score >= SUSPECT_SCORE || self.is_suspect && self.score > CLEARED_SCORE;
--- a/crates/relay/src/rollouts/comparison.rs
+++ b/crates/relay/src/rollouts/comparison.rs
@@ -38,7 +38,8 @@
 /// Returns whether the new version has significantly more bad events of a kind than the old one.
 fn is_worse(counts: &Counts, metric: usize) -> bool {
     let Tally { new, old, .. } = counts.bad[metric];
-    chance([counts.new, counts.control], [new, old]) < MAX_CHANCE[metric]
+    let [control, all] = counts.compared(metric);
+    chance([all, control], [new, old]) < MAX_CHANCE[metric]
 }
 
 /// Returns the probability that the first of two groups has at least its number of bad events if all bad
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -15,7 +15,7 @@
         id::Incarnation,
         mover::{
             MoveId, MoveUpdate, Sample,
-            evidence::{Collector, Counts, PooledEvidence, TOLERANCE, Tally},
+            evidence::{Collector, Counts, PooledEvidence, TOLERANCE, Tally, Wait},
             standing::{Cause, Verdict},
             verdict::{CAUSES, SequentialTest},
         },
@@ -35,11 +35,16 @@
 /// Share of the rollout time after which a healthy version is completed; the rest covers the write
 /// and a failover of the writer.
 const COMPLETE_SHARE: f64 = 0.85;
-/// Share of the rollout time after which the version is completed if at least one request has
-/// finished and it is healthy, or rolled back otherwise.
+/// Share of the rollout time after which the version is completed if it is healthy and a few requests
+/// have finished, or rolled back otherwise.
 const FINAL_SHARE: f64 = 0.94;
 /// Number of finished requests of the new version that are required at [`COMPLETE_SHARE`].
 const MIN_FINISHED: u32 = 12;
+/// The same at [`FINAL_SHARE`], unless the service has few requests.
+const MIN_FINISHED_FINAL: u32 = 4;
+/// Finished requests of the new version that are required at [`FINAL_SHARE`] in a service with few
+/// requests, as a share of those that it is compared with.
+const MIN_FINISHED_SHARE: f64 = 0.1;
 /// Number of bad events beyond the new version's share that are attributed to chance.
 const CHANCE_EVENTS: f64 = 2.0;
 /// Number of requests of the new version with bad events, at all nodes, after which it gets no more. The
@@ -94,8 +99,18 @@
 /// A first attempt that has not ended.
 struct Trial {
     start: TrialStart,
-    /// Time to the first event or the response.
-    first: Option<Duration>,
+    wait: WaitState,
+}
+
+/// Wait of a first attempt for its first event or its response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WaitState {
+    /// It waits.
+    Waiting,
+    /// It has waited too long.
+    Late,
+    /// It has waited, but not too long.
+    Over,
 }
 
 pub(super) struct Rollout {
@@ -133,9 +148,27 @@
 }
 
 impl Trial {
-    /// Returns whether the attempt waits for the new version.
-    fn is_waiting(&self) -> bool {
-        self.start.choice.new && self.first.is_none()
+    /// Records the wait, which may not be over, if it is to be.
+    fn judge(
+        &mut self,
+        collector: &mut Collector,
+        pooled: &BTreeMap<CompactString, Counts>,
+        time: Duration,
+        is_over: bool,
+    ) {
+        let &TrialStart { choice, ref route, runner, .. } = &self.start;
+        if self.wait != WaitState::Waiting {
+            if is_over && !choice.new {
+                collector.observe_late_token(route, time);
+            }
+            return;
+        }
+        let wait = Wait { choice, route, runner, time, is_over };
+        match collector.observe_wait(&wait, pooled) {
+            true => self.wait = WaitState::Late,
+            false if is_over => self.wait = WaitState::Over,
+            false => {}
+        }
     }
 }
 
@@ -237,26 +270,28 @@
     pub(super) fn observe(&mut self, number: u64, event: &TrialEvent) {
         match event {
             TrialEvent::Started(start) if start.choice.id == Some(self.id()) => {
-                self.trials.insert(number, Trial { start: start.clone(), first: None });
+                let trial = Trial { start: start.clone(), wait: WaitState::Waiting };
+                self.trials.insert(number, trial);
             }
             TrialEvent::Started(_) => {}
             TrialEvent::Responded(latency) => {
                 if let Some(trial) = self.trials.get_mut(&number) {
-                    trial.first = Some(*latency);
+                    trial.judge(&mut self.collector, &self.routes, *latency, true);
                 }
             }
             TrialEvent::Ended { response, pace } => {
-                if let Some(Trial { start, first }) = self.trials.remove(&number) {
+                if let Some(Trial { start, wait }) = self.trials.remove(&number) {
                     let sample = Sample {
                         choice: start.choice,
                         route: &start.route,
                         response: *response,
-                        first,
+                        first: None,
                         pace: *pace,
                         runner: start.runner,
                         account: 0,
                     };
-                    self.collector.observe(&sample, &self.routes);
+                    let is_late = wait == WaitState::Late;
+                    self.collector.observe_end(&sample, is_late, &self.routes);
                 }
             }
             TrialEvent::Dropped => _ = self.trials.remove(&number),
@@ -301,7 +336,8 @@
 
     fn transition(&mut self, signal: Signal) {
         let Some(next) = CHART.next(self.phase, signal) else { return };
-        let waiting = self.trials.values().filter(|trial| trial.is_waiting());
+        let is_waiting = |trial: &&Trial| trial.start.choice.new && trial.wait != WaitState::Over;
+        let waiting = self.trials.values().filter(is_waiting);
         log::info!(service = self.order.service.as_str(), to = self.order.to.as_str(),
             served = self.served(), bad = self.bad, known_bad = self.pool.bad(),
             control = self.routes.values().map(|counts| counts.control).sum::<u32>(),
@@ -349,6 +385,10 @@
             return;
         }
         self.evaluate_at = now + EVALUATE_INTERVAL;
+        for trial in self.trials.values_mut() {
+            let time = now.saturating_duration_since(trial.start.at);
+            trial.judge(&mut self.collector, &self.routes, time, false);
+        }
         self.pool.merge(self.me, self.collector.evidence());
         if let Some(routes) = self.pool.take_changed() {
             self.routes = routes;
@@ -361,7 +401,7 @@
         if let Some((cause, route)) = found.or_else(compare) {
             return self.roll_back(now, Verdict { cause, route, node: self.me });
         }
-        if now >= self.at(FINAL_SHARE) && !self.is_healthy(now, 1) {
+        if now >= self.at(FINAL_SHARE) && !self.is_healthy(now, self.final_need()) {
             let route = CompactString::default();
             self.roll_back(now, Verdict { cause: Cause::Deadline, route, node: self.me });
         }
@@ -390,6 +430,13 @@
         self.routes.values().any(caused)
     }
 
+    /// Returns the number of finished requests of the new version that are required at [`FINAL_SHARE`].
+    fn final_need(&self) -> u32 {
+        let control: u32 = self.routes.values().map(|counts| counts.control).sum();
+        let need = f64::from(control) * MIN_FINISHED_SHARE;
+        (need as u32).clamp(1, MIN_FINISHED_FINAL)
+    }
+
     /// Returns the number of finished requests of the new version on all nodes.
     fn served(&self) -> u32 {
         self.routes.values().map(|c| c.new).sum()
@@ -447,7 +494,9 @@
             // The store lost the status. Leaves time to read a new order that another node follows.
             Phase::Completed => Some((Phase::Completed, self.recorded_at + WRITER_STAGGER)),
             Phase::RolledBack => Some((Phase::RolledBack, self.decided_at)),
-            Phase::Canary if now >= self.at(FINAL_SHARE) && self.is_healthy(now, 1) => {
+            Phase::Canary
+                if now >= self.at(FINAL_SHARE) && self.is_healthy(now, self.final_need()) =>
+            {
                 Some((Phase::Completed, self.at(FINAL_SHARE)))
             }
             Phase::Canary
--- a/crates/relay/tests/rollouts.rs
+++ b/crates/relay/tests/rollouts.rs
@@ -15,7 +15,7 @@
         view::{Rule, Split},
     },
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, ops::RangeInclusive, time::Duration},
     tokio::time::{Instant, advance},
 };
 
@@ -39,6 +39,8 @@
     /// Whether the node has no connection to the store and to its peers.
     isolated: bool,
     dead: bool,
+    /// Number of the node's process.
+    process: u32,
     /// Whether the node reaches no runner, so that all its requests fail.
     is_partitioned: bool,
 }
@@ -75,6 +77,12 @@
     store_down: bool,
     final_writes: u32,
     messages: Vec<(usize, MoveUpdate)>,
+    /// Events of requests under way, with their times, nodes and processes.
+    events: Vec<(Instant, usize, u32, TrialReport)>,
+    /// Time from a request to its first event.
+    latency: RangeInclusive<u64>,
+    /// How many times as long the new version takes, if it is slow.
+    slowdown: u32,
     /// Number of all requests.
     requests: u32,
     /// Number of requests since the order, and of those sent to the new version.
@@ -115,6 +123,7 @@
                 exposure: Exposure::default(),
                 isolated: false,
                 dead: false,
+                process: 0,
                 is_partitioned: false,
             }
         };
@@ -130,6 +139,9 @@
             store_down: false,
             final_writes: 0,
             messages: Vec::new(),
+            events: Vec::new(),
+            latency: 900..=1_400,
+            slowdown: 4,
             requests: 0,
             all: 0,
             new: 0,
@@ -149,7 +161,8 @@
         rollouts.mark_loaded();
         let exposure = Exposure::default();
         let (isolated, dead, is_partitioned) = (false, false, false);
-        self.nodes[i] = Node { rollouts, known, exposure, isolated, dead, is_partitioned };
+        let process = self.nodes[i].process + 1;
+        self.nodes[i] = Node { rollouts, known, exposure, isolated, dead, process, is_partitioned };
     }
 
     /// Runs to the deadline, and restarts all nodes in turn, several times, in the first 0.6 of it.
@@ -184,6 +197,7 @@
                 continue;
             }
             self.send_request(i, now);
+            self.deliver_events(i, now);
             self.nodes[i].rollouts.set_ready_runners("llm", 4);
             for action in self.nodes[i].rollouts.tick(now, i, count) {
                 match action {
@@ -229,7 +243,8 @@
         let failure_rate =
             if choice.new && is_failing { self.failure_rates.new } else { self.failure_rates.old };
         let is_slow = self.rng.random_bool(self.failure_rates.slow[usize::from(choice.new)]);
-        let first = Duration::from_millis(self.rng.random_range(900..1_400));
+        let first = Duration::from_millis(self.rng.random_range(self.latency.clone()));
+        let first = first * if is_slow { self.slowdown } else { 1 };
         let ok = !self.nodes[i].is_partitioned && !self.rng.random_bool(failure_rate);
         // The version gives no response to a partitioned node.
         let is_response = choice.new && !self.nodes[i].is_partitioned;
@@ -244,17 +259,29 @@
             runner: self.rng.random_range(0..4),
             at: now,
         };
-        for event in [
-            TrialEvent::Started(start),
-            TrialEvent::Responded(first * if is_slow { 4 } else { 1 }),
-            TrialEvent::Ended { response, pace: None },
+        for (at, event) in [
+            (now, TrialEvent::Started(start)),
+            (now + first, TrialEvent::Responded(first)),
+            (now + first, TrialEvent::Ended { response, pace: None }),
         ] {
             let (service, number) = ("llm".into(), u64::from(self.requests));
-            self.nodes[i].rollouts.observe(&TrialReport { service, number, event });
+            let report = TrialReport { service, number, event };
+            self.events.push((at, i, self.nodes[i].process, report));
         }
         self.requests += 1;
     }
 
+    /// Delivers the events that are due at a node.
+    fn deliver_events(&mut self, i: usize, now: Instant) {
+        let is_due =
+            |(at, node, ..): &mut (Instant, usize, u32, TrialReport)| *node == i && *at <= now;
+        for (_, _, process, report) in self.events.extract_if(.., is_due) {
+            if process == self.nodes[i].process {
+                self.nodes[i].rollouts.observe(&report);
+            }
+        }
+    }
+
     fn split(&self, i: usize) -> Split {
         self.nodes[i].rollouts.splits()["llm"].clone()
     }
@@ -415,6 +442,55 @@
     }
 }
 
+/// Guards against a slow version that is completed, or left only at the deadline, because its requests
+/// still wait when it is judged.
+#[tokio::test(start_paused = true)]
+async fn version_whose_requests_wait_is_stopped() {
+    // Responses of the new version that are as quick as those of the old one come first.
+    for (old, new) in [(0.0, 1.0), (0.0, 0.9), (0.2, 1.0)] {
+        for seed in 0..20 {
+            let failure_rates = FailureRates { slow: [old, new], ..HEALTHY };
+            let mut world = World::lasting(LONG_TIME, seed, failure_rates);
+            world.slowdown = 40;
+            world.run(LONG_TIME.mul_f64(0.5)).await;
+            assert!(
+                world.rules().iter().all(|rule| *rule == Rule::OnlyOld),
+                "{old}, {new}, seed {seed}"
+            );
+            world.run(LONG_TIME.mul_f64(0.5)).await;
+            assert_eq!(world.phase(), Some(Phase::RolledBack), "{old}, {new}, seed {seed}");
+            assert!(world.bad < MAX_BAD, "{old}, {new}, seed {seed}: {} bad", world.bad);
+        }
+    }
+}
+
+/// Guards against a good version that is rolled back because many requests of both versions wait.
+#[tokio::test(start_paused = true)]
+async fn good_version_is_completed_while_requests_of_both_versions_wait() {
+    let mut completed = 0;
+    for seed in 0..20 {
+        let failure_rates = FailureRates { slow: [0.3, 0.3], ..HEALTHY };
+        let mut world = World::lasting(LONG_TIME, seed, failure_rates);
+        world.slowdown = 40;
+        world.run(LONG_TIME).await;
+        completed += u32::from(world.phase() == Some(Phase::Completed));
+    }
+    assert!(completed >= 19, "{completed} of 20");
+}
+
+/// Guards against a good version that is rolled back because a service has too few requests to compare.
+#[tokio::test(start_paused = true)]
+async fn good_version_of_a_service_with_few_requests_is_completed() {
+    let mut completed = 0;
+    for seed in 0..20 {
+        let mut world = World::lasting(LONG_TIME, seed, HEALTHY);
+        world.rate = 0.2;
+        world.run(LONG_TIME).await;
+        completed += u32::from(world.phase() == Some(Phase::Completed));
+    }
+    assert!(completed >= 19, "{completed} of 20");
+}
+
 /// Guards against a good version that is rolled back because its requests were paused: both versions
 /// fail so often that it has as many bad responses as a bad one.
 #[tokio::test(start_paused = true)]
