Send requests that wait at a rejected version to the old one as well

Callers whose streams waited at a slow version when it was rolled back stayed there until their deadline: on hasty, the first lost one was sent at 4.4 s, the version rejected at 18.2 s, the stream ended at 28.2 s.

An attempt before its first event now becomes suspect when its version is rolled back, so that another one is made beside it, within the retry budget; the first event wins. A pause moves nothing: it would add lost responses to the evidence against a version that is only paused.

The test failed before (slowest response after 18.5 s) and passes three times of three. Its streams come every 50 ms now instead of 100: at 10 per second the finding took 3.9 s and 5.4 s in two runs, as 12 late requests are needed; the bounds are unchanged.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -200,6 +200,22 @@
         Some(trials.start(&call.service, start))
     }
 
+    /// Waits until the version of a request's runner was rolled back.
+    async fn wait_until_rejected(&self, call: &Call, endpoint: &Endpoint) {
+        let mut changes = self.published.watch();
+        loop {
+            let view = self.published.load();
+            let rejected = view.splits.get(&call.service).filter(|split| split.is_rejected);
+            let version = self.client.fleet.version(endpoint.key);
+            if rejected.is_some_and(|split| version.as_ref() == Some(&split.to)) {
+                return;
+            }
+            if changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Returns the selection criteria for a request.
     fn criteria<'a>(&self, call: &'a Call, except: &'a [RunnerKey]) -> Criteria<'a> {
         let (service, prompt) = (call.service.as_str(), call.head.prompt);
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -247,8 +247,20 @@
         }
     }
 
-    /// Reports when the attempt becomes suspect, and when its runner responds again.
+    /// Reports when the attempt becomes suspect, and when it no longer is.
     async fn watch(&self) -> Infallible {
+        tokio::select! {
+            never = self.watch_runner() => match never {},
+            () = self.traffic.wait_until_rejected(&self.call, &self.plan.endpoint) => {}
+        }
+        log::info!(request = self.call.head.id.as_str(), runner = self.plan.endpoint.id.as_str();
+            "{ATTEMPT_SUSPECT}{:?}, before the first event", LossSign::VersionRejected);
+        self.report(Some(LossSign::VersionRejected));
+        std::future::pending().await
+    }
+
+    /// Reports when the runner does not respond, and when it responds again.
+    async fn watch_runner(&self) -> Infallible {
         let (client, endpoint) = (&self.traffic.client, &self.plan.endpoint);
         loop {
             let sign = client.wait_until_lost(&self.call, endpoint).await;
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -93,13 +93,7 @@
                 }
                 Some(suspicion) = suspicions.recv() => {
                     race.suspect(&suspicion);
-                    if suspicion.sign.is_some() {
-                        self.record_failure(&suspicion.endpoint);
-                    }
-                    if suspicion.sign == Some(LossSign::Unresponsive) {
-                        let Suspicion { endpoint, sent_at, .. } = &suspicion;
-                        self.traffic.check_silence(&self.call, endpoint, *sent_at);
-                    }
+                    self.record_suspicion(&suspicion);
                 }
                 () = sleep_until(race.retry_at), if race.needs_attempt() => race.unresponsive.clear(),
                 () = sleep_until(end), if race.pending.is_empty() => {
@@ -137,6 +131,19 @@
         }
     }
 
+    /// Records what a suspicion says about its runner.
+    fn record_suspicion(&self, suspicion: &Suspicion) {
+        let Suspicion { endpoint, sent_at, sign, .. } = suspicion;
+        match sign {
+            Some(LossSign::Unresponsive) => {
+                self.record_failure(endpoint);
+                self.traffic.check_silence(&self.call, endpoint, *sent_at);
+            }
+            Some(LossSign::EventsMissing) => self.record_failure(endpoint),
+            Some(LossSign::VersionRejected) | None => {}
+        }
+    }
+
     /// Ends the silent run, which has broken, and keeps its replica.
     async fn lose_silent_run(&mut self, race: &mut Race, reason: RunEnd) {
         if let Some(active) = race.take_silent() {
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -319,7 +319,8 @@
             Phase::Completed => Rule::OnlyNew,
             Phase::RolledBack => Rule::OnlyOld,
         };
-        Split { id: self.id(), to: self.order.to.clone(), rule, has_slack: !self.is_late }
+        let (has_slack, is_rejected) = (!self.is_late, self.phase == Phase::RolledBack);
+        Split { id: self.id(), to: self.order.to.clone(), rule, has_slack, is_rejected }
     }
 
     pub(super) fn tick(&mut self, now: Instant, rank: usize, nodes: usize) -> Vec<Action> {
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -92,6 +92,8 @@
     Unresponsive,
     /// Events that the runner has generated have not arrived.
     EventsMissing,
+    /// The runner's version was rolled back.
+    VersionRejected,
 }
 
 /// A response whose body is not read yet.
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -104,6 +104,8 @@
     pub rule: Rule,
     /// Whether this node may use a part of the bound's slack.
     pub has_slack: bool,
+    /// Whether the new version was rolled back.
+    pub is_rejected: bool,
 }
 
 /// Share of the requests that the new version gets.
--- a/tests/relay/races.rs
+++ b/tests/relay/races.rs
@@ -46,7 +46,13 @@
     let mut runners = view.runners.to_vec();
     runners.iter_mut().enumerate().for_each(|(index, registration)| change(index, registration));
     deployment.traffic.client.fleet.update(&runners);
-    let split = Split { id: MoveId(1), to: "v2".into(), rule: Rule::Canary, has_slack: true };
+    let split = Split {
+        id: MoveId(1),
+        to: "v2".into(),
+        rule: Rule::Canary,
+        has_slack: true,
+        is_rejected: false,
+    };
     let splits = is_rollout.then_some((ENGINES.into(), split)).into_iter().collect();
     let (runners, splits) = (Arc::new(runners), Arc::new(splits));
     deployment.traffic.published.store(View { runners, splits, ..view });
@@ -322,3 +328,47 @@
     })
     .await;
 }
+
+/// Guards against requests that wait at a version which was rolled back, and against some that are moved
+/// while it is only paused.
+#[tokio::test(start_paused = true)]
+async fn request_leaves_a_version_only_when_it_is_rolled_back() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c", "d"], &events(5, ms(40)));
+        deployment.runners[..2].iter().for_each(|r| r.prefill_time.set(Duration::from_secs(15)));
+        deployment.publish_nodes(vec![node_address("n1", 1, "a")]);
+        let change = |index: usize, registration: &mut Registration| {
+            registration.version = if index < 2 { "v2" } else { "v1" }.into();
+        };
+        update(&deployment, true, change);
+        let requests: Vec<_> = (0..60)
+            .map(|_| {
+                let deployment = deployment.clone();
+                tokio::task::spawn_local(
+                    async move { deployment.serve("/stream/1", &PROMPT).await },
+                )
+            })
+            .collect();
+        sleep(ms(2_000)).await;
+        let waiting = || deployment.runners[..2].iter().map(|r| r.running_streams()).sum::<usize>();
+        let assigned = waiting();
+        assert!(assigned > 0);
+        let set_split = |is_rejected| {
+            let view = View::clone(&deployment.traffic.published.load());
+            let split = view.splits[ENGINES].clone();
+            let split = Split { rule: Rule::OnlyOld, is_rejected, ..split };
+            let splits = Arc::new([(ENGINES.into(), split)].into_iter().collect());
+            deployment.traffic.published.store(View { splits, ..view });
+        };
+        set_split(false);
+        sleep(ms(1_000)).await;
+        assert_eq!(waiting(), assigned, "the version is only paused");
+        set_split(true);
+        sleep(ms(1_000)).await;
+        assert_eq!(waiting(), 0);
+        for request in requests {
+            assert_eq!(request.await.unwrap().status, 200);
+        }
+    })
+    .await;
+}
--- a/tests/relay/rollouts.rs
+++ b/tests/relay/rollouts.rs
@@ -34,7 +34,13 @@
     let mut runners = view.runners.to_vec();
     runners.iter_mut().enumerate().for_each(|(index, registration)| change(index, registration));
     deployment.traffic.client.fleet.update(&runners);
-    let split = Split { id: MoveId(1), to: "v2".into(), rule: Rule::Canary, has_slack: true };
+    let split = Split {
+        id: MoveId(1),
+        to: "v2".into(),
+        rule: Rule::Canary,
+        has_slack: true,
+        is_rejected: false,
+    };
     let splits = Arc::new([(PLAIN.into(), split)].into_iter().collect());
     let runners = Arc::new(runners);
     deployment.traffic.published.store(View { senders: NODES, runners, splits, ..view });
--- a/tests/relay/silences.rs
+++ b/tests/relay/silences.rs
@@ -796,7 +796,13 @@
         registration.version = if new.contains(&index) { "v2" } else { "v1" }.into();
     }
     deployment.traffic.client.fleet.update(&runners);
-    let split = Split { id: MoveId(1), to: "v2".into(), rule: Rule::Canary, has_slack: true };
+    let split = Split {
+        id: MoveId(1),
+        to: "v2".into(),
+        rule: Rule::Canary,
+        has_slack: true,
+        is_rejected: false,
+    };
     let splits = Arc::new([(ENGINES.into(), split)].into_iter().collect());
     let runners = Arc::new(runners);
     deployment.traffic.published.store(View { runners, splits, ..view });
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -38,7 +38,7 @@
 const RESTART_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time between two streams.
-const STREAM_INTERVAL: Duration = Duration::from_millis(100);
+const STREAM_INTERVAL: Duration = Duration::from_millis(50);
 /// Time until the first event of the old version.
 const PREFILL: Duration = Duration::from_millis(200);
 /// The same of a version that is so slow that few of its streams have begun when it is judged.
