Ask draining nodes for the evidence of a rollout first

While the instances restart one a second several drain at once, and those in address responses are just the ones that have started and know nothing.

--- a/crates/relay/src/control/members/send.rs
+++ b/crates/relay/src/control/members/send.rs
@@ -19,6 +19,9 @@
 /// Maximum number of other nodes up to which broadcasts are sent to all of them; above it, they are
 /// sent to the heartbeat targets.
 const FULL_MESH_LIMIT: usize = 100;
+/// Number of nodes that are queried at the same time.
+const QUERIED_NODES: usize = 2;
+
 /// Receivers of this node's messages.
 #[derive(Default)]
 pub(super) struct Routes {
@@ -93,6 +96,21 @@
         }
     }
 
+    /// Sends a message to [`QUERIED_NODES`] other nodes, the next ones with each attempt. Those that drain
+    /// come first: they have run for longest, and will not respond later.
+    pub(in crate::control) fn send_to_some(&self, attempt: usize, message: &PeerMessage) {
+        let is_ready = |target: &Target| {
+            let state = self.members.nodes().find(|node| node.name == target.name);
+            state.is_some_and(|node| node.state == NodeState::Ready)
+        };
+        let mut targets: Vec<Target> =
+            self.routes.peers.iter().map(|peer| peer.target.clone()).collect();
+        targets.sort_by_cached_key(|target| (is_ready(target), target.name.clone()));
+        let count = QUERIED_NODES.min(targets.len());
+        let next = targets.iter().cycle().skip(attempt * count).take(count);
+        self.send(&next.cloned().collect::<Vec<Target>>(), message);
+    }
+
     /// Sends a load update to the nodes whose scope contains its runners. `domain` returns the
     /// failure domain of a runner.
     pub(in crate::control) fn send_load<'a>(
--- a/crates/relay/src/control/rollouts.rs
+++ b/crates/relay/src/control/rollouts.rs
@@ -16,9 +16,6 @@
     tokio::time::Instant,
 };
 
-/// Number of nodes that are asked for evidence at the same time.
-const QUERIED_NODES: usize = 2;
-
 impl<R: Records, S: Store> Control<R, S> {
     /// Advances the rollouts and carries out their actions.
     pub(super) fn step_rollouts(&mut self) {
@@ -60,16 +57,11 @@
         }
     }
 
-    /// Asks two other nodes in address responses, others with each attempt.
+    /// Asks some other nodes for their evidence, others with each attempt.
     fn query_rollout(&self, query: MoveQuery, attempt: usize) {
-        let Some(membership) = &self.membership else { return };
-        let others = self.nodes.iter().map(|node| &node.name).filter(|n| *n != membership.name());
-        let mut others: Vec<&CompactString> = others.collect();
-        others.sort_unstable();
-        let first = (attempt * QUERIED_NODES).checked_rem(others.len()).unwrap_or_default();
-        let message = PeerMessage::MoveQuery(query);
-        let targets = others.iter().cycle().skip(first).take(QUERIED_NODES.min(others.len()));
-        targets.for_each(|name| membership.send_to(name, &message));
+        if let Some(membership) = &self.membership {
+            membership.send_to_some(attempt, &PeerMessage::MoveQuery(query));
+        }
     }
 
     /// Sends what this node knows of a rollout to another one.
