Attribute the crash of a silent runner once it turns out to have ended

Cause: a crash was recorded for runs that were cut only. A silence is no crash, but nothing looked later whether the runner had ended: a verdict that is never revised when the truth comes in. Open connections of a host that failed stay silent, and the silent run is dropped when another one has started.

A runner that falls silent while it holds requests is now checked until its process responds again, or has ended: its address refuses connections, another incarnation answers there, or its registration is gone and nothing answers. Then its requests are charged at the time of the silence, unless they have been completed since, or the runners of a failure domain ended together. Runners that go on charge nobody.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -57,6 +57,8 @@
     inner: Rc<RefCell<Inner>>,
     changed: Rc<Notify>,
     lost: Rc<Notify>,
+    /// Notified when the registrations have changed.
+    updated: Rc<Notify>,
     /// Notified when a check of a path has ended or a partition has ended.
     partitions_changed: Rc<Notify>,
     /// Notified when the partitions have to be reported to peers.
@@ -144,6 +146,7 @@
             inner: Rc::default(),
             changed: Rc::default(),
             lost: Rc::default(),
+            updated: Rc::default(),
             partitions_changed: Rc::default(),
             partitions_dirty: Rc::default(),
             paths_suspected: Rc::default(),
@@ -183,6 +186,7 @@
         inner.paths.retain(|service, _| inner.services.contains_key(service));
         inner.divide_limits(Instant::now());
         inner.divide_brittle_rooms();
+        self.updated.notify_waiters();
     }
 
     /// Returns whether a list of registrations has been applied.
@@ -331,6 +335,17 @@
         (!registration.assumed).then_some(registration.born)
     }
 
+    /// Waits until this incarnation of a runner is no longer listed.
+    pub async fn wait_until_unlisted(&self, key: RunnerKey) {
+        loop {
+            let updated = self.updated.notified();
+            if !self.is_listed(key) {
+                return;
+            }
+            updated.await;
+        }
+    }
+
     /// Returns whether this incarnation of a runner is listed.
     pub fn is_listed(&self, key: RunnerKey) -> bool {
         self.inner.borrow().runners.contains_key(key)
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -19,7 +19,7 @@
         metrics::{Metrics, Outcome},
         network::Network,
         pool::SendError,
-        quarantine::{self, Quarantine, SOUND_TIME},
+        quarantine::{self, Quarantine, RunnerCrash, SOUND_TIME},
         rejection::Rejection,
         rollouts::{
             exposure::{Bound, Exposure},
@@ -260,22 +260,35 @@
         sent_at: Instant,
         age: Option<Duration>,
     ) {
-        let Some(incarnation) = self.client.fleet.incarnation(endpoint.key) else { return };
+        let Some(runner) = self.client.fleet.incarnation(endpoint.key) else { return };
         let check = self.client.check_crash(endpoint).await;
         if check != CrashCheck::Crashed {
             log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
                 "{NO_CRASH}{check:?}");
             return;
         }
+        let crash = RunnerCrash::now(runner, sent_at, age);
+        self.attribute_crash(call, endpoint, &crash);
+    }
+
+    /// Attributes the crash of a runner to a request that it held.
+    fn attribute_crash(&self, call: &Call, endpoint: &Endpoint, crash: &RunnerCrash) {
+        let &RunnerCrash { sent_at, age, .. } = crash;
         // A request that crashes its runner does so when it begins.
         let is_suspect = age.is_some_and(|age| age <= SOUND_TIME);
-        let is_evidence = is_suspect && self.quarantine.record_crash(call, incarnation, sent_at);
+        let is_evidence = is_suspect && self.quarantine.record_crash(call, crash);
         let account = call.account.as_ref().map_or("", |account| account.name.as_str());
         log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), account,
             fingerprint = quarantine::display_fingerprint(call).as_str(),
             prefix = display_ids(&call.head.prefix).as_str(), begun = age.is_some(),
             evidence = is_evidence, sent = sent_at.elapsed().as_millis() as u64; "{RUNNER_CRASHED}");
-        self.quarantine.record_prompt_crash(call, incarnation, sent_at, age);
+        self.quarantine.record_prompt_crash(call, crash);
+    }
+
+    /// Records a complete response to a request, which shows that the request does not crash runners.
+    fn record_response(&self, call: &Call) {
+        self.quarantine.record_response(call);
+        self.silences.acquit(call);
     }
 
     /// Calls `work` with the prefill rate of a service.
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -43,7 +43,7 @@
             SendOutcome::Answered(reply) => {
                 return match traffic.client.read_body(reply, &endpoint, deadline).await {
                     Ok((parts, bytes)) => {
-                        traffic.quarantine.record_response(call);
+                        traffic.record_response(call);
                         traffic.quarantine.record_sound_run(call, sent_at);
                         end_trial(trial, call, (!is_failure(parts.status)).into());
                         Response::from_parts(parts, bytes.into())
@@ -66,7 +66,9 @@
                         fleet.record_failure(key, Instant::now());
                         traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
                     }
-                    SendError::Timeout => traffic.check_silence(call, &endpoint, sent_at),
+                    SendError::Timeout => {
+                        traffic.check_silence(call, &endpoint, sent_at, Some(Duration::ZERO));
+                    }
                     SendError::Unsent | SendError::NoPath => {}
                 }
                 end_trial(trial, call, lost_response(error));
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -250,7 +250,8 @@
         self.last_replica = None;
         if reason == RunEnd::Silent {
             self.log_silent(&active.run);
-            self.traffic.check_silence(&self.call, active.run.endpoint(), active.sent_at);
+            let age = Some(active.start.elapsed().saturating_sub(self.stall_timeout()));
+            self.traffic.check_silence(&self.call, active.run.endpoint(), active.sent_at, age);
             self.record_failure(active.run.endpoint());
             return self.race(Some(Box::new(active))).await;
         }
@@ -264,7 +265,7 @@
         self.log_ended(&active.run);
         // A resumed run may have begun behind what crashes runners.
         if active.is_whole {
-            self.traffic.quarantine.record_response(&self.call);
+            self.traffic.record_response(&self.call);
         }
         self.record_sound_run(&mut active);
         self.end_trial(active.number, VersionResponse::Success);
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -74,6 +74,8 @@
     pub(super) endpoint: Endpoint,
     /// Time of the send.
     pub(super) sent_at: Instant,
+    /// Whether the runner ran no other request.
+    pub(super) was_idle: bool,
     /// Why the attempt is suspect; `None` if its runner reports it again.
     pub(super) sign: Option<LossSign>,
 }
@@ -135,7 +137,7 @@
         self.is_sent.set(true);
         let outcome = tokio::select! {
             outcome = self.send(lease, replica, was_idle) => outcome,
-            never = self.watch() => match never {},
+            never = self.watch(was_idle) => match never {},
             () = self.traffic.quarantine.wait_until_quarantined(&self.call) => AttemptOutcome::Quarantined,
             () = self.cancelled.notified() => AttemptOutcome::Cancelled,
         };
@@ -248,37 +250,37 @@
     }
 
     /// Reports when the attempt becomes suspect, and when it no longer is.
-    async fn watch(&self) -> Infallible {
+    async fn watch(&self, was_idle: bool) -> Infallible {
         tokio::select! {
-            never = self.watch_runner() => match never {},
+            never = self.watch_runner(was_idle) => match never {},
             () = self.traffic.wait_until_rejected(&self.call, &self.plan.endpoint) => {}
         }
         log::info!(request = self.call.head.id.as_str(), runner = self.plan.endpoint.id.as_str();
             "{ATTEMPT_SUSPECT}{:?}, before the first event", LossSign::VersionRejected);
-        self.report(Some(LossSign::VersionRejected));
+        self.report(Some(LossSign::VersionRejected), was_idle);
         std::future::pending().await
     }
 
     /// Reports when the runner does not respond, and when it responds again.
-    async fn watch_runner(&self) -> Infallible {
+    async fn watch_runner(&self, was_idle: bool) -> Infallible {
         let (client, endpoint) = (&self.traffic.client, &self.plan.endpoint);
         loop {
             let sign = client.wait_until_lost(&self.call, endpoint).await;
             log::warn!(request = self.call.head.id.as_str(), runner = endpoint.id.as_str();
                 "{ATTEMPT_SUSPECT}{sign:?}, before the first event");
-            self.report(Some(sign));
+            self.report(Some(sign), was_idle);
             if sign == LossSign::EventsMissing {
                 std::future::pending::<()>().await;
             }
             client.wait_until_reported(&self.call, endpoint).await;
-            self.report(None);
+            self.report(None, was_idle);
         }
     }
 
-    fn report(&self, sign: Option<LossSign>) {
+    fn report(&self, sign: Option<LossSign>, was_idle: bool) {
         let Plan { number, sent_at, .. } = self.plan;
         let endpoint = self.plan.endpoint.clone();
         // The receiver lives as long as the attempt is polled.
-        _ = self.signs.send(Suspicion { number, endpoint, sent_at, sign });
+        _ = self.signs.send(Suspicion { number, endpoint, sent_at, was_idle, sign });
     }
 }
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -133,11 +133,12 @@
 
     /// Records what a suspicion says about its runner.
     fn record_suspicion(&self, suspicion: &Suspicion) {
-        let Suspicion { endpoint, sent_at, sign, .. } = suspicion;
+        let Suspicion { endpoint, sent_at, was_idle, sign, .. } = suspicion;
         match sign {
             Some(LossSign::Unresponsive) => {
                 self.record_failure(endpoint);
-                self.traffic.check_silence(&self.call, endpoint, *sent_at);
+                let age = was_idle.then_some(Duration::ZERO);
+                self.traffic.check_silence(&self.call, endpoint, *sent_at, age);
             }
             Some(LossSign::EventsMissing) => self.record_failure(endpoint),
             Some(LossSign::VersionRejected) | None => {}
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -218,7 +218,7 @@
     match result {
         AttemptResult::Complete(parts, bytes) => {
             progress.runs += 1;
-            traffic.quarantine.record_response(call);
+            traffic.record_response(call);
             traffic.quarantine.record_sound_run(call, sent_at);
             if !is_failure(parts.status) {
                 return Some((parts, bytes));
@@ -236,7 +236,7 @@
             match error {
                 SendError::Timeout => {
                     fleet.record_overload(key, Instant::now());
-                    traffic.check_silence(call, &endpoint, sent_at);
+                    traffic.check_silence(call, &endpoint, sent_at, Some(Duration::ZERO));
                 }
                 SendError::Unsent | SendError::NoPath | SendError::Disconnected => {
                     fleet.record_failure(key, Instant::now());
--- a/crates/relay/src/flow/silence.rs
+++ b/crates/relay/src/flow/silence.rs
@@ -1,4 +1,7 @@
 //! Runners that fall silent while they run requests, until it is known what has become of them.
+//!
+//! A silence is no crash, but a runner whose host fails with it closes no connection. Once it turns out
+//! that the runner has ended, the crash is attributed to its requests, at the time of the silence.
 
 use {
     super::Traffic,
@@ -8,8 +11,10 @@
         fleet::{Endpoint, RunnerKey},
         log_messages::SILENT_RUNNER,
         network::Network,
+        quarantine::{RunnerCrash, fingerprint},
         runner_client::CrashCheck,
     },
+    compact_str::CompactString,
     rustc_hash::FxHashMap,
     std::{cell::RefCell, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
@@ -33,25 +38,73 @@
     Unknown,
 }
 
+/// Runners of a failure domain that have ended, and fell silent at the same time, from which an outage is
+/// assumed.
+const MIN_OUTAGE_RUNNERS: usize = 3;
+/// Time within which they fall silent; requests show it with a delay.
+const OUTAGE_WINDOW: Duration = Duration::from_millis(250);
+/// Time within which the ends of the runners of an outage are found.
+const SETTLE_TIME: Duration = Duration::from_millis(150);
+
 /// Silent runners that are checked. Clones share their state.
 #[derive(Clone, Default)]
 pub(super) struct Silences(Rc<RefCell<FxHashMap<RunnerKey, SilentRunner>>>);
 
 struct SilentRunner {
+    domain: CompactString,
     /// Time of the last response.
     since: Instant,
     runs: Vec<SilentRun>,
+    /// Whether its process has ended; it is kept for a while then.
+    has_ended: bool,
 }
 
 /// A request that a runner held when it fell silent.
 struct SilentRun {
     call: Call,
     sent_at: Instant,
+    /// Time for which it had responded; see [`RunnerCrash::age`].
+    age: Option<Duration>,
+}
+
+impl SilentRunner {
+    fn new(domain: CompactString, since: Instant) -> SilentRunner {
+        SilentRunner { domain, since, runs: Vec::new(), has_ended: false }
+    }
+}
+
+impl Silences {
+    /// Forgets a request that was completed, so that it is not blamed for silent runners.
+    pub(super) fn acquit(&self, call: &Call) {
+        let mut runners = self.0.borrow_mut();
+        if runners.is_empty() {
+            return;
+        }
+        let id = fingerprint(call);
+        for runner in runners.values_mut() {
+            runner.runs.retain(|run| fingerprint(&run.call) != id);
+        }
+    }
+
+    /// Returns whether several runners of a failure domain have ended together.
+    fn is_outage(&self, domain: &str, since: Instant) -> bool {
+        let runners = self.0.borrow();
+        let is_near = |at: Instant| at.max(since) - at.min(since) < OUTAGE_WINDOW;
+        let ended = runners.values().filter(|r| r.has_ended && r.domain == domain);
+        ended.filter(|runner| is_near(runner.since)).count() >= MIN_OUTAGE_RUNNERS
+    }
 }
 
 impl<D: Dialect, N: Network> Traffic<D, N> {
     /// Checks from now on what becomes of a runner that is silent while it holds a request.
-    pub(super) fn check_silence(&self, call: &Call, endpoint: &Endpoint, sent_at: Instant) {
+    /// `age` is the time for which it had responded to the request; see [`RunnerCrash::age`].
+    pub(super) fn check_silence(
+        &self,
+        call: &Call,
+        endpoint: &Endpoint,
+        sent_at: Instant,
+        age: Option<Duration>,
+    ) {
         let fleet = &self.client.fleet;
         let Some(incarnation) = fleet.incarnation(endpoint.key) else { return };
         let mut silences = self.silences.0.borrow_mut();
@@ -59,10 +112,10 @@
         let since = fleet.last_seen(endpoint.key).map_or(sent_at, |seen| seen.max(sent_at));
         let runner = silences
             .entry(endpoint.key)
-            .or_insert_with(|| SilentRunner { since, runs: Vec::new() });
+            .or_insert_with(|| SilentRunner::new(endpoint.domain.clone(), since));
         let is_new = runner.runs.iter().all(|run| run.call.head.id != call.head.id);
         if is_new && runner.runs.len() < MAX_RUNS {
-            runner.runs.push(SilentRun { call: call.clone(), sent_at });
+            runner.runs.push(SilentRun { call: call.clone(), sent_at, age });
         }
         if !is_known {
             let (traffic, endpoint) = (self.clone(), endpoint.clone());
@@ -72,10 +125,44 @@
         }
     }
 
-    /// Waits until it is known what has become of a silent runner.
-    async fn settle_silence(&self, endpoint: &Endpoint, _incarnation: u64) {
+    /// Waits until it is known what has become of a silent runner, and attributes its crash.
+    async fn settle_silence(&self, endpoint: &Endpoint, incarnation: u64) {
         let fate = self.find_fate(endpoint).await;
-        let Some(runner) = self.silences.0.borrow_mut().remove(&endpoint.key) else { return };
+        self.log_fate(endpoint, fate);
+        if fate == Fate::Ended {
+            self.attribute_silence(endpoint, incarnation).await;
+        }
+        self.silences.0.borrow_mut().remove(&endpoint.key);
+    }
+
+    /// Attributes the end of a silent runner to the requests that it held, unless it was an outage.
+    async fn attribute_silence(&self, endpoint: &Endpoint, incarnation: u64) {
+        let since = {
+            let mut silences = self.silences.0.borrow_mut();
+            let Some(runner) = silences.get_mut(&endpoint.key) else { return };
+            runner.has_ended = true;
+            runner.since
+        };
+        // The others of an outage are found at almost the same time.
+        sleep(SETTLE_TIME).await;
+        if self.silences.is_outage(&endpoint.domain, since) {
+            log::info!(runner = endpoint.id.as_str(); "silent runner: one of an outage");
+            return sleep(CHECK_INTERVAL).await;
+        }
+        let runs = match self.silences.0.borrow_mut().get_mut(&endpoint.key) {
+            Some(runner) => std::mem::take(&mut runner.runs),
+            None => return,
+        };
+        for SilentRun { call, sent_at, age } in runs {
+            let crash = RunnerCrash { runner: incarnation, sent_at, at: since, age };
+            self.attribute_crash(&call, endpoint, &crash);
+        }
+        sleep(CHECK_INTERVAL).await;
+    }
+
+    fn log_fate(&self, endpoint: &Endpoint, fate: Fate) {
+        let silences = self.silences.0.borrow();
+        let Some(runner) = silences.get(&endpoint.key) else { return };
         let requests: Vec<&str> = runner.runs.iter().map(|run| run.call.head.id.as_str()).collect();
         let sent = runner.runs.first().map_or(0, |run| run.sent_at.elapsed().as_millis() as u64);
         log::info!(runner = endpoint.id.as_str(), requests = requests.join(",").as_str(), sent,
@@ -87,7 +174,11 @@
         let born = fleet.born(endpoint.key);
         let end = Instant::now() + MAX_SILENCE;
         while Instant::now() < end {
-            sleep(CHECK_INTERVAL).await;
+            let was_listed = fleet.is_listed(endpoint.key);
+            tokio::select! {
+                () = sleep(CHECK_INTERVAL) => {}
+                () = fleet.wait_until_unlisted(endpoint.key), if was_listed => {}
+            }
             match self.client.check_incarnation(endpoint, born).await {
                 CrashCheck::Running => return Fate::Continued,
                 CrashCheck::Crashed => return Fate::Ended,
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -12,8 +12,9 @@
 mod prompts;
 
 pub use self::evidence::{MIN_CRASHES, SOUND_TIME};
+pub(crate) use self::fingerprint::fingerprint;
 use {
-    self::{fingerprint::fingerprint, prompts::Prompts},
+    self::prompts::Prompts,
     crate::{
         call::Call,
         catalog::Kind,
@@ -71,6 +72,27 @@
     expiry: Duration,
 }
 
+/// Crash of a runner that held a request.
+#[derive(Clone, Copy, Debug)]
+pub struct RunnerCrash {
+    /// Hash of the runner's incarnation.
+    pub runner: u64,
+    /// Time at which the request was sent to the runner.
+    pub sent_at: Instant,
+    /// Time of the crash, which may have been found later.
+    pub at: Instant,
+    /// Time for which the runner had responded; `None` if the response had not begun, in which case other
+    /// requests are suspected rather than this one.
+    pub age: Option<Duration>,
+}
+
+impl RunnerCrash {
+    /// Creates a crash that is found at once.
+    pub fn now(runner: u64, sent_at: Instant, age: Option<Duration>) -> RunnerCrash {
+        RunnerCrash { runner, sent_at, at: Instant::now(), age }
+    }
+}
+
 /// A crash found by this node.
 struct RecentCrash {
     runner: u64,
@@ -145,19 +167,21 @@
         }
     }
 
-    /// Records that a runner, identified by a hash of its incarnation, has crashed while running a
-    /// request that was sent to it at `sent_at`; returns whether that is evidence against the request.
-    pub fn record_crash(&self, call: &Call, runner: u64, sent_at: Instant) -> bool {
+    /// Records the crash of a runner while it ran a request; returns whether that is evidence against the
+    /// request.
+    pub fn record_crash(&self, call: &Call, crash: &RunnerCrash) -> bool {
         let now = Instant::now();
         let mut inner = self.inner.borrow_mut();
         let id = fingerprint(call);
-        if !inner.is_evidence(id, runner, sent_at, now) {
+        if !inner.is_evidence(id, crash, now) {
             return false;
         }
-        if inner.add(id, &[runner], now) {
+        if inner.add(id, &[crash.runner], crash.at) {
             let entry = inner.entries.get_mut(&id).expect("the entry was added");
             // The node that saw a single crash sees the next one as well if it tries again.
-            entry.dirty |= entry.runners.len() >= SUSPECT_CRASHES || !is_retried(call);
+            let is_first = entry.runners.len() < SUSPECT_CRASHES && is_retried(call);
+            let is_late = now > crash.at + OUTAGE_WINDOW;
+            entry.dirty |= !is_first || is_late;
             self.changed.notify_one();
             if entry.runners.len() >= MAX_CRASHES {
                 log::warn!(request = call.head.id.as_str(), route = call.route.name.as_str(),
@@ -267,16 +291,17 @@
         entry.runners.len() >= MAX_CRASHES && now < entry.last + self.expiry
     }
 
-    /// Records the crash of a runner; returns whether a request that was sent to it at `sent_at` may have
-    /// caused it. The runner must not have crashed before that, nor several others just now on which the
-    /// request did not run.
-    fn is_evidence(&mut self, id: RequestId, runner: u64, sent_at: Instant, now: Instant) -> bool {
+    /// Records the crash of a runner; returns whether the request may have caused it. The runner must not
+    /// have crashed before it was sent, nor several others at the same time on which it did not run.
+    fn is_evidence(&mut self, id: RequestId, crash: &RunnerCrash, now: Instant) -> bool {
+        let &RunnerCrash { runner, sent_at, at, .. } = crash;
         if self.prompts.crash_time(runner).is_some_and(|at| sent_at > at) {
             return false;
         }
         self.recent.retain(|crash| now < crash.at + CRASH_RETENTION);
         let is_other = |crash: &&RecentCrash| {
-            let is_recent = crash.at > sent_at && now < crash.at + OUTAGE_WINDOW;
+            let distance = crash.at.max(at) - crash.at.min(at);
+            let is_recent = crash.at > sent_at && distance < OUTAGE_WINDOW;
             crash.runner != runner && is_recent && !crash.requests.contains(&id)
         };
         let is_outage = self.recent.iter().filter(is_other).count() + 1 >= MIN_OUTAGE_CRASHES;
@@ -284,7 +309,7 @@
         match known {
             Some(crash) if sent_at > crash.at => return false,
             Some(crash) => crash.requests.push(id),
-            None => self.recent.push_back(RecentCrash { runner, at: now, requests: vec![id] }),
+            None => self.recent.push_back(RecentCrash { runner, at, requests: vec![id] }),
         }
         !is_outage
     }
--- a/crates/relay/src/quarantine/fingerprint.rs
+++ b/crates/relay/src/quarantine/fingerprint.rs
@@ -9,7 +9,7 @@
 
 /// Returns the identity of a request: equal for all attempts with the same account, method, path and
 /// body.
-pub(super) fn fingerprint(call: &Call) -> RequestId {
+pub(crate) fn fingerprint(call: &Call) -> RequestId {
     let mut hash = Xxh3::new();
     for part in [call.method.as_str().as_bytes(), call.path.as_str().as_bytes(), &call.body] {
         hash.update(&part.len().to_le_bytes());
--- a/crates/relay/src/quarantine/prompts.rs
+++ b/crates/relay/src/quarantine/prompts.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Quarantine, age_ms,
+        Quarantine, RunnerCrash, age_ms,
         evidence::{Evidence, Judgement, Lost, SOUND_TIME},
         fingerprint::{account_hash, prompt_of},
         instant_of,
@@ -68,7 +68,8 @@
             Some(SoundPart { id: *id, age_ms: age_ms(start, at) })
         });
         let (sound, prompt, sent_ms) = (sound.collect(), prompt.clone(), age_ms(sent_at, at));
-        let crash = PromptCrash { runner, sent_ms, age_ms: 0, prompt, begun, sound };
+        let age_ms = age_ms(at, Instant::now());
+        let crash = PromptCrash { runner, sent_ms, age_ms, prompt, begun, sound };
         self.report.crashes.push(crash);
         true
     }
@@ -200,20 +201,13 @@
 }
 
 impl Quarantine {
-    /// Records that a runner, identified by a hash of its incarnation, has crashed while it held a request
-    /// that was sent to it at `sent_at`; `age` is the time for which it had responded, if it had begun.
-    pub fn record_prompt_crash(
-        &self,
-        call: &Call,
-        runner: u64,
-        sent_at: Instant,
-        age: Option<Duration>,
-    ) {
+    /// Records the crash of a runner while it held a request.
+    pub fn record_prompt_crash(&self, call: &Call, crash: &RunnerCrash) {
+        let &RunnerCrash { runner, sent_at, at, age } = crash;
         if age.is_some_and(|age| age > SOUND_TIME) || call.head.prefix.is_empty() {
             return;
         }
         let inner = &mut *self.inner.borrow_mut();
-        let at = Instant::now();
         let prompt = &prompt_of(call);
         let lost = Lost { runner, sent_at, at, prompt, begun: age.is_some() };
         if inner.prompts.record_lost(&lost, inner.expiry) {
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -382,3 +382,47 @@
 async fn request_that_takes_some_hosts_down_is_rejected_by_all_instances() {
     run_local(check_dark_crashes(Dark::Half, 1)).await;
 }
+
+/// Sends a popular request while the hosts of engines go down by themselves: `count` of a failure domain
+/// every 3 s; checks that it is served.
+async fn check_popular_request(count: usize) {
+    let mut engines = Engines::new(12).await;
+    engines.dark = Dark::All;
+    engines.arm();
+    let instances = start_instances(&engines.platform, 6).await;
+    let mut requests = Vec::new();
+    for round in 0..120_usize {
+        let callers = instances[round % instances.len()].callers;
+        requests.push(tokio::task::spawn_local(async move {
+            is_complete(post_body(callers, "/stream/1", "k1", "{}").await)
+        }));
+        if round % 30 == 20 {
+            let domain = ["a", "b", "c"][round / 30 % 3];
+            let running = engines.platform.runners.iter().filter(|r| {
+                r.service == ENGINES && r.domain == domain && !r.is_crashed.get() && !r.is_paused()
+            });
+            running.take(count).for_each(|runner| runner.pause());
+        }
+        engines.step().await;
+        sleep(ms(100)).await;
+    }
+    assert!(engines.crashes.len() > MAX_CRASHES, "{} crashes", engines.crashes.len());
+    let sent = requests.len();
+    let mut served = 0;
+    for request in requests {
+        served += usize::from(request.await.unwrap());
+    }
+    assert_eq!(served, sent, "requests served");
+}
+
+/// Guards against blaming a popular request for runners whose hosts go down by themselves.
+#[tokio::test]
+async fn popular_request_is_served_while_hosts_go_down() {
+    run_local(check_popular_request(2)).await;
+}
+
+/// Guards against the same if all of a failure domain go down together.
+#[tokio::test]
+async fn popular_request_is_served_while_a_failure_domain_goes_down() {
+    run_local(check_popular_request(usize::MAX)).await;
+}
--- a/tests/relay/crashes.rs
+++ b/tests/relay/crashes.rs
@@ -4,10 +4,10 @@
     super::support::{
         Deployment, ENGINES, PLAIN, Partition, Runner, Script, StreamEnd, call, ms, run_local,
     },
-    bilberryfront_relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME, Quarantine},
+    bilberryfront_relay::quarantine::{MAX_CRASHES, QUARANTINE_TIME, Quarantine, RunnerCrash},
     bytes::Bytes,
     futures_util::future::join_all,
-    std::rc::Rc,
+    std::{rc::Rc, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
@@ -80,11 +80,11 @@
     for runner in 0..MAX_CRASHES as u64 {
         let sent_at = Instant::now();
         sleep(ms(300)).await;
-        quarantine.record_crash(&cause, runner, sent_at);
+        quarantine.record_crash(&cause, &RunnerCrash::now(runner, sent_at, Some(Duration::ZERO)));
         sleep(ms(300)).await;
         let sent_at = Instant::now();
         sleep(ms(5)).await;
-        quarantine.record_crash(&late, runner, sent_at);
+        quarantine.record_crash(&late, &RunnerCrash::now(runner, sent_at, Some(Duration::ZERO)));
     }
     assert!(quarantine.time_left(&cause).is_some());
     assert!(quarantine.time_left(&late).is_none());
@@ -100,14 +100,17 @@
         let sent_at = Instant::now();
         sleep(ms(300)).await;
         for (runner, request) in [(0, &one), (1, &one), (2, &other)] {
-            quarantine.record_crash(request, round * 3 + runner, sent_at);
+            quarantine.record_crash(
+                request,
+                &RunnerCrash::now(round * 3 + runner, sent_at, Some(Duration::ZERO)),
+            );
             sleep(ms(10)).await;
         }
     }
     assert!(quarantine.time_left(&one).is_some());
     let sent_at = Instant::now();
     sleep(ms(300)).await;
-    quarantine.record_crash(&other, 9, sent_at);
+    quarantine.record_crash(&other, &RunnerCrash::now(9, sent_at, Some(Duration::ZERO)));
     assert!(quarantine.time_left(&other).is_some());
 }
 
@@ -151,3 +154,38 @@
         .await;
     }
 }
+
+/// Guards against a request that is not blamed for runners which fell silent and turned out to have ended,
+/// and against one that is blamed for runners which go on.
+#[tokio::test(start_paused = true)]
+async fn request_is_blamed_for_silent_runners_only_if_they_have_ended() {
+    for has_ended in [true, false] {
+        run_local(async {
+            let deployment = Deployment::new(ENGINES, &["a", "b", "c", "a", "b", "c"], &EVENTS);
+            let mut requests = Vec::new();
+            for _ in 0..MAX_CRASHES {
+                let serving = deployment.clone();
+                let request = async move { serving.serve("/stream/1", &[]).await };
+                requests.push(tokio::task::spawn_local(request));
+                sleep(ms(200)).await;
+                let is_used = |r: &&Rc<Runner>| r.running_streams() > 0 && !r.is_paused();
+                let runner = deployment.runners.iter().find(is_used).expect("it runs").clone();
+                runner.pause();
+                tokio::task::spawn_local(async move {
+                    sleep(ms(2_500)).await;
+                    match has_ended {
+                        true => runner.is_crashed.set(true),
+                        false => runner.unpause(),
+                    }
+                });
+                // The silence is noticed, and the caller leaves before the runner's fate is known.
+                sleep(ms(500)).await;
+                requests.pop().unwrap().abort();
+            }
+            sleep(ms(5_000)).await;
+            let request = call("/stream/1", &[]);
+            assert_eq!(deployment.traffic.quarantine.time_left(&request).is_some(), has_ended);
+        })
+        .await;
+    }
+}
--- a/tests/relay/silences.rs
+++ b/tests/relay/silences.rs
@@ -8,6 +8,7 @@
     bilberryfront_decide::mover::{MoveId, Response as VersionResponse},
     bilberryfront_relay::{
         body::ResponseBody,
+        quarantine::RunnerCrash,
         view::{Rule, Split, View},
     },
     futures_util::future::join_all,
@@ -938,7 +939,10 @@
             for runner in [101, 102] {
                 let sent_at = Instant::now();
                 sleep(ms(300)).await;
-                quarantine.record_crash(&request, runner, sent_at);
+                quarantine.record_crash(
+                    &request,
+                    &RunnerCrash::now(runner, sent_at, Some(Duration::ZERO)),
+                );
             }
             assert!(quarantine.is_suspect(&request));
             let mut stream = Stream::start(&deployment, "/stream/1").await;
@@ -965,7 +969,10 @@
             let sent_at = Instant::now();
             sleep(ms(300)).await;
             let request = call("/stream/1", &PROMPT);
-            quarantine.record_prompt_crash(&request, 101, sent_at, Some(Duration::ZERO));
+            quarantine.record_prompt_crash(
+                &request,
+                &RunnerCrash::now(101, sent_at, Some(Duration::ZERO)),
+            );
             let mut stream = Stream::start(&deployment, "/stream/1").await;
             silence(&deployment.runners, ms(1_500));
             while stream.ids.len() < events {
