End streams whose runners send bytes without end that are no events

A caller of a stream whose runner sends comments only got 200 and waited until the runner stopped, past its deadline and the route's timeout; no other attempt was made. The same with blank lines, events already sent, and as fast as possible.

Cause: a deadline held only as long as nothing was received. Comments counted as events, so that each renewed the timeout; a timeout around a read is not checked while there is always something to read; bytes counted as a sign of health. Blocks with neither an id nor data are no events now, the timeout is checked before each read, only the next event shows that a runner is healthy, and events without an id do not extend a stream past its deadline.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -6,6 +6,8 @@
 pub const EVENT_BYTES: usize = 1 << 20;
 /// Prefix of the id field.
 const ID: &[u8] = b"id:";
+/// Prefix of the data field.
+const DATA: &[u8] = b"data";
 
 /// A complete event with its final blank line.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,16 +38,20 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Takes the next complete event, if there is one.
+    /// Takes the next complete event, if there is one. Blocks with neither an id nor data, such as comments,
+    /// are dropped, as they are no events.
     pub fn take(&mut self) -> Result<Option<Event>, TooLong> {
-        let Some(end) = self.end() else {
-            // The end of the event may be split; it has at most four bytes.
-            self.searched = self.buffer.len().saturating_sub(3);
-            return if self.buffer.len() > EVENT_BYTES { Err(TooLong) } else { Ok(None) };
-        };
-        self.searched = 0;
-        let bytes = self.buffer.split_to(end).freeze();
-        Ok(Some(Event { id: id(&bytes), bytes }))
+        while let Some(end) = self.end() {
+            self.searched = 0;
+            let bytes = self.buffer.split_to(end).freeze();
+            let id = id(&bytes);
+            if id.is_some() || has_data(&bytes) {
+                return Ok(Some(Event { id, bytes }));
+            }
+        }
+        // The end of the event may be split; it has at most four bytes.
+        self.searched = self.buffer.len().saturating_sub(3);
+        if self.buffer.len() > EVENT_BYTES { Err(TooLong) } else { Ok(None) }
     }
 
     /// Returns whether the buffer contains an incomplete event.
@@ -66,6 +72,10 @@
     }
 }
 
+fn has_data(event: &[u8]) -> bool {
+    event.split(|&b| b == b'\n').any(|line| line.starts_with(DATA))
+}
+
 fn id(event: &[u8]) -> Option<u64> {
     let line = event.split(|&b| b == b'\n').find_map(|line| line.strip_prefix(ID))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -211,6 +211,11 @@
         loop {
             match next {
                 Ok(event) => {
+                    if event.id.is_none() && Instant::now() >= self.call.deadline() {
+                        self.no_attempt = Some(NoAttempt::Deadline);
+                        self.end_run(active, RunEnd::Disorder, true).await;
+                        return self.log_broken();
+                    }
                     let bytes = event.bytes.len();
                     self.traffic.client.count_bytes(Part::Events, active.run.endpoint(), bytes);
                     if !self.forward(&sender, event).await {
--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -64,7 +64,14 @@
                 Ok(Some(event)) => {
                     self.may_end = true;
                     match check_continuity(&event, position) {
-                        Continuity::Next => return Ok(event),
+                        Continuity::Next => {
+                            self.lease.record_response();
+                            return Ok(event);
+                        }
+                        // There may be more of them without end.
+                        Continuity::Duplicate if Instant::now() >= until => {
+                            return Err(RunEnd::Silent);
+                        }
                         Continuity::Duplicate => continue,
                         Continuity::Gap => return Err(RunEnd::Disorder),
                     }
@@ -72,6 +79,10 @@
                 Ok(None) => {}
                 Err(_) => return Err(RunEnd::Disorder),
             }
+            // A timeout alone does not end a wait if there is always something to read.
+            if Instant::now() >= until {
+                return Err(RunEnd::Silent);
+            }
             let frame = timeout_at(until, self.body.frame()).await.map_err(|_| RunEnd::Silent)?;
             match frame {
                 Some(Ok(frame)) => self.push_frame(&frame),
@@ -106,7 +117,6 @@
 
     fn push_frame(&mut self, frame: &hyper::body::Frame<bytes::Bytes>) {
         if let Some(bytes) = frame.data_ref() {
-            self.lease.record_response();
             self.splitter.push(bytes);
         }
     }
