--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -186,13 +186,14 @@
         Some(exposure.choose(split, &self.bound, view.senders, rand::rng().random()))
     }
 
-    /// Reports the start of a first attempt during a rollout, unless the runner has another version than
-    /// the one that the request was assigned to.
+    /// Reports the start of a first attempt until the rollout is decided, unless the runner has another
+    /// version than the one that the request was assigned to.
     fn start_trial(&self, call: &Call, runner: RunnerKey) -> Option<Trial> {
         let (choice, trials) = (call.version?, self.trials.as_ref()?);
         let view = self.published.load();
-        let target = &view.splits.get(&call.service)?.to;
-        if (self.client.fleet.version(runner)? == *target) != choice.new {
+        let split = view.splits.get(&call.service)?;
+        let is_decided = split.is_rejected || split.rule == Rule::OnlyNew;
+        if is_decided || (self.client.fleet.version(runner)? == split.to) != choice.new {
             return None;
         }
         let (route, runner) = (call.route.name.clone(), runner.data().as_ffi());
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -11,6 +11,7 @@
 pub mod exposure;
 mod track;
 pub mod trial;
+mod waits;
 
 pub use self::track::{Action, Phase};
 
--- a/crates/relay/src/rollouts/track.rs
+++ b/crates/relay/src/rollouts/track.rs
@@ -2,9 +2,8 @@
 
 use {
     super::{
-        RolloutOrder, RolloutStatus, comparison,
-        exposure::CANARY_SHARE,
-        trial::{TrialEvent, TrialStart},
+        RolloutOrder, RolloutStatus, comparison, exposure::CANARY_SHARE, trial::TrialEvent,
+        waits::Waits,
     },
     crate::{
         store::Revision,
@@ -14,8 +13,8 @@
         chart::Chart,
         id::Incarnation,
         mover::{
-            MoveEvidence, MoveId, MoveQuery, MoveUpdate, Sample,
-            evidence::{Collector, Counts, Evidence, PooledEvidence, TOLERANCE, Tally, Wait},
+            MoveEvidence, MoveId, MoveQuery, MoveUpdate,
+            evidence::{Collector, Counts, Evidence, PooledEvidence, TOLERANCE, Tally},
             standing::{Cause, Verdict},
             verdict::{CAUSES, SequentialTest},
         },
@@ -52,8 +51,6 @@
 const MAX_BAD: u32 = 25;
 /// Evaluation interval.
 const EVALUATE_INTERVAL: Duration = Duration::from_millis(200);
-/// Maximum number of waits that are kept until they can be judged.
-const MAX_UNJUDGED: usize = 256;
 /// Interval of messages to peers.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Delay before each further node writes, if the status has not been stored.
@@ -111,23 +108,6 @@
     },
 }
 
-/// A first attempt that has not ended.
-struct Trial {
-    start: TrialStart,
-    wait: WaitState,
-}
-
-/// Wait of a first attempt for its first event or its response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum WaitState {
-    /// It waits.
-    Waiting,
-    /// It has waited too long.
-    Late,
-    /// It has waited, but not too long.
-    Over,
-}
-
 pub(super) struct Rollout {
     me: Incarnation,
     revision: Revision,
@@ -149,10 +129,7 @@
     /// Time at which the stored status was last read.
     recorded_at: Instant,
     collector: Collector,
-    /// First attempts that have not ended, by number.
-    trials: BTreeMap<u64, Trial>,
-    /// Waits that are over and cannot be judged yet, with their times.
-    unjudged: Vec<(TrialStart, Duration)>,
+    waits: Waits,
     pool: PooledEvidence,
     /// Number of requests of the new version with bad events, at all nodes; a lower bound.
     bad: u32,
@@ -190,8 +167,7 @@
             recorded: None,
             recorded_at: now,
             collector: Collector::default(),
-            trials: BTreeMap::new(),
-            unjudged: Vec::new(),
+            waits: Waits::default(),
             pool: PooledEvidence::default(),
             bad: 0,
             routes: BTreeMap::new(),
@@ -269,31 +245,9 @@
 
     /// Applies what happened to the first attempt of a request.
     pub(super) fn observe(&mut self, number: u64, event: &TrialEvent) {
-        match event {
-            TrialEvent::Started(start) if start.choice.id == Some(self.id()) => {
-                let trial = Trial { start: start.clone(), wait: WaitState::Waiting };
-                self.trials.insert(number, trial);
-            }
-            TrialEvent::Started(_) => {}
-            TrialEvent::Responded(latency) => {
-                self.observe_first(number, *latency);
-            }
-            TrialEvent::Ended { response, pace } => {
-                if let Some(Trial { start, wait }) = self.trials.remove(&number) {
-                    let sample = Sample {
-                        choice: start.choice,
-                        route: &start.route,
-                        response: *response,
-                        first: None,
-                        pace: *pace,
-                        runner: start.runner,
-                        account: 0,
-                    };
-                    let is_late = wait == WaitState::Late;
-                    self.collector.observe_end(&sample, is_late, &self.routes);
-                }
-            }
-            TrialEvent::Dropped => _ = self.trials.remove(&number),
+        let id = self.id();
+        if !matches!(event, TrialEvent::Started(start) if start.choice.id != Some(id)) {
+            self.waits.observe(number, event, &mut self.collector, &self.routes);
         }
     }
 
@@ -385,12 +339,10 @@
 
     fn transition(&mut self, signal: Signal) {
         let Some(next) = CHART.next(self.phase, signal) else { return };
-        let is_waiting = |trial: &&Trial| trial.start.choice.new && trial.wait != WaitState::Over;
-        let waiting = self.trials.values().filter(is_waiting);
         log::info!(service = self.order.service.as_str(), to = self.order.to.as_str(),
             served = self.served(), bad = self.bad, known_bad = self.pool.bad(),
             control = self.routes.values().map(|counts| counts.control).sum::<u32>(),
-            waiting = waiting.count();
+            waiting = self.waits.waiting();
             "rollout phase changed from {:?} to {next:?}", self.phase);
         self.phase = next;
     }
@@ -434,7 +386,7 @@
             return;
         }
         self.evaluate_at = now + EVALUATE_INTERVAL;
-        self.judge_waits(now);
+        self.waits.judge(now, &mut self.collector, &self.routes);
         self.pool.merge(self.me, self.collector.evidence());
         if let Some(routes) = self.pool.take_changed() {
             self.routes = routes;
@@ -481,39 +433,6 @@
         self.routes.values().any(caused)
     }
 
-    /// Records the first event or the response of a first attempt.
-    fn observe_first(&mut self, number: u64, latency: Duration) {
-        let Some(trial) = self.trials.get_mut(&number) else { return };
-        let wait = wait_of(&trial.start, latency, true);
-        if trial.wait == WaitState::Waiting {
-            match self.collector.judge_wait(&wait, &self.routes) {
-                Some(true) => trial.wait = WaitState::Late,
-                Some(false) => trial.wait = WaitState::Over,
-                None => {
-                    trial.wait = WaitState::Over;
-                    if self.unjudged.len() < MAX_UNJUDGED {
-                        self.unjudged.push((trial.start.clone(), latency));
-                    }
-                }
-            }
-        }
-        self.collector.observe_wait(&wait);
-    }
-
-    /// Judges the waits that could not be judged before, and those that are not over.
-    fn judge_waits(&mut self, now: Instant) {
-        let Rollout { collector, routes, trials, unjudged, .. } = self;
-        unjudged.retain(|(start, time)| {
-            collector.judge_wait(&wait_of(start, *time, true), routes).is_none()
-        });
-        for trial in trials.values_mut().filter(|trial| trial.wait == WaitState::Waiting) {
-            let time = now.saturating_duration_since(trial.start.at);
-            if collector.judge_wait(&wait_of(&trial.start, time, false), routes).is_some() {
-                trial.wait = WaitState::Late;
-            }
-        }
-    }
-
     /// Returns the number of finished requests of the new version that are required at [`FINAL_SHARE`].
     fn final_need(&self) -> u32 {
         let control: u32 = self.routes.values().map(|counts| counts.control).sum();
@@ -615,8 +534,3 @@
         }
     }
 }
-
-fn wait_of(start: &TrialStart, time: Duration, is_over: bool) -> Wait<'_> {
-    let &TrialStart { choice, ref route, runner, .. } = start;
-    Wait { choice, route, runner, time, is_over }
-}
