Do not blame requests for runners that leave behind a partition

A node that is cut off from the runners finds those silent; if their registrations are removed meanwhile, they counted as ended, and the requests that they held were charged with crashes. Found by reading; the test fails before (the request is suspect) and passes. While this node is partitioned from the service, a runner that does not respond is not known to have ended.

--- a/crates/relay/src/flow/silence.rs
+++ b/crates/relay/src/flow/silence.rs
@@ -14,6 +14,7 @@
         quarantine::{RunnerCrash, fingerprint},
         runner_client::CrashCheck,
     },
+    bilberryfront_decide::member::message::RequestId,
     compact_str::CompactString,
     rustc_hash::FxHashMap,
     std::{cell::RefCell, rc::Rc, time::Duration},
@@ -27,6 +28,14 @@
 /// Maximum number of requests of a silent runner that are remembered.
 const MAX_RUNS: usize = 32;
 
+/// Runners of a failure domain that have ended, and fell silent at the same time, from which an outage is
+/// assumed.
+const MIN_OUTAGE_RUNNERS: usize = 3;
+/// Time within which they fall silent; requests show it with a delay.
+const OUTAGE_WINDOW: Duration = Duration::from_millis(250);
+/// Time within which the ends of the runners of an outage are found.
+const SETTLE_TIME: Duration = Duration::from_millis(150);
+
 /// What has become of a silent runner.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fate {
@@ -38,14 +47,6 @@
     Unknown,
 }
 
-/// Runners of a failure domain that have ended, and fell silent at the same time, from which an outage is
-/// assumed.
-const MIN_OUTAGE_RUNNERS: usize = 3;
-/// Time within which they fall silent; requests show it with a delay.
-const OUTAGE_WINDOW: Duration = Duration::from_millis(250);
-/// Time within which the ends of the runners of an outage are found.
-const SETTLE_TIME: Duration = Duration::from_millis(150);
-
 /// Silent runners that are checked. Clones share their state.
 #[derive(Clone, Default)]
 pub(super) struct Silences(Rc<RefCell<FxHashMap<RunnerKey, SilentRunner>>>);
@@ -61,6 +62,7 @@
 
 /// A request that a runner held when it fell silent.
 struct SilentRun {
+    id: RequestId,
     call: Call,
     sent_at: Instant,
     /// Time for which it had responded; see [`RunnerCrash::age`].
@@ -81,9 +83,7 @@
             return;
         }
         let id = fingerprint(call);
-        for runner in runners.values_mut() {
-            runner.runs.retain(|run| fingerprint(&run.call) != id);
-        }
+        runners.values_mut().for_each(|runner| runner.runs.retain(|run| run.id != id));
     }
 
     /// Returns whether several runners of a failure domain have ended together.
@@ -96,8 +96,7 @@
 }
 
 impl<D: Dialect, N: Network> Traffic<D, N> {
-    /// Checks from now on what becomes of a runner that is silent while it holds a request.
-    /// `age` is the time for which it had responded to the request; see [`RunnerCrash::age`].
+    /// Checks from now on what becomes of a runner that is silent while it holds a request. `age` is the time for which it had responded to the request; see [`RunnerCrash::age`].
     pub(super) fn check_silence(
         &self,
         call: &Call,
@@ -115,7 +114,7 @@
             .or_insert_with(|| SilentRunner::new(endpoint.domain.clone(), since));
         let is_new = runner.runs.iter().all(|run| run.call.head.id != call.head.id);
         if is_new && runner.runs.len() < MAX_RUNS {
-            runner.runs.push(SilentRun { call: call.clone(), sent_at, age });
+            runner.runs.push(SilentRun { id: fingerprint(call), call: call.clone(), sent_at, age });
         }
         if !is_known {
             let (traffic, endpoint) = (self.clone(), endpoint.clone());
@@ -153,7 +152,7 @@
             Some(runner) => std::mem::take(&mut runner.runs),
             None => return,
         };
-        for SilentRun { call, sent_at, age } in runs {
+        for SilentRun { call, sent_at, age, .. } in runs {
             let crash = RunnerCrash { runner: incarnation, sent_at, at: since, age };
             self.attribute_crash(&call, endpoint, &crash);
         }
@@ -171,7 +170,8 @@
 
     async fn find_fate(&self, endpoint: &Endpoint) -> Fate {
         let fleet = &self.client.fleet;
-        let born = fleet.born(endpoint.key);
+        let (born, service) = (fleet.born(endpoint.key), fleet.service(endpoint.key));
+        let is_service = |name: &CompactString| service.as_ref() == Some(name);
         let end = Instant::now() + MAX_SILENCE;
         while Instant::now() < end {
             let was_listed = fleet.is_listed(endpoint.key);
@@ -182,6 +182,8 @@
             match self.client.check_incarnation(endpoint, born).await {
                 CrashCheck::Running => return Fate::Continued,
                 CrashCheck::Crashed => return Fate::Ended,
+                // This node may be the one that does not reach it.
+                CrashCheck::Unreachable if fleet.partitions().iter().any(is_service) => {}
                 // Its registration has expired or was replaced.
                 CrashCheck::Unreachable if !fleet.is_listed(endpoint.key) => return Fate::Ended,
                 CrashCheck::Unreachable => {}
