Do not attribute silences that all runners of a service share

request_is_not_blamed_for_a_crash_after_a_silence failed since the crash of a silent runner is attributed: all runners freeze, and one is lost two seconds later, three times; the request that it held was quarantined.

A runner whose end is no evidence is one of those that fell silent together: if no other runner of the service has responded by the first check, the end is logged as EndedWithOthers and attributed to nobody. Passes again, with the other tests of crashes (14 of 14, twice).

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -335,6 +335,13 @@
         (!registration.assumed).then_some(registration.born)
     }
 
+    /// Returns whether another runner of the service has responded to this node since `time`.
+    pub fn has_other_responded(&self, key: RunnerKey, service: &str, time: Instant) -> bool {
+        let inner = self.inner.borrow();
+        let others = inner.services.get(service).into_iter().flatten().filter(|k| **k != key);
+        others.filter_map(|k| inner.runners[*k].health.last_seen()).any(|seen| seen > time)
+    }
+
     /// Waits until this incarnation of a runner is no longer listed.
     pub async fn wait_until_unlisted(&self, key: RunnerKey) {
         loop {
--- a/crates/relay/src/flow/silence.rs
+++ b/crates/relay/src/flow/silence.rs
@@ -25,6 +25,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a runner that remains silent is no longer checked.
 const MAX_SILENCE: Duration = Duration::from_secs(30);
+/// Time before a silence is noticed from which on a response of another runner shows that it was spared.
+const SHARED_WINDOW: Duration = Duration::from_millis(150);
 /// Maximum number of requests of a silent runner that are remembered.
 const MAX_RUNS: usize = 32;
 
@@ -43,6 +45,8 @@
     Continued,
     /// Its process has ended.
     Ended,
+    /// Its process has ended after a silence that no runner of the service was known to be spared from.
+    EndedWithOthers,
     /// It remains silent.
     Unknown,
 }
@@ -172,20 +176,27 @@
         let fleet = &self.client.fleet;
         let (born, service) = (fleet.born(endpoint.key), fleet.service(endpoint.key));
         let is_service = |name: &CompactString| service.as_ref() == Some(name);
-        let end = Instant::now() + MAX_SILENCE;
+        let start = Instant::now();
+        let end = start + MAX_SILENCE;
+        let mut is_shared = None;
         while Instant::now() < end {
             let was_listed = fleet.is_listed(endpoint.key);
             tokio::select! {
                 () = sleep(CHECK_INTERVAL) => {}
                 () = fleet.wait_until_unlisted(endpoint.key), if was_listed => {}
             }
+            let is_shared = *is_shared.get_or_insert_with(|| {
+                let service = service.as_deref().unwrap_or_default();
+                !fleet.has_other_responded(endpoint.key, service, start - SHARED_WINDOW)
+            });
+            let ended = if is_shared { Fate::EndedWithOthers } else { Fate::Ended };
             match self.client.check_incarnation(endpoint, born).await {
                 CrashCheck::Running => return Fate::Continued,
-                CrashCheck::Crashed => return Fate::Ended,
+                CrashCheck::Crashed => return ended,
                 // This node may be the one that does not reach it.
                 CrashCheck::Unreachable if fleet.partitions().iter().any(is_service) => {}
                 // Its registration has expired or was replaced.
-                CrashCheck::Unreachable if !fleet.is_listed(endpoint.key) => return Fate::Ended,
+                CrashCheck::Unreachable if !fleet.is_listed(endpoint.key) => return ended,
                 CrashCheck::Unreachable => {}
             }
         }
