Forward comments of a stream with its next event

Nothing of it renews a timeout, as before.

Test: comments before, between and after the events of a body arrive unchanged.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -18,6 +18,13 @@
     pub bytes: Bytes,
 }
 
+impl Event {
+    /// Returns whether the event is a part of an answer; otherwise it is a comment or a blank line.
+    pub fn is_answer(&self) -> bool {
+        self.id.is_some() || self.bytes.split(|&b| b == b'\n').any(|line| line.starts_with(DATA))
+    }
+}
+
 /// Error for an event that is longer than [`EVENT_BYTES`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -38,20 +45,16 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Takes the next complete event, if there is one. Blocks with neither an id nor data, such as comments,
-    /// are dropped, as they are no events.
+    /// Takes the next complete event, if there is one.
     pub fn take(&mut self) -> Result<Option<Event>, TooLong> {
-        while let Some(end) = self.end() {
-            self.searched = 0;
-            let bytes = self.buffer.split_to(end).freeze();
-            let id = id(&bytes);
-            if id.is_some() || has_data(&bytes) {
-                return Ok(Some(Event { id, bytes }));
-            }
-        }
-        // The end of the event may be split; it has at most four bytes.
-        self.searched = self.buffer.len().saturating_sub(3);
-        if self.buffer.len() > EVENT_BYTES { Err(TooLong) } else { Ok(None) }
+        let Some(end) = self.end() else {
+            // The end of the event may be split; it has at most four bytes.
+            self.searched = self.buffer.len().saturating_sub(3);
+            return if self.buffer.len() > EVENT_BYTES { Err(TooLong) } else { Ok(None) };
+        };
+        self.searched = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        Ok(Some(Event { id: id(&bytes), bytes }))
     }
 
     /// Returns whether the buffer contains an incomplete event.
@@ -72,10 +75,6 @@
     }
 }
 
-fn has_data(event: &[u8]) -> bool {
-    event.split(|&b| b == b'\n').any(|line| line.starts_with(DATA))
-}
-
 fn id(event: &[u8]) -> Option<u64> {
     let line = event.split(|&b| b == b'\n').find_map(|line| line.strip_prefix(ID))?;
     std::str::from_utf8(line).ok()?.trim().parse().ok()
--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -3,11 +3,12 @@
 use {
     super::replica::Replica,
     crate::{
-        events::{Event, Splitter},
+        events::{EVENT_BYTES, Event, Splitter},
         fleet::{Endpoint, Fleet, Lease},
         pool::Connection,
         runner_client::Reply,
     },
+    bytes::BytesMut,
     http::{header, response::Parts},
     http_body_util::BodyExt,
     hyper::body::Incoming,
@@ -20,6 +21,8 @@
     connection: Connection,
     body: Incoming,
     splitter: Splitter,
+    /// Comments and blank lines that are forwarded with the next event.
+    comments: BytesMut,
     /// Whether the end of the connection is the end of a complete response: it has a length or chunks,
     /// or at least one event.
     may_end: bool,
@@ -49,7 +52,8 @@
         parts.headers.remove(header::CONTENT_LENGTH);
         let splitter = Splitter::default();
         let (may_end, idle_timeout) = (framed, head.idle);
-        (parts, Run { connection, body, splitter, may_end, lease, replica, idle_timeout })
+        let comments = BytesMut::new();
+        (parts, Run { connection, body, splitter, comments, may_end, lease, replica, idle_timeout })
     }
 
     /// Returns the next event after `position`, or why there is none within `timeout`.
@@ -60,39 +64,58 @@
     ) -> Result<Event, RunEnd> {
         let until = Instant::now() + timeout;
         loop {
+            let mut is_empty = false;
             match self.splitter.take() {
+                Ok(Some(event)) if !event.is_answer() => {
+                    self.comments.extend_from_slice(&event.bytes);
+                }
                 Ok(Some(event)) => {
                     self.may_end = true;
                     match check_continuity(&event, position) {
                         Continuity::Next => {
                             self.lease.record_response();
-                            return Ok(event);
-                        }
-                        // There may be more of them without end.
-                        Continuity::Duplicate if Instant::now() >= until => {
-                            return Err(RunEnd::Silent);
+                            return Ok(self.with_comments(event));
                         }
-                        Continuity::Duplicate => continue,
+                        Continuity::Duplicate => {}
                         Continuity::Gap => return Err(RunEnd::Disorder),
                     }
                 }
-                Ok(None) => {}
+                Ok(None) => is_empty = true,
                 Err(_) => return Err(RunEnd::Disorder),
             }
+            if self.comments.len() > EVENT_BYTES {
+                return Err(RunEnd::Disorder);
+            }
             // A timeout alone does not end a wait if there is always something to read.
             if Instant::now() >= until {
                 return Err(RunEnd::Silent);
             }
+            if !is_empty {
+                continue;
+            }
             let frame = timeout_at(until, self.body.frame()).await.map_err(|_| RunEnd::Silent)?;
             match frame {
                 Some(Ok(frame)) => self.push_frame(&frame),
                 Some(Err(_)) => return Err(RunEnd::Cut),
                 None if self.splitter.is_partial() || !self.may_end => return Err(RunEnd::Cut),
+                None if !self.comments.is_empty() => {
+                    return Ok(Event { id: None, bytes: self.comments.split().freeze() });
+                }
                 None => return Err(RunEnd::Whole),
             }
         }
     }
 
+    /// Adds the comments before an event to it.
+    fn with_comments(&mut self, event: Event) -> Event {
+        if self.comments.is_empty() {
+            return event;
+        }
+        let mut bytes = self.comments.split();
+        bytes.extend_from_slice(&event.bytes);
+        Event { id: event.id, bytes: bytes.freeze() }
+    }
+
     /// Marks the prompt as prefilled in the load of the runner.
     pub(super) fn mark_started(&mut self) {
         self.lease.mark_prefilled();
--- a/tests/relay/endless.rs
+++ b/tests/relay/endless.rs
@@ -98,3 +98,15 @@
     })
     .await;
 }
+
+/// Guards against a body that is not the runner's whole body, because its comments are left out.
+#[tokio::test(start_paused = true)]
+async fn comments_are_forwarded_with_the_events() {
+    run_local(async {
+        let text = ": first\n\nid: 1\ndata: a\n\n: between\n\nid: 2\ndata: b\n\n: last\n\n";
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &Script::Unframed(text));
+        let received = deployment.serve("/stream/1", &headers()).await;
+        assert_eq!((received.text.as_str(), received.is_complete), (text, true));
+    })
+    .await;
+}
