Log the attempt id of a runner's rejection and of a discarded response

The line "request rejected by the runner" named the request and not whose rejection it was, so three causes could not be told apart: a rejection of another request on the same connection, a request sent again after its bytes had left, and a runner that rejects what it runs.

Both lines now state the attempt id of the response. No decision changes.

--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -168,7 +168,8 @@
         if head.not_run {
             log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
                 status = parts.status.as_u16(), from_replica = options.from_replica.is_some(),
-                retry_after = head.retry_after.unwrap_or_default().as_millis() as u64;
+                retry_after = head.retry_after.unwrap_or_default().as_millis() as u64,
+                response = head.id.as_deref().unwrap_or_default();
                 "{REJECTED_BY_RUNNER}");
             self.finish_rejected(endpoint, &head, body, connection).await;
             if let Some(id) = head.runner.filter(|_| head.misdirected) {
@@ -180,7 +181,8 @@
         // request on the connection.
         if !head.signed || !head.is_for(&call.head.id) {
             let status = parts.status.as_u16();
-            log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), status;
+            log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), status,
+                response = head.id.as_deref().unwrap_or_default();
                 "response unsigned or for another request: connection closed");
             return SendOutcome::Lost(SendError::Disconnected);
         }
