Discard a rejection of another request, as any other response

Cause: a runner's additional response arrives where the next response on the connection is expected. The client compared the attempt id of a response with that of the request only if the response was not a rejection; so the second copy of a rejection was taken for the rejection of the next request, which ran meanwhile, and was sent to another runner or refused as not run. Its signals (pause, drain announcement, limits) were applied as well, and the connection went back into the pool although a response was outstanding on it.

Ruled out: a request sent again after its bytes had left (no line "response lost", no second send without a foreign rejection), and runners that run what they reject (their record has one of the two for each id).

The id is compared first now, and a response for another request ends the send as lost: the call may have run, so the caller gets 502, and the connection is closed. The tests' runner that has restarted left the id out of its 421, which the platform's never do; it echoes it now.

tests/relay/extra_responses.rs, before: 503 after two sends of the request instead of 502 after one; 503 instead of 502. After: both pass, with the other 163 of tests/relay.rs.

--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -164,6 +164,16 @@
         self.count_bytes(Part::Request, endpoint, call.body.len());
         let (mut parts, body) = response.into_parts();
         let head = self.dialect.parse_response(&parts);
+        let is_valid = head.signed || head.not_run;
+        // A runner may send an additional response, also to a request that it rejected. It would be read
+        // as the response to the next request on the connection.
+        if !is_valid || !head.is_for(&call.head.id) {
+            let status = parts.status.as_u16();
+            log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), status,
+                response = head.id.as_deref().unwrap_or_default();
+                "response unsigned or for another request: connection closed");
+            return SendOutcome::Lost(SendError::Disconnected);
+        }
         self.apply_signals(endpoint, &head);
         if head.not_run {
             log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
@@ -177,15 +187,6 @@
             }
             return SendOutcome::NotRun;
         }
-        // A runner may send an additional response, which would be read as the response to the next
-        // request on the connection.
-        if !head.signed || !head.is_for(&call.head.id) {
-            let status = parts.status.as_u16();
-            log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str(), status,
-                response = head.id.as_deref().unwrap_or_default();
-                "response unsigned or for another request: connection closed");
-            return SendOutcome::Lost(SendError::Disconnected);
-        }
         let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
         let framed = framing.iter().any(|name| parts.headers.contains_key(name));
         headers::strip(&mut parts.headers);
@@ -194,19 +195,20 @@
     }
 
     /// Applies the backpressure signals of a response: pause, drain announcement and rate limit. A
-    /// missing rate limit ends an earlier one only if the request was run.
+    /// missing rate limit ends an earlier one only if the request was run. Another runner at the address
+    /// says nothing about this one.
     fn apply_signals(&self, endpoint: &Endpoint, head: &ResponseHead) {
-        let is_own = (head.signed || head.not_run) && !head.misdirected;
-        if let Some(time) = head.retry_after.filter(|_| head.not_run && !head.misdirected) {
+        if head.misdirected {
+            return;
+        }
+        if let Some(time) = head.retry_after.filter(|_| head.not_run) {
             self.fleet.pause(endpoint.key, time);
         }
-        if is_own && head.draining {
+        if head.draining {
             self.fleet.set_draining(endpoint.key);
         }
-        if is_own {
-            self.fleet.set_brittle(endpoint.key, head.max_rejections);
-        }
-        if is_own && (head.rate_limit.is_some() || !head.not_run) {
+        self.fleet.set_brittle(endpoint.key, head.max_rejections);
+        if head.rate_limit.is_some() || !head.not_run {
             self.fleet.set_rate_limit(endpoint.key, head.rate_limit);
         }
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -14,6 +14,8 @@
 mod endpoints;
 #[path = "relay/engine.rs"]
 mod engine;
+#[path = "relay/extra_responses.rs"]
+mod extra_responses;
 #[path = "relay/limits.rs"]
 mod limits;
 #[path = "relay/operators.rs"]
--- /dev/null
+++ b/tests/relay/extra_responses.rs
@@ -0,0 +1,67 @@
+//! Runners that give a response twice: the second copy arrives where the next response is expected.
+
+use {
+    super::support::{
+        Deployment, ENGINES, PLAIN, Received, Script, StreamEnd, call, ms, run_local,
+    },
+    tokio::time::sleep,
+};
+
+const EVENTS: Script = Script::Events { last: 5, gap: ms(10), end: StreamEnd::Complete };
+
+/// Sends a request with the attempt id `id`.
+async fn serve_as(deployment: &Deployment, path: &str, id: &'static str) -> Received {
+    let mut call = call(path, &[]);
+    call.head.headers.insert("x-bilberryfront-attempt-id", id.parse().unwrap());
+    call.head.id = id.into();
+    deployment.serve_call(call).await
+}
+
+/// Returns the number of times that the runners have received the request `id`.
+fn count_received(deployment: &Deployment, id: &str) -> usize {
+    let is_id = |headers: &http::HeaderMap| headers["x-bilberryfront-attempt-id"] == id;
+    let runners = deployment.runners.iter();
+    runners.map(|r| r.requests.borrow().iter().filter(|r| is_id(&r.headers)).count()).sum()
+}
+
+fn repeat_responses(deployment: &Deployment) {
+    deployment.runners.iter().for_each(|runner| runner.repeats.set(true));
+}
+
+/// Guards against a request that runs twice, or is reported as not run although it runs: the second copy
+/// of the rejection of another request is taken for its own.
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_a_rejection_is_not_the_response_to_the_next_request() {
+    let cases =
+        [(PLAIN, "/lodge/1", Script::Respond(200, "lodged")), (ENGINES, "/fixed/1", EVENTS)];
+    for (service, path, script) in cases {
+        run_local(async {
+            let deployment = Deployment::new(service, &["a", "b"], &Script::NotRun);
+            assert_eq!(serve_as(&deployment, path, "a1").await.status, 503);
+            deployment.runners.iter().for_each(|r| *r.script.borrow_mut() = script.clone());
+            repeat_responses(&deployment);
+            let received = serve_as(&deployment, path, "a2").await;
+            assert_eq!((received.status, count_received(&deployment, "a2")), (502, 1), "{path}");
+        })
+        .await;
+    }
+}
+
+/// Guards against a runner that gets no requests because of a pause that it stated in a rejection before,
+/// whose second copy arrives after the pause.
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_a_rejection_does_not_pause_its_runner_again() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a"], &Script::NotRun);
+        deployment.runners[0].retry_after.set(Some("0.3"));
+        assert_eq!(serve_as(&deployment, "/lodge/1", "a1").await.status, 503);
+        sleep(ms(400)).await;
+        *deployment.runners[0].script.borrow_mut() = Script::Respond(200, "lodged");
+        repeat_responses(&deployment);
+        assert_eq!(serve_as(&deployment, "/lodge/1", "a2").await.status, 502);
+        let fleet = &deployment.traffic.client.fleet;
+        let endpoint = fleet.find(&deployment.runners[0].id).unwrap();
+        assert_eq!(fleet.paused_until(endpoint.key), None);
+    })
+    .await;
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -1,6 +1,10 @@
 //! In-memory runners, and requests to them through a node.
 
+#[path = "repeating.rs"]
+mod repeating;
+
 use {
+    self::repeating::Repeating,
     async_stream::stream,
     bilberryfront_decide::mover::Response as VersionResponse,
     bilberryfront_platform::{Http, RowCodec},
@@ -258,6 +262,8 @@
     pub(crate) rejections: RefCell<Vec<Instant>>,
     /// `Retry-After` value of rejections.
     pub(crate) retry_after: Cell<Option<&'static str>>,
+    /// Whether the last response on a connection is sent again as soon as the next request has been read.
+    pub(crate) repeats: Cell<bool>,
     /// Times at which bad responses of [`Script::Version`] were sent.
     pub(crate) bad: RefCell<Vec<Instant>>,
     /// Requests received so far, without queries of the runner's state.
@@ -307,6 +313,7 @@
             runs: RefCell::default(),
             rejections: RefCell::default(),
             retry_after: Cell::new(None),
+            repeats: Cell::new(false),
             bad: RefCell::default(),
             requests: RefCell::default(),
             connections: RefCell::default(),
@@ -593,6 +600,7 @@
         return;
     }
     let serving = runner.clone();
+    let stream = Repeating::new(runner.clone(), stream);
     let service = service_fn(move |request| {
         let runner = runner.clone();
         async move { respond(&runner, request).await }
@@ -681,10 +689,10 @@
         }
         _ => {}
     }
+    let (parts, body) = request.into_parts();
     if let Some((id, _)) = *runner.restarted.borrow() {
-        return Ok(misdirected(id));
+        return Ok(misdirected(id, &parts.headers));
     }
-    let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let is_resumed = parts.headers.contains_key("last-event-id");
     let crash_delay = match runner.crash_body.borrow().as_ref() == Some(&body) {
@@ -817,9 +825,12 @@
 }
 
 /// Returns the response of a runner that is not the instance which the request expects.
-fn misdirected(id: &'static str) -> Response<Body> {
+fn misdirected(id: &'static str, request: &HeaderMap) -> Response<Body> {
     let mut response = complete_response(421, "");
-    response.headers_mut().insert("x-bilberryfront-instance-id", id.parse().unwrap());
+    let headers = response.headers_mut();
+    headers.insert("x-bilberryfront-instance-id", id.parse().unwrap());
+    let attempt = "x-bilberryfront-attempt-id";
+    headers.insert(attempt, request[attempt].clone());
     response
 }
 
@@ -1044,7 +1055,12 @@
         path: &str,
         headers: &[(&'static str, &'static str)],
     ) -> Received {
-        let response = self.send(path, headers).await;
+        self.serve_call(call(path, headers)).await
+    }
+
+    /// Sends a request and reads the response to its end.
+    pub(crate) async fn serve_call(&self, call: Call) -> Received {
+        let response = self.traffic.serve(call).await;
         let (parts, body) = response.into_parts();
         let mut bytes = Vec::new();
         let mut body = body;
