Discard responses of requests to control requests

What callers saw: a call that may run at most once could end with 502 although its runner was sound for it, or a stream lose its first attempt, right after a control request (load report, cache events, replication) on the same connection.

Cause: control requests carry no attempt id, and their responses were not checked for one. The late second copy of the response to a request was taken for the report, and the connection went back into the pool while the report itself was still to come; the next request on it read the report as its response. The copy's drain announcement was applied too, and a runner that had not responded counted as responsive.

A response with an attempt id belongs to a request, so it ends a control request as unanswered and closes the connection, with a log line.

Test, before: 502 without an event instead of 200 with five events.

--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -418,6 +418,13 @@
             let (response, connection) = self.exchange(endpoint, request, deadline).await.ok()?;
             let (parts, body) = response.into_parts();
             let head = self.dialect.parse_response(&parts);
+            // An additional response to a request: the response to this one is still to come.
+            if let Some(id) = &head.id {
+                log::warn!(runner = endpoint.id.as_str(), status = parts.status.as_u16(),
+                    response = id.as_str();
+                    "response of a request to a control request: connection closed");
+                return None;
+            }
             if head.draining {
                 self.fleet.set_draining(endpoint.key);
             }
--- a/tests/relay/extra_responses.rs
+++ b/tests/relay/extra_responses.rs
@@ -65,3 +65,23 @@
     })
     .await;
 }
+
+/// Guards against a request that ends as lost: the second copy of another response is taken for the response
+/// to a control request, whose own response then arrives as the response to the next request.
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_a_response_is_not_the_response_to_a_control_request() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a"], &EVENTS);
+        assert_eq!(serve_as(&deployment, "/fixed/1", "a1").await.status, 200);
+        let runner = &deployment.runners[0];
+        runner.probe_delay.set(ms(50));
+        runner.repeats.set(true);
+        let client = &deployment.traffic.client;
+        let endpoint = client.fleet.find(&runner.id).unwrap();
+        assert_eq!(client.cached_tokens(&endpoint, 0xb7).await, 0);
+        runner.repeats.set(false);
+        let received = serve_as(&deployment, "/fixed/2", "a2").await;
+        assert_eq!((received.status, received.event_ids()), (200, vec![1, 2, 3, 4, 5]));
+    })
+    .await;
+}
