Use another connection for the next attempt of a request at the same runner

What callers saw: a stream that may run at most once could run twice, or be reported as not run although it ran, if its runner rejected it and was the only one left, so that the next attempt went to it again.

Cause: the second copy of a rejection bears the id of the request, so it cannot be told from the rejection of the next attempt of the same request on the same connection. Streams return to a runner that has rejected them if all have; calls never do.

A connection keeps what was last sent on it, and the pool does not hand it to a request with the same attempt id. The next attempt opens a new connection, on which no copy can arrive. Other requests use the idle one as before.

Test, before: the runner ran the stream twice.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -34,7 +34,7 @@
     },
     crate::{
         fanout::Scope,
-        pool::{Connection, Pool},
+        pool::{Connection, Exchange, Pool},
         view::{NodeAddress, Registration},
     },
     bilberryfront_decide::member::message::Restart,
@@ -208,9 +208,14 @@
         self.inner.borrow().domain != *domain
     }
 
-    /// Takes an idle connection to a runner.
-    pub fn take_idle_connection(&self, key: RunnerKey, now: Instant) -> Option<Connection> {
-        self.inner.borrow_mut().runners.get_mut(key)?.pool.take(now)
+    /// Takes an idle connection to a runner that is suited for the exchange.
+    pub fn take_idle_connection(
+        &self,
+        key: RunnerKey,
+        now: Instant,
+        next: &Exchange,
+    ) -> Option<Connection> {
+        self.inner.borrow_mut().runners.get_mut(key)?.pool.take(now, next)
     }
 
     /// Puts a connection back into the runner's pool; `limit` is the runner's idle timeout.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -3,6 +3,7 @@
 use {
     crate::network::Network,
     bytes::Bytes,
+    compact_str::CompactString,
     http::{Request, Response},
     http_body_util::Full,
     hyper::{
@@ -49,6 +50,26 @@
     Timeout,
 }
 
+/// What a request on a connection is, as far as its response can be told from others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Exchange {
+    /// Request of a caller; its response bears this attempt id.
+    Call(CompactString),
+    /// Control request, or request to the store; its response bears no id.
+    WithoutId,
+}
+
+impl Exchange {
+    /// Returns whether a second copy of the response to this exchange could be taken for the response to
+    /// `next`.
+    fn resembles(&self, next: &Exchange) -> bool {
+        match (self, next) {
+            (Exchange::Call(id), Exchange::Call(next)) => id == next,
+            _ => false,
+        }
+    }
+}
+
 /// HTTP/1 connection for one request at a time; dropping it closes the connection and cancels the
 /// request.
 #[derive(Debug)]
@@ -56,6 +77,8 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     tunneled: bool,
+    /// The last exchange; `None` on a new connection.
+    last: Option<Exchange>,
 }
 
 impl Connection {
@@ -77,7 +100,7 @@
             _ = connection.await;
         };
         let task = tokio::task::spawn_local(run).abort_handle();
-        Ok(Connection { sender, task, tunneled })
+        Ok(Connection { sender, task, tunneled, last: None })
     }
 
     /// Returns whether the connection runs through another node.
@@ -89,8 +112,10 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        exchange: &Exchange,
         until: Instant,
     ) -> Result<Response<Incoming>> {
+        self.last = Some(exchange.clone());
         match tokio::time::timeout_at(until, self.sender.try_send_request(request)).await {
             Ok(Ok(response)) => Ok(response),
             Ok(Err(mut error)) => Err(match error.take_message() {
@@ -104,6 +129,11 @@
     fn is_usable(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
     }
+
+    /// Returns whether a late copy of the last response would be noticed in place of the next one.
+    fn is_suited(&self, next: &Exchange) -> bool {
+        self.last.as_ref().is_none_or(|last| !last.resembles(next))
+    }
 }
 
 impl Drop for Connection {
@@ -127,14 +157,11 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection that is still usable.
-    pub fn take(&mut self, now: Instant) -> Option<Connection> {
-        while let Some(idle) = self.idle.pop() {
-            if now < idle.until && idle.connection.is_usable() {
-                return Some(idle.connection);
-            }
-        }
-        None
+    /// Takes the most recently used connection that is still usable and suited for the exchange.
+    pub fn take(&mut self, now: Instant, next: &Exchange) -> Option<Connection> {
+        self.idle.retain(|idle| now < idle.until && idle.connection.is_usable());
+        let index = self.idle.iter().rposition(|idle| idle.connection.is_suited(next))?;
+        Some(self.idle.remove(index).connection)
     }
 
     /// Adds an idle connection; `limit` is the runner's idle timeout.
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -12,7 +12,7 @@
         log_messages::{REJECTED_BY_RUNNER, RESPONSE_LOST, RUNNER_ERROR},
         metrics::{Metrics, Part},
         network::Network,
-        pool::{Connection, SendError},
+        pool::{Connection, Exchange, SendError},
         view::Published,
     },
     bytes::Bytes,
@@ -144,7 +144,9 @@
         if self.fleet.is_rate_limited(endpoint.key) {
             self.metrics.count_limited_send(options.earlier);
         }
-        let (response, connection) = match self.exchange(endpoint, request, deadline).await {
+        let exchange = Exchange::Call(call.head.id.clone());
+        let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
+        let (response, connection) = match exchanged {
             Ok(exchanged) => exchanged,
             Err(error @ (SendError::Unsent | SendError::NoPath)) => {
                 log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
@@ -415,7 +417,8 @@
         let request = || request(method, &path, endpoint.address, HeaderMap::new(), body.clone());
         let exchange = async {
             let deadline = Instant::now() + limit;
-            let (response, connection) = self.exchange(endpoint, request, deadline).await.ok()?;
+            let exchanged = self.exchange(endpoint, &Exchange::WithoutId, request, deadline).await;
+            let (response, connection) = exchanged.ok()?;
             let (parts, body) = response.into_parts();
             let head = self.dialect.parse_response(&parts);
             // An additional response to a request: the response to this one is still to come.
@@ -436,24 +439,25 @@
         timeout(limit, exchange).await.ok()?
     }
 
-    /// Sends a request on an idle connection, or on a new one if there is none or the idle one was
-    /// closed before the request was sent.
+    /// Sends a request on an idle connection that is suited for it, or on a new one if there is none or
+    /// the idle one was closed before the request was sent.
     async fn exchange(
         &self,
         endpoint: &Endpoint,
+        exchange: &Exchange,
         request: impl Fn() -> Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<(http::Response<Incoming>, Connection), SendError> {
-        if let Some(mut connection) = self.fleet.take_idle_connection(endpoint.key, Instant::now())
-        {
-            match connection.send(request(), deadline).await {
+        let idle = self.fleet.take_idle_connection(endpoint.key, Instant::now(), exchange);
+        if let Some(mut connection) = idle {
+            match connection.send(request(), exchange, deadline).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::Unsent) => {}
                 Err(error) => return Err(error),
             }
         }
         let mut connection = self.connect(endpoint).await?;
-        let response = connection.send(request(), deadline).await?;
+        let response = connection.send(request(), exchange, deadline).await?;
         Ok((response, connection))
     }
 
--- a/tests/relay/extra_responses.rs
+++ b/tests/relay/extra_responses.rs
@@ -4,7 +4,7 @@
     super::support::{
         Deployment, ENGINES, PLAIN, Received, Script, StreamEnd, call, ms, run_local,
     },
-    tokio::time::sleep,
+    tokio::{task::yield_now, time::sleep},
 };
 
 const EVENTS: Script = Script::Events { last: 5, gap: ms(10), end: StreamEnd::Complete };
@@ -85,3 +85,24 @@
     })
     .await;
 }
+
+/// Guards against a stream that runs twice on its only runner: the second copy of its own rejection is taken
+/// for the response to its next attempt.
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_a_rejection_is_not_the_response_to_the_next_attempt() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a"], &Script::NotRun);
+        let runner = deployment.runners[0].clone();
+        runner.repeats.set(true);
+        let accept_later = async {
+            while runner.request_count() == 0 {
+                yield_now().await;
+            }
+            *runner.script.borrow_mut() = EVENTS;
+        };
+        let (received, ()) = tokio::join!(serve_as(&deployment, "/fixed/1", "a1"), accept_later);
+        assert_eq!((received.status, runner.runs.borrow().len()), (200, 1));
+        assert_eq!(received.event_ids(), [1, 2, 3, 4, 5]);
+    })
+    .await;
+}
