Send replication requests only on connections whose last response bore an id

What callers would have seen: a stream that goes on from the memory of another one after its runner is lost.

Cause: neither a replication request nor its response bears an attempt id. The second copy of the response to one replication request, where the response to the next on the same connection is expected, gave that stream the handle of the other's replica, which the runner accepts. Other control requests only read the state of the runner, so a copy of an earlier response is some milliseconds old and nothing more; bodies of different kinds can't be mistaken for each other.

A replication request now uses an idle connection only if a caller's request was the last on it, since a copy of that response would be recognized by its id, or else a new connection.

Test, before: the handle of the first replication instead of the second's.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -57,6 +57,8 @@
     Call(CompactString),
     /// Control request, or request to the store; its response bears no id.
     WithoutId,
+    /// Replication request; its response bears no id either, and must be the right one.
+    Replication,
 }
 
 impl Exchange {
@@ -65,6 +67,7 @@
     fn resembles(&self, next: &Exchange) -> bool {
         match (self, next) {
             (Exchange::Call(id), Exchange::Call(next)) => id == next,
+            (Exchange::WithoutId | Exchange::Replication, Exchange::Replication) => true,
             _ => false,
         }
     }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -110,6 +110,20 @@
     pub connection: Connection,
 }
 
+/// A request to a runner itself, which needs no slot.
+struct ControlRequest<'a> {
+    method: Method,
+    path: &'a str,
+    body: Bytes,
+    exchange: Exchange,
+}
+
+impl ControlRequest<'_> {
+    fn without_body(method: Method, path: &str) -> ControlRequest<'_> {
+        ControlRequest { method, path, body: Bytes::new(), exchange: Exchange::WithoutId }
+    }
+}
+
 /// Client for all runners.
 #[derive(Clone)]
 pub struct RunnerClient<D, N> {
@@ -328,14 +342,17 @@
     ) -> Option<CompactString> {
         let options = self.dialect.replicate_body(id, to.address).into();
         let path = self.dialect.replicate_path();
-        let head = self.query(source, &Method::POST, path, options, REPLICATE_TIMEOUT).await?;
+        let (method, exchange) = (Method::POST, Exchange::Replication);
+        let request = ControlRequest { method, path, body: options, exchange };
+        let head = self.query(source, request, REPLICATE_TIMEOUT).await?;
         self.dialect.replicated_handle(&head)
     }
 
     /// Drops a replica on its source and its holder.
     pub async fn drop_replica(&self, source: &Endpoint, handle: &str) {
         let path = self.dialect.drop_replica_path(handle);
-        let dropped = self.query(source, &Method::DELETE, &path, Bytes::new(), PROBE_TIMEOUT).await;
+        let request = ControlRequest::without_body(Method::DELETE, &path);
+        let dropped = self.query(source, request, PROBE_TIMEOUT).await;
         if dropped.is_none() {
             log::debug!("cannot drop a replica; it will expire");
         }
@@ -397,27 +414,25 @@
         self.dialect.identity(&body)
     }
 
-    /// Sends a control request, which needs no slot of the runner.
     async fn get(&self, endpoint: &Endpoint, path: &'static str, limit: Duration) -> Option<Bytes> {
-        self.query(endpoint, &Method::GET, path, Bytes::new(), limit).await
+        self.query(endpoint, ControlRequest::without_body(Method::GET, path), limit).await
     }
 
     async fn query(
         &self,
         endpoint: &Endpoint,
-        method: &Method,
-        path: &str,
-        body: Bytes,
+        control: ControlRequest<'_>,
         limit: Duration,
     ) -> Option<Bytes> {
         if self.fleet.paused_until(endpoint.key).is_some() {
             return None;
         }
+        let ControlRequest { method, path, body, exchange } = control;
         let path = PathAndQuery::from_str(path).ok()?;
-        let request = || request(method, &path, endpoint.address, HeaderMap::new(), body.clone());
-        let exchange = async {
+        let request = || request(&method, &path, endpoint.address, HeaderMap::new(), body.clone());
+        let answer = async {
             let deadline = Instant::now() + limit;
-            let exchanged = self.exchange(endpoint, &Exchange::WithoutId, request, deadline).await;
+            let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
             let (response, connection) = exchanged.ok()?;
             let (parts, body) = response.into_parts();
             let head = self.dialect.parse_response(&parts);
@@ -436,7 +451,7 @@
             self.fleet.return_connection(endpoint.key, connection, head.idle);
             parts.status.is_success().then_some(body)
         };
-        timeout(limit, exchange).await.ok()?
+        timeout(limit, answer).await.ok()?
     }
 
     /// Sends a request on an idle connection that is suited for it, or on a new one if there is none or
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -834,7 +834,7 @@
     response
 }
 
-/// Records the target of a requested KV copy and returns the handle of that copy.
+/// Records the target of a requested KV copy and returns the handle of that copy: `h1` for the request `a1`.
 async fn copy_cache(runner: &Runner, request: Request<Incoming>) -> String {
     let body = request.into_body().collect().await.unwrap().to_bytes();
     let request: serde_json::Value = serde_json::from_slice(&body).unwrap();
@@ -843,7 +843,7 @@
     assert!(runner.requests.borrow().iter().any(is_id), "copy of the unknown request {id}");
     assert_eq!(request["last"].as_bool(), Some(false));
     runner.copy_targets.borrow_mut().push(request["to"].as_str().unwrap().to_owned());
-    r#"{"handle":"h1","created":5}"#.into()
+    format!(r#"{{"handle":"{}","created":5}}"#, id.replace('a', "h"))
 }
 
 fn cache_events(runner: &Runner) -> String {
