Never send a stream again that must not run twice once a runner may have run it

The caller got the second run's answer.

Cause: whether a stream may have run was derived from two fields that stand for other things, the error of the last run without a response (`lost`) and the time of the first event. A runner's error response sets neither, although the platform counts it as run, so the limit that protects such streams (`Unsafe`) did not apply.

Ruled out: a hedge (no "attempt suspect", no silence), a lost response (no "response lost") and a rejection that was none (no "request rejected by the runner").

`may_have_run` is set with every outcome after which the request may have run, in one place, and the limit reads nothing else. The caller gets the failure of the runner, as with calls that may run at most once; resumable streams and idempotent requests are sent again as before. Other paths that send again were read: calls (the answer is final, whatever its status), idempotent requests and resumed streams (may repeat), the unsent request on a new connection (nothing was written), and calls of `serve` (one connection each, claimed before).

Test, before: 5 sends of the stream instead of 1, with status 500 and 504 each. After: passes, with 169 of tests/relay.rs.

--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -66,6 +66,8 @@
     sends: u32,
     /// Whether a send has reached a runner.
     reached_runner: bool,
+    /// Whether a runner may have run the request.
+    may_have_run: bool,
     /// Whether the last retry that was taken from the budget was not used, as there was no path.
     has_unused_retry: bool,
     /// Time of the first event.
@@ -201,6 +203,7 @@
             number: 0,
             sends: 0,
             reached_runner: false,
+            may_have_run: false,
             has_unused_retry: false,
             first_event_at: None,
             last_replica: None,
@@ -407,7 +410,7 @@
         // A silent run may continue; if it fails later, the last attempt is needed.
         let reserved = u32::from(race.reserves_attempt() && attempts > 2);
         let has_runs_left = self.runs + race.fresh_count() + reserved < attempts;
-        let is_first = self.lost.is_none() && self.first_event_at.is_none() && race.is_empty();
+        let is_first = !self.may_have_run && race.is_empty();
         let is_safe = is_first || self.is_resumable();
         match () {
             () if is_quarantined => Some(NoAttempt::Quarantined),
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -111,9 +111,9 @@
 
 impl AttemptOutcome {
     /// Returns whether the request may have run.
-    pub(super) fn has_run(&self) -> bool {
-        use AttemptOutcome::{Cancelled, Failure, Lost, Started};
-        matches!(self, Started(_) | Failure(..) | Lost(_) | Cancelled)
+    pub(super) fn may_have_run(&self) -> bool {
+        use AttemptOutcome::{Cancelled, Failure, Lost, Quarantined, Started};
+        matches!(self, Started(_) | Failure(..) | Lost(_) | Cancelled | Quarantined)
     }
 }
 
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -180,6 +180,7 @@
         let StartedRun { parts, run, first } = started;
         let is_fresh = plan.from_replica.is_none();
         self.reached_runner = true;
+        self.may_have_run = true;
         self.runs += u32::from(is_fresh);
         self.first_event_at.get_or_insert_with(Instant::now);
         if let Some(trial) = self.trial.as_ref().filter(|_| plan.number == 1) {
@@ -204,6 +205,7 @@
 
     /// Counts attempts that the end of the race cancels. Their runs may have started.
     fn count_cancelled(&mut self, race: &Race) {
+        self.may_have_run |= race.has_sent();
         let sent = race.pending.iter().filter(|p| p.is_sent.get());
         self.runs += sent.filter(|p| p.is_fresh()).count() as u32;
     }
@@ -217,7 +219,8 @@
     ) -> Option<FinalFailure> {
         let Plan { endpoint, from_replica, number, sent_at, is_hedge, .. } = plan;
         let is_fresh = from_replica.is_none();
-        self.trial.take_if(|_| number == 1 && !outcome.has_run());
+        self.trial.take_if(|_| number == 1 && !outcome.may_have_run());
+        self.may_have_run |= outcome.may_have_run();
         match outcome {
             AttemptOutcome::Started(_) => unreachable!("a started run ends the race"),
             AttemptOutcome::Failure(parts, bytes) => {
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -458,3 +458,20 @@
     })
     .await;
 }
+
+/// Guards against a stream that must not run twice and is sent to another runner after its runner has run it
+/// and failed. The caller gets that failure.
+#[tokio::test(start_paused = true)]
+async fn a_stream_that_must_not_run_twice_ends_with_the_failure_of_its_runner() {
+    for status in [500, 504] {
+        run_local(async {
+            let script = Script::Respond(status, "failed");
+            let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &script);
+            let received = deployment.serve("/fixed/1", &PROMPT).await;
+            assert_eq!((received.status, deployment.request_count()), (status, 1));
+            assert_eq!(received.text, "failed");
+            assert!(received.headers.contains_key("x-bilberryfront-server-stamp"));
+        })
+        .await;
+    }
+}
