Report a stream as lost, not as not run, if one of its attempts was cancelled

What callers saw: 503, which states that the stream has not run and never will, although one of its attempts had run until it was cancelled in favour of another, which its runner then rejected.

The final answer was derived from the last error response and the last lost run; a cancelled attempt leaves neither.

`may_have_run` decides here as well: without a failure or a lost run to report, the answer is 502, which promises nothing.

Test, before: 503 instead of 502.

--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -444,6 +444,8 @@
     fn final_failure(&mut self) -> FinalFailure {
         match (self.failure.take(), self.lost) {
             (Some((parts, bytes)), _) => FinalFailure::Failure(parts, bytes),
+            // The runs that may have started were cancelled.
+            (None, None) if self.may_have_run => FinalFailure::Rejected(Rejection::Lost),
             (None, None) => FinalFailure::Rejected(match self.retry {
                 Some(retry) => Rejection::NotRun { retry },
                 None => self.traffic.not_run_rejection(&self.call),
--- a/tests/relay/races.rs
+++ b/tests/relay/races.rs
@@ -79,6 +79,32 @@
     .await;
 }
 
+/// Guards against a stream that is reported as not run although one of its attempts ran until it was
+/// cancelled, since the runner of the first one responded again; that one is rejected in the end.
+#[tokio::test(start_paused = true)]
+async fn stream_with_a_cancelled_attempt_is_not_reported_as_not_run() {
+    run_local(async {
+        let script = Script::NotRunAfter(ms(2_600));
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &script);
+        let silence = async {
+            sleep(ms(10)).await;
+            let (first, rest) = split(&deployment);
+            first.is_unresponsive.set(true);
+            *rest[0].script.borrow_mut() = events(1, ms(30_000));
+            sleep(ms(1_700)).await;
+            assert_eq!(rest[0].streams.get(), 1, "the stream has no second attempt");
+            first.is_unresponsive.set(false);
+            sleep(ms(600)).await;
+            assert_eq!(rest[0].streams.get(), 0, "the second attempt was not cancelled");
+            *first.script.borrow_mut() = Script::NotRun;
+            rest[0].crash();
+        };
+        let (received, ()) = tokio::join!(deployment.serve("/stream/1", &PROMPT), silence);
+        assert_eq!(received.status, 502);
+    })
+    .await;
+}
+
 /// Guards against a silence that costs a stream its replica. The holder is silent as well, so nothing was
 /// resumed from the replica; it must be kept, and not be requested anew with the whole cache. The run
 /// continues while another runner is probed, or after that.
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -79,6 +79,9 @@
     Version(BadShares),
     /// Rejects the request with the header that states that it was not executed.
     NotRun,
+    /// Does so after the request has been queued for a time.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    NotRunAfter(Duration),
     /// Streams events up to the id `last`, then ends the stream as `end` states.
     Events {
         /// Id of the last event.
@@ -727,7 +730,7 @@
         _ => runner.script.borrow().clone(),
     };
     let id = parts.headers["x-bilberryfront-attempt-id"].clone();
-    let is_rejected = script == Script::NotRun;
+    let is_rejected = matches!(script, Script::NotRun | Script::NotRunAfter(_));
     let mut response = match script {
         Script::Respond(status, text) => complete_response(status, text),
         Script::RespondAfter(status, text, delay) => {
@@ -742,7 +745,10 @@
             }
             complete_response(if is_failed { 500 } else { 200 }, "lodged")
         }
-        Script::NotRun => {
+        Script::NotRun | Script::NotRunAfter(_) => {
+            if let Script::NotRunAfter(delay) = script {
+                sleep(delay).await;
+            }
             let mut response = complete_response(503, "");
             response.headers_mut().insert("x-bilberryfront-not-executed", "1".parse().unwrap());
             response
