Test with processes that calls and streams do not run twice

These two run an instance as a process with runners over TCP: a runner that gives the rejection of the call before a second time, and one that fails a stream which must not run twice.

The catalogue of these tests has a route more.

--- a/tests/relay/process.rs
+++ b/tests/relay/process.rs
@@ -121,6 +121,7 @@
         json!({
             "version": version,
             "routes": [route("stream", "streaming", ENGINES, true),
+                route("fixed", "streaming", ENGINES, false),
                 route("lodge", "non_idempotent", PLAIN, false)],
             "services": [
                 {"name": ENGINES, "max_conns": 50, "engine": {"slots": 8, "kv_tokens": 55_000,
@@ -258,10 +259,22 @@
     key: &str,
     body: &str,
     parts: &str,
+) -> Option<Received> {
+    post_attempt(callers, path, key, body, parts, "a1").await
+}
+
+/// Sends such a request with this attempt id.
+pub(crate) async fn post_attempt(
+    callers: SocketAddr,
+    path: &str,
+    key: &str,
+    body: &str,
+    parts: &str,
+    id: &str,
 ) -> Option<Received> {
     let request = Request::post(path)
         .header("host", "desk.example")
-        .header("x-bilberryfront-attempt-id", "a1")
+        .header("x-bilberryfront-attempt-id", id)
         .header("x-bilberryfront-deadline-ms", "20000")
         .header("x-bilberryfront-token-counts", "5000,100")
         .header("x-bilberryfront-prompt-prefix", parts)
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -14,7 +14,7 @@
     http_body_util::{BodyExt, Full},
     hyper::client::conn::http1,
     hyper_util::rt::TokioIo,
-    process::{GRACE, Instance, Listen, Platform, Received, get, post, wait_until},
+    process::{GRACE, Instance, Listen, Platform, Received, get, post, post_attempt, wait_until},
     std::{
         fs,
         io::{BufRead, BufReader},
@@ -206,6 +206,63 @@
     .await;
 }
 
+/// Guards against a call that is reported as not run although it runs: the second copy of the rejection of
+/// the call before is taken for its own.
+#[tokio::test]
+async fn copy_of_a_rejection_is_not_the_response_to_the_next_call() {
+    /// Several, as a connection that is idle for too long is not used again.
+    const ROUNDS: usize = 5;
+    run_local(async {
+        let platform = Platform::new().await;
+        let runner = platform.runners[2].clone();
+        let instance = platform.start("n1");
+        wait_until("the instance serves", async || {
+            instance.post("/lodge/1", "k1").await.is_some_and(|r| r.status == 200)
+        })
+        .await;
+        let call = async |id: &str| {
+            let sent = post_attempt(instance.callers, "/lodge/1", "k1", "{}", "a1:200", id).await;
+            sent.unwrap().status
+        };
+        let mut status = 200;
+        for round in 0..ROUNDS {
+            runner.repeats.set(false);
+            *runner.script.borrow_mut() = Script::NotRun;
+            assert_eq!(call(&format!("rejected-{round}")).await, 503);
+            runner.repeats.set(true);
+            *runner.script.borrow_mut() = Script::RespondAfter(200, "lodged", ms(20));
+            status = call(&format!("run-{round}")).await;
+            if status != 200 {
+                break;
+            }
+        }
+        assert_eq!(status, 502);
+    })
+    .await;
+}
+
+/// Guards against a stream that must not run twice and is sent to another runner after the failure of the
+/// one that has run it.
+#[tokio::test]
+async fn failed_stream_that_must_not_run_twice_is_not_sent_again() {
+    run_local(async {
+        let platform = Platform::new().await;
+        let instance = platform.start("n1");
+        wait_until("the instance serves", async || {
+            instance.post("/fixed/1", "k1").await.is_some_and(|r| r.status == 200)
+        })
+        .await;
+        let engines = &platform.runners[..2];
+        let count = || engines.iter().map(|engine| engine.request_count()).sum::<usize>();
+        engines.iter().for_each(|e| *e.script.borrow_mut() = Script::Respond(500, "failed"));
+        let before = count();
+        let received = instance.post("/fixed/2", "k1").await.unwrap();
+        assert_eq!((received.status, count() - before), (500, 1));
+        assert!(received.headers.contains_key("x-bilberryfront-server-stamp"));
+    })
+    .await;
+}
+
 /// Guards against log output that delays responses. Nothing reads the log of the instance while
 /// thousands of requests with an unknown path are rejected: when the pipe is full, log lines must
 /// be dropped instead of delaying callers. When the log is read, the number of lines per second
