Open fewer connections for replication requests, and keep idle ones that are not looked at

A new connection holds a slot of its runner for a moment.

Causes: (1) a control request before a replication request made its connection unsuited, although the body of its response can't be taken for a handle; (2) the pool closed every idle connection that was not ready at that moment, not only the ones that it looked at.

Now only the connection of the last replication request is unsuited for the next. If the body of its response is no handle, the response was another one's, so the connection is closed; that excludes chains in which a probe takes the copy of the response to one replication request and the next replication the response to the probe. The pool looks at connections from the most recently used one until one is suited.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -57,7 +57,7 @@
     Call(CompactString),
     /// Control request, or request to the store; its response bears no id.
     WithoutId,
-    /// Replication request; its response bears no id either, and must be the right one.
+    /// Replication request; its response bears no id, but is unlike those to other control requests.
     Replication,
 }
 
@@ -67,7 +67,7 @@
     fn resembles(&self, next: &Exchange) -> bool {
         match (self, next) {
             (Exchange::Call(id), Exchange::Call(next)) => id == next,
-            (Exchange::WithoutId | Exchange::Replication, Exchange::Replication) => true,
+            (Exchange::Replication, Exchange::Replication) => true,
             _ => false,
         }
     }
@@ -162,9 +162,18 @@
 impl Pool {
     /// Takes the most recently used connection that is still usable and suited for the exchange.
     pub fn take(&mut self, now: Instant, next: &Exchange) -> Option<Connection> {
-        self.idle.retain(|idle| now < idle.until && idle.connection.is_usable());
-        let index = self.idle.iter().rposition(|idle| idle.connection.is_suited(next))?;
-        Some(self.idle.remove(index).connection)
+        for index in (0..self.idle.len()).rev() {
+            let idle = &self.idle[index];
+            let is_usable = now < idle.until && idle.connection.is_usable();
+            if is_usable && !idle.connection.is_suited(next) {
+                continue;
+            }
+            let connection = self.idle.remove(index).connection;
+            if is_usable {
+                return Some(connection);
+            }
+        }
+        None
     }
 
     /// Adds an idle connection; `limit` is the runner's idle timeout.
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -344,15 +344,15 @@
         let path = self.dialect.replicate_path();
         let (method, exchange) = (Method::POST, Exchange::Replication);
         let request = ControlRequest { method, path, body: options, exchange };
-        let head = self.query(source, request, REPLICATE_TIMEOUT).await?;
-        self.dialect.replicated_handle(&head)
+        let decode = |body: Bytes| self.dialect.replicated_handle(&body);
+        self.query(source, request, REPLICATE_TIMEOUT, decode).await
     }
 
     /// Drops a replica on its source and its holder.
     pub async fn drop_replica(&self, source: &Endpoint, handle: &str) {
         let path = self.dialect.drop_replica_path(handle);
         let request = ControlRequest::without_body(Method::DELETE, &path);
-        let dropped = self.query(source, request, PROBE_TIMEOUT).await;
+        let dropped = self.query(source, request, PROBE_TIMEOUT, Some).await;
         if dropped.is_none() {
             log::debug!("cannot drop a replica; it will expire");
         }
@@ -415,15 +415,18 @@
     }
 
     async fn get(&self, endpoint: &Endpoint, path: &'static str, limit: Duration) -> Option<Bytes> {
-        self.query(endpoint, ControlRequest::without_body(Method::GET, path), limit).await
+        self.query(endpoint, ControlRequest::without_body(Method::GET, path), limit, Some).await
     }
 
-    async fn query(
+    /// Sends a control request and decodes the body of a successful response. If that fails, the response
+    /// may be another one's, and the connection is closed.
+    async fn query<T>(
         &self,
         endpoint: &Endpoint,
         control: ControlRequest<'_>,
         limit: Duration,
-    ) -> Option<Bytes> {
+        decode: impl FnOnce(Bytes) -> Option<T>,
+    ) -> Option<T> {
         if self.fleet.paused_until(endpoint.key).is_some() {
             return None;
         }
@@ -448,8 +451,12 @@
             }
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.ok()?.to_bytes();
             self.fleet.record_response(endpoint.key, Instant::now());
-            self.fleet.return_connection(endpoint.key, connection, head.idle);
-            parts.status.is_success().then_some(body)
+            let is_success = parts.status.is_success();
+            let decoded = if is_success { decode(body) } else { None };
+            if decoded.is_some() || !is_success {
+                self.fleet.return_connection(endpoint.key, connection, head.idle);
+            }
+            decoded
         };
         timeout(limit, answer).await.ok()?
     }
