--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -50,7 +50,7 @@
     Timeout,
 }
 
-/// What a request on a connection is, as far as its response can be told from others.
+/// Kind of a request on a connection, by what its response can be recognized by.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Exchange {
     /// Request of a caller; its response bears this attempt id.
