Log which registration a request's runner was selected by

`run started` names the service and version as which the runner is registered, and whether that was inferred; `request sent` (level debug, also for calls) names the address and the replica's besides. No decision changes.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -140,6 +140,17 @@
     pub domain: CompactString,
 }
 
+/// Service and version of a runner as registered.
+#[derive(Clone, Debug, Default)]
+pub struct Registered {
+    /// Service.
+    pub service: CompactString,
+    /// Software version.
+    pub version: CompactString,
+    /// Whether the registration was inferred from a restart.
+    pub assumed: bool,
+}
+
 impl Default for Fleet {
     fn default() -> Fleet {
         Fleet::seeded(rand::random())
@@ -395,6 +406,13 @@
         Some(self.inner.borrow().runners.get(key)?.registration.version.clone())
     }
 
+    /// Returns what a runner is registered as, for logs; `None` if it is no longer listed.
+    pub fn registered(&self, key: RunnerKey) -> Option<Registered> {
+        let inner = self.inner.borrow();
+        let Registration { service, version, assumed, .. } = &inner.runners.get(key)?.registration;
+        Some(Registered { service: service.clone(), version: version.clone(), assumed: *assumed })
+    }
+
     /// Returns the number of runners of a service to which this node may send a request now.
     pub fn ready_count(&self, service: &str) -> usize {
         let now = Instant::now();
--- a/crates/relay/src/flow/generation/logging.rs
+++ b/crates/relay/src/flow/generation/logging.rs
@@ -19,7 +19,11 @@
 impl<D: Dialect, N: Network> Generation<D, N> {
     pub(super) fn log_started(&self, run: &Run, from_replica: bool) {
         let waited = self.call.start.elapsed().as_millis() as u64;
+        let registered =
+            self.traffic.client.fleet.registered(run.endpoint().key).unwrap_or_default();
         log::info!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
+            service = self.call.service.as_str(), registered = registered.service.as_str(),
+            version = registered.version.as_str(), assumed = registered.assumed,
             replica = run.replica().map_or("", |b| b.holder().id.as_str()), sends = self.sends,
             position = self.position.unwrap_or_default(), from_replica, waited,
             prompt = self.call.head.prompt.unwrap_or_default();
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -2,6 +2,8 @@
 
 /// Request rejected by this node; followed by the reason.
 pub const REJECTED: &str = "rejected: ";
+/// Request sent to a runner, with the registration by which it was selected; logged at level `debug`.
+pub const REQUEST_SENT: &str = "request sent";
 /// First event of a run received.
 pub const RUN_STARTED: &str = "run started";
 /// Run without events for too long; it is kept until another run starts.
@@ -89,8 +91,9 @@
 pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 39] = [
+pub const ALL: [&str; 40] = [
     REJECTED,
+    REQUEST_SENT,
     RUN_STARTED,
     RUN_SILENT,
     RUN_CONTINUED,
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -9,7 +9,7 @@
         dialect::{Dialect, Identity, Progress, ResponseHead, SendOptions},
         fleet::{Endpoint, Fleet},
         headers,
-        log_messages::{REJECTED_BY_RUNNER, RESPONSE_LOST, RUNNER_ERROR},
+        log_messages::{REJECTED_BY_RUNNER, REQUEST_SENT, RESPONSE_LOST, RUNNER_ERROR},
         metrics::{Metrics, Part},
         network::Network,
         pool::{Connection, Exchange, SendError},
@@ -158,6 +158,7 @@
         if self.fleet.is_rate_limited(endpoint.key) {
             self.metrics.count_limited_send(options.earlier);
         }
+        self.log_send(call, endpoint, options);
         let exchange = Exchange::Call(call.head.id.clone());
         let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
         let (response, connection) = match exchanged {
@@ -210,6 +211,23 @@
         SendOutcome::Answered(Box::new(Reply { parts, head, body, framed, connection }))
     }
 
+    /// Logs where a request is sent, and why the runner serves it: its registration, or a replica.
+    fn log_send(&self, call: &Call, endpoint: &Endpoint, options: &SendOptions) {
+        if !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let registered = self.fleet.registered(endpoint.key).unwrap_or_default();
+        let from = options.from_replica.as_ref().map(|replica| replica.address.to_string());
+        let view = self.published.load();
+        log::debug!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
+            address = endpoint.address.to_string().as_str(), route = call.route.name.as_str(),
+            service = call.service.as_str(), registered = registered.service.as_str(),
+            version = registered.version.as_str(), assumed = registered.assumed,
+            from_replica = from.unwrap_or_default().as_str(), earlier = options.earlier,
+            catalogue = view.catalog.as_ref().map_or(0, |catalog| catalog.version);
+            "{REQUEST_SENT}");
+    }
+
     /// Applies the backpressure signals of a response: pause, drain announcement and rate limit. A
     /// missing rate limit ends an earlier one only if the request was run. Another runner at the address
     /// says nothing about this one.
