Show that a stream is resumed at whatever runner has its replica's address

Three tests on the paused clock, all red on this code: a stream's run is lost, or silent, and the process that holds its replica has ended; a runner of another service, or another engine, is registered at its address. The request is sent there with this runner's own id as the expected one, so it is not rejected:

requests at the runner of another service: left: 1, right: 0 (after a lost run, and beside a silent one) left: (1, Some("127.0.0.2:8000/a1")), right: (1, None) (another engine: it is asked for a replica that it can't have)

--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -1,7 +1,7 @@
 //! Streams of events.
 
 use {
-    super::support::{Deployment, ENGINES, Runner, Script, StreamEnd, ms, run_local},
+    super::support::{Deployment, ENGINES, PLAIN, Runner, Script, StreamEnd, ms, run_local},
     http_body_util::BodyExt,
     std::rc::Rc,
     tokio::time::{Instant, sleep},
@@ -140,6 +140,71 @@
     .await;
 }
 
+/// Guards against a stream that is resumed at a runner of another service, which has got the address of
+/// the replica's holder.
+#[tokio::test(start_paused = true)]
+async fn a_stream_is_not_resumed_at_another_service_on_the_address_of_its_replica() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &EVENTS);
+        let response = deployment.send("/stream/1", &PROMPT).await;
+        let (first, _) = split(&deployment);
+        let index = deployment.runners.iter().position(|r| r.id != first.id).unwrap();
+        let reuse = async {
+            sleep(ms(200)).await;
+            let next = deployment.reuse_address(index, PLAIN, &Script::Respond(200, "lodged"));
+            first.crash();
+            next
+        };
+        let (next, body) = tokio::join!(reuse, response.into_body().collect());
+        assert_eq!(next.request_count(), 0, "requests at the runner of another service");
+        assert!(body.is_err(), "there is no other engine");
+    })
+    .await;
+}
+
+/// Guards against the same while the run is silent, and its runner may go on with it.
+#[tokio::test(start_paused = true)]
+async fn a_silent_stream_is_not_resumed_at_another_service_on_the_address_of_its_replica() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &EVENTS);
+        let response = deployment.send("/stream/1", &PROMPT).await;
+        let (first, _) = split(&deployment);
+        let index = deployment.runners.iter().position(|r| r.id != first.id).unwrap();
+        let reuse = async {
+            sleep(ms(200)).await;
+            first.pause_for(ms(3_000));
+            deployment.reuse_address(index, PLAIN, &Script::Respond(200, "lodged"))
+        };
+        let (next, body) = tokio::join!(reuse, response.into_body().collect());
+        assert_eq!(next.request_count(), 0, "requests at the runner of another service");
+        let events = body.unwrap().to_bytes().iter().filter(|b| **b == b':').count();
+        assert_eq!(events, 2 * 20);
+    })
+    .await;
+}
+
+/// Guards against a resume from the replica of a process that has ended: another one of the same service
+/// has its address, and holds nothing.
+#[tokio::test(start_paused = true)]
+async fn a_stream_is_not_resumed_from_the_replica_of_a_process_that_has_ended() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &EVENTS);
+        let response = deployment.send("/stream/1", &PROMPT).await;
+        let (first, _) = split(&deployment);
+        let index = deployment.runners.iter().position(|r| r.id != first.id).unwrap();
+        let reuse = async {
+            sleep(ms(200)).await;
+            let next = deployment.reuse_address(index, ENGINES, &EVENTS);
+            first.crash();
+            next
+        };
+        let (next, body) = tokio::join!(reuse, response.into_body().collect());
+        assert_eq!((next.request_count(), next.header("kv-from")), (1, None));
+        assert_eq!(body.unwrap().to_bytes().iter().filter(|b| **b == b':').count(), 2 * 20);
+    })
+    .await;
+}
+
 /// Guards against a renewed copy that is not released at the end of the stream and so occupies
 /// memory of its holder for seconds.
 #[tokio::test(start_paused = true)]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -997,6 +997,26 @@
         self
     }
 
+    /// Ends the runner at `index`, and registers one of a service at its address.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    pub(crate) fn reuse_address(
+        &self,
+        index: usize,
+        service: &'static str,
+        script: &Script,
+    ) -> Rc<Runner> {
+        let mut deployment = self.clone();
+        let former = &self.runners[index];
+        former.crash();
+        let id = format!("{}-next", former.id);
+        let next = Runner::new(&id, former.address, service, former.domain, script.clone());
+        let next = Rc::new(next);
+        deployment.net.runners.borrow_mut().insert(next.address, next.clone());
+        deployment.runners[index] = next.clone();
+        deployment.publish();
+        next
+    }
+
     fn add(&mut self, index: u8, service: &'static str, domain: &'static str, script: &Script) {
         let address = SocketAddr::from(([127, 0, 0, index + 1], 8_000));
         let id = format!("r-{index}");
