Resume a stream only at the runner that holds its replica

Callers' streams broke off or waited, and their requests ran at runners of other services: after a run was lost or silent, the request was sent to whatever runner was registered at the address of its replica's holder. The holder had ended, and its address had been reassigned.

Cause: `Fleet::find_by_address` identified a runner by its address, so that a holder with a new id was found again. But a new process holds nothing of before, and the id that the request expects was that of the new runner, so nothing rejected it. Such a send was not counted as a run of the route's attempts either, since it was meant to resume from a replica, and a silent run beside it could go on.

A holder is now found by its key or its id, and only if service and address are the same.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -252,12 +252,17 @@
         }
     }
 
-    /// Returns the runner that is registered at this endpoint's address, in any incarnation.
-    pub fn find_by_address(&self, endpoint: &Endpoint) -> Option<Endpoint> {
-        match self.inner.borrow().runners.contains_key(endpoint.key) {
-            true => Some(endpoint.clone()),
-            false => self.find_address(endpoint.address),
-        }
+    /// Returns the runner of an endpoint if it is listed, also if its registration was removed and is back.
+    /// The address alone does not identify it: it may have been reassigned, also to another service.
+    pub fn find_listed(&self, endpoint: &Endpoint, service: &str) -> Option<Endpoint> {
+        let inner = self.inner.borrow();
+        let key = match inner.runners.contains_key(endpoint.key) {
+            true => endpoint.key,
+            false => *inner.by_id.get(&endpoint.id)?,
+        };
+        let Registration { address, service: registered, .. } = &inner.runners[key].registration;
+        let is_same = *address == endpoint.address && registered == service;
+        is_same.then(|| inner.endpoint(key))
     }
 
     /// Returns whether the runner accepts requests and has not failed since its last response.
--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -19,9 +19,8 @@
 
 impl<D: Dialect, N: Network> Generation<D, N> {
     /// Returns the replica's holder with the replica if the holder is available, else another
-    /// runner. Replicas are addressed by endpoint, so a replica may still exist if the holder has a
-    /// new id; if it does not, the runner rejects the request. A holder that is only suspect is
-    /// used as well: a failed attempt takes less time than prefilling the prompt again.
+    /// runner. A holder that is only suspect is used as well: a failed attempt takes less time than
+    /// prefilling the prompt again.
     pub(super) fn next_endpoint(
         &mut self,
         race: &Race,
@@ -35,7 +34,8 @@
                 let is_paused = fleet.paused_until(holder.key).is_some();
                 fleet.is_available(holder.key) && !is_silent && (!is_paused || race.is_empty())
             };
-            match fleet.find_by_address(replica.holder()).filter(is_usable) {
+            let holder = fleet.find_listed(replica.holder(), &self.call.service);
+            match holder.filter(is_usable) {
                 Some(holder) => return Some((holder, Some(replica))),
                 // The silent run may continue and need it again.
                 None if race.silent.is_some() => {}
