Send a request only to a runner of its service

The service of a request's runner was checked where a runner is selected by load, and nowhere else, so each other way to an endpoint (a replica's address, a cached prompt) had to check it itself; one did not. The client for runners checks it before each send now: the request is withheld, and an error is logged, as it is a fault of this program.

Red before: a_request_is_not_sent_to_a_runner_of_another_service (sent instead of withheld). Green with the check.

--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -4,6 +4,8 @@
 pub const REJECTED: &str = "rejected: ";
 /// Request sent to a runner, with the registration by which it was selected; logged at level `debug`.
 pub const REQUEST_SENT: &str = "request sent";
+/// Request not sent to the selected runner, since that belongs to another service.
+pub const WRONG_SERVICE: &str = "not sent: the runner belongs to another service";
 /// First event of a run received.
 pub const RUN_STARTED: &str = "run started";
 /// Run without events for too long; it is kept until another run starts.
@@ -91,9 +93,10 @@
 pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 40] = [
+pub const ALL: [&str; 41] = [
     REJECTED,
     REQUEST_SENT,
+    WRONG_SERVICE,
     RUN_STARTED,
     RUN_SILENT,
     RUN_CONTINUED,
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -9,7 +9,9 @@
         dialect::{Dialect, Identity, Progress, ResponseHead, SendOptions},
         fleet::{Endpoint, Fleet},
         headers,
-        log_messages::{REJECTED_BY_RUNNER, REQUEST_SENT, RESPONSE_LOST, RUNNER_ERROR},
+        log_messages::{
+            REJECTED_BY_RUNNER, REQUEST_SENT, RESPONSE_LOST, RUNNER_ERROR, WRONG_SERVICE,
+        },
         metrics::{Metrics, Part},
         network::Network,
         pool::{Connection, Exchange, SendError},
@@ -67,8 +69,8 @@
     Unsent,
     /// Nothing was sent, because there is no path to the runner at the moment.
     NoPath,
-    /// Nothing was sent, because the runner is draining, paused, or has no rate limit left for this
-    /// node.
+    /// Nothing was sent, because the runner is draining, paused, has no rate limit left for this node, or
+    /// belongs to another service.
     Withheld,
     /// Sent, but no valid response was received; the request may have run.
     Lost(SendError),
@@ -152,6 +154,11 @@
             let headers = self.dialect.request_headers(call, options);
             request(&call.method, &call.path, endpoint.address, headers, call.body.clone())
         };
+        if let Some(registered) = self.fleet.service(endpoint.key).filter(|s| *s != call.service) {
+            log::error!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
+                service = call.service.as_str(), registered = registered.as_str(); "{WRONG_SERVICE}");
+            return SendOutcome::Withheld;
+        }
         if !self.fleet.admit(endpoint.key) {
             return SendOutcome::Withheld;
         }
--- a/tests/relay/calls.rs
+++ b/tests/relay/calls.rs
@@ -1,8 +1,12 @@
 //! Calls to plain services.
 
 use {
-    super::support::{Deployment, PLAIN, Script, ms, run_local},
-    bilberryfront_relay::budget::{Allowance, Budgets},
+    super::support::{Deployment, ENGINES, PLAIN, Script, call, ms, run_local},
+    bilberryfront_relay::{
+        budget::{Allowance, Budgets},
+        dialect::SendOptions,
+        runner_client::SendOutcome,
+    },
     tokio::time::{Instant, sleep},
 };
 
@@ -21,6 +25,31 @@
     }
 }
 
+/// Guards against a request that is sent to a runner of another service, whichever way that was selected.
+#[tokio::test(start_paused = true)]
+async fn a_request_is_not_sent_to_a_runner_of_another_service() {
+    run_local(async {
+        let script = Script::Respond(200, "lodged");
+        let deployment = Deployment::new(PLAIN, &["a"], &script).with_runner(ENGINES, &script);
+        let client = &deployment.traffic.client;
+        let engine = client.fleet.find(&deployment.runners[1].id).unwrap();
+        let call = call("/lodge/1", &[]);
+        let options = SendOptions {
+            runner: engine.id.clone(),
+            left: None,
+            resume: None,
+            replica_to: None,
+            from_replica: None,
+            earlier: 0,
+            priority: None,
+        };
+        let sent = client.send(&call, &engine, &options, call.deadline()).await;
+        assert!(matches!(sent, SendOutcome::Withheld));
+        assert_eq!(deployment.request_count(), 0);
+    })
+    .await;
+}
+
 /// Guards against a call that outlasts its route's timeout when the runner does not respond, and
 /// against a response (503) that states that the call was not executed.
 #[tokio::test(start_paused = true)]
