Do not resume a stream at a version that was rolled back

So a stream that lost its run was resumed at a version that had been rolled back meanwhile, and a caller's resume was sent there by its cached prompt, while the rule is that such a version gets no request.

Both selections respect the rollout now; a version on trial keeps the streams that it serves. Red before, seen one by one: stream_is_not_resumed_at_a_version_that_was_rolled_back with a replica (2 requests at the version instead of 1) and with a cached prompt (1 instead of 0).

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -204,6 +204,19 @@
         self.choose_runner(call, except).is_some()
     }
 
+    /// Returns whether a runner's version may serve requests that it holds state of. A trial of a version
+    /// does not end the streams that it serves.
+    fn is_version_served(&self, service: &str, runner: RunnerKey) -> bool {
+        let view = self.published.load();
+        let Some(split) = view.splits.get(service) else { return true };
+        let is_new = self.client.fleet.version(runner).is_some_and(|version| version == split.to);
+        match split.rule {
+            Rule::Canary => true,
+            Rule::OnlyNew => is_new,
+            Rule::OnlyOld => !is_new,
+        }
+    }
+
     /// Assigns a request to a version during a rollout.
     fn choose_version(&self, service: &CompactString) -> Option<Choice> {
         let view = self.published.load();
--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -32,7 +32,10 @@
             let is_usable = |holder: &Endpoint| {
                 let is_silent = race.unresponsive.contains(&holder.key) && !race.is_empty();
                 let is_paused = fleet.paused_until(holder.key).is_some();
-                fleet.is_available(holder.key) && !is_silent && (!is_paused || race.is_empty())
+                fleet.is_available(holder.key)
+                    && self.traffic.is_version_served(&self.call.service, holder.key)
+                    && !is_silent
+                    && (!is_paused || race.is_empty())
             };
             let holder = fleet.find_listed(replica.holder(), &self.call.service);
             match holder.filter(is_usable) {
@@ -130,7 +133,10 @@
             return None;
         };
         let client = &self.traffic.client;
-        let preferred = client.fleet.preferred(&self.traffic.criteria(&self.call, &[]));
+        let view = self.traffic.published.load();
+        let version = version_constraint(&view, &self.call, false);
+        let criteria = Criteria { version, ..self.traffic.criteria(&self.call, &[]) };
+        let preferred = client.fleet.preferred(&criteria);
         let lookups = preferred.iter().map(|endpoint| client.cached_tokens(endpoint, prompt));
         let results = join_all(lookups).await.into_iter().zip(preferred);
         let (tokens, endpoint) = results.max_by_key(|(tokens, _)| *tokens)?;
--- a/tests/relay/races.rs
+++ b/tests/relay/races.rs
@@ -398,3 +398,43 @@
     })
     .await;
 }
+
+/// Guards against a stream that is resumed, from its replica or a cached prompt, at a runner of a version
+/// that was rolled back.
+#[tokio::test(start_paused = true)]
+async fn stream_is_not_resumed_at_a_version_that_was_rolled_back() {
+    for is_cached in [false, true] {
+        run_local(async {
+            let deployment = Deployment::new(ENGINES, &["a", "b", "a"], &events(20, ms(40)));
+            let set_split = |rule, is_rejected| {
+                let view = View::clone(&deployment.traffic.published.load());
+                let split = Split { rule, is_rejected, ..view.splits[ENGINES].clone() };
+                let splits = Arc::new([(ENGINES.into(), split)].into_iter().collect());
+                deployment.traffic.published.store(View { splits, ..view });
+            };
+            let change = |index: usize, registration: &mut Registration| {
+                registration.version = if index < 2 { "v2" } else { "v1" }.into();
+            };
+            update(&deployment, true, change);
+            set_split(Rule::OnlyNew, false);
+            let received = if is_cached {
+                deployment.runners[0].cached_segments.borrow_mut().push("b7");
+                set_split(Rule::OnlyOld, true);
+                let headers = [PROMPT[0], PROMPT[1], ("last-event-id", "12")];
+                deployment.serve("/stream/1", &headers).await
+            } else {
+                let lose = async {
+                    sleep(ms(200)).await;
+                    set_split(Rule::OnlyOld, true);
+                    split(&deployment).0.crash();
+                };
+                tokio::join!(deployment.serve("/stream/1", &PROMPT), lose).0
+            };
+            assert!(received.is_complete, "{received:?}");
+            let sent: Vec<usize> = deployment.runners.iter().map(|r| r.request_count()).collect();
+            let bad = usize::from(!is_cached);
+            assert_eq!((sent[0] + sent[1], sent[2]), (bad, 1), "cached: {is_cached}");
+        })
+        .await;
+    }
+}
