--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -17,11 +17,15 @@
     std::{
         fs,
         net::{Ipv4Addr, SocketAddr},
+        thread,
+        time::Duration,
     },
     support::{Script, StreamEnd, ms, run_local},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        time::timeout,
+        runtime,
+        sync::oneshot,
+        time::{Instant, timeout},
     },
 };
 
@@ -53,16 +57,21 @@
 
     /// Opens a tunnel to an address; returns it with the first byte of the response.
     async fn open(&self, to: SocketAddr) -> (Tunnel, u8) {
-        let name = CompactString::from("n1");
-        let mut tunnel = self.net.open_tunnel(&name, self.address).await.unwrap();
-        let text = to.to_string();
-        tunnel.write_u8(text.len() as u8).await.unwrap();
-        tunnel.write_all(text.as_bytes()).await.unwrap();
-        let reply = tunnel.read_u8().await.unwrap();
-        (tunnel, reply)
+        open_tunnel(&self.net, self.address, to).await
     }
 }
 
+/// Opens a tunnel through the instance at `address`; returns it with the first byte of the response.
+async fn open_tunnel(net: &PeerNet, address: SocketAddr, to: SocketAddr) -> (Tunnel, u8) {
+    let name = CompactString::from("n1");
+    let mut tunnel = net.open_tunnel(&name, address).await.unwrap();
+    let text = to.to_string();
+    tunnel.write_u8(text.len() as u8).await.unwrap();
+    tunnel.write_all(text.as_bytes()).await.unwrap();
+    let reply = tunnel.read_u8().await.unwrap();
+    (tunnel, reply)
+}
+
 /// Returns the configuration of a peer with a certificate of the authority in the store.
 fn config(platform: &Platform, name: &str) -> PeerConfig {
     let row = platform.store.value("bilberryfront", "authority").unwrap();
@@ -166,3 +175,44 @@
     })
     .await;
 }
+
+/// Guards against a stream that runs twice: a peer that is cut off resumes it elsewhere, while the instance
+/// that carries its connection keeps the former run going.
+#[tokio::test]
+async fn instance_ends_the_run_of_a_peer_that_is_cut_off() {
+    /// Time from the last event until the peer has resumed the stream, and until the former run must have
+    /// ended.
+    const LIMIT: Duration = Duration::from_millis(420 + 400);
+    run_local(async {
+        let peers = Peers::new().await;
+        let runner = peers.platform.runners[0].clone();
+        let gap = ms(20);
+        runner.script.replace(Script::Events { last: 500, gap, end: StreamEnd::Complete });
+        let (config, to, address) = (config(&peers.platform, "n3"), runner.address, peers.address);
+        let (streaming, started) = oneshot::channel();
+        let peer = thread::spawn(move || {
+            let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            let _open = runtime.block_on(async {
+                let (net, _) = PeerNet::start(&config).unwrap();
+                let (mut tunnel, _) = open_tunnel(&net, address, to).await;
+                tunnel.write_all(request("t1").as_bytes()).await.unwrap();
+                // Long enough for the estimate of the round-trip time.
+                let end = Instant::now() + ms(1_000);
+                while Instant::now() < end {
+                    assert_ne!(tunnel.read(&mut [0; 4_096]).await.unwrap(), 0);
+                }
+                (net, tunnel)
+            });
+            streaming.send(()).unwrap();
+            // The runtime does not run meanwhile: the peer is silent.
+            thread::sleep(LIMIT * 2);
+        });
+        started.await.unwrap();
+        let cut_at = Instant::now();
+        assert_eq!(runner.running_streams(), 1);
+        wait_until("the run ends", async || runner.running_streams() == 0).await;
+        assert!(cut_at.elapsed() < LIMIT, "the run went on for {:?}", cut_at.elapsed());
+        peer.join().unwrap();
+    })
+    .await;
+}
