Prefer a run that has started to the silent run that continues

The silent run was looked at first, went on for up to 2 s, and the other one was cancelled after it had run: the request went on at two runners.

When the silent run continues, an attempt that was sent is waited for for 10 ms now, and replaces the silent run if it has started.

Not covered: an attempt whose first event is generated while its cancellation is on its way to the runner.

--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -22,14 +22,17 @@
         runner_client::LossSign,
     },
     bilberryfront_decide::mover::Response as VersionResponse,
-    futures_util::{StreamExt, stream::FuturesUnordered},
+    futures_util::{Stream, StreamExt, stream::FuturesUnordered},
     std::time::Duration,
     tokio::{
         sync::mpsc,
-        time::{Instant, sleep_until},
+        time::{Instant, sleep_until, timeout_at},
     },
 };
 
+/// Time for which the first event of an attempt may be under way when the silent run continues.
+const START_GRACE: Duration = Duration::from_millis(10);
+
 /// End of a race.
 pub(super) enum RaceEnd {
     /// A run has started.
@@ -71,6 +74,12 @@
             tokio::select! {
                 biased;
                 next = next_event(&mut race.silent, self.position) => match next {
+                    Ok(_) if race.has_sent() => {
+                        return match self.wait_for_start(&mut race, &mut attempts).await {
+                            Some((plan, started)) => self.replace_run(race, &plan, started).await,
+                            None => self.continue_run(race, next),
+                        };
+                    }
                     Ok(_) | Err(RunEnd::Whole) => return self.continue_run(race, next),
                     Err(reason) => {
                         if !race.has_sent() {
@@ -110,6 +119,24 @@
         }
     }
 
+    /// Waits a moment for an attempt that has started: its first event may be under way when the silent run
+    /// continues, and the stream must not go on at both runners.
+    async fn wait_for_start(
+        &mut self,
+        race: &mut Race,
+        attempts: &mut (impl Stream<Item = (Plan, AttemptOutcome)> + Unpin),
+    ) -> Option<(Plan, StartedRun)> {
+        let end = Instant::now() + START_GRACE;
+        while let Ok(Some((plan, outcome))) = timeout_at(end, attempts.next()).await {
+            race.pending.retain(|p| p.plan.number != plan.number);
+            match outcome {
+                AttemptOutcome::Started(started) => return Some((plan, *started)),
+                outcome => _ = self.record_outcome(race, plan, outcome).await,
+            }
+        }
+        None
+    }
+
     /// Adds an attempt to a race.
     fn start_attempt(
         &mut self,
--- a/tests/relay/races.rs
+++ b/tests/relay/races.rs
@@ -438,3 +438,36 @@
         .await;
     }
 }
+
+/// Guards against a stream that goes on at two runners: the silent run is continued although another one has
+/// generated an event at the same time, as after a pause of the instance.
+#[tokio::test(start_paused = true)]
+async fn silent_run_is_not_continued_once_another_one_has_started() {
+    const GAP: Duration = ms(40);
+    const STALL: Duration = ms(420);
+    let mut ties = 0;
+    for time in 0..100 {
+        run_local(async {
+            let deployment = Deployment::new(ENGINES, &["a", "b"], &events(60, GAP));
+            let response = deployment.send("/stream/1", &PROMPT).await;
+            let (first, rest) = split(&deployment);
+            let silence = async {
+                sleep(ms(210)).await;
+                first.pause_streams_for(STALL + ms(time));
+                Instant::now() + STALL + ms(time)
+            };
+            let (continued_at, body) = tokio::join!(silence, response.into_body().collect());
+            body.unwrap();
+            let span = |runner: &Runner| runner.runs.borrow().first().map(|(_, span)| *span);
+            let (former, Some(other)) = (span(&first).unwrap(), span(&rest[0])) else { return };
+            let started_at = other.start + GAP;
+            if started_at == continued_at {
+                ties += 1;
+                let overlap = former.end.unwrap() - started_at;
+                assert!(overlap < ms(400), "both runners worked for {overlap:?}");
+            }
+        })
+        .await;
+    }
+    assert_ne!(ties, 0);
+}
