Cancel a stream's attempt whose events are missing once the next one is sent

What callers saw: nothing. Two runners could work on the same stream for more than a second, each holding a slot and memory.

Cause: an attempt whose runner reports eight events or more that have not arrived is known to be lost. It was kept beside the next one until that brought an event. If the events of the next one were lost as well, both runners worked on the request until a third one started.

Change: such an attempt is cancelled 300 ms after another one was sent, and its runner counts as failed for this stream. Until then its events may still arrive, and the other runner may reject the request.

Evidence: run_whose_events_are_missing_ends_beside_the_next_one was seen red before ("two runners at work for 1.24s"), green after; all 171 tests of relay.rs pass. By reading, the same cause acts only here: an attempt whose runner does not respond may go on, and is cancelled as soon as its runner responds beside another one.

--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -57,8 +57,10 @@
     pub(super) end: Instant,
     /// Receives whether the attempt is suspect.
     pub(super) signs: mpsc::UnboundedSender<Suspicion>,
-    /// Set when the request is sent.
-    pub(super) is_sent: Rc<Cell<bool>>,
+    /// Set to the time at which the request is sent.
+    pub(super) sent: Rc<Cell<Option<Instant>>>,
+    /// Notified then.
+    pub(super) sends: Rc<Notify>,
     /// Notified if the attempt is to be cancelled.
     pub(super) cancelled: Rc<Notify>,
     /// Runners of the silent run or of the suspect attempts.
@@ -134,7 +136,8 @@
         if let Some(outcome) = self.check().await {
             return (self.plan, outcome);
         }
-        self.is_sent.set(true);
+        self.sent.set(Some(Instant::now()));
+        self.sends.notify_one();
         let outcome = tokio::select! {
             outcome = self.send(lease, replica, was_idle) => outcome,
             never = self.watch(was_idle) => match never {},
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -68,6 +68,7 @@
                     None => race.delay(),
                 }
             }
+            let (lost_end, sends) = (race.lost_end(), race.sends.clone());
             tokio::select! {
                 biased;
                 next = next_event(&mut race.silent, self.position) => match next {
@@ -98,6 +99,11 @@
                     race.suspect(&suspicion);
                     self.record_suspicion(&suspicion);
                 }
+                // The attempts whose events are missing are considered again.
+                () = sends.notified() => {}
+                () = sleep_until(lost_end.unwrap_or(end)), if lost_end.is_some() => {
+                    self.failed.extend(race.cancel_lost());
+                }
                 () = sleep_until(race.retry_at), if race.needs_attempt() => race.unresponsive.clear(),
                 () = sleep_until(end), if race.pending.is_empty() => {
                     self.no_attempt.get_or_insert(NoAttempt::Deadline);
@@ -121,14 +127,15 @@
             self.trial = self.traffic.start_trial(&self.call, plan.endpoint.key);
         }
         let suspects = race.suspects();
-        let Pending { plan, is_sent, cancelled, .. } = race.add(plan);
+        let Pending { plan, sent, cancelled, .. } = race.add(plan);
         Attempt {
             traffic: self.traffic.clone(),
             call: self.call.clone(),
             plan,
             end: self.call.deadline(),
             signs: signs.clone(),
-            is_sent,
+            sent,
+            sends: race.sends.clone(),
             cancelled,
             suspects,
         }
@@ -173,7 +180,7 @@
         }
         self.last_replica = None;
         self.count_cancelled(&race);
-        for attempt in race.pending.iter().filter(|p| p.is_sent.get()) {
+        for attempt in race.pending.iter().filter(|p| p.is_sent()) {
             self.end_trial(attempt.plan.number, VersionResponse::Lost);
             self.failed.push(attempt.plan.endpoint.key);
         }
@@ -206,7 +213,7 @@
     /// Counts attempts that the end of the race cancels. Their runs may have started.
     fn count_cancelled(&mut self, race: &Race) {
         self.may_have_run |= race.has_sent();
-        let sent = race.pending.iter().filter(|p| p.is_sent.get());
+        let sent = race.pending.iter().filter(|p| p.is_sent());
         self.runs += sent.filter(|p| p.is_fresh()).count() as u32;
     }
 
--- a/crates/relay/src/flow/generation/race/state.rs
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -22,6 +22,9 @@
 const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 /// Time of a silence from which the last attempt of the route is used for a hedge as well.
 const RESERVE_TIME: Duration = Duration::from_secs(2);
+/// Time after the send of another attempt at which one whose events are missing is cancelled: its runner
+/// would work on the request beside the other one.
+const LOST_GRACE: Duration = Duration::from_millis(300);
 /// Maximum number of attempts under way at the same time.
 const MAX_ATTEMPTS: usize = 3;
 
@@ -31,6 +34,8 @@
     pub(in crate::flow::generation) silent: Option<Box<ActiveRun>>,
     /// Attempts under way.
     pub(in crate::flow::generation) pending: Vec<Pending>,
+    /// Notified when an attempt is sent.
+    pub(super) sends: Rc<Notify>,
     /// Runners that have not responded to a probe since the last delay.
     pub(in crate::flow::generation) unresponsive: Vec<RunnerKey>,
     /// Number of hedges that were sent and ended without a run.
@@ -48,27 +53,44 @@
     pub(super) plan: Plan,
     /// Since when and why the attempt is suspect; `None` if it is not.
     suspect: Option<(Instant, LossSign)>,
-    /// Whether the request was sent; until then, the runner is only probed.
-    pub(super) is_sent: Rc<Cell<bool>>,
+    /// Time at which the request was sent; until then, the runner is only probed.
+    pub(super) sent: Rc<Cell<Option<Instant>>>,
     /// Cancels the attempt.
     pub(super) cancelled: Rc<Notify>,
 }
 
 impl Pending {
     fn new(plan: Plan) -> Pending {
-        Pending { plan, suspect: None, is_sent: Rc::default(), cancelled: Rc::default() }
+        Pending { plan, suspect: None, sent: Rc::default(), cancelled: Rc::default() }
     }
 
     pub(super) fn is_fresh(&self) -> bool {
         self.plan.from_replica.is_none()
     }
+
+    pub(super) fn is_sent(&self) -> bool {
+        self.sent.get().is_some()
+    }
+
+    fn is_lost(&self) -> bool {
+        matches!(self.suspect, Some((_, LossSign::EventsMissing)))
+    }
 }
 
 impl Race {
     pub(super) fn new(silent: Option<Box<ActiveRun>>) -> Race {
         let (pending, unresponsive, now) = (Vec::new(), Vec::new(), Instant::now());
-        let (rejections, is_responsive) = (0, false);
-        Race { silent, pending, unresponsive, rejections, is_responsive, retry_at: now, start: now }
+        let (rejections, is_responsive, sends) = (0, false, Rc::default());
+        Race {
+            silent,
+            pending,
+            sends,
+            unresponsive,
+            rejections,
+            is_responsive,
+            retry_at: now,
+            start: now,
+        }
     }
 
     /// Takes the silent run, with the time for which it was waited for.
@@ -99,12 +121,12 @@
 
     /// Returns whether an attempt has been sent.
     pub(super) fn has_sent(&self) -> bool {
-        self.pending.iter().any(|p| p.is_sent.get())
+        self.pending.iter().any(|p| p.is_sent())
     }
 
     /// Returns whether an attempt that is not sent yet is to resume from a replica.
     pub(super) fn has_unsent_replica(&self) -> bool {
-        self.pending.iter().any(|p| !p.is_fresh() && !p.is_sent.get())
+        self.pending.iter().any(|p| !p.is_fresh() && !p.is_sent())
     }
 
     pub(super) fn add_unresponsive(&mut self, key: RunnerKey) {
@@ -159,6 +181,20 @@
         }
     }
 
+    /// Returns the time at which the attempts whose events are missing are cancelled; `None` if no other
+    /// attempt has been sent.
+    pub(super) fn lost_end(&self) -> Option<Instant> {
+        let has_lost = self.pending.iter().any(Pending::is_lost);
+        let others = self.pending.iter().filter(|p| has_lost && !p.is_lost());
+        others.filter_map(|p| p.sent.get()).min().map(|sent| sent + LOST_GRACE)
+    }
+
+    /// Cancels the attempts whose events are missing, and returns their runners.
+    pub(super) fn cancel_lost(&self) -> impl Iterator<Item = RunnerKey> {
+        let lost = self.pending.iter().filter(|p| p.is_lost());
+        lost.inspect(|p| p.cancelled.notify_one()).map(|p| p.plan.endpoint.key)
+    }
+
     /// Adds an attempt and returns it.
     pub(super) fn add(&mut self, plan: Plan) -> Pending {
         self.pending.push(Pending::new(plan));
@@ -180,7 +216,7 @@
     /// Cancels one of two attempts whose runners respond: the one that has worked for less time. The
     /// attempt at `index` has worked for `work` and was silent since.
     fn cancel_rival(&self, index: usize, work: Duration) {
-        let is_rival = |p: &&Pending| p.suspect.is_none() && p.is_sent.get();
+        let is_rival = |p: &&Pending| p.suspect.is_none() && p.is_sent();
         let others = self.pending.iter().enumerate().filter(|(other, _)| *other != index);
         let Some(rival) = others.map(|(_, p)| p).find(is_rival) else { return };
         match rival.plan.sent_at.elapsed() < work {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -18,6 +18,8 @@
 mod extra_responses;
 #[path = "relay/limits.rs"]
 mod limits;
+#[path = "relay/lost_events.rs"]
+mod lost_events;
 #[path = "relay/operators.rs"]
 mod operators;
 #[path = "relay/overload.rs"]
