--- a/tests/silent_runners.rs
+++ b/tests/silent_runners.rs
@@ -492,6 +492,36 @@
     .await;
 }
 
+/// Guards against two runners at work on a stream for longer than its instance was suspended, because one
+/// of the runs is forgotten when events and timeouts are due at the same time.
+#[tokio::test]
+async fn runs_beside_each_other_end_when_a_suspension_ends() {
+    const SUSPENSION: Duration = ms(1_000);
+    run_local(async {
+        let mut deployment = Deployment::start().await;
+        for round in 0..4 {
+            let engines = deployment.some_engines(ENGINE_COUNT / 2, round);
+            deployment.change_catalog().await;
+            deployment.begin_pause(&engines);
+            // The silent runs have others beside them now.
+            deployment.advance(ms(440 + 15 * round as u64)).await;
+            deployment.instances.iter().for_each(|instance| instance.process.freeze());
+            deployment.advance(ms(50)).await;
+            engines.iter().for_each(|engine| engine.unpause());
+            deployment.advance(SUSPENSION - ms(50)).await;
+            deployment.instances.iter().for_each(|instance| instance.process.thaw());
+            deployment.advance(ms(1_000)).await;
+        }
+        let streams = deployment.finish().await;
+        check_whole(&streams);
+        let overlaps = deployment.overlaps();
+        println!("{} streams, longest overlap {:?}", streams.len(), overlaps.last());
+        let too_long = overlaps.iter().filter(|(time, _)| *time > SUSPENSION + MAX_OVERLAP);
+        assert_eq!(too_long.collect::<Vec<_>>(), Vec::<&(Duration, String)>::new());
+    })
+    .await;
+}
+
 /// Guards against streams that wait for runners that never go on, although the holders of their
 /// replicas respond.
 #[tokio::test]
