Adopt a restarted engine only if its address cannot have been reused

What callers can see: while the store is unavailable, requests run at a runner of a service to which no catalogue sends them.

Cause: an unlisted runner at an engine's address was taken for the restarted engine if its reported models and memory matched one service of this node's catalogue only. Nothing that a runner reports states its service: a service that the catalogue does not name yet, or another version, may have the same models, and addresses are reused by other services.

Change: the former runner must have been running so recently that its address cannot have been assigned to another service yet: less than `bounds.reuse` (2 s on the users' deployments, 0 and so never by default) before the answer of the new process, by the runtime's clock and by the one that continues while the machine is suspended. Signs of life are signed responses to requests that name the runner, as of their send, and data of its streams, as of the start of the wait that it ended. Waits that are so short that the data may have been buffered, or so long that it may have been retransmitted, do not count, and 200 ms are left for the way. Likeness is checked besides. Without proof the former entry is removed.

--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -12,6 +12,7 @@
 mod pace;
 mod pause;
 mod rate_limit;
+mod reuse;
 
 pub use self::{
     choose::{Criteria, Version},
@@ -21,6 +22,7 @@
     load::Load,
     pace::{EventMeter, PaceCounts},
     partition::Check,
+    reuse::Moment,
 };
 
 use {
@@ -99,6 +101,8 @@
     peer_partitions: FxHashMap<CompactString, PeerPartitions>,
     /// Services whose pace factors are up to date, with the time at which they were computed.
     pace_times: FxHashMap<CompactString, Instant>,
+    /// Minimum time from the end of a runner until its address is assigned to another service.
+    reuse_delay: Duration,
 }
 
 struct Runner {
@@ -125,6 +129,8 @@
     paused_until: Option<Instant>,
     /// Speed.
     pace: Pace,
+    /// Time at which it was still running.
+    alive_at: Option<Moment>,
 }
 
 /// Address and identity of a runner.
@@ -451,6 +457,7 @@
             drain: None,
             paused_until: None,
             pace: Pace::default(),
+            alive_at: None,
         };
         let key = self.runners.insert(runner);
         self.by_id.insert(registration.id.clone(), key);
--- a/crates/relay/src/fleet/lease.rs
+++ b/crates/relay/src/fleet/lease.rs
@@ -1,7 +1,7 @@
 //! Leases of capacity on runners.
 
 use {
-    super::{Endpoint, Fleet, Load, RunnerKey},
+    super::{Endpoint, Fleet, Load, Moment, RunnerKey},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -53,6 +53,11 @@
         self.fleet.record_response(self.endpoint.key, Instant::now());
     }
 
+    /// Records that data of the run has arrived after a wait since `start` without any.
+    pub fn record_arrival(&self, start: Moment) {
+        self.fleet.record_arrival(self.endpoint.key, start);
+    }
+
     /// Records the time per event of a block of a run on the runner.
     pub fn record_event_time(&self, time: Duration) {
         self.fleet.record_event_time(self.endpoint.key, time);
--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -4,7 +4,7 @@
     super::replica::Replica,
     crate::{
         events::{EVENT_BYTES, Event, Splitter},
-        fleet::{Endpoint, EventMeter, Fleet, Lease},
+        fleet::{Endpoint, EventMeter, Fleet, Lease, Moment},
         pool::Connection,
         runner_client::Reply,
     },
@@ -35,6 +35,8 @@
     replica_search: Instant,
     idle_timeout: Option<Duration>,
     meter: EventMeter,
+    /// Start of the wait for more data.
+    wait_start: Option<Moment>,
 }
 
 /// How a run ended.
@@ -71,6 +73,7 @@
             replica_search,
             idle_timeout,
             meter: EventMeter::default(),
+            wait_start: None,
         };
         (parts, run)
     }
@@ -128,9 +131,14 @@
             if !is_empty {
                 continue;
             }
+            let wait_start = *self.wait_start.get_or_insert_with(Moment::now);
             let frame = timeout_at(until, self.body.frame()).await.map_err(|_| RunEnd::Silent)?;
             match frame {
-                Some(Ok(frame)) => self.push_frame(&frame),
+                Some(Ok(frame)) => {
+                    self.wait_start = None;
+                    self.lease.record_arrival(wait_start);
+                    self.push_frame(&frame);
+                }
                 Some(Err(_)) => return Err(RunEnd::Cut),
                 None if self.splitter.is_partial() || !self.may_end => return Err(RunEnd::Cut),
                 None if !self.comments.is_empty() => {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -124,6 +124,7 @@
         bounds.exposure_bound(),
     );
     traffic.client.fleet.set_domain(&settings.domain);
+    traffic.client.fleet.set_reuse_delay(bounds.reuse_delay());
     traffic.trials = Some(TrialReporter::new(trial_sender));
     traffic.admission.policy = settings.admission.policy();
     traffic.set_metrics(&metrics);
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -7,7 +7,7 @@
     crate::{
         call::Call,
         dialect::{Dialect, Identity, Progress, ResponseHead, SendOptions},
-        fleet::{Endpoint, Fleet},
+        fleet::{Endpoint, Fleet, Moment},
         headers,
         log_messages::{REJECTED_BY_RUNNER, REQUEST_SENT, RESPONSE_LOST, RUNNER_ERROR},
         metrics::{Metrics, Part},
@@ -159,6 +159,7 @@
             self.metrics.count_limited_send(options.earlier);
         }
         self.log_send(call, endpoint, options);
+        let sent_at = Moment::now();
         let exchange = Exchange::Call(call.head.id.clone());
         let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
         let (response, connection) = match exchanged {
@@ -200,13 +201,16 @@
                 "{REJECTED_BY_RUNNER}");
             self.finish_rejected(endpoint, &head, body, connection).await;
             if let Some(id) = head.runner.filter(|_| head.misdirected) {
-                tokio::task::spawn_local(restart::identify(self.clone(), endpoint.clone(), id));
+                let is_restart = self.fleet.holds_address(endpoint.key);
+                let found = restart::Found { id, is_restart };
+                tokio::task::spawn_local(restart::identify(self.clone(), endpoint.clone(), found));
             }
             return SendOutcome::NotRun;
         }
         let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
         let framed = framing.iter().any(|name| parts.headers.contains_key(name));
         headers::strip(&mut parts.headers);
+        self.fleet.record_alive(endpoint.key, sent_at);
         self.fleet.record_response(endpoint.key, Instant::now());
         SendOutcome::Answered(Box::new(Reply { parts, head, body, framed, connection }))
     }
--- a/crates/relay/src/runner_client/restart.rs
+++ b/crates/relay/src/runner_client/restart.rs
@@ -1,7 +1,8 @@
 //! Detection of engines that have restarted with a new id.
 //!
-//! An address may be reused by another service. The runner's models and memory are therefore
-//! requested; they identify its service if only one service has such engines.
+//! An address may be reused by another service, which may have the same models, and the catalogue may be
+//! outdated. The new runner is therefore taken for the restarted one only if the address cannot have been
+//! reused yet. Its models and memory are checked besides.
 
 use {
     super::RunnerClient,
@@ -16,16 +17,29 @@
     tokio::time::Instant,
 };
 
-/// Checks whether the runner `id`, found at the address of `endpoint`, is the same engine after a
-/// restart, and records the result.
+/// An unlisted runner at a known address.
+pub(super) struct Found {
+    /// Its id.
+    pub(super) id: CompactString,
+    /// Whether it answered before the address can have been reused.
+    pub(super) is_restart: bool,
+}
+
+/// Checks whether the runner found at the address of `endpoint` is the same engine after a restart, and
+/// records the result.
 pub(super) async fn identify<D: Dialect, N: Network>(
     client: RunnerClient<D, N>,
     endpoint: Endpoint,
-    id: CompactString,
+    Found { id, is_restart }: Found,
 ) {
     if !client.fleet.begin_identity_check(&id, Instant::now()) {
         return;
     }
+    if !is_restart {
+        log::info!(runner = id.as_str(), former = endpoint.id.as_str();
+            "unlisted runner at a known address: it may belong to another service");
+        return client.fleet.record_restart(Restart { former: endpoint.id, id: None });
+    }
     let identity = client.identity(&endpoint).await;
     let service = client.fleet.service(endpoint.key);
     let (Some(identity), Some(service)) = (identity, service) else {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -76,6 +76,8 @@
     pub exposure: f64,
     /// Additional requests for the new version.
     pub trials: f64,
+    /// Minimum time from the end of a runner until its address is assigned to another service.
+    pub reuse: f64,
 }
 
 impl Default for Bounds {
@@ -91,6 +93,7 @@
             window: 10.0,
             exposure: 0.05,
             trials: 10.0,
+            reuse: 0.0,
         }
     }
 }
@@ -166,6 +169,11 @@
         seconds(self.keep)
     }
 
+    /// Returns the minimum time from the end of a runner until its address is assigned to another service.
+    pub fn reuse_delay(&self) -> Duration {
+        seconds(self.reuse)
+    }
+
     /// Returns the bound on the requests of a new version during its rollout.
     pub fn exposure_bound(&self) -> Bound {
         Bound { share: self.exposure, slack: self.trials }
--- a/src/settings/relay.rs
+++ b/src/settings/relay.rs
@@ -37,7 +37,12 @@
         ("keep", bounds.keep),
         ("window", bounds.window),
     ];
-    let amounts = [("ratio", bounds.ratio), ("slack", bounds.slack), ("trials", bounds.trials)];
+    let amounts = [
+        ("ratio", bounds.ratio),
+        ("slack", bounds.slack),
+        ("trials", bounds.trials),
+        ("reuse", bounds.reuse),
+    ];
     let shares = [("exposure", bounds.exposure)];
     let is_invalid = |excludes_zero: bool, value: f64| {
         !value.is_finite() || value < 0.0 || (excludes_zero && value == 0.0)
