Do not take the report of another process for that of a crashed runner

What callers saw: a stream without a first event stays at a runner that has crashed with its host, until its deadline, if another process responds to probes at the runner's address.

Cause: control requests name no runner. Any response counted as one of the runner, cleared its failures, and "no such run" counts as waiting, as queued requests are not listed.

Change: a load report that states another start time than the runner's registration is not the runner's; it is recorded as a replacement. A successful response that cannot be decoded no longer counts as a sign of life. Reports without a start time are treated as before.

--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -335,7 +335,7 @@
         if self.fleet.last_seen(endpoint.key).is_some_and(|at| at.elapsed() < PROBE_TIMEOUT) {
             return true;
         }
-        let response = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await;
+        let response = self.report(endpoint).await;
         if response.is_none() {
             self.record_lost_response(endpoint);
             self.fleet.mark_suspect(endpoint.key, Instant::now());
@@ -345,10 +345,29 @@
 
     /// Requests the progress of a request from its runner; `None` on failure.
     async fn progress(&self, call: &Call, endpoint: &Endpoint) -> Option<Progress> {
-        let body = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await?;
+        let body = self.report(endpoint).await?;
         Some(self.dialect.progress(&body, &call.head.id))
     }
 
+    /// Requests the load report of a runner; `None` on failure, or if another process responds at its address.
+    async fn report(&self, endpoint: &Endpoint) -> Option<Bytes> {
+        let control = ControlRequest::without_body(Method::GET, self.dialect.report_path());
+        let decode = |body: Bytes| (!self.is_replaced(endpoint, &body)).then_some(body);
+        self.query(endpoint, control, PROBE_TIMEOUT, decode).await
+    }
+
+    /// Returns whether a load report was sent by another process than the runner's, and records that.
+    fn is_replaced(&self, endpoint: &Endpoint, report: &[u8]) -> bool {
+        let (registered, reported) = (self.fleet.born(endpoint.key), self.dialect.born(report));
+        let is_replaced = registered.is_some() && reported.is_some() && registered != reported;
+        if is_replaced {
+            log::info!(runner = endpoint.id.as_str(), born = reported.unwrap_or_default();
+                "another process responds at the runner's address");
+            self.fleet.record_replacement(endpoint.key, Instant::now());
+        }
+        is_replaced
+    }
+
     /// Requests the number of the prompt's tokens in the runner's cache; 0 on failure.
     pub async fn cached_tokens(&self, endpoint: &Endpoint, prompt: u64) -> u32 {
         let head = self.get(endpoint, self.dialect.cache_path(), CACHE_TIMEOUT).await;
@@ -472,10 +491,10 @@
                 self.fleet.set_draining(endpoint.key);
             }
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.ok()?.to_bytes();
-            self.fleet.record_response(endpoint.key, Instant::now());
             let is_success = parts.status.is_success();
             let decoded = if is_success { decode(body) } else { None };
             if decoded.is_some() || !is_success {
+                self.fleet.record_response(endpoint.key, Instant::now());
                 self.fleet.return_connection(endpoint.key, connection, head.idle);
             }
             decoded
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -471,6 +471,27 @@
     .await;
 }
 
+/// Guards against a stream that waits at a crashed runner because another process responds to probes at its
+/// address: the connection hangs, since the host has failed.
+#[tokio::test(start_paused = true)]
+async fn a_probe_of_another_process_at_the_address_does_not_keep_a_stream_waiting() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &Script::Hang);
+        let start = Instant::now();
+        let crash = async {
+            sleep(ms(1)).await;
+            let (first, rest) = split(&deployment);
+            *rest[0].script.borrow_mut() = EVENTS;
+            *first.restarted.borrow_mut() = Some(("new-0", "m"));
+            first.reported_born.set(Some(2));
+        };
+        let (received, ()) = tokio::join!(deployment.serve("/stream/1", &PROMPT), crash);
+        assert_eq!(received.event_ids(), all(20));
+        assert!(start.elapsed() < ms(3_600), "took {:?}", start.elapsed());
+    })
+    .await;
+}
+
 /// Guards against a run that continues after its caller has disconnected while the runner sends
 /// nothing. The connection to the runner is closed at once, which ends the run, and the stream is
 /// not resumed elsewhere.
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -247,6 +247,8 @@
     /// Instance id of the process that was started later at the same address, and the model that it
     /// reports.
     pub(crate) restarted: RefCell<Option<(&'static str, &'static str)>>,
+    /// Start time that the runner reports, if it reports one; it is registered with 1.
+    pub(crate) reported_born: Cell<Option<u64>>,
     /// Rate limit that the responses state, in requests per second.
     pub(crate) rate_limit: Cell<Option<f64>>,
     /// Whether the responses announce that the runner leaves.
@@ -307,6 +309,7 @@
             is_dark_crash: Cell::new(false),
             crashing_parts: RefCell::default(),
             restarted: RefCell::default(),
+            reported_born: Cell::new(None),
             rate_limit: Cell::new(None),
             is_leaving: Cell::new(false),
             capacity: Cell::new(None),
@@ -824,8 +827,10 @@
         Some(_) => String::new(),
         None => format!(r#"["a1",5000,{generated},5]{active}"#),
     };
+    let born =
+        runner.reported_born.get().map(|born| format!(r#""born":{born},"#)).unwrap_or_default();
     format!(
-        r#"{{"stage":"both","models":[{{"name":"{model}","version":1}}],"waiting":0,
+        r#"{{{born}"stage":"both","models":[{{"name":"{model}","version":1}}],"waiting":0,
             "kv_total":55000,"running":1,"runs":[{runs}]}}"#
     )
 }
