--- /dev/null
+++ b/crates/relay/tests/budget.rs
@@ -0,0 +1,133 @@
+//! Retry budgets of several nodes.
+
+use {
+    bilberryfront_decide::member::message::BudgetUse,
+    bilberryfront_relay::budget::{Allowance, Budgets},
+    std::{collections::VecDeque, time::Duration},
+    tokio::time::{Instant, advance},
+};
+
+const ALLOWANCE: Allowance =
+    Allowance { ratio: 0.8, slack: 150.0, window: Duration::from_secs(10) };
+const SERVICE: &str = "llm";
+
+/// Nodes with one budget each, which report to each other unless they are isolated.
+struct Nodes {
+    budgets: Vec<Budgets>,
+    reports: VecDeque<(Instant, usize, Vec<BudgetUse>)>,
+    isolated: Vec<bool>,
+    /// Requests and retries; true for a retry.
+    log: Vec<(Instant, bool)>,
+}
+
+impl Nodes {
+    /// Delay of a report.
+    const DELAY: Duration = Duration::from_millis(5);
+
+    fn new(count: usize) -> Nodes {
+        let budgets = (0..count).map(|_| Budgets::new(ALLOWANCE)).collect();
+        Nodes { budgets, reports: VecDeque::new(), isolated: vec![false; count], log: Vec::new() }
+    }
+
+    fn request(&mut self, node: usize) {
+        self.budgets[node].count_request(SERVICE);
+        self.log.push((Instant::now(), false));
+    }
+
+    /// Takes a retry, as one of `system` nodes.
+    fn take(&mut self, node: usize, system: usize) -> bool {
+        let taken = self.budgets[node].try_take(SERVICE, system);
+        if taken {
+            self.log.push((Instant::now(), true));
+            let update = self.budgets[node].take_update();
+            self.reports.push_back((Instant::now() + Nodes::DELAY, node, update));
+        }
+        taken
+    }
+
+    fn refresh(&mut self) {
+        for (node, budgets) in self.budgets.iter().enumerate() {
+            self.reports.push_back((Instant::now() + Nodes::DELAY, node, budgets.snapshot()));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = Instant::now();
+        while self.reports.front().is_some_and(|(at, ..)| now >= *at) {
+            let (_, from, update) = self.reports.pop_front().expect("there is a report");
+            let is_connected =
+                |to: &usize| *to != from && !self.isolated[from] && !self.isolated[*to];
+            for to in (0..self.budgets.len()).filter(is_connected) {
+                self.budgets[to].apply(&format!("n{from}").into(), &update);
+            }
+        }
+    }
+
+    /// Checks the global bound in all windows.
+    fn check(&self) {
+        let Allowance { ratio, slack, window } = ALLOWANCE;
+        for (start, _) in &self.log {
+            let within = self.log.iter().filter(|(at, _)| *at >= *start && *at < *start + window);
+            let (retries, requests) = within.fold((0.0, 0.0), |(t, r), (_, retry)| match retry {
+                true => (t + 1.0, r),
+                false => (t, r + 1.0),
+            });
+            assert!(retries <= ratio * requests + slack, "{retries} of {requests}");
+        }
+    }
+}
+
+/// Load: all requests fail and are retried, in bursts and pauses, while some nodes are isolated
+/// from the others for some time.
+#[tokio::test(start_paused = true)]
+async fn retry_budget_holds_in_every_window() {
+    const NODES: usize = 6;
+    let mut nodes = Nodes::new(NODES);
+    for step in 0_usize..4_000 {
+        let node = step * 7 % NODES;
+        if step.is_multiple_of(3) {
+            nodes.request(node);
+        }
+        if step.is_multiple_of(50) {
+            nodes.refresh();
+        }
+        nodes.isolated = (0..NODES).map(|n| n < 2 && (1_000..2_000).contains(&step)).collect();
+        nodes.deliver();
+        nodes.take(node, NODES);
+        advance(Duration::from_millis(if step % 400 < 300 { 3 } else { 40 })).await;
+    }
+    let retries = nodes.log.iter().filter(|(_, retry)| *retry).count();
+    assert!(retries > 300, "the budget allows too few retries: {retries}");
+    nodes.check();
+}
+
+/// Load: 295 nodes, each of which starts a stream every two seconds. A failure domain crashes, and
+/// each of the twenty nodes of a group resumes two streams at the same time.
+#[tokio::test(start_paused = true)]
+async fn nodes_with_few_requests_share_their_retry_budgets() {
+    const GROUP: usize = 20;
+    const SYSTEM: usize = 295;
+    let mut nodes = Nodes::new(GROUP);
+    for step in 0..100 {
+        (0..GROUP).filter(|node| (step + node) % 20 == 0).for_each(|node| nodes.request(node));
+        if step % 10 == 0 {
+            nodes.refresh();
+        }
+        advance(Duration::from_millis(100)).await;
+        nodes.deliver();
+    }
+    let mut resumed = 0;
+    for node in (0..GROUP).chain(0..GROUP) {
+        resumed += usize::from(nodes.take(node, SYSTEM));
+        advance(Duration::from_millis(8)).await;
+        nodes.deliver();
+    }
+    assert_eq!(resumed, 2 * GROUP);
+    let isolated_budgets = Budgets::new(ALLOWANCE);
+    (0..5).for_each(|_| isolated_budgets.count_request(SERVICE));
+    let isolated_budgets = (0..10).filter(|_| isolated_budgets.try_take(SERVICE, SYSTEM)).count();
+    assert!(
+        isolated_budgets <= 3,
+        "{isolated_budgets} retries of a node without reports from peers"
+    );
+}
