Keep the retries of ended nodes in the retry budget

What runners see: more retries than the rule allows when nodes are killed or restarted.

Cause: a node knows the retries of its peers from their latest report only, which expires after 1.5 s. With a peer that ends, its retries are forgotten; a node that starts knows none of the retries before, and has the whole slack.

Change: a node adds what its peers report to its own window, where it stays until the window has ended. Reports contain the number of retries since the start, so that a lost report is made up by the next one, a restart is recognized, and a report that was overtaken on its way is ignored; and the retries of the whole system that the sender knows, which a node that has started takes over. Until it is told, or has run for a window, it uses a tenth of its part of the slack. On the first start of the system (`bootstrap`) there is nothing to know. The protocol version of the peers is 12.

Requests of ended nodes still expire after 1.5 s, their retries after the window, so that the survivors retry less for a window.

--- a/crates/decide/src/member/message.rs
+++ b/crates/decide/src/member/message.rs
@@ -421,6 +421,11 @@
     pub requests: u32,
     /// Retries.
     pub retries: u32,
+    /// Retries since the node's start, so that a lost report is made up by the next one.
+    pub total: u32,
+    /// Retries of all nodes, including those that have ended; `None` if the node does not know those
+    /// before its start.
+    pub known: Option<u32>,
 }
 
 /// A runner that is gone: another incarnation responds at its address.
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -15,7 +15,7 @@
 };
 
 /// Protocol version.
-pub const VERSION: u8 = 11;
+pub const VERSION: u8 = 12;
 /// Maximum size of a [`Class::Control`] frame, in bytes.
 pub const CONTROL_LIMIT: usize = 256 * 1024;
 /// Maximum size of a [`Class::Catalog`] frame, in bytes.
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -4,6 +4,9 @@
 //! slack. A node counts the requests and retries of itself and of the peers that report to it
 //! against the ratio and against their joint share of the slack. Nodes with few requests could
 //! otherwise not retry all requests that fail at once when a failure domain crashes.
+//!
+//! Retries count until their window has ended, also if their node has ended before. A node that starts
+//! learns from its peers how many there are; until then, it uses only a part of the slack.
 
 use {
     bilberryfront_decide::member::message::BudgetUse,
@@ -16,6 +19,8 @@
 /// Share of the budget that is used; the rest covers nodes that have just joined, and retries that peers
 /// have not reported yet.
 const MARGIN: f64 = 0.7;
+/// Share of the slack used by nodes that do not know the retries before their start.
+const STARTUP_SHARE: f64 = 0.1;
 /// Age at which a peer's report expires; peers repeat theirs every second. A node without
 /// connection to its peers then uses its own share only.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(1_500);
@@ -39,14 +44,29 @@
 #[derive(Clone, Debug)]
 pub struct Budgets {
     allowance: Allowance,
+    start: Start,
     services: Rc<RefCell<FxHashMap<CompactString, Budget>>>,
 }
 
+/// Start of this node.
+#[derive(Clone, Copy, Debug)]
+struct Start {
+    at: Instant,
+    /// Whether there were no retries before.
+    is_first: bool,
+}
+
 /// Retry budget of one service on this node.
 #[derive(Clone, Debug)]
 pub struct Budget {
     allowance: Allowance,
+    /// Time at which the retries of all nodes within the window are known.
+    known_at: Instant,
+    /// Time until which first reports of peers contain retries that others have reported as well.
+    joined_at: Instant,
     buckets: VecDeque<Bucket>,
+    /// Retries since the start.
+    total: u32,
     peers: FxHashMap<CompactString, PeerUse>,
     /// Whether retries were taken since the last report.
     dirty: bool,
@@ -57,6 +77,8 @@
     start: Instant,
     requests: u32,
     retries: u32,
+    /// Retries reported by peers.
+    reported: u32,
 }
 
 /// Latest report of a peer.
@@ -64,13 +86,26 @@
 struct PeerUse {
     at: Instant,
     requests: u32,
-    retries: u32,
+    total: u32,
+}
+
+impl PeerUse {
+    fn is_recent(&self, now: Instant) -> bool {
+        now < self.at + PEER_REPORT_TTL
+    }
 }
 
 impl Budgets {
-    /// Creates budgets without any use.
+    /// Creates budgets without any use, for the first start of the whole system.
     pub fn new(allowance: Allowance) -> Budgets {
-        Budgets { allowance, services: Rc::default() }
+        let start = Start { at: Instant::now(), is_first: true };
+        Budgets { allowance, start, services: Rc::default() }
+    }
+
+    /// Creates budgets of a system that may have run before, with an unknown number of retries.
+    pub fn restarted(allowance: Allowance) -> Budgets {
+        let start = Start { at: Instant::now(), is_first: false };
+        Budgets { allowance, start, services: Rc::default() }
     }
 
     /// Counts a request.
@@ -90,7 +125,7 @@
 
     /// Returns the use of all budgets with requests or retries in the window, for peers.
     pub fn snapshot(&self) -> Vec<BudgetUse> {
-        self.report(|budget| budget.has_requests(Instant::now()))
+        self.report(|budget| budget.is_used(Instant::now()))
     }
 
     /// Returns the use of the budgets from which retries were taken since the last call, for peers.
@@ -117,7 +152,7 @@
     fn with<T>(&self, service: &str, work: impl FnOnce(&mut Budget) -> T) -> T {
         let mut services = self.services.borrow_mut();
         if !services.contains_key(service) {
-            services.insert(service.into(), Budget::new(self.allowance));
+            services.insert(service.into(), Budget::new(self.allowance, self.start));
         }
         work(services.get_mut(service).expect("the budget was inserted"))
     }
@@ -125,8 +160,17 @@
 
 impl Budget {
     /// Creates a budget without any use.
-    pub fn new(allowance: Allowance) -> Budget {
-        Budget { allowance, buckets: VecDeque::new(), peers: FxHashMap::default(), dirty: false }
+    fn new(allowance: Allowance, start: Start) -> Budget {
+        let unknown = if start.is_first { Duration::ZERO } else { retention(allowance.window) };
+        Budget {
+            allowance,
+            known_at: start.at + unknown,
+            joined_at: start.at + unknown,
+            buckets: VecDeque::new(),
+            total: 0,
+            peers: FxHashMap::default(),
+            dirty: false,
+        }
     }
 
     /// Counts a request.
@@ -139,35 +183,66 @@
         let free = self.has_retry(now, nodes);
         if free {
             self.current_bucket(now).retries += 1;
+            self.total += 1;
             self.dirty = true;
         }
         free
     }
 
     fn has_retry(&mut self, now: Instant, nodes: usize) -> bool {
-        self.peers.retain(|_, peer| now < peer.at + PEER_REPORT_TTL);
-        let (own_requests, own_retries) = self.own_use(now);
-        let requests = own_requests + self.peers.values().map(|p| p.requests).sum::<u32>();
-        let retries = own_retries + self.peers.values().map(|p| p.retries).sum::<u32>();
-        let share = (self.peers.len() + 1) as f64 / nodes.max(self.peers.len() + 1) as f64;
+        let (own_requests, _) = self.own_use(now);
+        let retries = self.known_retries(now);
+        let recent = self.peers.values().filter(|p| p.is_recent(now));
+        let requests = own_requests + recent.clone().map(|p| p.requests).sum::<u32>();
+        let reporting = recent.count() + 1;
+        let startup_share = if now < self.known_at { STARTUP_SHARE } else { 1.0 };
+        let share = startup_share * reporting as f64 / nodes.max(reporting) as f64;
         let allowed = self.allowance.ratio * f64::from(requests) + self.allowance.slack * share;
         f64::from(retries) + 1.0 <= allowed * MARGIN
     }
 
     /// Returns this node's use of the budget, for peers.
-    pub fn used(&mut self, now: Instant, service: CompactString) -> BudgetUse {
+    fn used(&mut self, now: Instant, service: CompactString) -> BudgetUse {
         let (requests, retries) = self.own_use(now);
-        BudgetUse { service, requests, retries }
+        let known = (now >= self.known_at).then(|| self.known_retries(now));
+        BudgetUse { service, requests, retries, total: self.total, known }
     }
 
     /// Applies a peer's use of the budget.
-    pub fn apply(&mut self, now: Instant, from: &CompactString, used: &BudgetUse) {
-        let BudgetUse { requests, retries, .. } = *used;
-        self.peers.insert(from.clone(), PeerUse { at: now, requests, retries });
+    fn apply(&mut self, now: Instant, from: &CompactString, used: &BudgetUse) {
+        let BudgetUse { requests, retries, total, known, .. } = *used;
+        let window = retention(self.allowance.window);
+        self.peers.retain(|_, peer| now < peer.at + window);
+        let new = match self.peers.get(from) {
+            Some(peer) if peer.total <= total => total - peer.total,
+            // The peer has restarted.
+            Some(_) if total == retries => total,
+            // A later report has overtaken this one.
+            Some(_) => return,
+            None => match known.filter(|_| now < self.joined_at) {
+                Some(known) => known.saturating_sub(self.reported_retries(now)),
+                None => retries,
+            },
+        };
+        self.current_bucket(now).reported += new;
+        if known.is_some() {
+            self.known_at = self.known_at.min(now);
+        }
+        self.peers.insert(from.clone(), PeerUse { at: now, requests, total });
+    }
+
+    fn is_used(&mut self, now: Instant) -> bool {
+        self.own_use(now).0 > 0 || self.known_retries(now) > 0
+    }
+
+    /// Returns the number of retries of all nodes within the window.
+    fn known_retries(&mut self, now: Instant) -> u32 {
+        self.own_use(now).1 + self.reported_retries(now)
     }
 
-    fn has_requests(&mut self, now: Instant) -> bool {
-        self.own_use(now) != (0, 0)
+    fn reported_retries(&mut self, now: Instant) -> u32 {
+        self.current_bucket(now);
+        self.buckets.iter().map(|p| p.reported).sum()
     }
 
     /// Returns the numbers of requests and retries of this node within the window.
@@ -181,16 +256,19 @@
 
     /// Returns the current bucket, after dropping expired ones.
     fn current_bucket(&mut self, now: Instant) -> &mut Bucket {
-        let Allowance { window, .. } = self.allowance;
-        let bucket = window / BUCKETS;
-        // The last retry of a bucket is taken at its end, and may reach its runner later.
-        let retention = window + bucket + MAX_SEND_DELAY;
-        while self.buckets.front().is_some_and(|p| now >= p.start + retention) {
+        let window = self.allowance.window;
+        while self.buckets.front().is_some_and(|p| now >= p.start + retention(window)) {
             self.buckets.pop_front();
         }
-        if self.buckets.back().is_none_or(|p| now >= p.start + bucket) {
-            self.buckets.push_back(Bucket { start: now, requests: 0, retries: 0 });
+        if self.buckets.back().is_none_or(|p| now >= p.start + window / BUCKETS) {
+            self.buckets.push_back(Bucket { start: now, requests: 0, retries: 0, reported: 0 });
         }
         self.buckets.back_mut().expect("a bucket was pushed")
     }
 }
+
+/// Returns the time for which the retries of a bucket count. The last one is taken at the end of the bucket,
+/// and may reach its runner later.
+fn retention(window: Duration) -> Duration {
+    window + window / BUCKETS + MAX_SEND_DELAY
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        budget::Budgets,
         control,
         dialect::Dialect,
         drain::{Closing, Drain},
@@ -126,6 +127,9 @@
     traffic.client.fleet.set_domain(&settings.domain);
     traffic.trials = Some(TrialReporter::new(trial_sender));
     traffic.admission.policy = settings.admission.policy();
+    if !settings.bootstrap {
+        traffic.budgets = Budgets::restarted(bounds.retry_allowance());
+    }
     traffic.set_metrics(&metrics);
     let handler =
         Handler { traffic, drain, demand, max_addresses_ttl: settings.bounds.max_addresses_ttl() };
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -3,7 +3,7 @@
 use {
     bilberryfront_decide::member::message::BudgetUse,
     bilberryfront_relay::budget::{Allowance, Budgets},
-    std::{collections::VecDeque, time::Duration},
+    std::{collections::VecDeque, ops::Range, time::Duration},
     tokio::time::{Instant, advance},
 };
 
@@ -108,6 +108,16 @@
         (0..).take_while(|_| self.take(node, system)).count()
     }
 
+    /// Kills nodes, and starts them again after a second.
+    async fn restart(&mut self, nodes: Range<usize>, rate: f64) {
+        nodes.clone().for_each(|node| self.isolated[node] = true);
+        self.run(ms(1_000), rate).await;
+        for node in nodes {
+            self.budgets[node] = Budgets::restarted(ALLOWANCE);
+            self.isolated[node] = false;
+        }
+    }
+
     /// Checks the global bound in all windows.
     fn check(&self) {
         let Allowance { ratio, slack, window } = ALLOWANCE;
@@ -199,3 +209,64 @@
         }
     }
 }
+
+/// Guards against retries that are forgotten when their node ends: nodes are restarted one after another,
+/// each of them after it has used up the budget.
+#[tokio::test(start_paused = true)]
+async fn retries_of_ended_nodes_count() {
+    for rate in RATES {
+        let mut nodes = Nodes::steady(6, rate).await;
+        for node in 0..6 {
+            nodes.exhaust(node);
+            nodes.run(ms(100), rate).await;
+            nodes.restart(node..node + 1, rate).await;
+            nodes.run(ms(500), rate).await;
+        }
+        nodes.check();
+    }
+}
+
+/// Guards against a whole budget after each restart of all nodes, none of which knows the retries of the
+/// processes before.
+#[tokio::test(start_paused = true)]
+async fn retries_before_a_restart_of_all_nodes_count() {
+    for rate in RATES {
+        let mut nodes = Nodes::steady(6, rate).await;
+        nodes.exhaust(0);
+        for node in 1..4 {
+            nodes.run(ms(100), rate).await;
+            nodes.restart(0..6, rate).await;
+            nodes.run(ms(1_900), rate).await;
+            nodes.exhaust(node);
+        }
+        nodes.check();
+    }
+}
+
+/// Guards against retries that count twice: reports reach a node through several others, and a later one may
+/// overtake an earlier one.
+#[tokio::test(start_paused = true)]
+async fn reports_that_overtake_each_other_count_once() {
+    let mut nodes = Nodes::steady(2, RATES[0]).await;
+    assert_eq!((0..40).filter(|_| nodes.take(0, 2)).count(), 40);
+    nodes.run(ALLOWANCE.window + ms(1_500), RATES[0]).await;
+    nodes.delay = ms(50);
+    assert!(nodes.take(0, 2));
+    nodes.delay = ms(5);
+    assert!(nodes.take(0, 2));
+    nodes.reports.rotate_left(1);
+    nodes.run(ms(100), RATES[0]).await;
+    assert!(nodes.exhaust(1) > 140);
+}
+
+/// Guards against streams that are aborted because their node has started again: the others have told it
+/// how many retries are left.
+#[tokio::test(start_paused = true)]
+async fn restarted_node_shares_the_budget_of_the_others() {
+    let rate = RATES[0];
+    let mut nodes = Nodes::steady(6, rate).await;
+    nodes.restart(0..1, rate).await;
+    nodes.run(ms(1_500), rate).await;
+    let retries = nodes.exhaust(0);
+    assert!(retries >= 20, "{retries} retries");
+}
