Share the retry budget among nodes that retry at the same moment

What runners see: more retries than the rule allows when many requests fail at all nodes at once. Each node takes all retries that are left, until the others' reports arrive: after a few milliseconds for streams, up to a second later for calls, which announce nothing themselves.

Change: a node assumes that each peer that reports has taken as many retries since the last second as it has itself, less what the peers have reported since. So n nodes that know nothing of each other's retries take an n-th each, and a node whose peers have reported theirs takes the rest.

Cost: a node whose peers need none takes an n-th of what is left at once (26 of 156 with six nodes and 9.35 streams per second), the next n-th after 1 to 1.5 s. nodes_resume_their_streams_at_the_same_time guards what must be possible: six nodes resume eight streams each at the same moment, half of those that run.

Evidence: nodes_that_retry_at_the_same_time_share_the_budget was red on the code before ("288 of 94": retries and requests) and is green.

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -16,13 +16,14 @@
     tokio::time::Instant,
 };
 
-/// Share of the budget that is used; the rest covers nodes that have just joined, and retries that peers
-/// have not reported yet.
+/// Share of the budget that is used; the rest covers nodes that have just joined, and lost reports.
 const MARGIN: f64 = 0.7;
 /// Share of the slack used by nodes that do not know the retries before their start.
 const STARTUP_SHARE: f64 = 0.1;
-/// Age at which a peer's report expires; peers repeat theirs every second. A node without
-/// connection to its peers then uses its own share only.
+/// Maximum time from a retry to its report.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Age at which a peer's report expires. A node without connection to its peers then uses its own share
+/// only.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(1_500);
 /// Number of buckets per window.
 const BUCKETS: u32 = 20;
@@ -191,10 +192,11 @@
 
     fn has_retry(&mut self, now: Instant, nodes: usize) -> bool {
         let (own_requests, _) = self.own_use(now);
-        let retries = self.known_retries(now);
         let recent = self.peers.values().filter(|p| p.is_recent(now));
         let requests = own_requests + recent.clone().map(|p| p.requests).sum::<u32>();
         let reporting = recent.count() + 1;
+        let peers = reporting as u32 - 1;
+        let retries = self.known_retries(now) + self.unreported_retries(now, peers);
         let startup_share = if now < self.known_at { STARTUP_SHARE } else { 1.0 };
         let share = startup_share * reporting as f64 / nodes.max(reporting) as f64;
         let allowed = self.allowance.ratio * f64::from(requests) + self.allowance.slack * share;
@@ -240,6 +242,16 @@
         self.own_use(now).1 + self.reported_retries(now)
     }
 
+    /// Returns the number of retries that `peers` peers may not have reported yet. Failures affect all nodes at
+    /// the same time, so each peer may have taken as many as this node.
+    fn unreported_retries(&mut self, now: Instant, peers: u32) -> u32 {
+        self.current_bucket(now);
+        let age = self.allowance.window / BUCKETS + REPORT_INTERVAL;
+        let recent = self.buckets.iter().filter(|p| now < p.start + age);
+        let reported = recent.clone().map(|p| p.reported).sum();
+        (recent.map(|p| p.retries).sum::<u32>() * peers).saturating_sub(reported)
+    }
+
     fn reported_retries(&mut self, now: Instant) -> u32 {
         self.current_bucket(now);
         self.buckets.iter().map(|p| p.reported).sum()
