Divide the slack of the retry budget among all nodes if half of them are ready

What runners see: twice the slack while a system is partitioned into two halves of the same size.

Cause: a node divides the slack among the ready nodes if these are at least half of all. In a partition into equal halves, that is true on both sides.

Change: it needs more than half.

Cost: if exactly half of the nodes have ended for good, the others have half of the slack until the registrations are deleted after ten minutes, as with fewer nodes before.

Evidence: halves_of_a_partitioned_system_share_the_slack was red on the code before ("1 of 2 nodes: 2 times the slack") and is green. By arithmetic; no run showed it with requests.

--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -149,10 +149,10 @@
 
 impl View {
     /// Returns the number of nodes among which limits of the whole system are divided. A node that finds
-    /// less than half of the others ready may itself be cut off, and the others still serve.
+    /// no more than half of all nodes ready may itself be cut off, and the others still serve.
     pub fn shares(&self) -> usize {
         match self.nodes.len() {
-            nodes if nodes * 2 < self.senders => self.senders,
+            nodes if nodes * 2 <= self.senders => self.senders,
             nodes => nodes,
         }
     }
--- a/crates/relay/tests/budget.rs
+++ b/crates/relay/tests/budget.rs
@@ -2,8 +2,11 @@
 
 use {
     bilberryfront_decide::member::message::BudgetUse,
-    bilberryfront_relay::budget::{Allowance, Budgets},
-    std::{collections::VecDeque, ops::Range, time::Duration},
+    bilberryfront_relay::{
+        budget::{Allowance, Budgets},
+        view::{NodeAddress, View},
+    },
+    std::{collections::VecDeque, ops::Range, sync::Arc, time::Duration},
     tokio::time::{Instant, advance},
 };
 
@@ -315,3 +318,23 @@
     let resumed = (0..8).flat_map(|_| 0..6).filter(|node| nodes.take(*node, 6)).count();
     assert_eq!(resumed, 48);
 }
+
+/// Guards against two halves of a partitioned system, each of which uses the slack of both.
+#[test]
+fn halves_of_a_partitioned_system_share_the_slack() {
+    let address = |index: usize| {
+        let (callers, peers) = (([127, 0, 0, 1], 1).into(), ([127, 0, 0, 1], 2).into());
+        NodeAddress { name: index.to_string().into(), domain: "a".into(), callers, peers }
+    };
+    let slack = |ready: usize, senders| {
+        let nodes = Arc::new((0..ready).map(address).collect());
+        let view = View { nodes, senders, ..View::default() };
+        ready as f64 / view.shares() as f64
+    };
+    for senders in 2..20 {
+        for ready in 1..senders {
+            let sum = slack(ready, senders) + slack(senders - ready, senders);
+            assert!(sum < 1.5, "{ready} of {senders} nodes: {sum} times the slack");
+        }
+    }
+}
