Do not resume a stream on a rolled back version for its cached prompt

What callers saw: a stream that its caller resumes is sent to a runner of a version that was rolled back, or is not completed, if that runner has the prompt in its cache.

Cause: the look-up of cached prompts selected runners of any version; the other selections follow the rollout.

Change: the look-up follows it, too.

--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -124,13 +124,16 @@
     }
 
     /// Returns the preferred runner that has most of a resumed stream's prompt in its cache, if any
-    /// has a part of it.
+    /// has a part of it and is of a version that the request may be sent to.
     pub(super) async fn find_cached(&self) -> Option<Endpoint> {
         let (Some(prompt), Some(_)) = (self.call.head.prompt, self.call.head.resume) else {
             return None;
         };
         let client = &self.traffic.client;
-        let preferred = client.fleet.preferred(&self.traffic.criteria(&self.call, &[]));
+        let view = self.traffic.published.load();
+        let version = version_constraint(&view, &self.call, false);
+        let criteria = Criteria { version, ..self.traffic.criteria(&self.call, &[]) };
+        let preferred = client.fleet.preferred(&criteria);
         let lookups = preferred.iter().map(|endpoint| client.cached_tokens(endpoint, prompt));
         let results = join_all(lookups).await.into_iter().zip(preferred);
         let (tokens, endpoint) = results.max_by_key(|(tokens, _)| *tokens)?;
--- a/tests/relay/rollouts.rs
+++ b/tests/relay/rollouts.rs
@@ -1,7 +1,9 @@
 //! Requests during a rollout, through one node.
 
 use {
-    super::support::{Deployment, PLAIN, Script, Trials, node_address, run_local},
+    super::support::{
+        Deployment, ENGINES, PLAIN, Script, StreamEnd, Trials, ms, node_address, run_local,
+    },
     bilberryfront_decide::mover::MoveId,
     bilberryfront_relay::view::{Registration, Rule, Split, State, View},
     std::sync::Arc,
@@ -51,6 +53,41 @@
     deployment.runners[..RUNNERS.0].iter().map(|runner| runner.request_count()).sum()
 }
 
+/// Guards against a stream that its caller resumes on a version that was rolled back, because a runner of that
+/// version has the prompt in its cache.
+#[tokio::test(start_paused = true)]
+async fn a_callers_resume_is_not_sent_to_a_version_that_was_rolled_back() {
+    run_local(async {
+        let events = Script::Events { last: 20, gap: ms(40), end: StreamEnd::Complete };
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &events);
+        deployment.runners[0].cached_segments.borrow_mut().push("b7");
+        let view = View::clone(&deployment.traffic.published.load());
+        let mut runners = view.runners.to_vec();
+        runners[0].version = "v2".into();
+        deployment.traffic.client.fleet.update(&runners);
+        let split = Split {
+            id: MoveId(1),
+            to: "v2".into(),
+            rule: Rule::OnlyOld,
+            has_slack: true,
+            is_rejected: true,
+        };
+        let splits = Arc::new([(ENGINES.into(), split)].into_iter().collect());
+        let runners = Arc::new(runners);
+        deployment.traffic.published.store(View { runners, splits, ..view });
+        let headers = [
+            ("x-bilberryfront-token-counts", "5000,100"),
+            ("x-bilberryfront-prompt-prefix", "a1:200,b7:4800"),
+            ("last-event-id", "12"),
+        ];
+        let received = deployment.serve("/stream/1", &headers).await;
+        assert_eq!(received.event_ids(), (13..=20).collect::<Vec<u64>>());
+        let counts: Vec<usize> = deployment.runners.iter().map(|r| r.request_count()).collect();
+        assert_eq!(counts, [0, 1], "requests of the rolled back version and of the other one");
+    })
+    .await;
+}
+
 /// Guards against a node that uses the parts of others, which are not in address responses because they
 /// drain, start or are cut off, but assign requests as well.
 #[tokio::test(start_paused = true)]
