--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -127,7 +127,7 @@
     }
 
     /// Returns the preferred runner that has most of a resumed stream's prompt in its cache, if any
-    /// has a part of it.
+    /// has a part of it and is of a version that the request may be sent to.
     pub(super) async fn find_cached(&self) -> Option<Endpoint> {
         let (Some(prompt), Some(_)) = (self.call.head.prompt, self.call.head.resume) else {
             return None;
