Send the route's deadline with a request that states none

What runners see: a request without a deadline, if its caller states none.

Change: such a request bears the time until the route's timeout, after which its response is no longer waited for. Requests of callers that state a deadline are unchanged.

Evidence: request_without_a_deadline_is_sent_with_that_of_the_route was red on the code before (no header on /lodge/1) and is green.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -85,8 +85,8 @@
 pub struct SendOptions {
     /// Id of the expected runner; any other runner rejects the request.
     pub runner: CompactString,
-    /// Time left until the caller's deadline.
-    pub left: Option<Duration>,
+    /// Time left until the deadline.
+    pub left: Duration,
     /// Id of the last delivered event.
     pub resume: Option<u64>,
     /// Address of the runner to which the run is replicated.
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -428,11 +428,9 @@
 
 /// Returns the options of a send without replicas, after `earlier` sends of the same request.
 fn send_options(call: &Call, endpoint: &Endpoint, earlier: usize) -> SendOptions {
-    let now = Instant::now();
-    let left = call.caller_deadline().map(|end| end.saturating_duration_since(now));
     SendOptions {
         runner: endpoint.id.clone(),
-        left,
+        left: call.time_left(),
         resume: call.head.resume,
         replica_to: None,
         from_replica: None,
--- a/tests/relay/calls.rs
+++ b/tests/relay/calls.rs
@@ -1,7 +1,7 @@
 //! Calls to plain services.
 
 use {
-    super::support::{Deployment, PLAIN, Script, ms, run_local},
+    super::support::{Deployment, ENGINES, PLAIN, Script, ms, run_local},
     bilberryfront_relay::budget::{Allowance, Budgets},
     tokio::time::{Instant, sleep},
 };
@@ -134,6 +134,31 @@
     .await;
 }
 
+/// Guards against runners that work without a limit: the caller states no deadline, and the route's timeout
+/// applies.
+#[tokio::test(start_paused = true)]
+async fn request_without_a_deadline_is_sent_with_that_of_the_route() {
+    for (path, limit) in [("/lodge/1", 800), ("/look/1", 800), ("/stream/1", 20_000)] {
+        run_local(async {
+            let service = if limit == 800 { PLAIN } else { ENGINES };
+            let script = Script::RespondAfter(500, "no", ms(300));
+            let deployment = Deployment::new(service, &["a", "b"], &script);
+            let start = Instant::now();
+            deployment.serve(path, &[]).await;
+            assert!(deployment.request_count() > 0);
+            for runner in &deployment.runners {
+                for request in &*runner.requests.borrow() {
+                    let left = request.headers.get("x-bilberryfront-deadline-ms");
+                    let left: u64 = left.expect(path).to_str().unwrap().parse().unwrap();
+                    let elapsed = request.at.duration_since(start).as_millis() as u64;
+                    assert!(left + elapsed <= limit, "{path}: {left} ms after {elapsed} ms");
+                }
+            }
+        })
+        .await;
+    }
+}
+
 /// Guards against calls that are rejected because connection attempts to crashed runners used up
 /// the retry budget.
 #[tokio::test(start_paused = true)]
