--- a/tests/relay/calls.rs
+++ b/tests/relay/calls.rs
@@ -36,7 +36,7 @@
         let call = call("/lodge/1", &[]);
         let options = SendOptions {
             runner: engine.id.clone(),
-            left: None,
+            left: call.time_left(),
             resume: None,
             replica_to: None,
             from_replica: None,
@@ -163,6 +163,31 @@
     .await;
 }
 
+/// Guards against runners that work without a limit: the caller states no deadline, and the route's timeout
+/// applies.
+#[tokio::test(start_paused = true)]
+async fn request_without_a_deadline_is_sent_with_that_of_the_route() {
+    for (path, limit) in [("/lodge/1", 800), ("/look/1", 800), ("/stream/1", 20_000)] {
+        run_local(async {
+            let service = if limit == 800 { PLAIN } else { ENGINES };
+            let script = Script::RespondAfter(500, "no", ms(300));
+            let deployment = Deployment::new(service, &["a", "b"], &script);
+            let start = Instant::now();
+            deployment.serve(path, &[]).await;
+            assert!(deployment.request_count() > 0);
+            for runner in &deployment.runners {
+                for request in &*runner.requests.borrow() {
+                    let left = request.headers.get("x-bilberryfront-deadline-ms");
+                    let left: u64 = left.expect(path).to_str().unwrap().parse().unwrap();
+                    let elapsed = request.at.duration_since(start).as_millis() as u64;
+                    assert!(left + elapsed <= limit, "{path}: {left} ms after {elapsed} ms");
+                }
+            }
+        })
+        .await;
+    }
+}
+
 /// Guards against calls that are rejected because connection attempts to crashed runners used up
 /// the retry budget.
 #[tokio::test(start_paused = true)]
