Add a soak with real processes whose runners' addresses pass to other services

Instances run as processes against stand-ins of the store and of runners that keep to the protocol (421 for another expected instance, one-time replicas, streams that end with their connection), while faults overlap: engines of a domain crash or go dark, two runners of different services exchange their addresses 2 s after a crash, the store refuses, hangs or closes and registrations expire, catalogues change in storms, instances are stopped, killed and terminated in turn, and connections are reset. A judge decides by what clients, runners and the operator saw.

Two streams (q007f2, q007f6) lost their run and were resumed with Kv-From at a plain runner that had been given the replica holder's address ('request sent' with registered=desk, service=llm). Four streams ran at an engine of a service that no catalogue names, with the model and memory of 'llm', at the address of a former engine ('request sent' with assumed=true, registered=llm): a restart that is none.

--- a/crates/harness/src/process.rs
+++ b/crates/harness/src/process.rs
@@ -3,8 +3,8 @@
 use {
     rustix::process::{Pid, Signal, kill_process},
     std::{
-        io::{self, BufRead, BufReader, Read},
-        process::{Child, ChildStdout, Command, ExitStatus, Stdio},
+        io::{self, BufRead, BufReader, Write},
+        process::{Child, Command, ExitStatus, Stdio},
         thread,
     },
 };
@@ -19,6 +19,14 @@
 impl Process {
     /// Starts a process and waits for its first line of output.
     pub fn start(command: &mut Command) -> io::Result<Process> {
+        Process::start_with_output(command, io::sink())
+    }
+
+    /// Starts a process as [`Process::start`] does, and copies its output.
+    pub fn start_with_output(
+        command: &mut Command,
+        mut output: impl Write + Send + 'static,
+    ) -> io::Result<Process> {
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn()?;
         let stdout = child.stdout.take().expect("stdout is piped");
         let mut stdout = BufReader::new(stdout);
@@ -27,7 +35,9 @@
             let status = child.wait()?;
             return Err(io::Error::other(format!("{command:?} ended without output: {status}")));
         }
-        thread::spawn(move || drain(stdout));
+        output.write_all(first_line.as_bytes())?;
+        // All of it is read, so that the child does not block on a full pipe.
+        thread::spawn(move || io::copy(&mut stdout, &mut output));
         Ok(Process { child, first_line: first_line.trim_end().to_owned() })
     }
 
@@ -80,9 +90,3 @@
         self.kill();
     }
 }
-
-/// Reads and discards the output, so that the child does not block on a full pipe.
-fn drain(mut stdout: BufReader<ChildStdout>) {
-    let mut buffer = [0; 4096];
-    while stdout.read(&mut buffer).is_ok_and(|count| count > 0) {}
-}
--- /dev/null
+++ b/tests/soak/record.rs
@@ -0,0 +1,456 @@
+//! What clients, runners and the operator saw, and the rules that it is judged by.
+
+use {
+    super::{
+        clients::{Kind, Route},
+        runner::{EVENTS, Role},
+    },
+    bytes::Bytes,
+    serde_json::Value,
+    std::{
+        cell::{Cell, RefCell},
+        collections::{BTreeMap, HashMap, HashSet},
+        fmt::Write as _,
+        fs,
+        net::SocketAddr,
+        path::Path,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    tokio::time::Instant,
+};
+
+/// Time for which a disturbance of an instance or runner excuses it.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Time for which two runs of a stream may overlap.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+/// Window and bounds of the retry budget.
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+pub(crate) const BUDGET_RATIO: f64 = 0.8;
+pub(crate) const BUDGET_SLACK: f64 = 150.0;
+/// Requests that may run on more runners than their route allows.
+const MAX_BEYOND_ATTEMPTS: usize = 3;
+/// Statuses that promise that the request has not run and never will.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+/// Maximum number of violations of a rule that are told in full.
+const MAX_TOLD: usize = 4;
+
+/// An attempt of a client.
+pub(crate) struct Attempt {
+    pub(crate) route: Route,
+    pub(crate) path: String,
+    pub(crate) body: Bytes,
+    pub(crate) key: String,
+    pub(crate) instance: String,
+    /// Event after which the client resumes.
+    pub(crate) after: u64,
+    pub(crate) at: Instant,
+    pub(crate) end: Option<Instant>,
+    pub(crate) status: Option<u16>,
+    /// Body received so far.
+    pub(crate) text: String,
+    /// Whether the response ended without an error.
+    pub(crate) complete: bool,
+}
+
+impl Attempt {
+    /// Returns the event after which the client retries, or `None` if it does not retry.
+    fn next_position(&self) -> Option<u64> {
+        let is_promised = self.status.is_some_and(|s| NOT_RUN.contains(&s));
+        let is_final = self.status.is_some_and(|s| s < 500 && !is_promised) && self.complete;
+        if is_final || (self.route.kind.runs_once() && !is_promised) {
+            return None;
+        }
+        let position = events(&self.text).last().map_or(self.after, |(event, _)| event);
+        (position < EVENTS).then_some(position)
+    }
+}
+
+/// A request that has arrived at a runner.
+pub(crate) struct Run {
+    pub(crate) id: String,
+    pub(crate) runner: String,
+    pub(crate) role: Role,
+    pub(crate) address: SocketAddr,
+    pub(crate) path: String,
+    pub(crate) body: Bytes,
+    pub(crate) tenant: Option<String>,
+    /// Replica that it starts from.
+    pub(crate) from: Option<String>,
+    pub(crate) after: Option<u64>,
+    pub(crate) at: Instant,
+    pub(crate) first: Option<Instant>,
+    pub(crate) end: Option<Instant>,
+    /// Status, if the runner has rejected it.
+    pub(crate) rejected: Option<u16>,
+}
+
+impl Run {
+    /// Returns whether it goes on from the replica that it names.
+    fn is_continued(&self) -> bool {
+        self.from.is_some() && self.role.model.is_some()
+    }
+}
+
+/// A fault of an instance or runner.
+struct Disturbance {
+    who: String,
+    what: &'static str,
+    from: Instant,
+    to: Instant,
+}
+
+/// A broken rule.
+pub(crate) struct Violation {
+    pub(crate) rule: &'static str,
+    id: String,
+    what: String,
+}
+
+/// Everything that is judged.
+pub(crate) struct Record {
+    start: Instant,
+    wall: SystemTime,
+    ids: Cell<u64>,
+    pub(crate) attempts: RefCell<HashMap<String, Attempt>>,
+    pub(crate) runs: RefCell<Vec<Run>>,
+    disturbances: RefCell<Vec<Disturbance>>,
+    catalogs: RefCell<Vec<Value>>,
+    counts: RefCell<BTreeMap<&'static str, usize>>,
+}
+
+impl Default for Record {
+    fn default() -> Record {
+        Record {
+            start: Instant::now(),
+            wall: SystemTime::now(),
+            ids: Cell::default(),
+            attempts: RefCell::default(),
+            runs: RefCell::default(),
+            disturbances: RefCell::default(),
+            catalogs: RefCell::default(),
+            counts: RefCell::default(),
+        }
+    }
+}
+
+impl Record {
+    /// Returns a new id with this prefix.
+    pub(crate) fn next_id(&self, prefix: &str) -> String {
+        self.ids.set(self.ids.get() + 1);
+        format!("{prefix}{:05x}", self.ids.get())
+    }
+
+    /// Adds an arrival; returns its position.
+    pub(crate) fn add(&self, run: Run) -> usize {
+        let mut runs = self.runs.borrow_mut();
+        runs.push(run);
+        runs.len() - 1
+    }
+
+    /// Returns the event after which the client of an attempt retries, or `Some(None)` if it does not.
+    pub(crate) fn next_position(&self, id: &str) -> Option<Option<u64>> {
+        Some(self.attempts.borrow().get(id)?.next_position())
+    }
+
+    /// Records that an event of a run was generated.
+    pub(crate) fn start_run(&self, index: usize) {
+        self.runs.borrow_mut()[index].first.get_or_insert_with(Instant::now);
+    }
+
+    /// Adds a fault of an instance or runner, which begins now.
+    pub(crate) fn disturb(&self, who: &str, what: &'static str, time: Duration) {
+        *self.counts.borrow_mut().entry(what).or_default() += 1;
+        let from = Instant::now();
+        let disturbance = Disturbance { who: who.into(), what, from, to: from + time };
+        self.disturbances.borrow_mut().push(disturbance);
+    }
+
+    /// Adds a catalogue that the operator sends.
+    pub(crate) fn add_catalog(&self, catalog: Value) {
+        self.catalogs.borrow_mut().push(catalog);
+    }
+
+    fn disturbance(&self, who: &str, from: Instant, to: Instant) -> Option<&'static str> {
+        let disturbances = self.disturbances.borrow();
+        let hit = |d: &&Disturbance| d.who == who && d.from <= to && from <= d.to + CONTACT;
+        disturbances.iter().find(hit).map(|d| d.what)
+    }
+
+    /// Returns the services to which any catalogue has sent a route, by path prefix.
+    fn allowed(&self) -> HashMap<String, HashSet<String>> {
+        let mut allowed = HashMap::<String, HashSet<String>>::new();
+        for route in self.catalogs.borrow().iter().flat_map(|c| c["routes"].as_array().unwrap()) {
+            let split = route["traffic_split"].as_array().into_iter().flatten();
+            let services = split.chain([route]).filter_map(|target| target["service"].as_str());
+            let prefix = route["prefix"].as_str().unwrap().to_owned();
+            allowed.entry(prefix).or_default().extend(services.map(str::to_owned));
+        }
+        allowed
+    }
+
+    /// Judges the whole test.
+    pub(crate) fn judge(&self) -> Vec<Violation> {
+        let allowed = self.allowed();
+        let attempts = self.attempts.borrow();
+        let all = self.runs.borrow();
+        let mut by_id = HashMap::<&str, Vec<&Run>>::new();
+        for run in all.iter() {
+            by_id.entry(&run.id).or_default().push(run);
+        }
+        let mut violations = Vec::new();
+        let mut beyond = Vec::new();
+        for (id, arrivals) in &by_id {
+            let mut violate =
+                |rule, what| violations.push(Violation { rule, id: (*id).into(), what });
+            let Some(attempt) = attempts.get(*id) else {
+                violate("UNASKED", "no client sent it".into());
+                continue;
+            };
+            let runs: Vec<&Run> =
+                arrivals.iter().filter(|r| r.rejected.is_none()).copied().collect();
+            for run in &runs {
+                let service = run.role.service;
+                if !allowed.get(&attempt.route.prefix()).is_some_and(|a| a.contains(service)) {
+                    violate("ROUTE", format!("no catalogue lets it go to {service}"));
+                }
+                if run.path != attempt.path || run.body != attempt.body {
+                    violate("UNASKED", "another path or body".into());
+                }
+                let tenant = attempt.key.split_once('-').map(|(tenant, _)| tenant);
+                if attempt.key.starts_with("never") {
+                    violate("ROUTE", "no catalogue ever held its key".into());
+                } else if run.tenant.as_deref() != tenant {
+                    violate("UNASKED", format!("tenant {:?}", run.tenant));
+                }
+            }
+            if attempt.route.kind.runs_once() {
+                if runs.len() > 1 {
+                    violate("TWICE", format!("{} runs", runs.len()));
+                }
+                let promised = attempt.status.filter(|s| NOT_RUN.contains(s));
+                if let Some(status) = promised.filter(|_| !runs.is_empty()) {
+                    violate("REFUSED", format!("{status}, but it has run"));
+                }
+            }
+            for pair in runs.windows(2) {
+                if let Some(what) = self.overlap(attempt, pair[0], pair[1]) {
+                    violate("TWICE", what);
+                }
+            }
+            let is_counted = |run: &&&Run| {
+                !run.is_continued() && self.disturbance(&run.runner, run.at, run.at).is_none()
+            };
+            if runs.iter().filter(is_counted).count() > attempt.route.attempts() {
+                beyond.push(Violation {
+                    rule: "BUDGET",
+                    id: (*id).into(),
+                    what: "attempts".into(),
+                });
+            }
+        }
+        if beyond.len() > MAX_BEYOND_ATTEMPTS {
+            violations.extend(beyond);
+        }
+        violations.extend(attempts.iter().filter_map(|(id, attempt)| {
+            Some(Violation { rule: "ORDER", id: id.clone(), what: find_disorder(id, attempt)? })
+        }));
+        let (peak, service) = self.peak_repeats(&attempts, &all, &allowed);
+        println!("most repeats in a window: {peak:.3} of the bound, at {service}");
+        if peak > 1.0 {
+            let what = format!("{peak:.3} of the bound, at {service}");
+            violations.push(Violation { rule: "BUDGET", id: String::new(), what });
+        }
+        violations
+    }
+
+    /// Returns how two runs of a stream overlap though the instance could have ended the first.
+    fn overlap(&self, attempt: &Attempt, first: &Run, second: &Run) -> Option<String> {
+        let start = if second.role.model.is_some() { second.first? } else { second.at };
+        let until = start + MAX_OVERLAP;
+        let works_on = first.end.is_none_or(|end| end > until);
+        let goes_on = second.after.is_some_and(|after| after > attempt.after);
+        if !works_on || !goes_on || second.is_continued() {
+            return None;
+        }
+        let excuse = [&attempt.instance, &first.runner, &second.runner]
+            .into_iter()
+            .find_map(|who| self.disturbance(who, first.at.min(until - CONTACT), until));
+        excuse
+            .is_none()
+            .then(|| format!("{} goes on while {} works on it", second.runner, first.runner))
+    }
+
+    /// Returns the largest number of repeats in a window, as a share of the bound, with the service.
+    fn peak_repeats(
+        &self,
+        attempts: &HashMap<String, Attempt>,
+        runs: &[Run],
+        allowed: &HashMap<String, HashSet<String>>,
+    ) -> (f64, String) {
+        let mut seen = HashSet::new();
+        let mut repeats = BTreeMap::<&str, Vec<Duration>>::new();
+        for run in runs {
+            if !seen.insert((run.role.service, &run.id)) {
+                repeats.entry(run.role.service).or_default().push(run.at - self.start);
+            }
+        }
+        let peak = |service: &str, times: &[Duration]| {
+            let routed =
+                |a: &&Attempt| allowed.get(&a.route.prefix()).is_some_and(|s| s.contains(service));
+            let sent: Vec<Duration> =
+                attempts.values().filter(routed).map(|a| a.at - self.start).collect();
+            let count = |times: &[Duration], from: Duration| {
+                times.iter().filter(|at| **at >= from && **at < from + BUDGET_WINDOW).count() as f64
+            };
+            let share = |from: &Duration| {
+                let windows = [0, 1, 2].map(|half| from.saturating_sub(BUDGET_WINDOW / 2 * half));
+                let most = windows.map(|from| count(&sent, from)).into_iter().fold(0.0, f64::max);
+                count(times, *from) / (BUDGET_RATIO * most + BUDGET_SLACK)
+            };
+            times.iter().map(share).fold(0.0, f64::max)
+        };
+        let peaks =
+            repeats.iter().map(|(service, times)| (peak(service, times), (*service).to_owned()));
+        peaks.max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default()
+    }
+
+    /// Prints how much was tried.
+    pub(crate) fn summarize(&self) {
+        let (attempts, runs) = (self.attempts.borrow(), self.runs.borrow());
+        let continued = runs.iter().filter(|r| r.is_continued() && r.rejected.is_none()).count();
+        let mut statuses = BTreeMap::<_, usize>::new();
+        for attempt in attempts.values() {
+            let status = attempt.status.map_or("none".into(), |status| status.to_string());
+            *statuses.entry((attempt.route.name, status, attempt.complete)).or_default() += 1;
+        }
+        let mut rejected = BTreeMap::<_, usize>::new();
+        for status in runs.iter().filter_map(|r| r.rejected) {
+            *rejected.entry(status).or_default() += 1;
+        }
+        println!(
+            "{} attempts, {} arrivals, rejected {rejected:?}, {continued} runs from replicas, {} catalogues",
+            attempts.len(),
+            runs.len(),
+            self.catalogs.borrow().len(),
+        );
+        println!("route, status, complete: {statuses:?}");
+        println!("faults: {:?}", self.counts.borrow());
+    }
+
+    /// Returns the share of the attempts that were answered with success.
+    pub(crate) fn served(&self) -> f64 {
+        let attempts = self.attempts.borrow();
+        let served = attempts.values().filter(|a| a.status == Some(200) && a.complete).count();
+        served as f64 / attempts.len().max(1) as f64
+    }
+
+    /// Prints the violations, the first ones of each rule with all that is known of their request.
+    pub(crate) fn tell(&self, violations: &[Violation], logs: &Path) {
+        let mut told = HashMap::<&str, usize>::new();
+        for violation in violations {
+            println!("{}: {} {}", violation.rule, violation.id, violation.what);
+            let count = told.entry(violation.rule).or_default();
+            *count += 1;
+            if *count <= MAX_TOLD && !violation.id.is_empty() {
+                print!("{}", self.story(&violation.id, logs));
+            }
+        }
+        println!("violations: {told:?}");
+    }
+
+    fn story(&self, id: &str, logs: &Path) -> String {
+        let mut story = String::new();
+        if let Some(a) = self.attempts.borrow().get(id) {
+            let ids: Vec<u64> = events(&a.text).map(|(event, _)| event).collect();
+            let (first, last) = (ids.first(), ids.last());
+            _ = writeln!(
+                story,
+                "  sent {} to {} {} key {} after {}, ended {}, status {:?}, complete {}, events {first:?} to {last:?}",
+                self.clock(a.at),
+                a.instance,
+                a.path,
+                a.key,
+                a.after,
+                a.end.map_or("never".into(), |at| self.clock(at)),
+                a.status,
+                a.complete,
+            );
+        }
+        let runs = self.runs.borrow();
+        for run in runs.iter().filter(|run| run.id == id) {
+            let clock = |at: Option<Instant>| at.map_or("never".into(), |at| self.clock(at));
+            _ = writeln!(
+                story,
+                "  at {} {} {}, {}: arrived {}, first {}, end {}, from {:?}, after {:?}, rejected {:?}; {:?}",
+                run.role.service,
+                run.runner,
+                run.address,
+                run.role.model.unwrap_or("plain"),
+                self.clock(run.at),
+                clock(run.first),
+                clock(run.end),
+                run.from,
+                run.after,
+                run.rejected,
+                self.disturbance(&run.runner, run.at, run.at),
+            );
+            let mut before = runs.iter().filter(|r| r.address == run.address && r.at < run.at);
+            if let Some(other) = before.rfind(|r| r.runner != run.runner) {
+                let (id, service) = (&other.runner, other.role.service);
+                _ = writeln!(
+                    story,
+                    "     before at this address: {id} of {service}, {}",
+                    self.clock(other.at)
+                );
+            }
+        }
+        for file in fs::read_dir(logs)
+            .unwrap()
+            .flatten()
+            .filter(|f| f.path().extension().is_some_and(|e| e == "log"))
+        {
+            let text = String::from_utf8_lossy(&fs::read(file.path()).unwrap()).into_owned();
+            let named = text.lines().filter(|line| line.contains(&format!("\"{id}\"")));
+            for line in named {
+                _ = writeln!(story, "  {} {line}", file.file_name().to_string_lossy());
+            }
+        }
+        story
+    }
+
+    /// Returns the time of day, as in the logs.
+    fn clock(&self, at: Instant) -> String {
+        let wall = self.wall + (at - self.start);
+        let millis = wall.duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let (seconds, millis) = (millis / 1_000 % 86_400, millis % 1_000);
+        format!("{:02}:{:02}:{:02}.{millis:03}", seconds / 3_600, seconds / 60 % 60, seconds % 60)
+    }
+}
+
+/// Returns the complete events of a stream: their ids and data.
+pub(crate) fn events(text: &str) -> impl Iterator<Item = (u64, &str)> {
+    let whole = text.rfind("\n\n").map_or("", |end| &text[..end]);
+    whole.split("\n\n").filter_map(|event| {
+        let (id, data) = event.strip_prefix("id: ")?.split_once("\ndata: ")?;
+        Some((id.parse().ok()?, data))
+    })
+}
+
+/// Returns what is wrong with the body that a client has received.
+fn find_disorder(id: &str, attempt: &Attempt) -> Option<String> {
+    if attempt.status != Some(200) {
+        return None;
+    }
+    if attempt.route.kind == Kind::Call || attempt.route.kind == Kind::Lookup {
+        let is_whole = attempt.text == format!("done {id}");
+        return (attempt.complete && !is_whole).then(|| format!("body {:?}", attempt.text));
+    }
+    let mut expected = attempt.after;
+    for (event, data) in events(&attempt.text) {
+        expected += 1;
+        if event != expected || data != format!("{event} {id}") {
+            return Some(format!("event {event} {data:?} instead of {expected}"));
+        }
+    }
+    (attempt.complete && expected != EVENTS).then(|| format!("complete after event {expected}"))
+}
