--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         process::get,
-        runner::Role,
-        world::{DOMAINS, EXPIRY, GRACE, LLM, World},
+        runner::{Role, Runner},
+        world::{DOMAINS, EXPIRY, GRACE, Instance, LLM, World},
     },
     bilberryfront_standins::faults::{Faults, Lose, Reject},
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
@@ -16,6 +16,8 @@
 const DOWN: Duration = Duration::from_millis(1_200);
 /// Time after which the address of a runner may be given to another service.
 const REUSE: Duration = Duration::from_secs(2);
+/// Time for which a runner that leaves as planned still serves.
+const DRAIN: Duration = Duration::from_secs(2);
 /// Time after which a process is started again.
 const RESTART: Duration = Duration::from_secs(1);
 
@@ -37,6 +39,8 @@
     tokio::task::spawn_local(series(4).change_catalogs());
     tokio::task::spawn_local(series(5).disturb_instances());
     tokio::task::spawn_local(series(6).reset_connections());
+    tokio::task::spawn_local(series(7).stall_streams());
+    tokio::task::spawn_local(series(8).lose_responses());
     tokio::task::spawn_local(resolve(world.clone()));
 }
 
@@ -74,7 +78,6 @@
             let count = self.world.slots.len();
             let first = self.rng.random_range(0..count);
             let others: Vec<usize> = (0..count).filter(|i| role(*i) != role(first)).collect();
-            // Else most engines would pass to another service of engines.
             let second = *others.choose(&mut self.rng).expect("there are several services");
             let roles = [(first, role(second)), (second, role(first))];
             if roles.iter().any(|(index, _)| self.world.slots[*index].busy.get()) {
@@ -82,7 +85,8 @@
             }
             for (index, role) in roles {
                 self.world.slots[index].busy.set(true);
-                tokio::task::spawn_local(pass_on(self.world.clone(), index, role));
+                let is_planned = self.chance(0.3);
+                tokio::task::spawn_local(pass_on(self.world.clone(), index, role, is_planned));
             }
         }
     }
@@ -100,9 +104,15 @@
                 _ => ("store closes", Faults { lose: lose(false), ..Faults::default() }),
             };
             self.world.registry.record.disturb("store", what, time);
-            self.world.set_store_faults(Some(faults));
+            // A part of the instances, or all.
+            let share = if self.chance(0.5) { 1.0 } else { 0.5 };
+            let is_hit = |_: &&Instance| self.rng.random_bool(share);
+            let world = self.world.clone();
+            let hit: Vec<&Instance> = world.instances.iter().filter(is_hit).collect();
+            hit.iter().for_each(|instance| instance.store.faults.set(faults.clone()));
+            world.store_down.set(share == 1.0);
             let start = Instant::now();
-            let expires = self.chance(0.7) && time > EXPIRY;
+            let expires = share == 1.0 && self.chance(0.7) && time > EXPIRY;
             if expires {
                 sleep(EXPIRY).await;
                 for slot in &self.world.slots {
@@ -111,7 +121,8 @@
                 }
             }
             sleep(time.saturating_sub(start.elapsed())).await;
-            self.world.set_store_faults(None);
+            hit.iter().for_each(|instance| instance.store.faults.set(Faults::default()));
+            world.store_down.set(false);
             if expires {
                 // Each one registers again on its own.
                 self.world.store_down.set(true);
@@ -193,15 +204,48 @@
     /// Resets the connections of single runners.
     async fn reset_connections(mut self) {
         loop {
-            self.pause(0.5..3.0).await;
-            let slot = self.world.slots.choose(&mut self.rng).expect("there are runners");
-            let runner = slot.runner.borrow();
-            if !runner.gone.get() {
-                self.world.registry.record.disturb(&runner.id, "connections reset", Duration::ZERO);
-                runner.reset_connections();
+            self.pause(0.1..1.0).await;
+            let runner = self.pick();
+            self.world.registry.record.disturb(&runner.id, "connections reset", Duration::ZERO);
+            runner.reset_connections();
+        }
+    }
+
+    /// Lets single runners generate nothing for a time, as when they read long prompts.
+    async fn stall_streams(mut self) {
+        loop {
+            self.pause(0.1..1.0).await;
+            let runner = self.pick();
+            if runner.role.model.is_some() {
+                self.world.registry.record.count("stall");
+                let time = Duration::from_secs_f64(self.rng.random_range(0.4..2.0));
+                tokio::task::spawn_local(stall(runner, time));
+            }
+        }
+    }
+
+    /// Loses the responses of single calls.
+    async fn lose_responses(mut self) {
+        loop {
+            self.pause(0.2..1.0).await;
+            let runner = self.pick();
+            if runner.role.model.is_none() {
+                self.world.registry.record.count("response lost");
+                runner.loses_response.set(true);
             }
         }
     }
+
+    fn pick(&mut self) -> Rc<Runner> {
+        let slot = self.world.slots.choose(&mut self.rng).expect("there are runners");
+        slot.runner.borrow().clone()
+    }
+}
+
+async fn stall(runner: Rc<Runner>, time: Duration) {
+    runner.stalled.set(true);
+    sleep(time).await;
+    runner.stalled.set(false);
 }
 
 async fn fail_runner(world: Rc<World>, index: usize, is_dark: bool) {
@@ -221,7 +265,11 @@
     world.slots[index].busy.set(false);
 }
 
-async fn pass_on(world: Rc<World>, index: usize, role: Role) {
+async fn pass_on(world: Rc<World>, index: usize, role: Role, is_planned: bool) {
+    if is_planned {
+        world.register(index, "draining");
+        sleep(DRAIN).await;
+    }
     let id = world.slots[index].runner.borrow().id.clone();
     world.registry.record.disturb(&id, "address reused", REUSE);
     world.crash(index);
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -159,20 +159,26 @@
 
     /// Adds a fault of an instance or runner, which begins now.
     pub(crate) fn disturb(&self, who: &str, what: &'static str, time: Duration) {
-        *self.counts.borrow_mut().entry(what).or_default() += 1;
+        self.count(what);
         let from = Instant::now();
         let disturbance = Disturbance { who: who.into(), what, from, to: from + time };
         self.disturbances.borrow_mut().push(disturbance);
     }
 
+    /// Counts a fault that excuses nothing.
+    pub(crate) fn count(&self, what: &'static str) {
+        *self.counts.borrow_mut().entry(what).or_default() += 1;
+    }
+
     /// Adds a catalogue that the operator sends.
     pub(crate) fn add_catalog(&self, catalog: Value) {
         self.catalogs.borrow_mut().push(catalog);
     }
 
+    /// Returns a fault of an instance or runner that overlaps with this span.
     fn disturbance(&self, who: &str, from: Instant, to: Instant) -> Option<&'static str> {
         let disturbances = self.disturbances.borrow();
-        let hit = |d: &&Disturbance| d.who == who && d.from <= to && from <= d.to + CONTACT;
+        let hit = |d: &&Disturbance| d.who == who && d.from <= to && from <= d.to;
         disturbances.iter().find(hit).map(|d| d.what)
     }
 
@@ -238,7 +244,8 @@
                 }
             }
             let is_counted = |run: &&&Run| {
-                !run.is_continued() && self.disturbance(&run.runner, run.at, run.at).is_none()
+                let end = run.end.unwrap_or_else(Instant::now);
+                !run.is_continued() && self.disturbance(&run.runner, run.at, end).is_none()
             };
             if runs.iter().filter(is_counted).count() > attempt.route.attempts() {
                 beyond.push(Violation {
@@ -272,11 +279,9 @@
         if !works_on || !goes_on || second.is_continued() {
             return None;
         }
-        let excuse = [&attempt.instance, &first.runner, &second.runner]
-            .into_iter()
-            .find_map(|who| self.disturbance(who, first.at.min(until - CONTACT), until));
-        excuse
-            .is_none()
+        let is_touched = self.disturbance(&attempt.instance, until - CONTACT, until).is_some();
+        let is_reached = self.disturbance(&first.runner, start - MAX_OVERLAP, until).is_none();
+        (!is_touched && is_reached)
             .then(|| format!("{} goes on while {} works on it", second.runner, first.runner))
     }
 
@@ -392,7 +397,7 @@
                 run.from,
                 run.after,
                 run.rejected,
-                self.disturbance(&run.runner, run.at, run.at),
+                self.disturbance(&run.runner, run.at, run.end.unwrap_or(run.at)),
             );
             let mut before = runs.iter().filter(|r| r.address == run.address && r.at < run.at);
             if let Some(other) = before.rfind(|r| r.runner != run.runner) {
--- a/tests/soak/runner.rs
+++ b/tests/soak/runner.rs
@@ -72,6 +72,10 @@
     pub(crate) gone: Cell<bool>,
     /// Whether it neither reads nor writes nor generates.
     dark: Cell<bool>,
+    /// Whether its streams generate nothing; it responds otherwise.
+    pub(crate) stalled: Cell<bool>,
+    /// Whether the response of its next call is lost.
+    pub(crate) loses_response: Cell<bool>,
     wakers: RefCell<Vec<Waker>>,
     tasks: RefCell<Vec<AbortHandle>>,
     /// Events of the active runs, by attempt id.
@@ -99,6 +103,8 @@
             work,
             gone: Cell::new(false),
             dark: Cell::new(false),
+            stalled: Cell::new(false),
+            loses_response: Cell::new(false),
             wakers: RefCell::default(),
             tasks: RefCell::default(),
             active: RefCell::default(),
@@ -134,7 +140,8 @@
 
     /// Resets its connections.
     pub(crate) fn reset_connections(&self) {
-        self.tasks.borrow_mut().drain(1..).for_each(|task| task.abort());
+        // The first task accepts connections.
+        self.tasks.borrow_mut().iter().skip(1).for_each(AbortHandle::abort);
     }
 
     fn poll_awake(&self, context: &Context<'_>) -> Poll<()> {
@@ -282,6 +289,9 @@
             sleep(runner.work.min(left)).await;
             runner.awake().await;
             drop(active);
+            if runner.loses_response.take() {
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
             Response::new(full(format!("done {id}").into()))
         }
     };
@@ -306,6 +316,9 @@
             sleep(prefill).await;
             for event in after + 1..=EVENTS {
                 sleep(runner.gap).await;
+                while runner.stalled.get() {
+                    sleep(runner.gap).await;
+                }
                 runner.awake().await;
                 runner.active.borrow_mut().insert(run.id.clone(), event);
                 runner.registry.record.start_run(run.index);
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -9,7 +9,7 @@
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     bilberryfront_harness::process::Process,
-    bilberryfront_standins::{faults::Faults, feed_store::FeedStore, server::Handle},
+    bilberryfront_standins::{feed_store::FeedStore, server::Handle},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     serde_json::{Value, json},
     std::{
@@ -63,6 +63,8 @@
 pub(crate) struct Instance {
     pub(crate) name: String,
     pub(crate) listen: Listen,
+    /// Its own access to the store.
+    pub(crate) store: Handle,
     settings: PathBuf,
     pub(crate) process: RefCell<Option<Process>>,
     pub(crate) busy: Cell<bool>,
@@ -72,7 +74,6 @@
 pub(crate) struct World {
     pub(crate) registry: Rc<Registry>,
     store: FeedStore,
-    pub(crate) handle: Handle,
     pub(crate) slots: Vec<Slot>,
     pub(crate) instances: Vec<Instance>,
     /// Positions of the instances to which clients open connections.
@@ -90,13 +91,11 @@
     /// Starts the store, the runners and the instances.
     pub(crate) async fn start(seed: u64, size: Size) -> Rc<World> {
         let store = FeedStore::default();
-        let handle = store.start(free_tcp_address()).expect("the address is free");
         let folder = tempfile::tempdir().expect("a temporary folder");
         let alt = if seed.is_multiple_of(2) { ALT } else { OTHER_ALT };
         let mut world = World {
             registry: Rc::default(),
             store,
-            handle,
             slots: Vec::new(),
             instances: Vec::new(),
             listed: RefCell::default(),
@@ -118,7 +117,7 @@
         world.listed.replace((0..size.instances).collect());
         let world = Rc::new(world);
         for index in 0..world.slots.len() {
-            world.register(index);
+            world.register(index, "ready");
         }
         world
     }
@@ -170,16 +169,17 @@
         }
         let runner = self.slots[index].runner.borrow().clone();
         if runner.id == id && !runner.gone.get() {
-            self.register(index);
+            self.register(index, "ready");
         }
     }
 
-    fn register(&self, index: usize) {
+    /// Writes the registration of a runner, with its state.
+    pub(crate) fn register(&self, index: usize, state: &str) {
         let slot = &self.slots[index];
         let runner = slot.runner.borrow();
         let slots = if runner.role.model.is_some() { SLOTS } else { 6 };
         let registration = json!({"service": runner.role.service, "address": runner.address,
-            "zone": slot.domain, "version": "v1", "slots": slots, "state": "ready",
+            "zone": slot.domain, "version": "v1", "slots": slots, "state": state,
             "cold_left_ms": 0, "seq": 1});
         self.put("servers", &runner.id, Some(&registration));
     }
@@ -237,12 +237,6 @@
         self.registry.record.add_catalog(catalog);
     }
 
-    /// Sets the faults of the store.
-    pub(crate) fn set_store_faults(&self, faults: Option<Faults>) {
-        self.store_down.set(faults.is_some());
-        self.handle.faults.set(faults.unwrap_or_default());
-    }
-
     fn instance(&self, index: usize) -> Instance {
         let name = format!("n{index}");
         let listen = Listen {
@@ -251,11 +245,13 @@
             addresses: free_tcp_address(),
             metrics: free_tcp_address(),
         };
+        let store = self.store.with_own_faults().start(free_tcp_address());
+        let store = store.expect("the address is free");
         let settings = json!({
             "name": name, "domain": DOMAINS[index % DOMAINS.len()],
             "listen": {"callers": listen.callers, "health": listen.health,
                 "addresses": listen.addresses, "peers": free_udp_address(), "metrics": listen.metrics},
-            "store": self.handle.addr,
+            "store": store.addr,
             "bounds": {"grace": GRACE.as_secs(), "keep": 5, "ratio": BUDGET_RATIO, "slack": BUDGET_SLACK,
                 "window": 10, "exposure": 0.1, "trials": 50},
             "log": {"level": "debug"},
@@ -263,7 +259,7 @@
         let path = self.folder.path().join(format!("{name}.jsonc"));
         fs::write(&path, settings.to_string()).expect("the folder is writable");
         let process = RefCell::default();
-        Instance { name, listen, settings: path, process, busy: Cell::new(false) }
+        Instance { name, listen, store, settings: path, process, busy: Cell::new(false) }
     }
 }
 
