Report the runners' starts and kill all instances at once in the soak

Registrations and reports hold 'born', as the platform's do; without it, an old registration at a reused address is not recognized as replaced.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -87,8 +87,8 @@
     faults::start(&world, seed);
     sleep(time).await;
     let record = &world.registry.record;
-    record.summarize();
     let violations = record.judge();
+    record.summarize();
     record.tell(&violations, world.folder.path());
     let served = record.served();
     println!("served {served:.3} of the attempts");
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -179,12 +179,21 @@
                 continue;
             }
             let world = self.world.clone();
-            match self.rng.random_range(0..10) {
+            match self.rng.random_range(0..11) {
                 0..5 => {
                     let time = Duration::from_secs_f64(self.rng.random_range(1.0..4.0));
                     tokio::task::spawn_local(freeze(world, index, time));
                 }
                 5..8 => _ = tokio::task::spawn_local(kill(world, index)),
+                // All of them at once.
+                8 => {
+                    tokio::task::spawn_local(kill(world.clone(), index));
+                    for (index, instance) in world.instances.iter().enumerate() {
+                        if !instance.busy.replace(true) {
+                            tokio::task::spawn_local(kill(world.clone(), index));
+                        }
+                    }
+                }
                 _ => {
                     self.world.instances[index].busy.set(false);
                     tokio::task::spawn_local(async move {
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -279,6 +279,7 @@
         if !works_on || !goes_on || second.is_continued() {
             return None;
         }
+        self.count("runs overlap");
         let is_touched = self.disturbance(&attempt.instance, until - CONTACT, until).is_some();
         let is_reached = self.disturbance(&first.runner, start - MAX_OVERLAP, until).is_none();
         (!is_touched && is_reached)
@@ -423,10 +424,15 @@
         story
     }
 
+    /// Returns the milliseconds since the Unix epoch.
+    pub(crate) fn unix_millis(&self, at: Instant) -> u64 {
+        let wall = self.wall + (at - self.start);
+        wall.duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    }
+
     /// Returns the time of day, as in the logs.
     fn clock(&self, at: Instant) -> String {
-        let wall = self.wall + (at - self.start);
-        let millis = wall.duration_since(UNIX_EPOCH).unwrap().as_millis();
+        let millis = self.unix_millis(at);
         let (seconds, millis) = (millis / 1_000 % 86_400, millis % 1_000);
         format!("{:02}:{:02}:{:02}.{millis:03}", seconds / 3_600, seconds / 60 % 60, seconds % 60)
     }
--- a/tests/soak/runner.rs
+++ b/tests/soak/runner.rs
@@ -64,6 +64,8 @@
     pub(crate) id: String,
     pub(crate) role: Role,
     pub(crate) address: SocketAddr,
+    /// Start of its process in milliseconds since the Unix epoch.
+    pub(crate) born: u64,
     /// Time before each event.
     gap: Duration,
     /// Time before the first event of a run without a replica, and for a call.
@@ -99,6 +101,7 @@
             id,
             role,
             address,
+            born: registry.record.unix_millis(Instant::now()),
             gap,
             work,
             gone: Cell::new(false),
@@ -175,7 +178,7 @@
         let runs: Vec<Value> = active.iter().map(|(id, n)| json!([id, 5_200, n, 5])).collect();
         json!({"stage": "both", "models": [{"name": self.role.model, "version": 1, "adapters": []}],
             "busy": false, "seq": 0, "waiting": 0, "running": active.len(),
-            "kv_used": 5_200 * active.len(), "kv_total": MEMORY, "handles": 0, "runs": runs})
+            "kv_used": 5_200 * active.len(), "kv_total": MEMORY, "handles": 0, "runs": runs, "born": self.born})
     }
 
     /// Copies a run's memory to another engine.
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -180,7 +180,7 @@
         let slots = if runner.role.model.is_some() { SLOTS } else { 6 };
         let registration = json!({"service": runner.role.service, "address": runner.address,
             "zone": slot.domain, "version": "v1", "slots": slots, "state": state,
-            "cold_left_ms": 0, "seq": 1});
+            "cold_left_ms": 0, "seq": 1, "born": runner.born});
         self.put("servers", &runner.id, Some(&registration));
     }
 
