--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -8,7 +8,9 @@
 //! ```
 //!
 //! `BILBERRYFRONT_SOAK_SEEDS` is a seed, or a range without its end; `BILBERRYFRONT_SOAK_SECONDS` is the
-//! time for which each seed is played; `BILBERRYFRONT_SOAK_SIZE` is `ENGINES,INSTANCES`.
+//! time for which each seed is played; `BILBERRYFRONT_SOAK_SIZE` is `ENGINES,INSTANCES`;
+//! `BILBERRYFRONT_SOAK_PROGRAM` is another build of the program. A seed determines the faults and the
+//! requests, but not how they interleave.
 
 #[path = "soak/clients.rs"]
 mod clients;
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -53,7 +53,8 @@
         self.rng.random_bool(share)
     }
 
-    /// Crashes most engines of a failure domain, or lets them go dark. They are back with a new id.
+    /// Crashes most runners of a failure domain, or lets them go dark. They are back soon, mostly with a new
+    /// id.
     async fn fail_domains(mut self) {
         loop {
             self.pause(4.0..8.0).await;
@@ -62,9 +63,11 @@
             let world = self.world.clone();
             for (index, slot) in world.slots.iter().enumerate() {
                 let is_engine = slot.runner.borrow().role.model.is_some();
-                let is_hit = slot.domain == domain && is_engine && self.chance(0.8);
-                if is_hit && !slot.busy.replace(true) {
-                    tokio::task::spawn_local(fail_runner(world.clone(), index, is_dark));
+                let share = if is_engine { 0.8 } else { 0.4 };
+                if slot.domain == domain && self.chance(share) && !slot.busy.replace(true) {
+                    let keeps_id = self.chance(0.2);
+                    let failure = fail_runner(world.clone(), index, is_dark, keeps_id);
+                    tokio::task::spawn_local(failure);
                 }
             }
         }
@@ -73,20 +76,26 @@
     /// Crashes two runners of different services for good, and exchanges their addresses.
     async fn reuse_addresses(mut self) {
         loop {
-            self.pause(0.2..2.0).await;
-            let role = |index: usize| self.world.slots[index].runner.borrow().role;
-            let count = self.world.slots.len();
+            self.pause(0.2..1.2).await;
+            let world = self.world.clone();
+            let role = |index: usize| world.slots[index].runner.borrow().role;
+            let count = world.slots.len();
             let first = self.rng.random_range(0..count);
-            let others: Vec<usize> = (0..count).filter(|i| role(*i) != role(first)).collect();
+            // Half of the engines pass to a plain service.
+            let is_plain = self.chance(0.5);
+            let is_other = |index: &usize| {
+                role(*index) != role(first) && (!is_plain || role(*index).model.is_none())
+            };
+            let others: Vec<usize> = (0..count).filter(is_other).collect();
             let second = *others.choose(&mut self.rng).expect("there are several services");
             let roles = [(first, role(second)), (second, role(first))];
-            if roles.iter().any(|(index, _)| self.world.slots[*index].busy.get()) {
+            if roles.iter().any(|(index, _)| world.slots[*index].busy.get()) {
                 continue;
             }
             for (index, role) in roles {
-                self.world.slots[index].busy.set(true);
+                world.slots[index].busy.set(true);
                 let is_planned = self.chance(0.3);
-                tokio::task::spawn_local(pass_on(self.world.clone(), index, role, is_planned));
+                tokio::task::spawn_local(pass_on(world.clone(), index, role, is_planned));
             }
         }
     }
@@ -210,11 +219,17 @@
         }
     }
 
-    /// Resets the connections of single runners.
+    /// Resets the connections of single runners, or lets them go silent.
     async fn reset_connections(mut self) {
         loop {
             self.pause(0.1..1.0).await;
             let runner = self.pick();
+            if self.chance(0.1) {
+                let (record, time) = (&self.world.registry.record, Duration::from_secs(30));
+                record.disturb(&runner.id, "connections silent", time);
+                runner.silence_connections();
+                continue;
+            }
             self.world.registry.record.disturb(&runner.id, "connections reset", Duration::ZERO);
             runner.reset_connections();
         }
@@ -223,7 +238,7 @@
     /// Lets single runners generate nothing for a time, as when they read long prompts.
     async fn stall_streams(mut self) {
         loop {
-            self.pause(0.1..1.0).await;
+            self.pause(0.05..0.4).await;
             let runner = self.pick();
             if runner.role.model.is_some() {
                 self.world.registry.record.count("stall");
@@ -257,7 +272,7 @@
     runner.stalled.set(false);
 }
 
-async fn fail_runner(world: Rc<World>, index: usize, is_dark: bool) {
+async fn fail_runner(world: Rc<World>, index: usize, is_dark: bool, keeps_id: bool) {
     let runner = world.slots[index].runner.borrow().clone();
     let what = if is_dark { "dark" } else { "crash" };
     world.registry.record.disturb(&runner.id, what, DOWN);
@@ -270,7 +285,7 @@
         world.crash(index);
         sleep(DOWN).await;
     }
-    world.replace(index, runner.role).await;
+    world.replace(index, runner.role, keeps_id).await;
     world.slots[index].busy.set(false);
 }
 
@@ -283,7 +298,7 @@
     world.registry.record.disturb(&id, "address reused", REUSE);
     world.crash(index);
     sleep(REUSE).await;
-    world.replace(index, role).await;
+    world.replace(index, role, false).await;
     world.slots[index].busy.set(false);
 }
 
--- a/tests/soak/runner.rs
+++ b/tests/soak/runner.rs
@@ -79,7 +79,8 @@
     /// Whether the response of its next call is lost.
     pub(crate) loses_response: Cell<bool>,
     wakers: RefCell<Vec<Waker>>,
-    tasks: RefCell<Vec<AbortHandle>>,
+    /// Tasks that serve its connections, the first one accepts them, with whether each is silent.
+    tasks: RefCell<Vec<(AbortHandle, Rc<Cell<bool>>)>>,
     /// Events of the active runs, by attempt id.
     active: RefCell<HashMap<String, u64>>,
     /// Replicas that it holds, by the value of `Kv-From`, with the time of their last part.
@@ -121,14 +122,14 @@
                 accepting.clone().serve(stream);
             }
         });
-        runner.tasks.borrow_mut().push(task.abort_handle());
+        runner.tasks.borrow_mut().push((task.abort_handle(), Rc::default()));
         runner
     }
 
     /// Ends its process: its connections are reset, new ones are refused.
     pub(crate) fn crash(&self) {
         self.gone.set(true);
-        self.tasks.take().into_iter().for_each(|task| task.abort());
+        self.tasks.take().into_iter().for_each(|(task, _)| task.abort());
         let mut runners = self.registry.runners.borrow_mut();
         if runners.get(&self.address).is_some_and(|runner| runner.id == self.id) {
             runners.remove(&self.address);
@@ -143,12 +144,16 @@
 
     /// Resets its connections.
     pub(crate) fn reset_connections(&self) {
-        // The first task accepts connections.
-        self.tasks.borrow_mut().iter().skip(1).for_each(AbortHandle::abort);
+        self.tasks.borrow().iter().skip(1).for_each(|(task, _)| task.abort());
     }
 
-    fn poll_awake(&self, context: &Context<'_>) -> Poll<()> {
-        if self.dark.get() {
+    /// Lets its connections go silent for good, without a reset; new ones work.
+    pub(crate) fn silence_connections(&self) {
+        self.tasks.borrow().iter().skip(1).for_each(|(_, silent)| silent.set(true));
+    }
+
+    fn poll_awake(&self, silent: bool, context: &Context<'_>) -> Poll<()> {
+        if self.dark.get() || silent {
             self.wakers.borrow_mut().push(context.waker().clone());
             return Poll::Pending;
         }
@@ -156,11 +161,13 @@
     }
 
     async fn awake(&self) {
-        std::future::poll_fn(|context| self.poll_awake(context)).await;
+        std::future::poll_fn(|context| self.poll_awake(false, context)).await;
     }
 
     fn serve(self: Rc<Runner>, stream: TcpStream) {
-        let stream = Connection { runner: self.clone(), stream, is_served: false };
+        let silent = Rc::<Cell<bool>>::default();
+        let is_silent = silent.clone();
+        let stream = Connection { runner: self.clone(), stream, silent, is_served: false };
         let runner = self.clone();
         let service = service_fn(move |request| respond(runner.clone(), request));
         let task = tokio::task::spawn_local(async move {
@@ -169,8 +176,8 @@
             stream.is_served = true;
         });
         let mut tasks = self.tasks.borrow_mut();
-        tasks.retain(|task| !task.is_finished());
-        tasks.push(task.abort_handle());
+        tasks.retain(|(task, _)| !task.is_finished());
+        tasks.push((task.abort_handle(), is_silent));
     }
 
     fn report(&self) -> Value {
@@ -353,10 +360,11 @@
     response
 }
 
-/// A connection that carries nothing while its runner is dark, and is reset if its task is aborted.
+/// A connection that carries nothing while it is silent or its runner is dark, and is reset if its task is aborted.
 struct Connection {
     runner: Rc<Runner>,
     stream: TcpStream,
+    silent: Rc<Cell<bool>>,
     is_served: bool,
 }
 
@@ -374,7 +382,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(self.runner.poll_awake(context));
+        ready!(self.runner.poll_awake(self.silent.get(), context));
         Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
@@ -385,17 +393,17 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        ready!(self.runner.poll_awake(context));
+        ready!(self.runner.poll_awake(self.silent.get(), context));
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(self.runner.poll_awake(context));
+        ready!(self.runner.poll_awake(self.silent.get(), context));
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(self.runner.poll_awake(context));
+        ready!(self.runner.poll_awake(self.silent.get(), context));
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -14,6 +14,7 @@
     serde_json::{Value, json},
     std::{
         cell::{Cell, RefCell},
+        env,
         fs::{self, File},
         net::SocketAddr,
         path::PathBuf,
@@ -108,7 +109,8 @@
         let others = [alt, alt, alt, alt, GHOST, GHOST, DESK, DESK, DESK, TILL, TILL, TILL];
         for role in (0..size.engines).map(|_| LLM).chain(others) {
             let domain = DOMAINS[world.slots.len() % DOMAINS.len()];
-            let runner = RefCell::new(world.run(role, free_tcp_address()).await);
+            let id = world.registry.record.next_id("i-");
+            let runner = RefCell::new(world.run(id, role, free_tcp_address()).await);
             world.slots.push(Slot { domain, runner, busy: Cell::new(false) });
         }
         let instances: Vec<Instance> =
@@ -122,7 +124,7 @@
         world
     }
 
-    async fn run(&self, role: Role, address: SocketAddr) -> Rc<Runner> {
+    async fn run(&self, id: String, role: Role, address: SocketAddr) -> Rc<Runner> {
         let (gap, work) = {
             let mut rng = self.rng.borrow_mut();
             match role.model {
@@ -131,17 +133,18 @@
             }
         };
         let times = (Duration::from_millis(gap), Duration::from_millis(work));
-        let id = self.registry.record.next_id("i-");
         Runner::start(&self.registry, id, role, address, times).await
     }
 
-    /// Starts a new runner in a place that is free.
-    pub(crate) async fn replace(self: &Rc<World>, index: usize, role: Role) {
+    /// Starts a new runner in a place that is free, with a new id or that of the former one.
+    pub(crate) async fn replace(self: &Rc<World>, index: usize, role: Role, keeps_id: bool) {
         let slot = &self.slots[index];
-        let address = slot.runner.borrow().address;
+        let former = slot.runner.borrow().clone();
+        let new_id = || self.registry.record.next_id("i-");
+        let id = if keeps_id { former.id.clone() } else { new_id() };
         // The former runner's sockets are closed when its aborted tasks are next polled.
         sleep(Duration::from_millis(5)).await;
-        let runner = self.run(role, address).await;
+        let runner = self.run(id, role, former.address).await;
         slot.runner.replace(runner);
         tokio::task::spawn_local(self.clone().register_later(index));
     }
@@ -153,7 +156,10 @@
         let world = self.clone();
         tokio::task::spawn_local(async move {
             sleep(EXPIRY).await;
-            world.put("servers", &id, None);
+            let runner = world.slots[index].runner.borrow();
+            if runner.id != id || runner.gone.get() {
+                world.put("servers", &id, None);
+            }
         });
     }
 
@@ -272,7 +278,9 @@
             .append(true)
             .open(self.settings.with_extension("log"))
             .expect("the folder is writable");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_bilberryfront"));
+        let program = env::var("BILBERRYFRONT_SOAK_PROGRAM");
+        let program = program.unwrap_or(env!("CARGO_BIN_EXE_bilberryfront").into());
+        let mut command = Command::new(program);
         command.arg("relay").arg("--settings").arg(&self.settings);
         let start =
             move || Process::start_with_output(&mut command, log).expect("the instance starts");
