--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,6 +16,8 @@
 mod clients;
 #[path = "soak/faults.rs"]
 mod faults;
+#[path = "soak/judge.rs"]
+mod judge;
 #[path = "relay/process.rs"]
 #[allow(dead_code, reason = "shared with the other tests of the program")]
 mod process;
@@ -32,8 +34,8 @@
 use {
     self::{
         clients::{Clients, ROUTES},
+        judge::Violation,
         process::{get, wait_until},
-        record::Violation,
         support::run_local,
         world::{Size, World},
     },
--- /dev/null
+++ b/tests/soak/judge.rs
@@ -0,0 +1,194 @@
+//! Rules by which the record of a soak is judged.
+
+use {
+    super::{
+        clients::Kind,
+        record::{Attempt, NOT_RUN, Record, Run, events},
+        runner::EVENTS,
+    },
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// Time for which a disturbance of an instance or runner excuses it.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Time for which two runs of a stream may overlap.
+const MAX_OVERLAP: Duration = Duration::from_millis(400);
+/// Window and bounds of the retry budget.
+const BUDGET_WINDOW: Duration = Duration::from_secs(10);
+pub(crate) const BUDGET_RATIO: f64 = 0.8;
+pub(crate) const BUDGET_SLACK: f64 = 150.0;
+/// Requests that may run on more runners than their route allows.
+const MAX_BEYOND_ATTEMPTS: usize = 3;
+/// A broken rule.
+pub(crate) struct Violation {
+    pub(crate) rule: &'static str,
+    /// Id of the request; empty if the rule is about all of them.
+    pub(crate) id: String,
+    pub(crate) what: String,
+}
+
+impl Record {
+    /// Returns the services to which any catalogue has sent a route, by path prefix.
+    fn allowed(&self) -> HashMap<String, HashSet<String>> {
+        let mut allowed = HashMap::<String, HashSet<String>>::new();
+        for route in self.catalogs.borrow().iter().flat_map(|c| c["routes"].as_array().unwrap()) {
+            let split = route["traffic_split"].as_array().into_iter().flatten();
+            let services = split.chain([route]).filter_map(|target| target["service"].as_str());
+            let prefix = route["prefix"].as_str().unwrap().to_owned();
+            allowed.entry(prefix).or_default().extend(services.map(str::to_owned));
+        }
+        allowed
+    }
+
+    /// Judges the whole test.
+    pub(crate) fn judge(&self) -> Vec<Violation> {
+        let allowed = self.allowed();
+        let attempts = self.attempts.borrow();
+        let all = self.runs.borrow();
+        let mut by_id = HashMap::<&str, Vec<&Run>>::new();
+        for run in all.iter() {
+            by_id.entry(&run.id).or_default().push(run);
+        }
+        let mut violations = Vec::new();
+        let mut beyond = Vec::new();
+        for (id, arrivals) in &by_id {
+            let mut violate =
+                |rule, what| violations.push(Violation { rule, id: (*id).into(), what });
+            let Some(attempt) = attempts.get(*id) else {
+                violate("UNASKED", "no client sent it".into());
+                continue;
+            };
+            let runs: Vec<&Run> =
+                arrivals.iter().filter(|r| r.rejected.is_none()).copied().collect();
+            for run in &runs {
+                let service = run.role.service;
+                if !allowed.get(&attempt.route.prefix()).is_some_and(|a| a.contains(service)) {
+                    violate("ROUTE", format!("no catalogue lets it go to {service}"));
+                }
+                if run.path != attempt.path || run.body != attempt.body {
+                    violate("UNASKED", "another path or body".into());
+                }
+                let tenant = attempt.key.split_once('-').map(|(tenant, _)| tenant);
+                if attempt.key.starts_with("never") {
+                    violate("ROUTE", "no catalogue ever held its key".into());
+                } else if run.tenant.as_deref() != tenant {
+                    violate("UNASKED", format!("tenant {:?}", run.tenant));
+                }
+            }
+            if attempt.route.kind.runs_once() {
+                if runs.len() > 1 {
+                    violate("TWICE", format!("{} runs", runs.len()));
+                }
+                let promised = attempt.status.filter(|s| NOT_RUN.contains(s));
+                if let Some(status) = promised.filter(|_| !runs.is_empty()) {
+                    violate("REFUSED", format!("{status}, but it has run"));
+                }
+            }
+            for pair in runs.windows(2) {
+                if let Some(what) = self.overlap(attempt, pair[0], pair[1]) {
+                    violate("TWICE", what);
+                }
+            }
+            let is_counted = |run: &&&Run| {
+                let end = run.end.unwrap_or_else(Instant::now);
+                !run.is_continued() && self.disturbance(&run.runner, run.at, end).is_none()
+            };
+            if runs.iter().filter(is_counted).count() > attempt.route.attempts() {
+                self.count("runs beyond the attempts");
+                beyond.push(Violation {
+                    rule: "BUDGET",
+                    id: (*id).into(),
+                    what: "attempts".into(),
+                });
+            }
+        }
+        if beyond.len() > MAX_BEYOND_ATTEMPTS {
+            violations.extend(beyond);
+        }
+        violations.extend(attempts.iter().filter_map(|(id, attempt)| {
+            Some(Violation { rule: "ORDER", id: id.clone(), what: find_disorder(id, attempt)? })
+        }));
+        let (peak, service) = self.peak_repeats(&attempts, &all, &allowed);
+        println!("most repeats in a window: {peak:.3} of the bound, at {service}");
+        if peak > 1.0 {
+            let what = format!("{peak:.3} of the bound, at {service}");
+            violations.push(Violation { rule: "BUDGET", id: String::new(), what });
+        }
+        violations
+    }
+
+    /// Returns how two runs of a stream overlap though the instance could have ended the first.
+    fn overlap(&self, attempt: &Attempt, first: &Run, second: &Run) -> Option<String> {
+        let start = if second.role.model.is_some() { second.first? } else { second.at };
+        let until = start + MAX_OVERLAP;
+        let works_on = first.end.is_none_or(|end| end > until);
+        let goes_on = second.after.is_some_and(|after| after > attempt.after);
+        if !works_on || !goes_on || second.is_continued() {
+            return None;
+        }
+        self.count("runs overlap");
+        let is_touched = self.disturbance(&attempt.instance, until - CONTACT, until).is_some();
+        let is_reached = self.disturbance(&first.runner, start - MAX_OVERLAP, until).is_none();
+        (!is_touched && is_reached).then(|| {
+            let time = second.end.map(|end| end - start);
+            format!("{} goes on for {time:?} while {} works on it", second.runner, first.runner)
+        })
+    }
+
+    /// Returns the largest number of repeats in a window, as a share of the bound, with the service.
+    fn peak_repeats(
+        &self,
+        attempts: &HashMap<String, Attempt>,
+        runs: &[Run],
+        allowed: &HashMap<String, HashSet<String>>,
+    ) -> (f64, String) {
+        let mut seen = HashSet::new();
+        let mut repeats = BTreeMap::<&str, Vec<Duration>>::new();
+        for run in runs {
+            if !seen.insert((run.role.service, &run.id)) {
+                repeats.entry(run.role.service).or_default().push(run.at - self.start);
+            }
+        }
+        let peak = |service: &str, times: &[Duration]| {
+            let routed =
+                |a: &&Attempt| allowed.get(&a.route.prefix()).is_some_and(|s| s.contains(service));
+            let sent: Vec<Duration> =
+                attempts.values().filter(routed).map(|a| a.at - self.start).collect();
+            let count = |times: &[Duration], from: Duration| {
+                times.iter().filter(|at| **at >= from && **at < from + BUDGET_WINDOW).count() as f64
+            };
+            let share = |from: &Duration| {
+                let windows = [0, 1, 2].map(|half| from.saturating_sub(BUDGET_WINDOW / 2 * half));
+                let most = windows.map(|from| count(&sent, from)).into_iter().fold(0.0, f64::max);
+                count(times, *from) / (BUDGET_RATIO * most + BUDGET_SLACK)
+            };
+            times.iter().map(share).fold(0.0, f64::max)
+        };
+        let peaks =
+            repeats.iter().map(|(service, times)| (peak(service, times), (*service).to_owned()));
+        peaks.max_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or_default()
+    }
+}
+
+/// Returns what is wrong with the body that a client has received.
+fn find_disorder(id: &str, attempt: &Attempt) -> Option<String> {
+    if attempt.status != Some(200) {
+        return None;
+    }
+    if attempt.route.kind == Kind::Call || attempt.route.kind == Kind::Lookup {
+        let is_whole = attempt.text == format!("done {id}");
+        return (attempt.complete && !is_whole).then(|| format!("body {:?}", attempt.text));
+    }
+    let mut expected = attempt.after;
+    for (event, data) in events(&attempt.text) {
+        expected += 1;
+        if event != expected || data != format!("{event} {id}") {
+            return Some(format!("event {event} {data:?} instead of {expected}"));
+        }
+    }
+    (attempt.complete && expected != EVENTS).then(|| format!("complete after event {expected}"))
+}
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         clients::ROUTES,
+        judge::{BUDGET_RATIO, BUDGET_SLACK},
         process::{Listen, free_tcp_address, free_udp_address},
-        record::{BUDGET_RATIO, BUDGET_SLACK},
         runner::{MEMORY, REPLICA_TTL, Registry, Role, Runner, SLOTS},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
