--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,6 +12,8 @@
 //! `BILBERRYFRONT_SOAK_PROGRAM` is another build of the program. A seed determines the faults and the
 //! requests, but not how they interleave.
 
+#[path = "soak/checks.rs"]
+mod checks;
 #[path = "soak/clients.rs"]
 mod clients;
 #[path = "soak/faults.rs"]
--- /dev/null
+++ b/tests/soak/checks.rs
@@ -0,0 +1,113 @@
+//! Tests that each rule of the judge can be broken.
+
+use {
+    super::{
+        clients::{ROUTES, Route},
+        record::{Attempt, Record, Run},
+        runner::{EVENTS, Role},
+        world::LLM,
+    },
+    serde_json::json,
+    std::time::Duration,
+    tokio::time::Instant,
+};
+
+const DESK: Role = Role { service: "desk", model: None };
+const SECOND: Duration = Duration::from_secs(1);
+
+fn route(name: &str) -> Route {
+    *ROUTES.iter().find(|route| route.name == name).expect("the route exists")
+}
+
+/// Returns an attempt on a route that was answered as a whole, and its run.
+fn served(name: &str) -> (Attempt, Run) {
+    let (route, at) = (route(name), Instant::now());
+    let role = if name == "lodge" { DESK } else { LLM };
+    let events = (1..=EVENTS).map(|event| format!("id: {event}\ndata: {event} q1\n\n"));
+    let text = if name == "lodge" { "done q1".into() } else { events.collect() };
+    let path = format!("{}q1", route.prefix());
+    let attempt = Attempt {
+        route,
+        path: path.clone(),
+        body: "{}".into(),
+        key: "t0-1".into(),
+        instance: "n0".into(),
+        after: 0,
+        at,
+        end: Some(at + 4 * SECOND),
+        status: Some(200),
+        text,
+        complete: true,
+    };
+    let run = Run {
+        id: "q1".into(),
+        runner: "i-1".into(),
+        role,
+        address: ([127, 0, 0, 1], 1).into(),
+        path,
+        body: "{}".into(),
+        tenant: Some("t0".into()),
+        from: None,
+        after: None,
+        at,
+        first: Some(at),
+        end: Some(at + 4 * SECOND),
+        rejected: None,
+    };
+    (attempt, run)
+}
+
+/// Returns the rules that are broken by a changed attempt and its runs.
+fn broken(name: &str, change: impl FnOnce(&mut Attempt, &mut Vec<Run>)) -> Vec<&'static str> {
+    let record = Record::default();
+    record.add_catalog(json!({"routes": [{"prefix": "/stream/", "service": "llm"},
+        {"prefix": "/lodge/", "service": "desk"}]}));
+    let (mut attempt, run) = served(name);
+    let mut runs = vec![run];
+    change(&mut attempt, &mut runs);
+    record.attempts.borrow_mut().insert("q1".into(), attempt);
+    record.runs.replace(runs);
+    record.judge().into_iter().map(|violation| violation.rule).collect()
+}
+
+/// Adds a run of the same request at another runner, a second later.
+fn add_run(runs: &mut Vec<Run>, after: Option<u64>, from: Option<&str>) {
+    let (_, run) = served("stream");
+    let (at, from) = (runs[0].at + SECOND, from.map(str::to_owned));
+    let (role, path) = (runs[0].role, runs[0].path.clone());
+    runs.push(Run { runner: "i-2".into(), role, path, at, first: Some(at), after, from, ..run });
+}
+
+/// Guards against a judge that overlooks violations, or that reports what the rules allow.
+#[test]
+fn each_rule_can_be_broken() {
+    assert!(broken("stream", |_, _| {}).is_empty());
+    assert!(broken("lodge", |_, _| {}).is_empty());
+    assert_eq!(broken("stream", |_, runs| runs[0].role = DESK), ["ROUTE"]);
+    assert_eq!(broken("lodge", |attempt, _| attempt.key = "never-1".into()), ["ROUTE"]);
+    assert_eq!(broken("lodge", |_, runs| runs[0].tenant = None), ["UNASKED"]);
+    assert_eq!(broken("lodge", |_, runs| runs[0].body = "{".into()), ["UNASKED"]);
+    assert_eq!(broken("lodge", |_, runs| runs[0].id = "q2".into()), ["UNASKED"]);
+    assert_eq!(broken("lodge", |_, runs| add_run(runs, None, None)), ["TWICE"]);
+    assert_eq!(broken("lodge", |attempt, _| attempt.status = Some(503)), ["REFUSED"]);
+    assert_eq!(broken("stream", |_, runs| add_run(runs, Some(20), None)), ["TWICE"]);
+    assert!(broken("stream", |_, runs| add_run(runs, Some(20), Some("127.0.0.1:2/q1"))).is_empty());
+    let ends_in_time = |_: &mut Attempt, runs: &mut Vec<Run>| {
+        runs[0].end = Some(runs[0].at + SECOND + Duration::from_millis(300));
+        add_run(runs, Some(20), None);
+    };
+    assert!(broken("stream", ends_in_time).is_empty());
+    assert_eq!(broken("stream", |attempt, _| attempt.text.truncate(1_000)), ["ORDER"]);
+    let repeat = |attempt: &mut Attempt, _: &mut Vec<Run>| {
+        attempt.text = attempt.text.replacen("id: 2\n", "id: 1\n", 1);
+    };
+    assert_eq!(broken("stream", repeat), ["ORDER"]);
+    assert_eq!(broken("lodge", |attempt, _| attempt.text = "done q2".into()), ["ORDER"]);
+    let repeated = |_: &mut Attempt, runs: &mut Vec<Run>| {
+        (0..160).for_each(|_| {
+            let (_, run) = served("stream");
+            runs.push(Run { rejected: Some(503), ..run });
+        });
+    };
+    assert_eq!(broken("stream", repeated), ["BUDGET"]);
+}
