--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -22,14 +22,17 @@
         runner_client::LossSign,
     },
     bilberryfront_decide::mover::Response as VersionResponse,
-    futures_util::{StreamExt, stream::FuturesUnordered},
+    futures_util::{Stream, StreamExt, stream::FuturesUnordered},
     std::time::Duration,
     tokio::{
         sync::mpsc,
-        time::{Instant, sleep_until},
+        time::{Instant, sleep_until, timeout_at},
     },
 };
 
+/// Time for which the first event of an attempt may be under way when the silent run continues.
+const START_GRACE: Duration = Duration::from_millis(10);
+
 /// End of a race.
 pub(super) enum RaceEnd {
     /// A run has started.
@@ -68,9 +71,16 @@
                     None => race.delay(),
                 }
             }
+            let (lost_end, sends) = (race.lost_end(), race.sends.clone());
             tokio::select! {
                 biased;
                 next = next_event(&mut race.silent, self.position) => match next {
+                    Ok(_) if race.has_sent() => {
+                        return match self.wait_for_start(&mut race, &mut attempts).await {
+                            Some((plan, started)) => self.replace_run(race, &plan, started).await,
+                            None => self.continue_run(race, next),
+                        };
+                    }
                     Ok(_) | Err(RunEnd::Whole) => return self.continue_run(race, next),
                     Err(reason) => {
                         if !race.has_sent() {
@@ -98,6 +108,11 @@
                     race.suspect(&suspicion);
                     self.record_suspicion(&suspicion);
                 }
+                // The attempts whose events are missing are considered again.
+                () = sends.notified() => {}
+                () = sleep_until(lost_end.unwrap_or(end)), if lost_end.is_some() => {
+                    self.failed.extend(race.cancel_lost());
+                }
                 () = sleep_until(race.retry_at), if race.needs_attempt() => race.unresponsive.clear(),
                 () = sleep_until(end), if race.pending.is_empty() => {
                     self.no_attempt.get_or_insert(NoAttempt::Deadline);
@@ -110,6 +125,24 @@
         }
     }
 
+    /// Waits a moment for an attempt that has started: its first event may be under way when the silent run
+    /// continues, and the stream must not go on at both runners.
+    async fn wait_for_start(
+        &mut self,
+        race: &mut Race,
+        attempts: &mut (impl Stream<Item = (Plan, AttemptOutcome)> + Unpin),
+    ) -> Option<(Plan, StartedRun)> {
+        let end = Instant::now() + START_GRACE;
+        while let Ok(Some((plan, outcome))) = timeout_at(end, attempts.next()).await {
+            race.pending.retain(|p| p.plan.number != plan.number);
+            match outcome {
+                AttemptOutcome::Started(started) => return Some((plan, *started)),
+                outcome => _ = self.record_outcome(race, plan, outcome).await,
+            }
+        }
+        None
+    }
+
     /// Adds an attempt to a race.
     fn start_attempt(
         &mut self,
@@ -121,14 +154,15 @@
             self.trial = self.traffic.start_trial(&self.call, plan.endpoint.key);
         }
         let suspects = race.suspects();
-        let Pending { plan, is_sent, cancelled, .. } = race.add(plan);
+        let Pending { plan, sent, cancelled, .. } = race.add(plan);
         Attempt {
             traffic: self.traffic.clone(),
             call: self.call.clone(),
             plan,
             end: self.call.deadline(),
             signs: signs.clone(),
-            is_sent,
+            sent,
+            sends: race.sends.clone(),
             cancelled,
             suspects,
         }
@@ -173,7 +207,7 @@
         }
         self.last_replica = None;
         self.count_cancelled(&race);
-        for attempt in race.pending.iter().filter(|p| p.is_sent.get()) {
+        for attempt in race.pending.iter().filter(|p| p.is_sent()) {
             self.end_trial(attempt.plan.number, VersionResponse::Lost);
             self.failed.push(attempt.plan.endpoint.key);
         }
@@ -206,7 +240,7 @@
     /// Counts attempts that the end of the race cancels. Their runs may have started.
     fn count_cancelled(&mut self, race: &Race) {
         self.may_have_run |= race.has_sent();
-        let sent = race.pending.iter().filter(|p| p.is_sent.get());
+        let sent = race.pending.iter().filter(|p| p.is_sent());
         self.runs += sent.filter(|p| p.is_fresh()).count() as u32;
     }
 
