Count in the soak how late the test itself runs

Whether the instance or the test was late is not known; the soak counts delays of the test from now on.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -42,8 +42,8 @@
         world::{Size, World},
     },
     futures_util::future::join_all,
-    std::{env, ops::Range, time::Duration},
-    tokio::time::sleep,
+    std::{env, ops::Range, rc::Rc, time::Duration},
+    tokio::time::{Instant, sleep},
 };
 
 /// Share of the attempts that must be served, so that the rules are judged on a system that works.
@@ -91,6 +91,7 @@
         tokio::task::spawn_local(clients.clone().load(route));
     }
     faults::start(&world, seed);
+    tokio::task::spawn_local(measure_delays(world.clone()));
     sleep(time).await;
     let record = &world.registry.record;
     let violations = record.judge();
@@ -103,6 +104,20 @@
     violations
 }
 
+/// Counts how late the test itself runs, which delays all that clients and runners see.
+async fn measure_delays(world: Rc<World>) {
+    const INTERVAL: Duration = Duration::from_millis(5);
+    loop {
+        let start = Instant::now();
+        sleep(INTERVAL).await;
+        match start.elapsed().saturating_sub(INTERVAL).as_millis() {
+            0..10 => {}
+            10..50 => world.registry.record.count("test late by 10 ms"),
+            _ => world.registry.record.count("test late by 50 ms"),
+        }
+    }
+}
+
 fn first_service(route: &str) -> &'static str {
     match route {
         "lodge" | "look" => "desk",
