Compare each run of a stream with all earlier ones in the soak

Only adjacent runs were compared, so that an overlap with an earlier one was missed, and a run that had not ended counted as working beyond the end of the test.

--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -23,6 +23,7 @@
 pub(crate) const BUDGET_SLACK: f64 = 150.0;
 /// Requests that may run on more runners than their route allows.
 const MAX_BEYOND_ATTEMPTS: usize = 3;
+
 /// A broken rule.
 pub(crate) struct Violation {
     pub(crate) rule: &'static str,
@@ -56,42 +57,21 @@
         let mut violations = Vec::new();
         let mut beyond = Vec::new();
         for (id, arrivals) in &by_id {
-            let mut violate =
-                |rule, what| violations.push(Violation { rule, id: (*id).into(), what });
+            let violation = |rule, what: String| Violation { rule, id: (*id).into(), what };
             let Some(attempt) = attempts.get(*id) else {
-                violate("UNASKED", "no client sent it".into());
+                violations.push(violation("UNASKED", "no client sent it".into()));
                 continue;
             };
             let runs: Vec<&Run> =
                 arrivals.iter().filter(|r| r.rejected.is_none()).copied().collect();
-            for run in &runs {
-                let service = run.role.service;
-                if !allowed.get(&attempt.route.prefix()).is_some_and(|a| a.contains(service)) {
-                    violate("ROUTE", format!("no catalogue lets it go to {service}"));
-                }
-                if run.path != attempt.path || run.body != attempt.body {
-                    violate("UNASKED", "another path or body".into());
-                }
-                let tenant = attempt.key.split_once('-').map(|(tenant, _)| tenant);
-                if attempt.key.starts_with("never") {
-                    violate("ROUTE", "no catalogue ever held its key".into());
-                } else if run.tenant.as_deref() != tenant {
-                    violate("UNASKED", format!("tenant {:?}", run.tenant));
-                }
-            }
-            if attempt.route.kind.runs_once() {
-                if runs.len() > 1 {
-                    violate("TWICE", format!("{} runs", runs.len()));
-                }
-                let promised = attempt.status.filter(|s| NOT_RUN.contains(s));
-                if let Some(status) = promised.filter(|_| !runs.is_empty()) {
-                    violate("REFUSED", format!("{status}, but it has run"));
-                }
-            }
-            for pair in runs.windows(2) {
-                if let Some(what) = self.overlap(attempt, pair[0], pair[1]) {
-                    violate("TWICE", what);
-                }
+            let services = allowed.get(&attempt.route.prefix());
+            let broken = runs.iter().flat_map(|run| judge_run(attempt, run, services));
+            let broken = broken.chain(judge_once(attempt, &runs));
+            violations.extend(broken.map(|(rule, what)| violation(rule, what)));
+            for (index, second) in runs.iter().enumerate() {
+                let mut before = runs[..index].iter();
+                let what = before.find_map(|first| self.overlap(attempt, first, second));
+                violations.extend(what.map(|what| violation("TWICE", what)));
             }
             let is_counted = |run: &&&Run| {
                 let end = run.end.unwrap_or_else(Instant::now);
@@ -99,11 +79,7 @@
             };
             if runs.iter().filter(is_counted).count() > attempt.route.attempts() {
                 self.count("runs beyond the attempts");
-                beyond.push(Violation {
-                    rule: "BUDGET",
-                    id: (*id).into(),
-                    what: "attempts".into(),
-                });
+                beyond.push(violation("BUDGET", "attempts".into()));
             }
         }
         if beyond.len() > MAX_BEYOND_ATTEMPTS {
@@ -125,7 +101,7 @@
     fn overlap(&self, attempt: &Attempt, first: &Run, second: &Run) -> Option<String> {
         let start = if second.role.model.is_some() { second.first? } else { second.at };
         let until = start + MAX_OVERLAP;
-        let works_on = first.end.is_none_or(|end| end > until);
+        let works_on = first.end.unwrap_or_else(Instant::now) > until;
         let goes_on = second.after.is_some_and(|after| after > attempt.after);
         if !works_on || !goes_on || second.is_continued() {
             return None;
@@ -174,6 +150,48 @@
     }
 }
 
+/// Judges a run by itself; returns the rules that it breaks, and how.
+fn judge_run(
+    attempt: &Attempt,
+    run: &Run,
+    services: Option<&HashSet<String>>,
+) -> Vec<(&'static str, String)> {
+    let service = run.role.service;
+    let tenant = attempt.key.split_once('-').map(|(tenant, _)| tenant);
+    let has_key = !attempt.key.starts_with("never");
+    let rules = [
+        (
+            "ROUTE",
+            services.is_some_and(|services| services.contains(service)),
+            format!("no catalogue lets it go to {service}"),
+        ),
+        ("ROUTE", has_key, "no catalogue ever held its key".into()),
+        (
+            "UNASKED",
+            run.path == attempt.path && run.body == attempt.body,
+            "another path or body".into(),
+        ),
+        (
+            "UNASKED",
+            !has_key || run.tenant.as_deref() == tenant,
+            format!("tenant {:?}", run.tenant),
+        ),
+    ];
+    let broken = rules.into_iter().filter(|(_, holds, _)| !holds);
+    broken.map(|(rule, _, what)| (rule, what)).collect()
+}
+
+/// Judges the runs of a request that may run once at most.
+fn judge_once(attempt: &Attempt, runs: &[&Run]) -> Vec<(&'static str, String)> {
+    if !attempt.route.kind.runs_once() || runs.is_empty() {
+        return Vec::new();
+    }
+    let twice = (runs.len() > 1).then(|| ("TWICE", format!("{} runs", runs.len())));
+    let promised = attempt.status.filter(|status| NOT_RUN.contains(status));
+    let refused = promised.map(|status| ("REFUSED", format!("{status}, but it has run")));
+    twice.into_iter().chain(refused).collect()
+}
+
 /// Returns what is wrong with the body that a client has received.
 fn find_disorder(id: &str, attempt: &Attempt) -> Option<String> {
     if attempt.status != Some(200) {
