--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        budget::Budgets,
         control,
         dialect::Dialect,
         drain::{Closing, Drain},
@@ -124,8 +125,12 @@
         bounds.exposure_bound(),
     );
     traffic.client.fleet.set_domain(&settings.domain);
+    traffic.client.fleet.set_reuse_delay(bounds.reuse_delay());
     traffic.trials = Some(TrialReporter::new(trial_sender));
     traffic.admission.policy = settings.admission.policy();
+    if !settings.bootstrap {
+        traffic.budgets = Budgets::restarted(bounds.retry_allowance());
+    }
     traffic.set_metrics(&metrics);
     let handler =
         Handler { traffic, drain, demand, max_addresses_ttl: settings.bounds.max_addresses_ttl() };
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -7,7 +7,7 @@
     crate::{
         call::Call,
         dialect::{Dialect, Identity, Progress, ResponseHead, SendOptions},
-        fleet::{Endpoint, Fleet},
+        fleet::{Endpoint, Fleet, Moment},
         headers,
         log_messages::{
             REJECTED_BY_RUNNER, REQUEST_SENT, RESPONSE_LOST, RUNNER_ERROR, WRONG_SERVICE,
@@ -166,6 +166,7 @@
             self.metrics.count_limited_send(options.earlier);
         }
         self.log_send(call, endpoint, options);
+        let sent_at = Moment::now();
         let exchange = Exchange::Call(call.head.id.clone());
         let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
         let (response, connection) = match exchanged {
@@ -207,13 +208,16 @@
                 "{REJECTED_BY_RUNNER}");
             self.finish_rejected(endpoint, &head, body, connection).await;
             if let Some(id) = head.runner.filter(|_| head.misdirected) {
-                tokio::task::spawn_local(restart::identify(self.clone(), endpoint.clone(), id));
+                let is_restart = self.fleet.holds_address(endpoint.key);
+                let found = restart::Found { id, is_restart };
+                tokio::task::spawn_local(restart::identify(self.clone(), endpoint.clone(), found));
             }
             return SendOutcome::NotRun;
         }
         let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
         let framed = framing.iter().any(|name| parts.headers.contains_key(name));
         headers::strip(&mut parts.headers);
+        self.fleet.record_alive(endpoint.key, sent_at);
         self.fleet.record_response(endpoint.key, Instant::now());
         SendOutcome::Answered(Box::new(Reply { parts, head, body, framed, connection }))
     }
@@ -338,7 +342,7 @@
         if self.fleet.last_seen(endpoint.key).is_some_and(|at| at.elapsed() < PROBE_TIMEOUT) {
             return true;
         }
-        let response = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await;
+        let response = self.report(endpoint).await;
         if response.is_none() {
             self.record_lost_response(endpoint);
             self.fleet.mark_suspect(endpoint.key, Instant::now());
@@ -348,10 +352,29 @@
 
     /// Requests the progress of a request from its runner; `None` on failure.
     async fn progress(&self, call: &Call, endpoint: &Endpoint) -> Option<Progress> {
-        let body = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await?;
+        let body = self.report(endpoint).await?;
         Some(self.dialect.progress(&body, &call.head.id))
     }
 
+    /// Requests the load report of a runner; `None` on failure, or if another process responds at its address.
+    async fn report(&self, endpoint: &Endpoint) -> Option<Bytes> {
+        let control = ControlRequest::without_body(Method::GET, self.dialect.report_path());
+        let decode = |body: Bytes| (!self.is_replaced(endpoint, &body)).then_some(body);
+        self.query(endpoint, control, PROBE_TIMEOUT, decode).await
+    }
+
+    /// Returns whether a load report was sent by another process than the runner's, and records that.
+    fn is_replaced(&self, endpoint: &Endpoint, report: &[u8]) -> bool {
+        let (registered, reported) = (self.fleet.born(endpoint.key), self.dialect.born(report));
+        let is_replaced = registered.is_some() && reported.is_some() && registered != reported;
+        if is_replaced {
+            log::info!(runner = endpoint.id.as_str(), born = reported.unwrap_or_default();
+                "another process responds at the runner's address");
+            self.fleet.record_replacement(endpoint.key, Instant::now());
+        }
+        is_replaced
+    }
+
     /// Requests the number of the prompt's tokens in the runner's cache; 0 on failure.
     pub async fn cached_tokens(&self, endpoint: &Endpoint, prompt: u64) -> u32 {
         let head = self.get(endpoint, self.dialect.cache_path(), CACHE_TIMEOUT).await;
@@ -475,10 +498,10 @@
                 self.fleet.set_draining(endpoint.key);
             }
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.ok()?.to_bytes();
-            self.fleet.record_response(endpoint.key, Instant::now());
             let is_success = parts.status.is_success();
             let decoded = if is_success { decode(body) } else { None };
             if decoded.is_some() || !is_success {
+                self.fleet.record_response(endpoint.key, Instant::now());
                 self.fleet.return_connection(endpoint.key, connection, head.idle);
             }
             decoded
