State in the soak's settings when addresses may be reused

With bounds.reuse the instances adopt restarted engines in outages of the store again, which is what is to be tested.

--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -259,7 +259,7 @@
                 "addresses": listen.addresses, "peers": free_udp_address(), "metrics": listen.metrics},
             "store": store.addr,
             "bounds": {"grace": GRACE.as_secs(), "keep": 5, "ratio": BUDGET_RATIO, "slack": BUDGET_SLACK,
-                "window": 10, "exposure": 0.1, "trials": 50},
+                "window": 10, "exposure": 0.1, "trials": 50, "reuse": 2},
             "log": {"level": "debug"},
         });
         let path = self.folder.path().join(format!("{name}.jsonc"));
