Do not resume a stream from a replica on a withdrawn version

What callers saw: a stream whose runner is lost is resumed on a version that was rolled back meanwhile, or whose rollout is paused, if the holder of its replica has that version. It is then taken from that runner again, so that it is sent once more.

Cause: the holder is selected by the rollout's rule when the replica is made, and not checked when it is used.

Change: a holder of a version that gets no requests is not used.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -244,6 +244,15 @@
         }
     }
 
+    /// Returns whether a runner has a new version that gets no requests, because it was rolled back or its
+    /// rollout is paused.
+    fn is_withdrawn(&self, call: &Call, endpoint: &Endpoint) -> bool {
+        let view = self.published.load();
+        let split = view.splits.get(&call.service).filter(|split| split.rule == Rule::OnlyOld);
+        let version = self.client.fleet.version(endpoint.key);
+        split.is_some_and(|split| version.as_ref() == Some(&split.to))
+    }
+
     /// Returns the selection criteria for a request.
     fn criteria<'a>(&self, call: &'a Call, except: &'a [RunnerKey]) -> Criteria<'a> {
         let (service, prompt) = (call.service.as_str(), call.head.prompt);
--- a/crates/relay/src/flow/generation/placement.rs
+++ b/crates/relay/src/flow/generation/placement.rs
@@ -33,7 +33,9 @@
             let is_usable = |holder: &Endpoint| {
                 let is_silent = race.unresponsive.contains(&holder.key) && !race.is_empty();
                 let is_paused = fleet.paused_until(holder.key).is_some();
-                fleet.is_available(holder.key) && !is_silent && (!is_paused || race.is_empty())
+                let is_withdrawn = self.traffic.is_withdrawn(&self.call, holder);
+                let is_ready = fleet.is_available(holder.key) && !is_withdrawn;
+                is_ready && !is_silent && (!is_paused || race.is_empty())
             };
             match fleet.find_by_address(replica.holder()).filter(is_usable) {
                 Some(holder) => return Some((holder, Some(replica))),
--- a/tests/relay/rollouts.rs
+++ b/tests/relay/rollouts.rs
@@ -7,6 +7,7 @@
     bilberryfront_decide::mover::MoveId,
     bilberryfront_relay::view::{Registration, Rule, Split, State, View},
     std::sync::Arc,
+    tokio::time::sleep,
 };
 
 /// Numbers of runners of the new and of the old version.
@@ -88,6 +89,44 @@
     .await;
 }
 
+/// Guards against a stream that is resumed on a version that was rolled back while it ran, because the holder of
+/// its replica has that version.
+#[tokio::test(start_paused = true)]
+async fn a_stream_is_not_resumed_from_a_replica_on_a_version_that_was_rolled_back() {
+    run_local(async {
+        let events = Script::Events { last: 20, gap: ms(40), end: StreamEnd::Complete };
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &events);
+        let view = View::clone(&deployment.traffic.published.load());
+        let mut runners = view.runners.to_vec();
+        runners[..2].iter_mut().for_each(|runner| runner.version = "v2".into());
+        deployment.traffic.client.fleet.update(&runners);
+        let runners = Arc::new(runners);
+        let publish = |rule, is_rejected| {
+            let split =
+                Split { id: MoveId(1), to: "v2".into(), rule, has_slack: true, is_rejected };
+            let splits = Arc::new([(ENGINES.into(), split)].into_iter().collect());
+            let runners = runners.clone();
+            deployment.traffic.published.store(View { runners, splits, ..view.clone() });
+        };
+        publish(Rule::OnlyNew, false);
+        let headers = [
+            ("x-bilberryfront-token-counts", "5000,100"),
+            ("x-bilberryfront-prompt-prefix", "a1:200,b7:4800"),
+        ];
+        let rollback = async {
+            sleep(ms(200)).await;
+            publish(Rule::OnlyOld, true);
+            let first = deployment.runners.iter().find(|r| r.request_count() > 0).unwrap();
+            first.crash();
+        };
+        let (received, ()) = tokio::join!(deployment.serve("/stream/1", &headers), rollback);
+        assert_eq!(received.event_ids(), (1..=20).collect::<Vec<u64>>());
+        let new: usize = deployment.runners[..2].iter().map(|r| r.request_count()).sum();
+        assert_eq!((new, deployment.runners[2].request_count()), (1, 1));
+    })
+    .await;
+}
+
 /// Guards against a node that uses the parts of others, which are not in address responses because they
 /// drain, start or are cut off, but assign requests as well.
 #[tokio::test(start_paused = true)]
