End the runs behind tunnels in time for streams of slow runners as well

Cause: the time from the cut to the resumption is not the time after which a run is silent, 420 ms, but what is left of it: the last event of a slow runner may be almost as old. The runs behind a tunnel ended 600 ms after the cut, and 150 ms later if a keep-alive packet was sent after the last received one, which restarts the idle timeout of QUIC.

Change: an idle timeout of 300 ms and keep-alive packets every 75 ms, together less than the 400 ms for which two runs may go on.

QUIC keeps an idle connection for three probe timeouts at least, which grow with the measured round trips, so that a loaded machine ends runs later.

--- a/crates/peer/src/tls.rs
+++ b/crates/peer/src/tls.rs
@@ -41,12 +41,12 @@
 const TUNNEL_WINDOW_BYTES: u32 = 64 * 1024;
 /// Receive window of all tunnels of a connection.
 const TUNNELS_WINDOW_BYTES: u32 = 8 * 1024 * 1024;
-/// Idle timeout of a connection for tunnels. A node that is cut off resumes its streams elsewhere once they
-/// are silent, and the runs behind its tunnels must have ended soon after that.
-const TUNNEL_IDLE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Idle timeout of a connection for tunnels. A node that is cut off may resume its streams elsewhere at once, if
+/// they were silent before, and the runs behind its tunnels must have ended soon after that.
+const TUNNEL_IDLE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval of keep-alive packets on a connection for tunnels, which may be silent while a runner works; some
-/// of the packets may be lost.
-const TUNNEL_KEEP_ALIVE: Duration = Duration::from_millis(150);
+/// of the packets may be lost. The first one after the cut restarts the timeout.
+const TUNNEL_KEEP_ALIVE: Duration = Duration::from_millis(75);
 /// Receive window per connection and per stream, and send window.
 const WINDOW_BYTES: u32 = 2 * 1024 * 1024;
 /// Size of the send and receive buffers for datagrams.
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -25,7 +25,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         runtime,
         sync::oneshot,
-        time::{Instant, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -216,3 +216,50 @@
     })
     .await;
 }
+
+/// Guards against the same for a peer that is cut off long after the last event of a slow runner, so that it
+/// resumes the stream soon after that.
+#[tokio::test]
+async fn instance_ends_the_run_of_a_peer_that_is_cut_off_between_events() {
+    /// Time between the events, which is shorter than that after which a run is silent.
+    const GAP: Duration = Duration::from_millis(380);
+    /// Time from the last event to the cut.
+    const WAIT: Duration = Duration::from_millis(350);
+    /// Time from the last event until the peer has resumed the stream, and until the former run must have
+    /// ended.
+    const LIMIT: Duration = Duration::from_millis(420 + 400);
+    run_local(async {
+        let peers = Peers::new().await;
+        let runner = peers.platform.runners[0].clone();
+        runner.script.replace(Script::Events { last: 500, gap: GAP, end: StreamEnd::Complete });
+        let (config, to, address) = (config(&peers.platform, "n3"), runner.address, peers.address);
+        let (streaming, started) = oneshot::channel();
+        let peer = thread::spawn(move || {
+            let runtime = runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            let _open = runtime.block_on(async {
+                let (net, _) = PeerNet::start(&config).unwrap();
+                let (mut tunnel, _) = open_tunnel(&net, address, to).await;
+                tunnel.write_all(request("t1").as_bytes()).await.unwrap();
+                let mut text = String::new();
+                while !text.contains("id: 4\n") {
+                    let mut bytes = [0; 4_096];
+                    let count = tunnel.read(&mut bytes).await.unwrap();
+                    text.push_str(std::str::from_utf8(&bytes[..count]).unwrap());
+                }
+                streaming.send(Instant::now()).unwrap();
+                sleep(WAIT).await;
+                (net, tunnel)
+            });
+            // The runtime does not run meanwhile: the peer is silent.
+            thread::sleep(LIMIT * 2);
+        });
+        let last_event = started.await.unwrap();
+        assert_eq!(runner.running_streams(), 1);
+        wait_until("the run ends", async || runner.running_streams() == 0).await;
+        let time = last_event.elapsed();
+        println!("the run ended after {time:?}");
+        assert!(time < LIMIT, "the run went on for {time:?}");
+        peer.join().unwrap();
+    })
+    .await;
+}
