--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -12,6 +12,7 @@
 mod pace;
 mod pause;
 mod rate_limit;
+mod reuse;
 
 pub use self::{
     choose::{Criteria, Version},
@@ -21,6 +22,7 @@
     load::Load,
     pace::{EventMeter, PaceCounts},
     partition::Check,
+    reuse::Moment,
 };
 
 use {
@@ -99,6 +101,8 @@
     peer_partitions: FxHashMap<CompactString, PeerPartitions>,
     /// Services whose pace factors are up to date, with the time at which they were computed.
     pace_times: FxHashMap<CompactString, Instant>,
+    /// Minimum time from the end of a runner until its address is assigned to another service.
+    reuse_delay: Duration,
 }
 
 struct Runner {
@@ -125,6 +129,8 @@
     paused_until: Option<Instant>,
     /// Speed.
     pace: Pace,
+    /// Time at which it was still running.
+    alive_at: Option<Moment>,
 }
 
 /// Address and identity of a runner.
@@ -252,12 +258,17 @@
         }
     }
 
-    /// Returns the runner that is registered at this endpoint's address, in any incarnation.
-    pub fn find_by_address(&self, endpoint: &Endpoint) -> Option<Endpoint> {
-        match self.inner.borrow().runners.contains_key(endpoint.key) {
-            true => Some(endpoint.clone()),
-            false => self.find_address(endpoint.address),
-        }
+    /// Returns the runner of an endpoint if it is listed, also if its registration was removed and is back.
+    /// The address alone does not identify it: it may have been reassigned, also to another service.
+    pub fn find_listed(&self, endpoint: &Endpoint, service: &str) -> Option<Endpoint> {
+        let inner = self.inner.borrow();
+        let key = match inner.runners.contains_key(endpoint.key) {
+            true => endpoint.key,
+            false => *inner.by_id.get(&endpoint.id)?,
+        };
+        let Registration { address, service: registered, .. } = &inner.runners[key].registration;
+        let is_same = *address == endpoint.address && registered == service;
+        is_same.then(|| inner.endpoint(key))
     }
 
     /// Returns whether the runner accepts requests and has not failed since its last response.
@@ -451,6 +462,7 @@
             drain: None,
             paused_until: None,
             pace: Pace::default(),
+            alive_at: None,
         };
         let key = self.runners.insert(runner);
         self.by_id.insert(registration.id.clone(), key);
