Take no error response at a runner's address for a sign of life, unless it tells of overload

Found by the review: runners of plain services respond to a request for the load report with 400, and any error response counted as one of the runner whose address they have got. The failure of the crashed runner was cleared, and it was selected again.

Only 429 and 503 count now. Red before: an_error_response_at_the_address_of_a_runner_is_no_sign_of_life (status 400: available).

--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -500,8 +500,11 @@
             let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await.ok()?.to_bytes();
             let is_success = parts.status.is_success();
             let decoded = if is_success { decode(body) } else { None };
-            if decoded.is_some() || !is_success {
+            // Another error is also what a runner of another service at the address responds.
+            if decoded.is_some() || is_overloaded(parts.status) {
                 self.fleet.record_response(endpoint.key, Instant::now());
+            }
+            if decoded.is_some() || !is_success {
                 self.fleet.return_connection(endpoint.key, connection, head.idle);
             }
             decoded
@@ -551,6 +554,10 @@
     }
 }
 
+fn is_overloaded(status: StatusCode) -> bool {
+    matches!(status, StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
+}
+
 /// Returns whether the request may succeed on another runner.
 pub fn is_failure(status: StatusCode) -> bool {
     status.is_server_error()
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -557,6 +557,26 @@
     .await;
 }
 
+/// Guards against a crashed runner that counts as available because a runner of another service, which has no
+/// load report, responds at its address.
+#[tokio::test(start_paused = true)]
+async fn an_error_response_at_the_address_of_a_runner_is_no_sign_of_life() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &EVENTS);
+        let client = &deployment.traffic.client;
+        let runner = &deployment.runners[0];
+        let endpoint = client.fleet.find(&runner.id).unwrap();
+        for (status, is_alive) in [(400, false), (404, false), (503, true)] {
+            runner.report_status.set(status);
+            client.fleet.record_failure(endpoint.key, Instant::now());
+            client.is_responsive(&endpoint).await;
+            assert_eq!(client.fleet.is_available(endpoint.key), is_alive, "status {status}");
+            sleep(ms(1_000)).await;
+        }
+    })
+    .await;
+}
+
 /// Guards against a run that continues after its caller has disconnected while the runner sends
 /// nothing. The connection to the runner is closed at once, which ends the run, and the stream is
 /// not resumed elsewhere.
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -249,6 +249,8 @@
     pub(crate) restarted: RefCell<Option<(&'static str, &'static str)>>,
     /// Start time that the runner reports, if it reports one; it is registered with 1.
     pub(crate) reported_born: Cell<Option<u64>>,
+    /// Status of the responses to requests for the load report, which is empty unless this is 200.
+    pub(crate) report_status: Cell<u16>,
     /// Rate limit that the responses state, in requests per second.
     pub(crate) rate_limit: Cell<Option<f64>>,
     /// Whether the responses announce that the runner leaves.
@@ -310,6 +312,7 @@
             crashing_parts: RefCell::default(),
             restarted: RefCell::default(),
             reported_born: Cell::new(None),
+            report_status: Cell::new(200),
             rate_limit: Cell::new(None),
             is_leaving: Cell::new(false),
             capacity: Cell::new(None),
@@ -686,7 +689,12 @@
         sleep(runner.probe_delay.get()).await;
     }
     match request.uri().path() {
-        "/api/report" => return Ok(json_response(report(runner))),
+        "/api/report" => {
+            return Ok(match runner.report_status.get() {
+                200 => json_response(report(runner)),
+                status => complete_response(status, ""),
+            });
+        }
         "/api/kv-events" => return Ok(json_response(cache_events(runner))),
         "/api/kv-move" => return Ok(json_response(copy_cache(runner, request).await)),
         path if path.starts_with("/api/kv-handle/") => {
