Keep a request at a runner that has restarted with its id and lists it

It accepts requests that name it, but each probe said that another process responds, and the request was sent to a second runner beside it.

A report that lists the request is its runner's, whatever the start time.

--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -352,8 +352,14 @@
 
     /// Requests the progress of a request from its runner; `None` on failure.
     async fn progress(&self, call: &Call, endpoint: &Endpoint) -> Option<Progress> {
-        let body = self.report(endpoint).await?;
-        Some(self.dialect.progress(&body, &call.head.id))
+        let control = ControlRequest::without_body(Method::GET, self.dialect.report_path());
+        let decode = |body: Bytes| {
+            let progress = self.dialect.progress(&body, &call.head.id);
+            // A runner that has restarted with its id may have got the request since.
+            let is_known = progress != Progress::Unknown || !self.is_replaced(endpoint, &body);
+            is_known.then_some(progress)
+        };
+        self.query(endpoint, control, PROBE_TIMEOUT, decode).await
     }
 
     /// Requests the load report of a runner; `None` on failure, or if another process responds at its address.
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -557,6 +557,23 @@
     .await;
 }
 
+/// Guards against a second run of a stream whose runner has restarted with its id before the request, while the
+/// store does not report its new start time.
+#[tokio::test(start_paused = true)]
+async fn a_runner_that_has_restarted_with_its_id_keeps_the_requests_since() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &EVENTS);
+        deployment.runners.iter().for_each(|runner| runner.prefill_time.set(ms(3_500)));
+        let restart = async {
+            sleep(ms(1)).await;
+            split(&deployment).0.reported_born.set(Some(2));
+        };
+        let (received, ()) = tokio::join!(deployment.serve("/stream/1", &PROMPT), restart);
+        assert_eq!((received.event_ids(), deployment.request_count()), (all(20), 1));
+    })
+    .await;
+}
+
 /// Guards against a crashed runner that counts as available because a runner of another service, which has no
 /// load report, responds at its address.
 #[tokio::test(start_paused = true)]
