Give missing events their time also if another attempt was sent earlier

Found by the review: an attempt whose events are missing was cancelled at once if another one had been sent 300 ms before, also one whose runner does not respond. The time counts from the later of both now, and only attempts that are not suspect count as others. By reading; run_whose_events_are_missing_ends_beside_the_next_one stays green, no test of this order was made.

--- a/crates/relay/src/flow/generation/race/state.rs
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -182,11 +182,13 @@
     }
 
     /// Returns the time at which the attempts whose events are missing are cancelled; `None` if no other
-    /// attempt has been sent.
+    /// attempt that may start has been sent.
     pub(super) fn lost_end(&self) -> Option<Instant> {
-        let has_lost = self.pending.iter().any(Pending::is_lost);
-        let others = self.pending.iter().filter(|p| has_lost && !p.is_lost());
-        others.filter_map(|p| p.sent.get()).min().map(|sent| sent + LOST_GRACE)
+        let lost_at = self.pending.iter().filter(|p| p.is_lost());
+        let lost_at = lost_at.filter_map(|p| Some(p.suspect.as_ref()?.0)).max()?;
+        let others = self.pending.iter().filter(|p| p.suspect.is_none());
+        let sent_at = others.filter_map(|p| p.sent.get()).min()?;
+        Some(lost_at.max(sent_at) + LOST_GRACE)
     }
 
     /// Cancels the attempts whose events are missing, and returns their runners.
