Ignore the identity of what answers at the address of a runner that is no longer listed

Found by the review: a response to a stale endpoint removed the registration of a runner that had registered at another address with the same id meanwhile. Such a check ended before the registration was compared until adoption needed a proof. By reading; not seen red.

--- a/crates/relay/src/runner_client/restart.rs
+++ b/crates/relay/src/runner_client/restart.rs
@@ -35,6 +35,9 @@
     if !client.fleet.begin_identity_check(&id, Instant::now()) {
         return;
     }
+    if !client.fleet.is_listed(endpoint.key) {
+        return;
+    }
     if !is_restart {
         log::info!(runner = id.as_str(), former = endpoint.id.as_str();
             "unlisted runner at a known address: it may belong to another service");
