State in the tests' settings that their systems start for the first time

Instances that start without `bootstrap` use a tenth of the slack for eleven seconds since retries before a start count, and the tests' instances stated nothing, although the platform sets it when the whole system starts for the first time, as it does there. It is true for instances that start within a second of the first one now; what starts later, or again, states nothing as before.

--- a/tests/relay/process.rs
+++ b/tests/relay/process.rs
@@ -16,6 +16,7 @@
     hyper_util::rt::TokioIo,
     serde_json::{Value, json},
     std::{
+        cell::Cell,
         fs,
         net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
         path::PathBuf,
@@ -33,6 +34,8 @@
 
 /// Longest wait for conditions that take a few hundred milliseconds on an idle machine.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
+/// Time within which the instances of a system that starts for the first time are started.
+const FIRST_START: Duration = Duration::from_secs(1);
 /// Grace period in the instances' settings.
 pub(crate) const GRACE: Duration = Duration::from_secs(4);
 pub(crate) const EVENTS: Script =
@@ -46,6 +49,8 @@
     pub(crate) folder: TempDir,
     /// Grace period of instances that start from now on.
     pub(crate) grace: Duration,
+    /// Time at which the first instance was started.
+    first_start: Cell<Option<Instant>>,
 }
 
 /// A running instance.
@@ -93,7 +98,8 @@
         let store = FeedStore::default();
         let handle = store.start("127.0.0.1:0".parse().unwrap()).unwrap();
         let folder = tempfile::tempdir().unwrap();
-        let mut platform = Platform { store, handle, runners: Vec::new(), folder, grace: GRACE };
+        let (runners, first_start) = (Vec::new(), Cell::default());
+        let mut platform = Platform { store, handle, runners, folder, grace: GRACE, first_start };
         platform.put_catalog(1, &["k1", "k2"]);
         for (id, service, domain, script) in [
             ("e1", ENGINES, "a", EVENTS),
@@ -205,6 +211,7 @@
                 "addresses": listen.addresses, "peers": free_udp_address(),
                 "metrics": listen.metrics},
             "store": store,
+            "bootstrap": self.is_first_start(),
             "bounds": {"grace": self.grace.as_secs(), "keep": 5, "ratio": 0.8, "slack": 50, "window": 10,
                 "exposure": 0.1, "trials": 50},
         });
@@ -213,6 +220,13 @@
         (path, listen)
     }
 
+    /// Returns whether an instance that starts now belongs to the first start of the system.
+    fn is_first_start(&self) -> bool {
+        let first = self.first_start.get().unwrap_or_else(Instant::now);
+        self.first_start.set(Some(first));
+        first.elapsed() < FIRST_START
+    }
+
     /// Sets whether the store rejects every request.
     pub(crate) fn reject_store_requests(&self, enabled: bool) {
         let reject = Reject { status: 503, retry: None, path: "".into(), once: false };
