Log when an attempt is sent beside a silent run, and how that ends

The log named one runner a line, so that it told neither which runs stood beside each other nor for how long. A new line of level warn names both runners; the lines of the end state the time beside each other in ms. No decision changes.

--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -103,6 +103,8 @@
     waited: Duration,
     /// Time of its silences.
     silent: Duration,
+    /// Time of the first attempt that was sent during its last silence.
+    beside: Option<Instant>,
     /// Whether the run began at the beginning of the response.
     is_whole: bool,
     /// Whether the run is recorded as sound.
@@ -120,6 +122,7 @@
             start: Instant::now(),
             waited: Duration::ZERO,
             silent: Duration::ZERO,
+            beside: None,
             is_whole,
             is_recorded: false,
         }
@@ -329,7 +332,7 @@
     async fn end_run(&mut self, active: ActiveRun, reason: RunEnd, is_alone: bool) {
         let (key, endpoint) = (active.key(), active.run.endpoint().clone());
         self.end_trial(active.number, VersionResponse::Lost);
-        self.log_lost(&active.run, reason);
+        self.log_lost(&active, reason);
         self.failed.push(key);
         drop(active.run);
         match reason {
@@ -377,6 +380,7 @@
             from_replica,
             holder,
             position: self.position,
+            former: race.silent.as_ref().map(|active| active.run.endpoint().clone()),
             is_hedge: !race.is_empty(),
             sent_at: Instant::now(),
         })
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -11,7 +11,7 @@
         events::Event,
         fleet::{Endpoint, Lease, Load, RunnerKey},
         flow::Traffic,
-        log_messages::{ATTEMPT_SUSPECT, RESPONSE_LOST},
+        log_messages::{ATTEMPT_SUSPECT, RESPONSE_LOST, SENT_BESIDE},
         network::Network,
         pool::SendError,
         runner_client::{LossSign, SendOutcome, is_failure},
@@ -42,6 +42,8 @@
     pub(super) holder: Option<Endpoint>,
     /// Id of the last event delivered to the caller.
     pub(super) position: Option<u64>,
+    /// Runner of the silent run that is open.
+    pub(super) former: Option<Endpoint>,
     /// Whether other attempts or a silent run are under way.
     pub(super) is_hedge: bool,
     /// Time of the decision.
@@ -136,6 +138,7 @@
         if let Some(outcome) = self.check().await {
             return (self.plan, outcome);
         }
+        self.log_beside();
         self.sent.set(Some(Instant::now()));
         self.sends.notify_one();
         let outcome = tokio::select! {
@@ -147,6 +150,17 @@
         (self.plan, outcome)
     }
 
+    /// Logs that the request is sent while the silent run is open, and when its runner was last seen.
+    fn log_beside(&self) {
+        let Some(former) = &self.plan.former else { return };
+        let seen = self.traffic.client.fleet.last_seen(former.key).map(|at| at.elapsed());
+        log::warn!(request = self.call.head.id.as_str(), runner = self.plan.endpoint.id.as_str(),
+            former = former.id.as_str(), seen = seen.map(|age| age.as_millis() as u64),
+            position = self.plan.position.unwrap_or_default(),
+            from_replica = self.plan.from_replica.is_some();
+            "{SENT_BESIDE}");
+    }
+
     /// Leases the memory of the runner and of the replica's holder.
     fn lease(&self) -> (Lease, Option<Replica>) {
         let (fleet, plan, size) = (&self.traffic.client.fleet, &self.plan, self.call.size());
--- a/crates/relay/src/flow/generation/logging.rs
+++ b/crates/relay/src/flow/generation/logging.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Generation,
+        ActiveRun, Generation,
         run::{Run, RunEnd},
     },
     crate::{
@@ -37,15 +37,21 @@
             "{RUN_SILENT}");
     }
 
-    pub(super) fn log_continued(&self, run: &Run) {
-        log::info!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
-            position = self.position.unwrap_or_default();
+    /// Logs that a silent run has continued, and for how long attempts were under way beside it.
+    pub(super) fn log_continued(&self, active: &ActiveRun) {
+        let beside = active.beside.map(|at| at.elapsed().as_millis() as u64);
+        let level = if beside.is_some() { log::Level::Warn } else { log::Level::Info };
+        log::log!(level, request = self.call.head.id.as_str(),
+            runner = active.run.endpoint().id.as_str(),
+            position = self.position.unwrap_or_default(), beside;
             "{RUN_CONTINUED}");
     }
 
-    pub(super) fn log_lost(&self, run: &Run, reason: RunEnd) {
+    pub(super) fn log_lost(&self, active: &ActiveRun, reason: RunEnd) {
+        let run = &active.run;
         log::warn!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
             position = self.position.unwrap_or_default(),
+            beside = active.beside.map(|at| at.elapsed().as_millis() as u64),
             holder = run.replica().map_or("", |b| b.holder().id.as_str());
             "{RUN_LOST}{reason:?}");
     }
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -92,7 +92,7 @@
                     }
                 },
                 Some((plan, outcome)) = attempts.next() => {
-                    race.pending.retain(|p| p.plan.number != plan.number);
+                    race.remove(plan.number);
                     match outcome {
                         AttemptOutcome::Started(started) => {
                             return self.replace_run(race, &plan, *started).await;
@@ -134,7 +134,7 @@
     ) -> Option<(Plan, StartedRun)> {
         let end = Instant::now() + START_GRACE;
         while let Ok(Some((plan, outcome))) = timeout_at(end, attempts.next()).await {
-            race.pending.retain(|p| p.plan.number != plan.number);
+            race.remove(plan.number);
             match outcome {
                 AttemptOutcome::Started(started) => return Some((plan, *started)),
                 outcome => _ = self.record_outcome(race, plan, outcome).await,
@@ -195,7 +195,7 @@
         let active = race.take_silent().expect("the event is of the silent run");
         self.count_cancelled(&race);
         self.sends -= race.pending.len() as u32;
-        self.log_continued(&active.run);
+        self.log_continued(&active);
         self.traffic.metrics.count_silence(Silence::Continued);
         RaceEnd::Continued(active, next)
     }
--- a/crates/relay/src/flow/generation/race/state.rs
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -36,6 +36,8 @@
     pub(in crate::flow::generation) pending: Vec<Pending>,
     /// Notified when an attempt is sent.
     pub(super) sends: Rc<Notify>,
+    /// Time of the first send beside the silent run, of those that have ended.
+    first_send: Option<Instant>,
     /// Runners that have not responded to a probe since the last delay.
     pub(in crate::flow::generation) unresponsive: Vec<RunnerKey>,
     /// Number of hedges that were sent and ended without a run.
@@ -85,6 +87,7 @@
             silent,
             pending,
             sends,
+            first_send: None,
             unresponsive,
             rejections,
             is_responsive,
@@ -97,6 +100,7 @@
     pub(super) fn take_silent(&mut self) -> Option<Box<ActiveRun>> {
         let mut active = self.silent.take()?;
         active.silent += self.start.elapsed();
+        active.beside = self.first_send();
         Some(active)
     }
 
@@ -124,6 +128,17 @@
         self.pending.iter().any(|p| p.is_sent())
     }
 
+    /// Returns the time of the first send beside the silent run.
+    fn first_send(&self) -> Option<Instant> {
+        self.pending.iter().filter_map(|p| p.sent.get()).chain(self.first_send).min()
+    }
+
+    /// Removes an attempt that has ended.
+    pub(super) fn remove(&mut self, number: u32) {
+        self.first_send = self.first_send();
+        self.pending.retain(|p| p.plan.number != number);
+    }
+
     /// Returns whether an attempt that is not sent yet is to resume from a replica.
     pub(super) fn has_unsent_replica(&self) -> bool {
         self.pending.iter().any(|p| !p.is_fresh() && !p.is_sent())
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -10,6 +10,8 @@
 pub const RUN_STARTED: &str = "run started";
 /// Run without events for too long; it is kept until another run starts.
 pub const RUN_SILENT: &str = "run silent";
+/// Attempt sent while a silent run of the same stream is open.
+pub const SENT_BESIDE: &str = "attempt sent beside a silent run";
 /// Silent run continued before another one started.
 pub const RUN_CONTINUED: &str = "silent run continued";
 /// Run lost; followed by the reason.
@@ -93,12 +95,13 @@
 pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 41] = [
+pub const ALL: [&str; 42] = [
     REJECTED,
     REQUEST_SENT,
     WRONG_SERVICE,
     RUN_STARTED,
     RUN_SILENT,
+    SENT_BESIDE,
     RUN_CONTINUED,
     RUN_LOST,
     ATTEMPT_SUSPECT,
