--- a/tests/relay/races.rs
+++ b/tests/relay/races.rs
@@ -471,3 +471,97 @@
     }
     assert_ne!(ties, 0);
 }
+
+/// Returns the requests that were resumed from a replica.
+fn resumes(runner: &Runner) -> usize {
+    let requests = runner.requests.borrow();
+    requests.iter().filter(|request| request.headers.contains_key("kv-from")).count()
+}
+
+/// Serves a stream whose run is silent for `silence`, while `resume` is what the runner of its replica does.
+/// Returns for how long both runners worked after the replica's runner had begun, and whether the first run
+/// was the last one as well.
+async fn overlap(silence: Duration, resume: impl Fn(&Runner)) -> (Option<Duration>, bool) {
+    let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &events(60, ms(40)));
+    for runner in &deployment.runners {
+        runner.prefill_time.set(ms(1_000));
+        resume(runner);
+    }
+    let silence = async {
+        sleep(ms(1_210)).await;
+        split(&deployment).0.pause_streams_for(silence);
+    };
+    let (received, ()) = tokio::join!(deployment.serve("/stream/1", &PROMPT), silence);
+    assert!(received.is_complete, "{received:?}");
+    assert!(received.event_ids().into_iter().eq(1..=60), "{received:?}");
+    let former = |runner: &&Rc<Runner>| resumes(runner) == 0 && runner.request_count() > 0;
+    let first = deployment.runners.iter().find(former).expect("the first run is no resumed one");
+    let end = first.runs.borrow()[0].1.end.expect("the stream has ended");
+    let next = deployment.runners.iter().find(|runner| resumes(runner) > 0);
+    let begin = next.and_then(|runner| runner.runs.borrow().first().map(|(_, span)| span.start));
+    (begin.map(|begin| end.saturating_duration_since(begin)), end.elapsed() < ms(40))
+}
+
+/// Guards against a stream that goes on at two runners: the runner of the replica has accepted it and has no
+/// event yet, while the silent run is kept, or continues.
+#[tokio::test(start_paused = true)]
+async fn former_run_ends_when_its_replica_is_used() {
+    let mut count = 0;
+    for lag in (0..900).step_by(50) {
+        for silence in (430..1_600).step_by(65) {
+            let resume = |runner: &Runner| runner.resume_time.set(ms(lag));
+            let (overlap, _) = run_local(overlap(ms(silence), resume)).await;
+            let Some(overlap) = overlap else { continue };
+            count += 1;
+            assert!(
+                overlap < ms(400),
+                "both runners worked for {overlap:?}: silence {silence} ms, first event after {lag} ms"
+            );
+        }
+    }
+    assert!(count > 200, "{count} streams were resumed from a replica");
+}
+
+/// Guards against a stream that goes on at two runners: the response of the replica's runner is lost, which
+/// may have run the request, and the silent run continues.
+#[tokio::test(start_paused = true)]
+async fn former_run_ends_although_the_resumed_one_is_lost() {
+    for silence in (500..2_000).step_by(90) {
+        run_local(async {
+            let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &events(60, ms(40)));
+            for runner in &deployment.runners {
+                *runner.resume_script.borrow_mut() = Some(Script::Close);
+            }
+            let pause = async {
+                sleep(ms(210)).await;
+                let first = split(&deployment).0;
+                first.pause_streams_for(ms(silence));
+                first
+            };
+            let (received, first) = tokio::join!(deployment.serve("/stream/1", &PROMPT), pause);
+            assert!(received.is_complete, "{received:?}");
+            let is_resume = |at: &&Rc<Runner>| resumes(at) > 0;
+            let Some(next) = deployment.runners.iter().find(is_resume) else { return };
+            let begin = next.requests.borrow()[0].at;
+            let end = first.runs.borrow()[0].1.end.expect("the stream has ended");
+            let overlap = end.saturating_duration_since(begin);
+            assert!(overlap < ms(400), "silence of {silence} ms: {overlap:?}");
+        })
+        .await;
+    }
+}
+
+/// Guards against a silent run that is ended although nothing replaces it: the replica's runner rejects the
+/// request, as it has no replica.
+#[tokio::test(start_paused = true)]
+async fn silent_run_is_kept_if_its_replica_is_rejected() {
+    for delay in [0, 20, 60] {
+        let reject = |runner: &Runner| {
+            *runner.resume_script.borrow_mut() = Some(Script::NotRunAfter(ms(delay)));
+        };
+        for silence in (430..900).step_by(35) {
+            let (overlap, is_kept) = run_local(overlap(ms(silence), reject)).await;
+            assert_eq!((overlap, is_kept), (None, true), "silence of {silence} ms");
+        }
+    }
+}
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -234,6 +234,8 @@
     pub(crate) probe_delay: Cell<Duration>,
     /// Time before the first event of a run of [`Script::Events`] that does not start from a replica.
     pub(crate) prefill_time: Cell<Duration>,
+    /// Time before the first event of a run of [`Script::Events`] that starts from a replica.
+    pub(crate) resume_time: Cell<Duration>,
     /// Whether the process has crashed.
     pub(crate) is_crashed: Cell<bool>,
     /// Body of the requests that crash the runner, shortly after their response has started.
@@ -305,6 +307,7 @@
             streams_paused_until: Cell::new(None),
             probe_delay: Cell::default(),
             prefill_time: Cell::default(),
+            resume_time: Cell::default(),
             is_crashed: Cell::new(false),
             crash_body: RefCell::default(),
             crash_delay: Cell::new(None),
@@ -766,7 +769,7 @@
         }
         Script::Events { last, gap, end } => {
             let after = resume_position(&parts.headers);
-            let prefill = if has_copy { Duration::ZERO } else { runner.prefill_time.get() };
+            let prefill = if has_copy { &runner.resume_time } else { &runner.prefill_time }.get();
             events(ActiveRun::new(runner, &id), after, last, (prefill, gap), end)
         }
         Script::Endless { events, piece, gap } => {
