Let no series of faults of the soak end unnoticed

Cause: the series that passes addresses on panics if a plain service has no runner at the moment, as its last ones are being passed on. The panic ends that task only; the seed goes on without the series and may pass.

Change: the series waits for its next turn in this case, and a seed fails if any series has ended.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -90,9 +90,10 @@
     for route in ROUTES {
         tokio::task::spawn_local(clients.clone().load(route));
     }
-    faults::start(&world, seed);
+    let series = faults::start(&world, seed);
     tokio::task::spawn_local(measure_delays(world.clone()));
     sleep(time).await;
+    assert!(series.iter().all(|series| !series.is_finished()), "a series of faults has ended");
     let record = &world.registry.record;
     let violations = record.judge();
     record.summarize();
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -9,7 +9,10 @@
     bilberryfront_standins::faults::{Faults, Lose, Reject},
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
     std::{ops::Range, rc::Rc, time::Duration},
-    tokio::time::{Instant, sleep},
+    tokio::{
+        task::JoinHandle,
+        time::{Instant, sleep},
+    },
 };
 
 /// Time for which runners of a failure domain are down.
@@ -27,21 +30,23 @@
     rng: SmallRng,
 }
 
-/// Starts all series.
-pub(crate) fn start(world: &Rc<World>, seed: u64) {
+/// Starts all series, none of which ends.
+pub(crate) fn start(world: &Rc<World>, seed: u64) -> Vec<JoinHandle<()>> {
     let series = |number: u64| Series {
         world: world.clone(),
         rng: SmallRng::seed_from_u64(seed * 100 + number),
     };
-    tokio::task::spawn_local(series(1).fail_domains());
-    tokio::task::spawn_local(series(2).reuse_addresses());
-    tokio::task::spawn_local(series(3).fail_store());
-    tokio::task::spawn_local(series(4).change_catalogs());
-    tokio::task::spawn_local(series(5).disturb_instances());
-    tokio::task::spawn_local(series(6).reset_connections());
-    tokio::task::spawn_local(series(7).stall_streams());
-    tokio::task::spawn_local(series(8).lose_responses());
-    tokio::task::spawn_local(resolve(world.clone()));
+    vec![
+        tokio::task::spawn_local(series(1).fail_domains()),
+        tokio::task::spawn_local(series(2).reuse_addresses()),
+        tokio::task::spawn_local(series(3).fail_store()),
+        tokio::task::spawn_local(series(4).change_catalogs()),
+        tokio::task::spawn_local(series(5).disturb_instances()),
+        tokio::task::spawn_local(series(6).reset_connections()),
+        tokio::task::spawn_local(series(7).stall_streams()),
+        tokio::task::spawn_local(series(8).lose_responses()),
+        tokio::task::spawn_local(resolve(world.clone())),
+    ]
 }
 
 impl Series {
@@ -87,7 +92,8 @@
                 role(*index) != role(first) && (!is_plain || role(*index).model.is_none())
             };
             let others: Vec<usize> = (0..count).filter(is_other).collect();
-            let second = *others.choose(&mut self.rng).expect("there are several services");
+            // A plain service may have no runner while its last ones are passed on.
+            let Some(&second) = others.choose(&mut self.rng) else { continue };
             let roles = [(first, role(second)), (second, role(first))];
             if roles.iter().any(|(index, _)| world.slots[*index].busy.get()) {
                 continue;
