Judge runs from replicas in the soak, and let these wait for their turn

The judge left out each run from a replica, and a check demanded so; and a run from a replica brought its first event one gap after it was accepted, so that the runs were beside each other for some ms only. The rule has no such exemption.

Change: a run from a replica goes on from its acceptance, whatever its position, and the former one must have ended 400 ms later. The check that demanded the exemption is replaced by the bounds from both sides, of runs with and without a replica, also without an event. All that was a violation before still is. A TWICE of a stream names both runners, the replica and the times.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -91,12 +91,31 @@
     assert_eq!(broken("lodge", |_, runs| add_run(runs, None, None)), ["TWICE"]);
     assert_eq!(broken("lodge", |attempt, _| attempt.status = Some(503)), ["REFUSED"]);
     assert_eq!(broken("stream", |_, runs| add_run(runs, Some(20), None)), ["TWICE"]);
-    assert!(broken("stream", |_, runs| add_run(runs, Some(20), Some("127.0.0.1:2/q1"))).is_empty());
-    let ends_in_time = |_: &mut Attempt, runs: &mut Vec<Run>| {
-        runs[0].end = Some(runs[0].at + SECOND + Duration::from_millis(300));
-        add_run(runs, Some(20), None);
+    let ms = Duration::from_millis;
+    for (from, time, first, is_broken) in [
+        (None, 300, Some(0), false),
+        (None, 500, Some(300), false),
+        (None, 800, Some(300), true),
+        (None, 800, None, false),
+        (Some("127.0.0.1:2/q1"), 300, Some(0), false),
+        (Some("127.0.0.1:2/q1"), 300, None, false),
+        (Some("127.0.0.1:2/q1"), 500, Some(0), true),
+        (Some("127.0.0.1:2/q1"), 500, Some(300), true),
+        (Some("127.0.0.1:2/q1"), 500, None, true),
+    ] {
+        let ends = |_: &mut Attempt, runs: &mut Vec<Run>| {
+            let start = runs[0].at + SECOND;
+            runs[0].end = Some(start + ms(time));
+            add_run(runs, Some(20), from);
+            runs[1].first = first.map(|time| start + ms(time));
+        };
+        let expected: &[&str] = if is_broken { &["TWICE"] } else { &[] };
+        assert_eq!(broken("stream", ends), expected, "{from:?}, end {time} ms, first {first:?}");
+    }
+    let is_silent = |_: &mut Attempt, runs: &mut Vec<Run>| {
+        add_run(runs, None, Some("127.0.0.1:2/q1"));
     };
-    assert!(broken("stream", ends_in_time).is_empty());
+    assert_eq!(broken("stream", is_silent), ["TWICE"]);
     assert_eq!(broken("stream", |attempt, _| attempt.text.truncate(1_000)), ["ORDER"]);
     let repeat = |attempt: &mut Attempt, _: &mut Vec<Run>| {
         attempt.text = attempt.text.replacen("id: 2\n", "id: 1\n", 1);
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -99,19 +99,30 @@
 
     /// Returns how two runs of a stream overlap though the instance could have ended the first.
     fn overlap(&self, attempt: &Attempt, first: &Run, second: &Run) -> Option<String> {
-        let start = if second.role.model.is_some() { second.first? } else { second.at };
+        // A run from a replica goes on as soon as its runner has accepted it.
+        let is_prefilled = second.role.model.is_some() && !second.is_continued();
+        let start = if is_prefilled { second.first? } else { second.at };
         let until = start + MAX_OVERLAP;
         let works_on = first.end.unwrap_or_else(Instant::now) > until;
         let goes_on = second.after.is_some_and(|after| after > attempt.after);
-        if !works_on || !goes_on || second.is_continued() {
+        if !works_on || !(goes_on || second.is_continued()) {
             return None;
         }
         self.count("runs overlap");
         let is_touched = self.disturbance(&attempt.instance, until - CONTACT, until).is_some();
         let is_reached = self.disturbance(&first.runner, start - MAX_OVERLAP, until).is_none();
         (!is_touched && is_reached).then(|| {
-            let time = second.end.map(|end| end - start);
-            format!("{} goes on for {time:?} while {} works on it", second.runner, first.runner)
+            let since = |at: Option<Instant>| at.map(|at| at.saturating_duration_since(second.at));
+            format!(
+                "{} goes on, from {:?}: accepted {}, first event after {:?}, end after {:?}; {} works on it until {:?}",
+                second.runner,
+                second.from,
+                self.clock(second.at),
+                since(second.first),
+                since(second.end),
+                first.runner,
+                since(first.end),
+            )
         })
     }
 
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -282,7 +282,7 @@
     }
 
     /// Returns the time of day, as in the logs.
-    fn clock(&self, at: Instant) -> String {
+    pub(super) fn clock(&self, at: Instant) -> String {
         let millis = self.unix_millis(at);
         let (seconds, millis) = (millis / 1_000 % 86_400, millis % 1_000);
         format!("{:02}:{:02}:{:02}.{millis:03}", seconds / 3_600, seconds / 60 % 60, seconds % 60)
--- a/tests/soak/runner.rs
+++ b/tests/soak/runner.rs
@@ -70,6 +70,8 @@
     gap: Duration,
     /// Time before the first event of a run without a replica, and for a call.
     work: Duration,
+    /// Time before the first event of a run from a replica.
+    resume: Duration,
     /// Whether its process has ended.
     pub(crate) gone: Cell<bool>,
     /// Whether it neither reads nor writes nor generates.
@@ -95,7 +97,7 @@
         id: String,
         role: Role,
         address: SocketAddr,
-        (gap, work): (Duration, Duration),
+        [gap, work, resume]: [Duration; 3],
     ) -> Rc<Runner> {
         let listener = TcpListener::bind(address).await.expect("the address is free");
         let runner = Rc::new(Runner {
@@ -105,6 +107,7 @@
             born: registry.record.unix_millis(Instant::now()),
             gap,
             work,
+            resume,
             gone: Cell::new(false),
             dark: Cell::new(false),
             stalled: Cell::new(false),
@@ -292,7 +295,7 @@
         true => {
             let backup = text(&parts.headers, "x-bilberryfront-kv-backup");
             let backup = backup.and_then(|address| address.parse().ok());
-            let prefill = if from.is_some() { Duration::ZERO } else { runner.work };
+            let prefill = if from.is_some() { runner.resume } else { runner.work };
             generate(active, after.unwrap_or(0), prefill, left, backup)
         }
         false => {
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -125,14 +125,14 @@
     }
 
     async fn run(&self, id: String, role: Role, address: SocketAddr) -> Rc<Runner> {
-        let (gap, work) = {
+        let times = {
             let mut rng = self.rng.borrow_mut();
             match role.model {
-                Some(_) => (rng.random_range(15..40), rng.random_range(100..400)),
-                None => (0, rng.random_range(10..30)),
+                Some(_) => [15..40, 100..400, 0..600].map(|range| rng.random_range(range)),
+                None => [0, rng.random_range(10..30), 0],
             }
         };
-        let times = (Duration::from_millis(gap), Duration::from_millis(work));
+        let times = times.map(Duration::from_millis);
         Runner::start(&self.registry, id, role, address, times).await
     }
 
