End a silent run once its stream was sent to the runner of its replica

Cause: a silent run was kept until another one had brought an event, also when that one was resumed from the run's own replica. Nothing bounded the time beside each other, and the silent run won if it continued first, although the replica's runner had accepted the request. Two failure detectors (the silence, the first event) decided on something that the send had decided already.

Change: the send of a replica hands the stream over. From then on the silent run can't win; it is ended 100 ms later, or as soon as the resumed run starts or is lost after it may have run. Its events are held back in the meantime, so that it goes on where it was if the replica's runner rejects the request as not run. A send counts from the moment at which there is a connection for it, not from the decision, so that a runner that can't be reached hands nothing over. Attempts from the prompt are as before.

Ruled out: ending the silent run with the send (a rejected resume would cost the run and its prompt), and asking the silent run's runner first (the decision would rest on a report that is some hundred ms old).

--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -114,6 +114,11 @@
 }
 
 impl AttemptOutcome {
+    /// Returns whether the request may have run, and nothing of the run is left.
+    pub(super) fn is_lost(&self) -> bool {
+        !matches!(self, AttemptOutcome::Started(_)) && self.may_have_run()
+    }
+
     /// Returns whether the request may have run.
     pub(super) fn may_have_run(&self) -> bool {
         use AttemptOutcome::{Cancelled, Failure, Lost, Quarantined, Started};
@@ -138,9 +143,6 @@
         if let Some(outcome) = self.check().await {
             return (self.plan, outcome);
         }
-        self.log_beside();
-        self.sent.set(Some(Instant::now()));
-        self.sends.notify_one();
         let outcome = tokio::select! {
             outcome = self.send(lease, replica, was_idle) => outcome,
             never = self.watch(was_idle) => match never {},
@@ -231,7 +233,13 @@
             AttemptOutcome::Lost(LostRun { error, is_suspect: has_started || was_idle })
         };
         let id = &call.head.id;
-        let reply = match client.send(call, endpoint, &options, *end).await {
+        let on_send = || {
+            if self.sent.replace(Some(Instant::now())).is_none() {
+                self.log_beside();
+                self.sends.notify_one();
+            }
+        };
+        let reply = match client.send_notified(call, endpoint, &options, *end, on_send).await {
             SendOutcome::Answered(reply) if is_failure(reply.parts.status) => {
                 return match client.read_body(reply, endpoint, *end).await {
                     Ok((parts, bytes)) => AttemptOutcome::Failure(parts, bytes),
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -1,5 +1,6 @@
 //! Race of a silent run and the attempts that may replace it. A silence is no proof of a failure: a run
-//! or an attempt is kept until another run has started, and the first to bring an event wins.
+//! or an attempt is kept until another run has started, and the first to bring an event wins. A run whose
+//! replica is used ends: from the send on, the stream may go on at the replica's runner.
 
 mod state;
 
@@ -22,11 +23,11 @@
         runner_client::LossSign,
     },
     bilberryfront_decide::mover::Response as VersionResponse,
-    futures_util::{Stream, StreamExt, stream::FuturesUnordered},
-    std::time::Duration,
+    futures_util::{StreamExt, stream::FuturesUnordered},
+    std::{future, time::Duration},
     tokio::{
         sync::mpsc,
-        time::{Instant, sleep_until, timeout_at},
+        time::{Instant, sleep_until},
     },
 };
 
@@ -72,16 +73,13 @@
                 }
             }
             let (lost_end, sends) = (race.lost_end(), race.sends.clone());
+            let (handover_end, retry_at) = (race.handover_end(), race.retry_at);
             tokio::select! {
                 biased;
-                next = next_event(&mut race.silent, self.position) => match next {
-                    Ok(_) if race.has_sent() => {
-                        return match self.wait_for_start(&mut race, &mut attempts).await {
-                            Some((plan, started)) => self.replace_run(race, &plan, started).await,
-                            None => self.continue_run(race, next),
-                        };
-                    }
-                    Ok(_) | Err(RunEnd::Whole) => return self.continue_run(race, next),
+                next = wait_for_event(&mut race, self.position) => match next {
+                    Ok(()) if race.is_handed_over() => {}
+                    Ok(()) => return self.continue_run(race, None),
+                    Err(RunEnd::Whole) => return self.continue_run(race, Some(RunEnd::Whole)),
                     Err(reason) => {
                         if !race.has_sent() {
                             // Planned anew, as a replica may be used without a probe now.
@@ -93,6 +91,10 @@
                 },
                 Some((plan, outcome)) = attempts.next() => {
                     race.remove(plan.number);
+                    // The replica's runner may have run the request although its response is lost.
+                    if plan.from_replica.is_some() && outcome.is_lost() {
+                        self.lose_silent_run(&mut race, RunEnd::Silent).await;
+                    }
                     match outcome {
                         AttemptOutcome::Started(started) => {
                             return self.replace_run(race, &plan, *started).await;
@@ -108,12 +110,15 @@
                     race.suspect(&suspicion);
                     self.record_suspicion(&suspicion);
                 }
-                // The attempts whose events are missing are considered again.
+                // The silent run and the attempts whose events are missing are considered again.
                 () = sends.notified() => {}
+                () = sleep_until(handover_end.unwrap_or(end)), if handover_end.is_some() => {
+                    self.lose_silent_run(&mut race, RunEnd::Silent).await;
+                }
                 () = sleep_until(lost_end.unwrap_or(end)), if lost_end.is_some() => {
                     self.failed.extend(race.cancel_lost());
                 }
-                () = sleep_until(race.retry_at), if race.needs_attempt() => race.unresponsive.clear(),
+                () = sleep_until(retry_at), if race.needs_attempt() => race.unresponsive.clear(),
                 () = sleep_until(end), if race.pending.is_empty() => {
                     self.no_attempt.get_or_insert(NoAttempt::Deadline);
                     if let Some(active) = race.take_silent() {
@@ -125,24 +130,6 @@
         }
     }
 
-    /// Waits a moment for an attempt that has started: its first event may be under way when the silent run
-    /// continues, and the stream must not go on at both runners.
-    async fn wait_for_start(
-        &mut self,
-        race: &mut Race,
-        attempts: &mut (impl Stream<Item = (Plan, AttemptOutcome)> + Unpin),
-    ) -> Option<(Plan, StartedRun)> {
-        let end = Instant::now() + START_GRACE;
-        while let Ok(Some((plan, outcome))) = timeout_at(end, attempts.next()).await {
-            race.remove(plan.number);
-            match outcome {
-                AttemptOutcome::Started(started) => return Some((plan, *started)),
-                outcome => _ = self.record_outcome(race, plan, outcome).await,
-            }
-        }
-        None
-    }
-
     /// Adds an attempt to a race.
     fn start_attempt(
         &mut self,
@@ -182,7 +169,7 @@
         }
     }
 
-    /// Ends the silent run, which has broken, and keeps its replica.
+    /// Ends the silent run, which has broken or is replaced, and keeps its replica.
     async fn lose_silent_run(&mut self, race: &mut Race, reason: RunEnd) {
         if let Some(active) = race.take_silent() {
             self.salvage_replica(&active.run, race.has_unsent_replica());
@@ -191,7 +178,9 @@
     }
 
     /// Ends a race that the silent run has won.
-    fn continue_run(&mut self, mut race: Race, next: Result<Event, RunEnd>) -> RaceEnd {
+    fn continue_run(&mut self, mut race: Race, end: Option<RunEnd>) -> RaceEnd {
+        let held = race.held.take().map(|(event, _)| event);
+        let next = end.map_or_else(|| held.ok_or(RunEnd::Whole), Err);
         let active = race.take_silent().expect("the event is of the silent run");
         self.count_cancelled(&race);
         self.sends -= race.pending.len() as u32;
@@ -336,15 +325,20 @@
     }
 }
 
-/// Returns the next event of the silent run; pending if there is none.
-async fn next_event(
-    silent: &mut Option<Box<ActiveRun>>,
-    position: Option<u64>,
-) -> Result<Event, RunEnd> {
+/// Waits until the silent run continues with the event that is held then. It does not while the runner of its
+/// replica may go on with the stream, nor while the first event of another attempt may be under way.
+async fn wait_for_event(race: &mut Race, position: Option<u64>) -> Result<(), RunEnd> {
     /// The deadline of the race ends the wait.
     const UNLIMITED: Duration = Duration::from_secs(3_600);
-    match silent {
-        Some(active) => active.run.next(UNLIMITED, position).await,
-        None => std::future::pending().await,
+    let Some(active) = &mut race.silent else { return future::pending().await };
+    if race.held.is_none() {
+        let event = active.run.next(UNLIMITED, position).await?;
+        race.held = Some((event, Instant::now()));
+    }
+    match race.held {
+        _ if race.is_handed_over() => future::pending().await,
+        Some((_, at)) if race.has_sent() => sleep_until(at + START_GRACE).await,
+        _ => {}
     }
+    Ok(())
 }
--- a/crates/relay/src/flow/generation/race/state.rs
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        events::Event,
         fleet::{Endpoint, RunnerKey},
         flow::generation::{
             ActiveRun,
@@ -18,6 +19,9 @@
 /// Number of runners that do not respond, or reject the request, from which the next hedge is delayed:
 /// most of them may be in that state.
 const MAX_FAILURES: usize = 2;
+/// Time for which a silent run is kept after its replica was sent for, in case that is rejected. Both runners
+/// may work for 400 ms; the rest is for late timers.
+const HANDOVER_GRACE: Duration = Duration::from_millis(100);
 /// Time for which a silent run is waited for after its runner has responded to a probe.
 const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 /// Time of a silence from which the last attempt of the route is used for a hedge as well.
@@ -32,6 +36,8 @@
 pub(in crate::flow::generation) struct Race {
     /// Run that fell silent.
     pub(in crate::flow::generation) silent: Option<Box<ActiveRun>>,
+    /// Event of the silent run that is not forwarded yet, and the time of its receipt.
+    pub(super) held: Option<(Event, Instant)>,
     /// Attempts under way.
     pub(in crate::flow::generation) pending: Vec<Pending>,
     /// Notified when an attempt is sent.
@@ -85,6 +91,7 @@
         let (rejections, is_responsive, sends) = (0, false, Rc::default());
         Race {
             silent,
+            held: None,
             pending,
             sends,
             first_send: None,
@@ -98,6 +105,7 @@
 
     /// Takes the silent run, with the time for which it was waited for.
     pub(super) fn take_silent(&mut self) -> Option<Box<ActiveRun>> {
+        self.held = None;
         let mut active = self.silent.take()?;
         active.silent += self.start.elapsed();
         active.beside = self.first_send();
@@ -111,7 +119,9 @@
 
     /// Returns whether another attempt is needed: each one under way is suspect.
     pub(super) fn needs_attempt(&self) -> bool {
-        self.pending.len() < MAX_ATTEMPTS && self.pending.iter().all(|p| p.suspect.is_some())
+        self.held.is_none()
+            && self.pending.len() < MAX_ATTEMPTS
+            && self.pending.iter().all(|p| p.suspect.is_some())
     }
 
     /// Returns whether another attempt is considered now.
@@ -171,6 +181,18 @@
         silent.chain(pending).chain(self.unresponsive.iter().copied()).collect()
     }
 
+    /// Returns whether the silent run's replica has been sent for, so that the stream may go on there.
+    pub(super) fn is_handed_over(&self) -> bool {
+        self.handover_end().is_some()
+    }
+
+    /// Returns the time at which the silent run ends because its replica has been sent for.
+    pub(super) fn handover_end(&self) -> Option<Instant> {
+        self.silent.as_ref()?;
+        let resumes = self.pending.iter().filter(|p| !p.is_fresh());
+        Some(resumes.filter_map(|p| p.sent.get()).min()? + HANDOVER_GRACE)
+    }
+
     /// Returns the runners of the silent run and of the attempts that continue if these respond again.
     pub(super) fn suspects(&self) -> Vec<Endpoint> {
         let silent = self.silent.iter().filter(|_| !self.is_responsive);
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -149,8 +149,21 @@
         endpoint: &Endpoint,
         options: &SendOptions,
         deadline: Instant,
+    ) -> SendOutcome {
+        self.send_notified(call, endpoint, options, deadline, || {}).await
+    }
+
+    /// Sends a request like [`RunnerClient::send`]; `on_send` is called once there is a connection for it.
+    pub async fn send_notified(
+        &self,
+        call: &Call,
+        endpoint: &Endpoint,
+        options: &SendOptions,
+        deadline: Instant,
+        on_send: impl Fn(),
     ) -> SendOutcome {
         let request = || {
+            on_send();
             let headers = self.dialect.request_headers(call, options);
             request(&call.method, &call.path, endpoint.address, headers, call.body.clone())
         };
