Count an attempt as sent from the decision again, and hand over once it has a connection

There are two marks now: the decision, which limits and rivals read as before, and the connection, which hands the stream over.

--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -61,7 +61,9 @@
     pub(super) signs: mpsc::UnboundedSender<Suspicion>,
     /// Set to the time at which the request is sent.
     pub(super) sent: Rc<Cell<Option<Instant>>>,
-    /// Notified then.
+    /// Set to the time at which there is a connection for the request.
+    pub(super) connected: Rc<Cell<Option<Instant>>>,
+    /// Notified at both times.
     pub(super) sends: Rc<Notify>,
     /// Notified if the attempt is to be cancelled.
     pub(super) cancelled: Rc<Notify>,
@@ -143,6 +145,8 @@
         if let Some(outcome) = self.check().await {
             return (self.plan, outcome);
         }
+        self.sent.set(Some(Instant::now()));
+        self.sends.notify_one();
         let outcome = tokio::select! {
             outcome = self.send(lease, replica, was_idle) => outcome,
             never = self.watch(was_idle) => match never {},
@@ -234,7 +238,7 @@
         };
         let id = &call.head.id;
         let on_send = || {
-            if self.sent.replace(Some(Instant::now())).is_none() {
+            if self.connected.replace(Some(Instant::now())).is_none() {
                 self.log_beside();
                 self.sends.notify_one();
             }
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -141,7 +141,7 @@
             self.trial = self.traffic.start_trial(&self.call, plan.endpoint.key);
         }
         let suspects = race.suspects();
-        let Pending { plan, sent, cancelled, .. } = race.add(plan);
+        let Pending { plan, sent, connected, cancelled, .. } = race.add(plan);
         Attempt {
             traffic: self.traffic.clone(),
             call: self.call.clone(),
@@ -149,6 +149,7 @@
             end: self.call.deadline(),
             signs: signs.clone(),
             sent,
+            connected,
             sends: race.sends.clone(),
             cancelled,
             suspects,
--- a/crates/relay/src/flow/generation/race/state.rs
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -63,13 +63,16 @@
     suspect: Option<(Instant, LossSign)>,
     /// Time at which the request was sent; until then, the runner is only probed.
     pub(super) sent: Rc<Cell<Option<Instant>>>,
+    /// Time at which there was a connection for the request; it may run from then on.
+    pub(super) connected: Rc<Cell<Option<Instant>>>,
     /// Cancels the attempt.
     pub(super) cancelled: Rc<Notify>,
 }
 
 impl Pending {
     fn new(plan: Plan) -> Pending {
-        Pending { plan, suspect: None, sent: Rc::default(), cancelled: Rc::default() }
+        let (sent, connected, cancelled) = Default::default();
+        Pending { plan, suspect: None, sent, connected, cancelled }
     }
 
     pub(super) fn is_fresh(&self) -> bool {
@@ -140,7 +143,7 @@
 
     /// Returns the time of the first send beside the silent run.
     fn first_send(&self) -> Option<Instant> {
-        self.pending.iter().filter_map(|p| p.sent.get()).chain(self.first_send).min()
+        self.pending.iter().filter_map(|p| p.connected.get()).chain(self.first_send).min()
     }
 
     /// Removes an attempt that has ended.
@@ -190,7 +193,7 @@
     pub(super) fn handover_end(&self) -> Option<Instant> {
         self.silent.as_ref()?;
         let resumes = self.pending.iter().filter(|p| !p.is_fresh());
-        Some(resumes.filter_map(|p| p.sent.get()).min()? + HANDOVER_GRACE)
+        Some(resumes.filter_map(|p| p.connected.get()).min()? + HANDOVER_GRACE)
     }
 
     /// Returns the runners of the silent run and of the attempts that continue if these respond again.
