--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -492,3 +492,46 @@
         assert!(shown.contains(":3:"), "{shown}");
     }
 }
+
+/// Guards against streams that go on at a second runner, because an instance that was suspended takes the time
+/// for a silence although events wait in its sockets.
+#[tokio::test]
+async fn suspended_instance_does_not_resume_streams_elsewhere() {
+    const STREAMS: usize = 24;
+    /// Time between events, and suspensions that make it longer than that after which a run is silent.
+    const CASES: [(Duration, Duration); 2] = [(ms(380), ms(120)), (ms(40), ms(1_000))];
+    for (gap, suspension) in CASES {
+        run_local(async {
+            let last = ms(6_000).div_duration_f64(gap) as u64;
+            let script = Script::Events { last, gap, end: StreamEnd::Complete };
+            let mut platform = Platform::new().await;
+            platform.runners[..2]
+                .iter()
+                .for_each(|runner| _ = runner.script.replace(script.clone()));
+            for id in ["e3", "e4"] {
+                platform.start_runner(id, support::ENGINES, "b", script.clone()).await;
+            }
+            let instance = platform.start("n1");
+            wait_until("the instance is ready", async || instance.ready().await).await;
+            let receive = |index: usize| async move {
+                sleep(ms(37) * index as u32).await;
+                let (id, parts) = (format!("b{index}"), format!("a{index}:200"));
+                post_attempt(instance.callers, "/stream/1", "k1", "{}", &parts, &id).await
+            };
+            let suspend = async {
+                sleep(ms(1_500)).await;
+                for _ in 0..4 {
+                    instance.process.freeze();
+                    sleep(suspension).await;
+                    instance.process.thaw();
+                    sleep(ms(400)).await;
+                }
+            };
+            let (received, ()) = tokio::join!(join_all((0..STREAMS).map(receive)), suspend);
+            assert!(received.iter().flatten().filter(|r| r.status == 200).count() == STREAMS);
+            let requests: usize = platform.runners.iter().map(|r| r.request_count()).sum();
+            assert_eq!(requests, STREAMS, "gap {gap:?}, suspensions of {suspension:?}");
+        })
+        .await;
+    }
+}
