Read what has arrived before a run counts as silent

An instance that was suspended resumed streams from their replicas beside runs whose events it had not read.

Cause: SIGCONT interrupts `epoll_wait`, so that the runtime handles its timers without the sockets. The timeout of each run is over, while its events wait in the kernel. The race sends at once if the replica's runner has been heard of within 150 ms, as through another stream that was read first.

Now a run is read for 10 ms after its timeout, which are counted from when this node notices. That is enough for the sockets, which are read in the next round of the runtime. Each true silence is noticed 10 ms later, after 430 instead of 420 ms of the 700 allowed.

--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -18,6 +18,9 @@
 
 /// Interval at which a run without a replica looks for a holder with room.
 const REPLICA_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after a timeout in which what has arrived is still read: a thread that was suspended sees its
+/// timeouts before its sockets.
+const READ_TIME: Duration = Duration::from_millis(10);
 
 /// A run with its connection; dropping it closes the connection, which cancels the run.
 pub(super) struct Run {
@@ -100,7 +103,8 @@
         }
     }
 
-    async fn receive(&mut self, until: Instant, position: Option<u64>) -> Result<Event, RunEnd> {
+    async fn receive(&mut self, end: Instant, position: Option<u64>) -> Result<Event, RunEnd> {
+        let mut until = end;
         loop {
             let mut is_empty = false;
             match self.splitter.take() {
@@ -126,13 +130,16 @@
             }
             // A timeout alone does not end a wait if there is always something to read.
             if Instant::now() >= until {
-                return Err(RunEnd::Silent);
+                if until > end {
+                    return Err(RunEnd::Silent);
+                }
+                until = Instant::now() + READ_TIME;
             }
             if !is_empty {
                 continue;
             }
             let wait_start = *self.wait_start.get_or_insert_with(Moment::now);
-            let frame = timeout_at(until, self.body.frame()).await.map_err(|_| RunEnd::Silent)?;
+            let Ok(frame) = timeout_at(until, self.body.frame()).await else { continue };
             match frame {
                 Some(Ok(frame)) => {
                     self.wait_start = None;
