Show that a runner which only writes works on after its run was cancelled

Callers that leave, and streams that are resumed elsewhere: a runner that does not read during its response gets the end of its connection at its second write after the close. A runner that reads sees the close after 0.4 to 3 ms.

Red on this commit.

--- a/tests/cancelled_runs.rs
+++ b/tests/cancelled_runs.rs
@@ -24,18 +24,32 @@
 /// Time in which the buffers between the runner and the caller fill up.
 const FILL_TIME: Duration = ms(1_500);
 
-/// Runner whose runs send events as fast as they are read, or nothing.
+/// Time between the writes of a runner that only writes.
+const WRITE_GAP: Duration = ms(350);
+
+/// What a run does after its first event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Work {
+    /// Sends events as fast as they are read.
+    Flood,
+    /// Sends nothing.
+    Silence,
+    /// Sends small events at intervals, and does not read.
+    Paced,
+}
+
+/// Runner whose runs send events, or nothing.
 struct Flooding {
-    is_silent: bool,
+    work: Work,
     runs: Cell<usize>,
     /// End of the last run.
     ended: Cell<Option<Instant>>,
 }
 
 impl Flooding {
-    async fn start(platform: &Platform, is_silent: bool) -> Rc<Flooding> {
+    async fn start(platform: &Platform, work: Work) -> Rc<Flooding> {
         let runs = Cell::default();
-        let runner = Rc::new(Flooding { is_silent, runs, ended: Cell::default() });
+        let runner = Rc::new(Flooding { work, runs, ended: Cell::default() });
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let registration = json!({"service": ENGINES, "address": listener.local_addr().unwrap(),
             "zone": "a", "version": "v1", "slots": 8, "state": "ready", "seq": 1, "born": 1});
@@ -64,7 +78,7 @@
         stream.read_exact(&mut [0; 2]).await?;
         self.runs.set(self.runs.get() + 1);
         let (mut read, mut write) = stream.split();
-        let is_silent = self.is_silent;
+        let work = self.work;
         let run = async {
             write
                 .write_all(
@@ -72,10 +86,12 @@
                       x-bilberryfront-server-stamp: f1\r\n\r\nid: 1\ndata: x\n\n",
                 )
                 .await?;
-            let data = "x".repeat(20_000);
+            let data = "x".repeat(if work == Work::Flood { 20_000 } else { 1 });
             for id in 2.. {
-                if is_silent {
-                    std::future::pending::<()>().await;
+                match work {
+                    Work::Flood => {}
+                    Work::Silence => std::future::pending().await,
+                    Work::Paced => sleep(WRITE_GAP).await,
                 }
                 write.write_all(format!("id: {id}\ndata: {data}\n\n").as_bytes()).await?;
             }
@@ -83,17 +99,17 @@
         };
         tokio::select! {
             _ = run => {}
-            _ = read.read_u8() => {}
+            _ = read.read_u8(), if work != Work::Paced => {}
         }
         self.ended.set(Some(Instant::now()));
         Ok(())
     }
 }
 
-async fn start(is_silent: bool) -> (Platform, Rc<Flooding>, Instance) {
+async fn start(work: Work) -> (Platform, Rc<Flooding>, Instance) {
     let platform = Platform::new().await;
     platform.runners.iter().for_each(|runner| platform.store.put("servers", &runner.id, None));
-    let runner = Flooding::start(&platform, is_silent).await;
+    let runner = Flooding::start(&platform, work).await;
     let instance = platform.start("n1");
     wait_until("the instance is ready", async || instance.ready().await).await;
     (platform, runner, instance)
@@ -114,12 +130,13 @@
 }
 
 /// Guards against a run that goes on after its caller has left, because bytes are left unread or unsent on
-/// the way, and against one whose runner is silent then.
+/// the way, against one whose runner is silent then, and against one whose runner only writes and has to
+/// write twice to notice it.
 #[tokio::test]
 async fn run_ends_when_its_caller_leaves_with_full_buffers() {
-    for is_silent in [false, true] {
+    for work in [Work::Flood, Work::Silence, Work::Paced] {
         run_local(async {
-            let (_platform, runner, instance) = start(is_silent).await;
+            let (_platform, runner, instance) = start(work).await;
             let caller = send(&instance).await;
             sleep(FILL_TIME).await;
             assert_eq!((runner.runs.get(), runner.ended.get()), (1, None));
@@ -127,8 +144,8 @@
             drop(caller);
             wait_until("the run ends", async || runner.ended.get().is_some()).await;
             let time = runner.ended.get().unwrap() - left;
-            println!("silent {is_silent}: the run ended after {time:?}");
-            assert!(time < END_TIME, "silent {is_silent}: the run ended after {time:?}");
+            println!("{work:?}: the run ended after {time:?}");
+            assert!(time < END_TIME, "{work:?}: the run ended after {time:?}");
         })
         .await;
     }
