--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -16,6 +16,8 @@
 mod engine;
 #[path = "relay/extra_responses.rs"]
 mod extra_responses;
+#[path = "relay/handovers.rs"]
+mod handovers;
 #[path = "relay/limits.rs"]
 mod limits;
 #[path = "relay/lost_events.rs"]
