Cancel the attempts sent before a replica when the stream is handed over

Cause: the handover ended the silent run only. An attempt from the prompt that was sent before and is suspect (its version was rolled back, its runner is late with its reports) stayed open beside the run that was resumed from the replica until that one's first event, and without a silent run there was no bound at all.

--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -113,6 +113,7 @@
                 // The silent run and the attempts whose events are missing are considered again.
                 () = sends.notified() => {}
                 () = sleep_until(handover_end.unwrap_or(end)), if handover_end.is_some() => {
+                    self.failed.extend(race.cancel_former());
                     self.lose_silent_run(&mut race, RunEnd::Silent).await;
                 }
                 () = sleep_until(lost_end.unwrap_or(end)), if lost_end.is_some() => {
--- a/crates/relay/src/flow/generation/race/state.rs
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -186,14 +186,32 @@
 
     /// Returns whether the silent run's replica has been sent for, so that the stream may go on there.
     pub(super) fn is_handed_over(&self) -> bool {
-        self.handover_end().is_some()
+        self.silent.is_some() && self.handover().is_some()
     }
 
-    /// Returns the time at which the silent run ends because its replica has been sent for.
+    /// Returns the time at which the silent run and the earlier attempts end because its replica has been sent
+    /// for.
     pub(super) fn handover_end(&self) -> Option<Instant> {
-        self.silent.as_ref()?;
+        let (sent_at, number) = self.handover()?;
+        let has_former = self.silent.is_some() || self.former(number).next().is_some();
+        has_former.then_some(sent_at + HANDOVER_GRACE)
+    }
+
+    /// Returns the time and the number of the first send of a replica that is under way.
+    fn handover(&self) -> Option<(Instant, u32)> {
         let resumes = self.pending.iter().filter(|p| !p.is_fresh());
-        Some(resumes.filter_map(|p| p.connected.get()).min()? + HANDOVER_GRACE)
+        resumes.filter_map(|p| Some((p.connected.get()?, p.plan.number))).min()
+    }
+
+    /// Returns the attempts that were sent before the one with this number.
+    fn former(&self, number: u32) -> impl Iterator<Item = &Pending> {
+        self.pending.iter().filter(move |p| p.plan.number < number && p.is_sent())
+    }
+
+    /// Cancels the attempts that were sent before a replica, and returns their runners.
+    pub(super) fn cancel_former(&self) -> impl Iterator<Item = RunnerKey> {
+        let former = self.handover().into_iter().flat_map(|(_, number)| self.former(number));
+        former.inspect(|p| p.cancelled.notify_one()).map(|p| p.plan.endpoint.key)
     }
 
     /// Returns the runners of the silent run and of the attempts that continue if these respond again.
