Keep a silent run if nothing was sent to the runner of its replica

An attempt that ended between the decision and its connection (quarantine, cancelled rival) counted as one that may have run, so that the silent run was ended and the stream cut. It is ended only if there was a connection for the request.

Before: silent_run_is_kept_if_nothing_was_sent_before_the_quarantine failed, the stream was aborted.

--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -90,9 +90,10 @@
                     }
                 },
                 Some((plan, outcome)) = attempts.next() => {
+                    let was_connected = race.is_connected(plan.number);
                     race.remove(plan.number);
                     // The replica's runner may have run the request although its response is lost.
-                    if plan.from_replica.is_some() && outcome.is_lost() {
+                    if plan.from_replica.is_some() && was_connected && outcome.is_lost() {
                         self.lose_silent_run(&mut race, RunEnd::Silent).await;
                     }
                     match outcome {
--- a/crates/relay/src/flow/generation/race/state.rs
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -214,6 +214,12 @@
         former.inspect(|p| p.cancelled.notify_one()).map(|p| p.plan.endpoint.key)
     }
 
+    /// Returns whether there was a connection for the request of an attempt.
+    pub(super) fn is_connected(&self, number: u32) -> bool {
+        let attempt = self.pending.iter().find(|p| p.plan.number == number);
+        attempt.is_some_and(|p| p.connected.get().is_some())
+    }
+
     /// Returns the runners of the silent run and of the attempts that continue if these respond again.
     pub(super) fn suspects(&self) -> Vec<Endpoint> {
         let silent = self.silent.iter().filter(|_| !self.is_responsive);
