--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -90,9 +90,10 @@
                     }
                 },
                 Some((plan, outcome)) = attempts.next() => {
+                    let was_connected = race.is_connected(plan.number);
                     race.remove(plan.number);
                     // The replica's runner may have run the request although its response is lost.
-                    if plan.from_replica.is_some() && outcome.is_lost() {
+                    if plan.from_replica.is_some() && was_connected && outcome.is_lost() {
                         self.lose_silent_run(&mut race, RunEnd::Silent).await;
                     }
                     match outcome {
@@ -113,6 +114,7 @@
                 // The silent run and the attempts whose events are missing are considered again.
                 () = sends.notified() => {}
                 () = sleep_until(handover_end.unwrap_or(end)), if handover_end.is_some() => {
+                    self.failed.extend(race.cancel_former());
                     self.lose_silent_run(&mut race, RunEnd::Silent).await;
                 }
                 () = sleep_until(lost_end.unwrap_or(end)), if lost_end.is_some() => {
