Leave more time for the rejection of a replica if there is no retry

Callers: a stream was cut if the runner of its replica rejected the request 100 ms or more after the send and the retry budget was exhausted, although the silent run would have gone on.

Cause: the handover assumed that another attempt follows a rejection. Without a retry none does.

Now the silent run is kept for 300 of the 400 ms if the budget allows no other attempt at that moment.

--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -73,7 +73,7 @@
                 }
             }
             let (lost_end, sends) = (race.lost_end(), race.sends.clone());
-            let (handover_end, retry_at) = (race.handover_end(), race.retry_at);
+            let (handover_end, retry_at) = (self.handover_end(&race), race.retry_at);
             tokio::select! {
                 biased;
                 next = wait_for_event(&mut race, self.position) => match next {
@@ -114,8 +114,11 @@
                 // The silent run and the attempts whose events are missing are considered again.
                 () = sends.notified() => {}
                 () = sleep_until(handover_end.unwrap_or(end)), if handover_end.is_some() => {
-                    self.failed.extend(race.cancel_former());
-                    self.lose_silent_run(&mut race, RunEnd::Silent).await;
+                    // The retry budget may have been exhausted since.
+                    if self.handover_end(&race).is_some_and(|at| at <= Instant::now()) {
+                        self.failed.extend(race.cancel_former());
+                        self.lose_silent_run(&mut race, RunEnd::Silent).await;
+                    }
                 }
                 () = sleep_until(lost_end.unwrap_or(end)), if lost_end.is_some() => {
                     self.failed.extend(race.cancel_lost());
@@ -132,6 +135,10 @@
         }
     }
 
+    fn handover_end(&self, race: &Race) -> Option<Instant> {
+        race.handover_end(self.traffic.has_retry(&self.call.service))
+    }
+
     /// Adds an attempt to a race.
     fn start_attempt(
         &mut self,
--- a/crates/relay/src/flow/generation/race/state.rs
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -22,6 +22,8 @@
 /// Time for which a silent run is kept after its replica was sent for, in case that is rejected. Both runners
 /// may work for 400 ms; the rest is for late timers.
 const HANDOVER_GRACE: Duration = Duration::from_millis(100);
+/// The same if the retry budget is exhausted, as a rejection would cut the stream after that.
+const MAX_HANDOVER_GRACE: Duration = Duration::from_millis(300);
 /// Time for which a silent run is waited for after its runner has responded to a probe.
 const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 /// Time of a silence from which the last attempt of the route is used for a hedge as well.
@@ -190,11 +192,12 @@
     }
 
     /// Returns the time at which the silent run and the earlier attempts end because its replica has been sent
-    /// for.
-    pub(super) fn handover_end(&self) -> Option<Instant> {
+    /// for. `has_retry` states whether the retry budget allows another attempt.
+    pub(super) fn handover_end(&self, has_retry: bool) -> Option<Instant> {
         let (sent_at, number) = self.handover()?;
         let has_former = self.silent.is_some() || self.former(number).next().is_some();
-        has_former.then_some(sent_at + HANDOVER_GRACE)
+        let grace = if has_retry { HANDOVER_GRACE } else { MAX_HANDOVER_GRACE };
+        has_former.then_some(sent_at + grace)
     }
 
     /// Returns the time and the number of the first send of a replica that is under way.
