--- a/crates/relay/src/flow/generation/race/state.rs
+++ b/crates/relay/src/flow/generation/race/state.rs
@@ -22,6 +22,8 @@
 /// Time for which a silent run is kept after its replica was sent for, in case that is rejected. Both runners
 /// may work for 400 ms; the rest is for late timers.
 const HANDOVER_GRACE: Duration = Duration::from_millis(100);
+/// The same if the retry budget is exhausted, as a rejection would cut the stream after that.
+const MAX_HANDOVER_GRACE: Duration = Duration::from_millis(300);
 /// Time for which a silent run is waited for after its runner has responded to a probe.
 const RESPONSE_GRACE: Duration = Duration::from_millis(100);
 /// Time of a silence from which the last attempt of the route is used for a hedge as well.
@@ -186,14 +188,39 @@
 
     /// Returns whether the silent run's replica has been sent for, so that the stream may go on there.
     pub(super) fn is_handed_over(&self) -> bool {
-        self.handover_end().is_some()
+        self.silent.is_some() && self.handover().is_some()
     }
 
-    /// Returns the time at which the silent run ends because its replica has been sent for.
-    pub(super) fn handover_end(&self) -> Option<Instant> {
-        self.silent.as_ref()?;
+    /// Returns the time at which the silent run and the earlier attempts end because its replica has been sent
+    /// for. `has_retry` states whether the retry budget allows another attempt.
+    pub(super) fn handover_end(&self, has_retry: bool) -> Option<Instant> {
+        let (sent_at, number) = self.handover()?;
+        let has_former = self.silent.is_some() || self.former(number).next().is_some();
+        let grace = if has_retry { HANDOVER_GRACE } else { MAX_HANDOVER_GRACE };
+        has_former.then_some(sent_at + grace)
+    }
+
+    /// Returns the time and the number of the first send of a replica that is under way.
+    fn handover(&self) -> Option<(Instant, u32)> {
         let resumes = self.pending.iter().filter(|p| !p.is_fresh());
-        Some(resumes.filter_map(|p| p.connected.get()).min()? + HANDOVER_GRACE)
+        resumes.filter_map(|p| Some((p.connected.get()?, p.plan.number))).min()
+    }
+
+    /// Returns the attempts that were sent before the one with this number.
+    fn former(&self, number: u32) -> impl Iterator<Item = &Pending> {
+        self.pending.iter().filter(move |p| p.plan.number < number && p.is_sent())
+    }
+
+    /// Cancels the attempts that were sent before a replica, and returns their runners.
+    pub(super) fn cancel_former(&self) -> impl Iterator<Item = RunnerKey> {
+        let former = self.handover().into_iter().flat_map(|(_, number)| self.former(number));
+        former.inspect(|p| p.cancelled.notify_one()).map(|p| p.plan.endpoint.key)
+    }
+
+    /// Returns whether there was a connection for the request of an attempt.
+    pub(super) fn is_connected(&self, number: u32) -> bool {
+        let attempt = self.pending.iter().find(|p| p.plan.number == number);
+        attempt.is_some_and(|p| p.connected.get().is_some())
     }
 
     /// Returns the runners of the silent run and of the attempts that continue if these respond again.
