--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -85,6 +85,21 @@
     reported: u32,
 }
 
+/// What a decision on a retry goes by.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usage {
+    /// Requests of this node and of the peers that report to it.
+    pub requests: u32,
+    /// Known retries of all nodes.
+    pub retries: u32,
+    /// Retries that peers may have taken and not reported yet.
+    pub unreported: u32,
+    /// Number of nodes that report to this one, including itself.
+    pub reporting: u32,
+    /// Retries that this node may count at most.
+    pub allowed: f64,
+}
+
 /// Latest report of a peer.
 #[derive(Clone, Copy, Debug)]
 struct PeerUse {
@@ -127,6 +142,11 @@
         self.with(service, |budget| budget.has_retry(Instant::now(), nodes))
     }
 
+    /// Returns what a decision on a retry of one of `nodes` nodes goes by.
+    pub fn usage(&self, service: &str, nodes: usize) -> Usage {
+        self.with(service, |budget| budget.usage(Instant::now(), nodes))
+    }
+
     /// Returns the use of all budgets with requests or retries in the window, for peers.
     pub fn snapshot(&self) -> Vec<BudgetUse> {
         self.report(|budget| budget.is_used(Instant::now()))
@@ -194,19 +214,25 @@
     }
 
     fn has_retry(&mut self, now: Instant, nodes: usize) -> bool {
+        let Usage { retries, unreported, allowed, .. } = self.usage(now, nodes);
+        f64::from(retries + unreported) + 1.0 <= allowed
+    }
+
+    fn usage(&mut self, now: Instant, nodes: usize) -> Usage {
         let (own_requests, _) = self.own_use(now);
         let recent = self.peers.values().filter(|p| p.is_recent(now));
         let requests = own_requests + recent.clone().map(|p| p.requests).sum::<u32>();
-        let reporting = recent.count() + 1;
-        let peers = reporting as u32 - 1;
-        let retries = self.known_retries(now) + self.unreported_retries(now, peers);
+        let peers = recent.count() as u32;
+        let reporting = peers + 1;
+        let (retries, unreported) = (self.known_retries(now), self.unreported_retries(now, peers));
         let (margin, startup_share) = match now < self.known_at {
             true => (STARTUP_MARGIN, STARTUP_SHARE),
             false => (MARGIN, 1.0),
         };
-        let share = startup_share * reporting as f64 / nodes.max(reporting) as f64;
+        let nodes = f64::from(reporting).max(nodes as f64);
+        let share = startup_share * f64::from(reporting) / nodes;
         let allowed = self.allowance.ratio * f64::from(requests) + self.allowance.slack * share;
-        f64::from(retries) + 1.0 <= allowed * margin
+        Usage { requests, retries, unreported, reporting, allowed: allowed * margin }
     }
 
     /// Returns this node's use of the budget, for peers.
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -16,7 +16,7 @@
         catalog::{Engine, Kind, Level},
         dialect::{Dialect, SendOptions},
         fleet::{Criteria, Endpoint, Fleet, RunnerKey, Version},
-        log_messages::{ERROR_RETURNED, NO_CRASH, REJECTED, RUNNER_CRASHED},
+        log_messages::{ERROR_RETURNED, NO_CRASH, NO_RETRY, REJECTED, RUNNER_CRASHED},
         metrics::{Metrics, Outcome},
         network::Network,
         pool::SendError,
@@ -323,7 +323,20 @@
     /// Takes one retry from the service's budget; returns false if it is exhausted.
     fn take_retry(&self, service: &str) -> bool {
         let nodes = self.published.load().shares();
-        self.budgets.try_take(service, nodes)
+        let is_taken = self.budgets.try_take(service, nodes);
+        self.metrics.count_retry(service, is_taken);
+        if !is_taken {
+            let usage = self.budgets.usage(service, nodes);
+            log::info!(service, requests = usage.requests, retries = usage.retries,
+                unreported = usage.unreported, reporting = usage.reporting, nodes,
+                allowed = usage.allowed; "{NO_RETRY}");
+        }
+        is_taken
+    }
+
+    /// Counts a send of a request; `is_repeat` states whether it was sent before.
+    fn count_send(&self, call: &Call, is_repeat: bool) {
+        self.metrics.count_send(&call.service, is_repeat);
     }
 
     /// Returns whether the service's budget has a retry left.
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -12,7 +12,7 @@
         runner_client::{SendOutcome, is_failure},
     },
     http::Response,
-    std::time::Duration,
+    std::{cell::Cell, time::Duration},
     tokio::time::Instant,
 };
 
@@ -28,6 +28,7 @@
     let deadline = call.deadline();
     let mut tried = Vec::new();
     let mut reached_runner = false;
+    let is_sent = Cell::new(false);
     while tried.len() < MAX_RUNNERS && Instant::now() < deadline {
         let Some(endpoint) = traffic.choose_runner(call, &tried) else { break };
         if reached_runner && !traffic.take_retry(&call.service) {
@@ -39,7 +40,8 @@
         let options = send_options(call, &endpoint, tried.len());
         let sent_at = Instant::now();
         let trial = traffic.start_trial(call, key);
-        match traffic.client.send(call, &endpoint, &options, deadline).await {
+        let on_send = || traffic.count_send(call, is_sent.replace(true));
+        match traffic.client.send(call, &endpoint, &options, deadline, on_send).await {
             SendOutcome::Answered(reply) => {
                 return match traffic.client.read_body(reply, &endpoint, deadline).await {
                     Ok((parts, bytes)) => {
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -34,7 +34,7 @@
     bilberryfront_decide::mover::Response as VersionResponse,
     bytes::Bytes,
     http::{Response, response::Parts},
-    std::{rc::Rc, time::Duration},
+    std::{cell::Cell, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -64,6 +64,8 @@
     number: u32,
     /// Number of sends, without those that lost against a silent run which continued.
     sends: u32,
+    /// Whether the request was sent.
+    is_sent: Rc<Cell<bool>>,
     /// Whether a send has reached a runner.
     reached_runner: bool,
     /// Whether a runner may have run the request.
@@ -205,6 +207,7 @@
             runs: 0,
             number: 0,
             sends: 0,
+            is_sent: Rc::default(),
             reached_runner: false,
             may_have_run: false,
             has_unused_retry: false,
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -59,6 +59,8 @@
     pub(super) end: Instant,
     /// Receives whether the attempt is suspect.
     pub(super) signs: mpsc::UnboundedSender<Suspicion>,
+    /// Whether this or another attempt was sent.
+    pub(super) is_sent: Rc<Cell<bool>>,
     /// Set to the time at which the request is sent.
     pub(super) sent: Rc<Cell<Option<Instant>>>,
     /// Set to the time at which there is a connection for the request.
@@ -238,12 +240,12 @@
         };
         let id = &call.head.id;
         let on_send = || {
-            if self.connected.replace(Some(Instant::now())).is_none() {
-                self.log_beside();
-                self.sends.notify_one();
-            }
+            self.connected.set(Some(Instant::now()));
+            traffic.count_send(call, self.is_sent.replace(true));
+            self.log_beside();
+            self.sends.notify_one();
         };
-        let reply = match client.send_notified(call, endpoint, &options, *end, on_send).await {
+        let reply = match client.send(call, endpoint, &options, *end, on_send).await {
             SendOutcome::Answered(reply) if is_failure(reply.parts.status) => {
                 return match client.read_body(reply, endpoint, *end).await {
                     Ok((parts, bytes)) => AttemptOutcome::Failure(parts, bytes),
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -157,6 +157,7 @@
             plan,
             end: self.call.deadline(),
             signs: signs.clone(),
+            is_sent: self.is_sent.clone(),
             sent,
             connected,
             sends: race.sends.clone(),
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -17,7 +17,7 @@
     bytes::Bytes,
     futures_util::{StreamExt, stream::FuturesUnordered},
     http::{Response, response::Parts},
-    std::{pin::pin, time::Duration},
+    std::{cell::Cell, pin::pin, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep, timeout},
 };
 
@@ -38,6 +38,8 @@
     pending: u32,
     /// Runner of the newest attempt while that has not ended.
     newest: Option<RunnerKey>,
+    /// Whether the request was sent.
+    is_sent: Rc<Cell<bool>>,
     /// Whether an attempt has reached a runner.
     reached_runner: bool,
     /// Whether an attempt had no path to its runner.
@@ -85,7 +87,8 @@
             progress.newest = Some(endpoint.key);
             progress.tried.push(endpoint.key);
             progress.pending += 1;
-            pending.push(attempt(traffic, call, endpoint, earlier));
+            let is_sent = progress.is_sent.clone();
+            pending.push(attempt(traffic, call, endpoint, earlier, is_sent));
         }
         let ended = tokio::select! {
             biased;
@@ -154,10 +157,11 @@
     call: &Call,
     endpoint: Endpoint,
     earlier: usize,
+    is_sent: Rc<Cell<bool>>,
 ) -> Attempt {
     let _lease = traffic.client.fleet.lease_call(endpoint.clone());
     let sent_at = Instant::now();
-    let result = receive(traffic, call, &endpoint, earlier).await;
+    let result = receive(traffic, call, &endpoint, earlier, &is_sent).await;
     Attempt { endpoint, sent_at, result }
 }
 
@@ -167,9 +171,10 @@
     call: &Call,
     endpoint: &Endpoint,
     earlier: usize,
+    is_sent: &Cell<bool>,
 ) -> AttemptResult {
     let (fleet, sent_at) = (&traffic.client.fleet, Instant::now());
-    let mut response = pin!(exchange(traffic, call, endpoint, earlier));
+    let mut response = pin!(exchange(traffic, call, endpoint, earlier, is_sent));
     if let Ok(result) = timeout(hedge_delay(call), &mut response).await {
         return result;
     }
@@ -192,10 +197,12 @@
     call: &Call,
     endpoint: &Endpoint,
     earlier: usize,
+    is_sent: &Cell<bool>,
 ) -> AttemptResult {
     let (client, deadline) = (&traffic.client, call.deadline());
     let options = send_options(call, endpoint, earlier);
-    match client.send(call, endpoint, &options, deadline).await {
+    let on_send = || traffic.count_send(call, is_sent.replace(true));
+    match client.send(call, endpoint, &options, deadline, on_send).await {
         SendOutcome::Answered(reply) => match client.read_body(reply, endpoint, deadline).await {
             Ok((parts, bytes)) => AttemptResult::Complete(parts, bytes),
             Err(error) => AttemptResult::Incomplete(error),
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -24,6 +24,8 @@
 pub const STREAM_ABORTED: &str = "stream aborted";
 /// Response lost; followed by the reason.
 pub const RESPONSE_LOST: &str = "response lost: ";
+/// Retry refused by the budget of a service.
+pub const NO_RETRY: &str = "no retry left in the budget";
 /// Request rejected by a runner without being run.
 pub const REJECTED_BY_RUNNER: &str = "request rejected by the runner";
 /// Error response received from a runner.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,12 +2,13 @@
 
 mod admission;
 mod pace;
+mod retries;
 mod volume;
 
 pub use self::volume::{Part, PollOutcome};
 
 use {
-    self::{admission::Admission, pace::Pace, volume::Volume},
+    self::{admission::Admission, pace::Pace, retries::Retries, volume::Volume},
     crate::{catalog::Kind, fleet::PaceCounts, rejection::Rejection},
     bilberryfront_decide::{admission::throttle::Subject, member::PeerMessage},
     compact_str::CompactString,
@@ -142,6 +143,7 @@
     volume: Volume,
     admission: Admission,
     pace: Pace,
+    retries: Retries,
     version: Gauge,
     era: Gauge,
     shards: Gauge,
@@ -166,6 +168,7 @@
             volume: Volume::default(),
             admission: Admission::default(),
             pace: Pace::default(),
+            retries: Retries::default(),
             version: Gauge::default(),
             era: Gauge::default(),
             shards: Gauge::default(),
@@ -203,6 +206,7 @@
         m.volume.register(&mut registry);
         m.admission.register(&mut registry);
         m.pace.register(&mut registry);
+        m.retries.register(&mut registry);
         registry.register("catalogue_version", "Version in force", m.version.clone());
         registry.register(
             "shards",
@@ -301,6 +305,16 @@
         self.silences.get_or_create(&SilenceLabels { end }).inc();
     }
 
+    /// Counts a retry that the budget of a service has allowed or not.
+    pub fn count_retry(&self, service: &str, is_taken: bool) {
+        self.retries.count_decision(service, is_taken);
+    }
+
+    /// Counts a request that is sent to a runner.
+    pub fn count_send(&self, service: &str, is_repeat: bool) {
+        self.retries.count_send(service, is_repeat);
+    }
+
     /// Counts a store outage.
     pub fn count_store_failure(&self) {
         self.store.inc();
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -24,7 +24,7 @@
     },
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
-    std::{io, net::SocketAddr, str::FromStr, time::Duration},
+    std::{cell::Cell, io, net::SocketAddr, str::FromStr, time::Duration},
     tokio::{
         io::AsyncReadExt,
         time::{Instant, sleep, sleep_until, timeout, timeout_at},
@@ -142,28 +142,22 @@
 }
 
 impl<D: Dialect, N: Network> RunnerClient<D, N> {
-    /// Sends a request, unless the runner may not get one now, and waits for the response head.
+    /// Sends a request, unless the runner may not get one now, and waits for the response head. `on_send` is
+    /// called once there is a connection for it.
     pub async fn send(
         &self,
         call: &Call,
         endpoint: &Endpoint,
         options: &SendOptions,
         deadline: Instant,
-    ) -> SendOutcome {
-        self.send_notified(call, endpoint, options, deadline, || {}).await
-    }
-
-    /// Sends a request like [`RunnerClient::send`]; `on_send` is called once there is a connection for it.
-    pub async fn send_notified(
-        &self,
-        call: &Call,
-        endpoint: &Endpoint,
-        options: &SendOptions,
-        deadline: Instant,
         on_send: impl Fn(),
     ) -> SendOutcome {
+        let is_sent = Cell::new(false);
         let request = || {
-            on_send();
+            if !is_sent.replace(true) {
+                on_send();
+                self.log_send(call, endpoint, options);
+            }
             let headers = self.dialect.request_headers(call, options);
             request(&call.method, &call.path, endpoint.address, headers, call.body.clone())
         };
@@ -178,7 +172,6 @@
         if self.fleet.is_rate_limited(endpoint.key) {
             self.metrics.count_limited_send(options.earlier);
         }
-        self.log_send(call, endpoint, options);
         let sent_at = Moment::now();
         let exchange = Exchange::Call(call.head.id.clone());
         let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
@@ -248,6 +241,7 @@
             service = call.service.as_str(), registered = registered.service.as_str(),
             version = registered.version.as_str(), assumed = registered.assumed,
             from_replica = from.unwrap_or_default().as_str(), earlier = options.earlier,
+            left = options.left.as_millis() as u64,
             catalogue = view.catalog.as_ref().map_or(0, |catalog| catalog.version);
             "{REQUEST_SENT}");
     }
