--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -30,8 +30,9 @@
 const PEER_REPORT_TTL: Duration = Duration::from_millis(1_500);
 /// Number of buckets per window.
 const BUCKETS: u32 = 20;
-/// Maximum time from taking a retry until the request reaches its runner.
-const MAX_SEND_DELAY: Duration = Duration::from_millis(500);
+/// Maximum time from taking a retry until the request reaches its runner, if a kept connection proves closed
+/// and the next one is opened through another node.
+const MAX_SEND_DELAY: Duration = Duration::from_millis(700);
 
 /// Global bound on retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -334,9 +334,16 @@
         is_taken
     }
 
-    /// Counts a send of a request; `is_repeat` states whether it was sent before.
-    fn count_send(&self, call: &Call, is_repeat: bool) {
+    /// Returns whether a request may be written to a connection. All but the first time it takes a retry, at this
+    /// moment, as runners and the other nodes count when requests arrive.
+    fn admit_send(&self, call: &Call, is_sent: &Cell<bool>) -> bool {
+        let is_repeat = is_sent.get();
+        if is_repeat && !self.take_retry(&call.service) {
+            return false;
+        }
+        is_sent.set(true);
         self.metrics.count_send(&call.service, is_repeat);
+        true
     }
 
     /// Returns whether the service's budget has a retry left.
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -27,11 +27,10 @@
 ) -> Response<ResponseBody> {
     let deadline = call.deadline();
     let mut tried = Vec::new();
-    let mut reached_runner = false;
     let is_sent = Cell::new(false);
     while tried.len() < MAX_RUNNERS && Instant::now() < deadline {
         let Some(endpoint) = traffic.choose_runner(call, &tried) else { break };
-        if reached_runner && !traffic.take_retry(&call.service) {
+        if is_sent.get() && !traffic.has_retry(&call.service) {
             break;
         }
         let fleet = &traffic.client.fleet;
@@ -40,8 +39,8 @@
         let options = send_options(call, &endpoint, tried.len());
         let sent_at = Instant::now();
         let trial = traffic.start_trial(call, key);
-        let on_send = || traffic.count_send(call, is_sent.replace(true));
-        match traffic.client.send(call, &endpoint, &options, deadline, on_send).await {
+        let admit = || traffic.admit_send(call, &is_sent);
+        match traffic.client.send(call, &endpoint, &options, deadline, admit).await {
             SendOutcome::Answered(reply) => {
                 return match traffic.client.read_body(reply, &endpoint, deadline).await {
                     Ok((parts, bytes)) => {
@@ -60,11 +59,10 @@
                     }
                 };
             }
-            SendOutcome::NotRun => reached_runner = true,
-            SendOutcome::Withheld => {}
+            SendOutcome::NotRun | SendOutcome::Withheld => {}
             SendOutcome::Unsent => fleet.record_failure(key, Instant::now()),
             // Other runners of the service cannot be reached either.
-            SendOutcome::NoPath => break,
+            SendOutcome::NoPath | SendOutcome::NotAdmitted => break,
             SendOutcome::Lost(error) => {
                 match error {
                     SendError::Disconnected => {
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -66,12 +66,8 @@
     sends: u32,
     /// Whether the request was sent.
     is_sent: Rc<Cell<bool>>,
-    /// Whether a send has reached a runner.
-    reached_runner: bool,
     /// Whether a runner may have run the request.
     may_have_run: bool,
-    /// Whether the last retry that was taken from the budget was not used, as there was no path.
-    has_unused_retry: bool,
     /// Time of the first event.
     first_event_at: Option<Instant>,
     /// Replica of the last run.
@@ -208,9 +204,7 @@
             number: 0,
             sends: 0,
             is_sent: Rc::default(),
-            reached_runner: false,
             may_have_run: false,
-            has_unused_retry: false,
             first_event_at: None,
             last_replica: None,
             failure: None,
@@ -389,8 +383,7 @@
         })
     }
 
-    /// Returns whether the limits allow another send. Takes it from the retry budget if an earlier one
-    /// has reached a runner, unless it is a hedge, which does so itself.
+    /// Returns whether the limits allow another send. The retry is taken when the request is sent.
     fn may_send(&mut self, race: &Race, end: Instant) -> bool {
         if self.sends == 0 {
             return true;
@@ -402,12 +395,9 @@
         self.no_attempt.is_none()
     }
 
-    fn may_retry(&mut self, race: &Race) -> bool {
-        if !race.is_empty() {
-            return self.traffic.has_retry(&self.call.service);
-        }
-        let is_free = !self.reached_runner || std::mem::take(&mut self.has_unused_retry);
-        is_free || self.traffic.take_retry(&self.call.service)
+    fn may_retry(&self, race: &Race) -> bool {
+        let is_first = race.is_empty() && !self.is_sent.get();
+        is_first || self.traffic.has_retry(&self.call.service)
     }
 
     /// Returns the limit, other than the retry budget, that forbids another send.
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -190,7 +190,7 @@
         match timeout_at(self.end, self.probe()).await {
             Ok((true, Some(key))) => Some(AttemptOutcome::Unneeded(key)),
             Ok((true, None)) => {
-                let is_allowed = self.traffic.take_retry(&self.call.service);
+                let is_allowed = self.traffic.has_retry(&self.call.service);
                 (!is_allowed).then_some(AttemptOutcome::NoBudget)
             }
             Ok((false, _)) | Err(_) => Some(AttemptOutcome::Unresponsive),
@@ -239,13 +239,16 @@
             AttemptOutcome::Lost(LostRun { error, is_suspect: has_started || was_idle })
         };
         let id = &call.head.id;
-        let on_send = || {
-            self.connected.set(Some(Instant::now()));
-            traffic.count_send(call, self.is_sent.replace(true));
-            self.log_beside();
-            self.sends.notify_one();
+        let admit = || {
+            let is_admitted = traffic.admit_send(call, &self.is_sent);
+            if is_admitted {
+                self.connected.set(Some(Instant::now()));
+                self.log_beside();
+                self.sends.notify_one();
+            }
+            is_admitted
         };
-        let reply = match client.send(call, endpoint, &options, *end, on_send).await {
+        let reply = match client.send(call, endpoint, &options, *end, admit).await {
             SendOutcome::Answered(reply) if is_failure(reply.parts.status) => {
                 return match client.read_body(reply, endpoint, *end).await {
                     Ok((parts, bytes)) => AttemptOutcome::Failure(parts, bytes),
@@ -257,6 +260,7 @@
             SendOutcome::Unsent => return AttemptOutcome::Unsent,
             SendOutcome::NoPath => return AttemptOutcome::NoPath,
             SendOutcome::Withheld => return AttemptOutcome::Withheld,
+            SendOutcome::NotAdmitted => return AttemptOutcome::NoBudget,
             SendOutcome::Lost(error) => return lost(error, false),
         };
         let (parts, mut run) = Run::new(*reply, lease, replica);
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -213,7 +213,6 @@
         }
         let StartedRun { parts, run, first } = started;
         let is_fresh = plan.from_replica.is_none();
-        self.reached_runner = true;
         self.may_have_run = true;
         self.runs += u32::from(is_fresh);
         self.first_event_at.get_or_insert_with(Instant::now);
@@ -258,13 +257,11 @@
         match outcome {
             AttemptOutcome::Started(_) => unreachable!("a started run ends the race"),
             AttemptOutcome::Failure(parts, bytes) => {
-                self.reached_runner = true;
                 self.end_trial(number, VersionResponse::Failure);
                 self.runs += 1;
                 self.failure = Some((parts, bytes));
             }
-            AttemptOutcome::NotRun => self.reached_runner = true,
-            AttemptOutcome::Withheld => {}
+            AttemptOutcome::NotRun | AttemptOutcome::Withheld => {}
             AttemptOutcome::Unsent => self.mark_failed(endpoint.key),
             AttemptOutcome::Unresponsive | AttemptOutcome::NoBudget => {
                 self.sends -= 1;
@@ -290,12 +287,11 @@
             }
             AttemptOutcome::NoPath => {
                 self.sends -= 1;
-                self.has_unused_retry = is_hedge || self.reached_runner;
                 self.keep_replica(race, from_replica);
                 if race.is_empty() {
                     // A new stream may succeed through another node; one that has begun cannot.
                     let fleet = &self.traffic.client.fleet;
-                    if !self.reached_runner
+                    if !self.is_sent.get()
                         || !fleet.wait_for_path(&endpoint, self.call.deadline()).await
                     {
                         self.no_attempt = Some(NoAttempt::NoPath);
@@ -307,7 +303,6 @@
                 return None;
             }
             AttemptOutcome::Lost(LostRun { error, is_suspect }) => {
-                self.reached_runner = true;
                 self.end_trial(number, VersionResponse::Lost);
                 self.runs += u32::from(is_fresh);
                 self.lost = Some(error);
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -40,8 +40,6 @@
     newest: Option<RunnerKey>,
     /// Whether the request was sent.
     is_sent: Rc<Cell<bool>>,
-    /// Whether an attempt has reached a runner.
-    reached_runner: bool,
     /// Whether an attempt had no path to its runner.
     no_path: bool,
     /// Number of ended attempts that may have run.
@@ -120,8 +118,7 @@
     }
 }
 
-/// Returns the runner of the next attempt, if there is one, and takes a retry from the budget if the
-/// request may have reached a runner.
+/// Returns the runner of the next attempt, if there is one and the budget has a retry for it.
 fn next_runner<D: Dialect, N: Network>(
     traffic: &Traffic<D, N>,
     call: &Call,
@@ -141,8 +138,8 @@
     if is_hedge && traffic.client.fleet.is_ejected(endpoint.key) {
         return None;
     }
-    let is_retry = is_hedge || progress.reached_runner;
-    (!is_retry || traffic.take_retry(&call.service)).then_some(endpoint)
+    let is_retry = is_hedge || progress.is_sent.get();
+    (!is_retry || traffic.has_retry(&call.service)).then_some(endpoint)
 }
 
 /// Returns the time after which another attempt is made beside those that have not ended.
@@ -201,8 +198,8 @@
 ) -> AttemptResult {
     let (client, deadline) = (&traffic.client, call.deadline());
     let options = send_options(call, endpoint, earlier);
-    let on_send = || traffic.count_send(call, is_sent.replace(true));
-    match client.send(call, endpoint, &options, deadline, on_send).await {
+    let admit = || traffic.admit_send(call, is_sent);
+    match client.send(call, endpoint, &options, deadline, admit).await {
         SendOutcome::Answered(reply) => match client.read_body(reply, endpoint, deadline).await {
             Ok((parts, bytes)) => AttemptResult::Complete(parts, bytes),
             Err(error) => AttemptResult::Incomplete(error),
@@ -220,8 +217,6 @@
 ) -> Option<(Parts, Bytes)> {
     let Attempt { endpoint, sent_at, result } = attempt;
     let (fleet, key) = (&traffic.client.fleet, endpoint.key);
-    progress.reached_runner |=
-        !matches!(result, AttemptResult::Ended(SendOutcome::Unsent | SendOutcome::Withheld));
     match result {
         AttemptResult::Complete(parts, bytes) => {
             progress.runs += 1;
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -72,6 +72,8 @@
     /// Nothing was sent, because the runner is draining, paused, has no rate limit left for this node, or
     /// belongs to another service.
     Withheld,
+    /// Nothing was sent, because the sender does not admit it any more.
+    NotAdmitted,
     /// Sent, but no valid response was received; the request may have run.
     Lost(SendError),
 }
@@ -142,24 +144,30 @@
 }
 
 impl<D: Dialect, N: Network> RunnerClient<D, N> {
-    /// Sends a request, unless the runner may not get one now, and waits for the response head. `on_send` is
-    /// called once there is a connection for it.
+    /// Sends a request, unless the runner may not get one now, and waits for the response head. `admit` is called
+    /// once there is a connection for the request, and states whether it may be sent.
     pub async fn send(
         &self,
         call: &Call,
         endpoint: &Endpoint,
         options: &SendOptions,
         deadline: Instant,
-        on_send: impl Fn(),
+        admit: impl Fn() -> bool,
     ) -> SendOutcome {
-        let is_sent = Cell::new(false);
+        let admitted = Cell::new(None);
         let request = || {
-            if !is_sent.replace(true) {
-                on_send();
+            let is_first = admitted.get().is_none();
+            if is_first {
+                admitted.set(Some(admit()));
+            }
+            if admitted.get() == Some(false) {
+                return None;
+            }
+            if is_first {
                 self.log_send(call, endpoint, options);
             }
             let headers = self.dialect.request_headers(call, options);
-            request(&call.method, &call.path, endpoint.address, headers, call.body.clone())
+            Some(request(&call.method, &call.path, endpoint.address, headers, call.body.clone()))
         };
         if let Some(registered) = self.fleet.service(endpoint.key).filter(|s| *s != call.service) {
             log::error!(request = call.head.id.as_str(), runner = endpoint.id.as_str(),
@@ -177,6 +185,7 @@
         let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
         let (response, connection) = match exchanged {
             Ok(exchanged) => exchanged,
+            Err(_) if admitted.get() == Some(false) => return SendOutcome::NotAdmitted,
             Err(error @ (SendError::Unsent | SendError::NoPath)) => {
                 log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
                     "cannot connect to the runner: {error}");
@@ -493,7 +502,8 @@
         }
         let ControlRequest { method, path, body, exchange } = control;
         let path = PathAndQuery::from_str(path).ok()?;
-        let request = || request(&method, &path, endpoint.address, HeaderMap::new(), body.clone());
+        let request =
+            || Some(request(&method, &path, endpoint.address, HeaderMap::new(), body.clone()));
         let answer = async {
             let deadline = Instant::now() + limit;
             let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
@@ -535,24 +545,32 @@
     }
 
     /// Sends a request on an idle connection that is suited for it, or on a new one if there is none or
-    /// the idle one was closed before the request was sent.
+    /// the idle one was closed before the request was sent. Nothing is sent if `request` returns `None`.
     async fn exchange(
         &self,
         endpoint: &Endpoint,
         exchange: &Exchange,
-        request: impl Fn() -> Request<Full<Bytes>>,
+        request: impl Fn() -> Option<Request<Full<Bytes>>>,
         deadline: Instant,
     ) -> Result<(http::Response<Incoming>, Connection), SendError> {
         let idle = self.fleet.take_idle_connection(endpoint.key, Instant::now(), exchange);
         if let Some(mut connection) = idle {
-            match connection.send(request(), exchange, deadline).await {
+            let Some(request) = request() else {
+                self.fleet.return_connection(endpoint.key, connection, None);
+                return Err(SendError::Unsent);
+            };
+            match connection.send(request, exchange, deadline).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(SendError::Unsent) => {}
                 Err(error) => return Err(error),
             }
         }
         let mut connection = self.connect(endpoint).await?;
-        let response = connection.send(request(), exchange, deadline).await?;
+        let Some(request) = request() else {
+            self.fleet.return_connection(endpoint.key, connection, None);
+            return Err(SendError::Unsent);
+        };
+        let response = connection.send(request, exchange, deadline).await?;
         Ok((response, connection))
     }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -34,6 +34,8 @@
 mod pauses;
 #[path = "relay/races.rs"]
 mod races;
+#[path = "relay/retries.rs"]
+mod retries;
 #[path = "relay/rollouts.rs"]
 mod rollouts;
 #[path = "relay/silences.rs"]
--- a/tests/relay/calls.rs
+++ b/tests/relay/calls.rs
@@ -43,7 +43,7 @@
             earlier: 0,
             priority: None,
         };
-        let sent = client.send(&call, &engine, &options, call.deadline(), || {}).await;
+        let sent = client.send(&call, &engine, &options, call.deadline(), || true).await;
         assert!(matches!(sent, SendOutcome::Withheld));
         assert_eq!(deployment.request_count(), 0);
     })
--- /dev/null
+++ b/tests/relay/retries.rs
@@ -0,0 +1,114 @@
+//! Retries: when they are taken from the budget, and what their requests state.
+
+use {
+    super::support::{
+        Deployment, ENGINES, PLAIN, Partition, Script, StreamEnd, call, ms, run_local,
+    },
+    bilberryfront_relay::budget::{Allowance, Budgets},
+    futures_util::future::join_all,
+    http::HeaderValue,
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    std::collections::HashMap,
+    tokio::time::{Instant, sleep, timeout},
+};
+
+const DOMAINS: [&str; 6] = ["a", "a", "b", "b", "c", "c"];
+const EVENTS: Script = Script::Events { last: 30, gap: ms(30), end: StreamEnd::Complete };
+/// Number of nodes that a deployment publishes.
+const NODES: usize = 2;
+
+/// Guards against retries that are taken in one window and arrive in the next, whose budget is full again:
+/// streams whose node finds no path to the runners.
+#[tokio::test(start_paused = true)]
+async fn retry_is_taken_when_its_request_is_sent() {
+    for partition in [Partition::Refuse, Partition::Hang] {
+        run_local(async {
+            let mut engines = Deployment::new(ENGINES, &DOMAINS, &EVENTS);
+            let allowance = Allowance { ratio: 0.0, slack: 100.0, window: ms(1_000) };
+            engines.traffic.budgets = Budgets::new(allowance);
+            let cut = async {
+                sleep(ms(300)).await;
+                engines.fail_tunnels(true);
+                engines.partition(Some(partition));
+                sleep(ms(2_000)).await;
+                let before = engines.request_count();
+                engines.fail_tunnels(false);
+                // Nothing is left, from the first window's end on.
+                let start = Instant::now();
+                while start.elapsed() < ms(3_000) {
+                    while engines.traffic.budgets.try_take(ENGINES, NODES) {}
+                    sleep(ms(10)).await;
+                }
+                assert_eq!(engines.request_count(), before, "{partition:?}");
+            };
+            let streams =
+                ["/stream/1", "/stream/2", "/stream/3"].map(|path| engines.serve(path, &[]));
+            tokio::join!(join_all(streams), cut);
+        })
+        .await;
+    }
+}
+
+/// Load: runners pause, crash and reject requests, and the node loses its path to them and finds it again.
+/// Guards against repeated requests that are not taken from the budget.
+#[tokio::test(start_paused = true)]
+async fn every_repeat_is_taken_from_the_budget() {
+    let mut sum = 0;
+    for seed in 0..15 {
+        sum += run_local(repeat_requests(seed)).await;
+    }
+    assert!(sum > 150, "{sum} repeats");
+}
+
+/// Returns the number of repeated requests.
+async fn repeat_requests(seed: u64) -> u32 {
+    let rng = &mut SmallRng::seed_from_u64(seed);
+    let mut deployment = Deployment::new(ENGINES, &DOMAINS, &EVENTS);
+    for _ in 0..3 {
+        deployment = deployment.with_runner(PLAIN, &Script::Respond(200, "done"));
+    }
+    let client = deployment.traffic.client.clone();
+    let recovery = tokio::task::spawn_local(async move { client.recover().await });
+    let mut requests = Vec::new();
+    for number in 0..80 {
+        let path =
+            ["/stream/1", "/stream/1", "/fixed/1", "/lodge/1", "/look/1"][rng.random_range(0..5)];
+        let mut call = call(path, &[]);
+        let id = format!("q{number}");
+        call.head.id = id.as_str().into();
+        let header = HeaderValue::from_str(&id).unwrap();
+        call.head.headers.insert("x-bilberryfront-attempt-id", header);
+        let serving = deployment.clone();
+        requests.push(tokio::task::spawn_local(async move {
+            _ = timeout(ms(20_000), serving.serve_call(call)).await;
+        }));
+        let runner = &deployment.runners[rng.random_range(0..deployment.runners.len())];
+        match rng.random_range(0..12) {
+            0..4 => runner.pause_for(ms(rng.random_range(100..3_000))),
+            4 => runner.crash(),
+            5 => _ = runner.resume_script.replace(Some(Script::NotRunAfter(ms(50)))),
+            6 => _ = runner.resume_script.take(),
+            7 => runner.prefill_time.set(ms(rng.random_range(0..1_500))),
+            8 => {
+                let partition = [None, Some(Partition::Hang), Some(Partition::Refuse)];
+                deployment.partition(partition[rng.random_range(0..3)]);
+            }
+            9 => deployment.fail_tunnels(rng.random_bool(0.5)),
+            _ => deployment.runners.iter().for_each(|runner| runner.is_crashed.set(false)),
+        }
+        sleep(ms(rng.random_range(0..300))).await;
+    }
+    deployment.partition(None);
+    join_all(requests).await;
+    recovery.abort();
+    let mut arrivals = HashMap::<String, u32>::new();
+    for request in deployment.runners.iter().flat_map(|runner| runner.requests.borrow().clone()) {
+        let id = request.headers["x-bilberryfront-attempt-id"].to_str().unwrap().to_owned();
+        *arrivals.entry(id).or_default() += 1;
+    }
+    let repeats: u32 = arrivals.values().map(|count| count - 1).sum();
+    let used = deployment.traffic.budgets.take_update();
+    let taken: u32 = used.iter().map(|used| used.total).sum();
+    assert!(repeats <= taken, "seed {seed}: {repeats} repeats, {taken} retries taken");
+    repeats
+}
