--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -12,7 +12,7 @@
     /// Decodes a request head.
     fn parse_request(&self, parts: &request::Parts) -> Result<Head, Malformed>;
 
-    /// Encodes the headers of a request to a runner.
+    /// Encodes the headers of a request to a runner, with the time that is left now.
     fn request_headers(&self, call: &Call, options: &SendOptions) -> HeaderMap;
 
     /// Decodes a response head.
@@ -85,8 +85,6 @@
 pub struct SendOptions {
     /// Id of the expected runner; any other runner rejects the request.
     pub runner: CompactString,
-    /// Time left until the deadline.
-    pub left: Duration,
     /// Id of the last delivered event.
     pub resume: Option<u64>,
     /// Address of the runner to which the run is replicated.
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -463,7 +463,6 @@
 fn send_options(call: &Call, endpoint: &Endpoint, earlier: usize) -> SendOptions {
     SendOptions {
         runner: endpoint.id.clone(),
-        left: call.time_left(),
         resume: call.head.resume,
         replica_to: None,
         from_replica: None,
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -228,7 +228,6 @@
         let (client, endpoint) = (&traffic.client, &plan.endpoint);
         let options = SendOptions {
             runner: endpoint.id.clone(),
-            left: call.time_left(),
             resume: plan.position,
             replica_to: plan.holder.as_ref().map(|p| p.address),
             from_replica: plan.from_replica.as_ref().map(AvailableReplica::take),
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -250,7 +250,7 @@
             service = call.service.as_str(), registered = registered.service.as_str(),
             version = registered.version.as_str(), assumed = registered.assumed,
             from_replica = from.unwrap_or_default().as_str(), earlier = options.earlier,
-            left = options.left.as_millis() as u64,
+            left = call.time_left().as_millis() as u64,
             catalogue = view.catalog.as_ref().map_or(0, |catalog| catalog.version);
             "{REQUEST_SENT}");
     }
--- a/tests/relay/calls.rs
+++ b/tests/relay/calls.rs
@@ -36,7 +36,6 @@
         let call = call("/lodge/1", &[]);
         let options = SendOptions {
             runner: engine.id.clone(),
-            left: call.time_left(),
             resume: None,
             replica_to: None,
             from_replica: None,
--- a/tests/relay/retries.rs
+++ b/tests/relay/retries.rs
@@ -2,13 +2,14 @@
 
 use {
     super::support::{
-        Deployment, ENGINES, PLAIN, Partition, Script, StreamEnd, call, ms, run_local,
+        Deployment, ENGINES, PLAIN, Partition, ReceivedRequest, Runner, Script, StreamEnd, call,
+        ms, run_local,
     },
     bilberryfront_relay::budget::{Allowance, Budgets},
     futures_util::future::join_all,
     http::HeaderValue,
     rand::{Rng, SeedableRng, rngs::SmallRng},
-    std::collections::HashMap,
+    std::{collections::HashMap, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep, timeout},
 };
 
@@ -49,6 +50,36 @@
     }
 }
 
+/// Guards against runners that are told more time than is left, because it is read before there is a
+/// connection: a partitioned node opens one through another node.
+#[tokio::test(start_paused = true)]
+async fn time_left_is_stated_when_the_request_is_sent() {
+    for path in ["/lodge/1", "/look/1"] {
+        run_local(async {
+            let plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
+            plain.partition(Some(Partition::Hang));
+            let start = Instant::now();
+            let deadline = ("x-bilberryfront-deadline-ms", "700");
+            assert_eq!(plain.serve(path, &[deadline]).await.status, 200, "{path}");
+            let stated = plain.runners.iter().flat_map(|runner| stated_ends(runner, start));
+            let last = stated.max().expect("a runner has served it");
+            assert!(last <= ms(700), "{path}: {last:?}");
+        })
+        .await;
+    }
+}
+
+/// Returns the times after `start` at which the requests of a runner end, as they state.
+fn stated_ends(runner: &Rc<Runner>, start: Instant) -> Vec<Duration> {
+    let requests = runner.requests.borrow();
+    let end = |request: &ReceivedRequest| {
+        let left = request.headers.get("x-bilberryfront-deadline-ms");
+        let left = left.expect("a deadline").to_str().unwrap().parse().unwrap();
+        request.at.duration_since(start) + ms(left)
+    };
+    requests.iter().map(end).collect()
+}
+
 /// Load: runners pause, crash and reject requests, and the node loses its path to them and finds it again.
 /// Guards against repeated requests that are not taken from the budget.
 #[tokio::test(start_paused = true)]
