--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -88,10 +88,9 @@
         self.head.timeout.map(|p| self.start + p)
     }
 
-    /// Returns the time left to a runner, until the caller's deadline or, without one, the route's.
+    /// Returns the time left to a runner, which need not work for longer than this node waits.
     pub fn time_left(&self) -> Duration {
-        let end = self.caller_deadline().unwrap_or_else(|| self.deadline());
-        end.saturating_duration_since(Instant::now())
+        self.deadline().saturating_duration_since(Instant::now())
     }
 
     /// Returns the deadline of the final response: the caller's or the route's, whichever is
--- a/tests/relay/retries.rs
+++ b/tests/relay/retries.rs
@@ -69,6 +69,23 @@
     }
 }
 
+/// Guards against runners that work on a request, or read it late, after its node has answered the caller: the
+/// route's timeout of 800 ms ends before the caller's deadline.
+#[tokio::test(start_paused = true)]
+async fn runner_is_not_told_more_time_than_the_node_waits() {
+    for path in ["/lodge/1", "/look/1"] {
+        run_local(async {
+            let plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
+            let start = Instant::now();
+            let deadline = ("x-bilberryfront-deadline-ms", "2500");
+            assert_eq!(plain.serve(path, &[deadline]).await.status, 200, "{path}");
+            let stated = plain.runners.iter().flat_map(|runner| stated_ends(runner, start));
+            assert_eq!(stated.max(), Some(ms(800)), "{path}");
+        })
+        .await;
+    }
+}
+
 /// Returns the times after `start` at which the requests of a runner end, as they state.
 fn stated_ends(runner: &Rc<Runner>, start: Instant) -> Vec<Duration> {
     let requests = runner.requests.borrow();
