--- a/crates/relay/src/control/members.rs
+++ b/crates/relay/src/control/members.rs
@@ -93,7 +93,7 @@
     let identity = authority.sign(&local_node.name).map_err(|e| PeerError::Tls(e.to_string()))?;
     let config = PeerConfig {
         name: local_node.name.clone(),
-        listen: local_node.peers,
+        listen: settings.listen.peers,
         certificate: identity.certificate.into_bytes(),
         key: identity.key.into_bytes(),
         authority: authority.certificate.clone().into_bytes(),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -48,6 +48,9 @@
     pub addresses: SocketAddr,
     /// Other nodes.
     pub peers: SocketAddr,
+    /// Address at which other nodes reach `peers`, if that is behind a translation of addresses.
+    #[serde(default)]
+    pub advertise: Option<SocketAddr>,
     /// Metrics; disabled if absent.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -69,7 +69,7 @@
             name: settings.name.clone(),
             domain: settings.domain.clone(),
             callers: settings.listen.callers,
-            peers: settings.listen.peers,
+            peers: settings.listen.advertise.unwrap_or(settings.listen.peers),
         }
     }
 
