--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -9,7 +9,8 @@
 //!
 //! `BILBERRYFRONT_SOAK_SEEDS` is a seed, or a range without its end; `BILBERRYFRONT_SOAK_SECONDS` is the
 //! time for which each seed is played; `BILBERRYFRONT_SOAK_SIZE` is `ENGINES,INSTANCES`;
-//! `BILBERRYFRONT_SOAK_PROGRAM` is another build of the program. A seed determines the faults and the
+//! `BILBERRYFRONT_SOAK_PROGRAM` is another build of the program; `BILBERRYFRONT_SOAK_FAULTS` names the series of
+//! faults that are injected, separated by commas (see `faults::start`). A seed determines the faults and the
 //! requests, but not how they interleave.
 
 #[path = "soak/checks.rs"]
@@ -20,6 +21,8 @@
 mod faults;
 #[path = "soak/judge.rs"]
 mod judge;
+#[path = "soak/links.rs"]
+mod links;
 #[path = "relay/process.rs"]
 #[allow(dead_code, reason = "shared with the other tests of the program")]
 mod process;
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -22,7 +22,7 @@
 /// Returns an attempt on a route that was answered as a whole, and its run.
 fn served(name: &str) -> (Attempt, Run) {
     let (route, at) = (route(name), Instant::now());
-    let role = if name == "lodge" { DESK } else { LLM };
+    let role = if matches!(name, "lodge" | "look") { DESK } else { LLM };
     let events = (1..=EVENTS).map(|event| format!("id: {event}\ndata: {event} q1\n\n"));
     let text = if name == "lodge" { "done q1".into() } else { events.collect() };
     let path = format!("{}q1", route.prefix());
@@ -34,6 +34,7 @@
         instance: "n0".into(),
         after: 0,
         at,
+        left: 3 * SECOND,
         end: Some(at + 4 * SECOND),
         status: Some(200),
         text,
@@ -49,6 +50,7 @@
         tenant: Some("t0".into()),
         from: None,
         after: None,
+        left: Some(3 * SECOND),
         at,
         first: Some(at),
         end: Some(at + 4 * SECOND),
@@ -85,6 +87,55 @@
     runs.push(Run { runner: "i-2".into(), role, path, at, first: Some(at), after, from, ..run });
 }
 
+/// Returns the rules that are broken by attempts on a route that have these runs and no response.
+fn broken_by(name: &str, count: usize, record: &Record, runs: &[Run]) -> Vec<&'static str> {
+    record.add_catalog(json!({"routes": [{"prefix": "/stream/", "service": "llm"},
+        {"prefix": "/look/", "service": "desk"}]}));
+    let (attempt, _) = served(name);
+    for number in 0..count {
+        let id = format!("q{number}");
+        record
+            .runs
+            .borrow_mut()
+            .extend(runs.iter().map(|run| Run { id: id.clone(), ..run.clone() }));
+        let attempt = Attempt { status: None, complete: false, ..attempt.clone() };
+        record.attempts.borrow_mut().insert(id, attempt);
+    }
+    record.judge().into_iter().map(|violation| violation.rule).collect()
+}
+
+/// Returns the rules that are broken by four streams, each of which has a run and runs on some more runners from a
+/// replica, and on others from the prompt.
+fn broken_by_runners(continued: usize, others: usize, is_disturbed: bool) -> Vec<&'static str> {
+    let (record, (_, run)) = (Record::default(), served("stream"));
+    let run = Run { end: Some(run.at), ..run };
+    let from = |index| (index < continued).then(|| "127.0.0.1:2/q1".to_owned());
+    let more = (0..continued + others).map(|index| {
+        let runner = format!("i-{}", index + 2);
+        if is_disturbed {
+            record.disturb(&runner, "crash", SECOND);
+        }
+        Run { runner, from: from(index), ..run.clone() }
+    });
+    let runs: Vec<Run> = [run.clone()].into_iter().chain(more).collect();
+    broken_by("stream", 4, &record, &runs)
+}
+
+/// Returns the rules that are broken by calls with 3 s left that state `left`, and are sent again a second later with
+/// `second`.
+fn broken_by_ends(count: usize, left: Duration, second: Option<Duration>) -> Vec<&'static str> {
+    let (_, run) = served("look");
+    let second = second.map(|left| Run {
+        at: run.at + SECOND,
+        left: Some(left),
+        rejected: Some(503),
+        ..run.clone()
+    });
+    let first = Run { left: Some(left), ..run };
+    let runs: Vec<Run> = [first].into_iter().chain(second).collect();
+    broken_by("look", count, &Record::default(), &runs)
+}
+
 /// Guards against a judge that overlooks violations, or that reports what the rules allow.
 #[test]
 fn each_rule_can_be_broken() {
@@ -144,6 +195,24 @@
     };
     assert_eq!(broken("stream", repeat), ["ORDER"]);
     assert_eq!(broken("lodge", |attempt, _| attempt.text = "done q2".into()), ["ORDER"]);
+    for (continued, others, is_broken) in [(0, 4, false), (0, 5, true), (5, 0, true), (3, 2, true)]
+    {
+        let expected: &[&str] = if is_broken { &["BUDGET"; 4] } else { &[] };
+        assert_eq!(broken_by_runners(continued, others, false), expected, "{continued}, {others}");
+    }
+    assert!(broken_by_runners(5, 0, true).is_empty());
+    for (left, second, is_broken) in [
+        (3_000, Some(2_000), false),
+        (3_000, Some(2_400), false),
+        (3_000, Some(2_600), true),
+        (3_400, None, false),
+        (3_600, None, true),
+    ] {
+        let second = second.map(ms);
+        let count = broken_by_ends(21, ms(left), second).len();
+        assert_eq!(count, if is_broken { 21 } else { 0 }, "{left} ms and {second:?} left");
+        assert!(broken_by_ends(20, ms(left), second).is_empty());
+    }
     let repeated = |_: &mut Attempt, runs: &mut Vec<Run>| {
         (0..160).for_each(|_| {
             let (_, run) = served("stream");
--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -34,7 +34,7 @@
         matches!(self, Kind::Stream | Kind::Call)
     }
 
-    fn is_stream(self) -> bool {
+    pub(crate) fn is_stream(self) -> bool {
         matches!(self, Kind::Resumable | Kind::Stream)
     }
 }
@@ -46,15 +46,17 @@
     pub(crate) kind: Kind,
     /// Requests per second.
     rate: f64,
+    /// Runners to which an attempt may be sent.
+    attempts: usize,
 }
 
 pub(crate) const ROUTES: [Route; 6] = [
-    Route { name: "stream", kind: Kind::Resumable, rate: 5.0 },
-    Route { name: "report", kind: Kind::Resumable, rate: 4.0 },
-    Route { name: "fixed", kind: Kind::Stream, rate: 1.0 },
-    Route { name: "lodge", kind: Kind::Call, rate: 12.0 },
-    Route { name: "pay", kind: Kind::Call, rate: 6.0 },
-    Route { name: "look", kind: Kind::Lookup, rate: 17.0 },
+    Route { name: "stream", kind: Kind::Resumable, rate: 5.0, attempts: 5 },
+    Route { name: "report", kind: Kind::Resumable, rate: 4.0, attempts: 5 },
+    Route { name: "fixed", kind: Kind::Stream, rate: 1.0, attempts: 1 },
+    Route { name: "lodge", kind: Kind::Call, rate: 12.0, attempts: 1 },
+    Route { name: "pay", kind: Kind::Call, rate: 6.0, attempts: 1 },
+    Route { name: "look", kind: Kind::Lookup, rate: 17.0, attempts: 2 },
 ];
 
 impl Route {
@@ -64,15 +66,15 @@
 
     /// Returns the most runners to which an attempt may be sent.
     pub(crate) fn attempts(&self) -> usize {
-        if self.kind.runs_once() { 1 } else { 4 }
+        self.attempts
     }
 
     /// Returns its entry of the catalogue, without its services.
     pub(crate) fn entry(&self) -> serde_json::Value {
         let (kind, timeout, objective) = match self.kind {
             Kind::Resumable | Kind::Stream => ("streaming", 25_000, 4_500),
-            Kind::Call => ("non_idempotent", 2_500, 150),
-            Kind::Lookup => ("idempotent", 2_500, 150),
+            Kind::Call => ("non_idempotent", 1_200, 150),
+            Kind::Lookup => ("idempotent", 1_200, 150),
         };
         serde_json::json!({"name": self.name, "host": HOST, "prefix": self.prefix(), "kind": kind,
             "timeout_ms": timeout, "target_latency_ms": objective, "target_gap_ms": 700,
@@ -169,13 +171,14 @@
             instance: self.world.instances[index].name.clone(),
             after,
             at: Instant::now(),
+            left: deadline - Instant::now(),
             end: None,
             status: None,
             text: String::new(),
             complete: false,
         };
         record.attempts.borrow_mut().insert(id.to_owned(), attempt);
-        let left = deadline - Instant::now();
+        let left = record.attempts.borrow()[id].left;
         let request = Request::post(path)
             .header("host", HOST)
             .header("x-bilberryfront-attempt-id", id)
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -2,13 +2,14 @@
 
 use {
     super::{
+        links::Link,
         process::get,
         runner::{Role, Runner},
         world::{DOMAINS, EXPIRY, GRACE, Instance, LLM, World},
     },
     bilberryfront_standins::faults::{Faults, Lose, Reject},
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
-    std::{ops::Range, rc::Rc, time::Duration},
+    std::{env, ops::Range, pin::Pin, rc::Rc, time::Duration},
     tokio::{
         task::JoinHandle,
         time::{Instant, sleep},
@@ -24,6 +25,9 @@
 /// Time after which a process is started again.
 const RESTART: Duration = Duration::from_secs(1);
 
+/// A series that runs.
+type Faulting = Pin<Box<dyn Future<Output = ()>>>;
+
 /// Source of the faults of a series.
 struct Series {
     world: Rc<World>,
@@ -36,17 +40,26 @@
         world: world.clone(),
         rng: SmallRng::seed_from_u64(seed * 100 + number),
     };
-    vec![
-        tokio::task::spawn_local(series(1).fail_domains()),
-        tokio::task::spawn_local(series(2).reuse_addresses()),
-        tokio::task::spawn_local(series(3).fail_store()),
-        tokio::task::spawn_local(series(4).change_catalogs()),
-        tokio::task::spawn_local(series(5).disturb_instances()),
-        tokio::task::spawn_local(series(6).reset_connections()),
-        tokio::task::spawn_local(series(7).stall_streams()),
-        tokio::task::spawn_local(series(8).lose_responses()),
-        tokio::task::spawn_local(resolve(world.clone())),
-    ]
+    let names = env::var("BILBERRYFRONT_SOAK_FAULTS").ok();
+    let is_chosen = |name: &str| names.as_ref().is_none_or(|n| n.split(',').any(|n| n == name));
+    let mut started = vec![tokio::task::spawn_local(resolve(world.clone()))];
+    let mut start = |number: u64, name: &str, run: fn(Series) -> Faulting| {
+        if is_chosen(name) {
+            started.push(tokio::task::spawn_local(run(series(number))));
+        }
+    };
+    start(1, "domains", |series| Box::pin(series.fail_domains()));
+    start(2, "addresses", |series| Box::pin(series.reuse_addresses()));
+    start(3, "store", |series| Box::pin(series.fail_store()));
+    start(4, "catalogues", |series| Box::pin(series.change_catalogs()));
+    start(5, "instances", |series| Box::pin(series.disturb_instances()));
+    start(6, "resets", |series| Box::pin(series.reset_connections()));
+    start(7, "stalls", |series| Box::pin(series.stall_streams()));
+    start(8, "responses", |series| Box::pin(series.lose_responses()));
+    start(9, "links", |series| Box::pin(series.fail_links()));
+    start(10, "rejections", |series| Box::pin(series.reject_requests()));
+    start(11, "connections", |series| Box::pin(series.cut_connections()));
+    started
 }
 
 impl Series {
@@ -270,6 +283,88 @@
         }
     }
 
+    /// Cuts single instances off from the others, both ways or in one direction, or makes their links, or those of
+    /// all, lossy or slow. These faults overlap.
+    async fn fail_links(mut self) {
+        loop {
+            self.pause(1.0..4.0).await;
+            let world = self.world.clone();
+            let (count, time) = (world.instances.len(), self.rng.random_range(1.0..9.0));
+            let at = self.rng.random_range(0..count);
+            let cut = Link { loss: 1.0, ..Link::default() };
+            let delay = Duration::from_millis(self.rng.random_range(200..3_000));
+            let lossy = Link { loss: self.rng.random_range(0.1..0.6), ..Link::default() };
+            let mut ends = vec![at];
+            let (what, link, sends, receives) = match self.rng.random_range(0..7) {
+                0 => ("links cut", cut, true, true),
+                1 | 2 => ("links cut to the others", cut, true, false),
+                3 => ("links cut from the others", cut, false, true),
+                4 => ("links lossy", lossy, true, true),
+                5 => ("links slow", Link { delay, ..Link::default() }, true, true),
+                _ => {
+                    ends = (0..count).collect();
+                    ("all links slow", Link { delay, ..Link::default() }, true, true)
+                }
+            };
+            let time = Duration::from_secs_f64(time);
+            for at in &ends {
+                world.registry.record.disturb(&world.instances[*at].name, what, time);
+            }
+            let set = move |world: &World, link: Option<Link>| {
+                let pairs = ends.iter().flat_map(|at| (0..count).map(move |other| (*at, other)));
+                for (at, other) in pairs.filter(|(at, other)| at != other) {
+                    if sends {
+                        world.links.set(at, other, link);
+                    }
+                    if receives {
+                        world.links.set(other, at, link);
+                    }
+                }
+            };
+            set(&world, Some(link));
+            let end = async move {
+                sleep(time).await;
+                set(&world, None);
+            };
+            match self.chance(0.5) {
+                true => end.await,
+                false => _ = tokio::task::spawn_local(end),
+            }
+        }
+    }
+
+    /// Lets most engines reject nearly all requests for a time, so that these are repeated.
+    async fn reject_requests(mut self) {
+        loop {
+            self.pause(1.0..4.0).await;
+            self.world.registry.record.count("wave of rejections");
+            let slots = self.world.slots.iter();
+            let hit: Vec<Rc<Runner>> = slots.map(|slot| slot.runner.borrow().clone()).collect();
+            let hit: Vec<_> = hit.into_iter().filter(|_| self.rng.random_bool(0.8)).collect();
+            hit.iter().for_each(|runner| runner.rejects.set(true));
+            self.pause(0.5..4.0).await;
+            hit.iter().for_each(|runner| runner.rejects.set(false));
+        }
+    }
+
+    /// Cuts connections to single runners for a time, both ways or in one direction. What was written to them
+    /// arrives when that ends.
+    async fn cut_connections(mut self) {
+        loop {
+            self.pause(0.3..2.0).await;
+            let runner = self.pick();
+            let time = Duration::from_secs_f64(self.rng.random_range(0.3..4.0));
+            let (reads, writes) =
+                [(true, true), (true, false), (false, true)][self.rng.random_range(0..3)];
+            self.world.registry.record.disturb(&runner.id, "connections cut", time);
+            tokio::task::spawn_local(async move {
+                runner.cut_connections(reads, writes);
+                sleep(time).await;
+                runner.restore_connections();
+            });
+        }
+    }
+
     fn pick(&mut self) -> Rc<Runner> {
         let slot = self.world.slots.choose(&mut self.rng).expect("there are runners");
         slot.runner.borrow().clone()
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -23,6 +23,11 @@
 pub(crate) const BUDGET_SLACK: f64 = 150.0;
 /// Requests that may run on more runners than their route allows.
 const MAX_BEYOND_ATTEMPTS: usize = 3;
+/// By how much a request to a runner may end too late, and time after the first one from which one is late.
+const DEADLINE_SLACK: Duration = Duration::from_millis(500);
+/// Requests that may end too late, and their share of these and of all that were sent once more so late.
+const MAX_LATE_ENDS: usize = 20;
+const MAX_LATE_SHARE: f64 = 0.2;
 
 /// A broken rule.
 pub(crate) struct Violation {
@@ -56,6 +61,7 @@
         }
         let mut violations = Vec::new();
         let mut beyond = Vec::new();
+        let mut ends = Vec::new();
         for (id, arrivals) in &by_id {
             let violation = |rule, what: String| Violation { rule, id: (*id).into(), what };
             let Some(attempt) = attempts.get(*id) else {
@@ -73,15 +79,29 @@
                 let what = before.find_map(|first| self.overlap(attempt, first, second));
                 violations.extend(what.map(|what| violation("TWICE", what)));
             }
-            let is_counted = |run: &&&Run| {
-                let end = run.end.unwrap_or_else(Instant::now);
-                !run.is_continued() && self.disturbance(&run.runner, run.at, end).is_none()
-            };
-            if runs.iter().filter(is_counted).count() > attempt.route.attempts() {
-                self.count("runs beyond the attempts");
-                beyond.push(violation("BUDGET", "attempts".into()));
+            let attempt_end = attempt.end.unwrap_or_else(Instant::now);
+            let is_counted =
+                |run: &&&Run| self.disturbance(&run.runner, run.at, attempt_end).is_none();
+            let counted = runs.iter().filter(is_counted).map(|run| run.runner.as_str());
+            let runners = counted.collect::<HashSet<&str>>().len();
+            if runners > attempt.route.attempts() {
+                self.count("runners beyond the attempts");
+                beyond.push(violation("BUDGET", format!("ran on {runners} runners")));
+            }
+            if !attempt.route.kind.is_stream() {
+                ends.extend(self.judge_ends(attempt, arrivals).map(|what| (*id, what)));
             }
         }
+        let late: Vec<_> =
+            ends.iter().filter_map(|(id, what)| Some((*id, what.as_ref()?))).collect();
+        println!("{} of {} requests state an end that is too late", late.len(), ends.len());
+        if late.len() > MAX_LATE_ENDS && late.len() as f64 > MAX_LATE_SHARE * ends.len() as f64 {
+            violations.extend(late.into_iter().map(|(id, what)| Violation {
+                rule: "BUDGET",
+                id: id.into(),
+                what: what.clone(),
+            }));
+        }
         if beyond.len() > MAX_BEYOND_ATTEMPTS {
             violations.extend(beyond);
         }
@@ -128,6 +148,35 @@
         })
     }
 
+    /// Returns how a call states more time to a runner than is left. `Some(None)` if it does not, and was sent once
+    /// more late; `None` if neither is the case, or its instance was out of touch.
+    fn judge_ends(&self, attempt: &Attempt, arrivals: &[&Run]) -> Option<Option<String>> {
+        let client_end = attempt.at + attempt.left;
+        let first = arrivals.first()?;
+        let first_end = first.at + first.left.unwrap_or_default();
+        let is_late = |run: &&&Run| run.at > first.at + DEADLINE_SLACK;
+        let state = |run: &Run| {
+            let what = match run.left {
+                None => "no deadline".into(),
+                Some(left) if left > attempt.left + DEADLINE_SLACK => {
+                    format!("{left:?} left, of {:?}", attempt.left)
+                }
+                Some(left) if is_late(&&run) => {
+                    let end = run.at + left;
+                    let is_over = end > first_end.max(client_end) + DEADLINE_SLACK;
+                    return is_over.then(|| format!("ends {:?} too late", end - client_end));
+                }
+                Some(_) => return None,
+            };
+            Some(what)
+        };
+        let last = arrivals.last()?.at;
+        let is_touched = self.disturbance(&attempt.instance, last - CONTACT, last).is_some();
+        let what = arrivals.iter().find_map(|run| state(run));
+        let is_counted = what.is_some() || arrivals.iter().any(|run| is_late(&run));
+        (is_counted && !is_touched).then_some(what)
+    }
+
     /// Returns the largest number of repeats in a window, as a share of the bound, with the service.
     fn peak_repeats(
         &self,
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -27,6 +27,7 @@
 const MAX_TOLD: usize = 4;
 
 /// An attempt of a client.
+#[derive(Clone)]
 pub(crate) struct Attempt {
     pub(crate) route: Route,
     pub(crate) path: String,
@@ -36,6 +37,8 @@
     /// Event after which the client resumes.
     pub(crate) after: u64,
     pub(crate) at: Instant,
+    /// Time that it states to be left.
+    pub(crate) left: Duration,
     pub(crate) end: Option<Instant>,
     pub(crate) status: Option<u16>,
     /// Body received so far.
@@ -58,6 +61,7 @@
 }
 
 /// A request that has arrived at a runner.
+#[derive(Clone)]
 pub(crate) struct Run {
     pub(crate) id: String,
     pub(crate) runner: String,
@@ -69,6 +73,8 @@
     /// Replica that it starts from.
     pub(crate) from: Option<String>,
     pub(crate) after: Option<u64>,
+    /// Time that the request states to be left.
+    pub(crate) left: Option<Duration>,
     pub(crate) at: Instant,
     pub(crate) first: Option<Instant>,
     pub(crate) end: Option<Instant>,
@@ -255,12 +261,13 @@
             let clock = |at: Option<Instant>| at.map_or("never".into(), |at| self.clock(at));
             _ = writeln!(
                 story,
-                "  at {} {} {}, {}: arrived {}, first {}, end {}, from {:?}, after {:?}, rejected {:?}; {:?}",
+                "  at {} {} {}, {}: arrived {}, left {:?}, first {}, end {}, from {:?}, after {:?}, rejected {:?}; {:?}",
                 run.role.service,
                 run.runner,
                 run.address,
                 run.role.model.unwrap_or("plain"),
                 self.clock(run.at),
+                run.left,
                 clock(run.first),
                 clock(run.end),
                 run.from,
--- a/tests/soak/runner.rs
+++ b/tests/soak/runner.rs
@@ -4,7 +4,7 @@
     super::record::{Record, Run},
     async_stream::stream,
     bytes::Bytes,
-    http::{HeaderMap, Request, Response},
+    http::{HeaderMap, Request, Response, StatusCode},
     http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
     hyper::{
         body::{Frame, Incoming},
@@ -12,6 +12,7 @@
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
+    rand::Rng,
     serde_json::{Value, json},
     std::{
         cell::{Cell, RefCell},
@@ -59,6 +60,15 @@
     pub(crate) record: Record,
 }
 
+/// Directions in which a connection carries nothing.
+#[derive(Clone, Copy, Default)]
+struct Cut {
+    reads: bool,
+    writes: bool,
+    /// Whether that does not end.
+    is_final: bool,
+}
+
 /// One process of a runner.
 pub(crate) struct Runner {
     pub(crate) id: String,
@@ -80,9 +90,11 @@
     pub(crate) stalled: Cell<bool>,
     /// Whether the response of its next call is lost.
     pub(crate) loses_response: Cell<bool>,
+    /// Whether it rejects nearly all requests.
+    pub(crate) rejects: Cell<bool>,
     wakers: RefCell<Vec<Waker>>,
-    /// Tasks that serve its connections, the first one accepts them, with whether each is silent.
-    tasks: RefCell<Vec<(AbortHandle, Rc<Cell<bool>>)>>,
+    /// Tasks that serve its connections, the first one accepts them, with what is cut of each.
+    tasks: RefCell<Vec<(AbortHandle, Rc<Cell<Cut>>)>>,
     /// Events of the active runs, by attempt id.
     active: RefCell<HashMap<String, u64>>,
     /// Replicas that it holds, by the value of `Kv-From`, with the time of their last part.
@@ -112,6 +124,7 @@
             dark: Cell::new(false),
             stalled: Cell::new(false),
             loses_response: Cell::new(false),
+            rejects: Cell::new(false),
             wakers: RefCell::default(),
             tasks: RefCell::default(),
             active: RefCell::default(),
@@ -152,11 +165,28 @@
 
     /// Lets its connections go silent for good, without a reset; new ones work.
     pub(crate) fn silence_connections(&self) {
-        self.tasks.borrow().iter().skip(1).for_each(|(_, silent)| silent.set(true));
+        let cut = Cut { reads: true, writes: true, is_final: true };
+        self.tasks.borrow().iter().skip(1).for_each(|(_, connection)| connection.set(cut));
+    }
+
+    /// Cuts its connections for a time; new ones work.
+    pub(crate) fn cut_connections(&self, reads: bool, writes: bool) {
+        let cut = Cut { reads, writes, is_final: false };
+        let tasks = self.tasks.borrow();
+        let open = tasks.iter().skip(1).filter(|(_, connection)| !connection.get().is_final);
+        open.for_each(|(_, connection)| connection.set(cut));
+    }
+
+    /// Ends the cuts of its connections.
+    pub(crate) fn restore_connections(&self) {
+        let tasks = self.tasks.borrow();
+        let open = tasks.iter().skip(1).filter(|(_, connection)| !connection.get().is_final);
+        open.for_each(|(_, connection)| connection.set(Cut::default()));
+        self.wakers.take().into_iter().for_each(Waker::wake);
     }
 
-    fn poll_awake(&self, silent: bool, context: &Context<'_>) -> Poll<()> {
-        if self.dark.get() || silent {
+    fn poll_awake(&self, is_cut: bool, context: &Context<'_>) -> Poll<()> {
+        if self.dark.get() || is_cut {
             self.wakers.borrow_mut().push(context.waker().clone());
             return Poll::Pending;
         }
@@ -168,9 +198,9 @@
     }
 
     fn serve(self: Rc<Runner>, stream: TcpStream) {
-        let silent = Rc::<Cell<bool>>::default();
-        let is_silent = silent.clone();
-        let stream = Connection { runner: self.clone(), stream, silent, is_served: false };
+        let cut = Rc::<Cell<Cut>>::default();
+        let state = cut.clone();
+        let stream = Connection { runner: self.clone(), stream, cut, is_served: false };
         let runner = self.clone();
         let service = service_fn(move |request| respond(runner.clone(), request));
         let task = tokio::task::spawn_local(async move {
@@ -180,7 +210,7 @@
         });
         let mut tasks = self.tasks.borrow_mut();
         tasks.retain(|(task, _)| !task.is_finished());
-        tasks.push((task.abort_handle(), is_silent));
+        tasks.push((task.abort_handle(), state));
     }
 
     fn report(&self) -> Value {
@@ -266,6 +296,7 @@
         tenant: text(&parts.headers, "x-bilberryfront-tenant"),
         from: from.clone(),
         after,
+        left: left.map(Duration::from_millis),
         at: Instant::now(),
         first: None,
         end: None,
@@ -275,6 +306,7 @@
     run.rejected = match () {
         () if expected.is_some_and(|expected| expected != runner.id) => Some(421),
         () if runner.active.borrow().len() >= SLOTS => Some(503),
+        () if runner.rejects.get() && rand::rng().random_bool(0.9) => Some(503),
         () if is_engine && from.as_deref().is_some_and(|from| !runner.take_replica(from)) => {
             Some(503)
         }
@@ -305,7 +337,11 @@
             if runner.loses_response.take() {
                 return Err(io::ErrorKind::ConnectionReset.into());
             }
-            Response::new(full(format!("done {id}").into()))
+            let mut response = Response::new(full(format!("done {id}").into()));
+            if run_fails(parts.uri.path()) {
+                *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+            }
+            response
         }
     };
     let headers = response.headers_mut();
@@ -314,6 +350,12 @@
     Ok(response)
 }
 
+/// Returns whether a runner fails a call: one in seven of the lookups, each time.
+fn run_fails(path: &str) -> bool {
+    let number = path.strip_prefix("/look/q").and_then(|id| u64::from_str_radix(id, 16).ok());
+    number.is_some_and(|number| number.is_multiple_of(7))
+}
+
 /// Streams the events after `after`.
 fn generate(
     run: ActiveRun,
@@ -363,11 +405,11 @@
     response
 }
 
-/// A connection that carries nothing while it is silent or its runner is dark, and is reset if its task is aborted.
+/// A connection that carries nothing in the directions that are cut, or while its runner is dark, and is reset if its task is aborted.
 struct Connection {
     runner: Rc<Runner>,
     stream: TcpStream,
-    silent: Rc<Cell<bool>>,
+    cut: Rc<Cell<Cut>>,
     is_served: bool,
 }
 
@@ -385,7 +427,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        ready!(self.runner.poll_awake(self.silent.get(), context));
+        ready!(self.runner.poll_awake(self.cut.get().reads, context));
         Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
@@ -396,17 +438,17 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        ready!(self.runner.poll_awake(self.silent.get(), context));
+        ready!(self.runner.poll_awake(self.cut.get().writes, context));
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(self.runner.poll_awake(self.silent.get(), context));
+        ready!(self.runner.poll_awake(self.cut.get().writes, context));
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(self.runner.poll_awake(self.silent.get(), context));
+        ready!(self.runner.poll_awake(self.cut.get().writes, context));
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -4,6 +4,7 @@
     super::{
         clients::ROUTES,
         judge::{BUDGET_RATIO, BUDGET_SLACK},
+        links::Links,
         process::{Listen, free_tcp_address, free_udp_address},
         runner::{MEMORY, REPLICA_TTL, Registry, Role, Runner, SLOTS},
     },
@@ -77,6 +78,7 @@
     store: FeedStore,
     pub(crate) slots: Vec<Slot>,
     pub(crate) instances: Vec<Instance>,
+    pub(crate) links: Rc<Links>,
     /// Positions of the instances to which clients open connections.
     pub(crate) listed: RefCell<Vec<usize>>,
     /// Keys of the newest catalogue.
@@ -99,6 +101,7 @@
             store,
             slots: Vec::new(),
             instances: Vec::new(),
+            links: Rc::default(),
             listed: RefCell::default(),
             keys: RefCell::default(),
             store_down: Cell::new(false),
@@ -113,9 +116,10 @@
             let runner = RefCell::new(world.run(id, role, free_tcp_address()).await);
             world.slots.push(Slot { domain, runner, busy: Cell::new(false) });
         }
-        let instances: Vec<Instance> =
-            (0..size.instances).map(|index| world.instance(index)).collect();
-        world.instances = instances;
+        for index in 0..size.instances {
+            let instance = world.instance(index).await;
+            world.instances.push(instance);
+        }
         world.listed.replace((0..size.instances).collect());
         let world = Rc::new(world);
         for index in 0..world.slots.len() {
@@ -243,7 +247,7 @@
         self.registry.record.add_catalog(catalog);
     }
 
-    fn instance(&self, index: usize) -> Instance {
+    async fn instance(&self, index: usize) -> Instance {
         let name = format!("n{index}");
         let listen = Listen {
             callers: free_tcp_address(),
@@ -253,10 +257,12 @@
         };
         let store = self.store.with_own_faults().start(free_tcp_address());
         let store = store.expect("the address is free");
+        let peers = free_udp_address();
+        let proxy = self.links.start_proxy(index, peers).await;
         let settings = json!({
             "name": name, "domain": DOMAINS[index % DOMAINS.len()],
             "listen": {"callers": listen.callers, "health": listen.health,
-                "addresses": listen.addresses, "peers": free_udp_address(), "metrics": listen.metrics},
+                "addresses": listen.addresses, "peers": peers, "advertise": proxy, "metrics": listen.metrics},
             "store": store.addr,
             "bounds": {"grace": GRACE.as_secs(), "keep": 5, "ratio": BUDGET_RATIO, "slack": BUDGET_SLACK,
                 "window": 10, "exposure": 0.1, "trials": 50, "reuse": 2},
