--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -204,8 +204,9 @@
 fn has_too_many_loads(load: &Load) -> bool {
     let (runners, budgets) = (load.runners.len(), load.budgets.uses.len());
     let queues = load.queues.as_ref().map_or(0, Vec::len).max(load.paces.len());
+    let receipts = load.budgets.receipts.as_ref().map_or(0, |receipts| receipts.received.len());
     let longest = runners.max(budgets).max(load.failed.len()).max(load.restarts.len());
-    longest.max(queues) > LOADS_LIMIT
+    longest.max(queues).max(receipts) > LOADS_LIMIT
 }
 
 fn has_too_many_prompts(report: &PromptReport) -> bool {
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -59,6 +59,10 @@
     start(9, "links", |series| Box::pin(series.fail_links()));
     start(10, "rejections", |series| Box::pin(series.reject_requests()));
     start(11, "connections", |series| Box::pin(series.cut_connections()));
+    // Hides the other faults of links.
+    if names.as_ref().is_some_and(|names| names.contains("delays")) {
+        start(12, "delays", |series| Box::pin(series.delay_links()));
+    }
     started
 }
 
@@ -333,6 +337,20 @@
         }
     }
 
+    /// Makes all links slow.
+    async fn delay_links(mut self) {
+        loop {
+            let delay = Duration::from_millis(self.rng.random_range(1_000..3_000));
+            self.world.registry.record.count("delays of all links");
+            let link = Link { delay, ..Link::default() };
+            let count = self.world.instances.len();
+            for (from, to) in (0..count).flat_map(|from| (0..count).map(move |to| (from, to))) {
+                self.world.links.set(from, to, Some(link));
+            }
+            self.pause(10.0..20.0).await;
+        }
+    }
+
     /// Lets most engines reject nearly all requests for a time, so that these are repeated.
     async fn reject_requests(mut self) {
         loop {
