--- a/tests/peer_codec.rs
+++ b/tests/peer_codec.rs
@@ -2,8 +2,8 @@
 
 use {
     bilberryfront::peer::codec::{
-        CATALOG_LIMIT, CONTROL_LIMIT, DecodeError, HEADER, TABLE_LIMIT, THROTTLES_LIMIT, VERSION,
-        decode, encode,
+        CATALOG_LIMIT, CONTROL_LIMIT, DecodeError, HEADER, LOADS_LIMIT, TABLE_LIMIT,
+        THROTTLES_LIMIT, VERSION, decode, encode,
     },
     bilberryfront_decide::{
         admission::throttle::{MAX_KEY_BYTES, MAX_VALUE_BYTES},
@@ -11,9 +11,10 @@
         member::{
             MAX_UPDATES, PeerMessage,
             message::{
-                CatalogPush, Claim, DividedService, Extent, Heartbeat, Hint, HintKind, Moment,
-                NodeIncarnation, NodeLocation, NodeState, Notice, NoticeContent, StoreReport,
-                TableDigest, TableId, TablePull, TableRow, TableUpdate, Update, Usage,
+                BudgetReport, CatalogPush, Claim, DividedService, Extent, Heartbeat, Hint,
+                HintKind, Load, Moment, NodeIncarnation, NodeLocation, NodeState, Notice,
+                NoticeContent, Receipts, StoreReport, TableDigest, TableId, TablePull, TableRow,
+                TableUpdate, Update, Usage,
             },
         },
         mover::{MoveEvidence, MoveId, MoveQuery, evidence::Evidence},
@@ -225,13 +226,20 @@
     let decoded = |message: &PeerMessage| decode(&encode(&name(), message).unwrap().bytes);
     let claims = |count: usize| PeerMessage::Claims(vec![claim(); count]);
     let largest = throttles(THROTTLES_LIMIT, MAX_KEY_BYTES, MAX_VALUE_BYTES);
-    for message in [heartbeat(MAX_UPDATES, 64), claims(MAX_UPDATES), largest] {
+    let receipts = |count: usize| {
+        let receipts = Receipts { id: 1, received: vec![u32::MAX; count], is_awaited: true };
+        let budgets = BudgetReport { uses: Vec::new(), receipts: Some(receipts) };
+        PeerMessage::Load(Box::new(Load { budgets, ..Load::default() }))
+    };
+    let others = [claims(MAX_UPDATES), receipts(LOADS_LIMIT)];
+    for message in [heartbeat(MAX_UPDATES, 64), largest].into_iter().chain(others) {
         assert_eq!(decoded(&message), Ok((name(), message)));
     }
     let too_many = [
         heartbeat(MAX_UPDATES + 1, 0),
         heartbeat(0, 65),
         claims(MAX_UPDATES + 1),
+        receipts(LOADS_LIMIT + 1),
         throttles(THROTTLES_LIMIT + 1, 5, 9),
     ];
     for message in too_many {
