--- a/crates/relay/src/fleet/rate_limit.rs
+++ b/crates/relay/src/fleet/rate_limit.rs
@@ -90,6 +90,16 @@
         self.inner.borrow().runners.get(key).is_some_and(|runner| runner.is_limited(now))
     }
 
+    /// Returns whether a runner may be sent a request: it is neither draining nor paused, and its rate limit, if
+    /// any, has a token left for this node.
+    pub fn may_send(&self, key: RunnerKey) -> bool {
+        let now = Instant::now();
+        let may_send = |runner: &Runner| {
+            runner.drain.is_none() && runner.pause_left(now).is_zero() && runner.has_token(now)
+        };
+        self.inner.borrow().runners.get(key).is_none_or(may_send)
+    }
+
     /// Takes a token from this node's share of a runner's rate limit; returns false if there is
     /// none, or if the runner is draining or paused.
     pub fn admit(&self, key: RunnerKey) -> bool {
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -78,6 +78,16 @@
     Lost(SendError),
 }
 
+/// Decision on a send, which is made once there is a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Decision {
+    Send,
+    /// The runner may not get a request now.
+    Withhold,
+    /// The sender does not admit it any more.
+    Reject,
+}
+
 /// Result of a check whether a runner has crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashCheck {
@@ -154,13 +164,18 @@
         deadline: Instant,
         admit: impl Fn() -> bool,
     ) -> SendOutcome {
-        let admitted = Cell::new(None);
+        let decision = Cell::new(None);
         let request = || {
-            let is_first = admitted.get().is_none();
+            let is_first = decision.get().is_none();
             if is_first {
-                admitted.set(Some(admit()));
+                decision.set(Some(match () {
+                    () if !self.fleet.may_send(endpoint.key) => Decision::Withhold,
+                    () if !admit() => Decision::Reject,
+                    () if !self.fleet.admit(endpoint.key) => Decision::Withhold,
+                    () => Decision::Send,
+                }));
             }
-            if admitted.get() == Some(false) {
+            if decision.get() != Some(Decision::Send) {
                 return None;
             }
             if is_first {
@@ -174,7 +189,7 @@
                 service = call.service.as_str(), registered = registered.as_str(); "{WRONG_SERVICE}");
             return SendOutcome::Withheld;
         }
-        if !self.fleet.admit(endpoint.key) {
+        if !self.fleet.may_send(endpoint.key) {
             return SendOutcome::Withheld;
         }
         if self.fleet.is_rate_limited(endpoint.key) {
@@ -185,7 +200,8 @@
         let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
         let (response, connection) = match exchanged {
             Ok(exchanged) => exchanged,
-            Err(_) if admitted.get() == Some(false) => return SendOutcome::NotAdmitted,
+            Err(_) if decision.get() == Some(Decision::Withhold) => return SendOutcome::Withheld,
+            Err(_) if decision.get() == Some(Decision::Reject) => return SendOutcome::NotAdmitted,
             Err(error @ (SendError::Unsent | SendError::NoPath)) => {
                 log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
                     "cannot connect to the runner: {error}");
--- a/tests/relay/retries.rs
+++ b/tests/relay/retries.rs
@@ -86,6 +86,27 @@
     }
 }
 
+/// Guards against requests that are sent to a runner that is leaving, because that became known after the decision,
+/// while a connection was opened through another node.
+#[tokio::test(start_paused = true)]
+async fn request_is_withheld_if_its_runner_leaves_before_there_is_a_connection() {
+    for path in ["/lodge/1", "/look/1"] {
+        run_local(async {
+            let plain = Deployment::new(PLAIN, &DOMAINS, &Script::Respond(200, "done"));
+            plain.partition(Some(Partition::Hang));
+            let leave = async {
+                sleep(ms(200)).await;
+                let fleet = &plain.traffic.client.fleet;
+                let keys = plain.runners.iter().map(|runner| fleet.find(&runner.id).unwrap().key);
+                keys.for_each(|key| fleet.set_draining(key));
+            };
+            let (received, ()) = tokio::join!(plain.serve(path, &[]), leave);
+            assert_eq!((received.status, plain.request_count()), (503, 0), "{path}");
+        })
+        .await;
+    }
+}
+
 /// Returns the times after `start` at which the requests of a runner end, as they state.
 fn stated_ends(runner: &Rc<Runner>, start: Instant) -> Vec<Duration> {
     let requests = runner.requests.borrow();
