--- a/crates/peer/src/receiver.rs
+++ b/crates/peer/src/receiver.rs
@@ -9,7 +9,7 @@
     compact_str::CompactString,
     quinn::{Connection, Incoming, RecvStream, VarInt},
     std::{sync::Arc, time::Duration},
-    tokio::time::timeout,
+    tokio::{io::AsyncReadExt, time::timeout},
 };
 
 /// Incoming connections are rejected while so many are open, outgoing ones included.
@@ -96,7 +96,10 @@
     if class == Class::Catalog && !shared.catalog_requests().remove(peer) {
         return Err(ReadError);
     }
-    let mut bytes = stream.read_to_end(class.limit() - HEADER).await.map_err(|_| ReadError)?;
-    bytes.splice(..0, header);
-    Ok((class, bytes))
+    let limit = class.limit();
+    let mut bytes = header.to_vec();
+    // Reads in order: `RecvStream::read_to_end` does not, and counts data twice that has arrived twice before.
+    let mut rest = stream.take((limit + 1 - HEADER) as u64);
+    rest.read_to_end(&mut bytes).await.map_err(|_| ReadError)?;
+    if bytes.len() > limit { Err(ReadError) } else { Ok((class, bytes)) }
 }
