--- a/tests/soak/links.rs
+++ b/tests/soak/links.rs
@@ -59,15 +59,19 @@
         loop {
             let Ok((length, source)) = socket.recv_from(&mut buffer).await else { continue };
             let from = self.senders.borrow().get(&source).copied();
-            if !upstream.contains_key(&source) {
-                let own = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
-                own.connect(target).await.expect("a loopback address");
-                let own = Rc::new(own);
-                upstream.insert(source, own.clone());
-                let back = self.clone().carry_back(own, socket.clone(), source, from, to);
-                tokio::task::spawn_local(back);
-            }
-            let own = upstream[&source].clone();
+            let own = match upstream.get(&source) {
+                Some(own) => own.clone(),
+                None => {
+                    let own = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a free port");
+                    own.connect(target).await.expect("a loopback address");
+                    let own = Rc::new(own);
+                    upstream.insert(source, own.clone());
+                    let back =
+                        self.clone().carry_back(own.clone(), socket.clone(), source, from, to);
+                    tokio::task::spawn_local(back);
+                    own
+                }
+            };
             let data = buffer[..length].to_vec();
             self.pass(from.map(|from| (from, to)), async move { own.send(&data).await });
         }
