--- a/crates/relay/src/budget/receipts.rs
+++ b/crates/relay/src/budget/receipts.rs
@@ -1,7 +1,7 @@
 //! Receipts for reports of retry budgets.
 //!
-//! That a peer's reports arrive does not show that it gets the own ones: links fail in one direction, and reports
-//! are late. Each complete report states which reports of its receivers have arrived.
+//! A peer whose reports arrive may not receive those of this node: links fail in one direction, and reports are
+//! late. Each complete report states which reports of the sender's peers have arrived.
 
 use {
     bilberryfront_decide::member::message::Receipts,
@@ -14,7 +14,6 @@
 /// Age of an acknowledged report from which its receiver counts as unreachable. Reports are sent, and so
 /// acknowledged, once a second.
 const ACKNOWLEDGED_TTL: Duration = Duration::from_millis(3_500);
-
 /// Delay of a receipt that a peer waits for.
 const EARLY_RECEIPT_DELAY: Duration = Duration::from_millis(50);
 
@@ -23,7 +22,7 @@
 pub(super) struct Exchange {
     /// Time at which a receipt is due before the next complete report.
     due: Option<Instant>,
-    /// Ids and times of the own reports.
+    /// Ids and times of this node's reports.
     sent: VecDeque<(u32, Instant)>,
     peers: FxHashMap<CompactString, Peer>,
 }
@@ -34,7 +33,7 @@
     latest: u32,
     /// Time of its receipt.
     at: Instant,
-    /// Time of the last own report that it has received.
+    /// Time of the last report of this node that it has received.
     acknowledged: Option<Instant>,
 }
 
@@ -72,7 +71,7 @@
         self.due = None;
     }
 
-    /// Returns the time of the last own report that a peer has received; `None` if it may not get them.
+    /// Returns the time of this node's last report that a peer has received; `None` if that is too old.
     pub(super) fn acknowledged(&self, now: Instant, peer: &str) -> Option<Instant> {
         let at = self.peers.get(peer)?.acknowledged?;
         (now < at + ACKNOWLEDGED_TTL).then_some(at)
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -324,16 +324,30 @@
     fn take_retry(&self, service: &str) -> bool {
         let nodes = self.published.load().shares();
         let is_taken = self.budgets.try_take(service, nodes);
-        self.metrics.count_retry(service, is_taken);
-        if !is_taken {
-            let usage = self.budgets.usage(service, nodes);
-            log::info!(service, requests = usage.requests, retries = usage.retries,
-                unreported = usage.unreported, reporting = usage.reporting, nodes,
-                allowed = usage.allowed; "{NO_RETRY}");
+        match is_taken {
+            true => self.metrics.count_retry(service, true),
+            false => self.report_refusal(service, nodes),
         }
         is_taken
     }
 
+    /// Returns whether the service's budget has a retry for a request that needs one, and reports if not.
+    fn find_retry(&self, service: &str) -> bool {
+        let is_left = self.has_retry(service);
+        if !is_left {
+            self.report_refusal(service, self.published.load().shares());
+        }
+        is_left
+    }
+
+    fn report_refusal(&self, service: &str, nodes: usize) {
+        self.metrics.count_retry(service, false);
+        let usage = self.budgets.usage(service, nodes);
+        log::info!(service, requests = usage.requests, retries = usage.retries,
+            unreported = usage.unreported, reporting = usage.reporting, nodes,
+            allowed = usage.allowed; "{NO_RETRY}");
+    }
+
     /// Returns whether a request may be written to a connection. All but the first time it takes a retry, at this
     /// moment, as runners and the other nodes count when requests arrive.
     fn admit_send(&self, call: &Call, is_sent: &Cell<bool>) -> bool {
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -30,7 +30,7 @@
     let is_sent = Cell::new(false);
     while tried.len() < MAX_RUNNERS && Instant::now() < deadline {
         let Some(endpoint) = traffic.choose_runner(call, &tried) else { break };
-        if is_sent.get() && !traffic.has_retry(&call.service) {
+        if is_sent.get() && !traffic.find_retry(&call.service) {
             break;
         }
         let fleet = &traffic.client.fleet;
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -401,7 +401,7 @@
 
     fn may_retry(&self, race: &Race) -> bool {
         let is_first = race.is_empty() && !self.is_sent.get();
-        is_first || self.traffic.has_retry(&self.call.service)
+        is_first || self.traffic.find_retry(&self.call.service)
     }
 
     /// Returns the limit, other than the retry budget, that forbids another send.
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -190,7 +190,7 @@
         match timeout_at(self.end, self.probe()).await {
             Ok((true, Some(key))) => Some(AttemptOutcome::Unneeded(key)),
             Ok((true, None)) => {
-                let is_allowed = self.traffic.has_retry(&self.call.service);
+                let is_allowed = self.traffic.find_retry(&self.call.service);
                 (!is_allowed).then_some(AttemptOutcome::NoBudget)
             }
             Ok((false, _)) | Err(_) => Some(AttemptOutcome::Unresponsive),
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -139,7 +139,7 @@
         return None;
     }
     let is_retry = is_hedge || progress.is_sent.get();
-    (!is_retry || traffic.has_retry(&call.service)).then_some(endpoint)
+    (!is_retry || traffic.find_retry(&call.service)).then_some(endpoint)
 }
 
 /// Returns the time after which another attempt is made beside those that have not ended.
--- a/tests/relay_process.rs
+++ b/tests/relay_process.rs
@@ -195,6 +195,7 @@
         for name in [
             "bilberryfront_requests_total{kind=\"Once\",outcome=\"Served\"}",
             "bilberryfront_refusals_total{cause=\"NoKey\"}",
+            "bilberryfront_sends_total{service=\"desk\",send=\"First\"}",
             "bilberryfront_catalogue_version 5",
             "bilberryfront_runner_bytes_total{part=\"Events\",border=",
             "bilberryfront_peer_bytes_total{kind=\"Heartbeat\"}",
