--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -27,6 +27,10 @@
 const STARTUP_MARGIN: f64 = 1.0 - MARGIN;
 /// Share of the slack that such nodes use, as they may be restarted several times within a window.
 const STARTUP_SHARE: f64 = 0.25;
+/// Maximum time from a retry to the next complete report.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Age of an acknowledged report up to which reports are not late: both nodes send one in each interval.
+const PROMPT_AGE: Duration = Duration::from_millis(2_500);
 /// Age at which a peer's report expires. A node without connection to its peers then uses its own share
 /// only.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(1_500);
@@ -102,6 +106,8 @@
     pub unreported: u32,
     /// Number of nodes that report to this one, including itself.
     pub reporting: u32,
+    /// Retries of this node that a peer may not know.
+    pub unacknowledged: u32,
     /// Retries that this node may count at most.
     pub allowed: f64,
 }
@@ -239,8 +245,10 @@
     }
 
     fn has_retry(&mut self, now: Instant, exchange: &Exchange, nodes: usize) -> bool {
-        let Usage { retries, unreported, allowed, .. } = self.usage(now, exchange, nodes);
-        f64::from(retries + unreported) + 1.0 <= allowed
+        let usage = self.usage(now, exchange, nodes);
+        let Usage { retries, unreported, unacknowledged, reporting, allowed, .. } = usage;
+        let is_left = f64::from(retries + unreported) + 1.0 <= allowed;
+        is_left && f64::from(unacknowledged) + 1.0 <= allowed / f64::from(reporting)
     }
 
     fn usage(&mut self, now: Instant, exchange: &Exchange, nodes: usize) -> Usage {
@@ -254,7 +262,10 @@
         }
         let reporting = peers + 1;
         let retries = self.known_retries(now);
-        let unreported = self.unreported_retries(now, acknowledged, peers);
+        let is_prompt = now <= acknowledged + PROMPT_AGE;
+        let prompt = now.checked_sub(REPORT_INTERVAL).filter(|_| is_prompt);
+        let unreported = self.unreported_retries(now, prompt.unwrap_or(acknowledged), peers);
+        let unacknowledged = self.recent(now, acknowledged).map(|p| p.retries).sum();
         let (margin, startup_share) = match now < self.known_at {
             true => (STARTUP_MARGIN, STARTUP_SHARE),
             false => (MARGIN, 1.0),
@@ -262,7 +273,8 @@
         let nodes = f64::from(reporting).max(nodes as f64);
         let share = startup_share * f64::from(reporting) / nodes;
         let allowed = self.allowance.ratio * f64::from(requests) + self.allowance.slack * share;
-        Usage { requests, retries, unreported, reporting, allowed: allowed * margin }
+        let allowed = allowed * margin;
+        Usage { requests, retries, unreported, reporting, unacknowledged, allowed }
     }
 
     /// Returns this node's use of the budget, for peers.
@@ -311,14 +323,19 @@
     }
 
     /// Returns the number of retries that `peers` peers may not have reported yet. Failures affect all nodes at
-    /// the same time, so each peer may have taken as many as this node since the last report that all of them
-    /// have acknowledged.
-    fn unreported_retries(&mut self, now: Instant, acknowledged: Instant, peers: u32) -> u32 {
+    /// the same time, so each peer may have taken as many as this node since their reports.
+    fn unreported_retries(&mut self, now: Instant, reported_at: Instant, peers: u32) -> u32 {
+        let (retries, reported) = self
+            .recent(now, reported_at)
+            .fold((0, 0), |(retries, reported), p| (retries + p.retries, reported + p.reported));
+        (retries * peers).saturating_sub(reported)
+    }
+
+    /// Returns the buckets that have not ended at `since`.
+    fn recent(&mut self, now: Instant, since: Instant) -> impl Iterator<Item = &Bucket> {
         self.current_bucket(now);
         let length = self.allowance.window / BUCKETS;
-        let recent = self.buckets.iter().filter(|p| acknowledged < p.start + length);
-        let reported = recent.clone().map(|p| p.reported).sum();
-        (recent.map(|p| p.retries).sum::<u32>() * peers).saturating_sub(reported)
+        self.buckets.iter().filter(move |p| since < p.start + length)
     }
 
     fn reported_retries(&mut self, now: Instant) -> u32 {
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -344,8 +344,8 @@
         self.metrics.count_retry(service, false);
         let usage = self.budgets.usage(service, nodes);
         log::info!(service, requests = usage.requests, retries = usage.retries,
-            unreported = usage.unreported, reporting = usage.reporting, nodes,
-            allowed = usage.allowed; "{NO_RETRY}");
+            unreported = usage.unreported, unacknowledged = usage.unacknowledged,
+            reporting = usage.reporting, nodes, allowed = usage.allowed; "{NO_RETRY}");
     }
 
     /// Returns whether a request may be written to a connection. All but the first time it takes a retry, at this
