Log and count how responses are framed and how they end

The record of streams that ended as complete before their last event can't tell how the runner's response was framed, how its end was seen, or whether its connection ran through another instance. 'stream completed', 'run lost' and 'response lost' state this now, a response to a call that ends with its connection is logged, and response_ends_total counts ends by service, framing and kind. No decision changes.

--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -42,7 +42,7 @@
         let admit = || traffic.admit_send(call, &is_sent);
         match traffic.client.send(call, &endpoint, &options, deadline, admit).await {
             SendOutcome::Answered(reply) => {
-                return match traffic.client.read_body(reply, &endpoint, deadline).await {
+                return match traffic.client.read_body(reply, call, &endpoint, deadline).await {
                     Ok((parts, bytes)) => {
                         if parts.status.is_success() {
                             fleet.record_call_time(key, sent_at.elapsed());
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -287,6 +287,8 @@
     /// Records a run that has completed, and returns its connection to the pool.
     fn complete(&mut self, mut active: ActiveRun) {
         self.log_ended(&active.run);
+        let (metrics, framing) = (&self.traffic.metrics, active.run.framing());
+        metrics.count_response_end(&self.call.service, framing, RunEnd::Whole.response_end());
         // A resumed run may have begun behind what crashes runners.
         if active.is_whole {
             self.traffic.record_response(&self.call);
@@ -331,6 +333,8 @@
     /// Ends a run: closes its connection, which cancels it, and records the loss.
     async fn end_run(&mut self, active: ActiveRun, reason: RunEnd, is_alone: bool) {
         let (key, endpoint) = (active.key(), active.run.endpoint().clone());
+        let (metrics, run) = (&self.traffic.metrics, &active.run);
+        metrics.count_response_end(&self.call.service, run.framing(), reason.response_end());
         self.end_trial(active.number, VersionResponse::Lost);
         self.log_lost(&active, reason);
         self.failed.push(key);
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -249,7 +249,7 @@
         };
         let reply = match client.send(call, endpoint, &options, *end, admit).await {
             SendOutcome::Answered(reply) if is_failure(reply.parts.status) => {
-                return match client.read_body(reply, endpoint, *end).await {
+                return match client.read_body(reply, call, endpoint, *end).await {
                     Ok((parts, bytes)) => AttemptOutcome::Failure(parts, bytes),
                     Err(error) => lost(error, true),
                 };
@@ -273,7 +273,10 @@
                 AttemptOutcome::Started(Box::new(StartedRun { parts, run, first: None }))
             }
             Err(reason) => {
-                log::warn!(request = id.as_str(), runner = endpoint.id.as_str();
+                let metrics = &traffic.metrics;
+                metrics.count_response_end(&call.service, run.framing(), reason.response_end());
+                log::warn!(request = id.as_str(), runner = endpoint.id.as_str(),
+                    framing:? = run.framing(), tunneled = run.is_tunneled();
                     "{RESPONSE_LOST}{reason:?}, before the first event");
                 let error = match reason {
                     RunEnd::Silent => SendError::Timeout,
--- a/crates/relay/src/flow/generation/logging.rs
+++ b/crates/relay/src/flow/generation/logging.rs
@@ -52,6 +52,7 @@
         log::warn!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
             position = self.position.unwrap_or_default(),
             beside = active.beside.map(|at| at.elapsed().as_millis() as u64),
+            framing:? = run.framing(), events = run.event_count(), tunneled = run.is_tunneled(),
             holder = run.replica().map_or("", |b| b.holder().id.as_str());
             "{RUN_LOST}{reason:?}");
     }
@@ -59,7 +60,8 @@
     pub(super) fn log_ended(&self, run: &Run) {
         let took = self.call.start.elapsed().as_millis() as u64;
         log::info!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
-            sends = self.sends, position = self.position.unwrap_or_default(), took;
+            sends = self.sends, position = self.position.unwrap_or_default(), took,
+            framing:? = run.framing(), events = run.event_count(), tunneled = run.is_tunneled();
             "{STREAM_COMPLETED}");
     }
 
--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -5,6 +5,8 @@
     crate::{
         events::{EVENT_BYTES, Event, Splitter},
         fleet::{Endpoint, EventMeter, Fleet, Lease, Moment},
+        framing::Framing,
+        metrics::ResponseEnd,
         pool::Connection,
         runner_client::Reply,
     },
@@ -26,6 +28,9 @@
 pub(super) struct Run {
     connection: Connection,
     body: Incoming,
+    framing: Framing,
+    /// Number of events received.
+    events: u32,
     splitter: Splitter,
     /// Comments and blank lines that are forwarded with the next event.
     comments: BytesMut,
@@ -55,19 +60,32 @@
     Disorder,
 }
 
+impl RunEnd {
+    pub(super) fn response_end(self) -> ResponseEnd {
+        match self {
+            RunEnd::Whole => ResponseEnd::Regular,
+            RunEnd::Cut => ResponseEnd::Cut,
+            RunEnd::Silent => ResponseEnd::Silent,
+            RunEnd::Disorder => ResponseEnd::Disorder,
+        }
+    }
+}
+
 impl Run {
     /// Creates a run from a response head and its unread body.
     pub(super) fn new(reply: Reply, lease: Lease, replica: Option<Replica>) -> (Parts, Run) {
-        let Reply { mut parts, head, body, framed, connection } = reply;
+        let Reply { mut parts, head, body, framing, connection } = reply;
         // The events of later runs change the length.
         parts.headers.remove(header::CONTENT_LENGTH);
         let splitter = Splitter::default();
-        let (may_end, idle_timeout) = (framed, head.idle);
+        let (may_end, idle_timeout) = (framing != Framing::Close, head.idle);
         let comments = BytesMut::new();
         let replica_search = Instant::now();
         let run = Run {
             connection,
             body,
+            framing,
+            events: 0,
             splitter,
             comments,
             may_end,
@@ -113,6 +131,7 @@
                 }
                 Ok(Some(event)) => {
                     self.may_end = true;
+                    self.events += 1;
                     match check_continuity(&event, position) {
                         Continuity::Next => {
                             self.lease.record_response();
@@ -175,6 +194,20 @@
         &self.lease.endpoint
     }
 
+    pub(super) fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns whether the connection runs through another node.
+    pub(super) fn is_tunneled(&self) -> bool {
+        self.connection.is_tunneled()
+    }
+
+    /// Returns the number of events received, also of those that the caller had already.
+    pub(super) fn event_count(&self) -> u32 {
+        self.events
+    }
+
     pub(super) fn replica(&self) -> Option<&Replica> {
         self.replica.as_ref()
     }
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -200,10 +200,12 @@
     let options = send_options(call, endpoint, earlier);
     let admit = || traffic.admit_send(call, is_sent);
     match client.send(call, endpoint, &options, deadline, admit).await {
-        SendOutcome::Answered(reply) => match client.read_body(reply, endpoint, deadline).await {
-            Ok((parts, bytes)) => AttemptResult::Complete(parts, bytes),
-            Err(error) => AttemptResult::Incomplete(error),
-        },
+        SendOutcome::Answered(reply) => {
+            match client.read_body(reply, call, endpoint, deadline).await {
+                Ok((parts, bytes)) => AttemptResult::Complete(parts, bytes),
+                Err(error) => AttemptResult::Incomplete(error),
+            }
+        }
         ended => AttemptResult::Ended(ended),
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dialect;
 pub mod events;
 pub mod runner_client;
+pub mod framing;
 pub mod handler;
 pub mod flow;
 pub mod fleet;
--- a/crates/relay/src/log_messages.rs
+++ b/crates/relay/src/log_messages.rs
@@ -24,6 +24,8 @@
 pub const STREAM_ABORTED: &str = "stream aborted";
 /// Response lost; followed by the reason.
 pub const RESPONSE_LOST: &str = "response lost: ";
+/// Response to a call ended with its connection, since it stated no other end.
+pub const ENDED_BY_CLOSE: &str = "response ended with its connection";
 /// Retry refused by the budget of a service.
 pub const NO_RETRY: &str = "no retry left in the budget";
 /// Request rejected by a runner without being run.
@@ -97,7 +99,7 @@
 pub const BRITTLE_ENDED: &str = "the runner no longer bears only few rejections";
 
 /// All messages, for a test that the operators' page documents them.
-pub const ALL: [&str; 42] = [
+pub const ALL: [&str; 43] = [
     REJECTED,
     REQUEST_SENT,
     WRONG_SERVICE,
@@ -110,6 +112,7 @@
     STREAM_COMPLETED,
     STREAM_ABORTED,
     RESPONSE_LOST,
+    ENDED_BY_CLOSE,
     REJECTED_BY_RUNNER,
     RUNNER_ERROR,
     ERROR_RETURNED,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,14 +2,20 @@
 
 mod admission;
 mod pace;
+mod responses;
 mod retries;
 mod volume;
 
-pub use self::volume::{Part, PollOutcome};
+pub use self::{
+    responses::ResponseEnd,
+    volume::{Part, PollOutcome},
+};
 
 use {
-    self::{admission::Admission, pace::Pace, retries::Retries, volume::Volume},
-    crate::{catalog::Kind, fleet::PaceCounts, rejection::Rejection},
+    self::{
+        admission::Admission, pace::Pace, responses::Responses, retries::Retries, volume::Volume,
+    },
+    crate::{catalog::Kind, fleet::PaceCounts, framing::Framing, rejection::Rejection},
     bilberryfront_decide::{admission::throttle::Subject, member::PeerMessage},
     compact_str::CompactString,
     prometheus_client::{
@@ -143,6 +149,7 @@
     volume: Volume,
     admission: Admission,
     pace: Pace,
+    responses: Responses,
     retries: Retries,
     version: Gauge,
     era: Gauge,
@@ -168,6 +175,7 @@
             volume: Volume::default(),
             admission: Admission::default(),
             pace: Pace::default(),
+            responses: Responses::default(),
             retries: Retries::default(),
             version: Gauge::default(),
             era: Gauge::default(),
@@ -206,6 +214,7 @@
         m.volume.register(&mut registry);
         m.admission.register(&mut registry);
         m.pace.register(&mut registry);
+        m.responses.register(&mut registry);
         m.retries.register(&mut registry);
         registry.register("catalogue_version", "Version in force", m.version.clone());
         registry.register(
@@ -315,6 +324,11 @@
         self.retries.count_send(service, is_repeat);
     }
 
+    /// Counts the end of a response of a runner.
+    pub fn count_response_end(&self, service: &str, framing: Framing, end: ResponseEnd) {
+        self.responses.count_end(service, framing, end);
+    }
+
     /// Counts a store outage.
     pub fn count_store_failure(&self) {
         self.store.inc();
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -8,11 +8,13 @@
         call::Call,
         dialect::{Dialect, Identity, Progress, ResponseHead, SendOptions},
         fleet::{Endpoint, Fleet, Moment},
+        framing::Framing,
         headers,
         log_messages::{
-            REJECTED_BY_RUNNER, REQUEST_SENT, RESPONSE_LOST, RUNNER_ERROR, WRONG_SERVICE,
+            ENDED_BY_CLOSE, REJECTED_BY_RUNNER, REQUEST_SENT, RESPONSE_LOST, RUNNER_ERROR,
+            WRONG_SERVICE,
         },
-        metrics::{Metrics, Part},
+        metrics::{Metrics, Part, ResponseEnd},
         network::Network,
         pool::{Connection, Exchange, SendError},
         view::Published,
@@ -118,8 +120,8 @@
     pub head: ResponseHead,
     /// Body.
     pub body: Incoming,
-    /// Whether the body has a length or chunks; otherwise it ends with the connection.
-    pub framed: bool,
+    /// How the end of the body is stated.
+    pub framing: Framing,
     /// Connection, which can be reused after the body.
     pub connection: Connection,
 }
@@ -245,12 +247,11 @@
             }
             return SendOutcome::NotRun;
         }
-        let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
-        let framed = framing.iter().any(|name| parts.headers.contains_key(name));
+        let framing = Framing::of(&parts.headers);
         headers::strip(&mut parts.headers);
         self.fleet.record_alive(endpoint.key, sent_at);
         self.fleet.record_response(endpoint.key, Instant::now());
-        SendOutcome::Answered(Box::new(Reply { parts, head, body, framed, connection }))
+        SendOutcome::Answered(Box::new(Reply { parts, head, body, framing, connection }))
     }
 
     /// Logs where a request is sent, and why the runner serves it: its registration, or a replica.
@@ -294,14 +295,22 @@
     pub async fn read_body(
         &self,
         reply: Box<Reply>,
+        call: &Call,
         endpoint: &Endpoint,
         deadline: Instant,
     ) -> Result<(Parts, Bytes), SendError> {
-        let Reply { parts, head, body, connection, .. } = *reply;
+        let Reply { parts, head, body, framing, connection } = *reply;
         let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let read = timeout_at(deadline, read).await;
         let runner = endpoint.id.as_str();
-        let request = head.id.as_deref().unwrap_or_default();
+        let request = call.head.id.as_str();
+        let is_tunneled = connection.is_tunneled();
+        let end = match &read {
+            Ok(Ok(_)) => ResponseEnd::Regular,
+            Ok(Err(_)) => ResponseEnd::Cut,
+            Err(_) => ResponseEnd::Silent,
+        };
+        self.metrics.count_response_end(&call.service, framing, end);
         let error = match read {
             Ok(Ok(bytes)) => {
                 let bytes = bytes.to_bytes();
@@ -310,13 +319,18 @@
                     log::info!(request, runner, status = parts.status.as_u16();
                         "{RUNNER_ERROR}");
                 }
+                if framing == Framing::Close {
+                    log::info!(request, runner, bytes = bytes.len(), tunneled = is_tunneled;
+                        "{ENDED_BY_CLOSE}");
+                }
                 self.fleet.return_connection(endpoint.key, connection, head.idle);
                 return Ok((parts, bytes));
             }
             Ok(Err(_)) => SendError::Disconnected,
             Err(_) => SendError::Timeout,
         };
-        log::warn!(request, runner; "{RESPONSE_LOST}{error}, while reading the body");
+        log::warn!(request, runner, framing:?, tunneled = is_tunneled;
+            "{RESPONSE_LOST}{error}, while reading the body");
         Err(error)
     }
 
