Check the head of each response in one place, and frame bodies to callers anew

Callers got spoilt responses as complete ones: with 'Transfer-Encoding: chunkd' the sizes of the chunks reached them as part of the body, with a length beside chunks a body cut to that length, and with a spoilt name of the field all that came until the connection ended. A runner's version reached them as well: after 'HTTP/1.0' the body to the caller ended with the connection, so that an aborted stream looked complete.

Cause: whether a response states an end was taken from the presence of a field, whatever it says, and what the HTTP client makes of the rest was not checked. Class: a head is trusted field by field, and its contradictions are settled by whichever reader comes next. Now Framing::of decides, for each response of a runner to calls, streams, control requests and probes, and of the store, as all of them are read through Connection::send: exactly one of a length in digits, the coding 'chunked' in HTTP/1.1, or the announced end of the connection, and a final status. Anything else counts as a lost response. The length and the version that reach callers are this node's own.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -457,7 +457,10 @@
 fn lost_response(error: SendError) -> VersionResponse {
     match error {
         SendError::Timeout => VersionResponse::Failure,
-        SendError::Unsent | SendError::NoPath | SendError::Disconnected => VersionResponse::Lost,
+        SendError::Unsent
+        | SendError::NoPath
+        | SendError::Malformed(_)
+        | SendError::Disconnected => VersionResponse::Lost,
     }
 }
 
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -72,6 +72,7 @@
                     SendError::Timeout => {
                         traffic.check_silence(call, &endpoint, sent_at, Some(Duration::ZERO));
                     }
+                    SendError::Malformed(_) => fleet.record_failure(key, Instant::now()),
                     SendError::Unsent | SendError::NoPath => {}
                 }
                 end_trial(trial, call, lost_response(error));
@@ -87,6 +88,9 @@
 fn rejection_of(error: SendError) -> Rejection {
     match error {
         SendError::Timeout => Rejection::Timeout,
-        SendError::Unsent | SendError::NoPath | SendError::Disconnected => Rejection::Lost,
+        SendError::Unsent
+        | SendError::NoPath
+        | SendError::Malformed(_)
+        | SendError::Disconnected => Rejection::Lost,
     }
 }
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -245,6 +245,7 @@
                     fleet.record_overload(key, Instant::now());
                     traffic.check_silence(call, &endpoint, sent_at, Some(Duration::ZERO));
                 }
+                SendError::Malformed(_) => fleet.record_failure(key, Instant::now()),
                 SendError::Unsent | SendError::NoPath | SendError::Disconnected => {
                     fleet.record_failure(key, Instant::now());
                     traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,10 +1,13 @@
 //! Connections to runners and their pools.
 
 use {
-    crate::network::Network,
+    crate::{
+        framing::{BadHead, Framing},
+        network::Network,
+    },
     bytes::Bytes,
     compact_str::CompactString,
-    http::{Request, Response},
+    http::{Request, response::Parts},
     http_body_util::Full,
     hyper::{
         body::Incoming,
@@ -45,6 +48,9 @@
     /// Connection error after the request was sent.
     #[error("connection closed before the response was complete")]
     Disconnected,
+    /// The head of the response cannot be relied on.
+    #[error("malformed response: {0}")]
+    Malformed(BadHead),
     /// Timeout after the request was sent.
     #[error("no response before the deadline")]
     Timeout,
@@ -73,6 +79,17 @@
     }
 }
 
+/// A response whose head was checked, with its unread body.
+#[derive(Debug)]
+pub struct Response {
+    /// Head.
+    pub parts: Parts,
+    /// Body.
+    pub body: Incoming,
+    /// How the end of the body is stated.
+    pub framing: Framing,
+}
+
 /// HTTP/1 connection for one request at a time; dropping it closes the connection and cancels the
 /// request.
 #[derive(Debug)]
@@ -117,16 +134,18 @@
         request: Request<Full<Bytes>>,
         exchange: &Exchange,
         until: Instant,
-    ) -> Result<Response<Incoming>> {
+    ) -> Result<Response> {
         self.last = Some(exchange.clone());
-        match tokio::time::timeout_at(until, self.sender.try_send_request(request)).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(mut error)) => Err(match error.take_message() {
-                Some(_) => SendError::Unsent,
-                None => SendError::Disconnected,
-            }),
-            Err(_) => Err(SendError::Timeout),
-        }
+        let method = request.method().clone();
+        let sending = tokio::time::timeout_at(until, self.sender.try_send_request(request));
+        let response = sending.await.map_err(|_| SendError::Timeout)?;
+        let response = response.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::Unsent,
+            None => SendError::Disconnected,
+        })?;
+        let (parts, body) = response.into_parts();
+        let framing = Framing::of(&method, &parts).map_err(SendError::Malformed)?;
+        Ok(Response { parts, body, framing })
     }
 
     fn is_usable(&self) -> bool {
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -8,7 +8,7 @@
         call::Call,
         dialect::{Dialect, Identity, Progress, ResponseHead, SendOptions},
         fleet::{Endpoint, Fleet, Moment},
-        framing::Framing,
+        framing::{Framing, has_no_body},
         headers,
         log_messages::{
             ENDED_BY_CLOSE, REJECTED_BY_RUNNER, REQUEST_SENT, RESPONSE_LOST, RUNNER_ERROR,
@@ -16,13 +16,14 @@
         },
         metrics::{Metrics, Part, ResponseEnd},
         network::Network,
-        pool::{Connection, Exchange, SendError},
+        pool::{Connection, Exchange, Response, SendError},
         view::Published,
     },
     bytes::Bytes,
     compact_str::CompactString,
     http::{
-        HeaderMap, Method, Request, StatusCode, Uri, header, response::Parts, uri::PathAndQuery,
+        HeaderMap, Method, Request, StatusCode, Uri, Version, header, response::Parts,
+        uri::PathAndQuery,
     },
     http_body_util::{BodyExt, Full, Limited},
     hyper::body::Incoming,
@@ -220,7 +221,7 @@
             }
         };
         self.count_bytes(Part::Request, endpoint, call.body.len());
-        let (mut parts, body) = response.into_parts();
+        let Response { mut parts, body, framing } = response;
         let head = self.dialect.parse_response(&parts);
         let is_valid = head.signed || head.not_run;
         // A runner may send an additional response, also to a request that it rejected. It would be read
@@ -247,8 +248,12 @@
             }
             return SendOutcome::NotRun;
         }
-        let framing = Framing::of(&parts.headers);
         headers::strip(&mut parts.headers);
+        // The caller's connection has its own version, and frames the body anew.
+        parts.version = Version::HTTP_11;
+        if !has_no_body(&call.method, parts.status) {
+            parts.headers.remove(header::CONTENT_LENGTH);
+        }
         self.fleet.record_alive(endpoint.key, sent_at);
         self.fleet.record_response(endpoint.key, Instant::now());
         SendOutcome::Answered(Box::new(Reply { parts, head, body, framing, connection }))
@@ -538,7 +543,7 @@
             let deadline = Instant::now() + limit;
             let exchanged = self.exchange(endpoint, &exchange, request, deadline).await;
             let (response, connection) = exchanged.ok()?;
-            let (parts, body) = response.into_parts();
+            let Response { parts, body, .. } = response;
             let head = self.dialect.parse_response(&parts);
             // An additional response to a request: the response to this one is still to come.
             if let Some(id) = &head.id {
@@ -582,7 +587,7 @@
         exchange: &Exchange,
         request: impl Fn() -> Option<Request<Full<Bytes>>>,
         deadline: Instant,
-    ) -> Result<(http::Response<Incoming>, Connection), SendError> {
+    ) -> Result<(Response, Connection), SendError> {
         let idle = self.fleet.take_idle_connection(endpoint.key, Instant::now(), exchange);
         if let Some(mut connection) = idle {
             let Some(request) = request() else {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -637,7 +637,7 @@
         runner.requests.borrow_mut().push(ReceivedRequest { at, headers, body });
         let id = &runner.id;
         let head = format!(
-            "HTTP/1.1 200 OK\r\nx-bilberryfront-attempt-id: a1\r\nx-bilberryfront-server-stamp: {id}\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nx-bilberryfront-attempt-id: a1\r\nx-bilberryfront-server-stamp: {id}\r\nconnection: close\r\n\r\n"
         );
         _ = stream.write_all(format!("{head}{text}").as_bytes()).await;
     }
