Confirm the end of a response that states none

Callers got streams that ended as complete before their last event, and parts of bodies with a length as if they were whole. Cause: a response without a length or chunks ends with its connection, and the kernel closes the connections of a runner that is killed in the same way (a FIN, if nothing is unread). That end was turned into an asserted one: our own final chunk, or our own length. Class: the silence of a source is taken for its statement.

Now such an end is a statement of that run only. A stream is complete if its run's response stated the end and had events of its own, or if two runs have ended at the same position; else it is resumed at another runner, from its replica if there is one, and aborted if none may run it. This holds for an empty response that states its end as well, which ended a stream at any position. An idempotent call asks another runner, and two equal responses confirm each other; if there is no other, and for calls that must not run twice, the caller's response ends with its connection as the runner's did. A crash of the runner is looked for at such an end, which counted as a sound run before.

One of these is replaced: a_response_without_a_length_that_ends_after_an_event_is_complete asked for one send. The bytes that its runner sends are those of a runner that is killed, so one send can't tell; it asks for two sends now, the same events, and a complete response. Weighed: the runner's report, which no longer names a run that has ended, but neither one that was cut; the holder of the replica, which has none after a success, but neither if there was no room for one.

Costs: a whole stream without a length is prefilled a second time, and a whole lookup without one runs twice.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -22,6 +22,8 @@
 pub enum ResponseBody {
     /// Complete in memory.
     Buffered(Option<Bytes>),
+    /// In memory, without a statement where it ends.
+    UntilClose(Option<Bytes>),
     /// Produced while it is sent.
     Stream(Stream),
 }
@@ -89,6 +91,11 @@
     pub fn empty() -> ResponseBody {
         ResponseBody::Buffered(None)
     }
+
+    /// Returns a body that ends with its connection, as it may not be complete.
+    pub fn until_close(bytes: Bytes) -> ResponseBody {
+        ResponseBody::UntilClose(Some(bytes))
+    }
 }
 
 impl From<Bytes> for ResponseBody {
@@ -106,14 +113,16 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Aborted>>> {
         match &mut *self {
-            ResponseBody::Buffered(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            ResponseBody::Buffered(bytes) | ResponseBody::UntilClose(bytes) => {
+                Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b))))
+            }
             ResponseBody::Stream(stream) => stream.poll(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
-            ResponseBody::Buffered(bytes) => bytes.is_none(),
+            ResponseBody::Buffered(bytes) | ResponseBody::UntilClose(bytes) => bytes.is_none(),
             ResponseBody::Stream(stream) => stream.ended,
         }
     }
@@ -123,7 +132,7 @@
             ResponseBody::Buffered(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
             }
-            ResponseBody::Stream(_) => SizeHint::default(),
+            ResponseBody::UntilClose(_) | ResponseBody::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -387,6 +387,14 @@
         self.attribute_crash(call, endpoint, &crash);
     }
 
+    /// Checks in the background whether a runner has crashed; see [`Traffic::record_crash`].
+    fn check_crash_later(&self, call: &Call, endpoint: &Endpoint, sent_at: Instant) {
+        let (traffic, call, endpoint) = (self.clone(), call.clone(), endpoint.clone());
+        tokio::task::spawn_local(async move {
+            traffic.record_crash(&call, &endpoint, sent_at, Some(Duration::ZERO)).await;
+        });
+    }
+
     /// Attributes the crash of a runner to a request that it held.
     fn attribute_crash(&self, call: &Call, endpoint: &Endpoint, crash: &RunnerCrash) {
         let &RunnerCrash { sent_at, age, .. } = crash;
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -43,14 +43,19 @@
         match traffic.client.send(call, &endpoint, &options, deadline, admit).await {
             SendOutcome::Answered(reply) => {
                 return match traffic.client.read_body(reply, call, &endpoint, deadline).await {
-                    Ok((parts, bytes)) => {
-                        if parts.status.is_success() {
+                    Ok(answer) => {
+                        let status = answer.parts.status;
+                        if status.is_success() {
                             fleet.record_call_time(key, sent_at.elapsed());
                         }
-                        traffic.record_response(call);
-                        traffic.quarantine.record_sound_run(call, sent_at);
-                        end_trial(trial, call, (!is_failure(parts.status)).into());
-                        Response::from_parts(parts, bytes.into())
+                        if answer.is_confirmed() {
+                            traffic.record_response(call);
+                            traffic.quarantine.record_sound_run(call, sent_at);
+                        } else {
+                            traffic.check_crash_later(call, &endpoint, sent_at);
+                        }
+                        end_trial(trial, call, (!is_failure(status)).into());
+                        answer.into_response()
                     }
                     Err(error) => {
                         traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -24,16 +24,17 @@
         dialect::Dialect,
         events::Event,
         fleet::{Endpoint, RunnerKey},
+        framing::Framing,
         metrics::{Part, Resume, Silence},
         network::Network,
         pool::SendError,
         quarantine::SOUND_TIME,
         rejection::Rejection,
         rollouts::trial::Trial,
+        runner_client::Answer,
     },
     bilberryfront_decide::mover::Response as VersionResponse,
-    bytes::Bytes,
-    http::{Response, response::Parts},
+    http::Response,
     std::{cell::Cell, rc::Rc, time::Duration},
     tokio::time::Instant,
 };
@@ -70,12 +71,14 @@
     is_sent: Rc<Cell<bool>>,
     /// Whether a runner may have run the request.
     may_have_run: bool,
+    /// Number of runs that have ended at the current position without a confirmation.
+    unconfirmed_ends: u32,
     /// Time of the first event.
     first_event_at: Option<Instant>,
     /// Replica of the last run.
     last_replica: Option<AvailableReplica>,
     /// Error response of a runner, returned if no runner succeeds.
-    failure: Option<(Parts, Bytes)>,
+    failure: Option<Answer>,
     /// Error of the last run that may have started.
     lost: Option<SendError>,
     /// Why the last attempt was not followed by another.
@@ -136,7 +139,7 @@
 /// Why a stream cannot be started or resumed.
 enum FinalFailure {
     /// Error response of a runner.
-    Failure(Parts, Bytes),
+    Failure(Answer),
     /// Rejection by this node.
     Rejected(Rejection),
 }
@@ -186,7 +189,7 @@
         RaceEnd::Failed(failure) => {
             generation.log_not_started();
             match failure {
-                FinalFailure::Failure(parts, bytes) => Response::from_parts(parts, bytes.into()),
+                FinalFailure::Failure(answer) => answer.into_response(),
                 FinalFailure::Rejected(rejection) => traffic.reject(&generation.call, rejection),
             }
         }
@@ -208,6 +211,7 @@
             sends: 0,
             is_sent: Rc::default(),
             may_have_run: false,
+            unconfirmed_ends: 0,
             first_event_at: None,
             last_replica: None,
             failure: None,
@@ -224,9 +228,9 @@
         &mut self,
         sender: BodySender,
         mut active: ActiveRun,
-        first: Option<Event>,
+        first: Result<Event, RunEnd>,
     ) {
-        let mut next = first.ok_or(RunEnd::Whole);
+        let mut next = first;
         loop {
             match next {
                 Ok(event) => {
@@ -248,7 +252,7 @@
                         self.record_sound_run(&mut active);
                     }
                 }
-                Err(RunEnd::Whole) => {
+                Err(end) if self.confirms_end(end, active.run.framing()) => {
                     self.complete(active);
                     return sender.finish();
                 }
@@ -259,7 +263,7 @@
                             let source = winner.active.source;
                             self.traffic.metrics.count_resume(source, lost.elapsed());
                             active = winner.active;
-                            next = winner.first.ok_or(RunEnd::Whole);
+                            next = winner.first;
                         }
                         RaceEnd::Continued(silent, event) => (active, next) = (*silent, event),
                         RaceEnd::Failed(_) => return self.log_broken(),
@@ -269,6 +273,17 @@
         }
     }
 
+    /// Returns whether the end of a run is the end of the stream. Without a confirmation, two runs must have
+    /// ended at the same position, unless no other run is allowed and the response states its end.
+    fn confirms_end(&self, end: RunEnd, framing: Framing) -> bool {
+        match end {
+            RunEnd::Whole => true,
+            RunEnd::Unconfirmed if self.is_resumable() => self.unconfirmed_ends > 0,
+            RunEnd::Unconfirmed => framing != Framing::Close,
+            RunEnd::Cut | RunEnd::Silent | RunEnd::Disorder => false,
+        }
+    }
+
     /// Replaces a run that has ended or is silent. A silent one is kept until another has started.
     async fn replace(&mut self, active: ActiveRun, reason: RunEnd) -> RaceEnd {
         self.last_replica = None;
@@ -327,6 +342,7 @@
 
     async fn forward(&mut self, sender: &BodySender, event: Event) -> bool {
         self.position = event.id.or(self.position);
+        self.unconfirmed_ends = 0;
         sender.push(event.bytes).await
     }
 
@@ -342,6 +358,11 @@
         match reason {
             // The failure was recorded when the silence began.
             RunEnd::Silent => self.traffic.metrics.count_silence(Silence::Replaced),
+            RunEnd::Unconfirmed => {
+                self.unconfirmed_ends += 1;
+                let age = Some(active.waited + active.silent);
+                self.record_crash(&endpoint, active.sent_at, age, is_alone).await;
+            }
             RunEnd::Cut => {
                 self.runners.retain(|runner| *runner != key);
                 self.record_failure(&endpoint);
@@ -465,7 +486,7 @@
 
     fn final_failure(&mut self) -> FinalFailure {
         match (self.failure.take(), self.lost) {
-            (Some((parts, bytes)), _) => FinalFailure::Failure(parts, bytes),
+            (Some(answer), _) => FinalFailure::Failure(answer),
             // The runs that may have started were cancelled.
             (None, None) if self.may_have_run => FinalFailure::Rejected(Rejection::Lost),
             (None, None) => FinalFailure::Rejected(match self.retry {
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -14,9 +14,8 @@
         log_messages::{ATTEMPT_SUSPECT, RESPONSE_LOST, SENT_BESIDE},
         network::Network,
         pool::SendError,
-        runner_client::{LossSign, SendOutcome, is_failure},
+        runner_client::{Answer, LossSign, SendOutcome, is_failure},
     },
-    bytes::Bytes,
     futures_util::future::join_all,
     http::response::Parts,
     std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration},
@@ -92,14 +91,14 @@
 pub(super) struct StartedRun {
     pub(super) parts: Parts,
     pub(super) run: Run,
-    /// First event; `None` if the run ended without one.
-    pub(super) first: Option<Event>,
+    /// First event, or how the run ended without one.
+    pub(super) first: Result<Event, RunEnd>,
 }
 
 /// Outcome of one send.
 pub(super) enum AttemptOutcome {
     Started(Box<StartedRun>),
-    Failure(Parts, Bytes),
+    Failure(Answer),
     NotRun,
     Unsent,
     NoPath,
@@ -250,7 +249,7 @@
         let reply = match client.send(call, endpoint, &options, *end, admit).await {
             SendOutcome::Answered(reply) if is_failure(reply.parts.status) => {
                 return match client.read_body(reply, call, endpoint, *end).await {
-                    Ok((parts, bytes)) => AttemptOutcome::Failure(parts, bytes),
+                    Ok(answer) => AttemptOutcome::Failure(answer),
                     Err(error) => lost(error, true),
                 };
             }
@@ -265,12 +264,12 @@
         let (parts, mut run) = Run::new(*reply, lease, replica);
         let timeout = end.saturating_duration_since(Instant::now());
         match run.next(timeout, plan.position).await {
-            Ok(first) => {
+            first @ Ok(_) => {
                 run.mark_started();
-                AttemptOutcome::Started(Box::new(StartedRun { parts, run, first: Some(first) }))
+                AttemptOutcome::Started(Box::new(StartedRun { parts, run, first }))
             }
-            Err(RunEnd::Whole) => {
-                AttemptOutcome::Started(Box::new(StartedRun { parts, run, first: None }))
+            first @ Err(RunEnd::Whole | RunEnd::Unconfirmed) => {
+                AttemptOutcome::Started(Box::new(StartedRun { parts, run, first }))
             }
             Err(reason) => {
                 let metrics = &traffic.metrics;
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -48,8 +48,8 @@
 pub(super) struct Winner {
     pub(super) parts: http::response::Parts,
     pub(super) active: ActiveRun,
-    /// First event; `None` if the run ended without one.
-    pub(super) first: Option<Event>,
+    /// First event, or how the run ended without one.
+    pub(super) first: Result<Event, RunEnd>,
 }
 
 impl<D: Dialect, N: Network> Generation<D, N> {
@@ -262,10 +262,10 @@
         }
         match outcome {
             AttemptOutcome::Started(_) => unreachable!("a started run ends the race"),
-            AttemptOutcome::Failure(parts, bytes) => {
+            AttemptOutcome::Failure(answer) => {
                 self.end_trial(number, VersionResponse::Failure);
                 self.runs += 1;
-                self.failure = Some((parts, bytes));
+                self.failure = Some(answer);
             }
             AttemptOutcome::NotRun | AttemptOutcome::Withheld => {}
             AttemptOutcome::Unsent => self.mark_failed(endpoint.key),
--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -34,9 +34,10 @@
     splitter: Splitter,
     /// Comments and blank lines that are forwarded with the next event.
     comments: BytesMut,
-    /// Whether the end of the connection is the end of a complete response: it has a length or chunks,
-    /// or at least one event.
+    /// Whether the response may end here: its end is stated, or it has at least one event.
     may_end: bool,
+    /// Whether the run has had an event or comment that the caller lacked.
+    has_advanced: bool,
     lease: Lease,
     replica: Option<Replica>,
     /// Time of the last search for a holder of a replica, after the one before the send.
@@ -52,6 +53,9 @@
 pub(super) enum RunEnd {
     /// The stream is complete.
     Whole,
+    /// The response has ended regularly, but only this run says that there are no more events: its response
+    /// stated no end, or had no event that the caller lacked.
+    Unconfirmed,
     /// Connection error, or end of stream within an event or, without a length, before the first one.
     Cut,
     /// No event within the timeout.
@@ -63,7 +67,7 @@
 impl RunEnd {
     pub(super) fn response_end(self) -> ResponseEnd {
         match self {
-            RunEnd::Whole => ResponseEnd::Regular,
+            RunEnd::Whole | RunEnd::Unconfirmed => ResponseEnd::Regular,
             RunEnd::Cut => ResponseEnd::Cut,
             RunEnd::Silent => ResponseEnd::Silent,
             RunEnd::Disorder => ResponseEnd::Disorder,
@@ -89,6 +93,7 @@
             splitter,
             comments,
             may_end,
+            has_advanced: false,
             lease,
             replica,
             replica_search,
@@ -135,9 +140,11 @@
                     match check_continuity(&event, position) {
                         Continuity::Next => {
                             self.lease.record_response();
+                            self.has_advanced = true;
                             return Ok(self.with_comments(event));
                         }
-                        Continuity::Duplicate => {}
+                        // The caller has the comments before it as well.
+                        Continuity::Duplicate => self.comments.clear(),
                         Continuity::Gap => return Err(RunEnd::Disorder),
                     }
                 }
@@ -167,10 +174,15 @@
                 }
                 Some(Err(_)) => return Err(RunEnd::Cut),
                 None if self.splitter.is_partial() || !self.may_end => return Err(RunEnd::Cut),
-                None if !self.comments.is_empty() => {
+                // Comments after the last event; an earlier run may have sent them already.
+                None if !self.comments.is_empty() && (self.has_advanced || position.is_none()) => {
+                    self.has_advanced = true;
                     return Ok(Event { id: None, bytes: self.comments.split().freeze() });
                 }
-                None => return Err(RunEnd::Whole),
+                None if self.has_advanced && self.framing != Framing::Close => {
+                    return Err(RunEnd::Whole);
+                }
+                None => return Err(RunEnd::Unconfirmed),
             }
         }
     }
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -7,16 +7,16 @@
         call::Call,
         dialect::Dialect,
         fleet::{Endpoint, RunnerKey},
+        framing::Framing,
         network::Network,
         pool::SendError,
         rejection::Rejection,
         rollouts::trial::Trial,
-        runner_client::{SendOutcome, is_failure},
+        runner_client::{Answer, SendOutcome, is_failure},
     },
     bilberryfront_decide::mover::Response as VersionResponse,
-    bytes::Bytes,
     futures_util::{StreamExt, stream::FuturesUnordered},
-    http::{Response, response::Parts},
+    http::Response,
     std::{cell::Cell, pin::pin, rc::Rc, time::Duration},
     tokio::time::{Instant, sleep, timeout},
 };
@@ -45,11 +45,20 @@
     /// Number of ended attempts that may have run.
     runs: u32,
     /// Error response of a runner, returned if no runner succeeds.
-    failure: Option<(Parts, Bytes)>,
+    failure: Option<Answer>,
+    /// Successful response that may be cut off, returned if no other runner succeeds.
+    unconfirmed: Option<Answer>,
     /// Error of the last attempt without a response.
     lost: Option<SendError>,
 }
 
+impl Progress {
+    /// Returns the response that is returned if no other runner succeeds.
+    fn provisional(&self) -> Option<&Answer> {
+        self.unconfirmed.as_ref().or(self.failure.as_ref())
+    }
+}
+
 /// An attempt that has ended.
 struct Attempt {
     endpoint: Endpoint,
@@ -59,8 +68,8 @@
 
 /// How an attempt ended.
 enum AttemptResult {
-    /// Complete response.
-    Complete(Parts, Bytes),
+    /// Response, complete by its framing.
+    Complete(Answer),
     /// Response whose body is incomplete.
     Incomplete(SendError),
     /// No response.
@@ -91,7 +100,7 @@
         let ended = tokio::select! {
             biased;
             ended = pending.next() => ended,
-            () = sleep(hedge_delay(call)) => match (&progress.failure, progress.newest) {
+            () = sleep(hedge_delay(call)) => match (progress.provisional(), progress.newest) {
                 // A failure of the newest attempt is not held back for runners that remain silent.
                 (Some(_), None) => break None,
                 _ => continue,
@@ -112,8 +121,8 @@
         }
     };
     end_trial(progress.trial.take(), call, lost_response(SendError::Timeout));
-    match response.or(progress.failure.take()) {
-        Some((parts, bytes)) => Response::from_parts(parts, bytes.into()),
+    match response.or(progress.unconfirmed.take()).or(progress.failure.take()) {
+        Some(answer) => answer.into_response(),
         None => traffic.reject(call, rejection_of(traffic, call, &progress)),
     }
 }
@@ -202,7 +211,7 @@
     match client.send(call, endpoint, &options, deadline, admit).await {
         SendOutcome::Answered(reply) => {
             match client.read_body(reply, call, endpoint, deadline).await {
-                Ok((parts, bytes)) => AttemptResult::Complete(parts, bytes),
+                Ok(answer) => AttemptResult::Complete(answer),
                 Err(error) => AttemptResult::Incomplete(error),
             }
         }
@@ -216,21 +225,31 @@
     call: &Call,
     progress: &mut Progress,
     attempt: Attempt,
-) -> Option<(Parts, Bytes)> {
+) -> Option<Answer> {
     let Attempt { endpoint, sent_at, result } = attempt;
     let (fleet, key) = (&traffic.client.fleet, endpoint.key);
     match result {
-        AttemptResult::Complete(parts, bytes) => {
+        AttemptResult::Complete(answer) => {
+            let status = answer.parts.status;
             progress.runs += 1;
-            traffic.record_response(call);
-            traffic.quarantine.record_sound_run(call, sent_at);
-            if parts.status.is_success() {
+            if answer.is_confirmed() {
+                traffic.record_response(call);
+                traffic.quarantine.record_sound_run(call, sent_at);
+            } else {
+                traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
+            }
+            if status.is_success() {
                 fleet.record_call_time(key, sent_at.elapsed());
             }
-            if !is_failure(parts.status) {
-                return Some((parts, bytes));
+            match () {
+                () if is_failure(status) => progress.failure = Some(answer),
+                () if answer.is_confirmed() => return Some(answer),
+                // Two runners agree on where the body ends.
+                () if progress.unconfirmed.as_ref().is_some_and(|first| first.equals(&answer)) => {
+                    return Some(Answer { framing: Framing::Length, ..answer });
+                }
+                () => progress.unconfirmed = Some(answer),
             }
-            progress.failure = Some((parts, bytes));
         }
         AttemptResult::Incomplete(error) => {
             progress.runs += 1;
@@ -262,7 +281,7 @@
 /// Returns what an attempt says about its version; `None` if it has not run.
 fn sample_response(result: &AttemptResult) -> Option<VersionResponse> {
     match result {
-        AttemptResult::Complete(parts, _) => Some((!is_failure(parts.status)).into()),
+        AttemptResult::Complete(answer) => Some((!is_failure(answer.parts.status)).into()),
         AttemptResult::Incomplete(error) | AttemptResult::Ended(SendOutcome::Lost(error)) => {
             Some(lost_response(*error))
         }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        body::ResponseBody,
         call::Call,
         dialect::{Dialect, Identity, Progress, ResponseHead, SendOptions},
         fleet::{Endpoint, Fleet, Moment},
@@ -22,7 +23,7 @@
     bytes::Bytes,
     compact_str::CompactString,
     http::{
-        HeaderMap, Method, Request, StatusCode, Uri, Version, header, response::Parts,
+        HeaderMap, HeaderValue, Method, Request, StatusCode, Uri, Version, header, response::Parts,
         uri::PathAndQuery,
     },
     http_body_util::{BodyExt, Full, Limited},
@@ -127,6 +128,42 @@
     pub connection: Connection,
 }
 
+/// A response with its body, complete by its framing.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Head.
+    pub parts: Parts,
+    /// Body.
+    pub body: Bytes,
+    /// How the end of the body was stated.
+    pub framing: Framing,
+}
+
+impl Answer {
+    /// Returns whether the runner stated where the body ends. Otherwise it may have been killed within the body.
+    pub fn is_confirmed(&self) -> bool {
+        self.framing != Framing::Close
+    }
+
+    /// Returns whether the status and the body are those of `other`.
+    pub fn equals(&self, other: &Answer) -> bool {
+        self.parts.status == other.parts.status && self.body == other.body
+    }
+
+    /// Returns the response to the caller. The end of its body is stated only if the runner's was.
+    pub fn into_response(self) -> http::Response<ResponseBody> {
+        let is_confirmed = self.is_confirmed();
+        let Answer { mut parts, body, .. } = self;
+        if is_confirmed {
+            return http::Response::from_parts(parts, body.into());
+        }
+        // HTTP/1.0 has no chunks, so that the body ends with the connection.
+        parts.version = Version::HTTP_10;
+        parts.headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        http::Response::from_parts(parts, ResponseBody::until_close(body))
+    }
+}
+
 /// A request to a runner itself, which needs no slot.
 struct ControlRequest<'a> {
     method: Method,
@@ -297,13 +334,18 @@
     }
 
     /// Reads the response body and returns the connection to the pool.
+    ///
+    /// # Errors
+    ///
+    /// [`SendError::Disconnected`] if the body is incomplete by its framing, or too long;
+    /// [`SendError::Timeout`] at the deadline.
     pub async fn read_body(
         &self,
         reply: Box<Reply>,
         call: &Call,
         endpoint: &Endpoint,
         deadline: Instant,
-    ) -> Result<(Parts, Bytes), SendError> {
+    ) -> Result<Answer, SendError> {
         let Reply { parts, head, body, framing, connection } = *reply;
         let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let read = timeout_at(deadline, read).await;
@@ -329,7 +371,7 @@
                         "{ENDED_BY_CLOSE}");
                 }
                 self.fleet.return_connection(endpoint.key, connection, head.idle);
-                return Ok((parts, bytes));
+                return Ok(Answer { parts, body: bytes, framing });
             }
             Ok(Err(_)) => SendError::Disconnected,
             Err(_) => SendError::Timeout,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -12,6 +12,8 @@
 mod endless;
 #[path = "relay/endpoints.rs"]
 mod endpoints;
+#[path = "relay/ends.rs"]
+mod ends;
 #[path = "relay/engine.rs"]
 mod engine;
 #[path = "relay/extra_responses.rs"]
--- /dev/null
+++ b/tests/relay/ends.rs
@@ -0,0 +1,118 @@
+//! Responses that state no end: their runner may have been killed within the body.
+
+use {
+    super::support::{Deployment, ENGINES, PLAIN, Script, StreamEnd, ms, run_local},
+    http::Version,
+    http_body::Body,
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+const EVENTS: Script =
+    Script::Events { last: 20, gap: Duration::from_millis(40), end: StreamEnd::Complete };
+/// A stream that ends with its connection, between two events.
+const CUT: Script = Script::Unframed("id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n");
+/// Headers of a prompt whose last segment is `b7`.
+const PROMPT: [(&str, &str); 2] = [
+    ("x-bilberryfront-token-counts", "5000,100"),
+    ("x-bilberryfront-prompt-prefix", "a1:200,b7:4800"),
+];
+
+/// Lets all runners that have no request yet respond with `script` from the first request on.
+async fn replace_after_first(deployment: &Deployment, script: &Script) {
+    while deployment.request_count() == 0 {
+        sleep(ms(1)).await;
+    }
+    let unused = deployment.runners.iter().filter(|r| r.request_count() == 0);
+    unused.for_each(|runner| _ = runner.script.replace(script.clone()));
+}
+
+/// Guards against a stream that ends as complete before its last event: its runner, which states no end, is
+/// killed between two events.
+#[tokio::test(start_paused = true)]
+async fn a_stream_without_a_length_that_is_cut_between_events_is_resumed() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &CUT);
+        let serving = deployment.serve("/stream/1", &PROMPT);
+        let (received, ()) = tokio::join!(serving, replace_after_first(&deployment, &EVENTS));
+        assert_eq!((received.status, received.is_complete), (200, true));
+        assert_eq!(received.event_ids(), (1..=20).collect::<Vec<u64>>());
+    })
+    .await;
+}
+
+/// Guards against a stream that ends as complete before its last event, if it must not run twice: whether it
+/// is complete remains unknown.
+#[tokio::test(start_paused = true)]
+async fn a_stream_without_a_length_that_must_not_run_twice_is_not_ended_as_complete() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &CUT);
+        let received = deployment.serve("/fixed/1", &PROMPT).await;
+        assert_eq!((received.event_ids(), received.is_complete), (vec![1, 2], false));
+        assert_eq!(deployment.request_count(), 1);
+    })
+    .await;
+}
+
+/// Guards against a stream that ends as complete before its last event: the runner that should resume it
+/// responds with an end and no event.
+#[tokio::test(start_paused = true)]
+async fn an_end_without_events_does_not_end_a_stream_alone() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &Script::Respond(200, ""));
+        let recovery = async {
+            while deployment.request_count() < 1 {
+                sleep(ms(1)).await;
+            }
+            let unused = deployment.runners.iter().filter(|r| r.request_count() == 0);
+            unused.for_each(|runner| _ = runner.script.replace(EVENTS));
+        };
+        let (received, ()) = tokio::join!(deployment.serve("/stream/1", &PROMPT), recovery);
+        assert_eq!((received.status, received.is_complete), (200, true));
+        assert_eq!(received.event_ids(), (1..=20).collect::<Vec<u64>>());
+    })
+    .await;
+}
+
+/// Guards against a part of a body that is returned as a whole one: the runner of an idempotent request states
+/// no end, and is killed.
+#[tokio::test(start_paused = true)]
+async fn an_idempotent_response_without_a_length_is_confirmed_by_another_runner() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a", "b"], &Script::Unframed("the first ha"));
+        let whole = Script::Respond(200, "the first half and the second");
+        let serving = deployment.serve("/look/1", &[]);
+        let (received, ()) = tokio::join!(serving, replace_after_first(&deployment, &whole));
+        assert_eq!((received.status, received.is_complete), (200, true));
+        assert_eq!(received.text, "the first half and the second");
+    })
+    .await;
+}
+
+/// Guards against a response that is lost, or sent to a third runner, although two runners agree on it.
+#[tokio::test(start_paused = true)]
+async fn two_equal_responses_without_a_length_confirm_each_other() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a", "b", "c"], &Script::Unframed("whole"));
+        let response = deployment.send("/look/1", &[]).await;
+        assert_eq!((response.status().as_u16(), response.version()), (200, Version::HTTP_11));
+        assert_eq!(response.body().size_hint().exact(), Some(5));
+        assert_eq!(deployment.request_count(), 2);
+    })
+    .await;
+}
+
+/// Guards against a part of a body that is returned with a length of our own, as if it were whole, if the request
+/// must not run twice. The response ends with the caller's connection as it did with the runner's.
+#[tokio::test(start_paused = true)]
+async fn an_unconfirmed_response_states_no_end_to_the_caller() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a", "b"], &Script::Unframed("the first ha"));
+        let response = deployment.send("/lodge/1", &[]).await;
+        assert_eq!((response.status().as_u16(), response.version()), (200, Version::HTTP_10));
+        assert_eq!(response.headers()["connection"], "close");
+        assert_eq!(response.body().size_hint().exact(), None);
+        assert_eq!(deployment.request_count(), 1);
+    })
+    .await;
+}
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -636,7 +636,8 @@
     }
 }
 
-/// Guards against a response without a length that is taken for broken off although it is complete.
+/// Guards against a response without a length that is taken for broken off although it is complete. A second
+/// run that has no other event confirms its end.
 #[tokio::test(start_paused = true)]
 async fn a_response_without_a_length_that_ends_after_an_event_is_complete() {
     run_local(async {
@@ -645,7 +646,7 @@
         let received = deployment.serve("/stream/1", &PROMPT).await;
         assert_eq!((received.status, received.is_complete), (200, true));
         assert_eq!(received.event_ids(), all(2));
-        assert_eq!(deployment.request_count(), 1);
+        assert_eq!(deployment.request_count(), 2);
     })
     .await;
 }
