Reset a caller's connection that closes within a body that ends with it

Callers that speak HTTP/1.0 get streams without chunks, which end with their connection. A stream that was aborted, or whose instance was killed, ended with a regular close, so that it looked complete. The same holds for a response that is passed on until close as its runner stated no end, if the instance is killed while it is sent.

Cause: hyper drops the socket of a body that fails, and the kernel closes the sockets of a killed process; both send a FIN.

Change: while a body without a stated end is sent, the socket lingers for zero seconds, so that any close is a reset. That is undone only when the body is complete and sent, before the regular close. Other connections are not touched: a failed chunked or sized body is recognizable as it is, and a rejection that was just written is never destroyed. No descriptors are duplicated.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod catalog;
 pub mod control;
 pub mod dialect;
+pub mod ending;
 pub mod events;
 pub mod runner_client;
 pub mod framing;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{
-        body::ResponseBody, catalog::Limits, dialect::Dialect, handler::Handler, network::Network,
+        catalog::Limits,
+        dialect::Dialect,
+        ending::{CallerBody, CallerStream, Ending},
+        handler::Handler,
+        network::Network,
         view::Published,
     },
     http::{Request, Response},
@@ -102,7 +106,9 @@
 ) {
     match configure(&stream) {
         Ok(()) => {
-            let serving = serve_connection(stream, purpose, handler.clone(), close.clone());
+            let ending = Ending::default();
+            let stream = CallerStream::new(stream, ending.clone());
+            let serving = serve_connection(stream, ending, purpose, handler.clone(), close.clone());
             _ = tokio::task::spawn_local(serving);
         }
         // The caller has already disconnected.
@@ -110,9 +116,10 @@
     }
 }
 
-/// Serves a connection; a change of `close` closes it once it is idle.
+/// Serves a connection whose stream shares `ending`; a change of `close` closes it once it is idle.
 pub async fn serve_connection<D: Dialect, N: Network>(
     stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+    ending: Ending,
     purpose: Purpose,
     handler: Handler<D, N>,
     mut close: watch::Receiver<bool>,
@@ -122,7 +129,7 @@
     let is_new = Cell::new(true);
     let service = service_fn(|request| {
         is_new.set(false);
-        respond(&handler, purpose, request)
+        respond(&handler, &ending, purpose, request)
     });
     let mut builder = http1::Builder::new();
     builder
@@ -155,14 +162,17 @@
 
 async fn respond<D: Dialect, N: Network>(
     handler: &Handler<D, N>,
+    ending: &Ending,
     purpose: Purpose,
     request: Request<Incoming>,
-) -> Result<Response<ResponseBody>, Infallible> {
-    Ok(match purpose {
+) -> Result<Response<CallerBody>, Infallible> {
+    let (method, version) = (request.method().clone(), request.version());
+    let response = match purpose {
         Purpose::Requests => handler.handle_request(request).await,
         Purpose::Queries => handler.handle_query(&request),
         Purpose::Metrics => handler.handle_metrics(),
-    })
+    };
+    Ok(ending.prepare(&method, version, response))
 }
 
 fn configure(stream: &TcpStream) -> io::Result<()> {
--- a/tests/relay/endpoints.rs
+++ b/tests/relay/endpoints.rs
@@ -5,6 +5,7 @@
     bilberryfront_platform::Http,
     bilberryfront_relay::{
         drain::Drain,
+        ending::Ending,
         flow::Traffic,
         handler::Handler,
         network::Network,
@@ -49,6 +50,7 @@
         let (client, server_side) = tokio::io::duplex(WINDOW);
         let serving = server::serve_connection(
             server_side,
+            Ending::default(),
             purpose,
             self.handler.clone(),
             self.close.subscribe(),
