State that the connection closes with a body that ends with it

Callers that speak HTTP/1.0 and ask to keep the connection got streams with `Connection: keep-alive`, although such a body ends with the connection: neither a length nor an end was stated, so that a caller could wait for more, or take the end for a fault.

Cause: hyper adds the header to a response in HTTP/1.1 if the caller asks for it, whatever the body is.

Change: such responses are HTTP/1.0 themselves and state `Connection: close`.

Measured: a_complete_stream_without_chunks_ends_with_a_close was red with no `connection: close` and, with the header only, with `connection: close, keep-alive`; green now.

--- a/crates/relay/src/ending.rs
+++ b/crates/relay/src/ending.rs
@@ -9,7 +9,7 @@
         framing::has_no_body,
     },
     bytes::Bytes,
-    http::{Method, Response, Version},
+    http::{HeaderValue, Method, Response, Version, header},
     http_body::{Body, Frame, SizeHint},
     socket2::SockRef,
     std::{
@@ -47,7 +47,7 @@
         &self,
         method: &Method,
         version: Version,
-        response: Response<ResponseBody>,
+        mut response: Response<ResponseBody>,
     ) -> Response<CallerBody> {
         // HTTP/1.0 has no chunks.
         let has_chunks = version > Version::HTTP_10 && response.version() > Version::HTTP_10;
@@ -56,6 +56,10 @@
             || has_no_body(method, response.status());
         if !is_stated {
             self.0.set(State::Incomplete);
+            // hyper would state to an HTTP/1.0 caller that the connection is kept, if that asked for it.
+            *response.version_mut() = Version::HTTP_10;
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
         }
         response.map(|body| CallerBody { body, ending: (!is_stated).then(|| self.clone()) })
     }
--- a/tests/caller_framing.rs
+++ b/tests/caller_framing.rs
@@ -200,7 +200,8 @@
     .await;
 }
 
-/// Guards against a complete stream that looks aborted.
+/// Guards against a complete stream that looks aborted, and against one without an end that states that its
+/// connection is kept.
 #[tokio::test]
 async fn a_complete_stream_without_chunks_ends_with_a_close() {
     run_local(async {
@@ -208,6 +209,10 @@
         for lines in ["", KEEP_ALIVE] {
             let received = send(&instance, &request("POST", "/fixed/1", 0, lines)).await;
             assert_eq!((received.events(), received.end), (EVENTS, End::Closed), "{lines:?}");
+            let (head, _) = received.parts();
+            assert!(head.starts_with("http/1.0 200 "), "{head}");
+            assert!(head.contains("\r\nconnection: close"), "{head}");
+            assert!(!head.contains("keep-alive"), "{head}");
         }
         let received = send(&instance, &request("POST", "/fixed/1", 1, "")).await;
         assert_eq!((received.events(), received.end), (EVENTS, End::Open));
