State that the connection closes with a stream of the daemon that has no chunks

Callers of `serve` that speak HTTP/1.0 and ask to keep the connection got streams with `Connection: keep-alive`, although such a body has neither a length nor chunks and ends with the connection.

Cause: the server adds the header to a response in HTTP/1.1 if the caller asks for it, whatever the body is.

Change: streams for such callers are HTTP/1.0 responses with `Connection: close`. Whether a stream is complete is told by `[DONE]`, so that a killed node's stream is not taken for a complete one, although it ends with a regular close.

--- a/src/traffic/completions.rs
+++ b/src/traffic/completions.rs
@@ -23,7 +23,7 @@
     bytes::Bytes,
     compact_str::{CompactString, format_compact},
     futures_util::stream::{self, StreamExt},
-    http::{HeaderMap, header},
+    http::{HeaderMap, HeaderValue, Version, header},
     std::fmt::Write,
     sync_wrapper::SyncStream,
     volo_http::{body::Body, request::Request, response::Response, utils::Extension},
@@ -50,13 +50,16 @@
 async fn respond(traffic: Traffic, request: Request) -> Response {
     let mut meter = Meter::start(traffic.control.metrics());
     let (head, body) = request.into_parts();
+    let version = head.version;
     let guard = match traffic.begin_request() {
         Ok(guard) => guard,
         Err(problem) => return failed(&problem, &mut meter),
     };
     match prepare(&traffic, &head.headers, body).await {
         Err(problem) => failed(&problem, &mut meter),
-        Ok((driver, true)) => respond_stream(driver, meter, guard).await,
+        Ok((driver, true)) => {
+            close_without_chunks(respond_stream(driver, meter, guard).await, version)
+        }
         Ok((driver, false)) => respond_json(driver, meter).await,
     }
 }
@@ -237,6 +240,16 @@
         .expect("statuses and headers are constants")
 }
 
+/// Returns a stream's response for a caller that speaks `version`. Without chunks it ends with the connection, but the
+/// server would state that the connection is kept if the caller asked for it.
+fn close_without_chunks(mut response: Response, version: Version) -> Response {
+    if version < Version::HTTP_11 {
+        *response.version_mut() = Version::HTTP_10;
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
 fn count(piece: &Piece, meter: &mut Meter) {
     match piece {
         Piece::Tokens(tokens) => meter.tokens(tokens.len()),
