Reject CONNECT requests

A caller that sends `CONNECT` to a service got "200 OK" without the body that the runner had sent: a success ends such a request, and what follows is a tunnel for the HTTP library. Relay calls looked complete ("200", closed, no length); a resumable stream was sent to runners five times for empty bodies and ended in 502; `serve` closed the connection without a response.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -78,6 +78,9 @@
     /// Both a content length and a transfer encoding.
     #[error("both Content-Length and Transfer-Encoding are present")]
     Framing,
+    /// `CONNECT`, which asks for a tunnel rather than a response.
+    #[error("CONNECT requests are not forwarded")]
+    Method,
 }
 
 /// Options of one send.
--- a/src/traffic/services/job.rs
+++ b/src/traffic/services/job.rs
@@ -60,6 +60,10 @@
         head: &Parts,
         body: Body,
     ) -> Result<Job> {
+        // It asks for a tunnel: its response would have no body.
+        if head.method == Method::CONNECT {
+            return Err(not_run(ProblemKind::BadRequest, "CONNECT is not passed on to services"));
+        }
         let (name, path) = split(head)?;
         let (key, entry) = access::find(catalog, account, name, Kind::Service)?;
         let names = Names { entry: name.into(), account: catalog.accounts[account].name.clone() };
--- a/tests/caller_framing.rs
+++ b/tests/caller_framing.rs
@@ -340,3 +340,16 @@
     })
     .await;
 }
+
+/// Guards against an empty body that is returned in place of the runner's: a success ends a `CONNECT` request, and
+/// what follows is not read as a body.
+#[tokio::test]
+async fn connect_requests_are_rejected() {
+    run_local(async {
+        let (_platform, runner, instance) = plain().await;
+        runner.respond_with("200 OK", "content-length: 2\r\n", "ok");
+        let received = send(&instance, &request("CONNECT", "/lodge/1", 1, "")).await;
+        assert!(received.text.starts_with("HTTP/1.1 400 "), "{received:?}");
+    })
+    .await;
+}
--- a/tests/serve_framing.rs
+++ b/tests/serve_framing.rs
@@ -151,6 +151,18 @@
     }
 }
 
+/// Guards against an empty body that is returned in place of the service's: a success ends a `CONNECT` request, and
+/// what follows is not read as a body.
+#[tokio::test]
+async fn connect_requests_are_rejected() {
+    let deployment = Deployment::start().await;
+    deployment.respond_with("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok");
+    let received = deployment.call("CONNECT", "idempotency-key: k\r\n").await;
+    assert!(received.text.starts_with("HTTP/1.1 400 "), "{received:?}");
+    assert!(received.text.contains("/problems/bad-request"), "{received:?}");
+    assert!(received.text.contains("not_run"), "{received:?}");
+}
+
 /// Guards against a stream without an end that states that its connection is kept.
 #[tokio::test]
 async fn a_stream_without_chunks_states_that_its_connection_closes() {
