Test the end of a long body that ends with its connection

A slow caller gets all 3 MiB and a regular close; if the instance is killed meanwhile, what it gets ends with a reset.

--- a/tests/caller_framing.rs
+++ b/tests/caller_framing.rs
@@ -20,13 +20,15 @@
     support::{PLAIN, Script, StreamEnd, ms, run_local},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
-        net::{TcpListener, TcpStream},
-        time::timeout,
+        net::{TcpListener, TcpSocket, TcpStream},
+        time::{sleep, timeout},
     },
 };
 
 /// Time without bytes after which a connection counts as kept open.
 const SILENCE: Duration = Duration::from_millis(700);
+/// Receive buffer of a caller that reads slowly.
+const RECEIVE_BUFFER_BYTES: u32 = 4_096;
 /// Number of events of a stream.
 const EVENTS: usize = 20;
 const KEEP_ALIVE: &str = "connection: keep-alive\r\n";
@@ -246,6 +248,34 @@
     .await;
 }
 
+/// Guards against a long body that is reset although it is complete, or closed regularly although it is not, while
+/// its caller reads slowly.
+#[tokio::test]
+async fn a_long_response_that_may_be_cut_off_is_closed_only_when_it_is_sent() {
+    const LENGTH: usize = 3 << 20;
+    run_local(async {
+        let (_platform, runner, mut instance) = plain().await;
+        runner.respond_with("200 OK", "connection: close\r\n", &"x".repeat(LENGTH));
+        runner.closes.set(true);
+        let mut streams = Vec::new();
+        for _ in 0..2 {
+            let socket = TcpSocket::new_v4().unwrap();
+            socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).unwrap();
+            let mut stream = socket.connect(instance.callers).await.unwrap();
+            stream.write_all(request("POST", "/lodge/1", 1, "").as_bytes()).await.unwrap();
+            streams.push(stream);
+        }
+        sleep(SILENCE).await;
+        let received = read(&mut streams[0]).await;
+        assert_eq!((received.parts().1.len(), received.end), (LENGTH, End::Closed));
+        instance.process.kill();
+        let received = read(&mut streams[1]).await;
+        assert!(received.text.len() < LENGTH, "{} bytes", received.text.len());
+        assert_eq!(received.end, End::Reset);
+    })
+    .await;
+}
+
 /// Guards against a changed or an invented length of a response that has no body, and against a body that is taken
 /// for the next response.
 #[tokio::test]
