Don't return a stream whose first events are missing

A stream whose runner leaves its first events out reached the caller without them, as complete. Cause: an event was compared with the last one that the caller has, and any event passed as the first. Event ids of a stream count its events from 1, which positions, probes and replicas rely on as well; so a first event with a higher id is a gap like any other, and the stream is sent to another runner.

a_stream_whose_first_events_are_missing_is_sent_to_another_runner failed before: events 3 to 20 were returned. Found by reading for other ways to the same end; nobody has seen it.

--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -256,12 +256,12 @@
     Gap,
 }
 
-/// Compares an event's id with the id of the last delivered event. A resumed run may repeat events;
-/// a missing event cannot be recovered.
+/// Compares an event's id with the id of the last delivered event; a stream begins with event 1. A resumed
+/// run may repeat events; a missing event cannot be recovered.
 fn check_continuity(event: &Event, position: Option<u64>) -> Continuity {
     match (event.id, position) {
         (Some(id), Some(last)) if id <= last => Continuity::Duplicate,
-        (Some(id), Some(last)) if id > last + 1 => Continuity::Gap,
+        (Some(id), last) if id > last.unwrap_or(0).saturating_add(1) => Continuity::Gap,
         _ => Continuity::Next,
     }
 }
--- a/tests/relay/ends.rs
+++ b/tests/relay/ends.rs
@@ -74,6 +74,20 @@
     .await;
 }
 
+/// Guards against a stream without its first events, which its runner has left out.
+#[tokio::test(start_paused = true)]
+async fn a_stream_whose_first_events_are_missing_is_sent_to_another_runner() {
+    run_local(async {
+        let late = Script::Unframed("id: 3\ndata: token 3\n\nid: 4\ndata: token 4\n\n");
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &late);
+        let serving = deployment.serve("/stream/1", &PROMPT);
+        let (received, ()) = tokio::join!(serving, replace_after_first(&deployment, &EVENTS));
+        assert_eq!((received.status, received.is_complete), (200, true));
+        assert_eq!(received.event_ids(), (1..=20).collect::<Vec<u64>>());
+    })
+    .await;
+}
+
 /// Guards against a part of a body that is returned as a whole one: the runner of an idempotent request states
 /// no end, and is killed.
 #[tokio::test(start_paused = true)]
