Don't return a body that is longer than its runner stated

A caller would get a part of a body as the whole one if a digit of its length is spoilt: the HTTP client reads as many bytes as stated, and closes the connection because of the rest. Cause: the rest was taken for bytes that belong to no request, which a faulty runner may send behind a complete response. Class: a contradiction between a head and what follows is settled for the head. Now the connection counts what arrives behind a head. If there is more than the stated length when the body is read, and it does not begin another response, the response is lost: a lookup is sent to another runner, a call that must not run twice gets 502, and a stream is resumed.

a_body_that_is_longer_than_stated_is_not_returned failed before (with the check switched off: 200 with 'the first ha'); a_response_that_another_follows_is_returned guards the other side. What arrives later than the stated length, in a read of its own, is not seen.

--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -60,7 +60,7 @@
     Cut,
     /// No event within the timeout.
     Silent,
-    /// Missing event, or an event that is too long.
+    /// Missing event, an event that is too long, or a body that is longer than stated.
     Disorder,
 }
 
@@ -173,6 +173,7 @@
                     self.push_frame(&frame);
                 }
                 Some(Err(_)) => return Err(RunEnd::Cut),
+                None if self.connection.check_length().is_err() => return Err(RunEnd::Disorder),
                 None if self.splitter.is_partial() || !self.may_end => return Err(RunEnd::Cut),
                 // Comments after the last event; an earlier run may have sent them already.
                 None if !self.comments.is_empty() && (self.has_advanced || position.is_none()) => {
--- a/crates/relay/src/framing.rs
+++ b/crates/relay/src/framing.rs
@@ -34,7 +34,7 @@
     /// Transfer coding other than `chunked`, or several.
     #[error("an unknown transfer coding")]
     Coding,
-    /// Content length that is no number, or several.
+    /// Content length that is no number or too small, or several.
     #[error("an invalid content length")]
     Length,
     /// Both a content length and a transfer coding.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,20 +1,23 @@
 //! Connections to runners and their pools.
 
+mod watch;
+
 use {
+    self::watch::{Watch, Watched},
     crate::{
-        framing::{BadHead, Framing},
+        framing::{BadHead, Framing, has_no_body},
         network::Network,
     },
     bytes::Bytes,
     compact_str::CompactString,
-    http::{Request, response::Parts},
+    http::{Request, header, response::Parts},
     http_body_util::Full,
     hyper::{
         body::Incoming,
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    std::{net::SocketAddr, time::Duration},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncRead, AsyncWrite},
         task::AbortHandle,
@@ -99,6 +102,7 @@
     tunneled: bool,
     /// The last exchange; `None` on a new connection.
     last: Option<Exchange>,
+    watch: Rc<RefCell<Watch>>,
 }
 
 impl Connection {
@@ -113,6 +117,8 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
         tunneled: bool,
     ) -> Result<Connection> {
+        let watch = Rc::<RefCell<Watch>>::default();
+        let stream = Watched::new(stream, watch.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| SendError::Unsent)?;
         let run = async move {
@@ -120,7 +126,7 @@
             _ = connection.await;
         };
         let task = tokio::task::spawn_local(run).abort_handle();
-        Ok(Connection { sender, task, tunneled, last: None })
+        Ok(Connection { sender, task, tunneled, last: None, watch })
     }
 
     /// Returns whether the connection runs through another node.
@@ -136,6 +142,7 @@
         until: Instant,
     ) -> Result<Response> {
         self.last = Some(exchange.clone());
+        self.watch.borrow_mut().begin();
         let method = request.method().clone();
         let sending = tokio::time::timeout_at(until, self.sender.try_send_request(request));
         let response = sending.await.map_err(|_| SendError::Timeout)?;
@@ -145,9 +152,25 @@
         })?;
         let (parts, body) = response.into_parts();
         let framing = Framing::of(&method, &parts).map_err(SendError::Malformed)?;
+        let length =
+            parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+        let length = length.filter(|_| !has_no_body(&method, parts.status));
+        self.watch.borrow_mut().set_length(length);
         Ok(Response { parts, body, framing })
     }
 
+    /// Checks a response whose body was read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if more has arrived than the stated length, other than another response.
+    pub fn check_length(&self) -> Result<()> {
+        match self.watch.borrow().has_surplus() {
+            true => Err(SendError::Malformed(BadHead::Length)),
+            false => Ok(()),
+        }
+    }
+
     fn is_usable(&self) -> bool {
         self.sender.is_ready() && !self.sender.is_closed()
     }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -338,7 +338,7 @@
     /// # Errors
     ///
     /// [`SendError::Disconnected`] if the body is incomplete by its framing, or too long;
-    /// [`SendError::Timeout`] at the deadline.
+    /// [`SendError::Malformed`] if it is longer than stated; [`SendError::Timeout`] at the deadline.
     pub async fn read_body(
         &self,
         reply: Box<Reply>,
@@ -348,19 +348,23 @@
     ) -> Result<Answer, SendError> {
         let Reply { parts, head, body, framing, connection } = *reply;
         let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let read = timeout_at(deadline, read).await;
+        let read = match timeout_at(deadline, read).await {
+            Ok(Ok(body)) => connection.check_length().map(|()| body.to_bytes()),
+            Ok(Err(_)) => Err(SendError::Disconnected),
+            Err(_) => Err(SendError::Timeout),
+        };
         let runner = endpoint.id.as_str();
         let request = call.head.id.as_str();
         let is_tunneled = connection.is_tunneled();
         let end = match &read {
-            Ok(Ok(_)) => ResponseEnd::Regular,
-            Ok(Err(_)) => ResponseEnd::Cut,
-            Err(_) => ResponseEnd::Silent,
+            Ok(_) => ResponseEnd::Regular,
+            Err(SendError::Timeout) => ResponseEnd::Silent,
+            Err(SendError::Malformed(_)) => ResponseEnd::Disorder,
+            Err(_) => ResponseEnd::Cut,
         };
         self.metrics.count_response_end(&call.service, framing, end);
         let error = match read {
-            Ok(Ok(bytes)) => {
-                let bytes = bytes.to_bytes();
+            Ok(bytes) => {
                 self.count_bytes(Part::Answer, endpoint, bytes.len());
                 if is_failure(parts.status) {
                     log::info!(request, runner, status = parts.status.as_u16();
@@ -373,8 +377,7 @@
                 self.fleet.return_connection(endpoint.key, connection, head.idle);
                 return Ok(Answer { parts, body: bytes, framing });
             }
-            Ok(Err(_)) => SendError::Disconnected,
-            Err(_) => SendError::Timeout,
+            Err(error) => error,
         };
         log::warn!(request, runner, framing:?, tunneled = is_tunneled;
             "{RESPONSE_LOST}{error}, while reading the body");
--- a/tests/relay/ends.rs
+++ b/tests/relay/ends.rs
@@ -103,6 +103,37 @@
     .await;
 }
 
+/// Guards against a part of a body that is returned as a whole one: a digit of its length is spoilt, and the rest
+/// arrives behind it.
+#[tokio::test(start_paused = true)]
+async fn a_body_that_is_longer_than_stated_is_not_returned() {
+    run_local(async {
+        let spoilt = Script::Raw("content-length: 12", "the first half and the second");
+        for (path, expected) in [("/look/1", 200), ("/lodge/1", 502)] {
+            let deployment = Deployment::new(PLAIN, &["a", "b"], &spoilt);
+            let whole = Script::Respond(200, "the first half and the second");
+            let serving = deployment.serve(path, &[]);
+            let (received, ()) = tokio::join!(serving, replace_after_first(&deployment, &whole));
+            assert_eq!(received.status, expected, "{path}");
+            let text = if expected == 200 { "the first half and the second" } else { "" };
+            assert_eq!(received.text, text, "{path}");
+        }
+    })
+    .await;
+}
+
+/// Guards against a response that is lost since another one follows it, which belongs to no request.
+#[tokio::test(start_paused = true)]
+async fn a_response_that_another_follows_is_returned() {
+    run_local(async {
+        let text = "whole bodyHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        let deployment = Deployment::new(PLAIN, &["a"], &Script::Raw("content-length: 10", text));
+        let received = deployment.serve("/lodge/1", &[]).await;
+        assert_eq!((received.status, received.text.as_str()), (200, "whole body"));
+    })
+    .await;
+}
+
 /// Guards against a response that is lost, or sent to a third runner, although two runners agree on it.
 #[tokio::test(start_paused = true)]
 async fn two_equal_responses_without_a_length_confirm_each_other() {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -118,6 +118,9 @@
     /// Sends a response head with neither a length nor chunks, these bytes, and closes the connection.
     #[allow(dead_code, reason = "used by the in-memory tests only")]
     Unframed(&'static str),
+    /// Sends a response head with these fields beside its ids, these bytes, and closes the connection.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    Raw(&'static str, &'static str),
 }
 
 /// Shares of the responses of a version that are bad.
@@ -607,8 +610,13 @@
 /// Serves a connection to a runner.
 pub(crate) fn serve(runner: Rc<Runner>, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
     let stream = Pausable { runner: runner.clone(), stream };
-    if let Script::Unframed(text) = *runner.script.borrow() {
-        tokio::task::spawn_local(respond_unframed(runner.clone(), stream, text));
+    let raw = match *runner.script.borrow() {
+        Script::Unframed(text) => Some(("connection: close", text)),
+        Script::Raw(fields, text) => Some((fields, text)),
+        _ => None,
+    };
+    if let Some((fields, text)) = raw {
+        tokio::task::spawn_local(respond_raw(runner.clone(), stream, fields, text));
         return;
     }
     let serving = runner.clone();
@@ -624,10 +632,11 @@
     serving.connections.borrow_mut().push(task.abort_handle());
 }
 
-/// Responds to one request without a length.
-async fn respond_unframed(
+/// Responds to one request with these fields and bytes.
+async fn respond_raw(
     runner: Rc<Runner>,
     mut stream: impl AsyncRead + AsyncWrite + Unpin,
+    fields: &'static str,
     text: &'static str,
 ) {
     let mut buffer = [0; 4096];
@@ -637,7 +646,7 @@
         runner.requests.borrow_mut().push(ReceivedRequest { at, headers, body });
         let id = &runner.id;
         let head = format!(
-            "HTTP/1.1 200 OK\r\nx-bilberryfront-attempt-id: a1\r\nx-bilberryfront-server-stamp: {id}\r\nconnection: close\r\n\r\n"
+            "HTTP/1.1 200 OK\r\nx-bilberryfront-attempt-id: a1\r\nx-bilberryfront-server-stamp: {id}\r\n{fields}\r\n\r\n"
         );
         _ = stream.write_all(format!("{head}{text}").as_bytes()).await;
     }
@@ -792,7 +801,7 @@
         }
         Script::Close => return Err(io::ErrorKind::ConnectionReset.into()),
         Script::Hang => std::future::pending().await,
-        Script::Unframed(_) => unreachable!("responses without a length are not sent by hyper"),
+        Script::Unframed(_) | Script::Raw(..) => unreachable!("not sent by hyper"),
     };
     let headers = response.headers_mut();
     headers.entry("x-bilberryfront-attempt-id").or_insert(id);
