--- a/tests/caller_framing.rs
+++ b/tests/caller_framing.rs
@@ -202,6 +202,25 @@
     .await;
 }
 
+/// Guards against a stream that looks complete to a caller that closes its own direction early, which cancels the
+/// stream.
+#[tokio::test]
+async fn a_stream_without_chunks_that_its_caller_cancels_ends_with_a_reset() {
+    run_local(async {
+        let (_platform, instance) = streaming(StreamEnd::Complete, ms(50)).await;
+        let mut stream = connect(instance.callers, &request("POST", "/fixed/1", 0, "")).await;
+        let mut buffer = [0; 4096];
+        while !String::from_utf8_lossy(&buffer).contains("data: ") {
+            assert!(stream.read(&mut buffer).await.unwrap() > 0);
+        }
+        stream.shutdown().await.unwrap();
+        let received = read(&mut stream).await;
+        assert!(received.events() < EVENTS, "{received:?}");
+        assert_eq!(received.end, End::Reset);
+    })
+    .await;
+}
+
 /// Guards against a complete stream that looks aborted, and against one without an end that states that its
 /// connection is kept.
 #[tokio::test]
