Check the head of a service's response to a call

What callers saw: a response of a service with a spoilt head was their answer. With 'Transfer-Encoding: chunkd' the chunk sizes were part of the body; with a spoilt name of the length's field, what had come until the connection closed was the whole body; beside chunks, the runner's length was passed on; statuses 101 and 600 were passed on.

Cause: the HTTP client accepts heads that state no valid end of the body, and `Sender` read whatever body it got. It rejects other heads by itself: a letter in the length, different lengths, a line without a colon, a blank before the colon, a blank or control byte in a name, HTTP/1.0 with chunks, 000 and 099.

Change: `Sender` checks each head with `Framing::of`, as the relay does. A call whose response fails it may have run: one that may run once ends as unknown, others are sent to another runner.

Result: a_response_with_a_malformed_head_is_unknown fails before with 6 of the 16 heads (chunkd, length beside chunks, the same length twice, a spoilt name, 101, 600) as `Sent::Answer`; passes after. The other ten were unknown before.

--- a/src/traffic/send.rs
+++ b/src/traffic/send.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::platform::http::is_unsent,
+    bilberryfront_relay::framing::Framing,
     bytes::Bytes,
     http::{
         HeaderMap, HeaderName, HeaderValue, Method, StatusCode,
@@ -115,17 +116,20 @@
         // becomes idle to a request that waits for a new one. A connection with `close` never
         // becomes idle.
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
-        let mut request = self.client.request(method, url).body(Body::from(body));
+        let mut request = self.client.request(method.clone(), url).body(Body::from(body));
         request.headers_mut().extend(headers);
         match request.send::<Body>().await {
-            Ok(response) => read(response).await,
+            Ok(response) => read(&method, response).await,
             Err(error) => failure(&error),
         }
     }
 }
 
-async fn read(response: http::Response<Body>) -> Sent {
+async fn read(method: &Method, response: http::Response<Body>) -> Sent {
     let (mut head, body) = response.into_parts();
+    if let Err(error) = Framing::of(method, &head) {
+        return Sent::Unknown(format!("malformed response: {error}"));
+    }
     remove_hop_by_hop(&mut head.headers);
     match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
         Ok(body) => Sent::Answer(Reply {
