Take a malformed response of the platform for a lost one

What callers saw: nothing in the record. A commit of the table service that was answered with a spoilt status (101, 600) counted as "no effect", so that a call could be reported as "not run" although its claim was written; a response whose head stated two ends was decoded.

Cause: every status other than 200 and most server errors counts as a rejection, and the head was not checked.

Change: the client of the platform's services checks each head with `Framing::of`; a malformed one is a lost response. A body that ends within is no valid JSON, and was lost before; the operators' client needs no check, as it takes nothing but whole JSON documents.

Result: a_malformed_response_of_the_table_service_is_lost fails before with 5 of the 16 heads (length beside chunks, the same length twice, and a spoilt name: decoded; 101 and 600: `Down`); passes after.

--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -1,6 +1,7 @@
 //! HTTP client for the JSON services of the platform.
 
 use {
+    bilberryfront_relay::framing::Framing,
     compact_str::CompactString,
     http::{Method, StatusCode},
     http_body_util::{BodyExt, Limited},
@@ -80,12 +81,14 @@
         let exchange = async {
             let request = self
                 .client
-                .request(method, url)
+                .request(method.clone(), url)
                 .header("content-type", "application/json")
                 .body(body);
             let response = request.send::<Body>().await.map_err(|e| failure(&e))?;
-            let status = response.status();
-            let body = Limited::new(response.into_body(), self.response_limit);
+            let (head, body) = response.into_parts();
+            Framing::of(&method, &head).map_err(lost)?;
+            let status = head.status;
+            let body = Limited::new(body, self.response_limit);
             let bytes = body.collect().await.map_err(lost)?.to_bytes();
             match status {
                 StatusCode::OK => serde_json::from_slice(&bytes).map_err(lost),
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -1,9 +1,13 @@
 //! Responses whose head or end cannot be relied on, outside of the relay.
 
 use {
-    bilberryfront::traffic::send::{Exchange, Outgoing, Sender, Sent},
+    bilberryfront::{
+        platform::http::{PlatformError, Service},
+        traffic::send::{Exchange, Outgoing, Sender, Sent},
+    },
     bytes::Bytes,
     http::{HeaderMap, Method},
+    serde_json::Value,
     std::time::Duration,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -91,3 +95,14 @@
         assert!(matches!(sent, Sent::Unknown(_)), "{response:?}: {sent:?}");
     }
 }
+
+/// Guards against a write that is taken for one without an effect, although the table service may have
+/// made it: only a valid response states that.
+#[tokio::test]
+async fn a_malformed_response_of_the_table_service_is_lost() {
+    for response in malformed(OK, BODY).into_iter().chain(with_bad_status(BODY)) {
+        let url = start(response.clone()).await;
+        let answer = Service::new(url.into(), TIMEOUT).post::<_, Value>("/commit", &()).await;
+        assert!(matches!(answer, Err(PlatformError::Lost(_))), "{response:?}: {answer:?}");
+    }
+}
