State the end of a service's body only if the service did

What callers saw: a response without a length whose connection ended regularly within the body, as that of a killed process does, was returned with a length of our own, and recorded as the whole answer for retries of a call that may run once.

Cause: `Sender` reads such a body to the end of the connection and forgets how it ended; `response` frames it anew.

Change: `Reply` holds whether the runner stated the end of the body. An idempotent call without a stated end is sent to another runner, as one that was rejected; if none states an end, or the retry fails, the first response is passed on, until the connection closes. That two runners send the same body saves a third run, but states no end: a request that crashes runners can do so at the same byte. A call that may run once is passed on in the same way, and its body is not recorded: retries learn that it was run. Ruled out: 502 in place of such a response, which would make services that speak HTTP/1.0 useless for these calls.

--- a/crates/scenarios/src/runner.rs
+++ b/crates/scenarios/src/runner.rs
@@ -284,7 +284,8 @@
         let body = receipt(&read.account, &read.key, &call.body);
         let status = http::StatusCode::OK;
         // The receiver is closed if the node has stopped.
-        _ = answer.send(Reply { status, headers: Default::default(), body: body.into() });
+        let (headers, body) = (Default::default(), body.into());
+        _ = answer.send(Reply { status, headers, body, is_confirmed: true });
     }
 
     pub(crate) fn record_stream_start(&self, stream: &mpsc::UnboundedSender<Result<RunnerEvent>>) {
--- a/src/traffic/send.rs
+++ b/src/traffic/send.rs
@@ -53,7 +53,7 @@
     pub body: Bytes,
 }
 
-/// A runner's complete response.
+/// A runner's response, complete by its framing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
     /// Status.
@@ -62,6 +62,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Whether the runner stated where the body ends. Otherwise it may have been killed within the body.
+    pub is_confirmed: bool,
 }
 
 /// Result of sending a call.
@@ -127,15 +129,17 @@
 
 async fn read(method: &Method, response: http::Response<Body>) -> Sent {
     let (mut head, body) = response.into_parts();
-    if let Err(error) = Framing::of(method, &head) {
-        return Sent::Unknown(format!("malformed response: {error}"));
-    }
+    let framing = match Framing::of(method, &head) {
+        Ok(framing) => framing,
+        Err(error) => return Sent::Unknown(format!("malformed response: {error}")),
+    };
     remove_hop_by_hop(&mut head.headers);
     match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
         Ok(body) => Sent::Answer(Reply {
             status: head.status,
             headers: head.headers,
             body: body.to_bytes(),
+            is_confirmed: framing != Framing::Close,
         }),
         Err(error) => Sent::Unknown(error.to_string()),
     }
--- a/src/traffic/services.rs
+++ b/src/traffic/services.rs
@@ -15,8 +15,12 @@
     crate::{control::Control, intents::Intents},
     bilberryfront_decide::intent::{KeyError, Plan, plan},
     bilberryfront_wire::problem::Problem,
-    http::HeaderMap,
+    bytes::Bytes,
+    futures_util::{future, stream},
+    http::{HeaderMap, HeaderValue, Version, header::CONNECTION},
+    http_body::Frame,
     job::Job,
+    sync_wrapper::SyncStream,
     volo_http::{body::Body, request::Request, response::Response, utils::Extension},
 };
 
@@ -73,9 +77,22 @@
     not_run(Kind::BadRequest, error.to_string())
 }
 
+/// Returns the response to the caller. The end of its body is stated only if the runner's was.
 fn response(reply: Reply) -> Response {
-    let mut response = Response::new(Body::from(reply.body));
-    *response.status_mut() = reply.status;
-    *response.headers_mut() = reply.headers;
+    let Reply { status, headers, body, is_confirmed } = reply;
+    let body = if is_confirmed { Body::from(body) } else { until_close(body) };
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    if !is_confirmed {
+        // HTTP/1.0 has no chunks, so that the body ends with the connection.
+        *response.version_mut() = Version::HTTP_10;
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
+
+/// Returns a body of unknown length.
+fn until_close(bytes: Bytes) -> Body {
+    Body::from_stream(SyncStream::new(stream::once(future::ready(Ok(Frame::data(bytes))))))
+}
--- a/src/traffic/services/once.rs
+++ b/src/traffic/services/once.rs
@@ -19,7 +19,7 @@
     bilberryfront_decide::{
         event::Verdict,
         id::RunnerKey,
-        intent::{Answer, Outcome},
+        intent::{Answer, Outcome, StoredBody},
     },
     bilberryfront_wire::problem::{Problem, Run},
     compact_str::CompactString,
@@ -161,7 +161,10 @@
             lease.mark_started();
             lease.verdict = Verdict::Ok;
             lease.failed = reply.status.is_server_error();
-            let kept = answer::keep(reply.status.as_u16(), &reply.headers, &reply.body);
+            let mut kept = answer::keep(reply.status.as_u16(), &reply.headers, &reply.body);
+            if !reply.is_confirmed {
+                kept.body = StoredBody::Dropped;
+            }
             record(services, permit, Outcome::Answer(kept));
             Attempt::Ended(Ok(reply))
         }
@@ -213,7 +216,9 @@
 
 fn replay(kept: &Answer) -> Result<Reply> {
     let Some(body) = answer::body(&kept.body) else {
-        return Err(unknown("it was run; its answer was too long to be kept for a retry"));
+        return Err(unknown(
+            "it was run; its answer was too long to be kept, or may have been cut",
+        ));
     };
     let headers = kept.headers.iter().filter_map(|(name, value)| {
         Some((HeaderName::try_from(name.as_str()).ok()?, HeaderValue::from_str(value).ok()?))
@@ -222,6 +227,7 @@
         status: StatusCode::from_u16(kept.status).unwrap_or(StatusCode::OK),
         headers: headers.collect(),
         body,
+        is_confirmed: true,
     })
 }
 
--- a/src/traffic/services/repeat.rs
+++ b/src/traffic/services/repeat.rs
@@ -29,6 +29,8 @@
 pub async fn run<T: Table, X: Exchange>(services: &Services<T, X>, job: &Job) -> Result<Reply> {
     let mut wanted = Wanted::first(&services.control);
     let mut may_have_run = false;
+    // Response that may be cut off, returned if no runner's is known to be whole.
+    let mut unconfirmed: Option<Reply> = None;
     let mut chooser = job.chooser(&services.control.view());
     let timeout = Duration::from_millis(job.limits.call_ms.into());
     // The timeout starts with the first granted runner: waiting for the grant has a limit of its
@@ -36,8 +38,13 @@
     let mut deadline = None;
     for attempt in 1..=MAX_ATTEMPTS {
         let acquired = acquire(&services.control, job, &mut wanted, &mut chooser).await;
-        let mut lease = acquired
-            .map_err(|rejection| with_outcome(problem::from_rejection(&rejection), may_have_run))?;
+        let mut lease = match acquired {
+            Ok(lease) => lease,
+            Err(rejection) => {
+                let problem = with_outcome(problem::from_rejection(&rejection), may_have_run);
+                return unconfirmed.ok_or(problem);
+            }
+        };
         let now = Instant::now();
         let deadline = *deadline.get_or_insert(now + timeout);
         let wait = attempt_timeout(deadline.saturating_duration_since(now), attempt);
@@ -48,7 +55,14 @@
                 lease.mark_started();
                 lease.verdict = Verdict::Ok;
                 lease.failed = reply.status.is_server_error();
-                return Ok(reply);
+                match unconfirmed.take() {
+                    Some(first) if lease.failed => return Ok(first),
+                    _ if reply.is_confirmed => return Ok(reply),
+                    // A third runner would probably not state an end either.
+                    Some(first) if first.body == reply.body => return Ok(first),
+                    _ => unconfirmed = Some(reply),
+                }
+                Verdict::Ok
             }
             Sent::Answer(_) => Verdict::Rejected,
             Sent::NotSent(_) | Sent::Unknown(_) => Verdict::Broken,
@@ -58,7 +72,8 @@
         wanted.purpose = Purpose::Retry;
     }
     let problem = not_run(Kind::NoRunner, format!("{MAX_ATTEMPTS} runners failed to answer"));
-    Err(with_outcome(problem::with_retry_after(problem, RETRY_AFTER), may_have_run))
+    let problem = with_outcome(problem::with_retry_after(problem, RETRY_AFTER), may_have_run);
+    unconfirmed.ok_or(problem)
 }
 
 /// Returns the timeout of an attempt: half of the time left for the call, or all of it for the last
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -1,12 +1,25 @@
 //! Responses whose head or end cannot be relied on, outside of the relay.
 
+#[path = "support/programs.rs"]
+mod programs;
+
 use {
     bilberryfront::{
         platform::http::{PlatformError, Service},
         traffic::send::{Exchange, Outgoing, Sender, Sent},
     },
+    bilberryfront_harness::{
+        caller::Caller,
+        fleet::{CALLER_KEY, Fleet, catalog},
+        http::{Answer, post},
+    },
+    bilberryfront_wire::{
+        instance::{Instance, InstanceKind, InstanceState},
+        problem::{Problem, Run},
+        runner::LoadReport,
+    },
     bytes::Bytes,
-    http::{HeaderMap, Method},
+    http::{HeaderMap, Method, StatusCode},
     serde_json::Value,
     std::time::Duration,
     tokio::{
@@ -18,14 +31,18 @@
 const TIMEOUT: Duration = Duration::from_secs(10);
 const OK: &str = "200 OK";
 const BODY: &str = r#"{"number": 7}"#;
+const SERVICE: &str = "desk-app";
 
-/// Starts a server that responds to one request per connection, and returns its URL.
+/// Starts a server that responds to one request per connection, and returns its URL. Its load reports are
+/// sound.
 async fn start(response: String) -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let url = format!("http://{}", listener.local_addr().unwrap());
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
-            read_request(&mut stream).await;
+            let request = read_request(&mut stream).await;
+            let is_report = request.starts_with(b"GET /load");
+            let response = if is_report { load_report() } else { response.clone() };
             // The client may have closed the connection.
             _ = stream.write_all(response.as_bytes()).await;
         }
@@ -33,9 +50,16 @@
     url
 }
 
-async fn read_request(stream: &mut TcpStream) {
+async fn read_request(stream: &mut TcpStream) -> Vec<u8> {
     let mut received = Vec::new();
     while !is_complete(&received) && stream.read_buf(&mut received).await.is_ok_and(|n| n > 0) {}
+    received
+}
+
+fn load_report() -> String {
+    let (version, cache) = ("v1".into(), Vec::new());
+    let report = LoadReport { version, running: 0, waiting: 0, slots: 8, leaving: false, cache };
+    with_length(&serde_json::to_string(&report).unwrap())
 }
 
 /// Returns whether a request has arrived to its end.
@@ -106,3 +130,104 @@
         assert!(matches!(answer, Err(PlatformError::Lost(_))), "{response:?}: {answer:?}");
     }
 }
+
+/// Starts a node with one service for each response.
+async fn fleet(responses: &[String]) -> Fleet {
+    let mut fleet = Fleet::new(programs::programs()).unwrap();
+    for (index, response) in responses.iter().enumerate() {
+        let instance = Instance {
+            name: format!("app-{index}").into(),
+            kind: InstanceKind::Service,
+            url: start(response.clone()).await.into(),
+            domain: "domain-a".into(),
+            entry: SERVICE.into(),
+            version: "v1".into(),
+            state: InstanceState::Live,
+            fenced: false,
+            peer: None,
+        };
+        let url = format!("{}/instances/{}", fleet.list.url, instance.name);
+        post(fleet.client(), &url, &instance).await.unwrap();
+    }
+    fleet.apply(1, &catalog("verify-llm", SERVICE)).await.unwrap();
+    fleet.start_node("node-a", "domain-a").await.unwrap();
+    fleet.ready().await.unwrap();
+    fleet
+}
+
+async fn call(fleet: &Fleet, method: Method, key: Option<&str>) -> Answer {
+    let path = format!("{SERVICE}/transfers");
+    let node = &fleet.nodes[0].server.url;
+    Caller::new(CALLER_KEY).service(node, method, &path, key, b"{}".to_vec()).await.unwrap()
+}
+
+/// Returns whether the response states where its body ends.
+fn states_end(answer: &Answer) -> bool {
+    ["content-length", "transfer-encoding"].iter().any(|name| answer.headers.contains_key(*name))
+}
+
+fn until_close(body: &str) -> String {
+    format!("HTTP/1.1 {OK}\r\nconnection: close\r\n\r\n{body}")
+}
+
+fn with_length(body: &str) -> String {
+    format!("HTTP/1.1 {OK}\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Guards against a part of a body that is returned as a whole one: the runner is killed within a body
+/// whose end it does not state, and its connection ends regularly. Another runner has the whole body.
+#[tokio::test]
+async fn a_cut_body_without_a_stated_end_is_requested_from_another_runner() {
+    let fleet = fleet(&[until_close(&BODY[..5]), with_length(BODY)]).await;
+    for _ in 0..8 {
+        let answer = call(&fleet, Method::GET, None).await;
+        assert_eq!((answer.status, &*answer.body), (StatusCode::OK, BODY.as_bytes()));
+        assert!(states_end(&answer), "{answer:?}");
+    }
+}
+
+/// Guards against an end that is stated to the caller although no runner has stated it.
+#[tokio::test]
+async fn a_body_without_a_stated_end_ends_with_the_connection() {
+    let fleet = fleet(&[until_close(BODY)]).await;
+    for key in [None, Some("k")] {
+        let method = if key.is_some() { Method::POST } else { Method::GET };
+        let answer = call(&fleet, method, key).await;
+        assert_eq!((answer.status, &*answer.body), (StatusCode::OK, BODY.as_bytes()), "{key:?}");
+        assert!(!states_end(&answer), "{answer:?}");
+    }
+}
+
+/// Guards against two runners that crash on a request at the same byte of their responses: that they agree
+/// does not state an end.
+#[tokio::test]
+async fn a_body_that_two_runners_end_alike_ends_with_the_connection() {
+    let cut = until_close(&BODY[..5]);
+    let fleet = fleet(&[cut.clone(), cut]).await;
+    let answer = call(&fleet, Method::GET, None).await;
+    assert_eq!((answer.status, &*answer.body), (StatusCode::OK, &BODY.as_bytes()[..5]));
+    assert!(!states_end(&answer), "{answer:?}");
+}
+
+/// Guards against a part of a body that is recorded as the whole answer for retries of a call that may run
+/// once.
+#[tokio::test]
+async fn a_body_without_a_stated_end_is_not_kept_for_a_retry() {
+    let fleet = fleet(&[until_close(&BODY[..5])]).await;
+    assert!(!states_end(&call(&fleet, Method::POST, Some("k")).await));
+    let retry = call(&fleet, Method::POST, Some("k")).await;
+    assert_eq!(retry.json::<Problem>().unwrap().run, Run::Unknown);
+}
+
+/// Guards against an error in place of the response of a service that never states an end: a retry at
+/// another runner fails.
+#[tokio::test]
+async fn a_failed_retry_does_not_replace_a_body_without_a_stated_end() {
+    let failed = "HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n";
+    let fleet = fleet(&[until_close(BODY), failed.into()]).await;
+    let mut statuses = Vec::new();
+    for _ in 0..8 {
+        statuses.push(call(&fleet, Method::GET, None).await.status.as_u16());
+    }
+    assert!(statuses.contains(&200), "{statuses:?}");
+}
