Frame a service's response to the caller anew

What callers saw: the length that a service stated was their response's, whatever body was read: beside chunks, half of it was taken for the whole.

Cause: `Content-Length` was no hop-by-hop field of a response.

Change: it is removed from responses that have a body; the node's HTTP server states its own. HEAD, 204 and 304 keep it. Transfer codings were removed before, and the version is the caller's connection's.

Result: the_length_of_a_body_is_not_passed_on fails before with content-length 13 among the headers; passes after.

--- a/src/traffic/send.rs
+++ b/src/traffic/send.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::platform::http::is_unsent,
-    bilberryfront_relay::framing::Framing,
+    bilberryfront_relay::framing::{Framing, has_no_body},
     bytes::Bytes,
     http::{
         HeaderMap, HeaderName, HeaderValue, Method, StatusCode,
@@ -134,6 +134,10 @@
         Err(error) => return Sent::Unknown(format!("malformed response: {error}")),
     };
     remove_hop_by_hop(&mut head.headers);
+    // The caller's connection frames the body anew.
+    if !has_no_body(method, head.status) {
+        head.headers.remove(CONTENT_LENGTH);
+    }
     match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
         Ok(body) => Sent::Answer(Reply {
             status: head.status,
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -231,3 +231,18 @@
     }
     assert!(statuses.contains(&200), "{statuses:?}");
 }
+
+/// Guards against a length of the runner that is passed on: it is the caller's connection that frames the body.
+#[tokio::test]
+async fn the_length_of_a_body_is_not_passed_on() {
+    let url = start(with_length(BODY)).await;
+    let send = async |method| match Sender::default().send(outgoing(method, &url), TIMEOUT).await {
+        Sent::Answer(reply) => reply,
+        sent => panic!("expected a response, got {sent:?}"),
+    };
+    let reply = send(Method::GET).await;
+    assert_eq!((&*reply.body, reply.headers), (BODY.as_bytes(), HeaderMap::new()));
+    // The length of the body that a GET request would return.
+    let reply = send(Method::HEAD).await;
+    assert_eq!(reply.headers["content-length"], "13");
+}
