Check the head of an engine's response to a generation

What callers saw: a rejection (400, 422) with a spoilt head ended the request as refused by the runner, although another one might have taken it.

Cause: only the status was looked at. Streams were not at risk: their end is an event of their own, and every event is decoded; a body that breaks off, in chunks or without a length, and the sizes of chunks between events never changed a text.

Change: the client checks each head with `Framing::of`; a malformed one is a garbled response, after which the generation goes to another runner.

Result: a_malformed_rejection_of_a_generation_is_lost fails before with 4 of the 12 heads (chunkd, length beside chunks, the same length twice, a spoilt name: `Refused(422)`); passes after.

--- a/src/traffic/upstream.rs
+++ b/src/traffic/upstream.rs
@@ -5,11 +5,12 @@
 use {
     crate::platform::http::is_unsent,
     bilberryfront_decide::{event::Verdict, id::Attempt},
+    bilberryfront_relay::framing::Framing,
     bilberryfront_wire::runner::{DONE, FINISH, Finish, Generate, Token},
     compact_str::format_compact,
     events::{BadEvent, EventFrames},
     futures_util::FutureExt,
-    http::StatusCode,
+    http::{Method, StatusCode},
     std::time::Duration,
     tokio::time::timeout,
     volo_http::{
@@ -106,7 +107,9 @@
             Ok(Err(_)) => return Err(Failure::Lost(Verdict::Broken)),
             Err(_) => return Err(Failure::Lost(Verdict::Stalled)),
         };
-        Upstream::new(response)
+        let (head, body) = response.into_parts();
+        Framing::of(&Method::POST, &head).map_err(|_| garbled())?;
+        Upstream::new(Response::from_parts(head, body))
     }
 }
 
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -6,7 +6,10 @@
 use {
     bilberryfront::{
         platform::http::{PlatformError, Service},
-        traffic::send::{Exchange, Outgoing, Sender, Sent},
+        traffic::{
+            send::{Exchange, Outgoing, Sender, Sent},
+            upstream::{Engines, Failure, HttpEngines},
+        },
     },
     bilberryfront_harness::{
         caller::Caller,
@@ -16,7 +19,7 @@
     bilberryfront_wire::{
         instance::{Instance, InstanceKind, InstanceState},
         problem::{Problem, Run},
-        runner::LoadReport,
+        runner::{Generate, LoadReport},
     },
     bytes::Bytes,
     http::{HeaderMap, Method, StatusCode},
@@ -26,6 +29,7 @@
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
     },
+    volo_http::client::Client,
 };
 
 const TIMEOUT: Duration = Duration::from_secs(10);
@@ -246,3 +250,29 @@
     let reply = send(Method::HEAD).await;
     assert_eq!(reply.headers["content-length"], "13");
 }
+
+/// Guards against a rejection that is returned to the caller although its head is spoilt: another runner may
+/// take the request.
+#[tokio::test]
+async fn a_malformed_rejection_of_a_generation_is_lost() {
+    for response in malformed("422 Unprocessable Content", BODY) {
+        let url = start(response.clone()).await;
+        let engines = HttpEngines::new(Client::builder().build().unwrap());
+        let opened = engines.open(&url, &generate(), TIMEOUT).await;
+        assert!(matches!(opened, Err(Failure::Lost(_))), "{response:?}: {:?}", opened.err());
+    }
+}
+
+fn generate() -> Generate {
+    Generate {
+        request: "r".into(),
+        attempt: 1,
+        model: "verify-llm".into(),
+        version: "v1".into(),
+        prompt: "a".into(),
+        index: 0,
+        prefix: String::new(),
+        max_tokens: 10,
+        priority: 1,
+    }
+}
