Don't return a service's body that is longer than stated

What callers saw: with a spoilt digit in the length, a part of a body was the whole answer of a call.

Cause: the HTTP client reads as many bytes as stated and drops what arrives behind them, and its connections can't be looked at. The relay checks this since.

Change: `Sender` opens the connection of each call itself, with the HTTP library below the client, as the relay does. After the response it looks at what was read behind it: bytes that do not begin another response make the outcome unknown, so that an idempotent call goes to another runner. It needs no pool, which it had to work around. What arrives in a read after the last stated byte is not seen.

Result: a_response_that_is_longer_than_stated_is_unknown fails before (`Answer` with 5 of 13 bytes); passes after. a_response_that_another_follows_is_an_answer guards the other side, and passed before. tests/response_framing.rs, once_send.rs and services.rs pass in 10 of 10 runs.

--- a/src/traffic/send.rs
+++ b/src/traffic/send.rs
@@ -1,29 +1,41 @@
 //! Sends a non-idempotent call to a runner at most once.
 //!
-//! A request of which bytes may have been sent is never sent again, neither here nor by the HTTP
-//! client's connection pool: each call uses a new connection, which is closed afterwards. On a
+//! A request of which bytes may have been sent is never sent again, neither here nor by a
+//! connection pool: each call uses a new connection, which is closed afterwards. On a
 //! kept-alive connection that the runner is closing, the request could be lost without an
 //! indication whether it ran, and every such call would end as "unknown".
 
 use {
-    crate::platform::http::is_unsent,
     bilberryfront_relay::framing::{Framing, has_no_body},
     bytes::Bytes,
+    futures_util::FutureExt,
     http::{
-        HeaderMap, HeaderName, HeaderValue, Method, StatusCode,
+        HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode, Uri,
         header::{
             CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
             TRAILER, TRANSFER_ENCODING, UPGRADE,
         },
+        uri::{Authority, PathAndQuery},
     },
-    http_body_util::{BodyExt, Limited},
-    std::time::Duration,
-    tokio::time::timeout,
-    volo_http::{body::Body, client::Client, error::client::ClientError},
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{
+        body::Incoming,
+        client::conn::http1::{self, Parts, SendRequest},
+    },
+    hyper_util::rt::TokioIo,
+    std::{io, pin::pin, time::Duration},
+    tokio::{net::TcpStream, time::timeout},
 };
 
+/// Connection to a runner, which has to be polled beside the request.
+type Connection = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+
 /// Maximum time to connect to a runner.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Port of URLs that state none.
+const HTTP_PORT: u16 = 80;
+/// Start of a response.
+const RESPONSE_START: &[u8] = b"HTTP/";
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Headers that apply to a single connection.
@@ -85,17 +97,15 @@
     fn send(&self, call: Outgoing, wait: Duration) -> impl Future<Output = Sent> + Send;
 }
 
-/// Sends each call on a new connection. Cheap to clone.
-#[derive(Clone)]
+/// Sends each call on a new connection.
+#[derive(Clone, Copy, Debug)]
 pub struct Sender {
-    client: Client,
+    connect_timeout: Duration,
 }
 
 impl Default for Sender {
     fn default() -> Sender {
-        let mut builder = Client::builder();
-        builder.set_connect_timeout(CONNECT_TIMEOUT);
-        Sender { client: builder.build().expect("the client's configuration is constant") }
+        Sender { connect_timeout: CONNECT_TIMEOUT }
     }
 }
 
@@ -110,24 +120,72 @@
 
 impl Sender {
     async fn exchange(&self, call: Outgoing) -> Sent {
-        let Outgoing { method, url, mut headers, body } = call;
-        remove_hop_by_hop(&mut headers);
-        headers.remove(HOST);
-        headers.remove(CONTENT_LENGTH);
-        // Disabling idle connections in the pool isn't enough: it still passes a connection that
-        // becomes idle to a request that waits for a new one. A connection with `close` never
-        // becomes idle.
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-        let mut request = self.client.request(method.clone(), url).body(Body::from(body));
-        request.headers_mut().extend(headers);
-        match request.send::<Body>().await {
-            Ok(response) => read(&method, response).await,
-            Err(error) => failure(&error),
+        let (authority, request) = match to_request(call) {
+            Ok(request) => request,
+            Err(error) => return Sent::NotSent(error.to_string()),
+        };
+        let (sender, connection) = match self.connect(&authority).await {
+            Ok(connected) => connected,
+            Err(error) => return Sent::NotSent(error.to_string()),
+        };
+        let method = request.method().clone();
+        let mut connection = pin!(connection.without_shutdown().fuse());
+        let mut response = pin!(receive(sender, request));
+        let mut ended = None;
+        let sent = loop {
+            tokio::select! {
+                biased;
+                sent = &mut response => break sent,
+                end = &mut connection, if ended.is_none() => ended = Some(end),
+            }
+        };
+        let behind = ended.or_else(|| connection.now_or_never()).and_then(Result::ok);
+        match (&sent, behind) {
+            (Sent::Answer(reply), Some(Parts { read_buf, .. }))
+                if !has_no_body(&method, reply.status) && is_surplus(&read_buf) =>
+            {
+                Sent::Unknown("the response is longer than stated".into())
+            }
+            _ => sent,
         }
     }
+
+    async fn connect(
+        &self,
+        authority: &Authority,
+    ) -> io::Result<(SendRequest<Full<Bytes>>, Connection)> {
+        let address = format!("{}:{}", authority.host(), authority.port_u16().unwrap_or(HTTP_PORT));
+        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await??;
+        stream.set_nodelay(true)?;
+        http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)
+    }
 }
 
-async fn read(method: &Method, response: http::Response<Body>) -> Sent {
+/// Returns the request of a call, and the authority of its runner.
+fn to_request(call: Outgoing) -> http::Result<(Authority, Request<Full<Bytes>>)> {
+    let Outgoing { method, url, mut headers, body } = call;
+    let uri = Uri::try_from(url)?;
+    let authority = Authority::try_from(uri.authority().map_or("", Authority::as_str))?;
+    remove_hop_by_hop(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    headers.insert(HOST, HeaderValue::try_from(authority.as_str())?);
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    let path = uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let mut request = Request::builder().method(method).uri(path).body(Full::new(body))?;
+    *request.headers_mut() = headers;
+    Ok((authority, request))
+}
+
+/// Sends a request and reads the whole response.
+async fn receive(mut sender: SendRequest<Full<Bytes>>, request: Request<Full<Bytes>>) -> Sent {
+    let method = request.method().clone();
+    match sender.send_request(request).await {
+        Ok(response) => read(&method, response).await,
+        Err(error) => Sent::Unknown(error.to_string()),
+    }
+}
+
+async fn read(method: &Method, response: http::Response<Incoming>) -> Sent {
     let (mut head, body) = response.into_parts();
     let framing = match Framing::of(method, &head) {
         Ok(framing) => framing,
@@ -149,6 +207,13 @@
     }
 }
 
+/// Returns whether there are bytes behind a response that do not begin another one, which a faulty
+/// runner may send.
+fn is_surplus(behind: &[u8]) -> bool {
+    let start = &behind[..behind.len().min(RESPONSE_START.len())];
+    !RESPONSE_START.starts_with(start)
+}
+
 /// Removes hop-by-hop headers: the standard ones, and those that `Connection` names.
 fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -162,10 +227,3 @@
         headers.remove(name);
     }
 }
-
-fn failure(error: &ClientError) -> Sent {
-    match is_unsent(error) {
-        true => Sent::NotSent(error.to_string()),
-        false => Sent::Unknown(error.to_string()),
-    }
-}
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -276,3 +276,21 @@
         priority: 1,
     }
 }
+
+/// Guards against a part of a body that is returned as a whole one: a digit of its length is spoilt, and
+/// more arrives than stated.
+#[tokio::test]
+async fn a_response_that_is_longer_than_stated_is_unknown() {
+    let response = format!("HTTP/1.1 {OK}\r\ncontent-length: 5\r\n\r\n{BODY}");
+    let url = start(response).await;
+    let sent = Sender::default().send(outgoing(Method::POST, &url), TIMEOUT).await;
+    assert!(matches!(sent, Sent::Unknown(_)), "{sent:?}");
+}
+
+/// Guards against a lost answer of a service that responds twice: the first response is whole.
+#[tokio::test]
+async fn a_response_that_another_follows_is_an_answer() {
+    let url = start([with_length(BODY), with_length(BODY)].concat()).await;
+    let sent = Sender::default().send(outgoing(Method::POST, &url), TIMEOUT).await;
+    assert!(matches!(&sent, Sent::Answer(reply) if reply.body == BODY), "{sent:?}");
+}
