Don't let runners that crash at the same point confirm an end

A stream that crashes its runners after the same event would end as complete there, and a lookup that crashes them after the same byte be returned with a length: two runs that ended at the same position confirmed each other, whatever had become of the runners. Now only the end of a runner that accepts connections afterwards counts as its statement, unless its response stated the end.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -368,23 +368,25 @@
 
     /// Attributes the crash of a runner, if it has crashed, to a request that was sent to it at
     /// `sent_at`. `age` is the time for which it had responded; `None` if the response had not begun, in
-    /// which case other requests are suspected rather than this one.
+    /// which case other requests are suspected rather than this one. Returns what the check has found; `None` if
+    /// the runner is not registered.
     async fn record_crash(
         &self,
         call: &Call,
         endpoint: &Endpoint,
         sent_at: Instant,
         age: Option<Duration>,
-    ) {
-        let Some(runner) = self.client.fleet.incarnation(endpoint.key) else { return };
+    ) -> Option<CrashCheck> {
+        let runner = self.client.fleet.incarnation(endpoint.key)?;
         let check = self.client.check_crash(endpoint).await;
         if check != CrashCheck::Crashed {
             log::info!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
                 "{NO_CRASH}{check:?}");
-            return;
+            return Some(check);
         }
         let crash = RunnerCrash::now(runner, sent_at, age);
         self.attribute_crash(call, endpoint, &crash);
+        Some(check)
     }
 
     /// Checks in the background whether a runner has crashed; see [`Traffic::record_crash`].
--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -31,7 +31,7 @@
         quarantine::SOUND_TIME,
         rejection::Rejection,
         rollouts::trial::Trial,
-        runner_client::Answer,
+        runner_client::{Answer, CrashCheck},
     },
     bilberryfront_decide::mover::Response as VersionResponse,
     http::Response,
@@ -71,7 +71,7 @@
     is_sent: Rc<Cell<bool>>,
     /// Whether a runner may have run the request.
     may_have_run: bool,
-    /// Number of runs that have ended at the current position without a confirmation.
+    /// Number of runs that have ended at the current position without a confirmation, of runners that are up.
     unconfirmed_ends: u32,
     /// Time of the first event.
     first_event_at: Option<Instant>,
@@ -232,6 +232,12 @@
     ) {
         let mut next = first;
         loop {
+            if let Err(end) = next
+                && self.confirms_end(end, &active.run).await
+            {
+                self.complete(active);
+                return sender.finish();
+            }
             match next {
                 Ok(event) => {
                     if event.id.is_none() && Instant::now() >= self.call.deadline() {
@@ -252,10 +258,6 @@
                         self.record_sound_run(&mut active);
                     }
                 }
-                Err(end) if self.confirms_end(end, active.run.framing()) => {
-                    self.complete(active);
-                    return sender.finish();
-                }
                 Err(reason) => {
                     let lost = Instant::now();
                     match self.replace(active, reason).await {
@@ -275,15 +277,24 @@
 
     /// Returns whether the end of a run is the end of the stream. Without a confirmation, two runs must have
     /// ended at the same position, unless no other run is allowed and the response states its end.
-    fn confirms_end(&self, end: RunEnd, framing: Framing) -> bool {
+    async fn confirms_end(&self, end: RunEnd, run: &Run) -> bool {
         match end {
             RunEnd::Whole => true,
-            RunEnd::Unconfirmed if self.is_resumable() => self.unconfirmed_ends > 0,
-            RunEnd::Unconfirmed => framing != Framing::Close,
+            RunEnd::Unconfirmed if self.is_resumable() => {
+                self.unconfirmed_ends > 0 && self.states_end(run).await
+            }
+            RunEnd::Unconfirmed => run.framing() != Framing::Close,
             RunEnd::Cut | RunEnd::Silent | RunEnd::Disorder => false,
         }
     }
 
+    /// Returns whether the end of a response is its runner's statement. A process that has ended closes its
+    /// connections, too, and a request may crash all of its runners at the same event.
+    async fn states_end(&self, run: &Run) -> bool {
+        run.framing() != Framing::Close
+            || self.traffic.client.check_crash(run.endpoint()).await == CrashCheck::Running
+    }
+
     /// Replaces a run that has ended or is silent. A silent one is kept until another has started.
     async fn replace(&mut self, active: ActiveRun, reason: RunEnd) -> RaceEnd {
         self.last_replica = None;
@@ -325,7 +336,7 @@
         is_alone: bool,
     ) {
         let (traffic, call, endpoint) = (self.traffic.clone(), self.call.clone(), endpoint.clone());
-        let record = async move { traffic.record_crash(&call, &endpoint, sent_at, age).await };
+        let record = async move { _ = traffic.record_crash(&call, &endpoint, sent_at, age).await };
         match is_alone && age.is_some() {
             true => record.await,
             false => _ = tokio::task::spawn_local(record),
@@ -350,7 +361,8 @@
     async fn end_run(&mut self, active: ActiveRun, reason: RunEnd, is_alone: bool) {
         let (key, endpoint) = (active.key(), active.run.endpoint().clone());
         let (metrics, run) = (&self.traffic.metrics, &active.run);
-        metrics.count_response_end(&self.call.service, run.framing(), reason.response_end());
+        let framing = run.framing();
+        metrics.count_response_end(&self.call.service, framing, reason.response_end());
         self.end_trial(active.number, VersionResponse::Lost);
         self.log_lost(&active, reason);
         self.failed.push(key);
@@ -359,9 +371,10 @@
             // The failure was recorded when the silence began.
             RunEnd::Silent => self.traffic.metrics.count_silence(Silence::Replaced),
             RunEnd::Unconfirmed => {
-                self.unconfirmed_ends += 1;
-                let age = Some(active.waited + active.silent);
-                self.record_crash(&endpoint, active.sent_at, age, is_alone).await;
+                let (sent_at, age) = (active.sent_at, Some(active.waited + active.silent));
+                let check = self.traffic.record_crash(&self.call, &endpoint, sent_at, age).await;
+                let is_stated = framing != Framing::Close || check == Some(CrashCheck::Running);
+                self.unconfirmed_ends += u32::from(is_stated);
             }
             RunEnd::Cut => {
                 self.runners.retain(|runner| *runner != key);
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -12,7 +12,7 @@
         pool::SendError,
         rejection::Rejection,
         rollouts::trial::Trial,
-        runner_client::{Answer, SendOutcome, is_failure},
+        runner_client::{Answer, CrashCheck, SendOutcome, is_failure},
     },
     bilberryfront_decide::mover::Response as VersionResponse,
     futures_util::{StreamExt, stream::FuturesUnordered},
@@ -48,6 +48,8 @@
     failure: Option<Answer>,
     /// Successful response that may be cut off, returned if no other runner succeeds.
     unconfirmed: Option<Answer>,
+    /// Whether the runner of that response is up.
+    is_stated: bool,
     /// Error of the last attempt without a response.
     lost: Option<SendError>,
 }
@@ -57,6 +59,11 @@
     fn provisional(&self) -> Option<&Answer> {
         self.unconfirmed.as_ref().or(self.failure.as_ref())
     }
+
+    /// Returns whether a runner that is up has given the same response.
+    fn agrees(&self, answer: &Answer) -> bool {
+        self.is_stated && self.unconfirmed.as_ref().is_some_and(|first| first.equals(answer))
+    }
 }
 
 /// An attempt that has ended.
@@ -232,11 +239,14 @@
         AttemptResult::Complete(answer) => {
             let status = answer.parts.status;
             progress.runs += 1;
-            if answer.is_confirmed() {
+            let mut is_stated = answer.is_confirmed();
+            if is_stated {
                 traffic.record_response(call);
                 traffic.quarantine.record_sound_run(call, sent_at);
             } else {
-                traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
+                let age = Some(Duration::ZERO);
+                let check = traffic.record_crash(call, &endpoint, sent_at, age).await;
+                is_stated = check == Some(CrashCheck::Running);
             }
             if status.is_success() {
                 fleet.record_call_time(key, sent_at.elapsed());
@@ -244,17 +254,18 @@
             match () {
                 () if is_failure(status) => progress.failure = Some(answer),
                 () if answer.is_confirmed() => return Some(answer),
-                // Two runners agree on where the body ends.
-                () if progress.unconfirmed.as_ref().is_some_and(|first| first.equals(&answer)) => {
+                // Two runners agree on where the body ends, and have not crashed there.
+                () if is_stated && progress.agrees(&answer) => {
                     return Some(Answer { framing: Framing::Length, ..answer });
                 }
-                () => progress.unconfirmed = Some(answer),
+                () if progress.is_stated => {}
+                () => (progress.unconfirmed, progress.is_stated) = (Some(answer), is_stated),
             }
         }
         AttemptResult::Incomplete(error) => {
             progress.runs += 1;
             progress.lost = Some(error);
-            traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
+            _ = traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
         }
         AttemptResult::Ended(SendOutcome::Lost(error)) => {
             progress.runs += 1;
--- a/tests/relay/ends.rs
+++ b/tests/relay/ends.rs
@@ -41,6 +41,32 @@
     .await;
 }
 
+/// Guards against a stream that ends as complete before its last event: it crashes two runners, which state no
+/// end, at the same event.
+#[tokio::test(start_paused = true)]
+async fn runners_that_crash_at_the_same_event_do_not_confirm_each_other() {
+    run_local(async {
+        let crash = Script::Killed("id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\n");
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &crash);
+        let received = deployment.serve("/stream/1", &PROMPT).await;
+        assert_eq!((received.event_ids(), received.is_complete), (vec![1, 2], false));
+        assert_eq!(deployment.request_count(), 2);
+    })
+    .await;
+}
+
+/// Guards against a part of a body that is returned with a length of our own: the request crashes two runners
+/// after the same part.
+#[tokio::test(start_paused = true)]
+async fn runners_that_crash_at_the_same_byte_do_not_confirm_each_other() {
+    run_local(async {
+        let deployment = Deployment::new(PLAIN, &["a", "b"], &Script::Killed("the first ha"));
+        let response = deployment.send("/look/1", &[]).await;
+        assert_eq!((response.status().as_u16(), response.version()), (200, Version::HTTP_10));
+    })
+    .await;
+}
+
 /// Guards against a stream that ends as complete before its last event, if it must not run twice: whether it
 /// is complete remains unknown.
 #[tokio::test(start_paused = true)]
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -118,6 +118,9 @@
     /// Sends a response head with neither a length nor chunks, these bytes, and closes the connection.
     #[allow(dead_code, reason = "used by the in-memory tests only")]
     Unframed(&'static str),
+    /// Does so as well, and is killed: it refuses connections from then on.
+    #[allow(dead_code, reason = "used by the in-memory tests only")]
+    Killed(&'static str),
     /// Sends a response head with these fields beside its ids, these bytes, and closes the connection.
     #[allow(dead_code, reason = "used by the in-memory tests only")]
     Raw(&'static str, &'static str),
@@ -611,7 +614,7 @@
 pub(crate) fn serve(runner: Rc<Runner>, stream: impl AsyncRead + AsyncWrite + Unpin + 'static) {
     let stream = Pausable { runner: runner.clone(), stream };
     let raw = match *runner.script.borrow() {
-        Script::Unframed(text) => Some(("connection: close", text)),
+        Script::Unframed(text) | Script::Killed(text) => Some(("connection: close", text)),
         Script::Raw(fields, text) => Some((fields, text)),
         _ => None,
     };
@@ -649,6 +652,9 @@
             "HTTP/1.1 200 OK\r\nx-bilberryfront-attempt-id: a1\r\nx-bilberryfront-server-stamp: {id}\r\n{fields}\r\n\r\n"
         );
         _ = stream.write_all(format!("{head}{text}").as_bytes()).await;
+        if matches!(*runner.script.borrow(), Script::Killed(_)) {
+            runner.crash();
+        }
     }
 }
 
@@ -801,7 +807,9 @@
         }
         Script::Close => return Err(io::ErrorKind::ConnectionReset.into()),
         Script::Hang => std::future::pending().await,
-        Script::Unframed(_) | Script::Raw(..) => unreachable!("not sent by hyper"),
+        Script::Unframed(_) | Script::Killed(_) | Script::Raw(..) => {
+            unreachable!("not sent by hyper")
+        }
     };
     let headers = response.headers_mut();
     headers.entry("x-bilberryfront-attempt-id").or_insert(id);
