Replace a run whose event ids go back

A stream of a runner in trouble could end as complete without an event whose id was spoilt to a lower one: an id that the caller has already counted as a repeated event, which a resumed run may send before its new ones, at any time. Now that holds until the run has had a new event; afterwards a lower id is a disorder like a gap, and the stream is resumed elsewhere. Found by the review; nobody has seen it.

a_run_whose_ids_go_back_is_replaced failed before: events 1 and 2 of 20, as complete.

--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -60,7 +60,7 @@
     Cut,
     /// No event within the timeout.
     Silent,
-    /// Missing event, an event that is too long, or a body that is longer than stated.
+    /// Missing or repeated event, an event that is too long, or a body that is longer than stated.
     Disorder,
 }
 
@@ -144,8 +144,8 @@
                             return Ok(self.with_comments(event));
                         }
                         // The caller has the comments before it as well.
-                        Continuity::Duplicate => self.comments.clear(),
-                        Continuity::Gap => return Err(RunEnd::Disorder),
+                        Continuity::Duplicate if !self.has_advanced => self.comments.clear(),
+                        Continuity::Duplicate | Continuity::Gap => return Err(RunEnd::Disorder),
                     }
                 }
                 Ok(None) => is_empty = true,
--- a/tests/relay/ends.rs
+++ b/tests/relay/ends.rs
@@ -5,7 +5,7 @@
     http::Version,
     http_body::Body,
     std::time::Duration,
-    tokio::time::sleep,
+    tokio::{task::yield_now, time::sleep},
 };
 
 const EVENTS: Script =
@@ -21,7 +21,7 @@
 /// Lets all runners that have no request yet respond with `script` from the first request on.
 async fn replace_after_first(deployment: &Deployment, script: &Script) {
     while deployment.request_count() == 0 {
-        sleep(ms(1)).await;
+        yield_now().await;
     }
     let unused = deployment.runners.iter().filter(|r| r.request_count() == 0);
     unused.for_each(|runner| _ = runner.script.replace(script.clone()));
@@ -114,6 +114,21 @@
     .await;
 }
 
+/// Guards against a stream that ends as complete without an event whose id was spoilt.
+#[tokio::test(start_paused = true)]
+async fn a_run_whose_ids_go_back_is_replaced() {
+    run_local(async {
+        let back = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 1\ndata: token 3\n\n";
+        let spoilt = Script::Raw("content-length: 63", back);
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &spoilt);
+        let serving = deployment.serve("/stream/1", &PROMPT);
+        let (received, ()) = tokio::join!(serving, replace_after_first(&deployment, &EVENTS));
+        assert_eq!((received.status, received.is_complete), (200, true));
+        assert_eq!(received.event_ids(), (1..=20).collect::<Vec<u64>>());
+    })
+    .await;
+}
+
 /// Guards against a part of a body that is returned as a whole one: the runner of an idempotent request states
 /// no end, and is killed.
 #[tokio::test(start_paused = true)]
