Begin the response of a stream with an event only, and return answers that are no stream as they are

Callers of a stream could get the head of one runner and the events of another below it: a 404 without a body, say, and then a whole stream; and a 404 with a body became 502 after five runners had been asked for it. A sound stream without a length was aborted, as a runner that resumes it has no event left to send, and counted as cut off. Cause: every response but a server error was read as a stream, and a run without an event began the response.

Now a status other than a success, 204, and the response to HEAD are read whole and returned unchanged. Until the response has begun, a run that ends without an event is counted, and another one may bring events or confirm the end. A resumed run may end without an event whatever its framing. A comment neither confirms nor refutes an end. A run that awaits its confirmation says nothing about its version.

Failed before: a_response_that_is_no_stream_is_returned_as_it_is (502 instead of 404), a_comment_does_not_confirm_the_end_of_a_stream (no event, complete), and, with a stand-in that leaves out the events that the caller has, as runners do, a_response_without_a_length_that_ends_after_an_event_is_complete and comments_are_forwarded_with_the_events (aborted).

--- a/crates/relay/src/flow/generation.rs
+++ b/crates/relay/src/flow/generation.rs
@@ -138,8 +138,8 @@
 
 /// Why a stream cannot be started or resumed.
 enum FinalFailure {
-    /// Error response of a runner.
-    Failure(Answer),
+    /// Response of a runner without a stream.
+    Answered(Answer),
     /// Rejection by this node.
     Rejected(Rejection),
 }
@@ -189,7 +189,7 @@
         RaceEnd::Failed(failure) => {
             generation.log_not_started();
             match failure {
-                FinalFailure::Failure(answer) => answer.into_response(),
+                FinalFailure::Answered(answer) => answer.into_response(),
                 FinalFailure::Rejected(rejection) => traffic.reject(&generation.call, rejection),
             }
         }
@@ -353,7 +353,9 @@
 
     async fn forward(&mut self, sender: &BodySender, event: Event) -> bool {
         self.position = event.id.or(self.position);
-        self.unconfirmed_ends = 0;
+        if event.is_answer() {
+            self.unconfirmed_ends = 0;
+        }
         sender.push(event.bytes).await
     }
 
@@ -363,7 +365,9 @@
         let (metrics, run) = (&self.traffic.metrics, &active.run);
         let framing = run.framing();
         metrics.count_response_end(&self.call.service, framing, reason.response_end());
-        self.end_trial(active.number, VersionResponse::Lost);
+        if reason != RunEnd::Unconfirmed {
+            self.end_trial(active.number, VersionResponse::Lost);
+        }
         self.log_lost(&active, reason);
         self.failed.push(key);
         drop(active.run);
@@ -372,8 +376,10 @@
             RunEnd::Silent => self.traffic.metrics.count_silence(Silence::Replaced),
             RunEnd::Unconfirmed => {
                 let (sent_at, age) = (active.sent_at, Some(active.waited + active.silent));
-                let check = self.traffic.record_crash(&self.call, &endpoint, sent_at, age).await;
-                let is_stated = framing != Framing::Close || check == Some(CrashCheck::Running);
+                let is_stated = framing != Framing::Close || {
+                    let crash = self.traffic.record_crash(&self.call, &endpoint, sent_at, age);
+                    crash.await == Some(CrashCheck::Running)
+                };
                 self.unconfirmed_ends += u32::from(is_stated);
             }
             RunEnd::Cut => {
@@ -477,6 +483,11 @@
         }
     }
 
+    /// Returns whether the response to the caller has begun.
+    fn has_begun(&self) -> bool {
+        self.first_event_at.is_some()
+    }
+
     fn is_resumable(&self) -> bool {
         self.call.route.kind == Kind::Resumable
     }
@@ -499,7 +510,7 @@
 
     fn final_failure(&mut self) -> FinalFailure {
         match (self.failure.take(), self.lost) {
-            (Some(answer), _) => FinalFailure::Failure(answer),
+            (Some(answer), _) => FinalFailure::Answered(answer),
             // The runs that may have started were cancelled.
             (None, None) if self.may_have_run => FinalFailure::Rejected(Rejection::Lost),
             (None, None) => FinalFailure::Rejected(match self.retry {
--- a/crates/relay/src/flow/generation/attempt.rs
+++ b/crates/relay/src/flow/generation/attempt.rs
@@ -11,13 +11,14 @@
         events::Event,
         fleet::{Endpoint, Lease, Load, RunnerKey},
         flow::Traffic,
+        framing::has_no_body,
         log_messages::{ATTEMPT_SUSPECT, RESPONSE_LOST, SENT_BESIDE},
         network::Network,
         pool::SendError,
-        runner_client::{Answer, LossSign, SendOutcome, is_failure},
+        runner_client::{Answer, LossSign, SendOutcome},
     },
     futures_util::future::join_all,
-    http::response::Parts,
+    http::{StatusCode, response::Parts},
     std::{cell::Cell, convert::Infallible, pin::pin, rc::Rc, time::Duration},
     tokio::{
         sync::{Notify, mpsc},
@@ -87,6 +88,11 @@
     pub(super) sign: Option<LossSign>,
 }
 
+/// Returns whether a response is a stream of events.
+fn is_stream(call: &Call, status: StatusCode) -> bool {
+    status.is_success() && !has_no_body(&call.method, status)
+}
+
 /// A run whose response has started.
 pub(super) struct StartedRun {
     pub(super) parts: Parts,
@@ -98,7 +104,8 @@
 /// Outcome of one send.
 pub(super) enum AttemptOutcome {
     Started(Box<StartedRun>),
-    Failure(Answer),
+    /// Response without a stream of events: an error, or what its request asked for.
+    Answered(Answer),
     NotRun,
     Unsent,
     NoPath,
@@ -124,8 +131,8 @@
 
     /// Returns whether the request may have run.
     pub(super) fn may_have_run(&self) -> bool {
-        use AttemptOutcome::{Cancelled, Failure, Lost, Quarantined, Started};
-        matches!(self, Started(_) | Failure(..) | Lost(_) | Cancelled | Quarantined)
+        use AttemptOutcome::{Answered, Cancelled, Lost, Quarantined, Started};
+        matches!(self, Started(_) | Answered(_) | Lost(_) | Cancelled | Quarantined)
     }
 }
 
@@ -247,9 +254,9 @@
             is_admitted
         };
         let reply = match client.send(call, endpoint, &options, *end, admit).await {
-            SendOutcome::Answered(reply) if is_failure(reply.parts.status) => {
+            SendOutcome::Answered(reply) if !is_stream(call, reply.parts.status) => {
                 return match client.read_body(reply, call, endpoint, *end).await {
-                    Ok(answer) => AttemptOutcome::Failure(answer),
+                    Ok(answer) => AttemptOutcome::Answered(answer),
                     Err(error) => lost(error, true),
                 };
             }
--- a/crates/relay/src/flow/generation/race.rs
+++ b/crates/relay/src/flow/generation/race.rs
@@ -17,10 +17,11 @@
     crate::{
         dialect::Dialect,
         events::Event,
+        log_messages::RESPONSE_LOST,
         metrics::{Resume, Silence},
         network::Network,
         pool::SendError,
-        runner_client::LossSign,
+        runner_client::{LossSign, is_failure},
     },
     bilberryfront_decide::mover::Response as VersionResponse,
     futures_util::{StreamExt, stream::FuturesUnordered},
@@ -97,6 +98,9 @@
                         self.lose_silent_run(&mut race, RunEnd::Silent).await;
                     }
                     match outcome {
+                        AttemptOutcome::Started(started) if !self.accepts(&started).await => {
+                            self.record_empty_run(&plan, &started).await;
+                        }
                         AttemptOutcome::Started(started) => {
                             return self.replace_run(race, &plan, *started).await;
                         }
@@ -191,7 +195,7 @@
     /// Ends a race that the silent run has won.
     fn continue_run(&mut self, mut race: Race, end: Option<RunEnd>) -> RaceEnd {
         let held = race.held.take().map(|(event, _)| event);
-        let next = end.map_or_else(|| held.ok_or(RunEnd::Whole), Err);
+        let next = end.map_or_else(|| Ok(held.expect("the run has continued")), Err);
         let active = race.take_silent().expect("the event is of the silent run");
         self.count_cancelled(&race);
         self.sends -= race.pending.len() as u32;
@@ -231,6 +235,33 @@
         RaceEnd::Started(Box::new(Winner { parts, active, first }))
     }
 
+    /// Returns whether a run begins or continues the response. One without an event does not begin it, as the
+    /// next one may have events, unless it confirms the end of another or must not be followed by any.
+    async fn accepts(&self, started: &StartedRun) -> bool {
+        match started.first {
+            Err(end) if !self.has_begun() && self.is_resumable() => {
+                self.confirms_end(end, &started.run).await
+            }
+            _ => true,
+        }
+    }
+
+    /// Records a run that has ended without an event, before the response has begun.
+    async fn record_empty_run(&mut self, plan: &Plan, started: &StartedRun) {
+        let run = &started.run;
+        log::warn!(request = self.call.head.id.as_str(), runner = run.endpoint().id.as_str(),
+            framing:? = run.framing(), tunneled = run.is_tunneled();
+            "{RESPONSE_LOST}{:?}, before the first event", RunEnd::Unconfirmed);
+        let end = RunEnd::Unconfirmed.response_end();
+        self.traffic.metrics.count_response_end(&self.call.service, run.framing(), end);
+        self.may_have_run = true;
+        self.runs += u32::from(plan.from_replica.is_none());
+        self.record_runner(plan.endpoint.key);
+        self.unconfirmed_ends += u32::from(self.states_end(run).await);
+        self.failed.push(plan.endpoint.key);
+        self.lost = Some(SendError::Disconnected);
+    }
+
     /// Keeps a replica that was not used, if its run has ended.
     fn keep_replica(&mut self, race: &Race, replica: Option<AvailableReplica>) {
         let unused = replica.filter(|_| race.silent.is_none());
@@ -262,9 +293,14 @@
         }
         match outcome {
             AttemptOutcome::Started(_) => unreachable!("a started run ends the race"),
-            AttemptOutcome::Failure(answer) => {
-                self.end_trial(number, VersionResponse::Failure);
+            AttemptOutcome::Answered(answer) => {
+                let is_failure = is_failure(answer.parts.status);
+                self.end_trial(number, (!is_failure).into());
                 self.runs += 1;
+                let is_final = !is_failure && !self.has_begun() && race.silent.is_none();
+                if is_final {
+                    return Some(FinalFailure::Answered(answer));
+                }
                 self.failure = Some(answer);
             }
             AttemptOutcome::NotRun | AttemptOutcome::Withheld => {}
--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -36,7 +36,7 @@
     comments: BytesMut,
     /// Whether the response may end here: its end is stated, or it has at least one event.
     may_end: bool,
-    /// Whether the run has had an event or comment that the caller lacked.
+    /// Whether the run has had an event that the caller lacked.
     has_advanced: bool,
     lease: Lease,
     replica: Option<Replica>,
@@ -174,10 +174,11 @@
                 }
                 Some(Err(_)) => return Err(RunEnd::Cut),
                 None if self.connection.check_length().is_err() => return Err(RunEnd::Disorder),
-                None if self.splitter.is_partial() || !self.may_end => return Err(RunEnd::Cut),
+                None if self.splitter.is_partial() => return Err(RunEnd::Cut),
+                // A resumed run may have no event left.
+                None if !self.may_end && position.is_none() => return Err(RunEnd::Cut),
                 // Comments after the last event; an earlier run may have sent them already.
                 None if !self.comments.is_empty() && (self.has_advanced || position.is_none()) => {
-                    self.has_advanced = true;
                     return Ok(Event { id: None, bytes: self.comments.split().freeze() });
                 }
                 None if self.has_advanced && self.framing != Framing::Close => {
--- a/tests/relay/ends.rs
+++ b/tests/relay/ends.rs
@@ -1,11 +1,11 @@
 //! Responses that state no end: their runner may have been killed within the body.
 
 use {
-    super::support::{Deployment, ENGINES, PLAIN, Script, StreamEnd, ms, run_local},
+    super::support::{Deployment, ENGINES, PLAIN, Script, StreamEnd, run_local},
     http::Version,
     http_body::Body,
     std::time::Duration,
-    tokio::{task::yield_now, time::sleep},
+    tokio::task::yield_now,
 };
 
 const EVENTS: Script =
@@ -85,15 +85,9 @@
 #[tokio::test(start_paused = true)]
 async fn an_end_without_events_does_not_end_a_stream_alone() {
     run_local(async {
-        let deployment = Deployment::new(ENGINES, &["a", "b", "c"], &Script::Respond(200, ""));
-        let recovery = async {
-            while deployment.request_count() < 1 {
-                sleep(ms(1)).await;
-            }
-            let unused = deployment.runners.iter().filter(|r| r.request_count() == 0);
-            unused.for_each(|runner| _ = runner.script.replace(EVENTS));
-        };
-        let (received, ()) = tokio::join!(deployment.serve("/stream/1", &PROMPT), recovery);
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &Script::Respond(200, ""));
+        let serving = deployment.serve("/stream/1", &PROMPT);
+        let (received, ()) = tokio::join!(serving, replace_after_first(&deployment, &EVENTS));
         assert_eq!((received.status, received.is_complete), (200, true));
         assert_eq!(received.event_ids(), (1..=20).collect::<Vec<u64>>());
     })
@@ -129,6 +123,20 @@
     .await;
 }
 
+/// Guards against a stream without any event that ends as complete after a comment.
+#[tokio::test(start_paused = true)]
+async fn a_comment_does_not_confirm_the_end_of_a_stream() {
+    run_local(async {
+        let comment = Script::Raw("content-length: 8", ": ping\n\n");
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &comment);
+        let serving = deployment.serve("/stream/1", &PROMPT);
+        let (received, ()) = tokio::join!(serving, replace_after_first(&deployment, &EVENTS));
+        assert_eq!((received.status, received.is_complete), (200, true));
+        assert_eq!(received.event_ids(), (1..=20).collect::<Vec<u64>>());
+    })
+    .await;
+}
+
 /// Guards against a part of a body that is returned as a whole one: the runner of an idempotent request states
 /// no end, and is killed.
 #[tokio::test(start_paused = true)]
@@ -163,6 +171,26 @@
     .await;
 }
 
+/// Guards against a response that has no events, and is sent to one runner after the other instead of being
+/// returned: its status or its method says that it is no stream.
+#[tokio::test(start_paused = true)]
+async fn a_response_that_is_no_stream_is_returned_as_it_is() {
+    for path in ["/stream/1", "/fixed/1"] {
+        for (status, text) in [(404, "no such document"), (404, ""), (302, "moved\n\n"), (204, "")]
+        {
+            run_local(async {
+                let script = Script::Respond(status, text);
+                let deployment = Deployment::new(ENGINES, &["a", "b"], &script);
+                let received = deployment.serve(path, &PROMPT).await;
+                let returned = (received.status, received.text.as_str(), received.is_complete);
+                assert_eq!(returned, (status, text, true), "{path}");
+                assert_eq!(deployment.request_count(), 1, "{path} {status}");
+            })
+            .await;
+        }
+    }
+}
+
 /// Guards against a response that is lost since another one follows it, which belongs to no request.
 #[tokio::test(start_paused = true)]
 async fn a_response_that_another_follows_is_returned() {
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -115,7 +115,8 @@
     Close,
     /// Reads the request and never responds.
     Hang,
-    /// Sends a response head with neither a length nor chunks, these bytes, and closes the connection.
+    /// Sends a response head with neither a length nor chunks, these bytes without the events that the caller has,
+    /// and closes the connection.
     #[allow(dead_code, reason = "used by the in-memory tests only")]
     Unframed(&'static str),
     /// Does so as well, and is killed: it refuses connections from then on.
@@ -635,7 +636,14 @@
     serving.connections.borrow_mut().push(task.abort_handle());
 }
 
-/// Responds to one request with these fields and bytes.
+/// Returns a text without its events up to the one with the id `position`.
+fn events_after(text: &str, position: u64) -> String {
+    let id = |event: &str| event.lines().find_map(|line| line.strip_prefix("id: ")?.parse().ok());
+    let is_new = |event: &&str| id(event).is_none_or(|id: u64| id > position);
+    text.split_inclusive("\n\n").filter(is_new).collect()
+}
+
+/// Responds to one request with these fields and bytes, without the events that the caller has.
 async fn respond_raw(
     runner: Rc<Runner>,
     mut stream: impl AsyncRead + AsyncWrite + Unpin,
@@ -644,7 +652,11 @@
 ) {
     let mut buffer = [0; 4096];
     // The request fits into one read.
-    if stream.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+    if let Ok(count @ 1..) = stream.read(&mut buffer).await {
+        let request = String::from_utf8_lossy(&buffer[..count]).to_lowercase();
+        let position = request.lines().find_map(|line| line.strip_prefix("last-event-id: "));
+        let position = position.map_or(0, |position| position.trim().parse().unwrap());
+        let text = events_after(text, position);
         let (at, headers, body) = (Instant::now(), HeaderMap::new(), Bytes::new());
         runner.requests.borrow_mut().push(ReceivedRequest { at, headers, body });
         let id = &runner.id;
