Return no part of a body of a runner that has crashed, and hold none back for a silent one

A call without a length got 200 with a part of the body although this node had found the runner crashed, and a whole lookup without a length was held back for a second runner until its deadline. Cause: what was found about the runner was used for the quarantine only, and an unconfirmed response was treated as a failure, which waits for any runner. Now a body that ends with the connection of a runner which no longer accepts connections is lost (502, or another runner); else a lookup waits for a second opinion as long as for any hedge. Two equal bodies save a third run, but are returned without a length as well: agreement is no statement.

--- a/crates/relay/src/flow.rs
+++ b/crates/relay/src/flow.rs
@@ -389,12 +389,11 @@
         Some(check)
     }
 
-    /// Checks in the background whether a runner has crashed; see [`Traffic::record_crash`].
-    fn check_crash_later(&self, call: &Call, endpoint: &Endpoint, sent_at: Instant) {
-        let (traffic, call, endpoint) = (self.clone(), call.clone(), endpoint.clone());
-        tokio::task::spawn_local(async move {
-            traffic.record_crash(&call, &endpoint, sent_at, Some(Duration::ZERO)).await;
-        });
+    /// Returns whether a runner accepts connections after a response that has ended with its connection, and
+    /// records a crash. The process of one that does not has not ended the response in order.
+    async fn is_up(&self, call: &Call, endpoint: &Endpoint, sent_at: Instant) -> bool {
+        let check = self.record_crash(call, endpoint, sent_at, Some(Duration::ZERO)).await;
+        check == Some(CrashCheck::Running)
     }
 
     /// Attributes the crash of a runner to a request that it held.
--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -43,20 +43,20 @@
         match traffic.client.send(call, &endpoint, &options, deadline, admit).await {
             SendOutcome::Answered(reply) => {
                 return match traffic.client.read_body(reply, call, &endpoint, deadline).await {
-                    Ok(answer) => {
+                    Ok(answer) if answer.is_confirmed() => {
                         let status = answer.parts.status;
                         if status.is_success() {
                             fleet.record_call_time(key, sent_at.elapsed());
                         }
-                        if answer.is_confirmed() {
-                            traffic.record_response(call);
-                            traffic.quarantine.record_sound_run(call, sent_at);
-                        } else {
-                            traffic.check_crash_later(call, &endpoint, sent_at);
-                        }
+                        traffic.record_response(call);
+                        traffic.quarantine.record_sound_run(call, sent_at);
                         end_trial(trial, call, (!is_failure(status)).into());
                         answer.into_response()
                     }
+                    Ok(answer) => match traffic.is_up(call, &endpoint, sent_at).await {
+                        true => answer.into_response(),
+                        false => traffic.reject(call, Rejection::Lost),
+                    },
                     Err(error) => {
                         traffic.record_crash(call, &endpoint, sent_at, Some(Duration::ZERO)).await;
                         end_trial(trial, call, lost_response(error));
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -7,12 +7,11 @@
         call::Call,
         dialect::Dialect,
         fleet::{Endpoint, RunnerKey},
-        framing::Framing,
         network::Network,
         pool::SendError,
         rejection::Rejection,
         rollouts::trial::Trial,
-        runner_client::{Answer, CrashCheck, SendOutcome, is_failure},
+        runner_client::{Answer, SendOutcome, is_failure},
     },
     bilberryfront_decide::mover::Response as VersionResponse,
     futures_util::{StreamExt, stream::FuturesUnordered},
@@ -46,23 +45,22 @@
     runs: u32,
     /// Error response of a runner, returned if no runner succeeds.
     failure: Option<Answer>,
-    /// Successful response that may be cut off, returned if no other runner succeeds.
+    /// Response that may be cut off, returned if no other runner responds soon.
     unconfirmed: Option<Answer>,
-    /// Whether the runner of that response is up.
-    is_stated: bool,
     /// Error of the last attempt without a response.
     lost: Option<SendError>,
 }
 
 impl Progress {
-    /// Returns the response that is returned if no other runner succeeds.
-    fn provisional(&self) -> Option<&Answer> {
-        self.unconfirmed.as_ref().or(self.failure.as_ref())
+    /// Returns whether another runner has given the same response.
+    fn agrees(&self, answer: &Answer) -> bool {
+        self.unconfirmed.as_ref().is_some_and(|first| first.equals(answer))
     }
 
-    /// Returns whether a runner that is up has given the same response.
-    fn agrees(&self, answer: &Answer) -> bool {
-        self.is_stated && self.unconfirmed.as_ref().is_some_and(|first| first.equals(answer))
+    /// Returns whether there is a response that is not held back for runners that remain silent: one that only
+    /// waits for a confirmation, or a failure of the newest attempt.
+    fn is_ready(&self) -> bool {
+        self.unconfirmed.is_some() || self.failure.is_some() && self.newest.is_none()
     }
 }
 
@@ -107,10 +105,9 @@
         let ended = tokio::select! {
             biased;
             ended = pending.next() => ended,
-            () = sleep(hedge_delay(call)) => match (progress.provisional(), progress.newest) {
-                // A failure of the newest attempt is not held back for runners that remain silent.
-                (Some(_), None) => break None,
-                _ => continue,
+            () = sleep(hedge_delay(call)) => match progress.is_ready() {
+                true => break None,
+                false => continue,
             },
         };
         let Some(ended) = ended else { break None };
@@ -239,27 +236,22 @@
         AttemptResult::Complete(answer) => {
             let status = answer.parts.status;
             progress.runs += 1;
-            let mut is_stated = answer.is_confirmed();
-            if is_stated {
+            if answer.is_confirmed() {
                 traffic.record_response(call);
                 traffic.quarantine.record_sound_run(call, sent_at);
-            } else {
-                let age = Some(Duration::ZERO);
-                let check = traffic.record_crash(call, &endpoint, sent_at, age).await;
-                is_stated = check == Some(CrashCheck::Running);
+            } else if !traffic.is_up(call, &endpoint, sent_at).await {
+                progress.lost = Some(SendError::Disconnected);
+                return None;
             }
             if status.is_success() {
                 fleet.record_call_time(key, sent_at.elapsed());
             }
-            match () {
-                () if is_failure(status) => progress.failure = Some(answer),
-                () if answer.is_confirmed() => return Some(answer),
-                // Two runners agree on where the body ends, and have not crashed there.
-                () if is_stated && progress.agrees(&answer) => {
-                    return Some(Answer { framing: Framing::Length, ..answer });
-                }
-                () if progress.is_stated => {}
-                () => (progress.unconfirmed, progress.is_stated) = (Some(answer), is_stated),
+            if is_failure(status) {
+                progress.failure = Some(answer);
+            } else if answer.is_confirmed() || progress.agrees(&answer) {
+                return Some(answer);
+            } else {
+                progress.unconfirmed.get_or_insert(answer);
             }
         }
         AttemptResult::Incomplete(error) => {
@@ -289,10 +281,13 @@
     None
 }
 
-/// Returns what an attempt says about its version; `None` if it has not run.
+/// Returns what an attempt says about its version; `None` if it has not run, or may be cut off.
 fn sample_response(result: &AttemptResult) -> Option<VersionResponse> {
     match result {
-        AttemptResult::Complete(answer) => Some((!is_failure(answer.parts.status)).into()),
+        AttemptResult::Complete(answer) if answer.is_confirmed() => {
+            Some((!is_failure(answer.parts.status)).into())
+        }
+        AttemptResult::Complete(_) => None,
         AttemptResult::Incomplete(error) | AttemptResult::Ended(SendOutcome::Lost(error)) => {
             Some(lost_response(*error))
         }
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -370,11 +370,11 @@
                     log::info!(request, runner, status = parts.status.as_u16();
                         "{RUNNER_ERROR}");
                 }
-                if framing == Framing::Close {
-                    log::info!(request, runner, bytes = bytes.len(), tunneled = is_tunneled;
-                        "{ENDED_BY_CLOSE}");
+                match framing {
+                    Framing::Close => log::info!(request, runner, bytes = bytes.len(),
+                        tunneled = is_tunneled; "{ENDED_BY_CLOSE}"),
+                    _ => self.fleet.return_connection(endpoint.key, connection, head.idle),
                 }
-                self.fleet.return_connection(endpoint.key, connection, head.idle);
                 return Ok(Answer { parts, body: bytes, framing });
             }
             Err(error) => error,
