Honour rejections without a length, and tell a failed connection from one that has ended

A request that a runner rejected would end with 502, or count as run, if the rejection states no length, and a service whose runners end all connections without announcing it would be ejected as a whole: consequences of the check of heads. Found by the review. 429, 503, 408 and 421 say all by their status, so such a rejection is honoured; a head that states no end counts as lost, but not against the runner, which has responded. Line ends behind a body or before a head don't count as bytes beyond the length.

Besides, a connection remembers that a read or write has failed: the system reports a reset once, and the next read sees a regular end. A response that states no end is cut off then.

a_rejection_without_a_body_needs_no_framing failed before: 'no end of the body is stated'.

--- a/crates/relay/src/flow/at_most_once.rs
+++ b/crates/relay/src/flow/at_most_once.rs
@@ -6,6 +6,7 @@
         body::ResponseBody,
         call::Call,
         dialect::Dialect,
+        framing::BadHead,
         network::Network,
         pool::SendError,
         rejection::Rejection,
@@ -77,6 +78,8 @@
                     SendError::Timeout => {
                         traffic.check_silence(call, &endpoint, sent_at, Some(Duration::ZERO));
                     }
+                    // A runner may respond so to all requests.
+                    SendError::Malformed(BadHead::Endless) => {}
                     SendError::Malformed(_) => fleet.record_failure(key, Instant::now()),
                     SendError::Unsent | SendError::NoPath => {}
                 }
--- a/crates/relay/src/flow/generation/run.rs
+++ b/crates/relay/src/flow/generation/run.rs
@@ -7,7 +7,7 @@
         fleet::{Endpoint, EventMeter, Fleet, Lease, Moment},
         framing::Framing,
         metrics::ResponseEnd,
-        pool::Connection,
+        pool::{Connection, SendError},
         runner_client::Reply,
     },
     bytes::BytesMut,
@@ -173,7 +173,12 @@
                     self.push_frame(&frame);
                 }
                 Some(Err(_)) => return Err(RunEnd::Cut),
-                None if self.connection.check_length().is_err() => return Err(RunEnd::Disorder),
+                None if let Err(error) = self.connection.check_end(self.framing) => {
+                    return Err(match error {
+                        SendError::Malformed(_) => RunEnd::Disorder,
+                        _ => RunEnd::Cut,
+                    });
+                }
                 None if self.splitter.is_partial() => return Err(RunEnd::Cut),
                 // A resumed run may have no event left.
                 None if !self.may_end && position.is_none() => return Err(RunEnd::Cut),
--- a/crates/relay/src/flow/idempotent.rs
+++ b/crates/relay/src/flow/idempotent.rs
@@ -7,6 +7,7 @@
         call::Call,
         dialect::Dialect,
         fleet::{Endpoint, RunnerKey},
+        framing::BadHead,
         network::Network,
         pool::SendError,
         rejection::Rejection,
@@ -267,6 +268,8 @@
                     fleet.record_overload(key, Instant::now());
                     traffic.check_silence(call, &endpoint, sent_at, Some(Duration::ZERO));
                 }
+                // A runner may respond so to all requests.
+                SendError::Malformed(BadHead::Endless) => {}
                 SendError::Malformed(_) => fleet.record_failure(key, Instant::now()),
                 SendError::Unsent | SendError::NoPath | SendError::Disconnected => {
                     fleet.record_failure(key, Instant::now());
--- a/crates/relay/src/framing.rs
+++ b/crates/relay/src/framing.rs
@@ -1,6 +1,7 @@
 //! Checks of response heads, and where the bodies end. All responses of runners and of the store pass them.
 
 use {
+    crate::dialect::guarantees_not_run,
     http::{HeaderMap, Method, StatusCode, Version, header, response::Parts},
     prometheus_client::encoding::EncodeLabelValue,
     std::ops::RangeInclusive,
@@ -61,6 +62,8 @@
         match (codings, lengths) {
             (0, 0) if has_no_body(method, *status) => Ok(Framing::Length),
             (0, 0) if closes(*version, headers) => Ok(Framing::Close),
+            // The status says all.
+            (0, 0) if guarantees_not_run(*status) => Ok(Framing::Close),
             (0, 0) => Err(BadHead::Endless),
             (0, 1) if is_length(&headers[header::CONTENT_LENGTH]) => Ok(Framing::Length),
             (0, _) => Err(BadHead::Length),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -3,7 +3,7 @@
 mod watch;
 
 use {
-    self::watch::{Watch, Watched},
+    self::watch::{Observed, Watched},
     crate::{
         framing::{BadHead, Framing, has_no_body},
         network::Network,
@@ -17,7 +17,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
+    std::{net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncRead, AsyncWrite},
         task::AbortHandle,
@@ -102,7 +102,7 @@
     tunneled: bool,
     /// The last exchange; `None` on a new connection.
     last: Option<Exchange>,
-    watch: Rc<RefCell<Watch>>,
+    observed: Rc<Observed>,
 }
 
 impl Connection {
@@ -117,8 +117,8 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
         tunneled: bool,
     ) -> Result<Connection> {
-        let watch = Rc::<RefCell<Watch>>::default();
-        let stream = Watched::new(stream, watch.clone());
+        let observed = Rc::<Observed>::default();
+        let stream = Watched::new(stream, observed.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| SendError::Unsent)?;
         let run = async move {
@@ -126,7 +126,7 @@
             _ = connection.await;
         };
         let task = tokio::task::spawn_local(run).abort_handle();
-        Ok(Connection { sender, task, tunneled, last: None, watch })
+        Ok(Connection { sender, task, tunneled, last: None, observed })
     }
 
     /// Returns whether the connection runs through another node.
@@ -142,7 +142,7 @@
         until: Instant,
     ) -> Result<Response> {
         self.last = Some(exchange.clone());
-        self.watch.borrow_mut().begin();
+        self.observed.watch.borrow_mut().begin();
         let method = request.method().clone();
         let sending = tokio::time::timeout_at(until, self.sender.try_send_request(request));
         let response = sending.await.map_err(|_| SendError::Timeout)?;
@@ -155,19 +155,25 @@
         let length =
             parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
         let length = length.filter(|_| !has_no_body(&method, parts.status));
-        self.watch.borrow_mut().set_length(length);
+        self.observed.watch.borrow_mut().set_length(length);
         Ok(Response { parts, body, framing })
     }
 
-    /// Checks a response whose body was read.
+    /// Checks the end of a response whose body was read.
     ///
     /// # Errors
     ///
-    /// Fails if more has arrived than the stated length, other than another response.
-    pub fn check_length(&self) -> Result<()> {
-        match self.watch.borrow().has_surplus() {
-            true => Err(SendError::Malformed(BadHead::Length)),
-            false => Ok(()),
+    /// [`SendError::Malformed`] if more has arrived than the stated length, other than another response;
+    /// [`SendError::Disconnected`] if the connection has failed and the response states no end.
+    pub fn check_end(&self, framing: Framing) -> Result<()> {
+        match () {
+            () if self.observed.watch.borrow().has_surplus() => {
+                Err(SendError::Malformed(BadHead::Length))
+            }
+            () if framing == Framing::Close && self.observed.failed.get() => {
+                Err(SendError::Disconnected)
+            }
+            () => Ok(()),
         }
     }
 
--- a/crates/relay/src/pool/watch.rs
+++ b/crates/relay/src/pool/watch.rs
@@ -1,9 +1,10 @@
-//! Watches what arrives behind a response. A body that is longer than the stated length was not meant to end there.
+//! Watches a connection. A body that is longer than the stated length was not meant to end there, nor was one
+//! whose connection has failed.
 
 use {
     bytes::{Buf, BytesMut},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         io,
         pin::Pin,
         rc::Rc,
@@ -57,10 +58,11 @@
         }
     }
 
-    /// Returns whether bytes have arrived behind the body that do not begin another response.
+    /// Returns whether bytes have arrived behind the body that neither begin another response nor are line ends,
+    /// which some servers add.
     pub(super) fn has_surplus(&self) -> bool {
         match self {
-            Watch::Length { behind, .. } => !RESPONSE_START.starts_with(behind),
+            Watch::Length { behind, .. } => !RESPONSE_START.starts_with(behind.trim_ascii_start()),
             Watch::Off | Watch::Head(_) | Watch::Body(_) => false,
         }
     }
@@ -92,6 +94,9 @@
     /// Skips the final head, and interim responses before it.
     fn skip_heads(&mut self) {
         while let Watch::Head(head) = self {
+            while head.first().is_some_and(|byte| b"\r\n".contains(byte)) {
+                head.advance(1);
+            }
             let end = head.windows(HEAD_END.len()).position(|bytes| bytes == HEAD_END);
             let Some(end) = end else { return };
             let is_interim = head.get(STATUS_AT) == Some(&b'1');
@@ -103,15 +108,31 @@
     }
 }
 
+/// What is known of a connection.
+#[derive(Debug, Default)]
+pub(super) struct Observed {
+    /// Progress of the response.
+    pub(super) watch: RefCell<Watch>,
+    /// Whether a read or write has failed. The system reports a reset once; the next read sees a regular end.
+    pub(super) failed: Cell<bool>,
+}
+
 /// A stream that is watched.
 pub(super) struct Watched<S> {
     stream: S,
-    watch: Rc<RefCell<Watch>>,
+    observed: Rc<Observed>,
 }
 
 impl<S> Watched<S> {
-    pub(super) fn new(stream: S, watch: Rc<RefCell<Watch>>) -> Watched<S> {
-        Watched { stream, watch }
+    pub(super) fn new(stream: S, observed: Rc<Observed>) -> Watched<S> {
+        Watched { stream, observed }
+    }
+
+    fn check<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        if let Poll::Ready(Err(_)) = result {
+            self.observed.failed.set(true);
+        }
+        result
     }
 }
 
@@ -122,8 +143,9 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        self.watch.borrow_mut().record(&buffer.filled()[before..]);
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        ready!(self.check(read))?;
+        self.observed.watch.borrow_mut().record(&buffer.filled()[before..]);
         Poll::Ready(Ok(()))
     }
 }
@@ -134,7 +156,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.check(written)
     }
 
     fn poll_write_vectored(
@@ -142,7 +165,8 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.check(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -253,7 +253,10 @@
             Err(error) => {
                 log::warn!(request = call.head.id.as_str(), runner = endpoint.id.as_str();
                     "{RESPONSE_LOST}{error}");
-                self.record_lost_response(endpoint);
+                // A runner with a malformed response has responded.
+                if !matches!(error, SendError::Malformed(_)) {
+                    self.record_lost_response(endpoint);
+                }
                 return SendOutcome::Lost(error);
             }
         };
@@ -349,7 +352,7 @@
         let Reply { parts, head, body, framing, connection } = *reply;
         let read = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let read = match timeout_at(deadline, read).await {
-            Ok(Ok(body)) => connection.check_length().map(|()| body.to_bytes()),
+            Ok(Ok(body)) => connection.check_end(framing).map(|()| body.to_bytes()),
             Ok(Err(_)) => Err(SendError::Disconnected),
             Err(_) => Err(SendError::Timeout),
         };
--- a/crates/relay/tests/framing.rs
+++ b/crates/relay/tests/framing.rs
@@ -64,6 +64,16 @@
     }
 }
 
+/// Guards against a rejection that is taken for a lost response, so that its request ends with an error or counts
+/// as run.
+#[test]
+fn a_rejection_without_a_body_needs_no_framing() {
+    for status in [408, 421, 429, 503] {
+        let head = head(Version::HTTP_11, status, &[("keep-alive", b"timeout=10")]);
+        assert_eq!(Framing::of(&Method::GET, &head), Ok(Framing::Close), "{status}");
+    }
+}
+
 /// Guards against chunks that an HTTP/1.0 response cannot have.
 #[test]
 fn chunks_need_http_1_1() {
