Abort a carried connection unless the runner has ended it

Cause: quinn ends a stream that is dropped as if it were complete. An instance that still carries connections of its peers as its grace is over drops the futures that carry them, with the rest of the traffic thread, so that the peer reads the end of the stream: for a body without a length the end of the body. The control thread meanwhile flushes its last messages, and the end arrives before the connection is closed. Without another member there is nothing to flush, and the close comes first: the reader gets an error, which is why a single instance does not show it.

Change: the sending half of a tunnel is a type that resets the stream when it is dropped before it was shut down. Only the runner's regular end shuts it down, and the reply that there is no connection. This covers every way to drop it: early returns, failed writes, refused and queued streams.

--- a/crates/peer/src/tunnel.rs
+++ b/crates/peer/src/tunnel.rs
@@ -6,12 +6,21 @@
     crate::{PeerNet, Shared, increment, tls},
     compact_str::CompactString,
     quinn::{Connection, RecvStream, SendStream, VarInt},
-    std::{io, net::SocketAddr, sync::Mutex},
-    tokio::{io::Join, sync::mpsc},
+    std::{
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        sync::Mutex,
+        task::{Context, Poll},
+    },
+    tokio::{
+        io::{AsyncWrite, Join},
+        sync::mpsc,
+    },
 };
 
-/// A bidirectional stream. Dropping it ends it; see [`abort`].
-pub type Tunnel = Join<RecvStream, SendStream>;
+/// A bidirectional stream.
+pub type Tunnel = Join<RecvStream, SendHalf>;
 
 /// Capacity of the queue of incoming streams; further ones are refused.
 const QUEUE_LEN: usize = 64;
@@ -25,10 +34,47 @@
     incoming: Mutex<Option<mpsc::Sender<Tunnel>>>,
 }
 
-/// Resets a stream, so that its reader gets an error instead of the end of the stream.
-pub fn abort(stream: &mut SendStream) {
-    // It fails if the stream has ended already.
-    _ = stream.reset(VarInt::from_u32(ABORTED));
+/// Sending half of a stream. Its reader gets the end of the stream if it is shut down, and an error if it is
+/// dropped before.
+#[derive(Debug)]
+pub struct SendHalf {
+    stream: SendStream,
+    is_ended: bool,
+}
+
+impl SendHalf {
+    fn new(stream: SendStream) -> SendHalf {
+        SendHalf { stream, is_ended: false }
+    }
+}
+
+impl AsyncWrite for SendHalf {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        AsyncWrite::poll_write(Pin::new(&mut self.stream), context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.is_ended = true;
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+impl Drop for SendHalf {
+    fn drop(&mut self) {
+        // quinn ends a stream that is dropped as if it were complete.
+        if !self.is_ended {
+            // It fails if the reader has stopped the stream already.
+            _ = self.stream.reset(VarInt::from_u32(ABORTED));
+        }
+    }
 }
 
 impl PeerNet {
@@ -44,7 +90,7 @@
     ) -> io::Result<Tunnel> {
         let connection = self.shared.tunnel_connection(node, address).await?;
         let (send, receive) = connection.open_bi().await?;
-        Ok(tokio::io::join(receive, send))
+        Ok(tokio::io::join(receive, SendHalf::new(send)))
     }
 
     /// Accepts streams of other nodes from now on. They are refused before.
@@ -89,14 +135,12 @@
     }
 
     /// Queues an incoming stream; it is refused if the queue is full or nothing accepts streams.
-    pub(super) fn accept_tunnel(&self, (mut send, receive): (SendStream, RecvStream)) {
+    pub(super) fn accept_tunnel(&self, (send, receive): (SendStream, RecvStream)) {
+        let tunnel = tokio::io::join(receive, SendHalf::new(send));
         let incoming = self.tunnels.incoming.lock().expect("no holder of the lock panics").clone();
         match incoming.map(|incoming| incoming.try_reserve_owned()) {
-            Some(Ok(permit)) => _ = permit.send(tokio::io::join(receive, send)),
-            _ => {
-                increment(&self.counters.refused);
-                abort(&mut send);
-            }
+            Some(Ok(permit)) => _ = permit.send(tunnel),
+            _ => increment(&self.counters.refused),
         }
     }
 }
--- a/crates/relay/src/tunnel.rs
+++ b/crates/relay/src/tunnel.rs
@@ -9,10 +9,7 @@
         dialect::Dialect, flow::Traffic, network::Transport, runner_client::RunnerClient,
         view::NodeAddress,
     },
-    bilberryfront_peer::{
-        PeerNet,
-        tunnel::{Tunnel, abort},
-    },
+    bilberryfront_peer::{PeerNet, tunnel::Tunnel},
     std::{io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt, copy, split},
@@ -131,18 +128,19 @@
         Err(_) => Reply::Unreachable,
     };
     tunnel.write_u8(reply.byte()).await?;
-    let (mut from_runner, mut to_runner) = split(connected?);
+    let Ok(connection) = connected else {
+        return tunnel.shutdown().await;
+    };
+    let (mut from_runner, mut to_runner) = split(connection);
     let (mut receive, mut send) = tunnel.into_inner();
     // The other node never sends after the end of its stream, which means that its request is
     // cancelled.
-    let copied = tokio::select! {
-        copied = copy(&mut from_runner, &mut send) => copied,
-        copied = copy(&mut receive, &mut to_runner) => copied,
+    tokio::select! {
+        copied = copy(&mut from_runner, &mut send) => copied?,
+        copied = copy(&mut receive, &mut to_runner) => return copied.map(|_| ()),
     };
-    if copied.is_err() {
-        abort(&mut send);
-    }
-    copied.map(|_| ())
+    // Only now is the response complete; `send` aborts the stream if it is dropped before.
+    send.shutdown().await
 }
 
 async fn read_address(tunnel: &mut Tunnel) -> io::Result<SocketAddr> {
--- a/tests/peer.rs
+++ b/tests/peer.rs
@@ -21,7 +21,10 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::sync::mpsc::Receiver,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        sync::mpsc::Receiver,
+    },
 };
 
 type Authority = CertifiedIssuer<'static, KeyPair>;
@@ -404,6 +407,38 @@
     client.handshake_kind().unwrap()
 }
 
+/// Guards against a connection through another node that looks complete because the future that carried it was
+/// dropped.
+#[tokio::test]
+async fn tunnel_ends_only_when_it_is_shut_down() {
+    let authority = authority();
+    let (a, _events, _) = start(&authority, "a");
+    let (b, _events, target) = start(&authority, "b");
+    let mut accepted = b.accept_tunnels();
+    for is_shut_down in [true, false] {
+        for is_opener in [true, false] {
+            let address = target.address.parse().unwrap();
+            let mut opened = a.open_tunnel(&target.name, address).await.unwrap();
+            opened.write_all(b"request").await.unwrap();
+            let mut other = accepted.recv().await.unwrap();
+            other.read_exact(&mut [0; 7]).await.unwrap();
+            let (mut writer, mut reader) =
+                if is_opener { (opened, other) } else { (other, opened) };
+            writer.write_all(b"part").await.unwrap();
+            reader.read_exact(&mut [0; 4]).await.unwrap();
+            if is_shut_down {
+                writer.write_all(b"rest").await.unwrap();
+                writer.shutdown().await.unwrap();
+            }
+            drop(writer);
+            let mut rest = Vec::new();
+            let read = reader.read_to_end(&mut rest).await;
+            assert_eq!(read.is_ok(), is_shut_down, "opener: {is_opener}, read: {read:?}");
+            assert_eq!(rest, if is_shut_down { b"rest".as_slice() } else { b"" });
+        }
+    }
+}
+
 /// Waits until this message of the node `a` is received, for ten seconds at most.
 async fn wait_for(events: &mut Receiver<Received>, expected: PeerMessage) {
     let expected = message("a", expected);
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -11,11 +11,11 @@
     base64::{Engine, engine::general_purpose::STANDARD},
     bilberryfront::peer::{PeerConfig, PeerNet, tunnel::Tunnel},
     compact_str::CompactString,
-    process::{Instance, Platform, wait_until},
+    process::{Instance, Platform, TIMEOUT, wait_until},
     rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair, KeyUsagePurpose},
     serde_json::Value,
     std::{
-        fs,
+        fs, io,
         net::{Ipv4Addr, SocketAddr},
         thread,
         time::Duration,
@@ -93,6 +93,13 @@
     }
 }
 
+/// Reads to the end of the connection.
+async fn read_to_end(tunnel: &mut Tunnel) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    tunnel.read_to_end(&mut bytes).await?;
+    Ok(bytes)
+}
+
 fn request(id: &str) -> String {
     format!(
         "POST /stream/1 HTTP/1.1\r\nhost: r\r\nx-bilberryfront-attempt-id: {id}\r\n\
@@ -176,6 +183,27 @@
     .await;
 }
 
+/// Guards against a response that an instance which stops cuts off, and which looks complete.
+#[tokio::test]
+async fn instance_that_stops_aborts_the_connections_of_peers() {
+    run_local(async {
+        let peers = Peers::new().await;
+        let runner = peers.platform.runners[0].clone();
+        let gap = ms(20);
+        runner.script.replace(Script::Events { last: 500, gap, end: StreamEnd::Complete });
+        // Another member, to which the instance says that it leaves before it closes its connections.
+        let member = peers.platform.start("n3");
+        wait_until("the member is ready", async || member.ready().await).await;
+        let (mut tunnel, _) = peers.open(runner.address).await;
+        tunnel.write_all(request("t1").as_bytes()).await.unwrap();
+        assert_ne!(tunnel.read(&mut [0; 4_096]).await.unwrap(), 0);
+        peers.instance.process.terminate();
+        let read = timeout(TIMEOUT, read_to_end(&mut tunnel)).await.unwrap();
+        assert!(read.is_err(), "the response ends after {:?} bytes", read.map(|text| text.len()));
+    })
+    .await;
+}
+
 /// Guards against a stream that runs twice: a peer that is cut off resumes it elsewhere, while the instance
 /// that carries its connection keeps the former run going.
 #[tokio::test]
