Read the end of a response only after its request is written

Callers saw: a runner that answers a long upload at once, without a length, ends its side of the connection and resets the rest: the part that had arrived was a complete response. The same happens by chance if it closes the connection at a moment at which it has read all that had arrived: the kernel then sends the end first, and the reset only for the bytes that follow.

Cause: the end of the connection ended the body, although the request was still being written. Through another instance the connection was closed at the runner's end, so that the reset was not even seen.

Change: WriteFirst, around every connection to a runner, reads the end only once all has been written, and an error if that fails. An instance that carries a connection passes the rest of the request on after the end of the response, so that the node that sends it sees whether it arrives.

Ruled out: that hyper goes on to read after a write got the reset.

--- a/crates/relay/src/network.rs
+++ b/crates/relay/src/network.rs
@@ -1,5 +1,7 @@
 //! Transport for outgoing connections.
 
+pub mod write_first;
+
 use {
     crate::{
         tunnel::{self, Tunnels},
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         framing::{BadHead, Framing},
-        network::Network,
+        network::{Network, write_first::WriteFirst},
     },
     bytes::Bytes,
     compact_str::CompactString,
@@ -113,7 +113,7 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
         tunneled: bool,
     ) -> Result<Connection> {
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::handshake(TokioIo::new(WriteFirst::new(stream))).await;
         let (sender, connection) = handshake.map_err(|_| SendError::Unsent)?;
         let run = async move {
             // Errors are reported by the request or by the next use of the connection.
--- a/crates/relay/src/tunnel.rs
+++ b/crates/relay/src/tunnel.rs
@@ -6,11 +6,14 @@
 
 use {
     crate::{
-        dialect::Dialect, flow::Traffic, network::Transport, runner_client::RunnerClient,
+        dialect::Dialect,
+        flow::Traffic,
+        network::{Transport, write_first::WriteFirst},
+        runner_client::RunnerClient,
         view::NodeAddress,
     },
     bilberryfront_peer::{PeerNet, tunnel::Tunnel},
-    std::{io, net::SocketAddr, time::Duration},
+    std::{future, io, net::SocketAddr, time::Duration},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt, copy, split},
         sync::watch,
@@ -131,16 +134,21 @@
     let Ok(connection) = connected else {
         return tunnel.shutdown().await;
     };
-    let (mut from_runner, mut to_runner) = split(connection);
+    let (mut from_runner, mut to_runner) = split(WriteFirst::new(connection));
     let (mut receive, mut send) = tunnel.into_inner();
+    let respond = async {
+        copy(&mut from_runner, &mut send).await?;
+        // Only now is the response complete; `send` aborts the stream if it is dropped before.
+        send.shutdown().await?;
+        // The rest of the request may be reset, and the other node closes the connection otherwise.
+        future::pending().await
+    };
     // The other node never sends after the end of its stream, which means that its request is
     // cancelled.
     tokio::select! {
-        copied = copy(&mut from_runner, &mut send) => copied?,
-        copied = copy(&mut receive, &mut to_runner) => return copied.map(|_| ()),
-    };
-    // Only now is the response complete; `send` aborts the stream if it is dropped before.
-    send.shutdown().await
+        result = respond => result,
+        copied = copy(&mut receive, &mut to_runner) => copied.map(|_| ()),
+    }
 }
 
 async fn read_address(tunnel: &mut Tunnel) -> io::Result<SocketAddr> {
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -10,7 +10,10 @@
 use {
     base64::{Engine, engine::general_purpose::STANDARD},
     bilberryfront::peer::{PeerConfig, PeerNet, tunnel::Tunnel},
+    bilberryfront_relay::pool::{Connection, Exchange},
     compact_str::CompactString,
+    http::Request,
+    http_body_util::{BodyExt, Full},
     process::{Instance, Platform, TIMEOUT, wait_until},
     rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair, KeyUsagePurpose},
     serde_json::Value,
@@ -23,6 +26,7 @@
     support::{Script, StreamEnd, ms, run_local},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
         runtime,
         sync::oneshot,
         time::{Instant, sleep, timeout},
@@ -34,6 +38,9 @@
 const REFUSED: u8 = 1;
 const UNREACHABLE: u8 = 2;
 
+/// More than the buffers on the way to a runner hold.
+const REQUEST_BYTES: usize = 32 << 20;
+
 /// An instance, and a peer of it in this process.
 struct Peers {
     platform: Platform,
@@ -204,6 +211,53 @@
     .await;
 }
 
+/// Guards against an early response that looks complete although the runner resets the rest of the request, and
+/// against the loss of one whose runner reads the rest.
+#[tokio::test]
+async fn instance_passes_the_rest_of_a_request_on_after_the_response() {
+    run_local(async {
+        let peers = Peers::new().await;
+        for reads_rest in [false, true] {
+            let address = start_early_runner(&peers, reads_rest).await;
+            let (tunnel, _) = peers.open(address).await;
+            let mut connection = Connection::over(tunnel, true).await.unwrap();
+            let request = Request::post("/").body(Full::from(vec![b'x'; REQUEST_BYTES])).unwrap();
+            let (exchange, until) = (Exchange::Call("a1".into()), Instant::now() + TIMEOUT);
+            let response = connection.send(request, &exchange, until).await.unwrap();
+            let read = timeout(TIMEOUT, response.body.collect()).await.unwrap();
+            assert_eq!(read.is_ok(), reads_rest, "{read:?}");
+        }
+    })
+    .await;
+}
+
+/// Starts a runner that responds at the first byte of a request and ends its side of the connection. It then reads
+/// the rest, or closes the connection.
+async fn start_early_runner(peers: &Peers, reads_rest: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                stream.read_u8().await?;
+                stream.write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart").await?;
+                stream.shutdown().await?;
+                // Longer than it takes to see the end.
+                sleep(ms(100)).await;
+                if reads_rest {
+                    tokio::io::copy(&mut stream, &mut tokio::io::sink()).await?;
+                }
+                io::Result::Ok(())
+            });
+        }
+    });
+    let row = serde_json::json!({"service": support::PLAIN, "address": address, "zone": "a",
+        "version": "v1", "slots": 8, "state": "ready", "seq": 1, "born": 1});
+    peers.platform.put("servers", &format!("early-{reads_rest}"), &row);
+    wait_until("the runner is listed", async || peers.open(address).await.1 == CONNECTED).await;
+    address
+}
+
 /// Guards against a stream that runs twice: a peer that is cut off resumes it elsewhere, while the instance
 /// that carries its connection keeps the former run going.
 #[tokio::test]
