Keep little of a request unsent in the kernel

Callers saw: the part that had arrived of a response without a length as a complete one, if its runner reset the rest of a request that fits into the send buffer of the socket.

Cause: the kernel takes megabytes of a request although the runner's window is closed, so that it counts as written, and the end of the response is read at once.

Change: at most 16 KiB wait unsent in the send buffer of a connection to a runner (TCP_NOTSENT_LOWAT), so that written means sent.

Result: response_is_incomplete_if_the_rest_of_the_request_is_reset was red for 1 MiB in 2 of 2 runs before (Ok(b"first part")), and instance_passes_the_rest_of_a_request_on_after_the_response as well, also if only the connection of the carrying instance reads the end at once. Both pass, in 3 of 3 runs each.

--- a/crates/relay/src/network.rs
+++ b/crates/relay/src/network.rs
@@ -24,6 +24,9 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes before the connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
+/// Maximum number of unsent bytes in the send buffer: the end of a response is read once its request is written,
+/// and written bytes should have been sent.
+const UNSENT_BYTES: u32 = 16 << 10;
 
 /// Transport that opens connections; tests replace it with an in-memory one.
 pub trait Network: Clone + 'static {
@@ -92,5 +95,6 @@
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive.with_retries(KEEPALIVE_PROBES))?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_notsent_lowat(UNSENT_BYTES)?;
     Ok(stream)
 }
--- a/crates/relay/tests/uploads.rs
+++ b/crates/relay/tests/uploads.rs
@@ -21,16 +21,16 @@
     },
 };
 
-/// More than the buffers of both sockets hold.
-const REQUEST_BYTES: usize = 16 << 20;
+/// More than the receive buffer of the runner holds, and more than the buffers of both sockets.
+const REQUEST_SIZES: [usize; 2] = [1 << 20, 16 << 20];
 /// Longer than it takes to see the end of the response.
 const PAUSE: Duration = Duration::from_millis(100);
 const TIMEOUT: Duration = Duration::from_secs(20);
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nfirst part";
 
-/// Sends a long request to a runner that answers at once, ends its side of the connection, and then does `rest`.
-/// Returns the body of the response.
-async fn send(rest: impl FnOnce(TcpStream) + Send + 'static) -> hyper::Result<Bytes> {
+/// Sends a request of `size` bytes to a runner that answers at once, ends its side of the connection, and then does
+/// `rest`. Returns the body of the response.
+async fn send(size: usize, rest: impl FnOnce(TcpStream) + Send + 'static) -> hyper::Result<Bytes> {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let runner: JoinHandle<()> = thread::spawn(move || {
@@ -44,7 +44,7 @@
     let exchange = async {
         let stream = connect_tcp(address, TIMEOUT).await.unwrap();
         let mut connection = Connection::over(stream, false).await.unwrap();
-        let request = Request::post("/").body(Full::from(vec![b'x'; REQUEST_BYTES])).unwrap();
+        let request = Request::post("/").body(Full::from(vec![b'x'; size])).unwrap();
         let until = Instant::now() + TIMEOUT;
         let response = connection.send(request, &Exchange::Call("a1".into()), until).await.unwrap();
         assert_eq!(response.framing, Framing::Close);
@@ -59,13 +59,17 @@
 /// request.
 #[tokio::test]
 async fn response_is_incomplete_if_the_rest_of_the_request_is_reset() {
-    let body = send(drop).await;
-    assert!(body.is_err(), "{body:?}");
+    for size in REQUEST_SIZES {
+        let body = send(size, drop).await;
+        assert!(body.is_err(), "{size} bytes: {body:?}");
+    }
 }
 
 /// Guards against the loss of early responses of runners that read the rest of the request.
 #[tokio::test]
 async fn early_response_is_complete_if_the_rest_of_the_request_is_read() {
     let read_rest = |mut stream: TcpStream| while stream.read(&mut [0; 1 << 16]).unwrap() > 0 {};
-    assert_eq!(send(read_rest).await.unwrap(), b"first part".as_slice());
+    for size in REQUEST_SIZES {
+        assert_eq!(send(size, read_rest).await.unwrap(), b"first part".as_slice());
+    }
 }
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -38,8 +38,8 @@
 const REFUSED: u8 = 1;
 const UNREACHABLE: u8 = 2;
 
-/// More than the buffers on the way to a runner hold.
-const REQUEST_BYTES: usize = 32 << 20;
+/// More than the buffers from an instance to a runner hold, and more than all on the way through another one.
+const REQUEST_SIZES: [usize; 2] = [1 << 20, 32 << 20];
 
 /// An instance, and a peer of it in this process.
 struct Peers {
@@ -219,20 +219,22 @@
         let peers = Peers::new().await;
         for reads_rest in [false, true] {
             let address = start_early_runner(&peers, reads_rest).await;
-            let (tunnel, _) = peers.open(address).await;
-            let mut connection = Connection::over(tunnel, true).await.unwrap();
-            let request = Request::post("/").body(Full::from(vec![b'x'; REQUEST_BYTES])).unwrap();
-            let (exchange, until) = (Exchange::Call("a1".into()), Instant::now() + TIMEOUT);
-            let response = connection.send(request, &exchange, until).await.unwrap();
-            let read = timeout(TIMEOUT, response.body.collect()).await.unwrap();
-            assert_eq!(read.is_ok(), reads_rest, "{read:?}");
+            for size in REQUEST_SIZES {
+                let (tunnel, _) = peers.open(address).await;
+                let mut connection = Connection::over(tunnel, true).await.unwrap();
+                let request = Request::post("/").body(Full::from(vec![b'x'; size])).unwrap();
+                let (exchange, until) = (Exchange::Call("a1".into()), Instant::now() + TIMEOUT);
+                let response = connection.send(request, &exchange, until).await.unwrap();
+                let read = timeout(TIMEOUT, response.body.collect()).await.unwrap();
+                assert_eq!(read.is_ok(), reads_rest, "{size} bytes: {read:?}");
+            }
         }
     })
     .await;
 }
 
-/// Starts a runner that responds at the first byte of a request and ends its side of the connection. It then reads
-/// the rest, or closes the connection.
+/// Starts a runner that reads the first byte of a request, responds and ends its side of the connection. It then
+/// reads the rest, or closes the connection.
 async fn start_early_runner(peers: &Peers, reads_rest: bool) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -240,6 +242,8 @@
         while let Ok((mut stream, _)) = listener.accept().await {
             tokio::task::spawn_local(async move {
                 stream.read_u8().await?;
+                // The buffers are filled meanwhile.
+                sleep(ms(100)).await;
                 stream.write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart").await?;
                 stream.shutdown().await?;
                 // Longer than it takes to see the end.
