--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -3,10 +3,10 @@
 mod watch;
 
 use {
-    self::watch::{Observed, Watched},
+    self::watch::{Watch, Watched},
     crate::{
         framing::{BadHead, Framing, has_no_body},
-        network::Network,
+        network::{Network, write_first::WriteFirst},
     },
     bytes::Bytes,
     compact_str::CompactString,
@@ -17,7 +17,7 @@
         client::conn::http1::{self, SendRequest},
     },
     hyper_util::rt::TokioIo,
-    std::{net::SocketAddr, rc::Rc, time::Duration},
+    std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration},
     tokio::{
         io::{AsyncRead, AsyncWrite},
         task::AbortHandle,
@@ -102,7 +102,7 @@
     tunneled: bool,
     /// The last exchange; `None` on a new connection.
     last: Option<Exchange>,
-    observed: Rc<Observed>,
+    watch: Rc<RefCell<Watch>>,
 }
 
 impl Connection {
@@ -117,8 +117,8 @@
         stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
         tunneled: bool,
     ) -> Result<Connection> {
-        let observed = Rc::<Observed>::default();
-        let stream = Watched::new(stream, observed.clone());
+        let watch = Rc::<RefCell<Watch>>::default();
+        let stream = Watched::new(WriteFirst::new(stream), watch.clone());
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| SendError::Unsent)?;
         let run = async move {
@@ -126,7 +126,7 @@
             _ = connection.await;
         };
         let task = tokio::task::spawn_local(run).abort_handle();
-        Ok(Connection { sender, task, tunneled, last: None, observed })
+        Ok(Connection { sender, task, tunneled, last: None, watch })
     }
 
     /// Returns whether the connection runs through another node.
@@ -142,7 +142,7 @@
         until: Instant,
     ) -> Result<Response> {
         self.last = Some(exchange.clone());
-        self.observed.watch.borrow_mut().begin();
+        self.watch.borrow_mut().begin();
         let method = request.method().clone();
         let sending = tokio::time::timeout_at(until, self.sender.try_send_request(request));
         let response = sending.await.map_err(|_| SendError::Timeout)?;
@@ -155,25 +155,19 @@
         let length =
             parts.headers.get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
         let length = length.filter(|_| !has_no_body(&method, parts.status));
-        self.observed.watch.borrow_mut().set_length(length);
+        self.watch.borrow_mut().set_length(length);
         Ok(Response { parts, body, framing })
     }
 
-    /// Checks the end of a response whose body was read.
+    /// Checks a response whose body was read.
     ///
     /// # Errors
     ///
-    /// [`SendError::Malformed`] if more has arrived than the stated length, other than another response;
-    /// [`SendError::Disconnected`] if the connection has failed and the response states no end.
-    pub fn check_end(&self, framing: Framing) -> Result<()> {
-        match () {
-            () if self.observed.watch.borrow().has_surplus() => {
-                Err(SendError::Malformed(BadHead::Length))
-            }
-            () if framing == Framing::Close && self.observed.failed.get() => {
-                Err(SendError::Disconnected)
-            }
-            () => Ok(()),
+    /// Fails if more has arrived than the stated length, other than another response.
+    pub fn check_length(&self) -> Result<()> {
+        match self.watch.borrow().has_surplus() {
+            true => Err(SendError::Malformed(BadHead::Length)),
+            false => Ok(()),
         }
     }
 
--- a/crates/relay/src/pool/watch.rs
+++ b/crates/relay/src/pool/watch.rs
@@ -1,10 +1,9 @@
-//! Watches a connection. A body that is longer than the stated length was not meant to end there, nor was one
-//! whose connection has failed.
+//! Watches what arrives behind a response. A body that is longer than the stated length was not meant to end there.
 
 use {
     bytes::{Buf, BytesMut},
     std::{
-        cell::{Cell, RefCell},
+        cell::RefCell,
         io,
         pin::Pin,
         rc::Rc,
@@ -108,31 +107,15 @@
     }
 }
 
-/// What is known of a connection.
-#[derive(Debug, Default)]
-pub(super) struct Observed {
-    /// Progress of the response.
-    pub(super) watch: RefCell<Watch>,
-    /// Whether a read or write has failed. The system reports a reset once; the next read sees a regular end.
-    pub(super) failed: Cell<bool>,
-}
-
 /// A stream that is watched.
 pub(super) struct Watched<S> {
     stream: S,
-    observed: Rc<Observed>,
+    watch: Rc<RefCell<Watch>>,
 }
 
 impl<S> Watched<S> {
-    pub(super) fn new(stream: S, observed: Rc<Observed>) -> Watched<S> {
-        Watched { stream, observed }
-    }
-
-    fn check<T>(&self, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
-        if let Poll::Ready(Err(_)) = result {
-            self.observed.failed.set(true);
-        }
-        result
+    pub(super) fn new(stream: S, watch: Rc<RefCell<Watch>>) -> Watched<S> {
+        Watched { stream, watch }
     }
 }
 
@@ -143,9 +126,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        ready!(self.check(read))?;
-        self.observed.watch.borrow_mut().record(&buffer.filled()[before..]);
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        self.watch.borrow_mut().record(&buffer.filled()[before..]);
         Poll::Ready(Ok(()))
     }
 }
@@ -156,8 +138,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.check(written)
+        Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
     fn poll_write_vectored(
@@ -165,8 +146,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.check(written)
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -10,12 +10,15 @@
 use {
     base64::{Engine, engine::general_purpose::STANDARD},
     bilberryfront::peer::{PeerConfig, PeerNet, tunnel::Tunnel},
+    bilberryfront_relay::pool::{Connection, Exchange},
     compact_str::CompactString,
-    process::{Instance, Platform, wait_until},
+    http::Request,
+    http_body_util::{BodyExt, Full},
+    process::{Instance, Platform, TIMEOUT, wait_until},
     rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair, KeyUsagePurpose},
     serde_json::Value,
     std::{
-        fs,
+        fs, io,
         net::{Ipv4Addr, SocketAddr},
         thread,
         time::Duration,
@@ -23,6 +26,7 @@
     support::{Script, StreamEnd, ms, run_local},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
         runtime,
         sync::oneshot,
         time::{Instant, sleep, timeout},
@@ -34,6 +38,9 @@
 const REFUSED: u8 = 1;
 const UNREACHABLE: u8 = 2;
 
+/// More than the buffers from an instance to a runner hold, and more than all on the way through another one.
+const REQUEST_SIZES: [usize; 2] = [1 << 20, 32 << 20];
+
 /// An instance, and a peer of it in this process.
 struct Peers {
     platform: Platform,
@@ -93,6 +100,13 @@
     }
 }
 
+/// Reads to the end of the connection.
+async fn read_to_end(tunnel: &mut Tunnel) -> io::Result<Vec<u8>> {
+    let mut bytes = Vec::new();
+    tunnel.read_to_end(&mut bytes).await?;
+    Ok(bytes)
+}
+
 fn request(id: &str) -> String {
     format!(
         "POST /stream/1 HTTP/1.1\r\nhost: r\r\nx-bilberryfront-attempt-id: {id}\r\n\
@@ -176,6 +190,78 @@
     .await;
 }
 
+/// Guards against a response that an instance which stops cuts off, and which looks complete.
+#[tokio::test]
+async fn instance_that_stops_aborts_the_connections_of_peers() {
+    run_local(async {
+        let peers = Peers::new().await;
+        let runner = peers.platform.runners[0].clone();
+        let gap = ms(20);
+        runner.script.replace(Script::Events { last: 500, gap, end: StreamEnd::Complete });
+        // Another member, to which the instance says that it leaves before it closes its connections.
+        let member = peers.platform.start("n3");
+        wait_until("the member is ready", async || member.ready().await).await;
+        let (mut tunnel, _) = peers.open(runner.address).await;
+        tunnel.write_all(request("t1").as_bytes()).await.unwrap();
+        assert_ne!(tunnel.read(&mut [0; 4_096]).await.unwrap(), 0);
+        peers.instance.process.terminate();
+        let read = timeout(TIMEOUT, read_to_end(&mut tunnel)).await.unwrap();
+        assert!(read.is_err(), "the response ends after {:?} bytes", read.map(|text| text.len()));
+    })
+    .await;
+}
+
+/// Guards against an early response that looks complete although the runner resets the rest of the request, and
+/// against the loss of one whose runner reads the rest.
+#[tokio::test]
+async fn instance_passes_the_rest_of_a_request_on_after_the_response() {
+    run_local(async {
+        let peers = Peers::new().await;
+        for reads_rest in [false, true] {
+            let address = start_early_runner(&peers, reads_rest).await;
+            for size in REQUEST_SIZES {
+                let (tunnel, _) = peers.open(address).await;
+                let mut connection = Connection::over(tunnel, true).await.unwrap();
+                let request = Request::post("/").body(Full::from(vec![b'x'; size])).unwrap();
+                let (exchange, until) = (Exchange::Call("a1".into()), Instant::now() + TIMEOUT);
+                let response = connection.send(request, &exchange, until).await.unwrap();
+                let read = timeout(TIMEOUT, response.body.collect()).await.unwrap();
+                assert_eq!(read.is_ok(), reads_rest, "{size} bytes: {read:?}");
+            }
+        }
+    })
+    .await;
+}
+
+/// Starts a runner that reads the first byte of a request, responds and ends its side of the connection. It then
+/// reads the rest, or closes the connection.
+async fn start_early_runner(peers: &Peers, reads_rest: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                stream.read_u8().await?;
+                // The buffers are filled meanwhile.
+                sleep(ms(100)).await;
+                stream.write_all(b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart").await?;
+                stream.shutdown().await?;
+                // Longer than it takes to see the end.
+                sleep(ms(100)).await;
+                if reads_rest {
+                    tokio::io::copy(&mut stream, &mut tokio::io::sink()).await?;
+                }
+                io::Result::Ok(())
+            });
+        }
+    });
+    let row = serde_json::json!({"service": support::PLAIN, "address": address, "zone": "a",
+        "version": "v1", "slots": 8, "state": "ready", "seq": 1, "born": 1});
+    peers.platform.put("servers", &format!("early-{reads_rest}"), &row);
+    wait_until("the runner is listed", async || peers.open(address).await.1 == CONNECTED).await;
+    address
+}
+
 /// Guards against a stream that runs twice: a peer that is cut off resumes it elsewhere, while the instance
 /// that carries its connection keeps the former run going.
 #[tokio::test]
