--- a/tests/spoilt/runners.rs
+++ b/tests/spoilt/runners.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         case::{Case, End, Request, SOUND, SOUND_STREAM, field},
-        process::Platform,
+        process::{Platform, wait_until},
         support::ms,
     },
     base64::{Engine, engine::general_purpose::STANDARD},
@@ -21,22 +21,22 @@
     tokio::{
         io::AsyncWriteExt,
         net::{TcpListener, TcpStream},
-        time::sleep,
+        time::{sleep, timeout},
     },
 };
 
 /// Failure domains of the runners.
 const DOMAINS: [&str; 3] = ["a", "b", "c"];
-/// Bytes of a stream's second event that are sent late.
-const SECOND_EVENT_BYTES: usize = 12;
-/// Time before the first event of a stream whose runner is asked for its state meanwhile.
-const FIRST_EVENT_DELAY: Duration = ms(700);
+/// Longest wait of a runner to be asked for its state.
+const MAX_DELAY: Duration = Duration::from_secs(5);
+/// Time between the events of a stream whose runner waits to be asked for a replica.
+const EVENT_GAP: Duration = ms(50);
 /// Handle in spoilt responses to control requests.
 pub(crate) const SPOILT_HANDLE: &str = "spoilt";
 /// Body of a sound response to a call.
 const CALL_BODY: &str = "the first part of the response, and the second part";
 /// Events of a whole stream.
-const LAST_EVENT: u64 = 6;
+const LAST_EVENT: u64 = 150;
 
 /// Kinds of requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -132,7 +132,9 @@
         control: Option<Case>,
     ) -> Rc<Runners> {
         let mut listeners = Vec::new();
-        for domain in DOMAINS {
+        // The third one becomes the holder of a replica.
+        let count = if control.is_some() { 3 } else { 2 };
+        for &domain in &DOMAINS[..count] {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let (service, address) = (service.to_owned(), listener.local_addr().unwrap());
             listeners.push((listener, Registration { service, domain, address }));
@@ -210,29 +212,31 @@
         if !case.is_upload() {
             request.read_body(stream).await?;
         }
-        let mut response = case.response(&head, &body);
         if self.control.is_some() && count == 1 {
-            let second = response.split_off(response.len() - SECOND_EVENT_BYTES);
-            self.begin_slowly(request, stream, &response).await?;
-            response = second;
+            stream.write_all(&case.response(&head, "")).await?;
+            self.send_slowly(request, stream).await?;
+            return Ok((case, case.send(stream, b"9\r\nid: 1").await?));
         }
-        Ok((case, case.send(stream, &response).await?))
+        Ok((case, case.send(stream, &case.response(&head, &body)).await?))
     }
 
-    /// Sends the first event of a stream late enough for its runner to be asked for its state, and goes on when
-    /// the holder of its replica leaves, so that the runner is asked for another replica.
-    async fn begin_slowly(
-        &self,
-        request: &Request,
-        stream: &mut TcpStream,
-        response: &[u8],
-    ) -> io::Result<()> {
-        sleep(FIRST_EVENT_DELAY).await;
-        stream.write_all(response).await?;
+    /// Sends the first event of a stream when its runner was asked for its state, and further ones, while the
+    /// holder of its replica leaves, until the runner was asked for another replica.
+    async fn send_slowly(&self, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
+        let is_asked = |path| self.controls.borrow().contains(path);
+        _ = timeout(MAX_DELAY, wait_until("the state", async || is_asked("/api/report"))).await;
         let holder = field(&request.head, "x-bilberryfront-kv-backup");
         let holder = self.registrations.iter().find(|r| Some(&*r.address.to_string()) == holder);
         holder.into_iter().for_each(|holder| holder.put(&self.store, "draining"));
-        sleep(FIRST_EVENT_DELAY).await;
+        let after = request.position();
+        for id in after + 1..LAST_EVENT {
+            let event = events(id..id + 1);
+            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).await?;
+            if is_asked("/api/kv-move") {
+                break;
+            }
+            sleep(EVENT_GAP).await;
+        }
         Ok(())
     }
 }
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -221,7 +221,7 @@
                 errors.push(format!("{name}: request after it"));
             }
             if runners.controls.borrow().len() < 3 {
-                errors.push(format!("{name}: only {:?}", runners.controls.borrow()));
+                errors.push(format!("{name}: only {:?}, {sent:?}", runners.controls.borrow()));
             }
         }
         assert!(instance.ready().await);
