--- a/tests/spoilt/caller.rs
+++ b/tests/spoilt/caller.rs
@@ -97,8 +97,14 @@
         !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
     };
     let is_field = |line: &str| line.split_once(':').is_some_and(|(name, _)| is_name(name));
-    let is_spoilt = ["spo", "lengsh", "encodin:", "chunkd"].iter().any(|text| head.contains(text));
-    is_status && lines.all(is_field) && !is_spoilt
+    let is_spoilt =
+        ["x-spo", "lengsh", "encodin:", "chunkd"].iter().any(|text| head.contains(text));
+    let count = |name: &str| {
+        let lines = head.split("\r\n").filter_map(|line| line.split_once(':'));
+        lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).count()
+    };
+    let framings = count("content-length") + count("transfer-encoding");
+    is_status && lines.all(is_field) && !is_spoilt && framings <= 1
 }
 
 /// Sends a request, and after a complete response another one on the same connection.
--- a/tests/spoilt/case.rs
+++ b/tests/spoilt/case.rs
@@ -15,7 +15,7 @@
 
 /// How the end of a response's body is stated.
 #[derive(Clone, Copy, PartialEq)]
-pub(crate) enum Coding {
+enum Coding {
     /// Not at all, or by a length.
     Plain,
     Chunks,
@@ -35,21 +35,21 @@
     ResetUpload(usize),
 }
 
-/// A response that is not a whole one.
+/// A kind of response.
 #[derive(Clone, Copy)]
 pub(crate) struct Case {
     pub(crate) name: &'static str,
     /// Status line.
-    pub(crate) status: &'static str,
+    status: &'static str,
     /// Fields that state the framing; `{n}` is the length of the body, and `{h}` the half of it.
-    pub(crate) fields: &'static str,
-    pub(crate) coding: Coding,
+    fields: &'static str,
+    coding: Coding,
     pub(crate) end: End,
 }
 
 const OK: &str = "HTTP/1.1 200 OK";
 
-pub(crate) const fn spoilt(name: &'static str, fields: &'static str, coding: Coding) -> Case {
+const fn spoilt(name: &'static str, fields: &'static str, coding: Coding) -> Case {
     Case { name, status: OK, fields, coding, end: End::Close }
 }
 
@@ -147,10 +147,7 @@
     spoilt("no length, close", "connection: close", Coding::Plain),
     Case { end: End::Reset, ..spoilt("no length, reset", "connection: close", Coding::Plain) },
     spoilt("no last chunk, close", "transfer-encoding: chunked", Coding::OpenChunks),
-    Case {
-        end: End::Reset,
-        ..spoilt("no last chunk, reset", "transfer-encoding: chunked", Coding::OpenChunks)
-    },
+    RESET,
     spoilt("size of a chunk", "transfer-encoding: chunked", Coding::SpoiltChunks),
     upload("reset of an unread upload", 0),
     upload("reset of an upload, 64 kB", 64 << 10),
@@ -160,6 +157,12 @@
     Case { fields: "x-field: 1", ..upload("reset of an upload, kept connection", 1 << 20) },
 ];
 
+/// A response in chunks that is reset.
+pub(crate) const RESET: Case = Case {
+    end: End::Reset,
+    ..spoilt("no last chunk, reset", "transfer-encoding: chunked", Coding::OpenChunks)
+};
+
 /// A whole response with a length.
 pub(crate) const SOUND: Case =
     Case { end: End::Keep, ..spoilt("sound", "content-length: {n}", Coding::Plain) };
@@ -256,7 +259,7 @@
     /// Request line and fields.
     pub(crate) head: String,
     /// Bytes of the body that were read with the head.
-    pub(crate) body: Vec<u8>,
+    body: Vec<u8>,
 }
 
 impl Request {
--- a/tests/spoilt/runners.rs
+++ b/tests/spoilt/runners.rs
@@ -82,7 +82,7 @@
     }
 
     /// Returns the part of the body that the first runner sends.
-    pub(crate) fn part(self, after: u64) -> String {
+    fn part(self, after: u64) -> String {
         if self.is_stream() { events(after + 1..after + 3) } else { CALL_BODY[..18].into() }
     }
 }
--- a/tests/spoilt_responses.rs
+++ b/tests/spoilt_responses.rs
@@ -18,7 +18,7 @@
 use {
     base64::{Engine, engine::general_purpose::STANDARD},
     caller::{Received, Seen, call},
-    case::{CUT, Case, Coding, EMPTY, End, Request, SPOILT, field, spoilt},
+    case::{CUT, Case, EMPTY, End, RESET, Request, SPOILT, field},
     futures_util::{StreamExt, stream},
     http::{Method, Request as HttpRequest},
     process::{Instance, Platform, wait_until},
@@ -42,6 +42,8 @@
 const CONCURRENCY: usize = 16;
 /// First of the revisions in spoilt responses of the store, whose digits no other revision begins with.
 const SPOILT_REVISION: usize = 770_000;
+/// Response of a store that has no history.
+const GONE: &[u8] = b"HTTP/1.1 410 Gone\r\nstore-era: 0\r\ncontent-length: 0\r\n\r\n";
 /// Length of the body of a long upload.
 const UPLOAD: usize = 3_000_000;
 
@@ -90,13 +92,13 @@
     instance
 }
 
-/// Returns what is wrong with a response and the heads of the requests that the runners got for it.
+/// Returns what is wrong with a response for which the runners got this number of requests.
 fn judge(case: &Case, kind: Kind, received: &Received, runs: usize) -> Result<(), String> {
     let &Received { status, seen, ref body, ref rest, ref head } = received;
     let whole = kind.body(0);
     let is_signed = field(head, "x-bilberryfront-server-stamp").is_some();
     let check = |is_met: bool, what: &str| {
-        let text = String::from_utf8_lossy(body);
+        let text = String::from_utf8_lossy(&body[..body.len().min(100)]);
         is_met
             .then_some(())
             .ok_or_else(|| format!("{what}: {status}, {seen:?}, {runs} runs, {text:?}"))
@@ -112,6 +114,9 @@
         return check(status == 0 || seen == Seen::Complete, "incomplete failure");
     }
     check(is_signed, "unsigned")?;
+    let is_framed =
+        ["content-length", "transfer-encoding"].iter().any(|name| field(head, name).is_some());
+    check(is_framed || kind == Kind::Once, "no framing")?;
     check(whole.as_bytes().starts_with(body), "not the runner's body")?;
     match seen {
         Seen::Complete if case.is_empty() && body.is_empty() => {
@@ -123,7 +128,7 @@
     }
 }
 
-/// Sends a request of each kind for each case, and prints and returns what is wrong.
+/// Sends a request of each kind for each case; prints all verdicts, and returns what is wrong.
 async fn judge_all(cases: &[Case], length: usize) -> Vec<String> {
     let platform = Platform::new().await;
     put_catalog(&platform, cases.len(), 4_000);
@@ -135,19 +140,21 @@
         runners.push(Runners::start(&platform, &service, cases[number], None).await);
     }
     let instance = start(&platform).await;
-    let calls = all.iter().zip(&runners).map(|(&(number, kind), runners)| async move {
+    let calls = all.iter().map(|&(number, kind)| {
         let request = request(kind, number, length, "");
-        let received = call(instance.callers, &request, length).await;
-        // A request that must not run twice would be sent again by now.
-        let runs = runners.received.borrow().len();
-        let is_kept = runners.is_reused.get().then(|| Err("request after it".to_owned()));
-        let verdict = is_kept.unwrap_or_else(|| judge(&cases[number], kind, &received, runs));
-        println!("{}, {kind:?}: {verdict:?}", cases[number].name);
-        verdict.err().map(|error| format!("{}, {kind:?}: {error}", cases[number].name))
+        async move { call(instance.callers, &request, length).await }
     });
-    let errors: Vec<_> = stream::iter(calls).buffer_unordered(CONCURRENCY).collect().await;
+    let responses: Vec<_> = stream::iter(calls).buffered(CONCURRENCY).collect().await;
     assert!(instance.ready().await);
-    errors.into_iter().flatten().collect()
+    let mut errors = Vec::new();
+    for ((&(number, kind), runners), received) in all.iter().zip(&runners).zip(&responses) {
+        let (case, runs) = (&cases[number], runners.received.borrow().len());
+        let is_kept = runners.is_reused.get().then(|| Err("request after it".to_owned()));
+        let verdict = is_kept.unwrap_or_else(|| judge(case, kind, received, runs));
+        println!("{}, {kind:?}: {verdict:?}", case.name);
+        errors.extend(verdict.err().map(|error| format!("{}, {kind:?}: {error}", case.name)));
+    }
+    errors
 }
 
 /// Guards against a response that reaches its caller as complete although its head is spoilt, and against a
@@ -189,14 +196,10 @@
         let (cases, platform) = (short_cases(), Platform::new().await);
         // The report of a runner is requested before the first event.
         put_catalog(&platform, cases.len(), 400);
-        let reset = Case {
-            end: End::Reset,
-            ..spoilt("reset", "transfer-encoding: chunked", Coding::OpenChunks)
-        };
         let mut runners = Vec::new();
         for (number, case) in cases.iter().enumerate() {
             let service = format!("s-{}-{number}", Kind::Resumable.route().0);
-            runners.push(Runners::start(&platform, &service, reset, Some(*case)).await);
+            runners.push(Runners::start(&platform, &service, RESET, Some(*case)).await);
         }
         let instance = start(&platform).await;
         let calls = cases.iter().enumerate().map(|(number, case)| async move {
@@ -232,6 +235,8 @@
 
 /// A store that spoils every other response to each kind of call, in front of a sound one.
 struct SpoiltStore {
+    /// Whether it has no history, so that whole tables are read, and spoils only their rows.
+    is_compacted: bool,
     address: SocketAddr,
     /// Address of the sound store.
     sound: SocketAddr,
@@ -244,9 +249,10 @@
 }
 
 impl SpoiltStore {
-    async fn start(sound: SocketAddr) -> Rc<SpoiltStore> {
+    async fn start(sound: SocketAddr, is_compacted: bool) -> Rc<SpoiltStore> {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let store = Rc::new(SpoiltStore {
+            is_compacted,
             address: listener.local_addr().unwrap(),
             sound,
             is_spoiling: Cell::default(),
@@ -270,7 +276,13 @@
             let body = request.read_body(&mut stream).await?;
             self.check(&request, &body);
             let call = request.path().split('&').next().unwrap();
-            if let Some(number) = self.next_case(call) {
+            let is_read = call.starts_with("/api/rows-get");
+            if self.is_spoiling.get() && self.is_compacted && call == "/api/rows-feed?table=op" {
+                stream.write_all(GONE).await?;
+                continue;
+            }
+            let is_spoilt = is_read || !self.is_compacted;
+            if let Some(number) = self.next_case(call).filter(|_| is_spoilt) {
                 let case = &self.cases[number];
                 let table = call.split("table=").nth(1).unwrap_or_default();
                 let body = case.body(spoilt_rows(table, number));
@@ -315,10 +327,11 @@
         }
     }
 
-    /// Returns whether the responses to polls of the catalogue have been spoilt in all ways.
-    fn has_played(&self) -> bool {
-        let calls = self.calls.borrow();
-        calls.get("/api/rows-feed?table=op").is_some_and(|count| *count > 2 * self.cases.len())
+    /// Returns the number of calls for the catalogue.
+    fn call_count(&self) -> usize {
+        let call = if self.is_compacted { "rows-get" } else { "rows-feed" };
+        let count = self.calls.borrow().get(&format!("/api/{call}?table=op")).copied();
+        count.unwrap_or_default()
     }
 }
 
@@ -342,29 +355,36 @@
 
 /// Guards against a catalogue, or a list of runners, that is taken from a spoilt response of the store.
 #[tokio::test]
-async fn spoilt_responses_of_the_store_change_nothing() {
-    run_local(async {
-        let platform = Platform::new().await;
-        let store = SpoiltStore::start(platform.handle.addr).await;
-        let instance = platform.start_in("n1", "a", store.address);
-        let serves = async |key: &str| instance.post("/lodge/1", key).await.map(|r| r.status);
-        wait_until("the instance serves", async || serves("k1").await == Some(200)).await;
-        store.is_spoiling.set(true);
-        let played = async || {
-            assert_eq!(serves("k1").await, Some(200), "{:?}", store.calls.borrow());
-            store.has_played()
-        };
-        wait_until("all cases are played", played).await;
-        println!("{:?}", store.calls.borrow());
-        for number in 0..store.cases.len() {
-            let key = spoilt_key(number);
-            assert_eq!(serves(&key).await, Some(401), "{}", store.cases[number].name);
-        }
-        assert_eq!(*store.errors.borrow(), Vec::<String>::new());
-        platform.put_catalog(3, &["k1", "k3"]);
-        wait_until("the change is in force", async || serves("k3").await == Some(200)).await;
-        let received = instance.post("/stream/1", "k3").await.unwrap();
-        assert_eq!((received.status, received.text.matches("id: ").count()), (200, 30));
-    })
-    .await;
+async fn spoilt_changes_of_the_store_change_nothing() {
+    run_local(check_store(false)).await;
+}
+
+/// Guards against a catalogue that is taken from a spoilt response when the whole table is read.
+#[tokio::test]
+async fn spoilt_tables_of_the_store_change_nothing() {
+    run_local(check_store(true)).await;
+}
+
+async fn check_store(is_compacted: bool) {
+    let platform = Platform::new().await;
+    let store = SpoiltStore::start(platform.handle.addr, is_compacted).await;
+    let instance = platform.start_in("n1", "a", store.address);
+    let serves = async |key: &str| instance.post("/lodge/1", key).await.map(|r| r.status);
+    wait_until("the instance serves", async || serves("k1").await == Some(200)).await;
+    store.is_spoiling.set(true);
+    for count in 1..=2 * store.cases.len() {
+        wait_until("the next case", async || store.call_count() >= count).await;
+        assert_eq!(serves("k1").await, Some(200), "{}", store.cases[(count - 1) / 2].name);
+    }
+    store.is_spoiling.set(false);
+    println!("{:?}", store.calls.borrow());
+    for number in 0..store.cases.len() {
+        let key = spoilt_key(number);
+        assert_eq!(serves(&key).await, Some(401), "{}", store.cases[number].name);
+    }
+    assert_eq!(*store.errors.borrow(), Vec::<String>::new());
+    platform.put_catalog(3, &["k1", "k3"]);
+    wait_until("the change is in force", async || serves("k3").await == Some(200)).await;
+    let received = instance.post("/stream/1", "k3").await.unwrap();
+    assert_eq!((received.status, received.text.matches("id: ").count()), (200, 30));
 }
