Test the connections of peers when the instance that carries them stops

Callers may get a part of a response as a whole one: a node that reaches its runners through another instance reads the regular end of the connection when that instance stops after its grace period, although the runner is at work on the response. A response that states no end looks ended by its runner then.

--- a/tests/tunnels.rs
+++ b/tests/tunnels.rs
@@ -263,3 +263,31 @@
     })
     .await;
 }
+
+/// Guards against a response that states no end, and is cut off when the instance that carries it stops, but
+/// looks ended by its runner.
+#[tokio::test]
+async fn instance_that_stops_does_not_end_the_connections_of_its_peers_regularly() {
+    run_local(async {
+        let peers = Peers::new().await;
+        let runner = peers.platform.runners[0].clone();
+        let gap = ms(20);
+        runner.script.replace(Script::Events { last: 2_000, gap, end: StreamEnd::Complete });
+        let (mut tunnel, _) = peers.open(runner.address).await;
+        tunnel.write_all(request("t1").as_bytes()).await.unwrap();
+        let mut bytes = [0; 4_096];
+        assert_ne!(tunnel.read(&mut bytes).await.unwrap(), 0);
+        peers.instance.process.terminate();
+        let rest = async {
+            loop {
+                match tunnel.read(&mut bytes).await {
+                    Ok(1..) => {}
+                    end => break end,
+                }
+            }
+        };
+        let end = timeout(process::TIMEOUT, rest).await.unwrap();
+        assert!(end.is_err(), "{end:?}");
+    })
+    .await;
+}
