Don't return an error without a stated end in place of a success

A caller of a plain service got a 500 although another runner had responded 200: two responses that state no end were compared by their bodies only, and the first was returned; of two with an empty body it was whichever came first. Now the statuses are compared too, an error of the first runner doesn't outlast a response of the second, and a success isn't replaced by a response that is none.

an_error_without_a_stated_end_does_not_replace_a_success failed before: 500 instead of 200.

--- a/src/traffic/services/repeat.rs
+++ b/src/traffic/services/repeat.rs
@@ -56,10 +56,15 @@
                 lease.verdict = Verdict::Ok;
                 lease.failed = reply.status.is_server_error();
                 match unconfirmed.take() {
-                    Some(first) if lease.failed => return Ok(first),
+                    Some(first) if lease.failed && !first.status.is_server_error() => {
+                        return Ok(first);
+                    }
                     _ if reply.is_confirmed => return Ok(reply),
                     // A third runner would probably not state an end either.
-                    Some(first) if first.body == reply.body => return Ok(first),
+                    Some(first) if is_same(&first, &reply) => return Ok(first),
+                    Some(first) if first.status.is_success() && !reply.status.is_success() => {
+                        unconfirmed = Some(first);
+                    }
                     _ => unconfirmed = Some(reply),
                 }
                 Verdict::Ok
@@ -76,6 +81,11 @@
     unconfirmed.ok_or(problem)
 }
 
+/// Returns whether two runners responded alike.
+fn is_same(first: &Reply, second: &Reply) -> bool {
+    first.status == second.status && first.body == second.body
+}
+
 /// Returns the timeout of an attempt: half of the time left for the call, or all of it for the last
 /// attempt.
 ///
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -236,6 +236,16 @@
     assert!(statuses.contains(&200), "{statuses:?}");
 }
 
+/// Guards against an error in place of a success, because both have the same body: neither states its end.
+#[tokio::test]
+async fn an_error_without_a_stated_end_does_not_replace_a_success() {
+    let failed = "HTTP/1.1 500 Failed\r\nconnection: close\r\n\r\n";
+    let fleet = fleet(&[until_close(""), failed.into()]).await;
+    for _ in 0..8 {
+        assert_eq!(call(&fleet, Method::GET, None).await.status, StatusCode::OK);
+    }
+}
+
 /// Guards against a length of the runner that is passed on: it is the caller's connection that frames the body.
 #[tokio::test]
 async fn the_length_of_a_body_is_not_passed_on() {
