Don't hold back a response without a stated end for a hanging runner

A caller of a plain service waited for its whole limit, 10 s, although a response was there after a millisecond: it stated no end, and the runners asked to confirm it hung. They had all of the call's time left. Now they have half of it, and no longer than an entry's runners may be silent (`stall_ms`, 2 s); then the response is passed on until close. A runner whose time is cut short so isn't taken for a broken one. A third runner isn't tried after one that hangs.

--- a/crates/decide/src/catalog.rs
+++ b/crates/decide/src/catalog.rs
@@ -97,7 +97,8 @@
     pub wait_ms: u32,
     /// Maximum wait for a runner's first token in milliseconds, before another runner is tried.
     pub first_ms: u32,
-    /// Maximum pause between tokens in milliseconds, before the generation moves to another runner.
+    /// Maximum pause between tokens in milliseconds, before the generation moves to another runner; also the
+    /// maximum wait for another runner to confirm a response that states no end.
     pub stall_ms: u32,
     /// Maximum duration of a call of a plain service in milliseconds, over all runners tried.
     pub call_ms: u32,
--- a/src/traffic/services/repeat.rs
+++ b/src/traffic/services/repeat.rs
@@ -13,11 +13,14 @@
             send::{Exchange, Reply, Sent},
         },
     },
-    bilberryfront_decide::event::{Purpose, Verdict},
+    bilberryfront_decide::{
+        catalog::Limits,
+        event::{Purpose, Verdict},
+    },
     bilberryfront_wire::problem::{Problem, Run},
     http::StatusCode,
     std::time::Duration,
-    tokio::time::Instant,
+    tokio::time::{Instant, timeout_at},
 };
 
 /// Maximum number of runners tried for one call.
@@ -31,13 +34,16 @@
     let mut may_have_run = false;
     // Response that may be cut off, returned if no runner's is known to be whole.
     let mut unconfirmed: Option<Reply> = None;
+    // Time at which it is returned, although another runner may still confirm it.
+    let mut confirm_by = None;
     let mut chooser = job.chooser(&services.control.view());
     let timeout = Duration::from_millis(job.limits.call_ms.into());
     // The timeout starts with the first granted runner: waiting for the grant has a limit of its
     // own.
     let mut deadline = None;
     for attempt in 1..=MAX_ATTEMPTS {
-        let acquired = acquire(&services.control, job, &mut wanted, &mut chooser).await;
+        let acquired = acquire(&services.control, job, &mut wanted, &mut chooser);
+        let Some(acquired) = until(confirm_by, acquired).await else { break };
         let mut lease = match acquired {
             Ok(lease) => lease,
             Err(rejection) => {
@@ -48,7 +54,8 @@
         let now = Instant::now();
         let deadline = *deadline.get_or_insert(now + timeout);
         let wait = attempt_timeout(deadline.saturating_duration_since(now), attempt);
-        let sent = services.sender.send(job.outgoing(&lease.grant.url), wait).await;
+        let sent = services.sender.send(job.outgoing(&lease.grant.url), wait);
+        let Some(sent) = until(confirm_by, sent).await else { break };
         may_have_run |= !matches!(sent, Sent::NotSent(_));
         lease.verdict = match sent {
             Sent::Answer(reply) if reply.status != StatusCode::SERVICE_UNAVAILABLE => {
@@ -67,6 +74,9 @@
                     }
                     _ => unconfirmed = Some(reply),
                 }
+                let now = Instant::now();
+                let left = deadline.saturating_duration_since(now);
+                confirm_by.get_or_insert(now + confirm_timeout(left, &job.limits));
                 Verdict::Ok
             }
             Sent::Answer(_) => Verdict::Rejected,
@@ -96,6 +106,20 @@
     if attempt < MAX_ATTEMPTS { left / 2 } else { left }
 }
 
+/// Returns the time that other runners have to confirm a response: half of the time left, but no longer than
+/// runners may be silent within a response.
+fn confirm_timeout(left: Duration, limits: &Limits) -> Duration {
+    (left / 2).min(Duration::from_millis(limits.stall_ms.into()))
+}
+
+/// Waits for `future` until the time given, if any; `None` if it has passed.
+async fn until<F: Future>(time: Option<Instant>, future: F) -> Option<F::Output> {
+    match time {
+        Some(time) => timeout_at(time, future).await.ok(),
+        None => Some(future.await),
+    }
+}
+
 /// Returns the problem of a call that was not run, or whose outcome is unknown.
 fn with_outcome(problem: Problem, may_have_run: bool) -> Problem {
     let run = if may_have_run { Run::Unknown } else { Run::NotRun };
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -11,6 +11,7 @@
             upstream::{Engines, Failure, HttpEngines},
         },
     },
+    bilberryfront_decide::catalog::Limits,
     bilberryfront_harness::{
         caller::Caller,
         fleet::{CALLER_KEY, Fleet, catalog},
@@ -24,10 +25,17 @@
     bytes::Bytes,
     http::{HeaderMap, Method, StatusCode},
     serde_json::Value,
-    std::time::Duration,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
+        time::Instant,
     },
     volo_http::client::Client,
 };
@@ -137,12 +145,21 @@
 
 /// Starts a node with one service for each response.
 async fn fleet(responses: &[String]) -> Fleet {
+    let mut urls = Vec::new();
+    for response in responses {
+        urls.push(start(response.clone()).await);
+    }
+    fleet_of(&urls).await
+}
+
+/// Starts a node with a service at each URL.
+async fn fleet_of(urls: &[String]) -> Fleet {
     let mut fleet = Fleet::new(programs::programs()).unwrap();
-    for (index, response) in responses.iter().enumerate() {
+    for (index, url) in urls.iter().enumerate() {
         let instance = Instance {
             name: format!("app-{index}").into(),
             kind: InstanceKind::Service,
-            url: start(response.clone()).await.into(),
+            url: url.as_str().into(),
             domain: "domain-a".into(),
             entry: SERVICE.into(),
             version: "v1".into(),
@@ -246,6 +263,43 @@
     }
 }
 
+/// Starts a server that responds only if no other server has got a request, and hangs otherwise.
+async fn start_hanging(response: String, is_taken: Arc<AtomicBool>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let url = format!("http://{}", listener.local_addr().unwrap());
+    tokio::spawn(async move {
+        let mut hanging = Vec::new();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            read_request(&mut stream).await;
+            if is_taken.swap(true, Ordering::SeqCst) {
+                hanging.push(stream);
+            } else {
+                _ = stream.write_all(response.as_bytes()).await;
+            }
+        }
+    });
+    url
+}
+
+/// Guards against a response that is held back until the call's deadline: it states no end, and the runners that
+/// could confirm it hang.
+#[tokio::test]
+async fn a_hanging_runner_does_not_hold_back_a_body_without_a_stated_end() {
+    let is_taken = Arc::new(AtomicBool::new(false));
+    let urls = [
+        start_hanging(until_close(BODY), is_taken.clone()).await,
+        start_hanging(until_close(BODY), is_taken).await,
+    ];
+    let fleet = fleet_of(&urls).await;
+    let start = Instant::now();
+    let answer = call(&fleet, Method::GET, None).await;
+    let elapsed = start.elapsed();
+    assert_eq!((answer.status, &*answer.body), (StatusCode::OK, BODY.as_bytes()));
+    assert!(!states_end(&answer), "{answer:?}");
+    let limit = Duration::from_millis(Limits::default().stall_ms.into());
+    assert!(elapsed < limit + Duration::from_secs(1), "{elapsed:?}");
+}
+
 /// Guards against a length of the runner that is passed on: it is the caller's connection that frames the body.
 #[tokio::test]
 async fn the_length_of_a_body_is_not_passed_on() {
