Don't send calls to a URL of another scheme in plain text

A call to a service whose URL is https was sent in plain text, to port 80 if the URL states none: the scheme was ignored. Now nothing is sent.

--- a/src/traffic/send.rs
+++ b/src/traffic/send.rs
@@ -32,6 +32,8 @@
 
 /// Maximum time to connect to a runner.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Scheme of runners' URLs.
+const HTTP: &str = "http";
 /// Port of URLs that state none.
 const HTTP_PORT: u16 = 80;
 /// Start of a response.
@@ -120,6 +122,9 @@
 
 impl Sender {
     async fn exchange(&self, call: Outgoing) -> Sent {
+        if !is_plain(&call.url) {
+            return Sent::NotSent(format!("the URL is not of the scheme {HTTP}"));
+        }
         let (authority, request) = match to_request(call) {
             Ok(request) => request,
             Err(error) => return Sent::NotSent(error.to_string()),
@@ -161,6 +166,11 @@
     }
 }
 
+/// Returns whether a URL is one of plain HTTP.
+fn is_plain(url: &str) -> bool {
+    url.split_once("://").is_some_and(|(scheme, _)| scheme.eq_ignore_ascii_case(HTTP))
+}
+
 /// Returns the request of a call, and the authority of its runner.
 fn to_request(call: Outgoing) -> http::Result<(Authority, Request<Full<Bytes>>)> {
     let Outgoing { method, url, mut headers, body } = call;
--- a/tests/once_send.rs
+++ b/tests/once_send.rs
@@ -199,6 +199,21 @@
     assert!(matches!(sent, Sent::NotSent(_)), "{sent:?}");
 }
 
+/// Guards against a call that is sent in plain text although its runner's URL demands TLS.
+#[tokio::test]
+async fn a_call_to_a_url_of_another_scheme_is_not_sent() {
+    let runner = Runner::start(Behavior::Respond).await;
+    for scheme in ["https", "HTTPS", "ftp"] {
+        let url = runner.url().replace("http", scheme);
+        let sent = Sender::default().send(transfer(url), TIMEOUT).await;
+        assert!(matches!(sent, Sent::NotSent(_)), "{scheme}: {sent:?}");
+    }
+    assert_eq!(runner.connections.load(Ordering::SeqCst), 0);
+    let url = runner.url().replace("http", "HTTP");
+    let sent = Sender::default().send(transfer(url), TIMEOUT).await;
+    assert!(matches!(sent, Sent::Answer(_)), "{sent:?}");
+}
+
 /// Guards against a refused connection that counts as a lost reply: callers must get "not run",
 /// because after a lost reply the outcome would be unknown.
 #[tokio::test]
