Treat a malformed load report as a failed probe

A caller waited for its first event until its deadline although another runner could run the request: the load report of the runner could not be parsed, which counted as a report that doesn't list the request, and so as a sign of life. Now it is a failed probe. A report without the list of runs still is one that doesn't list the request: some runners have no list.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -33,8 +33,8 @@
     /// Returns the path of a runner's load report.
     fn report_path(&self) -> &'static str;
 
-    /// Decodes the progress of the request `id` from a load report.
-    fn progress(&self, body: &[u8], id: &str) -> Progress;
+    /// Decodes the progress of the request `id` from a load report; `None` if the report is malformed.
+    fn progress(&self, body: &[u8], id: &str) -> Option<Progress>;
 
     /// Returns the path of the replication request.
     fn replicate_path(&self) -> &'static str;
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -446,11 +446,11 @@
         response.is_some()
     }
 
-    /// Requests the progress of a request from its runner; `None` on failure.
+    /// Requests the progress of a request from its runner; `None` on failure, also if the report is malformed.
     async fn progress(&self, call: &Call, endpoint: &Endpoint) -> Option<Progress> {
         let control = ControlRequest::without_body(Method::GET, self.dialect.report_path());
         let decode = |body: Bytes| {
-            let progress = self.dialect.progress(&body, &call.head.id);
+            let progress = self.dialect.progress(&body, &call.head.id)?;
             // A runner that has restarted with its id may have got the request since.
             let is_known = progress != Progress::Unknown || !self.is_replaced(endpoint, &body);
             is_known.then_some(progress)
--- a/tests/relay/lost_events.rs
+++ b/tests/relay/lost_events.rs
@@ -53,3 +53,26 @@
     })
     .await;
 }
+
+/// Guards against a spoilt load report that counts as a sign of life: the request waits for a runner that may have
+/// lost it.
+#[tokio::test(start_paused = true)]
+async fn request_leaves_a_runner_with_spoilt_load_reports() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &LOST);
+        deployment.runners.iter().for_each(|runner| runner.spoils_reports.set(true));
+        let start = Instant::now();
+        let recovery = async {
+            while deployment.request_count() < 1 {
+                sleep(ms(10)).await;
+            }
+            let unused = deployment.runners.iter().filter(|r| r.request_count() == 0);
+            unused.for_each(|runner| *runner.script.borrow_mut() = EVENTS);
+        };
+        let (received, ()) = tokio::join!(deployment.serve("/stream/1", &PROMPT), recovery);
+        assert_eq!(received.event_ids(), (1..=20).collect::<Vec<u64>>());
+        // 1.2 s until the first probe, and 0.8 s for the events.
+        assert!(start.elapsed() < ms(2_500), "took {:?}", start.elapsed());
+    })
+    .await;
+}
