Don't take a spoilt header of the store for a restoration

Instances read all rows anew, and condition their writes on numbers of an earlier era, because the name of the header with the number of restorations was spoilt: without it a response counts as one of era 0. Once a higher era was stated, a success (or 410) without one is a lost response, and the known era is kept. Rejections need none, as they may be a proxy's.

--- a/tests/row_store.rs
+++ b/tests/row_store.rs
@@ -1,12 +1,16 @@
-//! The client of the platform's store, with a stand-in that is restored from a backup.
+//! The client of the platform's store: with a stand-in that is restored from a backup, and with spoilt responses.
 
 use {
     base64::{Engine, engine::general_purpose::STANDARD},
     bilberryfront_platform::RowStore,
     bilberryfront_relay::store::{Condition, Revision, Store, StoreError, Write},
     bilberryfront_standins::feed_store::FeedStore,
-    std::time::Duration,
-    tokio::task::LocalSet,
+    std::{cell::RefCell, rc::Rc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        task::{LocalSet, spawn_local},
+    },
 };
 
 const TABLE: &str = "notes";
@@ -18,6 +22,36 @@
     LocalSet::new().run_until(test(store, client)).await;
 }
 
+/// Runs a test with a store that sends the same response to each request.
+async fn with_response(test: impl AsyncFnOnce(Rc<RefCell<String>>, RowStore)) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = RowStore::new(listener.local_addr().unwrap());
+    let response = Rc::<RefCell<String>>::default();
+    let sent = response.clone();
+    let serve = async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(respond(stream, sent.clone()));
+        }
+    };
+    let local = LocalSet::new();
+    local.spawn_local(serve);
+    local.run_until(test(response, client)).await;
+}
+
+/// Responds to requests that fit into one read.
+async fn respond(mut stream: TcpStream, response: Rc<RefCell<String>>) {
+    while stream.read(&mut [0; 4_096]).await.is_ok_and(|count| count > 0) {
+        let response = response.borrow().clone();
+        _ = stream.write_all(response.as_bytes()).await;
+    }
+}
+
+/// Returns a response with no rows.
+fn no_rows(status: &str, field: &str) -> String {
+    let body = r#"{"rows":[],"has_more":false,"ver":5,"now_ms":0}"#;
+    format!("HTTP/1.1 {status}\r\n{field}content-length: {}\r\n\r\n{body}", body.len())
+}
+
 fn put(store: &FeedStore, key: &str, text: &str) {
     store.put(TABLE, key, Some(STANDARD.encode(text)));
 }
@@ -90,3 +124,40 @@
     })
     .await;
 }
+
+/// Guards against a restoration to an earlier state that did not happen: the name of the header with the number of
+/// restorations is spoilt.
+#[tokio::test]
+async fn a_response_without_an_era_is_lost_once_one_was_stated() {
+    with_response(async |response, client| {
+        let respond = |status, field| *response.borrow_mut() = no_rows(status, field);
+        respond("200 OK", "");
+        assert_eq!(client.read(TABLE).await.unwrap().revision, Revision::new(0, 5));
+        respond("200 OK", "store-era: 1\r\n");
+        let known = client.read(TABLE).await.unwrap().revision;
+        assert_eq!(known, Revision::new(1, 5));
+        for status in ["410 Gone", "200 OK"] {
+            respond(status, "store-eba: 1\r\n");
+            let feed = client.feed(TABLE, known, Duration::ZERO).await;
+            assert!(matches!(feed, Err(StoreError::Lost(_))), "{feed:?}");
+        }
+        let read = client.read(TABLE).await;
+        assert!(matches!(read, Err(StoreError::Lost(_))), "{read:?}");
+        let write = write(Condition::At(Revision::new(0, 5)));
+        assert_eq!(client.write(&[write]).await, Err(StoreError::Conflict));
+    })
+    .await;
+}
+
+/// Guards against a rejected write that counts as one that may have been made: a rejection need not be by the store.
+#[tokio::test]
+async fn a_rejection_needs_no_era() {
+    with_response(async |response, client| {
+        *response.borrow_mut() = no_rows("200 OK", "store-era: 1\r\n");
+        client.read(TABLE).await.unwrap();
+        *response.borrow_mut() = no_rows("503 Unavailable", "");
+        let written = client.write(&[write(Condition::None)]).await;
+        assert!(matches!(written, Err(StoreError::Unavailable(_))), "{written:?}");
+    })
+    .await;
+}
