Don't take a malformed load report for a sign that a run continues

A crash by a request could be left unattributed: the load report of the runner that had restarted since could not be parsed, which counted as a report without a start time, so that its runs counted as continuing. Now it is looked at again.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -51,9 +51,9 @@
     /// Decodes the runner's identity from a load report; `None` if the runner is not an engine.
     fn identity(&self, body: &[u8]) -> Option<Identity>;
 
-    /// Decodes the start time of the runner's process from a load report, as in its registration; `None` if
-    /// it is not reported.
-    fn born(&self, body: &[u8]) -> Option<u64>;
+    /// Decodes the start time of the runner's process from a load report, as in its registration: none if it is
+    /// not reported.
+    fn born(&self, body: &[u8]) -> Result<Option<u64>, MalformedReport>;
 
     /// Returns the path of a runner's cache events.
     fn cache_path(&self) -> &'static str;
@@ -83,6 +83,12 @@
     Method,
 }
 
+/// Body that is not a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+#[error("malformed load report")]
+pub struct MalformedReport;
+
 /// Options of one send.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SendOptions {
--- a/crates/relay/src/runner_client.rs
+++ b/crates/relay/src/runner_client.rs
@@ -467,7 +467,8 @@
 
     /// Returns whether a load report was sent by another process than the runner's, and records that.
     fn is_replaced(&self, endpoint: &Endpoint, report: &[u8]) -> bool {
-        let (registered, reported) = (self.fleet.born(endpoint.key), self.dialect.born(report));
+        let reported = self.dialect.born(report).ok().flatten();
+        let registered = self.fleet.born(endpoint.key);
         let is_replaced = registered.is_some() && reported.is_some() && registered != reported;
         if is_replaced {
             log::info!(runner = endpoint.id.as_str(), born = reported.unwrap_or_default();
@@ -530,9 +531,10 @@
     /// accepts connections without a response may continue.
     pub async fn check_incarnation(&self, endpoint: &Endpoint, born: Option<u64>) -> CrashCheck {
         let start = Instant::now();
-        let report = self.get(endpoint, self.dialect.report_path(), PROBE_TIMEOUT).await;
-        let reported = report.as_ref().and_then(|body| self.dialect.born(body));
-        if let (Some(reported), Some(born)) = (reported, born)
+        let control = ControlRequest::without_body(Method::GET, self.dialect.report_path());
+        let decode = |body: Bytes| self.dialect.born(&body).ok();
+        let report = self.query(endpoint, control, PROBE_TIMEOUT, decode).await;
+        if let (Some(reported), Some(born)) = (report.flatten(), born)
             && reported != born
         {
             self.fleet.record_replacement(endpoint.key, Instant::now());
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -3,6 +3,7 @@
 use {
     super::support::{Deployment, ENGINES, PLAIN, Runner, Script, StreamEnd, ms, run_local},
     bilberryfront_decide::member::message::Restart,
+    bilberryfront_relay::runner_client::CrashCheck,
     http_body_util::BodyExt,
     std::rc::Rc,
     tokio::time::{Instant, sleep},
@@ -594,6 +595,26 @@
     .await;
 }
 
+/// Guards against a restarted runner that counts as the one before, because its start time cannot be read.
+#[tokio::test(start_paused = true)]
+async fn a_spoilt_load_report_does_not_show_that_a_run_continues() {
+    run_local(async {
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &EVENTS);
+        let client = &deployment.traffic.client;
+        let runner = &deployment.runners[0];
+        let endpoint = client.fleet.find(&runner.id).unwrap();
+        let check = async || client.check_incarnation(&endpoint, Some(1)).await;
+        assert_eq!(check().await, CrashCheck::Running);
+        sleep(ms(1_000)).await;
+        runner.reported_born.set(Some(2));
+        runner.spoils_reports.set(true);
+        assert_eq!(check().await, CrashCheck::Unreachable);
+        runner.spoils_reports.set(false);
+        assert_eq!(check().await, CrashCheck::Crashed);
+    })
+    .await;
+}
+
 /// Guards against a run that continues after its caller has disconnected while the runner sends
 /// nothing. The connection to the runner is closed at once, which ends the run, and the stream is
 /// not resumed elsewhere.
