Test control requests and the store with malformed heads

Only responses of requests were tested with them. One case each of the ways in which a head is malformed, and a line that is no field.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -4,6 +4,8 @@
 mod brittle;
 #[path = "relay/calls.rs"]
 mod calls;
+#[path = "relay/control_requests.rs"]
+mod control_requests;
 #[path = "relay/crashes.rs"]
 mod crashes;
 #[path = "relay/drains.rs"]
--- a/tests/row_store.rs
+++ b/tests/row_store.rs
@@ -161,3 +161,33 @@
     })
     .await;
 }
+
+/// Guards against rows, and writes that count as made, of a response whose body may be anything: its head is
+/// malformed.
+#[tokio::test]
+async fn a_response_with_a_malformed_head_is_lost() {
+    with_response(async |response, client| {
+        let sound = no_rows("200 OK", "");
+        *response.borrow_mut() = sound.clone();
+        assert_eq!(client.read(TABLE).await.unwrap().rows, []);
+        for (from, to) in [
+            ("200 OK", "000 OK"),
+            ("200 OK", "600 OK"),
+            ("content-length: 47", "transfer-encoding: chunkd"),
+            ("content-length: 47", "content-length: 47\r\ncontent-length: 47"),
+            ("content-length: 47", "content-length: 47\r\ntransfer-encoding: chunked"),
+            ("content-length: 47", "content-lengsh: 47"),
+            ("content-length: 47", "content-length 47"),
+        ] {
+            *response.borrow_mut() = sound.replace(from, to);
+            assert_ne!(*response.borrow(), sound, "{to}");
+            let read = client.read(TABLE).await;
+            assert!(matches!(read, Err(StoreError::Lost(_))), "{to}: {read:?}");
+            let written = client.write(&[write(Condition::None)]).await;
+            assert!(matches!(written, Err(StoreError::Lost(_))), "{to}: {written:?}");
+        }
+        *response.borrow_mut() = sound;
+        assert!(client.read(TABLE).await.is_ok());
+    })
+    .await;
+}
