--- a/crates/relay/src/framing.rs
+++ b/crates/relay/src/framing.rs
@@ -10,6 +10,8 @@
 /// Result with a [`BadHead`].
 pub type Result<T> = std::result::Result<T, BadHead>;
 
+/// Start of a response.
+const RESPONSE_START: &[u8] = b"HTTP/";
 /// Statuses of final responses; no request asks for another protocol.
 const STATUSES: RangeInclusive<u16> = 200..=599;
 
@@ -79,6 +81,14 @@
     method == Method::HEAD || matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
 }
 
+/// Returns whether bytes behind a response neither begin another one, which a faulty runner may send, nor are line
+/// ends, which some servers add.
+pub fn is_surplus(behind: &[u8]) -> bool {
+    let rest = behind.trim_ascii_start();
+    let start = &rest[..rest.len().min(RESPONSE_START.len())];
+    !RESPONSE_START.starts_with(start)
+}
+
 /// Returns whether the connection ends with the response.
 fn closes(version: Version, headers: &HeaderMap) -> bool {
     let options =
--- a/crates/relay/src/pool/watch.rs
+++ b/crates/relay/src/pool/watch.rs
@@ -1,6 +1,7 @@
 //! Watches what arrives behind a response. A body that is longer than the stated length was not meant to end there.
 
 use {
+    crate::framing::is_surplus,
     bytes::{Buf, BytesMut},
     std::{
         cell::RefCell,
@@ -16,8 +17,8 @@
 const MAX_KEPT: usize = 64 << 10;
 /// End of a head.
 const HEAD_END: &[u8] = b"\r\n\r\n";
-/// Start of a response.
-const RESPONSE_START: &[u8] = b"HTTP/";
+/// Maximum number of bytes kept behind a body.
+const MAX_BEHIND: usize = 8;
 /// Offset of the status in a head.
 const STATUS_AT: usize = b"HTTP/1.1 ".len();
 
@@ -57,11 +58,10 @@
         }
     }
 
-    /// Returns whether bytes have arrived behind the body that neither begin another response nor are line ends,
-    /// which some servers add.
+    /// Returns whether bytes have arrived behind the body that do not belong there; see [`is_surplus`].
     pub(super) fn has_surplus(&self) -> bool {
         match self {
-            Watch::Length { behind, .. } => !RESPONSE_START.starts_with(behind.trim_ascii_start()),
+            Watch::Length { behind, .. } => is_surplus(behind),
             Watch::Off | Watch::Head(_) | Watch::Body(_) => false,
         }
     }
@@ -79,7 +79,7 @@
                     usize::try_from(*left).map_or(bytes.len(), |left| left.min(bytes.len()));
                 *left -= within as u64;
                 let rest = &bytes[within..];
-                let missing = RESPONSE_START.len() - behind.len();
+                let missing = MAX_BEHIND - behind.len();
                 behind.extend_from_slice(&rest[..missing.min(rest.len())]);
             }
         }
--- a/crates/relay/tests/framing.rs
+++ b/crates/relay/tests/framing.rs
@@ -42,9 +42,9 @@
     assert_eq!(Framing::of(&Method::GET, &head(304)), Ok(Framing::Length));
 }
 
-/// Guards against a spoilt body that is returned as the runner's: the field that states its end is spoilt.
+/// Guards against a corrupted body that is returned as the runner's: the field that states its end is corrupted.
 #[test]
-fn a_spoilt_framing_is_rejected() {
+fn a_corrupted_framing_is_rejected() {
     let cases: [(&[Field], BadHead); 12] = [
         (&[("transfer-encoding", b"chunkd")], BadHead::Coding),
         (&[("transfer-encoding", b"chun\xebed")], BadHead::Coding),
--- a/src/traffic/send.rs
+++ b/src/traffic/send.rs
@@ -6,7 +6,7 @@
 //! indication whether it ran, and every such call would end as "unknown".
 
 use {
-    bilberryfront_relay::framing::{Framing, has_no_body},
+    bilberryfront_relay::framing::{Framing, has_no_body, is_surplus},
     bytes::Bytes,
     futures_util::FutureExt,
     http::{
@@ -36,8 +36,6 @@
 const HTTP: &str = "http";
 /// Port of URLs that state none.
 const HTTP_PORT: u16 = 80;
-/// Start of a response.
-const RESPONSE_START: &[u8] = b"HTTP/";
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Headers that apply to a single connection.
@@ -217,13 +215,6 @@
     }
 }
 
-/// Returns whether there are bytes behind a response that do not begin another one, which a faulty
-/// runner may send.
-fn is_surplus(behind: &[u8]) -> bool {
-    let start = &behind[..behind.len().min(RESPONSE_START.len())];
-    !RESPONSE_START.starts_with(start)
-}
-
 /// Removes hop-by-hop headers: the standard ones, and those that `Connection` names.
 fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/tests/caller_framing.rs
+++ b/tests/caller_framing.rs
@@ -366,7 +366,7 @@
     .await;
 }
 
-/// Guards against a body that counts as complete although its end, after the last chunk, is missing or spoilt.
+/// Guards against a body that counts as complete although its end, after the last chunk, is missing or corrupted.
 #[tokio::test]
 async fn a_body_in_chunks_is_complete_after_its_trailers_only() {
     run_local(async {
--- a/tests/spoilt/caller.rs
+++ b/tests/corrupted/caller.rs
@@ -88,7 +88,7 @@
     }
 }
 
-/// Returns whether the head of a response is valid, and holds no spoilt field.
+/// Returns whether the head of a response is valid, and holds no corrupted field.
 fn is_head(head: &str) -> bool {
     let mut lines = head.trim_end_matches("\r\n").split("\r\n");
     let status = lines.next().unwrap();
@@ -97,14 +97,14 @@
         !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
     };
     let is_field = |line: &str| line.split_once(':').is_some_and(|(name, _)| is_name(name));
-    let is_spoilt =
+    let is_corrupted =
         ["x-spo", "lengsh", "encodin:", "chunkd"].iter().any(|text| head.contains(text));
     let count = |name: &str| {
         let lines = head.split("\r\n").filter_map(|line| line.split_once(':'));
         lines.filter(|(n, _)| n.eq_ignore_ascii_case(name)).count()
     };
     let framings = count("content-length") + count("transfer-encoding");
-    is_status && lines.all(is_field) && !is_spoilt && framings <= 1
+    is_status && lines.all(is_field) && !is_corrupted && framings <= 1
 }
 
 /// Sends a request, and after a complete response another one on the same connection.
--- a/tests/spoilt/case.rs
+++ b/tests/corrupted/case.rs
@@ -1,4 +1,4 @@
-//! Responses that are spoilt or cut off, as raw bytes, and servers that send them.
+//! Responses that are corrupted or cut off, as raw bytes, and servers that send them.
 
 use {
     super::support::ms,
@@ -21,8 +21,8 @@
     Chunks,
     /// Without the last chunk.
     OpenChunks,
-    /// With the size of the second chunk spoilt.
-    SpoiltChunks,
+    /// With the size of the second chunk corrupted.
+    CorruptedChunks,
 }
 
 /// What a runner does after the last byte of its response.
@@ -49,7 +49,7 @@
 
 const OK: &str = "HTTP/1.1 200 OK";
 
-const fn spoilt(name: &'static str, fields: &'static str, coding: Coding) -> Case {
+const fn corrupted(name: &'static str, fields: &'static str, coding: Coding) -> Case {
     Case { name, status: OK, fields, coding, end: End::Close }
 }
 
@@ -70,45 +70,53 @@
 
 /// Responses whose head cannot be relied on.
 pub(crate) const SPOILT: &[Case] = &[
-    spoilt("length that is no number", "content-length: 8x3", Coding::Plain),
-    spoilt("negative length", "content-length: -{n}", Coding::Plain),
-    spoilt("length with a sign", "content-length: +{n}", Coding::Plain),
-    spoilt("empty length", "content-length:", Coding::Plain),
-    spoilt("two lengths", "content-length: {n}\r\ncontent-length: {h}", Coding::Plain),
-    spoilt("list of lengths", "content-length: {n}, {h}", Coding::Plain),
-    spoilt("name of the length", "content-lengsh: {n}", Coding::Plain),
-    spoilt("name of the coding", "transfer-encodin: chunked", Coding::Chunks),
-    spoilt("unknown coding", "transfer-encoding: chunkd", Coding::Chunks),
-    spoilt("unknown coding, last", "transfer-encoding: chunked, chunkd", Coding::Chunks),
-    spoilt("coding twice", "transfer-encoding: chunked, chunked", Coding::Chunks),
-    spoilt("length, chunks", "content-length: {h}\r\ntransfer-encoding: chunked", Coding::Chunks),
-    spoilt("chunks, length", "transfer-encoding: chunked\r\ncontent-length: {h}", Coding::Chunks),
-    spoilt(
+    corrupted("length that is no number", "content-length: 8x3", Coding::Plain),
+    corrupted("negative length", "content-length: -{n}", Coding::Plain),
+    corrupted("length with a sign", "content-length: +{n}", Coding::Plain),
+    corrupted("empty length", "content-length:", Coding::Plain),
+    corrupted("two lengths", "content-length: {n}\r\ncontent-length: {h}", Coding::Plain),
+    corrupted("list of lengths", "content-length: {n}, {h}", Coding::Plain),
+    corrupted("name of the length", "content-lengsh: {n}", Coding::Plain),
+    corrupted("name of the coding", "transfer-encodin: chunked", Coding::Chunks),
+    corrupted("unknown coding", "transfer-encoding: chunkd", Coding::Chunks),
+    corrupted("unknown coding, last", "transfer-encoding: chunked, chunkd", Coding::Chunks),
+    corrupted("coding twice", "transfer-encoding: chunked, chunked", Coding::Chunks),
+    corrupted(
+        "length, chunks",
+        "content-length: {h}\r\ntransfer-encoding: chunked",
+        Coding::Chunks,
+    ),
+    corrupted(
+        "chunks, length",
+        "transfer-encoding: chunked\r\ncontent-length: {h}",
+        Coding::Chunks,
+    ),
+    corrupted(
         "length, unknown coding",
         "content-length: {n}\r\ntransfer-encoding: chunkd",
         Coding::Chunks,
     ),
-    spoilt("no length", "x-spoilt: 1", Coding::Plain),
-    spoilt("length without a colon", "content-length {n}", Coding::Plain),
-    spoilt("field without a colon", "content-length: {n}\r\nx-spoilt 1", Coding::Plain),
-    spoilt("field without a name", "content-length: {n}\r\n: 1", Coding::Plain),
-    spoilt("blank before the length's colon", "content-length : {n}", Coding::Plain),
-    spoilt("blank before a colon", "content-length: {n}\r\nx-spoilt : 1", Coding::Plain),
-    spoilt("tab before a colon", "content-length: {n}\r\nx-spoilt\t: 1", Coding::Plain),
-    spoilt("blank before a field", "content-length: {n}\r\n x-spoilt: 1", Coding::Plain),
-    spoilt("blank before the length", "x-spoilt: 1\r\n content-length: {n}", Coding::Plain),
-    spoilt("blank in a name", "content-length: {n}\r\nx-spo ilt: 1", Coding::Plain),
-    spoilt("blank in the length's name", "content length: {n}", Coding::Plain),
-    spoilt("0x01 in a name", "content-length: {n}\r\nx-spo\x01ilt: 1", Coding::Plain),
-    spoilt("0x00 in a name", "content-length: {n}\r\nx-spo\0ilt: 1", Coding::Plain),
-    spoilt("0x7f in a name", "content-length: {n}\r\nx-spo\x7filt: 1", Coding::Plain),
-    spoilt("0x0d in a name", "content-length: {n}\r\nx-spo\rilt: 1", Coding::Plain),
-    spoilt("0x00 in a value", "content-length: {n}\r\nx-spoilt: 1\0", Coding::Plain),
-    spoilt("0x01 in the length", "content-length: \x01{n}", Coding::Plain),
-    spoilt("blank in the length", "content-length: {n} {n}", Coding::Plain),
-    spoilt("length that is too long", "content-length: 99999999999999999999{n}", Coding::Plain),
-    spoilt("0x01 in the length's name", "content\x01length: {n}", Coding::Plain),
-    spoilt("0x00 in the coding's name", "transfer-\0encoding: chunked", Coding::Chunks),
+    corrupted("no length", "x-corrupted: 1", Coding::Plain),
+    corrupted("length without a colon", "content-length {n}", Coding::Plain),
+    corrupted("field without a colon", "content-length: {n}\r\nx-corrupted 1", Coding::Plain),
+    corrupted("field without a name", "content-length: {n}\r\n: 1", Coding::Plain),
+    corrupted("blank before the length's colon", "content-length : {n}", Coding::Plain),
+    corrupted("blank before a colon", "content-length: {n}\r\nx-corrupted : 1", Coding::Plain),
+    corrupted("tab before a colon", "content-length: {n}\r\nx-corrupted\t: 1", Coding::Plain),
+    corrupted("blank before a field", "content-length: {n}\r\n x-corrupted: 1", Coding::Plain),
+    corrupted("blank before the length", "x-corrupted: 1\r\n content-length: {n}", Coding::Plain),
+    corrupted("blank in a name", "content-length: {n}\r\nx-spo ilt: 1", Coding::Plain),
+    corrupted("blank in the length's name", "content length: {n}", Coding::Plain),
+    corrupted("0x01 in a name", "content-length: {n}\r\nx-spo\x01ilt: 1", Coding::Plain),
+    corrupted("0x00 in a name", "content-length: {n}\r\nx-spo\0ilt: 1", Coding::Plain),
+    corrupted("0x7f in a name", "content-length: {n}\r\nx-spo\x7filt: 1", Coding::Plain),
+    corrupted("0x0d in a name", "content-length: {n}\r\nx-spo\rilt: 1", Coding::Plain),
+    corrupted("0x00 in a value", "content-length: {n}\r\nx-corrupted: 1\0", Coding::Plain),
+    corrupted("0x01 in the length", "content-length: \x01{n}", Coding::Plain),
+    corrupted("blank in the length", "content-length: {n} {n}", Coding::Plain),
+    corrupted("length that is too long", "content-length: 99999999999999999999{n}", Coding::Plain),
+    corrupted("0x01 in the length's name", "content\x01length: {n}", Coding::Plain),
+    corrupted("0x00 in the coding's name", "transfer-\0encoding: chunked", Coding::Chunks),
     status("HTTP/1.1 000 OK"),
     status("HTTP/1.1 099 OK"),
     status("HTTP/1.1 0x0 OK"),
@@ -144,11 +152,11 @@
         coding: Coding::Plain,
         end: End::Reset,
     },
-    spoilt("no length, close", "connection: close", Coding::Plain),
-    Case { end: End::Reset, ..spoilt("no length, reset", "connection: close", Coding::Plain) },
-    spoilt("no last chunk, close", "transfer-encoding: chunked", Coding::OpenChunks),
+    corrupted("no length, close", "connection: close", Coding::Plain),
+    Case { end: End::Reset, ..corrupted("no length, reset", "connection: close", Coding::Plain) },
+    corrupted("no last chunk, close", "transfer-encoding: chunked", Coding::OpenChunks),
     RESET,
-    spoilt("size of a chunk", "transfer-encoding: chunked", Coding::SpoiltChunks),
+    corrupted("size of a chunk", "transfer-encoding: chunked", Coding::CorruptedChunks),
     upload("reset of an unread upload", 0),
     upload("reset of an upload, 256 kB", 256 << 10),
     upload("reset of an upload, 2 MB", 2 << 20),
@@ -161,21 +169,21 @@
 /// A response in chunks that is reset.
 pub(crate) const RESET: Case = Case {
     end: End::Reset,
-    ..spoilt("no last chunk, reset", "transfer-encoding: chunked", Coding::OpenChunks)
+    ..corrupted("no last chunk, reset", "transfer-encoding: chunked", Coding::OpenChunks)
 };
 
 /// A whole response with a length.
 pub(crate) const SOUND: Case =
-    Case { end: End::Keep, ..spoilt("sound", "content-length: {n}", Coding::Plain) };
+    Case { end: End::Keep, ..corrupted("sound", "content-length: {n}", Coding::Plain) };
 
 /// A whole response in chunks.
 pub(crate) const SOUND_STREAM: Case =
-    Case { end: End::Keep, ..spoilt("sound", "transfer-encoding: chunked", Coding::Chunks) };
+    Case { end: End::Keep, ..corrupted("sound", "transfer-encoding: chunked", Coding::Chunks) };
 
 /// A whole response without a body.
 pub(crate) const EMPTY: Case = Case {
     end: End::Keep,
-    ..spoilt("empty, in chunks", "transfer-encoding: chunked", Coding::Chunks)
+    ..corrupted("empty, in chunks", "transfer-encoding: chunked", Coding::Chunks)
 };
 
 impl Case {
@@ -190,13 +198,13 @@
                 let (first, second) = body.split_at(body.len() / 2);
                 let chunks = [first, second].into_iter().filter(|chunk| !chunk.is_empty());
                 for (number, chunk) in chunks.enumerate() {
-                    let is_spoilt = number == 1 && self.coding == Coding::SpoiltChunks;
-                    let sign = if is_spoilt { "x" } else { "" };
+                    let is_corrupted = number == 1 && self.coding == Coding::CorruptedChunks;
+                    let sign = if is_corrupted { "x" } else { "" };
                     write!(text, "{sign}{:x}\r\n{chunk}\r\n", chunk.len()).unwrap();
                 }
             }
         }
-        if matches!(self.coding, Coding::Chunks | Coding::SpoiltChunks) {
+        if matches!(self.coding, Coding::Chunks | Coding::CorruptedChunks) {
             text.push_str("0\r\n\r\n");
         }
         text.into_bytes()
--- a/tests/spoilt/runners.rs
+++ b/tests/corrupted/runners.rs
@@ -1,4 +1,4 @@
-//! Runners that spoil their first response, or those to control requests.
+//! Runners that corrupt their first response, or those to control requests.
 
 use {
     super::{
@@ -31,8 +31,8 @@
 const MAX_DELAY: Duration = Duration::from_secs(5);
 /// Time between the events of a stream whose runner waits to be asked for a replica.
 const EVENT_GAP: Duration = ms(50);
-/// Handle in spoilt responses to control requests.
-pub(crate) const SPOILT_HANDLE: &str = "spoilt";
+/// Handle in corrupted responses to control requests.
+pub(crate) const SPOILT_HANDLE: &str = "corrupted";
 /// Body of a sound response to a call.
 const CALL_BODY: &str = "the first part of the response, and the second part";
 /// Events of a whole stream.
@@ -108,7 +108,7 @@
     }
 }
 
-/// The runners of a service. The first one that gets a request spoils its response, the others do not.
+/// The runners of a service. The first one that gets a request corrupts its response, the others do not.
 pub(crate) struct Runners {
     /// Response to the first request.
     first: Case,
@@ -120,7 +120,7 @@
     pub(crate) received: RefCell<Vec<String>>,
     /// Paths of the control requests.
     pub(crate) controls: RefCell<BTreeSet<String>>,
-    /// Whether a request has followed a spoilt response on its connection.
+    /// Whether a request has followed a corrupted response on its connection.
     pub(crate) is_reused: Cell<bool>,
 }
 
--- a/tests/spoilt_responses.rs
+++ b/tests/corrupted_responses.rs
@@ -1,4 +1,4 @@
-//! Responses of runners and of the store that are spoilt or cut off, judged by the bytes at the sockets of the
+//! Responses of runners and of the store that are corrupted or cut off, judged by the bytes at the sockets of the
 //! callers of an instance that runs as a process.
 
 #[path = "relay/process.rs"]
@@ -8,11 +8,11 @@
 #[allow(dead_code, reason = "shared with the in-memory tests")]
 mod support;
 
-#[path = "spoilt/caller.rs"]
+#[path = "corrupted/caller.rs"]
 mod caller;
-#[path = "spoilt/case.rs"]
+#[path = "corrupted/case.rs"]
 mod case;
-#[path = "spoilt/runners.rs"]
+#[path = "corrupted/runners.rs"]
 mod runners;
 
 use {
@@ -40,7 +40,7 @@
 
 /// Requests at the same time.
 const CONCURRENCY: usize = 16;
-/// First of the revisions in spoilt responses of the store, whose digits no other revision begins with.
+/// First of the revisions in corrupted responses of the store, whose digits no other revision begins with.
 const SPOILT_REVISION: usize = 770_000;
 /// Response of a store that has no history.
 const GONE: &[u8] = b"HTTP/1.1 410 Gone\r\nstore-era: 0\r\ncontent-length: 0\r\n\r\n";
@@ -159,10 +159,10 @@
     errors
 }
 
-/// Guards against a response that reaches its caller as complete although its head is spoilt, and against a
-/// spoilt status, field or chunk size that reaches it.
+/// Guards against a response that reaches its caller as complete although its head is corrupted, and against a
+/// corrupted status, field or chunk size that reaches it.
 #[tokio::test]
-async fn responses_with_a_spoilt_head_do_not_reach_callers() {
+async fn responses_with_a_corrupted_head_do_not_reach_callers() {
     let errors = run_local(judge_all(SPOILT, 2, CONCURRENCY)).await;
     assert_eq!(errors, Vec::<String>::new());
 }
@@ -190,10 +190,10 @@
     cases.copied().chain([EMPTY]).collect()
 }
 
-/// Guards against spoilt responses to control requests that are believed: a stream that is resumed from a
+/// Guards against corrupted responses to control requests that are believed: a stream that is resumed from a
 /// replica which does not exist, cut, or sent to another runner without end.
 #[tokio::test]
-async fn streams_stay_whole_beside_spoilt_responses_to_control_requests() {
+async fn streams_stay_whole_beside_corrupted_responses_to_control_requests() {
     run_local(async {
         let (cases, platform) = (short_cases(), Platform::new().await);
         // The report of a runner is requested before the first event.
@@ -235,29 +235,29 @@
     .await;
 }
 
-/// A store that spoils every other response to each kind of call, in front of a sound one.
-struct SpoiltStore {
-    /// Whether it has no history, so that whole tables are read, and spoils only their rows.
+/// A store that corrupts every other response to each kind of call, in front of a sound one.
+struct CorruptedStore {
+    /// Whether it has no history, so that whole tables are read, and corrupts only their rows.
     is_compacted: bool,
     address: SocketAddr,
     /// Address of the sound store.
     sound: SocketAddr,
-    is_spoiling: Cell<bool>,
+    is_corrupting: Cell<bool>,
     cases: Vec<Case>,
-    /// Number of calls, by the kind of call, while it has been spoiling.
+    /// Number of calls, by the kind of call, while it has been corrupting.
     calls: RefCell<BTreeMap<String, usize>>,
-    /// Calls that refer to a revision of a spoilt response, or follow one on its connection.
+    /// Calls that refer to a revision of a corrupted response, or follow one on its connection.
     errors: RefCell<Vec<String>>,
 }
 
-impl SpoiltStore {
-    async fn start(sound: SocketAddr, is_compacted: bool) -> Rc<SpoiltStore> {
+impl CorruptedStore {
+    async fn start(sound: SocketAddr, is_compacted: bool) -> Rc<CorruptedStore> {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let store = Rc::new(SpoiltStore {
+        let store = Rc::new(CorruptedStore {
             is_compacted,
             address: listener.local_addr().unwrap(),
             sound,
-            is_spoiling: Cell::default(),
+            is_corrupting: Cell::default(),
             cases: short_cases(),
             calls: RefCell::default(),
             errors: RefCell::default(),
@@ -279,15 +279,15 @@
             self.check(&request, &body);
             let call = request.path().split('&').next().unwrap();
             let is_read = call.starts_with("/api/rows-get");
-            if self.is_spoiling.get() && self.is_compacted && call == "/api/rows-feed?table=op" {
+            if self.is_corrupting.get() && self.is_compacted && call == "/api/rows-feed?table=op" {
                 stream.write_all(GONE).await?;
                 continue;
             }
-            let is_spoilt = is_read || !self.is_compacted;
-            if let Some(number) = self.next_case(call).filter(|_| is_spoilt) {
+            let is_corrupted = is_read || !self.is_compacted;
+            if let Some(number) = self.next_case(call).filter(|_| is_corrupted) {
                 let case = &self.cases[number];
                 let table = call.split("table=").nth(1).unwrap_or_default();
-                let body = case.body(spoilt_rows(table, number));
+                let body = case.body(corrupted_rows(table, number));
                 if !case.send(&mut stream, &case.response("", &body)).await? {
                     break;
                 }
@@ -309,16 +309,16 @@
         Ok(())
     }
 
-    /// Returns the number of the case for the response to a call, if it is spoilt.
+    /// Returns the number of the case for the response to a call, if it is corrupted.
     fn next_case(&self, call: &str) -> Option<usize> {
         let mut calls = self.calls.borrow_mut();
         let count = calls.entry(call.to_owned()).or_default();
-        *count += usize::from(self.is_spoiling.get());
-        let is_spoilt = *count % 2 == 1 && *count / 2 < self.cases.len();
-        (self.is_spoiling.get() && is_spoilt).then_some(*count / 2)
+        *count += usize::from(self.is_corrupting.get());
+        let is_corrupted = *count % 2 == 1 && *count / 2 < self.cases.len();
+        (self.is_corrupting.get() && is_corrupted).then_some(*count / 2)
     }
 
-    /// Records a call that refers to a spoilt response.
+    /// Records a call that refers to a corrupted response.
     fn check(&self, request: &Request, body: &[u8]) {
         let prefix = (SPOILT_REVISION / 1_000).to_string();
         let body = String::from_utf8_lossy(body);
@@ -337,15 +337,15 @@
     }
 }
 
-/// Returns the key of an account in a spoilt response.
-fn spoilt_key(number: usize) -> String {
-    format!("spoilt-{number}")
+/// Returns the key of an account in a corrupted response.
+fn corrupted_key(number: usize) -> String {
+    format!("corrupted-{number}")
 }
 
 /// Returns rows that add another catalogue and remove all runners.
-fn spoilt_rows(table: &str, number: usize) -> String {
+fn corrupted_rows(table: &str, number: usize) -> String {
     let revision = SPOILT_REVISION + number;
-    let catalog = Platform::catalog(1_000 + number as u64, &[&spoilt_key(number)]).to_string();
+    let catalog = Platform::catalog(1_000 + number as u64, &[&corrupted_key(number)]).to_string();
     let rows = match table {
         "op" => json!([{"table": table, "part": "", "key": "config", "ver": revision,
             "value": STANDARD.encode(catalog)}]),
@@ -355,33 +355,33 @@
     json!({"rows": rows, "ver": revision, "now_ms": 0, "has_more": false}).to_string()
 }
 
-/// Guards against a catalogue, or a list of runners, that is taken from a spoilt response of the store.
+/// Guards against a catalogue, or a list of runners, that is taken from a corrupted response of the store.
 #[tokio::test]
-async fn spoilt_changes_of_the_store_change_nothing() {
+async fn corrupted_changes_of_the_store_change_nothing() {
     run_local(check_store(false)).await;
 }
 
-/// Guards against a catalogue that is taken from a spoilt response when the whole table is read.
+/// Guards against a catalogue that is taken from a corrupted response when the whole table is read.
 #[tokio::test]
-async fn spoilt_tables_of_the_store_change_nothing() {
+async fn corrupted_tables_of_the_store_change_nothing() {
     run_local(check_store(true)).await;
 }
 
 async fn check_store(is_compacted: bool) {
     let platform = Platform::new().await;
-    let store = SpoiltStore::start(platform.handle.addr, is_compacted).await;
+    let store = CorruptedStore::start(platform.handle.addr, is_compacted).await;
     let instance = platform.start_in("n1", "a", store.address);
     let serves = async |key: &str| instance.post("/lodge/1", key).await.map(|r| r.status);
     wait_until("the instance serves", async || serves("k1").await == Some(200)).await;
-    store.is_spoiling.set(true);
+    store.is_corrupting.set(true);
     for count in 1..=2 * store.cases.len() {
         wait_until("the next case", async || store.call_count() >= count).await;
         assert_eq!(serves("k1").await, Some(200), "{}", store.cases[(count - 1) / 2].name);
     }
-    store.is_spoiling.set(false);
+    store.is_corrupting.set(false);
     println!("{:?}", store.calls.borrow());
     for number in 0..store.cases.len() {
-        let key = spoilt_key(number);
+        let key = corrupted_key(number);
         assert_eq!(serves(&key).await, Some(401), "{}", store.cases[number].name);
     }
     assert_eq!(*store.errors.borrow(), Vec::<String>::new());
--- a/tests/relay/ends.rs
+++ b/tests/relay/ends.rs
@@ -109,13 +109,13 @@
     .await;
 }
 
-/// Guards against a stream that ends as complete without an event whose id was spoilt.
+/// Guards against a stream that ends as complete without an event whose id was corrupted.
 #[tokio::test(start_paused = true)]
 async fn a_run_whose_ids_go_back_is_replaced() {
     run_local(async {
         let back = "id: 1\ndata: token 1\n\nid: 2\ndata: token 2\n\nid: 1\ndata: token 3\n\n";
-        let spoilt = Script::Raw("content-length: 63", back);
-        let deployment = Deployment::new(ENGINES, &["a", "b"], &spoilt);
+        let corrupted = Script::Raw("content-length: 63", back);
+        let deployment = Deployment::new(ENGINES, &["a", "b"], &corrupted);
         let serving = deployment.serve("/stream/1", &PROMPT);
         let (received, ()) = tokio::join!(serving, replace_after_first(&deployment, &EVENTS));
         assert_eq!((received.status, received.is_complete), (200, true));
@@ -153,14 +153,14 @@
     .await;
 }
 
-/// Guards against a part of a body that is returned as a whole one: a digit of its length is spoilt, and the rest
+/// Guards against a part of a body that is returned as a whole one: a digit of its length is corrupted, and the rest
 /// arrives behind it.
 #[tokio::test(start_paused = true)]
 async fn a_body_that_is_longer_than_stated_is_not_returned() {
     run_local(async {
-        let spoilt = Script::Raw("content-length: 12", "the first half and the second");
+        let corrupted = Script::Raw("content-length: 12", "the first half and the second");
         for (path, expected) in [("/look/1", 200), ("/lodge/1", 502)] {
-            let deployment = Deployment::new(PLAIN, &["a", "b"], &spoilt);
+            let deployment = Deployment::new(PLAIN, &["a", "b"], &corrupted);
             let whole = Script::Respond(200, "the first half and the second");
             let serving = deployment.serve(path, &[]);
             let (received, ()) = tokio::join!(serving, replace_after_first(&deployment, &whole));
--- a/tests/relay/lost_events.rs
+++ b/tests/relay/lost_events.rs
@@ -54,13 +54,13 @@
     .await;
 }
 
-/// Guards against a spoilt load report that counts as a sign of life: the request waits for a runner that may have
+/// Guards against a corrupted load report that counts as a sign of life: the request waits for a runner that may have
 /// lost it.
 #[tokio::test(start_paused = true)]
-async fn request_leaves_a_runner_with_spoilt_load_reports() {
+async fn request_leaves_a_runner_with_corrupted_load_reports() {
     run_local(async {
         let deployment = Deployment::new(ENGINES, &["a", "b"], &LOST);
-        deployment.runners.iter().for_each(|runner| runner.spoils_reports.set(true));
+        deployment.runners.iter().for_each(|runner| runner.corrupts_reports.set(true));
         let start = Instant::now();
         let recovery = async {
             while deployment.request_count() < 1 {
--- a/tests/relay/streams.rs
+++ b/tests/relay/streams.rs
@@ -597,7 +597,7 @@
 
 /// Guards against a restarted runner that counts as the one before, because its start time cannot be read.
 #[tokio::test(start_paused = true)]
-async fn a_spoilt_load_report_does_not_show_that_a_run_continues() {
+async fn a_corrupted_load_report_does_not_show_that_a_run_continues() {
     run_local(async {
         let deployment = Deployment::new(ENGINES, &["a", "b"], &EVENTS);
         let client = &deployment.traffic.client;
@@ -607,9 +607,9 @@
         assert_eq!(check().await, CrashCheck::Running);
         sleep(ms(1_000)).await;
         runner.reported_born.set(Some(2));
-        runner.spoils_reports.set(true);
+        runner.corrupts_reports.set(true);
         assert_eq!(check().await, CrashCheck::Unreachable);
-        runner.spoils_reports.set(false);
+        runner.corrupts_reports.set(false);
         assert_eq!(check().await, CrashCheck::Crashed);
     })
     .await;
--- a/tests/relay/support.rs
+++ b/tests/relay/support.rs
@@ -261,7 +261,7 @@
     /// Status of the responses to requests for the load report, which is empty unless this is 200.
     pub(crate) report_status: Cell<u16>,
     /// Whether the load reports lack their last byte.
-    pub(crate) spoils_reports: Cell<bool>,
+    pub(crate) corrupts_reports: Cell<bool>,
     /// Rate limit that the responses state, in requests per second.
     pub(crate) rate_limit: Cell<Option<f64>>,
     /// Whether the responses announce that the runner leaves.
@@ -325,7 +325,7 @@
             restarted: RefCell::default(),
             reported_born: Cell::new(None),
             report_status: Cell::new(200),
-            spoils_reports: Cell::default(),
+            corrupts_reports: Cell::default(),
             rate_limit: Cell::new(None),
             is_leaving: Cell::new(false),
             capacity: Cell::new(None),
@@ -726,7 +726,7 @@
             return Ok(match runner.report_status.get() {
                 200 => {
                     let mut report = report(runner);
-                    report.truncate(report.len() - usize::from(runner.spoils_reports.get()));
+                    report.truncate(report.len() - usize::from(runner.corrupts_reports.get()));
                     json_response(report)
                 }
                 status => complete_response(status, ""),
--- a/tests/response_framing.rs
+++ b/tests/response_framing.rs
@@ -122,7 +122,7 @@
     Outgoing { method, url, headers, body: Bytes::from_static(b"{}") }
 }
 
-/// Guards against a spoilt body that is returned as the runner's answer.
+/// Guards against a corrupted body that is returned as the runner's answer.
 #[tokio::test]
 async fn a_response_with_a_malformed_head_is_unknown() {
     for response in malformed(OK, BODY).into_iter().chain(with_bad_status(BODY)) {
@@ -315,7 +315,7 @@
     assert_eq!(reply.headers["content-length"], "13");
 }
 
-/// Guards against a rejection that is returned to the caller although its head is spoilt: another runner may
+/// Guards against a rejection that is returned to the caller although its head is corrupted: another runner may
 /// take the request.
 #[tokio::test]
 async fn a_malformed_rejection_of_a_generation_is_lost() {
@@ -341,7 +341,7 @@
     }
 }
 
-/// Guards against a part of a body that is returned as a whole one: a digit of its length is spoilt, and
+/// Guards against a part of a body that is returned as a whole one: a digit of its length is corrupted, and
 /// more arrives than stated.
 #[tokio::test]
 async fn a_response_that_is_longer_than_stated_is_unknown() {
--- a/tests/row_store.rs
+++ b/tests/row_store.rs
@@ -1,4 +1,4 @@
-//! The client of the platform's store: with a stand-in that is restored from a backup, and with spoilt responses.
+//! The client of the platform's store: with a stand-in that is restored from a backup, and with corrupted responses.
 
 use {
     base64::{Engine, engine::general_purpose::STANDARD},
@@ -126,7 +126,7 @@
 }
 
 /// Guards against a restoration to an earlier state that did not happen: the name of the header with the number of
-/// restorations is spoilt.
+/// restorations is corrupted.
 #[tokio::test]
 async fn a_response_without_an_era_is_lost_once_one_was_stated() {
     with_response(async |response, client| {
