Limit the wait for the rest of a request after the end of its response

Callers saw: nothing yet; a response whose end had arrived waited for its deadline.

Cause: WriteFirst waits until the request is written or the write fails, which may be never. A QUIC stream that the other side has stopped reports that its connection's send window is full rather than that it was stopped, and what it has buffered keeps the window full: the instance that carried the connection had ended it (its write had failed), and the write of the sending node stayed blocked.

Change: the write has failed if it makes no progress for 500 ms after the end has arrived.

--- a/crates/relay/src/network/write_first.rs
+++ b/crates/relay/src/network/write_first.rs
@@ -5,10 +5,18 @@
         io,
         pin::Pin,
         task::{Context, Poll, Waker, ready},
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        time::{Instant, Sleep, sleep},
     },
-    tokio::io::{AsyncRead, AsyncWrite, ReadBuf},
 };
 
+/// Time without progress of the write, after the end has arrived, from which the write has failed. A QUIC stream that
+/// the other side has stopped can stay blocked.
+const MAX_STALL: Duration = Duration::from_millis(500);
+
 /// Stream whose end is read only once everything has been written, and is an error if that fails. The other side may
 /// end its direction and then reset the other one, and a reset is reported only once: a write that gets it
 /// leaves a read that sees the end.
@@ -19,6 +27,7 @@
     is_ended: bool,
     /// Waits for the end of the write.
     reader: Option<Waker>,
+    stall: Option<Pin<Box<Sleep>>>,
 }
 
 /// Result of the last write.
@@ -32,7 +41,7 @@
 impl<S: AsyncRead + AsyncWrite + Unpin> WriteFirst<S> {
     /// Wraps a stream.
     pub fn new(stream: S) -> WriteFirst<S> {
-        WriteFirst { stream, written: Written::All, is_ended: false, reader: None }
+        WriteFirst { stream, written: Written::All, is_ended: false, reader: None, stall: None }
     }
 
     fn record_write(&mut self, result: &Poll<io::Result<usize>>, length: usize) {
@@ -41,6 +50,9 @@
             Poll::Ready(Ok(_)) | Poll::Pending => Written::Part,
             Poll::Ready(Err(_)) => Written::Failed,
         };
+        if let (Poll::Ready(_), Some(stall)) = (result, &mut self.stall) {
+            stall.as_mut().reset(Instant::now() + MAX_STALL);
+        }
         if self.written != Written::Part
             && let Some(reader) = self.reader.take()
         {
@@ -68,7 +80,9 @@
             Written::All => Poll::Ready(Ok(())),
             Written::Part => {
                 self.reader = Some(context.waker().clone());
-                Poll::Pending
+                let stall = self.stall.get_or_insert_with(|| Box::pin(sleep(MAX_STALL)));
+                ready!(stall.as_mut().poll(context));
+                Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
             }
             Written::Failed => Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
         }
--- a/crates/relay/tests/uploads.rs
+++ b/crates/relay/tests/uploads.rs
@@ -26,11 +26,16 @@
 /// Longer than it takes to see the end of the response.
 const PAUSE: Duration = Duration::from_millis(100);
 const TIMEOUT: Duration = Duration::from_secs(20);
+/// Time within which a response that waits for its request must end.
+const STALL_LIMIT: Duration = Duration::from_millis(1_200);
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nfirst part";
 
 /// Sends a request of `size` bytes to a runner that answers at once, ends its side of the connection, and then does
-/// `rest`. Returns the body of the response.
-async fn send(size: usize, rest: impl FnOnce(TcpStream) + Send + 'static) -> hyper::Result<Bytes> {
+/// `rest`. Returns the body of the response, and the time until its end.
+async fn send(
+    size: usize,
+    rest: impl FnOnce(TcpStream) + Send + 'static,
+) -> (hyper::Result<Bytes>, Duration) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let runner: JoinHandle<()> = thread::spawn(move || {
@@ -41,6 +46,7 @@
         thread::sleep(PAUSE);
         rest(stream);
     });
+    let start = Instant::now();
     let exchange = async {
         let stream = connect_tcp(address, TIMEOUT).await.unwrap();
         let mut connection = Connection::over(stream, false).await.unwrap();
@@ -51,8 +57,9 @@
         timeout(TIMEOUT, response.body.collect()).await.unwrap().map(|body| body.to_bytes())
     };
     let body = LocalSet::new().run_until(exchange).await;
+    let time = start.elapsed();
     runner.join().unwrap();
-    body
+    (body, time)
 }
 
 /// Guards against a response that is taken for complete although the runner has reset the connection within the
@@ -60,7 +67,7 @@
 #[tokio::test]
 async fn response_is_incomplete_if_the_rest_of_the_request_is_reset() {
     for size in REQUEST_SIZES {
-        let body = send(size, drop).await;
+        let (body, _) = send(size, drop).await;
         assert!(body.is_err(), "{size} bytes: {body:?}");
     }
 }
@@ -70,6 +77,17 @@
 async fn early_response_is_complete_if_the_rest_of_the_request_is_read() {
     let read_rest = |mut stream: TcpStream| while stream.read(&mut [0; 1 << 16]).unwrap() > 0 {};
     for size in REQUEST_SIZES {
-        assert_eq!(send(size, read_rest).await.unwrap(), b"first part".as_slice());
+        assert_eq!(send(size, read_rest).await.0.unwrap(), b"first part".as_slice());
+    }
+}
+
+/// Guards against a call that waits for the rest of its request, which the runner neither reads nor resets.
+#[tokio::test]
+async fn response_is_incomplete_if_the_rest_of_the_request_is_left_unread() {
+    let leave = |_: TcpStream| thread::sleep(2 * STALL_LIMIT);
+    for size in REQUEST_SIZES {
+        let (body, time) = send(size, leave).await;
+        assert!(body.is_err(), "{size} bytes: {body:?}");
+        assert!(time < STALL_LIMIT, "{size} bytes: {time:?}");
     }
 }
