Let runners of the soak spoil their responses, and judge what looks complete

The soak was blind to streams that ended as complete before their last event: its runners sent chunks only, a crash was always a reset, and no rule looked at the caller's framing.

- A series of troubles lets single runners spoil half of their responses for 1 to 6 s: without a length (whole, closed between or within events, reset, or sent before the request is read and reset) or with a spoilt head.
One in three requests of two routes is an upload of 110 kB to 1 MB.
- Half of the crashes close the connections as the kernel does for a killed process.
- MIXED: a 2xx that looks complete has the signature of a runner that ran the request, and exactly its body; a response that is no HTTP is one too.
Only a call whose runner stated no end may be cut, and only if the caller's response states none either; these are counted.
ORDER leaves such calls to MIXED.

Checks of the judge that expected ORDER or UNASKED alone expect MIXED beside it, as both are broken.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -33,6 +33,8 @@
 #[path = "relay/support.rs"]
 #[allow(dead_code, reason = "shared with the in-memory tests")]
 mod support;
+#[path = "soak/trouble.rs"]
+mod trouble;
 #[path = "soak/world.rs"]
 mod world;
 
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -5,6 +5,7 @@
         clients::{ROUTES, Route},
         record::{Attempt, Record, Run},
         runner::{EVENTS, Role},
+        trouble::TROUBLES,
         world::LLM,
     },
     serde_json::json,
@@ -39,6 +40,8 @@
         status: Some(200),
         text,
         complete: true,
+        closes: false,
+        stamp: Some("i-1".into()),
     };
     let run = Run {
         id: "q1".into(),
@@ -55,6 +58,7 @@
         first: Some(at),
         end: Some(at + 4 * SECOND),
         rejected: None,
+        trouble: None,
     };
     (attempt, run)
 }
@@ -145,7 +149,7 @@
     assert_eq!(broken("lodge", |attempt, _| attempt.key = "never-1".into()), ["ROUTE"]);
     assert_eq!(broken("lodge", |_, runs| runs[0].tenant = None), ["UNASKED"]);
     assert_eq!(broken("lodge", |_, runs| runs[0].body = "{".into()), ["UNASKED"]);
-    assert_eq!(broken("lodge", |_, runs| runs[0].id = "q2".into()), ["UNASKED"]);
+    assert_eq!(broken("lodge", |_, runs| runs[0].id = "q2".into()), ["UNASKED", "MIXED"]);
     assert_eq!(broken("lodge", |_, runs| add_run(runs, None, None)), ["TWICE"]);
     assert_eq!(broken("lodge", |attempt, _| attempt.status = Some(503)), ["REFUSED"]);
     assert_eq!(broken("stream", |_, runs| add_run(runs, Some(20), None)), ["TWICE"]);
@@ -189,12 +193,34 @@
         add_run(runs, None, Some("127.0.0.1:2/q1"));
     };
     assert_eq!(broken("stream", is_silent), ["TWICE"]);
-    assert_eq!(broken("stream", |attempt, _| attempt.text.truncate(1_000)), ["ORDER"]);
+    assert_eq!(broken("stream", |attempt, _| attempt.text.truncate(1_000)), ["ORDER", "MIXED"]);
     let repeat = |attempt: &mut Attempt, _: &mut Vec<Run>| {
         attempt.text = attempt.text.replacen("id: 2\n", "id: 1\n", 1);
     };
-    assert_eq!(broken("stream", repeat), ["ORDER"]);
-    assert_eq!(broken("lodge", |attempt, _| attempt.text = "done q2".into()), ["ORDER"]);
+    assert_eq!(broken("stream", repeat), ["ORDER", "MIXED"]);
+    assert_eq!(broken("lodge", |attempt, _| attempt.text = "done q2".into()), ["ORDER", "MIXED"]);
+    assert_eq!(broken("lodge", |attempt, _| attempt.stamp = None), ["MIXED"]);
+    assert_eq!(broken("lodge", |attempt, _| attempt.status = Some(0)), ["MIXED"]);
+    let is_framed = |attempt: &mut Attempt, _: &mut Vec<Run>| {
+        attempt.text.push_str("0\r\n\r\n");
+    };
+    assert_eq!(broken("stream", is_framed), ["MIXED"]);
+    // Runners that end regularly between two events, that reset the connection, and that state the end.
+    for (trouble, is_broken) in [
+        (Some(TROUBLES[1]), false),
+        (Some(TROUBLES[3]), true),
+        (Some(TROUBLES[5]), true),
+        (None, true),
+    ] {
+        let is_cut = |attempt: &mut Attempt, runs: &mut Vec<Run>| {
+            attempt.closes = true;
+            attempt.text.truncate(5);
+            runs[0].trouble = trouble;
+        };
+        let expected: &[&str] = if is_broken { &["MIXED"] } else { &[] };
+        assert_eq!(broken("lodge", is_cut), expected, "{trouble:?}");
+        assert_eq!(broken("stream", is_cut), ["ORDER", "MIXED"], "{trouble:?}");
+    }
     for (continued, others, is_broken) in [(0, 4, false), (0, 5, true), (5, 0, true), (3, 2, true)]
     {
         let expected: &[&str] = if is_broken { &["BUDGET"; 4] } else { &[] };
--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -60,6 +60,13 @@
 ];
 
 impl Route {
+    /// Returns the bytes by which a request is longer: one in three requests of two routes is a long upload.
+    fn padding(&self, id: &str) -> usize {
+        let number = usize::from_str_radix(&id[1..], 16).expect("the id of a request");
+        let is_long = matches!(self.name, "report" | "pay") && number.is_multiple_of(3);
+        if is_long { 110_000 + number * 7_919 % 890_000 } else { 0 }
+    }
+
     pub(crate) fn prefix(&self) -> String {
         format!("/{}/", self.name)
     }
@@ -161,7 +168,8 @@
         let wait = Duration::from_millis(100);
         let Some((index, mut sender)) = self.connect(is_retry).await else { return wait };
         let path = format!("/{}/{id}", route.name);
-        let body = Bytes::from(format!("{{\"n\":\"{id}\"}}"));
+        let padding = " ".repeat(route.padding(id));
+        let body = Bytes::from(format!("{{\"n\":\"{id}\"}}{padding}"));
         let record = &self.world.registry.record;
         let attempt = Attempt {
             route,
@@ -176,6 +184,8 @@
             status: None,
             text: String::new(),
             complete: false,
+            closes: false,
+            stamp: None,
         };
         record.attempts.borrow_mut().insert(id.to_owned(), attempt);
         let left = record.attempts.borrow()[id].left;
@@ -201,13 +211,24 @@
         let request = request.body(Full::from(body)).expect("a valid request");
         let mut retry_after = wait;
         let exchange = async {
-            let Ok(response) = sender.send_request(request).await else { return false };
+            let response = match sender.send_request(request).await {
+                Ok(response) => response,
+                Err(error) => {
+                    change(&mut |attempt| attempt.status = error.is_parse().then_some(0));
+                    return false;
+                }
+            };
             let (parts, mut body) = response.into_parts();
             if let Some(seconds) = text(&parts.headers, "retry-after").and_then(|v| v.parse().ok())
             {
                 retry_after = Duration::from_secs_f64(seconds);
             }
-            change(&mut |attempt| attempt.status = Some(parts.status.as_u16()));
+            let framing = ["content-length", "transfer-encoding"];
+            change(&mut |attempt| {
+                attempt.status = Some(parts.status.as_u16());
+                attempt.closes = !framing.iter().any(|name| parts.headers.contains_key(*name));
+                attempt.stamp = text(&parts.headers, "x-bilberryfront-server-stamp");
+            });
             while let Some(frame) = body.frame().await {
                 let Ok(frame) = frame else { return false };
                 let data = frame.into_data().unwrap_or_default();
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -5,6 +5,7 @@
         links::Link,
         process::get,
         runner::{Role, Runner},
+        trouble::TROUBLES,
         world::{DOMAINS, EXPIRY, GRACE, Instance, LLM, World},
     },
     bilberryfront_standins::faults::{Faults, Lose, Reject},
@@ -59,6 +60,7 @@
     start(9, "links", |series| Box::pin(series.fail_links()));
     start(10, "rejections", |series| Box::pin(series.reject_requests()));
     start(11, "connections", |series| Box::pin(series.cut_connections()));
+    start(13, "troubles", |series| Box::pin(series.spoil_responses()));
     // Hides the other faults of links.
     if names.as_ref().is_some_and(|names| names.contains("delays")) {
         start(12, "delays", |series| Box::pin(series.delay_links()));
@@ -383,6 +385,22 @@
         }
     }
 
+    /// Lets single runners spoil a share of their responses for a time.
+    async fn spoil_responses(mut self) {
+        loop {
+            self.pause(0.2..1.2).await;
+            let trouble = *TROUBLES.choose(&mut self.rng).expect("there are troubles");
+            let time = Duration::from_secs_f64(self.rng.random_range(1.0..6.0));
+            let runner = self.pick();
+            self.world.registry.record.count("trouble");
+            tokio::task::spawn_local(async move {
+                runner.trouble.set(Some(trouble));
+                sleep(time).await;
+                runner.trouble.set(None);
+            });
+        }
+    }
+
     fn pick(&mut self) -> Rc<Runner> {
         let slot = self.world.slots.choose(&mut self.rng).expect("there are runners");
         slot.runner.borrow().clone()
--- a/tests/soak/judge.rs
+++ b/tests/soak/judge.rs
@@ -5,6 +5,7 @@
         clients::Kind,
         record::{Attempt, NOT_RUN, Record, Run, events},
         runner::EVENTS,
+        trouble::Trouble,
     },
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -28,6 +29,8 @@
 /// Requests that may end too late, and their share of these and of all that were sent once more so late.
 const MAX_LATE_ENDS: usize = 20;
 const MAX_LATE_SHARE: f64 = 0.2;
+/// Characters of a body that are told.
+const MAX_QUOTED: usize = 100;
 
 /// A broken rule.
 pub(crate) struct Violation {
@@ -108,6 +111,11 @@
         violations.extend(attempts.iter().filter_map(|(id, attempt)| {
             Some(Violation { rule: "ORDER", id: id.clone(), what: find_disorder(id, attempt)? })
         }));
+        violations.extend(attempts.iter().filter_map(|(id, attempt)| {
+            let runs = by_id.get(id.as_str()).map_or(&[][..], Vec::as_slice);
+            let what = self.find_foreign(id, attempt, runs)?;
+            Some(Violation { rule: "MIXED", id: id.clone(), what })
+        }));
         let (peak, service) = self.peak_repeats(&attempts, &all, &allowed);
         println!("most repeats in a window: {peak:.3} of the bound, at {service}");
         if peak > 1.0 {
@@ -148,6 +156,39 @@
         })
     }
 
+    /// Returns what in a response that looks complete is not the runner's.
+    fn find_foreign(&self, id: &str, attempt: &Attempt, runs: &[&Run]) -> Option<String> {
+        if attempt.status == Some(0) {
+            return Some("no response of HTTP".into());
+        }
+        if !attempt.complete || attempt.status.is_none_or(|status| !(200..300).contains(&status)) {
+            return None;
+        }
+        let is_own =
+            |run: &&&Run| run.rejected.is_none() && attempt.stamp.as_ref() == Some(&run.runner);
+        let own: Vec<_> = runs.iter().filter(is_own).collect();
+        if own.is_empty() {
+            return Some(format!("signature {:?}", attempt.stamp));
+        }
+        let is_stream = attempt.route.kind.is_stream();
+        let event = |event| format!("id: {event}\ndata: {event} {id}\n\n");
+        let whole: String = match is_stream {
+            true => (attempt.after + 1..=EVENTS).map(event).collect(),
+            false => format!("done {id}"),
+        };
+        let is_whole = attempt.text == whole;
+        if attempt.closes {
+            self.count(if is_whole { "ended by close, whole" } else { "ended by close, cut" });
+        }
+        // The runner's word is passed on as it is.
+        let may_end = own.iter().filter_map(|run| run.trouble).any(Trouble::may_end);
+        let is_cut = attempt.closes && !is_stream && may_end && whole.starts_with(&attempt.text);
+        (!is_whole && !is_cut).then(|| {
+            let start: String = attempt.text.chars().take(MAX_QUOTED).collect();
+            format!("{} of {} bytes, {start:?}", attempt.text.len(), whole.len())
+        })
+    }
+
     /// Returns how a call states more time to a runner than is left. `Some(None)` if it does not, and was sent once
     /// more late; `None` if neither is the case, or its instance was out of touch.
     fn judge_ends(&self, attempt: &Attempt, arrivals: &[&Run]) -> Option<Option<String>> {
@@ -261,7 +302,8 @@
     }
     if attempt.route.kind == Kind::Call || attempt.route.kind == Kind::Lookup {
         let is_whole = attempt.text == format!("done {id}");
-        return (attempt.complete && !is_whole).then(|| format!("body {:?}", attempt.text));
+        return (attempt.complete && !attempt.closes && !is_whole)
+            .then(|| format!("body {:?}", attempt.text));
     }
     let mut expected = attempt.after;
     for (event, data) in events(&attempt.text) {
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -5,6 +5,7 @@
         clients::Route,
         judge::Violation,
         runner::{EVENTS, Role},
+        trouble::Trouble,
     },
     bytes::Bytes,
     serde_json::Value,
@@ -45,6 +46,10 @@
     pub(crate) text: String,
     /// Whether the response ended without an error.
     pub(crate) complete: bool,
+    /// Whether the response states no end of its body.
+    pub(crate) closes: bool,
+    /// Signature of the response.
+    pub(crate) stamp: Option<String>,
 }
 
 impl Attempt {
@@ -80,6 +85,8 @@
     pub(crate) end: Option<Instant>,
     /// Status, if the runner has rejected it.
     pub(crate) rejected: Option<u16>,
+    /// How its response is spoilt.
+    pub(crate) trouble: Option<Trouble>,
 }
 
 impl Run {
@@ -245,7 +252,7 @@
             let (first, last) = (ids.first(), ids.last());
             _ = writeln!(
                 story,
-                "  sent {} to {} {} key {} after {}, ended {}, status {:?}, complete {}, events {first:?} to {last:?}",
+                "  sent {} to {} {} key {} after {}, ended {}, status {:?}, complete {}, closes {}, stamp {:?}, events {first:?} to {last:?}",
                 self.clock(a.at),
                 a.instance,
                 a.path,
@@ -254,6 +261,8 @@
                 a.end.map_or("never".into(), |at| self.clock(at)),
                 a.status,
                 a.complete,
+                a.closes,
+                a.stamp,
             );
         }
         let runs = self.runs.borrow();
@@ -261,7 +270,7 @@
             let clock = |at: Option<Instant>| at.map_or("never".into(), |at| self.clock(at));
             _ = writeln!(
                 story,
-                "  at {} {} {}, {}: arrived {}, left {:?}, first {}, end {}, from {:?}, after {:?}, rejected {:?}; {:?}",
+                "  at {} {} {}, {}: arrived {}, left {:?}, first {}, end {}, from {:?}, after {:?}, rejected {:?}, {:?}; {:?}",
                 run.role.service,
                 run.runner,
                 run.address,
@@ -273,6 +282,7 @@
                 run.from,
                 run.after,
                 run.rejected,
+                run.trouble,
                 self.disturbance(&run.runner, run.at, run.end.unwrap_or(run.at)),
             );
             let mut before = runs.iter().filter(|r| r.address == run.address && r.at < run.at);
--- a/tests/soak/runner.rs
+++ b/tests/soak/runner.rs
@@ -1,7 +1,10 @@
 //! Runners that keep to the platform's protocol, and record each request that arrives.
 
 use {
-    super::record::{Record, Run},
+    super::{
+        record::{Record, Run},
+        trouble::Trouble,
+    },
     async_stream::stream,
     bytes::Bytes,
     http::{HeaderMap, Request, Response, StatusCode},
@@ -41,10 +44,12 @@
 pub(crate) const SLOTS: usize = 10;
 /// Time for which an unused replica is kept.
 pub(crate) const REPLICA_TTL: Duration = Duration::from_secs(4);
+/// Share of the responses that a runner in trouble spoils.
+const SPOILT_SHARE: f64 = 0.5;
 /// Events after which a replica is extended.
 const REPLICA_EVENTS: u64 = 5;
 
-type Body = UnsyncBoxBody<Bytes, io::Error>;
+pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
 
 /// What a runner is: an engine if it has a model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,6 +97,10 @@
     pub(crate) loses_response: Cell<bool>,
     /// Whether it rejects nearly all requests.
     pub(crate) rejects: Cell<bool>,
+    /// How it spoils its responses.
+    pub(crate) trouble: Cell<Option<Trouble>>,
+    /// Whether its connections are closed, and not reset, as it crashes.
+    is_killed: Cell<bool>,
     wakers: RefCell<Vec<Waker>>,
     /// Tasks that serve its connections, the first one accepts them, with what is cut of each.
     tasks: RefCell<Vec<(AbortHandle, Rc<Cell<Cut>>)>>,
@@ -125,6 +134,8 @@
             stalled: Cell::new(false),
             loses_response: Cell::new(false),
             rejects: Cell::new(false),
+            trouble: Cell::default(),
+            is_killed: Cell::default(),
             wakers: RefCell::default(),
             tasks: RefCell::default(),
             active: RefCell::default(),
@@ -142,9 +153,10 @@
         runner
     }
 
-    /// Ends its process: its connections are reset, new ones are refused.
+    /// Ends its process: its connections are reset or closed, new ones are refused.
     pub(crate) fn crash(&self) {
         self.gone.set(true);
+        self.is_killed.set(rand::random());
         self.tasks.take().into_iter().for_each(|(task, _)| task.abort());
         let mut runners = self.registry.runners.borrow_mut();
         if runners.get(&self.address).is_some_and(|runner| runner.id == self.id) {
@@ -200,13 +212,31 @@
     fn serve(self: Rc<Runner>, stream: TcpStream) {
         let cut = Rc::<Cell<Cut>>::default();
         let state = cut.clone();
-        let stream = Connection { runner: self.clone(), stream, cut, is_served: false };
+        let trouble = Rc::<Cell<_>>::default();
+        let current = trouble.clone();
+        let stream = Connection { runner: self.clone(), stream, cut, trouble, is_served: false };
         let runner = self.clone();
-        let service = service_fn(move |request| respond(runner.clone(), request));
+        let service = service_fn(move |request| {
+            let runner = runner.clone();
+            let is_own = request.uri().path().starts_with("/api/");
+            let trouble =
+                runner.trouble.get().filter(|_| !is_own && rand::rng().random_bool(SPOILT_SHARE));
+            current.set(trouble);
+            async move {
+                let response = respond(runner.clone(), request, trouble).await?;
+                Ok::<_, io::Error>(match trouble {
+                    Some(trouble) => {
+                        runner.registry.record.count(trouble.name());
+                        trouble.apply(response)
+                    }
+                    None => response,
+                })
+            }
+        });
         let task = tokio::task::spawn_local(async move {
             let mut stream = stream;
             _ = http1::Builder::new().serve_connection(TokioIo::new(&mut stream), service).await;
-            stream.is_served = true;
+            stream.is_served = stream.trouble.get().is_none_or(|trouble| !trouble.is_reset());
         });
         let mut tasks = self.tasks.borrow_mut();
         tasks.retain(|(task, _)| !task.is_finished());
@@ -267,9 +297,18 @@
     }
 }
 
-async fn respond(runner: Rc<Runner>, request: Request<Incoming>) -> io::Result<Response<Body>> {
+async fn respond(
+    runner: Rc<Runner>,
+    request: Request<Incoming>,
+    trouble: Option<Trouble>,
+) -> io::Result<Response<Body>> {
     let (parts, body) = request.into_parts();
-    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let id = text(&parts.headers, "x-bilberryfront-attempt-id");
+    let sent = || Some(runner.registry.record.attempts.borrow().get(id.as_ref()?)?.body.clone());
+    let body = match trouble {
+        Some(trouble) if trouble.is_early() => sent().unwrap_or_default(),
+        _ => body.collect().await.map_err(io::Error::other)?.to_bytes(),
+    };
     let is_engine = runner.role.model.is_some();
     match parts.uri.path() {
         "/api/report" if is_engine => return Ok(json_response(&runner.report())),
@@ -280,9 +319,7 @@
         path if is_engine && path.starts_with("/api/kv-handle/") => return Ok(status(200)),
         _ => {}
     }
-    let Some(id) = text(&parts.headers, "x-bilberryfront-attempt-id") else {
-        return Ok(not_executed(400, ""));
-    };
+    let Some(id) = id else { return Ok(not_executed(400, "")) };
     let number = |name| text(&parts.headers, name).and_then(|value| value.parse::<u64>().ok());
     let (after, left) = (number("last-event-id"), number("x-bilberryfront-deadline-ms"));
     let from = text(&parts.headers, "kv-from");
@@ -301,6 +338,7 @@
         first: None,
         end: None,
         rejected: None,
+        trouble,
     };
     let expected = text(&parts.headers, "x-bilberryfront-expect-instance");
     run.rejected = match () {
@@ -314,9 +352,9 @@
     };
     let rejected = run.rejected;
     let index = runner.registry.record.add(run);
+    let own = runner.id.parse().expect("an id is a valid header");
     if let Some(status) = rejected {
         let mut response = not_executed(status, &id);
-        let own = runner.id.parse().expect("an id is a valid header");
         response.headers_mut().insert("x-bilberryfront-instance-id", own);
         return Ok(response);
     }
@@ -346,7 +384,7 @@
     };
     let headers = response.headers_mut();
     headers.insert("x-bilberryfront-attempt-id", id.parse().expect("it came in a header"));
-    headers.insert("x-bilberryfront-server-stamp", "1.0".parse().expect("a valid header"));
+    headers.insert("x-bilberryfront-server-stamp", own);
     Ok(response)
 }
 
@@ -405,17 +443,20 @@
     response
 }
 
-/// A connection that carries nothing in the directions that are cut, or while its runner is dark, and is reset if its task is aborted.
+/// A connection that carries nothing in the directions that are cut, or while its runner is dark, and is reset if its task is aborted, unless its
+/// runner is killed.
 struct Connection {
     runner: Rc<Runner>,
     stream: TcpStream,
     cut: Rc<Cell<Cut>>,
+    /// How the current response is spoilt.
+    trouble: Rc<Cell<Option<Trouble>>>,
     is_served: bool,
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        if !self.is_served {
+        if !self.is_served && !self.runner.is_killed.get() {
             _ = self.stream.set_zero_linger();
         }
     }
@@ -439,7 +480,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         ready!(self.runner.poll_awake(self.cut.get().writes, context));
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let spoilt = self.trouble.get().and_then(|trouble| trouble.spoil(bytes));
+        Pin::new(&mut self.stream).poll_write(context, spoilt.as_deref().unwrap_or(bytes))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
