Tell a runner of the soak that is killed from one that resets its connection

The judge of MIXED reported a call that was passed on until its connection ended as one that its runner had reset.

--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -24,6 +24,8 @@
 
 /// Statuses that promise that the request has not run and never will.
 pub(super) const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+/// Fault of a runner whose connections are closed as it crashes.
+pub(crate) const KILLED: &str = "killed";
 /// Maximum number of violations of a rule that are told in full.
 const MAX_TOLD: usize = 4;
 
@@ -201,6 +203,13 @@
         disturbances.iter().find(hit).map(|d| d.what)
     }
 
+    /// Returns whether the connections of a runner were closed within this span as it crashed.
+    pub(super) fn is_killed(&self, runner: &str, from: Instant, to: Instant) -> bool {
+        let hit =
+            |d: &Disturbance| d.who == runner && d.what == KILLED && (from..=to).contains(&d.from);
+        self.disturbances.borrow().iter().any(hit)
+    }
+
     /// Prints how much was tried.
     pub(crate) fn summarize(&self) {
         let (attempts, runs) = (self.attempts.borrow(), self.runs.borrow());
