--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -4,7 +4,8 @@
     super::{
         clients::Route,
         judge::Violation,
-        runner::{EVENTS, Role},
+        runner::{EVENTS, LONG, Role},
+        trouble::Trouble,
     },
     bytes::Bytes,
     serde_json::Value,
@@ -23,6 +24,8 @@
 
 /// Statuses that promise that the request has not run and never will.
 pub(super) const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+/// Fault of a runner whose connections are closed as it crashes.
+pub(crate) const KILLED: &str = "killed";
 /// Maximum number of violations of a rule that are told in full.
 const MAX_TOLD: usize = 4;
 
@@ -45,6 +48,10 @@
     pub(crate) text: String,
     /// Whether the response ended without an error.
     pub(crate) complete: bool,
+    /// Whether the response states no end of its body.
+    pub(crate) closes: bool,
+    /// Signature of the response.
+    pub(crate) stamp: Option<String>,
 }
 
 impl Attempt {
@@ -80,6 +87,8 @@
     pub(crate) end: Option<Instant>,
     /// Status, if the runner has rejected it.
     pub(crate) rejected: Option<u16>,
+    /// How its response is spoilt.
+    pub(crate) trouble: Option<Trouble>,
 }
 
 impl Run {
@@ -194,6 +203,13 @@
         disturbances.iter().find(hit).map(|d| d.what)
     }
 
+    /// Returns whether the connections of a runner were closed within this span as it crashed.
+    pub(super) fn is_killed(&self, runner: &str, from: Instant, to: Instant) -> bool {
+        let hit =
+            |d: &Disturbance| d.who == runner && d.what == KILLED && (from..=to).contains(&d.from);
+        self.disturbances.borrow().iter().any(hit)
+    }
+
     /// Prints how much was tried.
     pub(crate) fn summarize(&self) {
         let (attempts, runs) = (self.attempts.borrow(), self.runs.borrow());
@@ -214,6 +230,11 @@
             self.catalogs.borrow().len(),
         );
         println!("route, status, complete: {statuses:?}");
+        let long = attempts
+            .values()
+            .filter(|a| a.body.len() as u64 > LONG && a.status == Some(200))
+            .count();
+        println!("{long} long uploads answered with success");
         println!("faults: {:?}", self.counts.borrow());
     }
 
@@ -245,7 +266,7 @@
             let (first, last) = (ids.first(), ids.last());
             _ = writeln!(
                 story,
-                "  sent {} to {} {} key {} after {}, ended {}, status {:?}, complete {}, events {first:?} to {last:?}",
+                "  sent {} to {} {} key {} after {}, ended {}, status {:?}, complete {}, closes {}, stamp {:?}, events {first:?} to {last:?}",
                 self.clock(a.at),
                 a.instance,
                 a.path,
@@ -254,6 +275,8 @@
                 a.end.map_or("never".into(), |at| self.clock(at)),
                 a.status,
                 a.complete,
+                a.closes,
+                a.stamp,
             );
         }
         let runs = self.runs.borrow();
@@ -261,7 +284,7 @@
             let clock = |at: Option<Instant>| at.map_or("never".into(), |at| self.clock(at));
             _ = writeln!(
                 story,
-                "  at {} {} {}, {}: arrived {}, left {:?}, first {}, end {}, from {:?}, after {:?}, rejected {:?}; {:?}",
+                "  at {} {} {}, {}: arrived {}, left {:?}, first {}, end {}, from {:?}, after {:?}, rejected {:?}, {:?}; {:?}",
                 run.role.service,
                 run.runner,
                 run.address,
@@ -273,6 +296,7 @@
                 run.from,
                 run.after,
                 run.rejected,
+                run.trouble,
                 self.disturbance(&run.runner, run.at, run.end.unwrap_or(run.at)),
             );
             let mut before = runs.iter().filter(|r| r.address == run.address && r.at < run.at);
