--- a/tests/corrupted/case.rs
+++ b/tests/corrupted/case.rs
@@ -69,7 +69,7 @@
 }
 
 /// Responses whose head cannot be relied on.
-pub(crate) const SPOILT: &[Case] = &[
+pub(crate) const CORRUPTED: &[Case] = &[
     corrupted("length that is no number", "content-length: 8x3", Coding::Plain),
     corrupted("negative length", "content-length: -{n}", Coding::Plain),
     corrupted("length with a sign", "content-length: +{n}", Coding::Plain),
--- a/tests/corrupted/runners.rs
+++ b/tests/corrupted/runners.rs
@@ -32,7 +32,7 @@
 /// Time between the events of a stream whose runner waits to be asked for a replica.
 const EVENT_GAP: Duration = ms(50);
 /// Handle in corrupted responses to control requests.
-pub(crate) const SPOILT_HANDLE: &str = "corrupted";
+pub(crate) const CORRUPTED_HANDLE: &str = "corrupted";
 /// Body of a sound response to a call.
 const CALL_BODY: &str = "the first part of the response, and the second part";
 /// Events of a whole stream.
@@ -189,7 +189,7 @@
         let path = request.path().split('?').next().unwrap();
         self.controls.borrow_mut().insert(path.to_owned());
         let case = self.control.unwrap_or(SOUND);
-        let handle = if self.control.is_some() { SPOILT_HANDLE } else { "h1" };
+        let handle = if self.control.is_some() { CORRUPTED_HANDLE } else { "h1" };
         let body = case.body(control_body(path, handle));
         Ok((case, case.send(stream, &case.response("", &body)).await?))
     }
--- a/tests/corrupted_responses.rs
+++ b/tests/corrupted_responses.rs
@@ -18,11 +18,11 @@
 use {
     base64::{Engine, engine::general_purpose::STANDARD},
     caller::{Received, Seen, call},
-    case::{CUT, Case, EMPTY, End, RESET, Request, SPOILT, field},
+    case::{CORRUPTED, CUT, Case, EMPTY, End, RESET, Request, field},
     futures_util::{StreamExt, stream},
     http::{Method, Request as HttpRequest},
     process::{Instance, Platform, wait_until},
-    runners::{KINDS, Kind, Runners, SPOILT_HANDLE},
+    runners::{CORRUPTED_HANDLE, KINDS, Kind, Runners},
     serde_json::{Value, json},
     std::{
         cell::{Cell, RefCell},
@@ -41,7 +41,7 @@
 /// Requests at the same time.
 const CONCURRENCY: usize = 16;
 /// First of the revisions in corrupted responses of the store, whose digits no other revision begins with.
-const SPOILT_REVISION: usize = 770_000;
+const CORRUPTED_REVISION: usize = 770_000;
 /// Response of a store that has no history.
 const GONE: &[u8] = b"HTTP/1.1 410 Gone\r\nstore-era: 0\r\ncontent-length: 0\r\n\r\n";
 /// Length of the body of a long upload, of which the buffers of a connection hold a part only.
@@ -163,7 +163,7 @@
 /// corrupted status, field or chunk size that reaches it.
 #[tokio::test]
 async fn responses_with_a_corrupted_head_do_not_reach_callers() {
-    let errors = run_local(judge_all(SPOILT, 2, CONCURRENCY)).await;
+    let errors = run_local(judge_all(CORRUPTED, 2, CONCURRENCY)).await;
     assert_eq!(errors, Vec::<String>::new());
 }
 
@@ -186,7 +186,7 @@
 
 /// Returns the cases of responses to requests without a long body.
 fn short_cases() -> Vec<Case> {
-    let cases = SPOILT.iter().chain(CUT.iter().filter(|case| !case.is_upload()));
+    let cases = CORRUPTED.iter().chain(CUT.iter().filter(|case| !case.is_upload()));
     cases.copied().chain([EMPTY]).collect()
 }
 
@@ -218,7 +218,7 @@
                 errors.push(format!("{name}: {received:?}"));
             }
             let sent = runners.received.borrow();
-            let believes = |head: &String| head.contains(SPOILT_HANDLE);
+            let believes = |head: &String| head.contains(CORRUPTED_HANDLE);
             if sent.len() > 5 || sent.iter().any(believes) {
                 errors.push(format!("{name}: {sent:?}"));
             }
@@ -322,7 +322,7 @@
 
     /// Records a call that refers to a corrupted response.
     fn check(&self, request: &Request, body: &[u8]) {
-        let prefix = (SPOILT_REVISION / 1_000).to_string();
+        let prefix = (CORRUPTED_REVISION / 1_000).to_string();
         let body = String::from_utf8_lossy(body);
         let refers = request.path().contains(&format!("after_revision={prefix}"))
             || body.contains(&format!("\"ver\":{prefix}"));
@@ -346,7 +346,7 @@
 
 /// Returns rows that add another catalogue and remove all runners.
 fn corrupted_rows(table: &str, number: usize) -> String {
-    let revision = SPOILT_REVISION + number;
+    let revision = CORRUPTED_REVISION + number;
     let catalog = Platform::catalog(1_000 + number as u64, &[&corrupted_key(number)]).to_string();
     let rows = match table {
         "op" => json!([{"table": table, "part": "", "key": "config", "ver": revision,
--- a/tests/soak/faults.rs
+++ b/tests/soak/faults.rs
@@ -385,7 +385,7 @@
         }
     }
 
-    /// Lets single runners spoil a share of their responses for a time.
+    /// Lets single runners corrupt a share of their responses for a time.
     async fn spoil_responses(mut self) {
         loop {
             self.pause(0.2..1.2).await;
--- a/tests/soak/record.rs
+++ b/tests/soak/record.rs
@@ -87,7 +87,7 @@
     pub(crate) end: Option<Instant>,
     /// Status, if the runner has rejected it.
     pub(crate) rejected: Option<u16>,
-    /// How its response is spoilt.
+    /// How its response is corrupted.
     pub(crate) trouble: Option<Trouble>,
 }
 
--- a/tests/soak/runner.rs
+++ b/tests/soak/runner.rs
@@ -44,8 +44,8 @@
 pub(crate) const SLOTS: usize = 10;
 /// Time for which an unused replica is kept.
 pub(crate) const REPLICA_TTL: Duration = Duration::from_secs(4);
-/// Share of the responses that a runner in trouble spoils.
-const SPOILT_SHARE: f64 = 0.5;
+/// Share of the responses that a runner in trouble corrupts.
+const CORRUPTED_SHARE: f64 = 0.5;
 /// Bytes from which a request is a long upload.
 pub(crate) const LONG: u64 = 100_000;
 /// Events after which a replica is extended.
@@ -99,7 +99,7 @@
     pub(crate) loses_response: Cell<bool>,
     /// Whether it rejects nearly all requests.
     pub(crate) rejects: Cell<bool>,
-    /// How it spoils its responses.
+    /// How it corrupts its responses.
     pub(crate) trouble: Cell<Option<Trouble>>,
     /// Whether its connections are closed, and not reset, as it crashes.
     is_killed: Cell<bool>,
@@ -224,11 +224,11 @@
         let service = service_fn(move |request| {
             let runner = runner.clone();
             let is_own = request.uri().path().starts_with("/api/");
-            let is_spoilt = || rand::rng().random_bool(SPOILT_SHARE);
+            let is_corrupted = || rand::rng().random_bool(CORRUPTED_SHARE);
             let is_long = request.size_hint().lower() > LONG;
-            let trouble = runner.trouble.get().filter(|_| !is_own && is_spoilt());
+            let trouble = runner.trouble.get().filter(|_| !is_own && is_corrupted());
             let trouble =
-                trouble.map(|trouble| if is_long && is_spoilt() { EARLY } else { trouble });
+                trouble.map(|trouble| if is_long && is_corrupted() { EARLY } else { trouble });
             current.set(trouble);
             async move {
                 let response = respond(runner.clone(), request, trouble).await?;
@@ -457,7 +457,7 @@
     runner: Rc<Runner>,
     stream: TcpStream,
     cut: Rc<Cell<Cut>>,
-    /// How the current response is spoilt.
+    /// How the current response is corrupted.
     trouble: Rc<Cell<Option<Trouble>>>,
     is_served: bool,
 }
@@ -488,8 +488,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         ready!(self.runner.poll_awake(self.cut.get().writes, context));
-        let spoilt = self.trouble.get().and_then(|trouble| trouble.spoil(bytes));
-        Pin::new(&mut self.stream).poll_write(context, spoilt.as_deref().unwrap_or(bytes))
+        let corrupted = self.trouble.get().and_then(|trouble| trouble.corrupt(bytes));
+        Pin::new(&mut self.stream).poll_write(context, corrupted.as_deref().unwrap_or(bytes))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/tests/soak/trouble.rs
+++ b/tests/soak/trouble.rs
@@ -1,4 +1,4 @@
-//! Responses of runners in trouble: spoilt heads, and bodies that break off.
+//! Responses of runners in trouble: corrupted heads, and bodies that break off.
 
 use {
     super::runner::Body,
@@ -15,7 +15,7 @@
 /// Time between the last bytes of a body and the reset of its connection.
 const RESET_DELAY: Duration = Duration::from_millis(50);
 
-/// How a response is spoilt.
+/// How a response is corrupted.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Trouble {
     /// Text of the head, and the text of the same length that is sent instead.
@@ -43,12 +43,12 @@
     unframed(End::Between),
     unframed(End::Within),
     unframed(End::Reset),
-    spoilt("HTTP/1.1 200", "HTTP/1.1 000"),
-    spoilt("-encoding: chunked", "-encoding: chunkd "),
-    spoilt("x-spare-length: 9", "content-length: x"),
-    spoilt("x-spare-length: 9", "content-length: 9"),
-    spoilt("server-stamp: ", "server-stamp  "),
-    spoilt("server-stamp: ", "server\x01stamp: "),
+    corrupted("HTTP/1.1 200", "HTTP/1.1 000"),
+    corrupted("-encoding: chunked", "-encoding: chunkd "),
+    corrupted("x-spare-length: 9", "content-length: x"),
+    corrupted("x-spare-length: 9", "content-length: 9"),
+    corrupted("server-stamp: ", "server-stamp  "),
+    corrupted("server-stamp: ", "server\x01stamp: "),
 ];
 
 /// The server closes the connection after a response of HTTP/1.0.
@@ -56,7 +56,7 @@
     Trouble { head: ["HTTP/1.0", "HTTP/1.1"], end }
 }
 
-const fn spoilt(head: &'static str, sent: &'static str) -> Trouble {
+const fn corrupted(head: &'static str, sent: &'static str) -> Trouble {
     Trouble { head: [head, sent], end: End::Whole }
 }
 
@@ -86,7 +86,7 @@
     }
 
     /// Returns the bytes that are sent instead of these, if they hold the head.
-    pub(crate) fn spoil(self, bytes: &[u8]) -> Option<Vec<u8>> {
+    pub(crate) fn corrupt(self, bytes: &[u8]) -> Option<Vec<u8>> {
         let [head, sent] = self.head.map(str::as_bytes);
         let at = bytes.windows(head.len()).position(|window| window == head)?;
         Some([&bytes[..at], sent, &bytes[at + head.len()..]].concat())
