--- a/src/traffic/send.rs
+++ b/src/traffic/send.rs
@@ -6,7 +6,7 @@
 //! indication whether it ran, and every such call would end as "unknown".
 
 use {
-    bilberryfront_relay::framing::{Framing, has_no_body},
+    bilberryfront_relay::framing::{Framing, has_no_body, is_surplus},
     bytes::Bytes,
     futures_util::FutureExt,
     http::{
@@ -32,10 +32,10 @@
 
 /// Maximum time to connect to a runner.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Scheme of runners' URLs.
+const HTTP: &str = "http";
 /// Port of URLs that state none.
 const HTTP_PORT: u16 = 80;
-/// Start of a response.
-const RESPONSE_START: &[u8] = b"HTTP/";
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Headers that apply to a single connection.
@@ -120,6 +120,9 @@
 
 impl Sender {
     async fn exchange(&self, call: Outgoing) -> Sent {
+        if !is_plain(&call.url) {
+            return Sent::NotSent(format!("the URL is not of the scheme {HTTP}"));
+        }
         let (authority, request) = match to_request(call) {
             Ok(request) => request,
             Err(error) => return Sent::NotSent(error.to_string()),
@@ -161,6 +164,11 @@
     }
 }
 
+/// Returns whether a URL is one of plain HTTP.
+fn is_plain(url: &str) -> bool {
+    url.split_once("://").is_some_and(|(scheme, _)| scheme.eq_ignore_ascii_case(HTTP))
+}
+
 /// Returns the request of a call, and the authority of its runner.
 fn to_request(call: Outgoing) -> http::Result<(Authority, Request<Full<Bytes>>)> {
     let Outgoing { method, url, mut headers, body } = call;
@@ -207,13 +215,6 @@
     }
 }
 
-/// Returns whether there are bytes behind a response that do not begin another one, which a faulty
-/// runner may send.
-fn is_surplus(behind: &[u8]) -> bool {
-    let start = &behind[..behind.len().min(RESPONSE_START.len())];
-    !RESPONSE_START.starts_with(start)
-}
-
 /// Removes hop-by-hop headers: the standard ones, and those that `Connection` names.
 fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
