--- a/review/lib-2/sim.py
+++ b/review/lib-2/sim.py
@@ -69,6 +69,20 @@
     raise RuntimeError("no free port")
 
 
+def free_block():
+    """Returns a block of loopback addresses on which the port of the metrics, which the template fixes, is free."""
+    for _ in range(200):
+        block = random.SystemRandom().randrange(1, 250)
+        with socket.socket() as s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                s.bind((f"127.{block}.1.1", 9464))
+                return block
+            except OSError:
+                continue
+    raise RuntimeError("no free block of addresses")
+
+
 async def read_message(reader):
     """Reads a request or response head, and returns its first line and its headers."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -110,8 +124,8 @@
         self.record, self.rows, self.ver = record, {}, 100
         self.changed = asyncio.Condition()
         self.modes = {}
-        self.acks = {}
         self.on_write = None
+        self.connections, self.silenced = 0, 0
 
     async def listen(self, ip, port, name):
         self.modes[name] = "up"
@@ -140,12 +154,21 @@
         body["now_ms"] = int(now() * 1000)
         return response(status, {"Content-Type": "application/json"}, json.dumps(body).encode())
 
+    def silence(self):
+        """Open connections go silent for good; new ones work."""
+        self.silenced = self.connections
+
     async def serve(self, reader, writer, name):
+        self.connections += 1
+        number = self.connections
         try:
             while True:
                 line, headers = await read_message(reader)
                 body = await read_body(reader, headers)
                 mode = self.modes[name]
+                if number <= self.silenced:
+                    await asyncio.sleep(60)
+                    return
                 if mode == "silent":
                     await asyncio.sleep(60)
                     return
@@ -153,6 +176,9 @@
                     writer.write(response(503))
                     continue
                 answer = await self.answer(line, body, name)
+                if number <= self.silenced:
+                    await asyncio.sleep(60)
+                    return
                 writer.write(answer)
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
@@ -336,8 +362,6 @@
         role = self.sim.deploy["roles"]["entry"]
         with open(os.path.join(ROOT, role["template"]), encoding="utf-8") as f:
             text = fill(f.read(), self.settings())
-        # The port of the metrics is fixed in the template; several instances share this machine's ports only if
-        # their addresses differ, which they do.
         path = os.path.join(self.sim.folder, f"{self.name}.settings")
         with open(path, "w", encoding="utf-8") as f:
             f.write(text)
@@ -432,7 +456,7 @@
         self.folder = tempfile.mkdtemp(prefix="bilberryfront-review-")
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
             self.deploy = tomllib.load(f)
-        self.block = random.randrange(1, 250)
+        self.block = free_block()
         self.zones, self.count = zones, instances
         self.instances, self.runners, self.servers = [], [], []
         self.next_runner = 0
