--- a/review/5/case.py
+++ b/review/5/case.py
@@ -61,6 +61,7 @@
         except OSError:
             return
         status, end = None, "not answered"
+        sim.record("client: sends", id, "to", instance.name)
         try:
             status, found, body = await asyncio.wait_for(exchange(*connection, "POST", "/ruling/1", headers, b"draft"), 26)
             end = "whole" if body.count(b"\n\n") == EVENTS or status != 200 else "short"
--- a/review/lib-2/rollout.py
+++ b/review/lib-2/rollout.py
@@ -50,6 +50,7 @@
     async def one():
         instance, id = random.choice(sim.instances), new_id()
         connection = idle[instance.name].pop() if idle[instance.name] else None
+        sim.record("client: sends", id, "to", instance.name)
         try:
             if connection is None:
                 connection = await asyncio.wait_for(asyncio.open_connection(*instance.front), 1)
